--- /dev/null
+++ b/crates/brasspond/src/demo.rs
@@ -0,0 +1,38 @@
+//! `brasspond demo`: the whole system in one process.
+
+use crate::exit::Outcome;
+use crate::logging;
+use crate::options::DemoOptions;
+
+/// Plays the demonstration; fine only if everything was correct.
+pub(crate) fn run(options: &DemoOptions) -> Outcome {
+    if let Err(error) = logging::start(&options.log_level, None) {
+        eprintln!("cannot log: {error}");
+    }
+    let runtime = match tokio::runtime::Runtime::new() {
+        Ok(runtime) => runtime,
+        Err(error) => {
+            eprintln!("no threads: {error}");
+            return Outcome::Failed;
+        }
+    };
+    let demo = brasspond_demo::DemoOptions { seed: options.seed, steps: options.steps };
+    let result = runtime.block_on(brasspond_demo::run(demo, |line| println!("{line}")));
+    runtime.shutdown_background();
+    let report = match result {
+        Ok(report) => report,
+        Err(error) => {
+            eprintln!("the demonstration failed: {error}");
+            return Outcome::Failed;
+        }
+    };
+    println!("{}", report.summary());
+    if let Some(file) = &options.report {
+        let text = serde_json::to_string_pretty(&report).unwrap_or_default();
+        if let Err(error) = std::fs::write(file, text) {
+            eprintln!("{}: {error}", file.display());
+            return Outcome::Failed;
+        }
+    }
+    if report.is_correct() { Outcome::Fine } else { Outcome::Failed }
+}
--- /dev/null
+++ b/crates/brasspond/src/main.rs
@@ -0,0 +1,39 @@
+//! `brasspond`: one binary with all programs as subcommands, so that an
+//! operator installs one file (`docs/design/0001-architecture.md`).
+#![forbid(unsafe_code)]
+
+mod check;
+mod client;
+mod demo;
+mod digest;
+mod emulate;
+mod exit;
+mod logging;
+mod node;
+mod options;
+
+use crate::exit::Outcome;
+use crate::options::{Command, command_line};
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    let command = match command_line().run_inner(bpaf::Args::current_args()) {
+        Ok(command) => command,
+        Err(failure) => {
+            failure.print_message(100);
+            let is_help = failure.exit_code() == 0;
+            return if is_help { Outcome::Fine } else { Outcome::Usage }.into();
+        }
+    };
+    let outcome = match command {
+        Command::Node(options) => node::run(&options),
+        Command::Check(options) => check::run(&options),
+        Command::Get(options) => client::get(&options),
+        Command::Apply(options) => client::apply(&options),
+        Command::Watch(options) => client::watch(&options),
+        Command::Emulate(options) => emulate::run(options),
+        Command::Demo(options) => demo::run(&options),
+        Command::Digest => digest::run(),
+    };
+    outcome.into()
+}
--- /dev/null
+++ b/crates/brasspond/src/options.rs
@@ -0,0 +1,286 @@
+//! The command line.
+
+use bpaf::{Bpaf, OptionParser, Parser};
+use std::net::SocketAddr;
+use std::path::PathBuf;
+
+/// Form of output.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Form {
+    Table,
+    Json,
+    Yaml,
+}
+
+impl std::str::FromStr for Form {
+    type Err = String;
+
+    fn from_str(text: &str) -> Result<Self, String> {
+        match text {
+            "table" => Ok(Self::Table),
+            "json" => Ok(Self::Json),
+            "yaml" => Ok(Self::Yaml),
+            _ => Err("allowed: table, json, yaml".to_owned()),
+        }
+    }
+}
+
+/// Where a client finds a node, and how it shows what it got.
+#[derive(Clone, Debug, Bpaf)]
+pub(crate) struct ClientOptions {
+    /// Address of a node
+    #[bpaf(argument("ADDRESS"))]
+    pub(crate) server: SocketAddr,
+    /// File with the caller's token
+    #[bpaf(argument("FILE"))]
+    pub(crate) token_file: PathBuf,
+    /// Form of the output: table, json or yaml
+    #[bpaf(short('o'), long("output"), argument("FORM"), fallback(Form::Table))]
+    pub(crate) output: Form,
+}
+
+/// Settings of a node that override its file.
+#[derive(Clone, Debug, Bpaf)]
+pub(crate) struct NodeOptions {
+    /// Settings file
+    #[bpaf(argument("FILE"))]
+    pub(crate) settings: PathBuf,
+    /// Unique name
+    #[bpaf(argument("NAME"), optional)]
+    pub(crate) name: Option<String>,
+    /// Region
+    #[bpaf(argument("NAME"), optional)]
+    pub(crate) region: Option<String>,
+    /// Zone
+    #[bpaf(argument("NAME"), optional)]
+    pub(crate) zone: Option<String>,
+    /// Address for callers, trainers and operators
+    #[bpaf(argument("ADDRESS"), optional)]
+    pub(crate) http: Option<String>,
+    /// Address for other nodes
+    #[bpaf(argument("ADDRESS"), optional)]
+    pub(crate) peers: Option<String>,
+    /// Address of another node; may be given several times
+    #[bpaf(argument("ADDRESS"), many)]
+    pub(crate) seed: Vec<String>,
+    /// Address of the platform's object store
+    #[bpaf(argument("ADDRESS"), optional)]
+    pub(crate) store: Option<String>,
+    /// Folder on a small disk
+    #[bpaf(argument("FOLDER"), optional)]
+    pub(crate) data_folder: Option<String>,
+    /// File with a key of the inner protocol; may be given several times
+    #[bpaf(argument("FILE"), many)]
+    pub(crate) key_file: Vec<String>,
+    /// File to log to
+    #[bpaf(argument("FILE"), optional)]
+    pub(crate) log_file: Option<String>,
+    /// Least important events that are logged
+    #[bpaf(argument("LEVEL"), optional)]
+    pub(crate) log_level: Option<String>,
+    /// Any other key, as limits.connections=500; may be given several times
+    #[bpaf(argument("KEY=VALUE"), many)]
+    pub(crate) set: Vec<String>,
+}
+
+/// Files to check.
+#[derive(Clone, Debug, Bpaf)]
+pub(crate) struct CheckOptions {
+    /// Settings (.toml) and resource manifests (.yaml, .yml, .json)
+    #[bpaf(positional("FILE"), some("at least one FILE is needed"))]
+    pub(crate) files: Vec<PathBuf>,
+}
+
+/// What to read.
+#[derive(Clone, Debug, Bpaf)]
+pub(crate) struct GetOptions {
+    #[bpaf(external)]
+    pub(crate) client_options: ClientOptions,
+    /// Kind, as researchgroups
+    #[bpaf(positional("KIND"))]
+    pub(crate) kind: String,
+    /// Name; all of the kind where left out
+    #[bpaf(positional("NAME"), optional)]
+    pub(crate) name: Option<String>,
+}
+
+/// What to write.
+#[derive(Clone, Debug, Bpaf)]
+pub(crate) struct ApplyOptions {
+    #[bpaf(external)]
+    pub(crate) client_options: ClientOptions,
+    /// Check only, write nothing
+    #[bpaf(switch)]
+    pub(crate) dry_run: bool,
+    /// Manifests
+    #[bpaf(positional("FILE"), some("at least one FILE is needed"))]
+    pub(crate) files: Vec<PathBuf>,
+}
+
+/// What to watch.
+#[derive(Clone, Debug, Bpaf)]
+pub(crate) struct WatchOptions {
+    #[bpaf(external)]
+    pub(crate) client_options: ClientOptions,
+    /// Stop after this many changes; without it, only when interrupted
+    #[bpaf(argument("N"), optional)]
+    pub(crate) changes: Option<u64>,
+    /// Kind, as researchgroups
+    #[bpaf(positional("KIND"))]
+    pub(crate) kind: String,
+}
+
+/// The demonstration.
+#[derive(Clone, Debug, Bpaf)]
+pub(crate) struct DemoOptions {
+    /// Seed of the run
+    #[bpaf(argument("N"), fallback(1))]
+    pub(crate) seed: u64,
+    /// Steps each trainer plays
+    #[bpaf(argument("N"), fallback(4))]
+    pub(crate) steps: u64,
+    /// File to write the report to, as JSON
+    #[bpaf(argument("FILE"), optional)]
+    pub(crate) report: Option<PathBuf>,
+    /// Least important events that are logged
+    #[bpaf(argument("LEVEL"), fallback("error".to_owned()))]
+    pub(crate) log_level: String,
+}
+
+/// Stand-ins as processes of their own.
+#[derive(Clone, Debug, Bpaf)]
+pub(crate) enum EmulateOptions {
+    /// The platform's object store, with its list of machines
+    ///
+    /// Example: brasspond emulate store --listen 127.0.0.1:7000 --load resources.yaml
+    #[bpaf(command)]
+    Store {
+        /// Address to listen on
+        #[bpaf(argument("ADDRESS"))]
+        listen: SocketAddr,
+        /// Manifests to begin with; may be given several times
+        #[bpaf(argument("FILE"), many)]
+        load: Vec<PathBuf>,
+        /// Fault schedule
+        #[bpaf(argument("FILE"), optional)]
+        faults: Option<PathBuf>,
+    },
+    /// The rate-limited weight store
+    ///
+    /// Example: brasspond emulate weights --listen 127.0.0.1:7001
+    #[bpaf(command)]
+    Weights {
+        /// Address to listen on
+        #[bpaf(argument("ADDRESS"))]
+        listen: SocketAddr,
+        /// Transfers at a time
+        #[bpaf(argument("N"), fallback(3))]
+        slots: usize,
+        /// Time of a transfer, in milliseconds
+        #[bpaf(argument("N"), fallback(400))]
+        transfer_milliseconds: u64,
+    },
+    /// A model engine
+    ///
+    /// Example: brasspond emulate engine --name engine-0 --listen 127.0.0.1:9000
+    ///   --weights 127.0.0.1:7001 --model blurbs=1
+    #[bpaf(command)]
+    Engine {
+        /// Unique name
+        #[bpaf(argument("NAME"))]
+        name: String,
+        /// Address to listen on
+        #[bpaf(argument("ADDRESS"))]
+        listen: SocketAddr,
+        /// Address of the weight store
+        #[bpaf(argument("ADDRESS"))]
+        weights: SocketAddr,
+        /// Model and version served at the start; may be given several times
+        #[bpaf(argument("MODEL=VERSION"), many)]
+        model: Vec<String>,
+        /// Largest batch
+        #[bpaf(argument("N"), fallback(16))]
+        max_running: u32,
+        /// Median length of answers, in tokens
+        #[bpaf(argument("N"), fallback(110.0))]
+        median_tokens: f64,
+        /// Seed of its failures
+        #[bpaf(argument("N"), fallback(1))]
+        seed: u64,
+        /// Fault schedule
+        #[bpaf(argument("FILE"), optional)]
+        faults: Option<PathBuf>,
+    },
+    /// A replica of a plain HTTP service
+    ///
+    /// Example: brasspond emulate service --name lending-0 --listen 127.0.0.1:9100
+    #[bpaf(command)]
+    Service {
+        /// Name of the replica
+        #[bpaf(argument("NAME"))]
+        name: String,
+        /// Address to listen on
+        #[bpaf(argument("ADDRESS"))]
+        listen: SocketAddr,
+        /// Time for each request, in milliseconds
+        #[bpaf(argument("N"), fallback(2))]
+        latency_milliseconds: u64,
+    },
+}
+
+/// What to do.
+#[derive(Clone, Debug, Bpaf)]
+pub(crate) enum Command {
+    /// Run a node
+    ///
+    /// Example: brasspond node --settings node-0.toml --zone zone-b
+    #[bpaf(command)]
+    Node(#[bpaf(external(node_options))] NodeOptions),
+    /// Check settings and manifests without starting anything
+    ///
+    /// Example: brasspond check node-0.toml resources.yaml
+    #[bpaf(command)]
+    Check(#[bpaf(external(check_options))] CheckOptions),
+    /// Show resources
+    ///
+    /// Example: brasspond get --server 127.0.0.1:8080 --token-file operator.token researchgroups
+    #[bpaf(command)]
+    Get(#[bpaf(external(get_options))] GetOptions),
+    /// Write resources
+    ///
+    /// Example: brasspond apply --server 127.0.0.1:8080 --token-file operator.token group.yaml
+    #[bpaf(command)]
+    Apply(#[bpaf(external(apply_options))] ApplyOptions),
+    /// Show resources as they change
+    ///
+    /// Example: brasspond watch --server 127.0.0.1:8080 --token-file operator.token researchgroups
+    #[bpaf(command)]
+    Watch(#[bpaf(external(watch_options))] WatchOptions),
+    /// Run a stand-in of the platform
+    ///
+    /// Example: brasspond emulate store --listen 127.0.0.1:7000
+    #[bpaf(command)]
+    Emulate(#[bpaf(external(emulate_options))] EmulateOptions),
+    /// Play the whole system in one process
+    ///
+    /// Example: brasspond demo --seed 3 --report report.json
+    #[bpaf(command)]
+    Demo(#[bpaf(external(demo_options))] DemoOptions),
+    /// Print the digest of a token read from standard input
+    ///
+    /// Example: brasspond digest < operator.token
+    #[bpaf(command)]
+    Digest,
+}
+
+/// The parser of the whole command line.
+pub(crate) fn command_line() -> OptionParser<Command> {
+    command()
+        .to_options()
+        .version(env!("CARGO_PKG_VERSION"))
+        .descr("Rollout service for reinforcement learning")
+        .footer(
+            "Exit codes: 0 fine, 1 failed while running, 2 wrong usage or invalid input. \
+             Shell completion: brasspond --bpaf-complete-style-bash (zsh, fish, elvish).",
+        )
+}
--- /dev/null
+++ b/crates/control/src/context.rs
@@ -0,0 +1,99 @@
+//! What every part of the decisions may look at and ask for.
+
+use crate::event::{Action, Reply, RequestId};
+use crate::parameters::Parameters;
+use brasspond_membership::{Member, Membership};
+use brasspond_protocol::{Envelope, PROTOCOL_VERSION, PeerMessage, Sender};
+use brasspond_resource::Catalogue;
+use brasspond_types::{NodeName, Timestamp};
+use rand::seq::IndexedRandom;
+use rand_chacha::ChaCha8Rng;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+/// Members that may be given work, kept between changes of membership.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Working {
+    /// The members, this node included while it takes work.
+    pub(crate) members: Vec<Member>,
+}
+
+impl Working {
+    pub(crate) fn references(&self) -> Vec<&Member> {
+        self.members.iter().collect()
+    }
+}
+
+/// View of the node handed to each part while it handles an event.
+pub(crate) struct Context<'a> {
+    pub(crate) now: Timestamp,
+    pub(crate) me: &'a NodeName,
+    pub(crate) instance: u64,
+    pub(crate) parameters: &'a Parameters,
+    pub(crate) membership: &'a Membership,
+    pub(crate) working: &'a Working,
+    pub(crate) catalogue: &'a Arc<Catalogue>,
+    pub(crate) random: &'a mut ChaCha8Rng,
+    pub(crate) actions: &'a mut Vec<Action>,
+    /// Messages to this node itself, handled after the current event.
+    pub(crate) loopback: &'a mut Vec<PeerMessage>,
+}
+
+impl Context<'_> {
+    /// Sends a message to a node that is known, or to this node.
+    pub(crate) fn send(&mut self, to: &NodeName, message: PeerMessage) {
+        if to == self.me {
+            self.loopback.push(message);
+            return;
+        }
+        let address = self.membership.get(to).map(|member| member.address);
+        if let Some(address) = address {
+            self.send_to_address(to, address, message);
+        }
+    }
+
+    /// Sends a message to an address.
+    pub(crate) fn send_to_address(
+        &mut self,
+        to: &NodeName,
+        address: SocketAddr,
+        message: PeerMessage,
+    ) {
+        let sender = Sender {
+            node: self.me.clone(),
+            instance: self.instance,
+            address: self.membership.myself().address,
+        };
+        let envelope = Envelope {
+            version: PROTOCOL_VERSION,
+            sender,
+            revision: self.catalogue.revision,
+            message,
+        };
+        let to = to.clone();
+        let envelope = Box::new(envelope);
+        self.actions.push(Action::Send { to, address, envelope });
+    }
+
+    /// Sends a message to a few random working peers.
+    pub(crate) fn spread(&mut self, message: &PeerMessage) {
+        let peers: Vec<NodeName> = self
+            .working
+            .members
+            .iter()
+            .map(|member| member.name.clone())
+            .filter(|name| name != self.me)
+            .collect();
+        let chosen: Vec<&NodeName> = peers
+            .choose_multiple(self.random, self.parameters.spread)
+            .collect();
+        for peer in chosen {
+            self.send(peer, message.clone());
+        }
+    }
+
+    /// Answers a request from outside.
+    pub(crate) fn reply(&mut self, request: RequestId, reply: Reply) {
+        self.actions.push(Action::Reply { request, reply });
+    }
+}
--- /dev/null
+++ b/crates/control/src/control.rs
@@ -0,0 +1,571 @@
+//! The parts of a node's decisions, joined.
+
+use crate::claims::Claims;
+use crate::context::{Context, Working};
+use crate::event::{
+    Action, Event, GenerateRequest, Refusal, RefusalKind, Reply, RequestId, StoreEvent,
+};
+use crate::fleet::{Fleet, FleetStatus};
+use crate::generation::{GenerationEnd, GenerationSpec, Generations, Purpose};
+use crate::owner_table::OwnerTable;
+use crate::parameters::Parameters;
+use crate::steps::Steps;
+use crate::store_reader::StoreReader;
+use crate::versions::Versions;
+use crate::writes::Writes;
+use brasspond_dissemination::{self as dissemination, Readiness, Replica};
+use brasspond_membership::{self as membership, Member, MemberState, Membership};
+use brasspond_protocol::{AdmissionMessage, Envelope, PeerMessage, Sender};
+use brasspond_resource::{Catalogue, Revision};
+use brasspond_routing::{EngineTable, estimate_tokens, prefix_hashes};
+use brasspond_types::{Mutation, NodeName, Timestamp, WeightVersion};
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Time between two rounds of questions to peers while a node starts.
+const ASK_REVISION_PERIOD: Duration = Duration::from_millis(300);
+/// When a caller that is refused because the node is not ready may come back.
+const NOT_READY_RETRY: Duration = Duration::from_secs(1);
+
+/// Everything one node decides.
+pub struct Control {
+    parameters: Parameters,
+    me: NodeName,
+    instance: u64,
+    membership: Membership,
+    working: Working,
+    replica: Replica,
+    readiness: Readiness,
+    confirmed: bool,
+    next_question: Timestamp,
+    engines: EngineTable,
+    owners: OwnerTable,
+    generations: Generations,
+    steps: Steps,
+    claims: Claims,
+    writes: Writes,
+    fleet: Fleet,
+    store_reader: StoreReader,
+    versions: Versions,
+    draining: bool,
+    random: ChaCha8Rng,
+    actions: Vec<Action>,
+    loopback: Vec<PeerMessage>,
+}
+
+/// Builds the context of a part and calls it.
+macro_rules! with_context {
+    ($control:ident, $now:expr, |$context:ident| $body:expr) => {{
+        let mut context = Context {
+            now: $now,
+            me: &$control.me,
+            instance: $control.instance,
+            parameters: &$control.parameters,
+            membership: &$control.membership,
+            working: &$control.working,
+            catalogue: $control.replica.catalogue(),
+            random: &mut $control.random,
+            actions: &mut $control.actions,
+            loopback: &mut $control.loopback,
+        };
+        let $context = &mut context;
+        $body
+    }};
+}
+
+impl Control {
+    /// Creates a node that knows some seeds and perhaps a configuration kept
+    /// on disk.
+    pub fn new(
+        myself: Member,
+        seeds: Vec<SocketAddr>,
+        kept: Option<Catalogue>,
+        parameters: Parameters,
+    ) -> Self {
+        let me = myself.name.clone();
+        let instance = myself.instance.0;
+        let mut engines = EngineTable::new(parameters.policy);
+        engines.set_speed(parameters.speed);
+        let membership = Membership::new(myself, seeds, parameters.membership.clone());
+        let mut control = Self {
+            replica: Replica::new(kept.unwrap_or_default(), parameters.mutations.clone()),
+            claims: Claims::new(me.clone(), instance),
+            parameters,
+            me,
+            instance,
+            membership,
+            working: Working::default(),
+            readiness: Readiness::default(),
+            confirmed: false,
+            next_question: Timestamp::ZERO,
+            engines,
+            owners: OwnerTable::default(),
+            generations: Generations::new(),
+            steps: Steps::new(),
+            writes: Writes::default(),
+            fleet: Fleet::default(),
+            store_reader: StoreReader::default(),
+            versions: Versions::default(),
+            draining: false,
+            random: ChaCha8Rng::seed_from_u64(instance),
+            actions: Vec::new(),
+            loopback: Vec::new(),
+        };
+        control.refresh_working(Timestamp::ZERO);
+        control.reconfigure(Timestamp::ZERO);
+        control
+    }
+
+    /// Enters members and configuration at once, as a fleet that has been
+    /// running would know them.
+    pub fn preload(&mut self, members: &[Member], catalogue: Catalogue, now: Timestamp) {
+        self.membership.preload(members.iter().cloned());
+        self.replica.learn_snapshot(catalogue);
+        self.readiness = Readiness::already_ready();
+        self.refresh_working(now);
+        self.reconfigure(now);
+    }
+
+    /// Name of this node.
+    pub fn name(&self) -> &NodeName {
+        &self.me
+    }
+
+    /// Members as this node sees them.
+    pub fn membership(&self) -> &Membership {
+        &self.membership
+    }
+
+    /// The configuration in force here.
+    pub fn catalogue(&self) -> &Arc<Catalogue> {
+        self.replica.catalogue()
+    }
+
+    /// Revision in force here.
+    pub fn revision(&self) -> Revision {
+        self.replica.revision()
+    }
+
+    /// State of the fleet as last heard.
+    pub fn fleet(&self) -> FleetStatus {
+        self.fleet.status()
+    }
+
+    /// Newest published version of a model, as known here.
+    pub fn newest_version(&self, model: &brasspond_types::ModelName) -> WeightVersion {
+        self.versions.newest(model)
+    }
+
+    /// Whether this node takes new work.
+    pub fn is_ready(&self) -> bool {
+        self.readiness.is_ready() && !self.draining
+    }
+
+    /// Whether a draining node has nothing left to do and may stop.
+    pub fn is_drained(&self) -> bool {
+        if self.parameters.mutations.is_on(Mutation::StopWithoutDraining) {
+            return self.draining;
+        }
+        let is_idle = self.generations.is_idle() && self.claims.is_idle();
+        self.draining && is_idle && self.steps.is_handed_over()
+    }
+
+    /// Counters for metrics, by name.
+    pub fn counters(&self) -> Vec<(&'static str, f64)> {
+        let (homes, kept) = self.steps.counts();
+        let (rollouts, grants) = self.owners.grant_counts();
+        vec![
+            ("owned_engines", self.owners.owned() as f64),
+            ("granted_requests", grants as f64),
+            ("granted_rollouts", rollouts as f64),
+            ("home_steps", homes as f64),
+            ("kept_steps", kept as f64),
+            ("stale_slots_total", self.steps.stale_slots() as f64),
+            ("claims", self.claims.held() as f64),
+            ("working_nodes", self.working.members.len() as f64),
+            ("configuration_revision", self.revision().0 as f64),
+        ]
+    }
+
+    /// Handles an event and returns what has to be done.
+    pub fn handle(&mut self, event: Event, now: Timestamp) -> Vec<Action> {
+        self.dispatch(event, now);
+        self.settle(now);
+        std::mem::take(&mut self.actions)
+    }
+
+    /// Handles messages to this node itself, and ends of generations, until
+    /// nothing is left.
+    fn settle(&mut self, now: Timestamp) {
+        loop {
+            for end in self.generations.take_ended() {
+                self.generation_ended(end, now);
+            }
+            if self.loopback.is_empty() {
+                return;
+            }
+            let sender = Sender {
+                node: self.me.clone(),
+                instance: self.instance,
+                address: self.membership.myself().address,
+            };
+            for message in std::mem::take(&mut self.loopback) {
+                self.peer_message(&sender, message, now);
+            }
+        }
+    }
+
+    fn dispatch(&mut self, event: Event, now: Timestamp) {
+        match event {
+            Event::Tick => self.tick(now),
+            Event::Drain => self.drain(now),
+            Event::Peer(envelope) => self.peer(*envelope, now),
+            Event::Generate { request, body } => self.generate(request, &body, now),
+            Event::CallerGone(request) => with_context!(self, now, |context| {
+                self.generations.cancel_request(request, context);
+            }),
+            Event::Attempt { attempt, update } => with_context!(self, now, |context| {
+                self.generations.attempt(attempt, update, &mut self.engines, context);
+            }),
+            Event::Step { request, body } => {
+                if self.is_ready() || self.draining {
+                    with_context!(self, now, |context| self.steps.begin(request, body, context));
+                } else {
+                    self.refuse_not_ready(request, now);
+                }
+            }
+            Event::Once { request, key } => {
+                if self.is_ready() {
+                    with_context!(self, now, |context| self.claims.begin(request, key, context));
+                } else {
+                    self.refuse_not_ready(request, now);
+                }
+            }
+            Event::OnceDone { request, outcome } => with_context!(self, now, |context| {
+                self.claims.done(request, outcome, context);
+            }),
+            Event::EngineReport { engine, asked_at, report } => {
+                with_context!(self, now, |context| {
+                    self.owners.reported(&engine, asked_at, report, context);
+                });
+            }
+            Event::EngineOrdered { engine, order, outcome } => {
+                with_context!(self, now, |context| {
+                    self.owners.ordered(&engine, &order, &outcome, context);
+                });
+            }
+            Event::Store(event) => self.store(event, now),
+            Event::Write { request, operation, expected } => {
+                with_context!(self, now, |context| {
+                    self.writes.begin(Some(request), operation, expected, context);
+                });
+            }
+        }
+    }
+
+    fn refuse_not_ready(&mut self, request: RequestId, now: Timestamp) {
+        let refusal = Refusal {
+            kind: RefusalKind::NotReady,
+            not_run: true,
+            retry_after: NOT_READY_RETRY,
+        };
+        with_context!(self, now, |context| {
+            context.reply(request, Reply::Refused(refusal));
+        });
+    }
+
+    fn generate(&mut self, request: RequestId, body: &GenerateRequest, now: Timestamp) {
+        if !self.is_ready() {
+            self.refuse_not_ready(request, now);
+            return;
+        }
+        let prefix = prefix_hashes(body.model.as_str(), &body.prompt);
+        let spec = GenerationSpec {
+            purpose: Purpose::Caller(request),
+            group: body.group.clone(),
+            model: body.model.clone(),
+            prompt: Arc::clone(&body.prompt),
+            prefix: prefix.into(),
+            prompt_tokens: estimate_tokens(&body.prompt),
+            max_tokens: body.max_tokens,
+            expected_tokens: f64::from(body.max_tokens) / 2.0,
+            priority: body.priority,
+            seed: body.seed,
+            minimum_version: body.minimum_version,
+            deadline: now + body.time_limit,
+            resume: brasspond_rollout::Partial::default(),
+        };
+        with_context!(self, now, |context| {
+            self.generations.begin(spec, &mut self.engines, &mut self.owners, context);
+        });
+    }
+
+    fn generation_ended(&mut self, end: GenerationEnd, now: Timestamp) {
+        match end {
+            GenerationEnd::Finished { purpose, generated, reason } => match purpose {
+                Purpose::Caller(request) => with_context!(self, now, |context| {
+                    context.reply(request, Reply::Generated);
+                }),
+                Purpose::Slot(sample) => with_context!(self, now, |context| {
+                    self.steps.finished(&sample, generated, reason, &self.versions, context);
+                    if self.readiness.is_ready() {
+                        self.steps.pump(
+                            &self.versions,
+                            &mut self.generations,
+                            &mut self.engines,
+                            &mut self.owners,
+                            context,
+                        );
+                    }
+                }),
+            },
+            GenerationEnd::Refused { purpose, mut refusal } => match purpose {
+                Purpose::Caller(request) => with_context!(self, now, |context| {
+                    let lies = context.parameters.mutations.is_on(Mutation::ClaimNotRun);
+                    refusal.not_run |= lies;
+                    context.reply(request, Reply::Refused(refusal));
+                }),
+                Purpose::Slot(sample) => self.steps.given_up(&sample),
+            },
+        }
+    }
+
+    fn peer(&mut self, envelope: Envelope, now: Timestamp) {
+        let Envelope { sender, revision, message, .. } = envelope;
+        if revision >= self.replica.known() {
+            self.confirmed = true;
+        }
+        let outputs = self.replica.peer_revision(&sender.node, revision, now);
+        self.replica_outputs(outputs, now);
+        self.peer_message(&sender, message, now);
+    }
+
+    fn peer_message(&mut self, sender: &Sender, message: PeerMessage, now: Timestamp) {
+        match message {
+            PeerMessage::Membership(message) => {
+                let outputs = self.membership.handle(&sender.node, sender.address, message, now);
+                self.membership_outputs(outputs, now);
+            }
+            PeerMessage::Configuration(message) => {
+                if let dissemination::Message::RevisionAnswer { known } = &message {
+                    self.readiness.hear_peer(&sender.node, *known);
+                }
+                let outputs = self.replica.handle(&sender.node, message);
+                self.replica_outputs(outputs, now);
+            }
+            PeerMessage::Admission(message) => self.admission(sender, &message, now),
+            PeerMessage::Step(message) => with_context!(self, now, |context| {
+                self.steps.handle(&sender.node, message, &mut self.versions, context);
+            }),
+            PeerMessage::Claim(message) => with_context!(self, now, |context| {
+                self.claims.handle(sender, message, context);
+            }),
+            PeerMessage::Report { revision, usage, voting } => {
+                self.fleet.reported(&sender.node, sender.instance, revision, usage, voting, now);
+            }
+            PeerMessage::Summary(summary) => with_context!(self, now, |context| {
+                if let Some(excess) = self.fleet.learn(summary, context) {
+                    self.owners.correct(&excess);
+                }
+            }),
+        }
+    }
+
+    fn admission(&mut self, sender: &Sender, message: &AdmissionMessage, now: Timestamp) {
+        let is_to_owner = matches!(
+            message,
+            AdmissionMessage::Enqueue { .. } | AdmissionMessage::Release { .. }
+        );
+        with_context!(self, now, |context| {
+            if is_to_owner {
+                self.owners.handle(&sender.node, message, context);
+            } else {
+                self.generations.hear(message, &mut self.engines, &mut self.owners, context);
+            }
+        });
+    }
+
+    fn store(&mut self, event: StoreEvent, now: Timestamp) {
+        match event {
+            StoreEvent::Listed(catalogue) => {
+                self.store_reader.succeeded();
+                self.readiness.hear_store(catalogue.revision);
+                let outputs = self.replica.learn_snapshot(*catalogue);
+                self.replica_outputs(outputs, now);
+            }
+            StoreEvent::Changed(changes) => {
+                self.store_reader.succeeded();
+                let has_peers = self.working.members.len() > 1;
+                let outputs = self.replica.learn_from_store(changes, has_peers, now);
+                self.replica_outputs(outputs, now);
+            }
+            StoreEvent::ReadFailed => with_context!(self, now, |context| {
+                self.store_reader.failed(context);
+            }),
+            StoreEvent::Written { write, result } => with_context!(self, now, |context| {
+                self.writes.written(write, result, context);
+            }),
+            StoreEvent::Found { write, object } => with_context!(self, now, |context| {
+                self.writes.found(write, object, context);
+            }),
+        }
+    }
+
+    fn replica_outputs(&mut self, outputs: Vec<dissemination::Output>, now: Timestamp) {
+        for output in outputs {
+            match output {
+                dissemination::Output::Send(to, message) => with_context!(self, now, |context| {
+                    context.send(&to, PeerMessage::Configuration(message));
+                }),
+                dissemination::Output::Spread(changes) => with_context!(self, now, |context| {
+                    let push = dissemination::Message::Push(changes);
+                    context.spread(&PeerMessage::Configuration(push));
+                }),
+                dissemination::Output::InForce(revision) => {
+                    self.actions.push(Action::InForce(revision));
+                    self.reconfigure(now);
+                }
+            }
+        }
+    }
+
+    fn reconfigure(&mut self, now: Timestamp) {
+        self.versions.update(self.replica.catalogue(), now);
+        with_context!(self, now, |context| {
+            self.owners.reconfigure(&mut self.engines, context);
+        });
+    }
+
+    fn membership_outputs(&mut self, outputs: Vec<membership::Output>, now: Timestamp) {
+        let mut changed = false;
+        for output in outputs {
+            match output {
+                membership::Output::Send(to, address, message) => {
+                    with_context!(self, now, |context| {
+                        context.send_to_address(&to, address, PeerMessage::Membership(message));
+                    });
+                }
+                membership::Output::Changed(_) => changed = true,
+            }
+        }
+        if changed {
+            self.members_changed(now);
+        }
+    }
+
+    fn refresh_working(&mut self, _now: Timestamp) {
+        let working = self.membership.working();
+        self.working.members = working.into_iter().cloned().collect();
+    }
+
+    fn members_changed(&mut self, now: Timestamp) {
+        self.refresh_working(now);
+        let membership = &self.membership;
+        self.owners.forget(|ticket| {
+            let member = membership.get(&ticket.node);
+            member.is_none_or(|member| {
+                member.state == MemberState::Dead || member.instance.0 != ticket.instance
+            })
+        });
+        with_context!(self, now, |context| {
+            self.owners.reassign(context);
+            self.steps.reassign(&mut self.generations, context);
+        });
+    }
+
+    fn drain(&mut self, now: Timestamp) {
+        if !self.draining {
+            self.draining = true;
+            self.membership.leave();
+            self.members_changed(now);
+        }
+    }
+
+    fn tick(&mut self, now: Timestamp) {
+        let outputs = self.membership.tick(now);
+        self.membership_outputs(outputs, now);
+        let has_peers = self.working.members.len() > 1;
+        let outputs = self.replica.tick(has_peers, now);
+        self.replica_outputs(outputs, now);
+        self.become_ready(now);
+        let known = self.replica.known();
+        let is_ready = self.readiness.is_ready();
+        with_context!(self, now, |context| {
+            self.store_reader.tick(known, is_ready, context);
+            self.writes.tick(context);
+            self.claims.tick(context);
+        });
+        if !is_ready {
+            return;
+        }
+        with_context!(self, now, |context| {
+            let owners = &self.owners;
+            let claims = &self.claims;
+            self.fleet.tick(|| owners.usage(), |context| claims.voting(context), context);
+            self.owners.tick(&self.versions, context);
+            self.generations.tick(&mut self.engines, &mut self.owners, context);
+            self.steps.tick(
+                &self.versions,
+                &mut self.generations,
+                &mut self.engines,
+                &mut self.owners,
+                context,
+            );
+        });
+        self.review_claims(now);
+    }
+
+    /// Keeps the list of voters, at the node that collects the reports.
+    fn review_claims(&mut self, now: Timestamp) {
+        if self.writes.has_own() {
+            return;
+        }
+        let operation = with_context!(self, now, |context| {
+            let is_collector = Fleet::collector(context).as_ref() == Some(context.me);
+            let fleet = &self.fleet;
+            let voting = |voter: &_, shard, epoch| fleet.is_voting(voter, shard, epoch);
+            is_collector.then(|| self.claims.review(&voting, context)).flatten()
+        });
+        let Some(operation) = operation else {
+            return;
+        };
+        let expected = match &operation {
+            crate::event::WriteOperation::Put(object) => object.metadata.resource_version,
+            crate::event::WriteOperation::Remove(_) => Revision::default(),
+        };
+        with_context!(self, now, |context| {
+            self.writes.begin(None, operation, Some(expected), context);
+        });
+    }
+
+    /// Asks peers for their revision until enough is known to take work.
+    fn become_ready(&mut self, now: Timestamp) {
+        if self.readiness.is_ready() {
+            return;
+        }
+        let peers: Vec<NodeName> = self
+            .working
+            .members
+            .iter()
+            .map(|member| member.name.clone())
+            .filter(|name| *name != self.me)
+            .collect();
+        if now >= self.next_question {
+            self.next_question = now + ASK_REVISION_PERIOD;
+            let unheard: Vec<NodeName> = self.readiness.unheard(&peers).cloned().collect();
+            for peer in unheard {
+                with_context!(self, now, |context| {
+                    let query = dissemination::Message::RevisionQuery;
+                    context.send(&peer, PeerMessage::Configuration(query));
+                });
+            }
+        }
+        if peers.is_empty() || self.confirmed {
+            let is_synchronised = self.membership.is_synchronised();
+            self.readiness.update(self.replica.revision(), is_synchronised, &peers);
+        }
+    }
+}
--- /dev/null
+++ b/crates/control/src/generation.rs
@@ -0,0 +1,661 @@
+//! Requests this node answers for: placing, queueing, running, trying again.
+
+use crate::context::Context;
+use crate::event::{Action, AttemptId, Refusal, RefusalKind, RequestId};
+use crate::owner_table::OwnerTable;
+use brasspond_engine_api::{AttemptUpdate, EngineCall};
+use brasspond_fairness::Priority;
+use brasspond_limits::{Backoff, RetryBudget};
+use brasspond_protocol::{AdmissionMessage, PeerMessage, RefusalReason, TicketId};
+use brasspond_rollout::Partial;
+use brasspond_routing::{EngineTable, PlacementRequest};
+use brasspond_types::{
+    EngineName, FinishReason, GroupName, ModelName, NodeName, SampleId, Timestamp, WeightVersion,
+    total_tokens,
+};
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Time after which an unanswered request for a place is repeated.
+const RESEND_UNANSWERED: Duration = Duration::from_millis(300);
+/// Time after which a queued request asks whether it is still queued.
+const RESEND_QUEUED: Duration = Duration::from_secs(3);
+/// Repeats without an answer after which another engine is tried.
+const MOST_UNANSWERED: u32 = 4;
+/// Time between repeats of a release.
+const RESEND_RELEASE: Duration = Duration::from_millis(500);
+/// Repeats of a release after which the owner is taken to be gone.
+const MOST_RELEASES: u32 = 10;
+/// Engines remembered as tried in vain.
+const MOST_AVOIDED: usize = 4;
+/// Failures of a caller's request after which it is refused.
+const MOST_FAILURES: u32 = 4;
+/// Cost of a prompt token relative to a generated one.
+const PROMPT_COST: f64 = 0.1;
+/// Share of requests that may be retries, and retries a second allowed anyway.
+const RETRY_RATIO: f64 = 0.1;
+const RETRY_MINIMUM: f64 = 2.0;
+const RETRY_WINDOW: Duration = Duration::from_secs(10);
+const PLACING_BACKOFF: Backoff = Backoff {
+    base: Duration::from_millis(20),
+    cap: Duration::from_millis(1_000),
+};
+
+/// Whom a generation is for.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) enum Purpose {
+    /// A caller waits for it.
+    Caller(RequestId),
+    /// A slot of a step.
+    Slot(SampleId),
+}
+
+/// What is to be generated.
+#[derive(Clone, Debug)]
+pub(crate) struct GenerationSpec {
+    pub(crate) purpose: Purpose,
+    pub(crate) group: GroupName,
+    pub(crate) model: ModelName,
+    pub(crate) prompt: Arc<str>,
+    pub(crate) prefix: Arc<[u64]>,
+    pub(crate) prompt_tokens: u32,
+    pub(crate) max_tokens: u32,
+    pub(crate) expected_tokens: f64,
+    pub(crate) priority: Priority,
+    pub(crate) seed: u64,
+    pub(crate) minimum_version: WeightVersion,
+    pub(crate) deadline: Timestamp,
+    pub(crate) resume: Partial,
+}
+
+#[derive(Debug)]
+enum State {
+    Waiting,
+    Queued {
+        engine: EngineName,
+        owner: NodeName,
+        ticket: u64,
+        unanswered: u32,
+    },
+    Running {
+        engine: EngineName,
+        ticket: u64,
+        oldest: Option<WeightVersion>,
+    },
+}
+
+#[derive(Debug)]
+struct Generation {
+    spec: GenerationSpec,
+    state: State,
+    avoid: Vec<EngineName>,
+    placings: u32,
+    failures: u32,
+    may_have_run: bool,
+    due: Timestamp,
+}
+
+#[derive(Debug)]
+struct PendingRelease {
+    engine: EngineName,
+    served: f32,
+    engine_failed: bool,
+    sends: u32,
+    due: Timestamp,
+}
+
+/// How a generation ended.
+#[derive(Debug)]
+pub(crate) enum GenerationEnd {
+    Finished {
+        purpose: Purpose,
+        generated: Partial,
+        reason: FinishReason,
+    },
+    Refused {
+        purpose: Purpose,
+        refusal: Refusal,
+    },
+}
+
+/// All requests this node answers for.
+#[derive(Debug)]
+pub(crate) struct Generations {
+    live: BTreeMap<u64, Generation>,
+    by_ticket: BTreeMap<u64, u64>,
+    due: BTreeSet<(Timestamp, u64)>,
+    releases: BTreeMap<u64, PendingRelease>,
+    next: u64,
+    budget: RetryBudget,
+    ended: Vec<GenerationEnd>,
+}
+
+impl Generations {
+    pub(crate) fn new() -> Self {
+        Self {
+            live: BTreeMap::new(),
+            by_ticket: BTreeMap::new(),
+            due: BTreeSet::new(),
+            releases: BTreeMap::new(),
+            next: 1,
+            budget: RetryBudget::new(RETRY_RATIO, RETRY_MINIMUM, RETRY_WINDOW),
+            ended: Vec::new(),
+        }
+    }
+
+    /// Whether nothing is under way and nothing is owed to an owner.
+    pub(crate) fn is_idle(&self) -> bool {
+        self.live.is_empty() && self.releases.is_empty()
+    }
+
+    /// Takes what ended since the last call.
+    pub(crate) fn take_ended(&mut self) -> Vec<GenerationEnd> {
+        std::mem::take(&mut self.ended)
+    }
+
+    /// Whether a generation has not started on an engine yet.
+    pub(crate) fn is_waiting(&self, id: u64) -> bool {
+        let generation = self.live.get(&id);
+        generation.is_some_and(|generation| !matches!(generation.state, State::Running { .. }))
+    }
+
+    /// Oldest version in the running attempt and in what it resumed.
+    pub(crate) fn oldest_version(&self, id: u64) -> Option<WeightVersion> {
+        let generation = self.live.get(&id)?;
+        let resumed = brasspond_types::oldest_version(&generation.spec.resume.spans);
+        let running = match &generation.state {
+            State::Running { oldest, .. } => *oldest,
+            _ => None,
+        };
+        match (resumed, running) {
+            (Some(resumed), Some(running)) => Some(resumed.min(running)),
+            (resumed, running) => resumed.or(running),
+        }
+    }
+
+    /// Raises the oldest acceptable version of a generation not yet started.
+    pub(crate) fn raise_minimum(&mut self, id: u64, minimum: WeightVersion) {
+        if let Some(generation) = self.live.get_mut(&id) {
+            generation.spec.minimum_version = generation.spec.minimum_version.max(minimum);
+        }
+    }
+
+    /// Begins a generation and returns its number.
+    pub(crate) fn begin(
+        &mut self,
+        spec: GenerationSpec,
+        engines: &mut EngineTable,
+        owners: &mut OwnerTable,
+        context: &mut Context<'_>,
+    ) -> u64 {
+        let id = self.next;
+        self.next += 1;
+        self.budget.deposit();
+        let generation = Generation {
+            spec,
+            state: State::Waiting,
+            avoid: Vec::new(),
+            placings: 0,
+            failures: 0,
+            may_have_run: false,
+            due: context.now,
+        };
+        self.live.insert(id, generation);
+        self.place(id, engines, owners, context);
+        id
+    }
+
+    /// Drops a generation: its caller went away or its step needs it no more.
+    pub(crate) fn cancel(&mut self, id: u64, context: &mut Context<'_>) {
+        if let Some(generation) = self.live.remove(&id) {
+            self.due.remove(&(generation.due, id));
+            self.leave_engine(&generation.state, 0.0, false, true, context);
+        }
+    }
+
+    /// Drops the generation of a caller that went away.
+    pub(crate) fn cancel_request(&mut self, request: RequestId, context: &mut Context<'_>) {
+        let purpose = Purpose::Caller(request);
+        let found = self.live.iter().find(|(_, generation)| generation.spec.purpose == purpose);
+        if let Some(id) = found.map(|(id, _)| *id) {
+            self.cancel(id, context);
+        }
+    }
+
+    /// Gives back the place of a generation that leaves its engine.
+    fn leave_engine(
+        &mut self,
+        state: &State,
+        served: f32,
+        engine_failed: bool,
+        cancel: bool,
+        context: &mut Context<'_>,
+    ) {
+        let (engine, ticket) = match state {
+            State::Waiting => return,
+            State::Queued { engine, ticket, .. } => (engine, *ticket),
+            State::Running { engine, ticket, .. } => {
+                if cancel {
+                    context.actions.push(Action::CancelAttempt(AttemptId(*ticket)));
+                }
+                (engine, *ticket)
+            }
+        };
+        self.by_ticket.remove(&ticket);
+        let release = PendingRelease {
+            engine: engine.clone(),
+            served,
+            engine_failed,
+            sends: 0,
+            due: context.now,
+        };
+        self.releases.insert(ticket, release);
+    }
+
+    fn schedule(&mut self, id: u64, due: Timestamp) {
+        if let Some(generation) = self.live.get_mut(&id) {
+            self.due.remove(&(generation.due, id));
+            generation.due = due;
+            self.due.insert((due, id));
+        }
+    }
+
+    /// Chooses an engine and asks its owner for a place.
+    fn place(
+        &mut self,
+        id: u64,
+        engines: &mut EngineTable,
+        owners: &mut OwnerTable,
+        context: &mut Context<'_>,
+    ) {
+        let Some(generation) = self.live.get_mut(&id) else {
+            return;
+        };
+        let zone = &context.membership.myself().locality.zone;
+        let request = PlacementRequest {
+            model: &generation.spec.model,
+            minimum_version: generation.spec.minimum_version,
+            prefix: &generation.spec.prefix,
+            prompt_tokens: generation.spec.prompt_tokens,
+            expected_tokens: generation.spec.expected_tokens,
+            zone,
+            avoid: &generation.avoid,
+        };
+        let placement = engines.choose(&request, context.now, context.random);
+        let placed = placement.and_then(|placement| {
+            let owner = owners.owner(&placement.engine, context)?;
+            Some((placement.engine, owner))
+        });
+        generation.placings += 1;
+        let Some((engine, owner)) = placed else {
+            generation.state = State::Waiting;
+            generation.avoid.clear();
+            let delay = PLACING_BACKOFF.delay(generation.placings, context.random);
+            self.schedule(id, context.now + delay);
+            return;
+        };
+        let ticket = self.next;
+        self.next += 1;
+        let unanswered = 0;
+        generation.state = State::Queued { engine, owner, ticket, unanswered };
+        self.by_ticket.insert(ticket, id);
+        self.ask(id, context);
+        self.schedule(id, context.now + RESEND_UNANSWERED);
+    }
+
+    /// Sends the request for a place.
+    fn ask(&mut self, id: u64, context: &mut Context<'_>) {
+        let Some(generation) = self.live.get(&id) else {
+            return;
+        };
+        let State::Queued { engine, owner, ticket, .. } = &generation.state else {
+            return;
+        };
+        let spec = &generation.spec;
+        let left = spec.deadline.since(context.now).as_millis();
+        let cost = spec.expected_tokens + f64::from(spec.prompt_tokens) * PROMPT_COST;
+        let enqueue = AdmissionMessage::Enqueue {
+            ticket: ticket_id(*ticket, context),
+            asked_at: context.now,
+            engine: engine.clone(),
+            group: spec.group.clone(),
+            model: spec.model.clone(),
+            minimum_version: spec.minimum_version,
+            cost: cost as f32,
+            priority: spec.priority,
+            milliseconds_left: u32::try_from(left).unwrap_or(u32::MAX),
+        };
+        let owner = owner.clone();
+        context.send(&owner, PeerMessage::Admission(enqueue));
+    }
+
+    /// Handles an owner's answer.
+    pub(crate) fn hear(
+        &mut self,
+        message: &AdmissionMessage,
+        engines: &mut EngineTable,
+        owners: &mut OwnerTable,
+        context: &mut Context<'_>,
+    ) {
+        let ticket = match message {
+            AdmissionMessage::Released { ticket } => {
+                self.releases.remove(ticket);
+                return;
+            }
+            AdmissionMessage::Queued { ticket, .. }
+            | AdmissionMessage::Granted { ticket, .. }
+            | AdmissionMessage::Refused { ticket, .. } => *ticket,
+            _ => return,
+        };
+        let Some(id) = self.by_ticket.get(&ticket).copied() else {
+            return;
+        };
+        let Some(generation) = self.live.get_mut(&id) else {
+            return;
+        };
+        let State::Queued { engine, unanswered, .. } = &mut generation.state else {
+            return;
+        };
+        *unanswered = 0;
+        let engine = engine.clone();
+        match message {
+            AdmissionMessage::Queued { load, .. } => {
+                engines.report(&engine, *load, context.now);
+                self.schedule(id, context.now + RESEND_QUEUED);
+            }
+            AdmissionMessage::Granted { asked_at, load, .. } => {
+                engines.report(&engine, *load, context.now);
+                self.granted(id, engine, *asked_at, owners, context);
+            }
+            AdmissionMessage::Refused { reason, load, .. } => {
+                if let Some(load) = load {
+                    engines.report(&engine, *load, context.now);
+                }
+                self.refused(id, engine, *reason, context);
+            }
+            _ => {}
+        }
+    }
+
+    /// Starts the attempt, unless the grant was so long under way that the
+    /// engine may have begun to leave since; then the owner is asked again.
+    fn granted(
+        &mut self,
+        id: u64,
+        engine: EngineName,
+        asked_at: Timestamp,
+        owners: &OwnerTable,
+        context: &mut Context<'_>,
+    ) {
+        if context.now.since(asked_at) > context.parameters.grant_age_limit {
+            self.ask(id, context);
+            self.schedule(id, context.now + RESEND_UNANSWERED);
+            return;
+        }
+        let Some(address) = owners.address(&engine) else {
+            return;
+        };
+        let Some(generation) = self.live.get_mut(&id) else {
+            return;
+        };
+        let State::Queued { ticket, .. } = generation.state else {
+            return;
+        };
+        self.due.remove(&(generation.due, id));
+        let spec = &generation.spec;
+        let call = EngineCall {
+            model: spec.model.clone(),
+            prompt: Arc::clone(&spec.prompt),
+            prefix: Arc::clone(&spec.prefix),
+            prompt_tokens: spec.prompt_tokens,
+            max_tokens: spec.max_tokens,
+            seed: spec.seed,
+            priority: spec.priority,
+            resume: spec.resume.clone(),
+        };
+        let request = match &spec.purpose {
+            Purpose::Caller(request) => Some(*request),
+            Purpose::Slot(_) => None,
+        };
+        let oldest = None;
+        generation.state = State::Running { engine: engine.clone(), ticket, oldest };
+        context.actions.push(Action::StartAttempt {
+            attempt: AttemptId(ticket),
+            request,
+            engine,
+            address,
+            call: Box::new(call),
+        });
+    }
+
+    fn refused(
+        &mut self,
+        id: u64,
+        engine: EngineName,
+        reason: RefusalReason,
+        context: &mut Context<'_>,
+    ) {
+        let Some(generation) = self.live.get_mut(&id) else {
+            return;
+        };
+        if let State::Queued { ticket, .. } = generation.state {
+            self.by_ticket.remove(&ticket);
+        }
+        generation.state = State::Waiting;
+        generation.avoid.push(engine);
+        if generation.avoid.len() > MOST_AVOIDED {
+            generation.avoid.remove(0);
+        }
+        let is_caller = matches!(generation.spec.purpose, Purpose::Caller(_));
+        let is_full = reason == RefusalReason::QueueFull;
+        if is_caller && is_full && generation.placings as usize > MOST_AVOIDED {
+            self.refuse(id, RefusalKind::Overloaded, context);
+            return;
+        }
+        let delay = PLACING_BACKOFF.delay(generation.placings.min(3), context.random);
+        self.schedule(id, context.now + delay);
+    }
+
+    /// Ends a generation with a refusal.
+    fn refuse(&mut self, id: u64, kind: RefusalKind, context: &mut Context<'_>) {
+        let Some(generation) = self.live.remove(&id) else {
+            return;
+        };
+        self.due.remove(&(generation.due, id));
+        self.leave_engine(&generation.state, 0.0, false, true, context);
+        let is_running = matches!(generation.state, State::Running { .. });
+        let retry_after = PLACING_BACKOFF.cap.mul_f64(1.0 + f64::from(generation.failures));
+        let refusal = Refusal {
+            kind,
+            not_run: !generation.may_have_run && !is_running,
+            retry_after,
+        };
+        let purpose = generation.spec.purpose;
+        self.ended.push(GenerationEnd::Refused { purpose, refusal });
+    }
+
+    /// Handles what the data plane saw of an attempt.
+    pub(crate) fn attempt(
+        &mut self,
+        attempt: AttemptId,
+        update: AttemptUpdate,
+        engines: &mut EngineTable,
+        context: &mut Context<'_>,
+    ) {
+        let Some(id) = self.by_ticket.get(&attempt.0).copied() else {
+            return;
+        };
+        match update {
+            AttemptUpdate::Progress { oldest } => self.progressed(id, oldest),
+            AttemptUpdate::Finished { generated, reason } => {
+                self.finished(id, generated, reason, engines, context);
+            }
+            AttemptUpdate::Failed { generated, not_run } => {
+                self.failed(id, generated, not_run, engines, context);
+            }
+        }
+    }
+
+    fn progressed(&mut self, id: u64, reported: WeightVersion) {
+        let generation = self.live.get_mut(&id);
+        if let Some(State::Running { oldest, .. }) = generation.map(|generation| &mut generation.state)
+        {
+            *oldest = Some(oldest.map_or(reported, |oldest| oldest.min(reported)));
+        }
+    }
+
+    fn finished(
+        &mut self,
+        id: u64,
+        generated: Partial,
+        reason: FinishReason,
+        engines: &mut EngineTable,
+        context: &mut Context<'_>,
+    ) {
+        let Some(generation) = self.live.remove(&id) else {
+            return;
+        };
+        if let State::Running { engine, .. } = &generation.state
+            && let Some(engine) = engines.get_mut(engine)
+        {
+            engine.health.succeeded();
+        }
+        let served = served_cost(&generation.spec, &generated);
+        self.leave_engine(&generation.state, served, false, false, context);
+        let purpose = generation.spec.purpose;
+        self.ended.push(GenerationEnd::Finished { purpose, generated, reason });
+    }
+
+    /// Goes on elsewhere from what was generated, if the budget allows.
+    fn failed(
+        &mut self,
+        id: u64,
+        generated: Partial,
+        not_run: bool,
+        engines: &mut EngineTable,
+        context: &mut Context<'_>,
+    ) {
+        let Some(generation) = self.live.get_mut(&id) else {
+            return;
+        };
+        let state = std::mem::replace(&mut generation.state, State::Waiting);
+        if let State::Running { engine, .. } = &state {
+            generation.avoid.push(engine.clone());
+            if let Some(engine) = engines.get_mut(engine) {
+                engine.health.failed(context.now);
+            }
+        }
+        generation.failures += 1;
+        generation.may_have_run |= !not_run;
+        let served = served_cost(&generation.spec, &generated);
+        generation.spec.resume = generated;
+        let is_caller = matches!(generation.spec.purpose, Purpose::Caller(_));
+        let failures = generation.failures;
+        self.leave_engine(&state, served, true, false, context);
+        let may_retry = self.budget.withdraw(context.now);
+        if is_caller && (failures >= MOST_FAILURES || !may_retry) {
+            self.refuse(id, RefusalKind::Failed, context);
+            return;
+        }
+        let delay = PLACING_BACKOFF.delay(failures, context.random);
+        let delay = if may_retry { delay } else { delay + PLACING_BACKOFF.cap };
+        self.schedule(id, context.now + delay);
+    }
+
+    /// Runs timers that are due.
+    pub(crate) fn tick(
+        &mut self,
+        engines: &mut EngineTable,
+        owners: &mut OwnerTable,
+        context: &mut Context<'_>,
+    ) {
+        while let Some((due, id)) = self.due.first().copied() {
+            if due > context.now {
+                break;
+            }
+            self.due.remove(&(due, id));
+            self.due_now(id, engines, owners, context);
+        }
+        self.send_releases(owners, context);
+    }
+
+    fn due_now(
+        &mut self,
+        id: u64,
+        engines: &mut EngineTable,
+        owners: &mut OwnerTable,
+        context: &mut Context<'_>,
+    ) {
+        let Some(generation) = self.live.get_mut(&id) else {
+            return;
+        };
+        if generation.spec.deadline <= context.now {
+            let kind = if engines.is_empty() { RefusalKind::NoEngine } else { RefusalKind::DeadlinePassed };
+            self.refuse(id, kind, context);
+            return;
+        }
+        match &mut generation.state {
+            State::Waiting => self.place(id, engines, owners, context),
+            State::Queued { engine, owner, unanswered, .. } => {
+                *unanswered += 1;
+                let moved = owners.owner(engine, context).as_ref() != Some(owner);
+                if moved || *unanswered > MOST_UNANSWERED {
+                    let engine = engine.clone();
+                    let state = std::mem::replace(&mut generation.state, State::Waiting);
+                    if !moved {
+                        generation.avoid.push(engine);
+                    }
+                    self.leave_engine(&state, 0.0, false, false, context);
+                    self.place(id, engines, owners, context);
+                } else {
+                    self.ask(id, context);
+                    self.schedule(id, context.now + RESEND_UNANSWERED);
+                }
+            }
+            State::Running { .. } => {}
+        }
+    }
+
+    fn send_releases(&mut self, owners: &mut OwnerTable, context: &mut Context<'_>) {
+        let due: Vec<u64> = self
+            .releases
+            .iter()
+            .filter(|(_, release)| release.due <= context.now)
+            .map(|(ticket, _)| *ticket)
+            .collect();
+        for ticket in due {
+            let Some(release) = self.releases.get_mut(&ticket) else {
+                continue;
+            };
+            release.sends += 1;
+            release.due = context.now + RESEND_RELEASE;
+            let owner = owners.owner(&release.engine, context);
+            let Some(owner) = owner.filter(|_| release.sends <= MOST_RELEASES) else {
+                self.releases.remove(&ticket);
+                continue;
+            };
+            let message = AdmissionMessage::Release {
+                ticket: ticket_id(ticket, context),
+                engine: release.engine.clone(),
+                served: release.served,
+                engine_failed: release.engine_failed,
+            };
+            context.send(&owner, PeerMessage::Admission(message));
+        }
+    }
+}
+
+fn ticket_id(number: u64, context: &Context<'_>) -> TicketId {
+    TicketId {
+        node: context.me.clone(),
+        instance: context.instance,
+        number,
+    }
+}
+
+/// Cost of what one attempt generated behind what it resumed.
+fn served_cost(spec: &GenerationSpec, generated: &Partial) -> f32 {
+    let tokens = total_tokens(&generated.spans).saturating_sub(total_tokens(&spec.resume.spans));
+    (tokens as f64 + f64::from(spec.prompt_tokens) * PROMPT_COST) as f32
+}
--- /dev/null
+++ b/crates/control/src/lib.rs
@@ -0,0 +1,30 @@
+//! The decisions of a node, free of I/O: `(state, event, now) -> actions`.
+//!
+//! [`Control`] joins the parts that each decide one matter and holds no clock,
+//! socket or thread. The running node, the fuzzer and the hollow fleet of the
+//! experiments all drive this same type: they feed it [`Event`]s and carry out
+//! its [`Action`]s. See `docs/ARCHITECTURE.md`.
+#![forbid(unsafe_code)]
+
+mod claims;
+mod context;
+mod control;
+mod event;
+mod fleet;
+mod generation;
+mod owner;
+mod owner_table;
+mod parameters;
+mod step_copies;
+mod steps;
+mod store_reader;
+mod versions;
+mod writes;
+
+pub use control::Control;
+pub use event::{
+    Action, AttemptId, Event, GenerateRequest, PutResult, Refusal, RefusalKind, Reply, RequestId,
+    StoreCall, StoreEvent, WriteOperation, WriteReply,
+};
+pub use fleet::FleetStatus;
+pub use parameters::Parameters;
--- /dev/null
+++ b/crates/control/src/owner.rs
@@ -0,0 +1,485 @@
+//! One engine at the node that owns it: its queue, its places, its versions.
+
+use crate::context::Context;
+use crate::event::Action;
+use crate::versions::Versions;
+use brasspond_engine_api::{
+    Command, EngineOrder, EngineReport, OrderOutcome, WeightSource,
+};
+use brasspond_fairness::{FairQueue, Priority, Waiting};
+use brasspond_limits::{Backoff, ConcurrencyLimit};
+use brasspond_protocol::{AdmissionMessage, PeerMessage, RefusalReason, TicketId};
+use brasspond_routing::{EngineLoad, PrefixIndex};
+use brasspond_types::{
+    EngineName, GroupName, ModelName, Mutation, NodeName, Timestamp, WeightVersion,
+};
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// Time after which an unanswered order is given again.
+const ORDER_TIMEOUT: Duration = Duration::from_secs(2);
+/// Time between two claims that were fenced off; long enough for membership
+/// to settle who owns the engine.
+const CLAIM_BACKOFF: Backoff = Backoff {
+    base: Duration::from_secs(1),
+    cap: Duration::from_secs(4),
+};
+/// Time between two tries to get weights from a busy source.
+const LOAD_RETRY: Duration = Duration::from_millis(120);
+/// Time after a take-over in which the engine's own count of requests is
+/// believed over this node's, since places were given by another node.
+const TAKE_OVER: Duration = Duration::from_secs(60);
+/// Smallest concurrency limit.
+const LOWEST_LIMIT: u32 = 1;
+/// Queue length without a pool's own bound.
+const DEFAULT_QUEUE_BOUND: usize = 4_096;
+/// Part of the pool's excess that one correction moves a group's counter by.
+const FAIRNESS_GAIN: f64 = 0.5;
+
+/// A request in the queue.
+#[derive(Clone, Debug, PartialEq)]
+struct Place {
+    ticket: TicketId,
+    model: ModelName,
+    minimum_version: WeightVersion,
+    asked_at: Timestamp,
+}
+
+/// A request on the engine.
+#[derive(Debug)]
+struct Grant {
+    group: GroupName,
+    cost: f32,
+    priority: Priority,
+}
+
+/// An engine this node owns.
+#[derive(Debug)]
+pub(crate) struct Owner {
+    pub(crate) engine: EngineName,
+    pub(crate) address: SocketAddr,
+    /// Epoch in which the engine follows this node's orders.
+    held: Option<u64>,
+    claims: u32,
+    next_claim: Timestamp,
+    order_sent: Option<Timestamp>,
+    load_tries: BTreeMap<(ModelName, WeightVersion), u32>,
+    next_load: Timestamp,
+    queue: FairQueue<Place>,
+    awaiting_version: Vec<Waiting<Place>>,
+    grants: BTreeMap<TicketId, Grant>,
+    limit: ConcurrencyLimit,
+    report: Option<EngineReport>,
+    report_asked: Timestamp,
+    next_poll: Timestamp,
+    owned_since: Timestamp,
+    prefixes: PrefixIndex,
+}
+
+impl Owner {
+    pub(crate) fn new(engine: EngineName, address: SocketAddr, now: Timestamp) -> Self {
+        Self {
+            engine,
+            address,
+            held: None,
+            claims: 0,
+            next_claim: now,
+            order_sent: None,
+            load_tries: BTreeMap::new(),
+            next_load: now,
+            queue: FairQueue::new(DEFAULT_QUEUE_BOUND),
+            awaiting_version: Vec::new(),
+            grants: BTreeMap::new(),
+            limit: ConcurrencyLimit::new(LOWEST_LIMIT, LOWEST_LIMIT, LOWEST_LIMIT),
+            report: None,
+            report_asked: Timestamp::ZERO,
+            next_poll: now,
+            owned_since: now,
+            prefixes: PrefixIndex::default(),
+        }
+    }
+
+    /// Load as told to the askers.
+    pub(crate) fn load(&self) -> EngineLoad {
+        let running: f32 = self.grants.values().map(|grant| grant.cost).sum();
+        let awaiting: f64 = self.awaiting_version.iter().map(|waiting| waiting.cost).sum();
+        EngineLoad {
+            running: self.occupied(self.owned_since + TAKE_OVER),
+            limit: self.limit.current(),
+            queued: (self.queue.len() + self.awaiting_version.len()) as u32,
+            pending_tokens: running + (self.queue.waiting_cost() + awaiting) as f32,
+        }
+    }
+
+    /// Groups that wait for this engine.
+    pub(crate) fn has_waiting(&self) -> bool {
+        !self.queue.is_empty()
+    }
+
+    /// Sets the groups' weights.
+    pub(crate) fn set_weights(&mut self, weights: &BTreeMap<GroupName, f64>) {
+        for (group, weight) in weights {
+            self.queue.set_weight(group, *weight);
+        }
+    }
+
+    /// Corrects the groups' counters by what they were served over the whole
+    /// pool beyond their share, of which this engine makes up `part`.
+    pub(crate) fn correct(&mut self, excess: &BTreeMap<GroupName, f64>, part: f64) {
+        for (group, excess) in excess {
+            self.queue.adjust(group, excess * part * FAIRNESS_GAIN);
+        }
+    }
+
+    /// Whether the engine may be given work: it follows this node, told so
+    /// lately, and is not leaving.
+    fn takes_work(&self, is_leaving: bool, context: &Context<'_>) -> bool {
+        if context.parameters.mutations.is_on(Mutation::IgnoreLeaving) {
+            return self.report.is_some();
+        }
+        let age = context.now.since(self.report_asked);
+        let is_fresh = age <= context.parameters.report_age_limit;
+        let says_leaving = self.report.as_ref().is_none_or(|report| report.leaving);
+        self.held.is_some() && is_fresh && !says_leaving && !is_leaving
+    }
+
+    /// Requests on the engine: those granted here, and after a take-over those
+    /// it reports beyond them.
+    fn occupied(&self, now: Timestamp) -> u32 {
+        let granted = self.grants.len() as u32;
+        if now.since(self.owned_since) >= TAKE_OVER {
+            return granted;
+        }
+        let reported = self.report.as_ref();
+        let reported = reported.map_or(0, |report| report.running + report.waiting);
+        granted.max(reported)
+    }
+
+    /// Handles a request for a place.
+    pub(crate) fn enqueue(&mut self, message: &AdmissionMessage, is_leaving: bool, context: &mut Context<'_>) {
+        let AdmissionMessage::Enqueue {
+            ticket,
+            asked_at,
+            group,
+            model,
+            minimum_version,
+            cost,
+            priority,
+            milliseconds_left,
+            ..
+        } = message
+        else {
+            return;
+        };
+        if self.grants.contains_key(ticket) {
+            if self.takes_work(is_leaving, context) {
+                self.tell_granted(ticket, *asked_at, context);
+            } else {
+                self.grants.remove(ticket);
+                self.refuse(ticket, RefusalReason::EngineUnavailable, context);
+            }
+            return;
+        }
+        if is_leaving || self.report.as_ref().is_some_and(|report| report.leaving) {
+            self.refuse(ticket, RefusalReason::EngineUnavailable, context);
+            return;
+        }
+        self.queue.remove_if(|waiting| waiting.item.ticket == *ticket);
+        self.awaiting_version.retain(|waiting| waiting.item.ticket != *ticket);
+        let left = Duration::from_millis(u64::from(*milliseconds_left));
+        let waiting = Waiting {
+            item: Place {
+                ticket: ticket.clone(),
+                model: model.clone(),
+                minimum_version: *minimum_version,
+                asked_at: *asked_at,
+            },
+            group: group.clone(),
+            priority: *priority,
+            cost: f64::from(*cost),
+            enqueued: context.now,
+            deadline: context.now + left,
+        };
+        if let Some(shed) = self.queue.push(waiting) {
+            self.refuse(&shed.item.ticket, RefusalReason::QueueFull, context);
+            if shed.item.ticket == *ticket {
+                return;
+            }
+        }
+        self.dispatch(is_leaving, context);
+        if !self.grants.contains_key(ticket) {
+            let queued = AdmissionMessage::Queued {
+                ticket: ticket.number,
+                load: self.load(),
+            };
+            context.send(&ticket.node, PeerMessage::Admission(queued));
+        }
+    }
+
+    /// Handles the end of a place; returns the group and cost served.
+    pub(crate) fn release(
+        &mut self,
+        ticket: &TicketId,
+        served: f32,
+        engine_failed: bool,
+        is_leaving: bool,
+        context: &mut Context<'_>,
+    ) -> Option<(GroupName, f64)> {
+        self.queue.remove_if(|waiting| waiting.item.ticket == *ticket);
+        self.awaiting_version.retain(|waiting| waiting.item.ticket != *ticket);
+        let in_flight = self.grants.len() as u32;
+        let grant = self.grants.remove(ticket)?;
+        if engine_failed {
+            self.limit.overloaded();
+        } else {
+            self.limit.succeeded(in_flight);
+        }
+        let expected = f64::from(grant.cost);
+        self.queue.settle(&grant.group, expected, f64::from(served));
+        self.dispatch(is_leaving, context);
+        Some((grant.group, f64::from(served)))
+    }
+
+    /// Forgets what a failed process asked for.
+    pub(crate) fn forget(&mut self, is_gone: impl Fn(&TicketId) -> bool) {
+        self.queue.remove_if(|waiting| is_gone(&waiting.item.ticket));
+        self.awaiting_version.retain(|waiting| !is_gone(&waiting.item.ticket));
+        self.grants.retain(|ticket, _| !is_gone(ticket));
+    }
+
+    /// Grants places while there are any.
+    pub(crate) fn dispatch(&mut self, is_leaving: bool, context: &mut Context<'_>) {
+        if !self.takes_work(is_leaving, context) {
+            return;
+        }
+        loop {
+            let occupied = self.occupied(context.now);
+            if occupied >= self.limit.current() {
+                return;
+            }
+            let Some(waiting) = self.queue.pop() else {
+                return;
+            };
+            if waiting.deadline <= context.now {
+                self.queue.settle(&waiting.group, waiting.cost, 0.0);
+                self.refuse(&waiting.item.ticket, RefusalReason::DeadlinePassed, context);
+                continue;
+            }
+            if !self.serves(&waiting.item) {
+                self.queue.settle(&waiting.group, waiting.cost, 0.0);
+                self.awaiting_version.push(waiting);
+                continue;
+            }
+            if waiting.priority != Priority::Interactive && self.only_reserve_left(context) {
+                self.queue.settle(&waiting.group, waiting.cost, 0.0);
+                self.queue.push(waiting);
+                return;
+            }
+            self.grant(waiting, context);
+        }
+    }
+
+    /// Whether the places still free are kept for interactive requests.
+    fn only_reserve_left(&self, context: &Context<'_>) -> bool {
+        let limit = self.limit.current();
+        let reserve = (f64::from(limit) * context.parameters.interactive_reserve) as u32;
+        self.occupied(context.now) >= (limit - reserve).max(1)
+    }
+
+    fn serves(&self, place: &Place) -> bool {
+        let report = self.report.as_ref();
+        let version = report.and_then(|report| report.models.get(&place.model));
+        version.is_some_and(|version| *version >= place.minimum_version)
+    }
+
+    fn grant(&mut self, waiting: Waiting<Place>, context: &mut Context<'_>) {
+        let ticket = waiting.item.ticket;
+        let grant = Grant {
+            group: waiting.group,
+            cost: waiting.cost as f32,
+            priority: waiting.priority,
+        };
+        self.grants.insert(ticket.clone(), grant);
+        self.tell_granted(&ticket, waiting.item.asked_at, context);
+    }
+
+    fn tell_granted(&self, ticket: &TicketId, asked_at: Timestamp, context: &mut Context<'_>) {
+        let granted = AdmissionMessage::Granted {
+            ticket: ticket.number,
+            asked_at,
+            load: self.load(),
+        };
+        context.send(&ticket.node, PeerMessage::Admission(granted));
+    }
+
+    fn refuse(&self, ticket: &TicketId, reason: RefusalReason, context: &mut Context<'_>) {
+        let refused = AdmissionMessage::Refused {
+            ticket: ticket.number,
+            reason,
+            load: Some(self.load()),
+        };
+        context.send(&ticket.node, PeerMessage::Admission(refused));
+    }
+
+    /// Refuses all that wait: the engine is leaving or another node owns it.
+    pub(crate) fn refuse_all(&mut self, reason: RefusalReason, context: &mut Context<'_>) {
+        let mut waiting = self.queue.remove_if(|_| true);
+        waiting.append(&mut self.awaiting_version);
+        for waiting in waiting {
+            self.refuse(&waiting.item.ticket, reason, context);
+        }
+    }
+
+    /// Takes in a report of the engine.
+    pub(crate) fn reported(&mut self, asked_at: Timestamp, report: EngineReport, context: &Context<'_>) {
+        if asked_at < self.report_asked {
+            return;
+        }
+        self.report_asked = asked_at;
+        for event in &report.cache_events {
+            self.prefixes.apply(event);
+        }
+        if self.limit.current() <= LOWEST_LIMIT && report.max_running > LOWEST_LIMIT {
+            let most = report.max_running;
+            self.limit = ConcurrencyLimit::new(most, LOWEST_LIMIT, most);
+        }
+        self.limit.set_highest(report.max_running);
+        let holds = report.holder.as_ref() == Some(context.me);
+        if self.held.is_some_and(|held| held != report.epoch || !holds) {
+            self.held = None;
+            self.next_claim = context.now + CLAIM_BACKOFF.base;
+        }
+        let has_new_version = self
+            .report
+            .as_ref()
+            .is_none_or(|before| before.models != report.models);
+        self.report = Some(report);
+        if has_new_version {
+            for waiting in std::mem::take(&mut self.awaiting_version) {
+                self.queue.push(waiting);
+            }
+        }
+    }
+
+    /// Takes in the answer to an order.
+    pub(crate) fn ordered(&mut self, order: &EngineOrder, outcome: &OrderOutcome, context: &mut Context<'_>) {
+        self.order_sent = None;
+        match (&order.command, outcome) {
+            (_, OrderOutcome::Fenced { epoch }) => {
+                self.held = None;
+                self.claims += 1;
+                let delay = CLAIM_BACKOFF.delay(self.claims.min(2), context.random);
+                self.next_claim = context.now + delay;
+                if let Some(report) = &mut self.report {
+                    report.epoch = report.epoch.max(*epoch);
+                }
+            }
+            (Command::Claim, OrderOutcome::Accepted) => {
+                self.held = Some(order.epoch);
+                self.claims = 0;
+                self.next_poll = context.now;
+                if let Some(report) = &mut self.report {
+                    report.epoch = order.epoch;
+                    report.holder = Some(context.me.clone());
+                }
+            }
+            (Command::Load { model, version, .. }, OrderOutcome::Accepted) => {
+                self.load_tries.remove(&(model.clone(), *version));
+                self.next_load = context.now + context.parameters.poll_period;
+                self.next_poll = context.now;
+                if let Some(report) = &mut self.report {
+                    report.loading.insert(model.clone(), *version);
+                }
+            }
+            (Command::Load { model, version, .. }, OrderOutcome::SourceBusy) => {
+                *self.load_tries.entry((model.clone(), *version)).or_default() += 1;
+                self.next_load = context.now + LOAD_RETRY;
+            }
+            (Command::Claim, OrderOutcome::SourceBusy) => {}
+            (_, OrderOutcome::Unreachable) => self.next_load = context.now + ORDER_TIMEOUT,
+        }
+    }
+
+    /// Polls, claims and updates the engine.
+    pub(crate) fn tick(&mut self, catalogue_leaving: bool, versions: &Versions, sources: &mut dyn FnMut(&ModelName, WeightVersion, u32) -> WeightSource, context: &mut Context<'_>) {
+        if context.now >= self.next_poll {
+            let is_loading = self.report.as_ref().is_some_and(|report| !report.loading.is_empty());
+            let divisor = if is_loading { 4 } else { 1 };
+            self.next_poll = context.now + context.parameters.poll_period / divisor;
+            let engine = self.engine.clone();
+            let address = self.address;
+            context.actions.push(Action::PollEngine { engine, address });
+        }
+        if self.order_sent.is_some_and(|sent| context.now.since(sent) < ORDER_TIMEOUT) {
+            return;
+        }
+        if catalogue_leaving || self.report.as_ref().is_some_and(|report| report.leaving) {
+            self.refuse_all(RefusalReason::EngineUnavailable, context);
+            return;
+        }
+        match self.held {
+            None => self.claim(context),
+            Some(epoch) => self.update_versions(epoch, versions, sources, context),
+        }
+    }
+
+    fn claim(&mut self, context: &mut Context<'_>) {
+        let Some(report) = &self.report else {
+            return;
+        };
+        if context.now < self.next_claim {
+            return;
+        }
+        let epoch = report.epoch + 1;
+        self.give_order(epoch, Command::Claim, context);
+    }
+
+    fn give_order(&mut self, epoch: u64, command: Command, context: &mut Context<'_>) {
+        self.order_sent = Some(context.now);
+        let order = EngineOrder {
+            epoch,
+            holder: NodeName::clone(context.me),
+            command,
+        };
+        let engine = self.engine.clone();
+        let address = self.address;
+        context.actions.push(Action::OrderEngine { engine, address, order });
+    }
+
+    /// Orders the first version that the engine does not report to serve. What
+    /// was ordered before does not count: only the report does.
+    fn update_versions(&mut self, epoch: u64, versions: &Versions, sources: &mut dyn FnMut(&ModelName, WeightVersion, u32) -> WeightSource, context: &mut Context<'_>) {
+        if context.now < self.next_load {
+            return;
+        }
+        let Some(report) = &self.report else {
+            return;
+        };
+        if context.parameters.whole_batch && !self.grants.is_empty() {
+            return;
+        }
+        let served = context.catalogue.newest_versions();
+        let missing = served.keys().find_map(|model| {
+            let newest = versions.newest(model).min(served[model]);
+            let is_current = report.models.get(model) == Some(&newest);
+            let is_loading = report.loading.get(model) == Some(&newest);
+            (!is_current && !is_loading).then(|| (model.clone(), newest))
+        });
+        let Some((model, version)) = missing else {
+            return;
+        };
+        let tries = self.load_tries.get(&(model.clone(), version)).copied();
+        let source = sources(&model, version, tries.unwrap_or(0));
+        let swap = Versions::swap_policy(context.catalogue, &model);
+        let command = Command::Load { model, version, source, swap };
+        self.give_order(epoch, command, context);
+    }
+
+    /// Requests of rollouts on the engine, and all.
+    pub(crate) fn grant_counts(&self) -> (usize, usize) {
+        let rollouts = self.grants.values();
+        let rollouts = rollouts.filter(|grant| grant.priority != Priority::Interactive);
+        (rollouts.count(), self.grants.len())
+    }
+}
--- /dev/null
+++ b/crates/control/src/owner_table.rs
@@ -0,0 +1,320 @@
+//! Which node owns which engine, and the engines this node owns.
+
+use crate::context::Context;
+use crate::owner::Owner;
+use crate::versions::Versions;
+use brasspond_engine_api::{EngineOrder, EngineReport, OrderOutcome, WeightSource};
+use brasspond_fairness::{GroupUsage, UsageTable};
+use brasspond_protocol::{AdmissionMessage, PeerMessage, RefusalReason, TicketId};
+use brasspond_resource::{MachineRole, MachineSpec};
+use brasspond_routing::{EngineTable, EngineView, rank};
+use brasspond_types::{
+    EngineName, GroupName, ModelName, NodeName, Timestamp, WeightVersion, ZoneName, stable_hash,
+};
+use std::collections::{BTreeMap, HashMap};
+use std::net::SocketAddr;
+
+/// Tries after which a version is asked of the weight store, whatever the
+/// engine's place in the distribution tree.
+const TRIES_BEFORE_STORE: u32 = 40;
+
+#[derive(Clone, Debug)]
+struct Listed {
+    address: SocketAddr,
+    zone: ZoneName,
+    leaving: bool,
+}
+
+/// All engines of the configuration, and the owners of those of this node.
+#[derive(Debug, Default)]
+pub(crate) struct OwnerTable {
+    listed: BTreeMap<EngineName, Listed>,
+    owners: HashMap<EngineName, NodeName>,
+    mine: BTreeMap<EngineName, Owner>,
+    load_order: BTreeMap<(ModelName, WeightVersion), Vec<EngineName>>,
+    usage: UsageTable,
+}
+
+impl OwnerTable {
+    /// Node that owns an engine.
+    pub(crate) fn owner(&mut self, engine: &EngineName, context: &Context<'_>) -> Option<NodeName> {
+        if let Some(owner) = self.owners.get(engine) {
+            return Some(owner.clone());
+        }
+        let listed = self.listed.get(engine)?;
+        let members = context.working.references();
+        let best = rank(engine.as_str(), Some(&listed.zone), &members, 1);
+        let owner = best.first()?.name.clone();
+        self.owners.insert(engine.clone(), owner.clone());
+        Some(owner)
+    }
+
+    /// Address of an engine.
+    pub(crate) fn address(&self, engine: &EngineName) -> Option<SocketAddr> {
+        self.listed.get(engine).map(|listed| listed.address)
+    }
+
+    /// Number of engines in the configuration.
+    pub(crate) fn len(&self) -> usize {
+        self.listed.len()
+    }
+
+    /// Number of engines this node owns.
+    pub(crate) fn owned(&self) -> usize {
+        self.mine.len()
+    }
+
+    /// Requests granted by this node, of rollouts and in all.
+    pub(crate) fn grant_counts(&self) -> (usize, usize) {
+        let counts = self.mine.values().map(Owner::grant_counts);
+        counts.fold((0, 0), |sum, count| (sum.0 + count.0, sum.1 + count.1))
+    }
+
+    /// Usage of each group at this node's engines.
+    pub(crate) fn usage(&self) -> Vec<GroupUsage> {
+        let waiting = self.mine.values().any(Owner::has_waiting);
+        let usage = self.usage.iter().map(|(group, served)| GroupUsage {
+            group: group.clone(),
+            served,
+            waiting,
+        });
+        usage.collect()
+    }
+
+    /// Takes in a new configuration.
+    pub(crate) fn reconfigure(&mut self, engines: &mut EngineTable, context: &mut Context<'_>) {
+        let machines = context.catalogue.machines();
+        let is_engine = |(_, machine): &(&str, &MachineSpec)| machine.role == MachineRole::Engine;
+        self.listed = machines
+            .filter(is_engine)
+            .map(|(name, machine)| {
+                let listed = Listed {
+                    address: machine.address,
+                    zone: machine.locality.zone.clone(),
+                    leaving: machine.leaving,
+                };
+                (EngineName::new(name), listed)
+            })
+            .collect();
+        self.load_order.clear();
+        let models: BTreeMap<ModelName, WeightVersion> = context
+            .catalogue
+            .newest_versions()
+            .into_keys()
+            .map(|model| (model, WeightVersion(u64::MAX)))
+            .collect();
+        let views = self.listed.iter().map(|(name, listed)| {
+            let mut view = EngineView::new(name.clone(), listed.zone.clone());
+            view.models = models.clone();
+            view.leaving = listed.leaving;
+            view
+        });
+        engines.replace(views.collect(), context.now);
+        self.reassign(context);
+    }
+
+    /// Works out anew which engines are this node's.
+    pub(crate) fn reassign(&mut self, context: &mut Context<'_>) {
+        self.owners.clear();
+        let names: Vec<EngineName> = self.listed.keys().cloned().collect();
+        let my_zone = &context.membership.myself().locality.zone;
+        let zones: std::collections::BTreeSet<&ZoneName> =
+            context.working.members.iter().map(|member| &member.locality.zone).collect();
+        for name in names {
+            let zone = &self.listed[&name].zone;
+            let may_be_mine = zone == my_zone || !zones.contains(zone);
+            let is_mine = may_be_mine && self.owner(&name, context).as_ref() == Some(context.me);
+            match self.mine.get_mut(&name) {
+                Some(owner) if is_mine => owner.address = self.listed[&name].address,
+                Some(owner) => {
+                    owner.refuse_all(RefusalReason::NotOwner, context);
+                    self.mine.remove(&name);
+                }
+                None if is_mine => {
+                    let address = self.listed[&name].address;
+                    let owner = Owner::new(name.clone(), address, context.now);
+                    self.mine.insert(name, owner);
+                }
+                None => {}
+            }
+        }
+        let listed = &self.listed;
+        self.mine.retain(|name, _| listed.contains_key(name));
+        let weights = context.catalogue.shares();
+        for owner in self.mine.values_mut() {
+            owner.set_weights(&weights);
+        }
+    }
+
+    fn is_leaving(&self, engine: &EngineName) -> bool {
+        self.listed.get(engine).is_none_or(|listed| listed.leaving)
+    }
+
+    /// Handles a message to the owner of an engine.
+    pub(crate) fn handle(&mut self, from: &NodeName, message: &AdmissionMessage, context: &mut Context<'_>) {
+        match message {
+            AdmissionMessage::Enqueue { engine, ticket, .. } => {
+                let is_leaving = self.is_leaving(engine);
+                match self.mine.get_mut(engine) {
+                    Some(owner) => owner.enqueue(message, is_leaving, context),
+                    None => {
+                        let refused = AdmissionMessage::Refused {
+                            ticket: ticket.number,
+                            reason: RefusalReason::NotOwner,
+                            load: None,
+                        };
+                        context.send(from, PeerMessage::Admission(refused));
+                    }
+                }
+            }
+            AdmissionMessage::Release { ticket, engine, served, engine_failed } => {
+                let released = AdmissionMessage::Released { ticket: ticket.number };
+                context.send(from, PeerMessage::Admission(released));
+                self.release(ticket, engine, *served, *engine_failed, context);
+            }
+            _ => {}
+        }
+    }
+
+    fn release(
+        &mut self,
+        ticket: &TicketId,
+        engine: &EngineName,
+        served: f32,
+        engine_failed: bool,
+        context: &mut Context<'_>,
+    ) {
+        let is_leaving = self.is_leaving(engine);
+        let Some(owner) = self.mine.get_mut(engine) else {
+            return;
+        };
+        let settled = owner.release(ticket, served, engine_failed, is_leaving, context);
+        if let Some((group, cost)) = settled {
+            self.usage.add(&group, cost);
+        }
+    }
+
+    /// Forgets what failed processes asked for.
+    pub(crate) fn forget(&mut self, is_gone: impl Fn(&TicketId) -> bool) {
+        for owner in self.mine.values_mut() {
+            owner.forget(&is_gone);
+        }
+    }
+
+    /// Takes in what the pool served each group beyond its share.
+    pub(crate) fn correct(&mut self, excess: &BTreeMap<GroupName, f64>) {
+        let part = 1.0 / self.listed.len().max(1) as f64;
+        for owner in self.mine.values_mut() {
+            owner.correct(excess, part);
+        }
+    }
+
+    /// Takes in an engine's report.
+    pub(crate) fn reported(
+        &mut self,
+        engine: &EngineName,
+        asked_at: Timestamp,
+        report: Option<Box<EngineReport>>,
+        context: &mut Context<'_>,
+    ) {
+        let is_leaving = self.is_leaving(engine);
+        let (Some(owner), Some(report)) = (self.mine.get_mut(engine), report) else {
+            return;
+        };
+        owner.reported(asked_at, *report, context);
+        owner.dispatch(is_leaving, context);
+    }
+
+    /// Takes in an engine's answer to an order.
+    pub(crate) fn ordered(
+        &mut self,
+        engine: &EngineName,
+        order: &EngineOrder,
+        outcome: &OrderOutcome,
+        context: &mut Context<'_>,
+    ) {
+        let is_leaving = self.is_leaving(engine);
+        if let Some(owner) = self.mine.get_mut(engine) {
+            owner.ordered(order, outcome, context);
+            owner.dispatch(is_leaving, context);
+        }
+    }
+
+    /// Runs the timers of all engines of this node.
+    pub(crate) fn tick(&mut self, versions: &Versions, context: &mut Context<'_>) {
+        let mut mine = std::mem::take(&mut self.mine);
+        for (name, owner) in &mut mine {
+            let is_leaving = self.is_leaving(name);
+            let mut sources = |model: &ModelName, version: WeightVersion, tries: u32| {
+                self.weight_source(name, model, version, tries, context.parameters.weight_roots, context.parameters.weight_fanout)
+            };
+            owner.tick(is_leaving, versions, &mut sources, context);
+            owner.dispatch(is_leaving, context);
+        }
+        self.mine = mine;
+    }
+
+    /// Where an engine gets a version from: the weight store for the first few
+    /// in an order all nodes work out alike, else the engine's parent in the
+    /// tree that the order makes (`docs/design/0006-versions.md`). An engine
+    /// whose parent stays without the version asks the parent's parent, and in
+    /// the end the store.
+    fn weight_source(
+        &mut self,
+        engine: &EngineName,
+        model: &ModelName,
+        version: WeightVersion,
+        tries: u32,
+        roots: usize,
+        fanout: usize,
+    ) -> WeightSource {
+        /// Tries with one ancestor before the next is asked in turn.
+        const TRIES_PER_ANCESTOR: u32 = 10;
+        let order = self.load_order(model, version);
+        let Some(mut index) = order.iter().position(|name| name == engine) else {
+            return WeightSource::Store;
+        };
+        if tries >= TRIES_BEFORE_STORE {
+            return WeightSource::Store;
+        }
+        for _ in 0..=tries / TRIES_PER_ANCESTOR {
+            if index < roots {
+                return WeightSource::Store;
+            }
+            index = (index - roots) / fanout;
+        }
+        let parent = order[index].clone();
+        match self.listed.get(&parent) {
+            Some(listed) => WeightSource::Peer {
+                engine: parent,
+                address: listed.address,
+            },
+            None => WeightSource::Store,
+        }
+    }
+
+    fn load_order(&mut self, model: &ModelName, version: WeightVersion) -> &[EngineName] {
+        /// Versions whose order is remembered.
+        const MOST_REMEMBERED: usize = 32;
+        while self.load_order.len() > MOST_REMEMBERED {
+            self.load_order.pop_first();
+        }
+        let listed = &self.listed;
+        self.load_order.entry((model.clone(), version)).or_insert_with(|| {
+            let mut scored: Vec<(u64, EngineName)> = listed
+                .iter()
+                .filter(|(_, listed)| !listed.leaving)
+                .map(|(name, _)| {
+                    let parts = [
+                        model.as_str().as_bytes(),
+                        &version.0.to_le_bytes(),
+                        name.as_str().as_bytes(),
+                    ];
+                    (stable_hash(&parts), name.clone())
+                })
+                .collect();
+            scored.sort();
+            scored.into_iter().map(|(_, name)| name).collect()
+        })
+    }
+}
--- /dev/null
+++ b/crates/control/src/steps.rs
@@ -0,0 +1,679 @@
+//! Steps at this node: as their home, and as keeper of copies.
+
+use crate::context::Context;
+use crate::event::{Reply, RequestId};
+use crate::generation::{GenerationSpec, Generations, Purpose};
+use crate::owner_table::OwnerTable;
+use crate::step_copies::Copies;
+use crate::versions::Versions;
+use brasspond_fairness::Priority;
+use brasspond_membership::MemberState;
+use brasspond_protocol::{PeerMessage, StepMessage, StepReply, StepRequest, StepRequestId};
+use brasspond_rollout::{Cursor, Partial, Step, StepSpec};
+use brasspond_routing::{EngineTable, estimate_tokens, prefix_hashes, rank_distinct_zones};
+use brasspond_types::{
+    FinishReason, NodeName, Sample, SampleId, StepId, Timestamp, WeightVersion, stable_hash,
+    total_tokens,
+};
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Nodes that hold a step: its home and the keepers of copies.
+const HOLDERS: usize = 3;
+/// Time a trainer's request is forwarded before it fails.
+const FORWARD_LIMIT: Duration = Duration::from_secs(5);
+/// Time between repeats of a forwarded request.
+const FORWARD_RESEND: Duration = Duration::from_millis(400);
+/// Time a closed step is remembered, so that no late copy revives it.
+const REMEMBER_CLOSED: Duration = Duration::from_secs(600);
+/// Expected tokens of an answer before any is finished.
+const FIRST_LENGTH: f64 = 256.0;
+/// Weight of the newest answer in the running mean of lengths.
+const LENGTH_SMOOTHING: f64 = 0.02;
+/// Part of a step's slots, at the end, that count as its tail.
+const TAIL_PART: f64 = 0.1;
+/// Deadline of a slot's place in a queue; it is asked for again after.
+const SLOT_TIME: Duration = Duration::from_secs(3_600);
+/// Fewest queued slots a step.
+const SMALLEST_WINDOW: usize = 8;
+/// Expected time of a decoding step, to guess how long an answer takes.
+const TOKEN_TIME: Duration = Duration::from_millis(12);
+/// Most samples in one hand-over.
+const MOST_SAMPLES: u32 = 256;
+
+#[derive(Debug)]
+struct Parked {
+    from: NodeName,
+    id: StepRequestId,
+    request: StepRequest,
+    until: Timestamp,
+}
+
+#[derive(Debug)]
+struct Entry {
+    step: Step,
+    is_home: bool,
+    copies: Copies,
+    cursor: Cursor,
+    generations: BTreeMap<u32, u64>,
+    /// Slots under way at a former home.
+    elsewhere: BTreeMap<u32, NodeName>,
+    parked: Vec<Parked>,
+}
+
+#[derive(Debug)]
+struct Forwarded {
+    request: RequestId,
+    body: StepRequest,
+    sent: Timestamp,
+    until: Timestamp,
+}
+
+/// All steps at this node.
+#[derive(Debug)]
+pub(crate) struct Steps {
+    entries: BTreeMap<StepId, Entry>,
+    closed: BTreeMap<StepId, Timestamp>,
+    forwarded: BTreeMap<u64, Forwarded>,
+    next_forward: u64,
+    mean_length: f64,
+    stale_slots: u64,
+}
+
+impl Steps {
+    pub(crate) fn new() -> Self {
+        Self {
+            entries: BTreeMap::new(),
+            closed: BTreeMap::new(),
+            forwarded: BTreeMap::new(),
+            next_forward: 1,
+            mean_length: FIRST_LENGTH,
+            stale_slots: 0,
+        }
+    }
+
+    /// Slots that were finished too old and made again.
+    pub(crate) fn stale_slots(&self) -> u64 {
+        self.stale_slots
+    }
+
+    /// Steps at this node: as home, and in all.
+    pub(crate) fn counts(&self) -> (usize, usize) {
+        let homes = self.entries.values().filter(|entry| entry.is_home);
+        (homes.count(), self.entries.len())
+    }
+
+    /// Whether everything here is also kept by a node that stays.
+    pub(crate) fn is_handed_over(&self) -> bool {
+        let done = |entry: &Entry| entry.copies.is_complete() && entry.generations.is_empty();
+        self.forwarded.is_empty() && self.entries.values().all(done)
+    }
+
+    fn holders(step: &StepId, context: &Context<'_>) -> Vec<NodeName> {
+        let key = format!("step:{step}");
+        let members = context.working.references();
+        let holders = rank_distinct_zones(&key, &members, HOLDERS);
+        holders.into_iter().map(|member| member.name.clone()).collect()
+    }
+
+    /// A trainer's request came to this node: forward it to the step's home.
+    pub(crate) fn begin(&mut self, request: RequestId, body: StepRequest, context: &mut Context<'_>) {
+        let number = self.next_forward;
+        self.next_forward += 1;
+        let wait = match &body {
+            StepRequest::Fetch { wait_milliseconds, .. } => u64::from(*wait_milliseconds),
+            _ => 0,
+        };
+        let forwarded = Forwarded {
+            request,
+            body,
+            sent: context.now,
+            until: context.now + FORWARD_LIMIT + Duration::from_millis(wait),
+        };
+        self.forwarded.insert(number, forwarded);
+        self.forward(number, context);
+    }
+
+    fn forward(&mut self, number: u64, context: &mut Context<'_>) {
+        let Some(forwarded) = self.forwarded.get_mut(&number) else {
+            return;
+        };
+        forwarded.sent = context.now;
+        let home = Self::holders(forwarded.body.step(), context).into_iter().next();
+        let id = StepRequestId {
+            instance: context.instance,
+            number,
+        };
+        let request = forwarded.body.clone();
+        if let Some(home) = home {
+            let message = StepMessage::Request { id, request };
+            context.send(&home, PeerMessage::Step(message));
+        }
+    }
+
+    /// Handles a message about a step.
+    pub(crate) fn handle(
+        &mut self,
+        from: &NodeName,
+        message: StepMessage,
+        versions: &mut Versions,
+        context: &mut Context<'_>,
+    ) {
+        match message {
+            StepMessage::Request { id, request } => {
+                self.serve(from, id, request, versions, context);
+            }
+            StepMessage::Reply { id, reply } => {
+                if id.instance == context.instance && reply != StepReply::NotHome {
+                    self.replied(id.number, reply, context);
+                }
+            }
+            StepMessage::CopySpec { spec, under_way } => {
+                self.keep_spec(from, spec, under_way, context);
+            }
+            StepMessage::CopyResults { step, samples } => {
+                self.keep_results(from, step, samples, versions, context);
+            }
+            StepMessage::SpecCopied(step) => {
+                if let Some(entry) = self.entries.get_mut(&step) {
+                    entry.copies.spec_copied(from);
+                    self.answer_parked(&step, versions, context);
+                }
+            }
+            StepMessage::ResultsCopied { step, slots } => {
+                if let Some(entry) = self.entries.get_mut(&step) {
+                    entry.copies.results_copied(from, &slots);
+                }
+            }
+            StepMessage::Drop { step, .. } => self.drop_step(&step, context.now),
+        }
+    }
+
+    fn replied(&mut self, number: u64, reply: StepReply, context: &mut Context<'_>) {
+        if let Some(forwarded) = self.forwarded.remove(&number) {
+            context.reply(forwarded.request, Reply::Step(reply));
+        }
+    }
+
+    fn drop_step(&mut self, step: &StepId, now: Timestamp) {
+        self.entries.remove(step);
+        self.closed.insert(step.clone(), now);
+    }
+
+    /// Serves a trainer's request at the home.
+    fn serve(
+        &mut self,
+        from: &NodeName,
+        id: StepRequestId,
+        request: StepRequest,
+        versions: &mut Versions,
+        context: &mut Context<'_>,
+    ) {
+        let step = request.step().clone();
+        let is_home = Self::holders(&step, context).first() == Some(context.me);
+        if !is_home {
+            answer(from, id, StepReply::NotHome, context);
+            return;
+        }
+        match &request {
+            StepRequest::Open(spec) => {
+                if let Some(refusal) = self.open(spec, context) {
+                    answer(from, id, refusal, context);
+                    return;
+                }
+            }
+            StepRequest::Fetch { newest_version, .. } => {
+                if let Some(entry) = self.entries.get(&step) {
+                    versions.hear(&entry.step.spec().model, *newest_version, context.now);
+                }
+            }
+            StepRequest::Close(_) => {
+                self.close(&step, context);
+                answer(from, id, StepReply::Closed, context);
+                return;
+            }
+        }
+        let Some(entry) = self.entries.get_mut(&step) else {
+            answer(from, id, StepReply::Unknown, context);
+            return;
+        };
+        let wait = match &request {
+            StepRequest::Fetch { wait_milliseconds, .. } => u64::from(*wait_milliseconds),
+            _ => FORWARD_LIMIT.as_millis() as u64,
+        };
+        entry.parked.retain(|parked| parked.id != id || parked.from != *from);
+        entry.parked.push(Parked {
+            from: from.clone(),
+            id,
+            request,
+            until: context.now + Duration::from_millis(wait),
+        });
+        self.answer_parked(&step, versions, context);
+    }
+
+    /// Opens a step here, or says why not.
+    fn open(&mut self, spec: &Arc<StepSpec>, context: &Context<'_>) -> Option<StepReply> {
+        if let Some(entry) = self.entries.get(&spec.id) {
+            let is_same = entry.step.spec() == spec;
+            return (!is_same).then_some(StepReply::Conflict);
+        }
+        let group = context.catalogue.group(spec.id.group.as_str());
+        let most = group.map_or(1, |group| group.limits.open_steps);
+        let open = self.entries.values();
+        let open = open.filter(|entry| entry.is_home && entry.step.spec().id.group == spec.id.group);
+        if open.count() >= most as usize {
+            return Some(StepReply::TooManySteps);
+        }
+        self.closed.remove(&spec.id);
+        self.insert(Arc::clone(spec), context);
+        None
+    }
+
+    fn insert(&mut self, spec: Arc<StepSpec>, context: &Context<'_>) -> &mut Entry {
+        let id = spec.id.clone();
+        let holders = Self::holders(&id, context);
+        let cursor = Cursor::empty(&id, spec.slots());
+        let step = Step::new(spec, context.parameters.mutations.clone());
+        let entry = self.entries.entry(id).or_insert(Entry {
+            step,
+            is_home: false,
+            copies: Copies::default(),
+            cursor,
+            generations: BTreeMap::new(),
+            elsewhere: BTreeMap::new(),
+            parked: Vec::new(),
+        });
+        entry.is_home = holders.first() == Some(context.me);
+        entry.retarget(&holders, context.me);
+        entry
+    }
+
+    fn close(&mut self, step: &StepId, context: &mut Context<'_>) {
+        if let Some(entry) = self.entries.get(step) {
+            let by = context.me.clone();
+            for holder in entry.copies.keepers() {
+                let message = StepMessage::Drop { step: step.clone(), by: by.clone() };
+                context.send(&holder, PeerMessage::Step(message));
+            }
+        }
+        self.drop_step(step, context.now);
+    }
+
+    fn keep_spec(
+        &mut self,
+        from: &NodeName,
+        spec: Arc<StepSpec>,
+        under_way: Vec<u32>,
+        context: &mut Context<'_>,
+    ) {
+        let id = spec.id.clone();
+        let copied = StepMessage::SpecCopied(id.clone());
+        context.send(from, PeerMessage::Step(copied));
+        if self.closed.contains_key(&id) {
+            return;
+        }
+        let entry = match self.entries.contains_key(&id) {
+            true => self.entries.get_mut(&id),
+            false => Some(self.insert(spec, context)),
+        };
+        let Some(entry) = entry else {
+            return;
+        };
+        entry.copies.came_from(from);
+        entry.set_elsewhere(from, under_way);
+    }
+
+    fn keep_results(
+        &mut self,
+        from: &NodeName,
+        step: StepId,
+        samples: Vec<Arc<Sample>>,
+        versions: &Versions,
+        context: &mut Context<'_>,
+    ) {
+        let slots = samples.iter().map(|sample| sample.slot).collect();
+        let is_closed = self.closed.contains_key(&step);
+        if let Some(entry) = self.entries.get_mut(&step) {
+            for sample in samples {
+                let slot = sample.slot;
+                entry.elsewhere.remove(&slot);
+                if entry.step.finish(sample) {
+                    entry.copies.add_results(&[slot], Some(from));
+                }
+            }
+        } else if !is_closed {
+            return;
+        }
+        let copied = StepMessage::ResultsCopied { step: step.clone(), slots };
+        context.send(from, PeerMessage::Step(copied));
+        self.answer_parked(&step, versions, context);
+    }
+
+    /// Answers what waits at a step and can be answered now.
+    fn answer_parked(&mut self, step: &StepId, versions: &Versions, context: &mut Context<'_>) {
+        let Some(entry) = self.entries.get_mut(step) else {
+            return;
+        };
+        let mut waiting = Vec::new();
+        for parked in std::mem::take(&mut entry.parked) {
+            let is_late = parked.until <= context.now;
+            match entry.try_answer(&parked.request, is_late, versions, context) {
+                Some((reply, stale)) => {
+                    self.stale_slots += stale;
+                    answer(&parked.from, parked.id, reply, context);
+                }
+                None => waiting.push(parked),
+            }
+        }
+        entry.parked = waiting;
+    }
+
+    /// A generation for a slot ended with a whole answer.
+    pub(crate) fn finished(
+        &mut self,
+        id: &SampleId,
+        generated: Partial,
+        reason: FinishReason,
+        versions: &Versions,
+        context: &mut Context<'_>,
+    ) {
+        let tokens = total_tokens(&generated.spans) as f64;
+        self.mean_length += (tokens - self.mean_length) * LENGTH_SMOOTHING;
+        let Some(entry) = self.entries.get_mut(&id.step) else {
+            return;
+        };
+        entry.generations.remove(&id.slot);
+        let sample = Sample {
+            slot: id.slot,
+            spans: generated.spans,
+            text: generated.text,
+            finish_reason: reason,
+            log_probabilities: generated.log_probabilities,
+            grade: None,
+        };
+        if entry.step.finish(Arc::new(sample)) {
+            entry.copies.add_results(&[id.slot], None);
+        }
+        self.answer_parked(&id.step, versions, context);
+    }
+
+    /// A generation for a slot ended without an answer.
+    pub(crate) fn given_up(&mut self, id: &SampleId) {
+        if let Some(entry) = self.entries.get_mut(&id.step) {
+            entry.generations.remove(&id.slot);
+            entry.step.give_back(id.slot, None);
+        }
+    }
+
+    /// Follows a change of membership: homes and copies move.
+    pub(crate) fn reassign(&mut self, generations: &mut Generations, context: &mut Context<'_>) {
+        for (id, entry) in &mut self.entries {
+            let holders = Self::holders(id, context);
+            let was_home = entry.is_home;
+            entry.is_home = holders.first() == Some(context.me);
+            entry.retarget(&holders, context.me);
+            entry.forget_elsewhere(context);
+            if was_home && !entry.is_home {
+                entry.stop_placing(generations, context);
+            }
+        }
+    }
+
+    /// Runs timers, and places as many slots as may be queued.
+    pub(crate) fn tick(
+        &mut self,
+        versions: &Versions,
+        generations: &mut Generations,
+        engines: &mut EngineTable,
+        owners: &mut OwnerTable,
+        context: &mut Context<'_>,
+    ) {
+        self.resend_forwarded(context);
+        let now = context.now;
+        self.closed.retain(|_, at| now.since(*at) < REMEMBER_CLOSED);
+        let ids: Vec<StepId> = self.entries.keys().cloned().collect();
+        for id in &ids {
+            if let Some(entry) = self.entries.get_mut(id) {
+                entry.copies.tick(&entry.step, &entry.generations, context);
+                if entry.is_home {
+                    self.stale_slots += entry.follow_versions(versions, generations, context);
+                }
+            }
+            self.answer_parked(id, versions, context);
+        }
+        self.pump(versions, generations, engines, owners, context);
+    }
+
+    fn resend_forwarded(&mut self, context: &mut Context<'_>) {
+        let numbers: Vec<u64> = self.forwarded.keys().copied().collect();
+        for number in numbers {
+            let forwarded = &self.forwarded[&number];
+            if forwarded.until <= context.now {
+                self.replied(number, StepReply::Unknown, context);
+            } else if context.now.since(forwarded.sent) >= FORWARD_RESEND {
+                self.forward(number, context);
+            }
+        }
+    }
+
+    /// Places slots of all steps this node is home of, older steps first.
+    pub(crate) fn pump(
+        &mut self,
+        versions: &Versions,
+        generations: &mut Generations,
+        engines: &mut EngineTable,
+        owners: &mut OwnerTable,
+        context: &mut Context<'_>,
+    ) {
+        let window = context.parameters.window_per_engine * owners.len() as f64;
+        let window = (window as usize).max(SMALLEST_WINDOW);
+        for entry in self.entries.values_mut().filter(|entry| entry.is_home) {
+            let waiting = entry.generations.values();
+            let mut queued = waiting.filter(|id| generations.is_waiting(**id)).count();
+            while queued < window {
+                let Some(slot) = entry.step.take_next() else {
+                    break;
+                };
+                if entry.elsewhere.contains_key(&slot) {
+                    continue;
+                }
+                let spec = entry.generation(slot, self.mean_length, versions, context);
+                let id = generations.begin(spec, engines, owners, context);
+                entry.generations.insert(slot, id);
+                queued += 1;
+            }
+        }
+    }
+}
+
+fn answer(to: &NodeName, id: StepRequestId, reply: StepReply, context: &mut Context<'_>) {
+    let message = StepMessage::Reply { id, reply };
+    context.send(to, PeerMessage::Step(message));
+}
+
+impl Entry {
+    /// Notes which slots a former home still has under way.
+    fn set_elsewhere(&mut self, node: &NodeName, under_way: Vec<u32>) {
+        let before: Vec<u32> = self
+            .elsewhere
+            .iter()
+            .filter(|(slot, holder)| *holder == node && !under_way.contains(slot))
+            .map(|(slot, _)| *slot)
+            .collect();
+        self.free_elsewhere(before);
+        for slot in under_way {
+            self.elsewhere.insert(slot, node.clone());
+        }
+    }
+
+    /// Takes back slots under way at nodes that failed.
+    fn forget_elsewhere(&mut self, context: &Context<'_>) {
+        let is_gone = |node: &NodeName| {
+            let member = context.membership.get(node);
+            member.is_none_or(|member| member.state >= MemberState::Suspect)
+        };
+        let lost: Vec<u32> = self
+            .elsewhere
+            .iter()
+            .filter(|(_, node)| is_gone(node))
+            .map(|(slot, _)| *slot)
+            .collect();
+        self.free_elsewhere(lost);
+    }
+
+    fn free_elsewhere(&mut self, slots: Vec<u32>) {
+        for slot in slots {
+            self.elsewhere.remove(&slot);
+            if !self.generations.contains_key(&slot) {
+                self.step.give_back(slot, None);
+            }
+        }
+    }
+
+    fn retarget(&mut self, holders: &[NodeName], me: &NodeName) {
+        let results: Vec<u32> = self.step.results().map(|sample| sample.slot).collect();
+        let others = holders.iter().filter(|holder| *holder != me);
+        self.copies.retarget(others.cloned().collect(), &results, self.is_home);
+    }
+
+    /// Answers a request if it can be answered, or must be since it is late.
+    /// Also returns how many samples were found too old.
+    fn try_answer(
+        &mut self,
+        request: &StepRequest,
+        is_late: bool,
+        versions: &Versions,
+        context: &Context<'_>,
+    ) -> Option<(StepReply, u64)> {
+        let StepRequest::Fetch { cursor, count, .. } = request else {
+            let is_durable = self.copies.is_spec_safe();
+            let reply = StepReply::Opened(self.step.summary());
+            return (is_durable || is_late).then_some((reply, 0));
+        };
+        let spec = Arc::clone(self.step.spec());
+        let parsed = match cursor.as_str() {
+            "" => Ok(Cursor::empty(&spec.id, spec.slots())),
+            text => text.parse(),
+        };
+        let checked = parsed.and_then(|cursor: Cursor| {
+            cursor.belongs_to(&spec.id, spec.slots()).map(|()| cursor)
+        });
+        let Ok(cursor) = checked else {
+            return Some((StepReply::BadCursor, 0));
+        };
+        let minimum =
+            versions.minimum_to_deliver(context.catalogue, &spec.id.group, &spec.model);
+        let count = (*count).min(MOST_SAMPLES) as usize;
+        let fetched = self.step.fetch(&cursor, minimum, count);
+        let stale = fetched.stale.len() as u64;
+        self.cursor = cursor;
+        let has_news = !fetched.samples.is_empty() || fetched.cursor.is_complete();
+        if !has_news && !is_late {
+            return None;
+        }
+        let reply = StepReply::Samples {
+            samples: fetched.samples,
+            cursor: fetched.cursor.to_string(),
+            complete: fetched.cursor.is_complete(),
+            summary: self.step.summary(),
+        };
+        Some((reply, stale))
+    }
+
+    /// Drops what has become too old: finished, running or queued.
+    fn follow_versions(
+        &mut self,
+        versions: &Versions,
+        generations: &mut Generations,
+        context: &mut Context<'_>,
+    ) -> u64 {
+        let spec = Arc::clone(self.step.spec());
+        let minimum = versions.minimum_to_deliver(context.catalogue, &spec.id.group, &spec.model);
+        let stale = self.step.drop_stale(&self.cursor, minimum);
+        let is_too_old = |id: &u64| {
+            let oldest = generations.oldest_version(*id);
+            oldest.is_some_and(|oldest: WeightVersion| oldest < minimum)
+        };
+        let old: Vec<(u32, u64)> = self
+            .generations
+            .iter()
+            .filter(|(_, id)| is_too_old(id))
+            .map(|(slot, id)| (*slot, *id))
+            .collect();
+        for (slot, id) in &old {
+            generations.cancel(*id, context);
+            self.generations.remove(slot);
+            self.step.give_back(*slot, None);
+        }
+        for id in self.generations.values() {
+            generations.raise_minimum(*id, minimum);
+        }
+        u64::from(stale) + old.len() as u64
+    }
+
+    /// Another node became home: give back what has not started. What runs
+    /// goes on, and its result is copied to the new home.
+    fn stop_placing(&mut self, generations: &mut Generations, context: &mut Context<'_>) {
+        let waiting: Vec<(u32, u64)> = self
+            .generations
+            .iter()
+            .filter(|(_, id)| generations.is_waiting(**id))
+            .map(|(slot, id)| (*slot, *id))
+            .collect();
+        for (slot, id) in waiting {
+            generations.cancel(id, context);
+            self.generations.remove(&slot);
+            self.step.give_back(slot, None);
+        }
+        self.copies.mark_spec_changed();
+    }
+
+    /// What has to be generated for a slot.
+    fn generation(
+        &mut self,
+        slot: u32,
+        mean_length: f64,
+        versions: &Versions,
+        context: &Context<'_>,
+    ) -> GenerationSpec {
+        let spec = Arc::clone(self.step.spec());
+        let group = &spec.id.group;
+        let expected_tokens = self.step.expected_tokens(slot, mean_length);
+        let expected_time = TOKEN_TIME.mul_f64(expected_tokens);
+        let deliver = versions.minimum_to_deliver(context.catalogue, group, &spec.model);
+        let start = versions.minimum_to_start(
+            context.catalogue,
+            group,
+            &spec.model,
+            expected_time,
+            context.now,
+        );
+        let resume = self.step.take_partial(slot, deliver).unwrap_or_default();
+        let summary = self.step.summary();
+        let left = f64::from(summary.pending + summary.active);
+        let is_tail = left <= f64::from(summary.slots) * TAIL_PART;
+        let prompt = Arc::clone(&spec.prompt(slot).text);
+        let prefix = prefix_hashes(spec.model.as_str(), &prompt).into();
+        let sample = SampleId {
+            step: spec.id.clone(),
+            slot,
+        };
+        let seed = stable_hash(&[sample.to_string().as_bytes()]);
+        GenerationSpec {
+            group: group.clone(),
+            model: spec.model.clone(),
+            prompt_tokens: estimate_tokens(&prompt),
+            prompt,
+            prefix,
+            max_tokens: spec.max_tokens,
+            expected_tokens,
+            priority: if is_tail { Priority::Tail } else { Priority::Rollout },
+            seed,
+            minimum_version: start,
+            deadline: context.now + SLOT_TIME,
+            resume,
+            purpose: Purpose::Slot(sample),
+        }
+    }
+}
--- /dev/null
+++ b/crates/emulator/src/cache.rs
@@ -0,0 +1,88 @@
+//! Prefix cache with a limited number of blocks, evicting the least recently
+//! used.
+
+use brasspond_routing::{BLOCK_TOKENS, CacheEvent};
+use std::collections::{BTreeMap, HashMap};
+
+/// Blocks of prompt prefixes kept by an engine.
+#[derive(Clone, Debug)]
+pub struct PrefixCache {
+    capacity: usize,
+    clock: u64,
+    used_at: HashMap<u64, u64>,
+    by_use: BTreeMap<u64, u64>,
+    sequence: u64,
+    events: Vec<CacheEvent>,
+}
+
+/// Events kept until the next report.
+const MOST_EVENTS: usize = 64;
+
+impl PrefixCache {
+    /// Creates a cache of `capacity` blocks.
+    pub fn new(capacity: usize) -> Self {
+        Self {
+            capacity,
+            clock: 0,
+            used_at: HashMap::new(),
+            by_use: BTreeMap::new(),
+            sequence: 0,
+            events: Vec::new(),
+        }
+    }
+
+    /// Looks up a prefix, enters all its blocks, and returns the number of
+    /// tokens that were cached.
+    pub fn touch(&mut self, hashes: &[u64]) -> u32 {
+        let cached = hashes.iter().take_while(|hash| self.used_at.contains_key(hash));
+        let hits = cached.count();
+        let mut stored = Vec::new();
+        for hash in hashes {
+            self.clock += 1;
+            match self.used_at.insert(*hash, self.clock) {
+                Some(before) => {
+                    self.by_use.remove(&before);
+                }
+                None => stored.push(*hash),
+            }
+            self.by_use.insert(self.clock, *hash);
+        }
+        let evicted = self.evict();
+        self.note(stored, evicted);
+        hits as u32 * BLOCK_TOKENS
+    }
+
+    fn evict(&mut self) -> Vec<u64> {
+        let mut evicted = Vec::new();
+        while self.used_at.len() > self.capacity {
+            let Some((_, hash)) = self.by_use.pop_first() else {
+                break;
+            };
+            self.used_at.remove(&hash);
+            evicted.push(hash);
+        }
+        evicted
+    }
+
+    fn note(&mut self, stored: Vec<u64>, evicted: Vec<u64>) {
+        if stored.is_empty() && evicted.is_empty() {
+            return;
+        }
+        let event = CacheEvent {
+            sequence: self.sequence,
+            stored,
+            evicted,
+        };
+        self.sequence += 1;
+        self.events.push(event);
+        if self.events.len() > MOST_EVENTS {
+            self.events.remove(0);
+        }
+    }
+
+    /// Takes the events since the last call; some of them are lost, as seen
+    /// by a gap in their sequence, where more came than are kept.
+    pub fn take_events(&mut self) -> Vec<CacheEvent> {
+        std::mem::take(&mut self.events)
+    }
+}
--- /dev/null
+++ b/crates/emulator/src/engine.rs
@@ -0,0 +1,477 @@
+//! A model engine with continuous batching.
+
+use crate::cache::PrefixCache;
+use crate::text::{LengthDistribution, answer_length};
+use brasspond_engine_api::{Command, EngineCall, EngineOrder, EngineReport, OrderOutcome};
+use brasspond_fairness::Priority;
+use brasspond_resource::SwapPolicy;
+use brasspond_types::{
+    EngineName, FinishReason, ModelName, NodeName, Timestamp, WeightVersion, total_tokens,
+};
+use displaydoc::Display;
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use std::collections::{BTreeMap, VecDeque};
+use std::time::Duration;
+
+/// Speed, size and reliability of an engine.
+#[derive(Clone, Debug)]
+pub struct EngineParameters {
+    /// Largest batch.
+    pub max_running: u32,
+    /// Time of a decoding step with an empty batch.
+    pub step_base: Duration,
+    /// Added time a sequence in the batch, in nanoseconds.
+    pub step_per_sequence_nanos: u64,
+    /// Added time a token of context in the batch, in nanoseconds.
+    pub step_per_context_token_nanos: u64,
+    /// Time to prefill a token, in nanoseconds.
+    pub prefill_per_token_nanos: u64,
+    /// Blocks of the prefix cache.
+    pub cache_blocks: usize,
+    /// Age of reported load.
+    pub report_lag: Duration,
+    /// Time a swap stops decoding.
+    pub swap_pause: Duration,
+    /// Probability that a swap fails and leaves another version.
+    pub swap_failure: f64,
+    /// Lengths of answers.
+    pub lengths: LengthDistribution,
+}
+
+impl Default for EngineParameters {
+    fn default() -> Self {
+        Self {
+            max_running: 64,
+            step_base: Duration::from_millis(8),
+            step_per_sequence_nanos: 60_000,
+            step_per_context_token_nanos: 20,
+            prefill_per_token_nanos: 40_000,
+            cache_blocks: 8_192,
+            report_lag: Duration::from_millis(200),
+            swap_pause: Duration::from_millis(50),
+            swap_failure: 0.0,
+            lengths: LengthDistribution::default(),
+        }
+    }
+}
+
+/// What an engine tells the caller of [`Engine::advance`].
+#[derive(Clone, Debug, PartialEq)]
+pub enum EngineEvent {
+    /// Tokens were generated.
+    Tokens {
+        /// Request.
+        id: u64,
+        /// Index of the first of them in the answer.
+        start: u32,
+        /// How many.
+        count: u32,
+        /// Version that made them.
+        version: WeightVersion,
+    },
+    /// A request is done.
+    Finished {
+        /// Request.
+        id: u64,
+        /// Why it ended.
+        reason: FinishReason,
+    },
+}
+
+/// Why an engine does not take a request. It was not begun.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
+pub enum SubmitRefusal {
+    /// the model is not loaded
+    ModelNotLoaded,
+    /// the engine is leaving
+    Leaving,
+    /// a request with this id is under way
+    Duplicate,
+}
+
+impl std::error::Error for SubmitRefusal {}
+
+#[derive(Clone, Debug)]
+struct Sequence {
+    id: u64,
+    call: EngineCall,
+    generated: u32,
+    length: u32,
+    reason: FinishReason,
+}
+
+#[derive(Clone, Debug)]
+struct Loading {
+    version: WeightVersion,
+    ready: Timestamp,
+    swap: SwapPolicy,
+}
+
+/// An engine and everything on it.
+#[derive(Clone, Debug)]
+pub struct Engine {
+    name: EngineName,
+    parameters: EngineParameters,
+    clock: Timestamp,
+    models: BTreeMap<ModelName, WeightVersion>,
+    loading: BTreeMap<ModelName, Loading>,
+    running: Vec<Sequence>,
+    waiting: BTreeMap<Priority, VecDeque<Sequence>>,
+    context_tokens: u64,
+    cache: PrefixCache,
+    epoch: u64,
+    holder: Option<NodeName>,
+    leaving: bool,
+    reports: VecDeque<(Timestamp, EngineReport)>,
+    events: Vec<EngineEvent>,
+    tokens_made: u64,
+    busy: Duration,
+    random: ChaCha8Rng,
+}
+
+impl Engine {
+    /// An idle engine that serves `models`.
+    pub fn new(
+        name: EngineName,
+        parameters: EngineParameters,
+        models: BTreeMap<ModelName, WeightVersion>,
+        seed: u64,
+        now: Timestamp,
+    ) -> Self {
+        let cache = PrefixCache::new(parameters.cache_blocks);
+        Self {
+            name,
+            parameters,
+            clock: now,
+            models,
+            loading: BTreeMap::new(),
+            running: Vec::new(),
+            waiting: BTreeMap::new(),
+            context_tokens: 0,
+            cache,
+            epoch: 0,
+            holder: None,
+            leaving: false,
+            reports: VecDeque::new(),
+            events: Vec::new(),
+            tokens_made: 0,
+            busy: Duration::ZERO,
+            random: ChaCha8Rng::seed_from_u64(seed),
+        }
+    }
+
+    /// Name of the engine.
+    pub fn name(&self) -> &EngineName {
+        &self.name
+    }
+
+    /// Versions served now.
+    pub fn models(&self) -> &BTreeMap<ModelName, WeightVersion> {
+        &self.models
+    }
+
+    /// Requests on the engine, running or waiting.
+    pub fn load(&self) -> usize {
+        self.running.len() + self.waiting_count()
+    }
+
+    /// Whether the engine is about to stop.
+    pub fn is_leaving(&self) -> bool {
+        self.leaving
+    }
+
+    /// Tokens generated and time spent decoding since the start.
+    pub fn work_done(&self) -> (u64, Duration) {
+        (self.tokens_made, self.busy)
+    }
+
+    /// Announces a planned stop. Requests under way go on.
+    pub fn leave(&mut self, now: Timestamp) {
+        self.step_until(now);
+        self.leaving = true;
+    }
+
+    fn waiting_count(&self) -> usize {
+        self.waiting.values().map(VecDeque::len).sum()
+    }
+
+    /// Takes a request.
+    pub fn submit(&mut self, id: u64, call: EngineCall, now: Timestamp) -> Result<(), SubmitRefusal> {
+        self.step_until(now);
+        if !self.models.contains_key(&call.model) {
+            return Err(SubmitRefusal::ModelNotLoaded);
+        }
+        let mut present = self.running.iter().chain(self.waiting.values().flatten());
+        if present.any(|sequence| sequence.id == id) {
+            return Err(SubmitRefusal::Duplicate);
+        }
+        let wanted = answer_length(&self.parameters.lengths, &call.prompt, call.seed, u32::MAX);
+        let length = wanted.min(call.max_tokens);
+        let reason = if wanted > call.max_tokens {
+            FinishReason::Length
+        } else {
+            FinishReason::Stop
+        };
+        let generated = (total_tokens(&call.resume.spans) as u32).min(length.saturating_sub(1));
+        let queue = self.waiting.entry(call.priority).or_default();
+        queue.push_back(Sequence { id, call, generated, length, reason });
+        Ok(())
+    }
+
+    /// Drops a request.
+    pub fn cancel(&mut self, id: u64, now: Timestamp) {
+        self.step_until(now);
+        for queue in self.waiting.values_mut() {
+            queue.retain(|sequence| sequence.id != id);
+        }
+        let position = self.running.iter().position(|sequence| sequence.id == id);
+        if let Some(position) = position {
+            let sequence = self.running.swap_remove(position);
+            self.context_tokens -= context_of(&sequence);
+        }
+    }
+
+    /// Checks an order's fencing token and takes it in. A load needs the time
+    /// its transfer takes, which the world around the engine knows.
+    pub fn order(
+        &mut self,
+        order: &EngineOrder,
+        transfer: Option<Duration>,
+        now: Timestamp,
+    ) -> OrderOutcome {
+        self.step_until(now);
+        let same_holder = self.holder.as_ref() == Some(&order.holder);
+        if order.epoch < self.epoch || (order.epoch == self.epoch && !same_holder) {
+            return OrderOutcome::Fenced { epoch: self.epoch };
+        }
+        self.epoch = order.epoch;
+        self.holder = Some(order.holder.clone());
+        self.reports.clear();
+        if let Command::Load { model, version, swap, .. } = &order.command {
+            let Some(transfer) = transfer else {
+                return OrderOutcome::SourceBusy;
+            };
+            let loading = Loading {
+                version: *version,
+                ready: now + transfer,
+                swap: *swap,
+            };
+            self.loading.insert(model.clone(), loading);
+        }
+        OrderOutcome::Accepted
+    }
+
+    /// The report, as old as the lag makes it. Epoch and leaving are current.
+    pub fn report(&mut self, now: Timestamp) -> EngineReport {
+        self.step_until(now);
+        let loading = self.loading.iter();
+        let current = EngineReport {
+            epoch: self.epoch,
+            holder: self.holder.clone(),
+            running: self.running.len() as u32,
+            waiting: self.waiting_count() as u32,
+            max_running: self.parameters.max_running,
+            models: self.models.clone(),
+            loading: loading.map(|(model, loading)| (model.clone(), loading.version)).collect(),
+            leaving: self.leaving,
+            cache_events: self.cache.take_events(),
+        };
+        let mut lagged = current.clone();
+        self.reports.push_back((now, current));
+        let horizon = now - self.parameters.report_lag;
+        while self.reports.len() > 1 && self.reports[1].0 <= horizon {
+            self.reports.pop_front();
+        }
+        if let Some((at, old)) = self.reports.front()
+            && *at <= horizon
+        {
+            lagged.running = old.running;
+            lagged.waiting = old.waiting;
+        }
+        lagged
+    }
+
+    /// When the engine next has something to tell, if nothing else happens.
+    pub fn next_event(&self) -> Option<Timestamp> {
+        let swap = self.loading.values().map(|loading| loading.ready.max(self.clock)).min();
+        let has_work = !self.running.is_empty() || self.waiting_count() > 0;
+        let finish = has_work.then(|| {
+            let steps = self.running.iter().map(|sequence| sequence.length - sequence.generated);
+            let steps = if self.can_admit() { 1 } else { steps.min().unwrap_or(1) };
+            self.clock + self.step_time(0) * steps
+        });
+        match (swap, finish) {
+            (Some(swap), Some(finish)) => Some(swap.min(finish)),
+            (swap, finish) => swap.or(finish),
+        }
+    }
+
+    /// Runs the engine up to `now` and takes what it has to tell.
+    pub fn advance(&mut self, now: Timestamp) -> Vec<EngineEvent> {
+        self.step_until(now);
+        std::mem::take(&mut self.events)
+    }
+
+    fn can_admit(&self) -> bool {
+        self.waiting_count() > 0 && self.running.len() < self.parameters.max_running as usize
+    }
+
+    fn step_time(&self, prefill_tokens: u64) -> Duration {
+        let batch = self.running.len() as u64 * self.parameters.step_per_sequence_nanos;
+        let context = self.context_tokens * self.parameters.step_per_context_token_nanos;
+        let prefill = prefill_tokens * self.parameters.prefill_per_token_nanos;
+        self.parameters.step_base + Duration::from_nanos(batch + context + prefill)
+    }
+
+    fn step_until(&mut self, now: Timestamp) {
+        while self.clock < now {
+            self.swap_ready();
+            let prefill = self.admit();
+            if self.running.is_empty() {
+                let next_swap = self.loading.values().map(|loading| loading.ready).min();
+                self.clock = next_swap.map_or(now, |ready| ready.clamp(self.clock, now));
+                if next_swap.is_none_or(|ready| ready > now) {
+                    self.clock = now;
+                }
+                self.swap_ready();
+                continue;
+            }
+            if !self.run_steps(prefill, now) {
+                return;
+            }
+        }
+    }
+
+    /// Moves waiting requests into the batch; returns the tokens to prefill.
+    fn admit(&mut self) -> u64 {
+        let mut prefill = 0;
+        while self.running.len() < self.parameters.max_running as usize {
+            let Some(sequence) = self.next_admissible() else {
+                break;
+            };
+            let cached = self.cache.touch(&sequence.call.prefix);
+            let needed = context_of(&sequence);
+            prefill += needed.saturating_sub(u64::from(cached));
+            self.context_tokens += needed;
+            self.running.push(sequence);
+        }
+        prefill
+    }
+
+    /// The first waiting request whose model is not draining for a swap.
+    fn next_admissible(&mut self) -> Option<Sequence> {
+        let draining: Vec<ModelName> = self
+            .loading
+            .iter()
+            .filter(|(_, loading)| loading.swap == SwapPolicy::Drain && loading.ready <= self.clock)
+            .map(|(model, _)| model.clone())
+            .collect();
+        for queue in self.waiting.values_mut() {
+            let position = queue
+                .iter()
+                .position(|sequence| !draining.contains(&sequence.call.model));
+            if let Some(position) = position {
+                return queue.remove(position);
+            }
+        }
+        None
+    }
+
+    /// Runs decoding steps until something changes or `now` is reached.
+    /// Returns false if the next step would end behind `now`.
+    fn run_steps(&mut self, prefill: u64, now: Timestamp) -> bool {
+        /// Most steps worked out at once; bounds the error in context length.
+        const MOST_STEPS: u64 = 64;
+        if prefill > 0 {
+            let time = Duration::from_nanos(prefill * self.parameters.prefill_per_token_nanos);
+            self.clock = self.clock + time;
+            self.busy += time;
+            if self.clock >= now {
+                return false;
+            }
+        }
+        let step = self.step_time(0);
+        let time_left = now.since(self.clock);
+        let fitting = (time_left.as_nanos() / step.as_nanos().max(1)) as u64;
+        if fitting == 0 {
+            return false;
+        }
+        let remaining = self.running.iter().map(|sequence| sequence.length - sequence.generated);
+        let remaining = u64::from(remaining.min().unwrap_or(1)).max(1);
+        let until_swap = self.steps_until_swap(step);
+        let steps = fitting.min(remaining).min(until_swap).min(MOST_STEPS) as u32;
+        self.clock = self.clock + step * steps;
+        self.busy += step * steps;
+        self.generate(steps);
+        true
+    }
+
+    fn steps_until_swap(&self, step: Duration) -> u64 {
+        let waits = self.loading.values().filter(|loading| loading.ready > self.clock);
+        let first = waits.map(|loading| loading.ready.since(self.clock)).min();
+        first.map_or(u64::MAX, |wait| (wait.as_nanos() / step.as_nanos().max(1)) as u64 + 1)
+    }
+
+    fn generate(&mut self, steps: u32) {
+        let mut index = 0;
+        while index < self.running.len() {
+            let sequence = &mut self.running[index];
+            let version = self.models.get(&sequence.call.model).copied().unwrap_or_default();
+            self.events.push(EngineEvent::Tokens {
+                id: sequence.id,
+                start: sequence.generated,
+                count: steps,
+                version,
+            });
+            sequence.generated += steps;
+            self.context_tokens += u64::from(steps);
+            self.tokens_made += u64::from(steps);
+            if sequence.generated < sequence.length {
+                index += 1;
+                continue;
+            }
+            let sequence = self.running.swap_remove(index);
+            self.context_tokens -= context_of(&sequence);
+            self.events.push(EngineEvent::Finished {
+                id: sequence.id,
+                reason: sequence.reason,
+            });
+        }
+    }
+
+    /// Puts versions in force whose transfer is done and, where samples must
+    /// not see the swap, whose samples are done.
+    fn swap_ready(&mut self) {
+        let ready: Vec<ModelName> = self
+            .loading
+            .iter()
+            .filter(|(model, loading)| {
+                let must_drain = loading.swap == SwapPolicy::Drain;
+                let runs = |sequence: &Sequence| sequence.call.model == **model;
+                loading.ready <= self.clock && !(must_drain && self.running.iter().any(runs))
+            })
+            .map(|(model, _)| model.clone())
+            .collect();
+        for model in ready {
+            let Some(loading) = self.loading.remove(&model) else {
+                continue;
+            };
+            self.clock = self.clock + self.parameters.swap_pause;
+            let fails = self.random.random_bool(self.parameters.swap_failure);
+            if fails {
+                let keeps_old = self.random.random_bool(0.5);
+                if !keeps_old {
+                    let other = WeightVersion(loading.version.0.saturating_sub(1));
+                    self.models.insert(model, other);
+                }
+                continue;
+            }
+            self.models.insert(model, loading.version);
+        }
+    }
+}
+
+fn context_of(sequence: &Sequence) -> u64 {
+    u64::from(sequence.call.prompt_tokens) + u64::from(sequence.generated)
+}
--- /dev/null
+++ b/crates/emulator/src/text.rs
@@ -0,0 +1,82 @@
+//! Answers that prove which weight version made them.
+//!
+//! Token `i` of an answer is a word chosen by a hash of prompt, `i` and the
+//! version in force, so a trainer can check a sample's label against its text.
+
+use brasspond_types::{VersionSpan, WeightVersion, stable_hash};
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+use rand_distr::{Distribution, LogNormal};
+
+const WORDS: [&str; 64] = [
+    "llyfr", "stori", "plant", "darllen", "awdur", "pennod", "cerdd", "hanes", "bore", "afon",
+    "mynydd", "tref", "llyfrgell", "antur", "môr", "cath", "draig", "ysgol", "haf", "gaeaf",
+    "book", "story", "reader", "author", "chapter", "poem", "past", "morning", "river", "hill",
+    "town", "library", "voyage", "sea", "cat", "dragon", "school", "summer", "winter", "garden",
+    "iela", "māja", "dzīvoklis", "korpuss", "bulvāris", "prospekts", "laukums", "gatve", "ceļš",
+    "rajons", "Brīvības", "Tērbatas", "Latgales", "Daugavas", "Matīsa", "Skolas", "Ausekļa",
+    "Elizabetes", "Valdemāra", "Stabu", "Lāčplēša", "Čaka", "Ganu", "Vidus",
+];
+
+/// Distribution of answer lengths.
+#[derive(Clone, Copy, Debug, PartialEq, serde::Serialize, serde::Deserialize)]
+pub struct LengthDistribution {
+    /// Median, in tokens.
+    pub median: f64,
+    /// Spread between prompts: standard deviation of the logarithm.
+    pub prompt_sigma: f64,
+    /// Spread between answers to one prompt.
+    pub sample_sigma: f64,
+}
+
+impl Default for LengthDistribution {
+    fn default() -> Self {
+        Self {
+            median: 200.0,
+            prompt_sigma: 0.6,
+            sample_sigma: 0.4,
+        }
+    }
+}
+
+fn draw(seed: u64, sigma: f64) -> f64 {
+    let mut random = ChaCha8Rng::seed_from_u64(seed);
+    let distribution = LogNormal::new(0.0, sigma).or_else(|_| LogNormal::new(0.0, 0.0));
+    distribution.map_or(1.0, |distribution| distribution.sample(&mut random))
+}
+
+/// Length of the answer to a prompt under a sampling seed, in tokens.
+pub fn answer_length(distribution: &LengthDistribution, prompt: &str, seed: u64, most: u32) -> u32 {
+    let prompt_seed = stable_hash(&[b"length", prompt.as_bytes()]);
+    let by_prompt = draw(prompt_seed, distribution.prompt_sigma);
+    let by_sample = draw(seed ^ prompt_seed, distribution.sample_sigma);
+    let length = distribution.median * by_prompt * by_sample;
+    (length.round() as u32).clamp(1, most.max(1))
+}
+
+/// Text of one token, with the space before it.
+pub fn token_text(prompt: &str, index: u32, version: WeightVersion) -> &'static str {
+    let parts = [prompt.as_bytes(), &index.to_le_bytes(), &version.0.to_le_bytes()];
+    WORDS[(stable_hash(&parts) % WORDS.len() as u64) as usize]
+}
+
+/// Text of `count` tokens from the `start`th on.
+pub fn text_of(prompt: &str, start: u32, count: u32, version: WeightVersion) -> String {
+    let mut text = String::new();
+    for index in start..start + count {
+        text.push_str(token_text(prompt, index, version));
+        text.push(' ');
+    }
+    text
+}
+
+/// Whether `text` is what the versions of `spans` make of `prompt`.
+pub fn verify_text(prompt: &str, spans: &[VersionSpan], text: &str) -> bool {
+    let mut expected = String::new();
+    let mut start = 0;
+    for span in spans {
+        expected.push_str(&text_of(prompt, start, span.tokens, span.version));
+        start += span.tokens;
+    }
+    expected == text
+}
--- /dev/null
+++ b/crates/fairness/src/usage.rs
@@ -0,0 +1,60 @@
+//! Usage of each group, summed over nodes.
+
+use brasspond_types::GroupName;
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
+
+/// Cost served to one group.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct GroupUsage {
+    /// The group.
+    pub group: GroupName,
+    /// Token-equivalents served since the node started.
+    pub served: f64,
+    /// Whether the group had work waiting at the time of the report.
+    pub waiting: bool,
+}
+
+/// Served cost a group, with the entitled part worked out from weights.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct UsageTable {
+    served: BTreeMap<GroupName, f64>,
+}
+
+impl UsageTable {
+    /// Adds served cost.
+    pub fn add(&mut self, group: &GroupName, cost: f64) {
+        *self.served.entry(group.clone()).or_default() += cost;
+    }
+
+    /// Cost served to a group.
+    pub fn served(&self, group: &GroupName) -> f64 {
+        self.served.get(group).copied().unwrap_or_default()
+    }
+
+    /// Cost served to all groups.
+    pub fn total(&self) -> f64 {
+        self.served.values().sum()
+    }
+
+    /// All groups with their served cost.
+    pub fn iter(&self) -> impl Iterator<Item = (&GroupName, f64)> {
+        self.served.iter().map(|(group, served)| (group, *served))
+    }
+
+    /// Cost above (positive) or below (negative) the entitled part of each
+    /// group in `weights`, where the entitlement is of what these groups were
+    /// served together.
+    pub fn excess(&self, weights: &BTreeMap<GroupName, f64>) -> BTreeMap<GroupName, f64> {
+        let total_weight: f64 = weights.values().sum();
+        let total: f64 = weights.keys().map(|group| self.served(group)).sum();
+        if total_weight <= 0.0 {
+            return BTreeMap::new();
+        }
+        let excess = weights.iter().map(|(group, weight)| {
+            let entitled = total * weight / total_weight;
+            (group.clone(), self.served(group) - entitled)
+        });
+        excess.collect()
+    }
+}
--- /dev/null
+++ b/crates/findings/src/document.rs
@@ -0,0 +1,198 @@
+//! Parsed documents that remember the line of every key.
+
+use crate::Finding;
+use marked_yaml::types::Node;
+use serde_json::Value;
+use std::collections::BTreeMap;
+
+/// A document with the places of its keys.
+#[derive(Clone, Debug)]
+pub struct Document {
+    /// File it came from.
+    pub file: String,
+    /// Its content.
+    pub value: Value,
+    lines: BTreeMap<String, usize>,
+}
+
+impl Document {
+    /// A document that did not come from a file, such as a request body.
+    pub fn without_lines(file: &str, value: Value) -> Self {
+        Self {
+            file: file.to_owned(),
+            value,
+            lines: BTreeMap::new(),
+        }
+    }
+
+    /// Line of a key, or of the nearest key above it that has one.
+    pub fn line(&self, key: &str) -> usize {
+        let mut key = key;
+        loop {
+            if let Some(line) = self.lines.get(key) {
+                return *line;
+            }
+            match key.rfind('.') {
+                Some(dot) => key = &key[..dot],
+                None => return self.lines.get("").copied().unwrap_or(0),
+            }
+        }
+    }
+
+    /// Builds a finding about `key` of this document.
+    pub fn finding(&self, key: &str, problem: String, allowed: String) -> Finding {
+        Finding {
+            file: self.file.clone(),
+            line: self.line(key),
+            key: key.to_owned(),
+            problem,
+            allowed,
+        }
+    }
+}
+
+fn unreadable(file: &str, line: usize, problem: String, allowed: &str) -> Finding {
+    Finding {
+        file: file.to_owned(),
+        line,
+        key: "(document)".to_owned(),
+        problem,
+        allowed: allowed.to_owned(),
+    }
+}
+
+fn line_of_offset(text: &str, offset: usize) -> usize {
+    let before = text.as_bytes().iter().take(offset);
+    1 + before.filter(|byte| **byte == b'\n').count()
+}
+
+fn join(parent: &str, key: &str) -> String {
+    if parent.is_empty() {
+        key.to_owned()
+    } else {
+        format!("{parent}.{key}")
+    }
+}
+
+/// Parses TOML text.
+pub fn parse_toml(file: &str, text: &str) -> Result<Document, Vec<Finding>> {
+    let fail = |offset: usize, message: &str| {
+        let line = line_of_offset(text, offset);
+        vec![unreadable(file, line, message.to_owned(), "TOML 1.0")]
+    };
+    let parsed = toml_edit::Document::parse(text)
+        .map_err(|error| fail(error.span().map_or(0, |span| span.start), error.message()))?;
+    let value: Value = toml::from_str(text).map_err(|error| fail(0, error.message()))?;
+    let mut lines = BTreeMap::new();
+    collect_toml_lines(text, "", parsed.as_item(), &mut lines);
+    Ok(Document {
+        file: file.to_owned(),
+        value,
+        lines,
+    })
+}
+
+fn collect_toml_lines(
+    text: &str,
+    path: &str,
+    item: &toml_edit::Item,
+    lines: &mut BTreeMap<String, usize>,
+) {
+    if let Some(span) = item.span() {
+        lines.entry(path.to_owned()).or_insert_with(|| line_of_offset(text, span.start));
+    }
+    if let Some(table) = item.as_table_like() {
+        for (key, child) in table.iter() {
+            let child_path = join(path, key);
+            let key_span = table.key(key).and_then(|key| key.span());
+            if let Some(span) = key_span {
+                lines.insert(child_path.clone(), line_of_offset(text, span.start));
+            }
+            collect_toml_lines(text, &child_path, child, lines);
+        }
+    }
+    if let Some(tables) = item.as_array_of_tables() {
+        for (index, table) in tables.iter().enumerate() {
+            let child = toml_edit::Item::Table(table.clone());
+            collect_toml_lines(text, &join(path, &index.to_string()), &child, lines);
+        }
+    }
+}
+
+/// Parses YAML text, or JSON, which is read as YAML. Several documents are
+/// separated by `---`.
+pub fn parse_yaml(file: &str, text: &str) -> Result<Vec<Document>, Vec<Finding>> {
+    let mut documents = Vec::new();
+    let mut findings = Vec::new();
+    for (first_line, part) in split_documents(text) {
+        match parse_yaml_document(file, first_line, &part) {
+            Ok(document) => documents.push(document),
+            Err(finding) => findings.push(finding),
+        }
+    }
+    if findings.is_empty() { Ok(documents) } else { Err(findings) }
+}
+
+/// The parts of `text` between `---` lines, with the lines before each.
+fn split_documents(text: &str) -> Vec<(usize, String)> {
+    let mut parts = vec![(0, String::new())];
+    for (index, line) in text.lines().enumerate() {
+        if line.trim_end() == "---" {
+            parts.push((index + 1, String::new()));
+        } else if let Some((_, part)) = parts.last_mut() {
+            part.push_str(line);
+            part.push('\n');
+        }
+    }
+    let has_content = |line: &str| !line.trim().is_empty() && !line.trim().starts_with('#');
+    parts.retain(|(_, part)| part.lines().any(has_content));
+    parts
+}
+
+fn parse_yaml_document(file: &str, first_line: usize, text: &str) -> Result<Document, Finding> {
+    let fail = |line: usize, message: String| {
+        unreadable(file, first_line + line, message, "one YAML or JSON mapping")
+    };
+    let value: Value = serde_norway::from_str(text).map_err(|error| {
+        let line = error.location().map_or(1, |location| location.line());
+        fail(line, error.to_string())
+    })?;
+    let marked = marked_yaml::parse_yaml(0, text).map_err(|error| fail(1, error.to_string()))?;
+    let mut lines = BTreeMap::new();
+    collect_yaml_lines(first_line, "", &marked, &mut lines);
+    Ok(Document {
+        file: file.to_owned(),
+        value,
+        lines,
+    })
+}
+
+fn collect_yaml_lines(
+    first_line: usize,
+    path: &str,
+    node: &Node,
+    lines: &mut BTreeMap<String, usize>,
+) {
+    let start = node.span().start().map(|marker| marker.line());
+    if let Some(line) = start {
+        lines.entry(path.to_owned()).or_insert(first_line + line);
+    }
+    match node {
+        Node::Scalar(_) => {}
+        Node::Mapping(mapping) => {
+            for (key, child) in mapping.iter() {
+                let child_path = join(path, key.as_str());
+                if let Some(marker) = key.span().start() {
+                    lines.insert(child_path.clone(), first_line + marker.line());
+                }
+                collect_yaml_lines(first_line, &child_path, child, lines);
+            }
+        }
+        Node::Sequence(sequence) => {
+            for (index, child) in sequence.iter().enumerate() {
+                let child_path = join(path, &index.to_string());
+                collect_yaml_lines(first_line, &child_path, child, lines);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/findings/src/lib.rs
@@ -0,0 +1,37 @@
+//! Checking of configuration: all findings at once, each with its place.
+//!
+//! A [`Field`] table states what a document may hold; [`check`] walks a
+//! document along the table and collects every [`Finding`] with file, line,
+//! key and what is allowed. Documents are parsed once, at the edge
+//! ([`parse_toml`], [`parse_yaml`]); the rest of the system sees typed values.
+#![forbid(unsafe_code)]
+
+mod document;
+mod schema;
+
+pub use document::{Document, parse_toml, parse_yaml};
+pub use schema::{Field, Kind, check};
+
+use std::fmt;
+
+/// Something wrong with a document.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Finding {
+    /// File the document came from.
+    pub file: String,
+    /// Line, counted from 1; 0 where it is not known.
+    pub line: usize,
+    /// Path of the key, such as `spec.share`.
+    pub key: String,
+    /// What is wrong.
+    pub problem: String,
+    /// What is allowed there.
+    pub allowed: String,
+}
+
+impl fmt::Display for Finding {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Self { file, line, key, problem, allowed } = self;
+        write!(formatter, "{file}:{line}: {key}: {problem}; allowed: {allowed}")
+    }
+}
--- /dev/null
+++ b/crates/http/src/lib.rs
@@ -0,0 +1,23 @@
+//! HTTP plumbing shared by nodes, stand-ins and clients, over `hyper`.
+//!
+//! A server with limits on connections, header size and header time; a pooled
+//! client; JSON bodies; server-sent events. No decision is taken here.
+#![forbid(unsafe_code)]
+
+mod body;
+mod client;
+mod server;
+mod sse;
+
+pub use body::{
+    BodyError, ResponseBody, channel_body, empty_body, full_body, json_response, read_body,
+    read_json, stream_body,
+};
+pub use client::{CallError, Client, request};
+pub use server::{Limits, serve};
+pub use sse::{EventStream, sse_event};
+
+/// A request as the server sees it.
+pub type Request = hyper::Request<hyper::body::Incoming>;
+/// A response as handlers build it.
+pub type Response = hyper::Response<ResponseBody>;
--- /dev/null
+++ b/crates/node/src/completions.rs
@@ -0,0 +1,335 @@
+//! The OpenAI-compatible interface to models.
+//!
+//! Fields of brasspond's own stand under `brasspond` in the request
+//! (`priority`, `deadline_milliseconds`, `minimum_version`) and in the last
+//! chunk of the answer (`spans`); see `docs/OPERATIONS.md`.
+
+use crate::auth::{authenticate, require_group, require_role};
+use crate::errors::{ApiError, Fate};
+use crate::handle::{Handle, Piece};
+use crate::router::Server;
+use crate::view::View;
+use brasspond_control::{Event, GenerateRequest, Reply, RequestId};
+use brasspond_fairness::Priority;
+use brasspond_http::{Request, Response, channel_body, json_response, sse_event};
+use brasspond_resource::Role;
+use brasspond_types::{
+    FinishReason, GroupName, ModelName, VersionSpan, WeightVersion, push_span, total_tokens,
+};
+use bytes::Bytes;
+use hyper::StatusCode;
+use hyper::header::HeaderValue;
+use serde::Deserialize;
+use serde_json::{Value, json};
+use std::time::Duration;
+use tokio::sync::{mpsc, oneshot};
+
+/// Tokens of an answer without a limit of the caller's own.
+const DEFAULT_MAX_TOKENS: u32 = 256;
+/// Chunks buffered for a slow caller.
+const CHUNKS_BUFFERED: usize = 16;
+
+#[derive(Deserialize, Default)]
+#[serde(deny_unknown_fields, default)]
+struct Extension {
+    priority: Priority,
+    deadline_milliseconds: Option<u64>,
+    minimum_version: u64,
+    group: Option<GroupName>,
+}
+
+#[derive(Deserialize)]
+struct Message {
+    role: String,
+    content: String,
+}
+
+#[derive(Deserialize)]
+struct Body {
+    model: ModelName,
+    prompt: Option<String>,
+    messages: Option<Vec<Message>>,
+    max_tokens: Option<u32>,
+    #[serde(default)]
+    stream: bool,
+    #[serde(default)]
+    seed: Option<u64>,
+    brasspond: Option<Extension>,
+}
+
+/// Shape of the answer.
+#[derive(Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Shape {
+    Completion,
+    Chat,
+}
+
+impl Shape {
+    fn chunk(self, id: &str, model: &ModelName, piece: &Piece) -> Value {
+        let choice = match self {
+            Self::Completion => {
+                json!({ "index": 0, "text": piece.text, "finish_reason": piece.finish_reason })
+            }
+            Self::Chat => json!({
+                "index": 0,
+                "delta": { "content": piece.text },
+                "finish_reason": piece.finish_reason,
+            }),
+        };
+        let object = match self {
+            Self::Completion => "text_completion",
+            Self::Chat => "chat.completion.chunk",
+        };
+        json!({
+            "id": id,
+            "object": object,
+            "model": model,
+            "choices": [choice],
+            "weight_version": piece.version,
+        })
+    }
+
+    fn whole(self, id: &str, model: &ModelName, answer: &Answer) -> Value {
+        let choice = match self {
+            Self::Completion => {
+                json!({ "index": 0, "text": answer.text, "finish_reason": answer.finish_reason })
+            }
+            Self::Chat => json!({
+                "index": 0,
+                "message": { "role": "assistant", "content": answer.text },
+                "finish_reason": answer.finish_reason,
+            }),
+        };
+        let object = match self {
+            Self::Completion => "text_completion",
+            Self::Chat => "chat.completion",
+        };
+        json!({
+            "id": id,
+            "object": object,
+            "model": model,
+            "choices": [choice],
+            "usage": { "completion_tokens": total_tokens(&answer.spans) },
+            "brasspond": { "spans": answer.spans },
+        })
+    }
+}
+
+#[derive(Default)]
+struct Answer {
+    text: String,
+    spans: Vec<VersionSpan>,
+    finish_reason: Option<FinishReason>,
+}
+
+impl Answer {
+    fn add(&mut self, piece: &Piece) {
+        self.text.push_str(&piece.text);
+        push_span(&mut self.spans, WeightVersion(piece.version), piece.tokens);
+        self.finish_reason = piece.finish_reason.or(self.finish_reason);
+    }
+}
+
+/// Tells the decisions that the caller went away, unless the request ended.
+struct Guard {
+    handle: Handle,
+    request: RequestId,
+    ended: bool,
+}
+
+impl Drop for Guard {
+    fn drop(&mut self) {
+        self.handle.forget(self.request);
+        if self.ended {
+            return;
+        }
+        let handle = self.handle.clone();
+        let request = self.request;
+        if let Ok(runtime) = tokio::runtime::Handle::try_current() {
+            runtime.spawn(async move { handle.send(Event::CallerGone(request)).await });
+        }
+    }
+}
+
+/// Answers a request to a model.
+pub(crate) async fn serve(
+    server: &Server,
+    request: Request,
+    shape: Shape,
+) -> Result<Response, ApiError> {
+    let handle = &server.handle;
+    let view = handle.view();
+    let caller = authenticate(request.headers(), &view)?;
+    require_role(&caller, &[Role::Application, Role::Trainer])?;
+    let body: Body = server.read_json(request).await?;
+    let wanted = check(&view, &caller, &body, server.limits.request_milliseconds)?;
+    let time_limit = wanted.time_limit;
+    let id = handle.next_request();
+    let reply = handle.expect_reply(id);
+    let pieces = handle.expect_pieces(id);
+    let guard = Guard { handle: handle.clone(), request: id, ended: false };
+    let group = wanted.group.clone();
+    let event = Event::Generate { request: id, body: Box::new(wanted) };
+    if !handle.try_send(event) {
+        return Err(ApiError::unavailable("the node is overloaded"));
+    }
+    log::debug!("event=generate request={} group={group} model={}", id.0, body.model);
+    let exchange = Exchange { guard, reply, pieces, model: body.model.clone(), shape };
+    let ended = if body.stream {
+        tokio::time::timeout(time_limit, exchange.stream()).await
+    } else {
+        tokio::time::timeout(time_limit, exchange.whole()).await
+    };
+    match ended {
+        Ok(result) => result,
+        Err(_) => {
+            let error = ApiError::new(StatusCode::GATEWAY_TIMEOUT, "deadline", "the deadline passed");
+            Err(error.with_fate(Fate::Unknown))
+        }
+    }
+}
+
+fn check(
+    view: &View,
+    caller: &crate::view::KnownCaller,
+    body: &Body,
+    longest: u64,
+) -> Result<GenerateRequest, ApiError> {
+    let no_model = || ApiError::not_found(format!("no model {}", body.model));
+    let model = view.catalogue.model(body.model.as_str()).ok_or_else(no_model)?;
+    let extension = body.brasspond.as_ref();
+    if caller.spec.group.is_some() {
+        require_group(caller, &model.group).map_err(|_| no_model())?;
+    }
+    let named = extension.and_then(|extension| extension.group.as_ref());
+    if named.is_some_and(|named| *named != model.group) {
+        return Err(ApiError::forbidden("the model belongs to another group"));
+    }
+    let prompt = match (&body.prompt, &body.messages) {
+        (Some(prompt), None) => prompt.clone(),
+        (None, Some(messages)) => {
+            let lines = messages.iter().map(|message| format!("{}: {}\n", message.role, message.content));
+            lines.collect::<String>() + "assistant: "
+        }
+        _ => return Err(ApiError::bad_request("either prompt or messages is needed")),
+    };
+    let max_tokens = body.max_tokens.unwrap_or(DEFAULT_MAX_TOKENS);
+    if max_tokens == 0 || max_tokens > model.max_tokens {
+        let message = format!("max_tokens must be from 1 to {}", model.max_tokens);
+        return Err(ApiError::bad_request(message));
+    }
+    let deadline = extension.and_then(|extension| extension.deadline_milliseconds);
+    let time_limit = Duration::from_millis(deadline.unwrap_or(longest).min(longest));
+    let minimum = extension.map_or(0, |extension| extension.minimum_version);
+    let newest = view.newest.get(&body.model).copied().unwrap_or(0);
+    if minimum > newest {
+        return Err(ApiError::bad_request(format!("the newest version is {newest}")));
+    }
+    let priority = match extension {
+        Some(extension) => extension.priority,
+        None => Priority::Interactive,
+    };
+    Ok(GenerateRequest {
+        group: model.group.clone(),
+        model: body.model.clone(),
+        seed: body.seed.unwrap_or_else(rand::random),
+        prompt: prompt.into(),
+        max_tokens,
+        priority,
+        minimum_version: WeightVersion(minimum),
+        time_limit,
+    })
+}
+
+struct Exchange {
+    guard: Guard,
+    reply: oneshot::Receiver<Reply>,
+    pieces: mpsc::Receiver<Piece>,
+    model: ModelName,
+    shape: Shape,
+}
+
+impl Exchange {
+    fn id(&self) -> String {
+        format!("cmpl-{}", self.guard.request.0)
+    }
+
+    /// Gathers the whole answer.
+    async fn whole(mut self) -> Result<Response, ApiError> {
+        let mut answer = Answer::default();
+        while let Some(piece) = self.pieces.recv().await {
+            answer.add(&piece);
+        }
+        self.end().await?;
+        let body = self.shape.whole(&self.id(), &self.model, &answer);
+        Ok(json_response(StatusCode::OK, &body))
+    }
+
+    /// The final word of the decisions, once all pieces came.
+    async fn end(&mut self) -> Result<(), ApiError> {
+        let reply = (&mut self.reply).await;
+        self.guard.ended = true;
+        match reply {
+            Ok(Reply::Generated) => Ok(()),
+            Ok(Reply::Refused(refusal)) => Err(refusal.into()),
+            _ => Err(ApiError::unavailable("the node stops").with_fate(Fate::Unknown)),
+        }
+    }
+
+    /// Streams the answer; a refusal before the first piece is a plain error.
+    async fn stream(mut self) -> Result<Response, ApiError> {
+        let Some(first) = self.pieces.recv().await else {
+            let ended = self.end().await;
+            return Err(ended.err().unwrap_or_else(|| ApiError::unavailable("no answer")));
+        };
+        let (sender, body) = channel_body(CHUNKS_BUFFERED);
+        tokio::spawn(self.forward(first, sender));
+        let mut response = hyper::Response::new(body);
+        let headers = response.headers_mut();
+        let kind = HeaderValue::from_static("text/event-stream");
+        headers.insert(hyper::header::CONTENT_TYPE, kind);
+        headers.insert(hyper::header::CACHE_CONTROL, HeaderValue::from_static("no-store"));
+        Ok(response)
+    }
+
+    async fn forward(
+        mut self,
+        first: Piece,
+        sender: mpsc::Sender<Result<Bytes, std::io::Error>>,
+    ) {
+        let id = self.id();
+        let mut answer = Answer::default();
+        let mut next = Some(first);
+        while let Some(piece) = next {
+            answer.add(&piece);
+            if piece.finish_reason.is_none() {
+                let chunk = self.shape.chunk(&id, &self.model, &piece).to_string();
+                if sender.send(Ok(sse_event(&chunk))).await.is_err() {
+                    return;
+                }
+            }
+            next = tokio::select! {
+                piece = self.pieces.recv() => piece,
+                () = sender.closed() => return,
+            };
+        }
+        let last = match self.end().await {
+            Ok(()) => {
+                let piece = Piece {
+                    text: String::new(),
+                    version: answer.spans.last().map_or(0, |span| span.version.0),
+                    tokens: 0,
+                    finish_reason: answer.finish_reason,
+                };
+                let mut chunk = self.shape.chunk(&id, &self.model, &piece);
+                chunk["brasspond"] = json!({ "spans": answer.spans });
+                chunk["usage"] = json!({ "completion_tokens": total_tokens(&answer.spans) });
+                vec![chunk.to_string(), "[DONE]".to_owned()]
+            }
+            Err(error) => vec![error.body().to_string()],
+        };
+        for event in last {
+            let _ = sender.send(Ok(sse_event(&event))).await;
+        }
+    }
+}
--- /dev/null
+++ b/crates/node/src/lib.rs
@@ -0,0 +1,25 @@
+//! A running node: sockets, threads and HTTP around [`brasspond_control`].
+//!
+//! One thread takes all decisions; others carry bytes. They are joined by
+//! bounded channels (`docs/design/0001-architecture.md`). This package
+//! assembles and carries out; it decides nothing.
+#![forbid(unsafe_code)]
+
+mod attempts;
+mod auth;
+mod completions;
+mod decisions;
+mod engine_client;
+mod errors;
+mod handle;
+mod metrics;
+mod peers;
+mod resources;
+mod router;
+mod runtime;
+mod services;
+mod steps;
+mod store_client;
+mod view;
+
+pub use runtime::{Node, StartError};
--- /dev/null
+++ b/crates/node/src/router.rs
@@ -0,0 +1,121 @@
+//! Which handler answers which path.
+
+use crate::completions::{self, Shape};
+use crate::errors::ApiError;
+use crate::handle::Handle;
+use crate::metrics::Metrics;
+use crate::resources;
+use crate::services::{self, Services};
+use crate::steps;
+use brasspond_http::{BodyError, Request, Response, full_body, json_response, read_json};
+use brasspond_resource::{API_VERSION, Kind};
+use brasspond_settings::HttpLimits;
+use hyper::{Method, StatusCode};
+use serde::de::DeserializeOwned;
+use serde_json::json;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+/// Everything handlers share.
+pub(crate) struct Server {
+    pub(crate) handle: Handle,
+    pub(crate) limits: HttpLimits,
+    pub(crate) services: Services,
+    pub(crate) metrics: Arc<Metrics>,
+}
+
+/// Value of a key in a query.
+pub(crate) fn query_value<'a>(query: &'a str, key: &str) -> Option<&'a str> {
+    let pairs = query.split('&').filter_map(|pair| pair.split_once('='));
+    pairs.filter(|(name, _)| *name == key).map(|(_, value)| value).next()
+}
+
+impl Server {
+    /// Reads a JSON body within the limits of size and time.
+    pub(crate) async fn read_json<T: DeserializeOwned>(&self, request: Request) -> Result<T, ApiError> {
+        let time = Duration::from_millis(self.limits.body_milliseconds);
+        let reading = read_json(request.into_body(), self.limits.body_bytes);
+        match tokio::time::timeout(time, reading).await {
+            Ok(Ok(value)) => Ok(value),
+            Ok(Err(BodyError::TooLong(_))) => {
+                let status = StatusCode::PAYLOAD_TOO_LARGE;
+                Err(ApiError::new(status, "too_long", "the body is too long"))
+            }
+            Ok(Err(problem)) => Err(ApiError::bad_request(problem.to_string())),
+            Err(_) => {
+                let status = StatusCode::REQUEST_TIMEOUT;
+                Err(ApiError::new(status, "too_slow", "the body came too slowly"))
+            }
+        }
+    }
+
+    /// Answers a request.
+    pub(crate) async fn handle(self: Arc<Self>, request: Request) -> Response {
+        let begun = Instant::now();
+        let method = request.method().clone();
+        let path = request.uri().path().to_owned();
+        let (interface, result) = self.route(request, &path).await;
+        let response = result.unwrap_or_else(|error| error.response());
+        let status = response.status().as_u16();
+        let seconds = begun.elapsed().as_secs_f64();
+        self.metrics.answered(interface, status, seconds);
+        if interface != "health" {
+            let milliseconds = seconds * 1e3;
+            log::info!(
+                "event=request method={method} path={path} interface={interface} status={status} milliseconds={milliseconds:.1}"
+            );
+        }
+        response
+    }
+
+    async fn route(&self, request: Request, path: &str) -> (&'static str, Result<Response, ApiError>) {
+        let resources = path.strip_prefix("/apis/").and_then(|rest| rest.strip_prefix(API_VERSION));
+        match (request.method(), path) {
+            (&Method::GET, "/livez") => ("health", Ok(text("ok\n"))),
+            (&Method::GET, "/readyz") => ("health", self.readiness()),
+            (&Method::GET, "/metrics") => {
+                let body = self.metrics.render(&self.handle.view());
+                ("health", Ok(text(body)))
+            }
+            (&Method::POST, "/v1/completions") => {
+                ("models", completions::serve(self, request, Shape::Completion).await)
+            }
+            (&Method::POST, "/v1/chat/completions") => {
+                ("models", completions::serve(self, request, Shape::Chat).await)
+            }
+            (&Method::GET, "/v1/models") => ("models", Ok(self.models())),
+            _ if path.starts_with("/v1/groups/") => ("steps", steps::serve(self, request).await),
+            _ => match resources {
+                Some(rest) => {
+                    let rest = rest.trim_start_matches('/').to_owned();
+                    ("resources", resources::serve(self, request, &rest).await)
+                }
+                None => ("services", services::serve(self, request).await),
+            },
+        }
+    }
+
+    fn readiness(&self) -> Result<Response, ApiError> {
+        if self.handle.view().ready {
+            return Ok(text("ready\n"));
+        }
+        Err(ApiError::unavailable("this node starts or drains"))
+    }
+
+    fn models(&self) -> Response {
+        let view = self.handle.view();
+        let models = view.catalogue.of_kind(Kind::Model);
+        let data: Vec<serde_json::Value> = models
+            .map(|object| {
+                let name = &object.metadata.name;
+                let version = view.newest.get(&brasspond_types::ModelName::new(name));
+                json!({ "id": name, "object": "model", "weight_version": version })
+            })
+            .collect();
+        json_response(StatusCode::OK, &json!({ "object": "list", "data": data }))
+    }
+}
+
+fn text(body: impl Into<bytes::Bytes>) -> Response {
+    hyper::Response::new(full_body(body))
+}
--- /dev/null
+++ b/crates/rollout/src/cursor.rs
@@ -0,0 +1,117 @@
+//! The set of slots a trainer holds, as an opaque text.
+
+use brasspond_types::{StepId, stable_hash};
+use displaydoc::Display;
+use std::fmt;
+use std::str::FromStr;
+
+/// Set of slots of one step.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Cursor {
+    step_digest: u64,
+    slots: u32,
+    words: Vec<u64>,
+}
+
+/// Why a cursor is refused.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
+pub enum CursorError {
+    /// the cursor is not one that this service gave out
+    Malformed,
+    /// the cursor belongs to another step
+    OtherStep,
+}
+
+impl std::error::Error for CursorError {}
+
+const BITS: u32 = u64::BITS;
+const WORD_DIGITS: usize = 16;
+
+fn digest_of(step: &StepId) -> u64 {
+    stable_hash(&[step.group.as_str().as_bytes(), &step.step.to_le_bytes()])
+}
+
+impl Cursor {
+    /// The cursor of a trainer that holds nothing of a step of `slots` slots.
+    pub fn empty(step: &StepId, slots: u32) -> Self {
+        Self {
+            step_digest: digest_of(step),
+            slots,
+            words: vec![0; slots.div_ceil(BITS) as usize],
+        }
+    }
+
+    /// Whether the trainer holds the slot.
+    pub fn contains(&self, slot: u32) -> bool {
+        let word = self.words.get((slot / BITS) as usize);
+        word.is_some_and(|word| word >> (slot % BITS) & 1 == 1)
+    }
+
+    /// Adds a slot; slots beyond the step's are ignored.
+    pub fn insert(&mut self, slot: u32) {
+        if slot < self.slots {
+            self.words[(slot / BITS) as usize] |= 1 << (slot % BITS);
+        }
+    }
+
+    /// Number of slots held.
+    pub fn held(&self) -> u32 {
+        self.words.iter().map(|word| word.count_ones()).sum()
+    }
+
+    /// Whether all slots are held.
+    pub fn is_complete(&self) -> bool {
+        self.held() == self.slots
+    }
+
+    /// Checks that the cursor belongs to `step` with `slots` slots.
+    pub fn belongs_to(&self, step: &StepId, slots: u32) -> Result<(), CursorError> {
+        if self.step_digest == digest_of(step) && self.slots == slots {
+            Ok(())
+        } else {
+            Err(CursorError::OtherStep)
+        }
+    }
+}
+
+impl fmt::Display for Cursor {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(formatter, "{:016x}{:08x}", self.step_digest, self.slots)?;
+        for word in &self.words {
+            write!(formatter, "{word:016x}")?;
+        }
+        Ok(())
+    }
+}
+
+impl FromStr for Cursor {
+    type Err = CursorError;
+
+    fn from_str(text: &str) -> Result<Self, CursorError> {
+        let malformed = CursorError::Malformed;
+        if !text.bytes().all(|byte| byte.is_ascii_hexdigit()) {
+            return Err(malformed);
+        }
+        let parse = |part: Option<&str>| {
+            let part = part.ok_or(malformed)?;
+            u64::from_str_radix(part, 16).map_err(|_| malformed)
+        };
+        let step_digest = parse(text.get(..16))?;
+        let slots = parse(text.get(16..24))? as u32;
+        let digits = text.get(24..).ok_or(malformed)?;
+        if digits.len() != slots.div_ceil(BITS) as usize * WORD_DIGITS {
+            return Err(malformed);
+        }
+        let starts = (0..digits.len()).step_by(WORD_DIGITS);
+        let words: Result<Vec<u64>, CursorError> = starts
+            .map(|start| parse(digits.get(start..start + WORD_DIGITS)))
+            .collect();
+        let cursor = Self { step_digest, slots, words: words? };
+        let beyond = slots % BITS;
+        let last = cursor.words.last().copied().unwrap_or(0);
+        if beyond != 0 && last >> beyond != 0 {
+            return Err(malformed);
+        }
+        Ok(cursor)
+    }
+}
--- /dev/null
+++ b/crates/routing/src/lib.rs
@@ -0,0 +1,22 @@
+//! Where a request runs: owners by rendezvous hashing, engines by cost.
+//!
+//! The cost of a placement, in microseconds, is
+//! `queue wait + prefill of what is not cached + decode + distance`, worked
+//! out from lagging load reports corrected by what this node sent since
+//! (`docs/design/0004-routing.md`). Only a bounded sample of engines is
+//! priced: two by prefix affinity and a few at random, so the decision costs
+//! the same whether a report of every engine is at hand or of few
+//! (Mitzenmacher, *The Power of Two Choices*, 2001).
+#![forbid(unsafe_code)]
+
+mod health;
+mod owner;
+mod placement;
+mod prefix;
+
+pub use health::Health;
+pub use owner::{rank, rank_distinct_zones};
+pub use placement::{
+    EngineLoad, EngineTable, EngineView, Placement, PlacementRequest, Policy, SpeedEstimate,
+};
+pub use prefix::{BLOCK_TOKENS, CacheEvent, PrefixIndex, estimate_tokens, prefix_hashes};
--- /dev/null
+++ b/crates/routing/src/owner.rs
@@ -0,0 +1,61 @@
+//! Rendezvous hashing: which node owns an engine, a step or a shard.
+//!
+//! Source: Thaler and Ravishankar, *Using Name-Based Mappings to Increase Hit
+//! Rates*, 1998. When a node leaves, only what it owned moves.
+
+use brasspond_membership::Member;
+use brasspond_types::{NodeName, ZoneName, stable_hash};
+use std::collections::BTreeSet;
+
+fn score(key: &str, node: &NodeName) -> u64 {
+    stable_hash(&[key.as_bytes(), node.as_str().as_bytes()])
+}
+
+/// The `count` best nodes for `key`, nodes in `zone` first where one is given.
+pub fn rank<'a>(
+    key: &str,
+    zone: Option<&ZoneName>,
+    members: &[&'a Member],
+    count: usize,
+) -> Vec<&'a Member> {
+    let mut scored: Vec<(bool, u64, &Member)> = members
+        .iter()
+        .map(|member| {
+            let near = zone.is_some_and(|zone| *zone == member.locality.zone);
+            (near, score(key, &member.name), *member)
+        })
+        .collect();
+    let order = |left: &(bool, u64, &Member), right: &(bool, u64, &Member)| {
+        (right.0, right.1, &right.2.name).cmp(&(left.0, left.1, &left.2.name))
+    };
+    if count == 1 {
+        let best = scored.into_iter().min_by(order);
+        return best.into_iter().map(|(_, _, member)| member).collect();
+    }
+    scored.sort_by(order);
+    let best = scored.into_iter().take(count);
+    best.map(|(_, _, member)| member).collect()
+}
+
+/// The `count` best nodes for `key`, each in a zone of its own as long as
+/// there are zones left.
+pub fn rank_distinct_zones<'a>(
+    key: &str,
+    members: &[&'a Member],
+    count: usize,
+) -> Vec<&'a Member> {
+    let ranked = rank(key, None, members, members.len());
+    let mut zones = BTreeSet::new();
+    let mut chosen: Vec<&Member> = Vec::new();
+    let mut others = Vec::new();
+    for member in ranked {
+        if chosen.len() < count && zones.insert(&member.locality.zone) {
+            chosen.push(member);
+        } else {
+            others.push(member);
+        }
+    }
+    let missing = count.saturating_sub(chosen.len());
+    chosen.extend(others.into_iter().take(missing));
+    chosen
+}
--- /dev/null
+++ b/crates/routing/src/placement.rs
@@ -0,0 +1,409 @@
+//! Choice of an engine for one request.
+
+use crate::health::Health;
+use brasspond_types::{EngineName, ModelName, Timestamp, WeightVersion, ZoneName, stable_hash};
+use rand::Rng;
+use serde::{Deserialize, Serialize};
+use std::collections::{BTreeMap, HashMap};
+
+/// Engines priced because the prompt's prefix points at them.
+const AFFINITY_CANDIDATES: usize = 2;
+/// Engines priced at random.
+const RANDOM_CANDIDATES: usize = 6;
+/// Extra cost of leaving the zone, in microseconds.
+const OTHER_ZONE_COST: f64 = 1_000.0;
+/// Age after which a load report says little, in microseconds; the estimate
+/// moves to the mean of all engines over this time.
+const REPORT_HALF_LIFE: f64 = 2_000_000.0;
+/// Part of the prompt expected in the cache of an affine engine.
+const AFFINITY_HIT: f64 = 0.8;
+
+/// How an engine is chosen; all but the first are baselines to compare with.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Policy {
+    /// Lowest expected cost among a bounded sample.
+    #[default]
+    Cost,
+    /// Each engine in turn.
+    RoundRobin,
+    /// Fewest requests sent and reported, over all engines.
+    LeastRequests,
+    /// The less loaded of two engines drawn at random.
+    PowerOfTwo,
+}
+
+/// Load of an engine and its queue, as its owner last told.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct EngineLoad {
+    /// Requests on the engine.
+    pub running: u32,
+    /// Requests the engine may run at a time.
+    pub limit: u32,
+    /// Requests in the owner's queue.
+    pub queued: u32,
+    /// Expected tokens of what waits and runs.
+    pub pending_tokens: f32,
+}
+
+/// Speed of an engine, for the cost formula.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct SpeedEstimate {
+    /// Time of a decoding step with an empty batch, in microseconds.
+    pub step_base: f64,
+    /// Added time a sequence in the batch, in microseconds.
+    pub step_per_sequence: f64,
+    /// Time to prefill a token, in microseconds.
+    pub prefill_per_token: f64,
+}
+
+impl Default for SpeedEstimate {
+    fn default() -> Self {
+        Self {
+            step_base: 8_000.0,
+            step_per_sequence: 60.0,
+            prefill_per_token: 40.0,
+        }
+    }
+}
+
+/// What a node knows of an engine.
+#[derive(Clone, Debug)]
+pub struct EngineView {
+    /// Name of the engine.
+    pub name: EngineName,
+    /// Zone it runs in.
+    pub zone: ZoneName,
+    /// Models it can serve with the version last heard of.
+    pub models: BTreeMap<ModelName, WeightVersion>,
+    /// Whether it is leaving and gets no new work.
+    pub leaving: bool,
+    /// Load last heard of.
+    pub load: EngineLoad,
+    /// When the load was heard.
+    pub load_at: Option<Timestamp>,
+    /// Requests sent from here since the load was heard.
+    pub sent: u32,
+    /// Expected tokens sent from here since the load was heard.
+    pub sent_tokens: f64,
+    /// Failures seen from here.
+    pub health: Health,
+}
+
+impl EngineView {
+    /// A view of an engine nothing is known of yet.
+    pub fn new(name: EngineName, zone: ZoneName) -> Self {
+        Self {
+            name,
+            zone,
+            models: BTreeMap::new(),
+            leaving: false,
+            load: EngineLoad::default(),
+            load_at: None,
+            sent: 0,
+            sent_tokens: 0.0,
+            health: Health::default(),
+        }
+    }
+
+    fn requests(&self) -> u32 {
+        self.load.running + self.load.queued + self.sent
+    }
+}
+
+/// What has to be placed.
+#[derive(Clone, Debug)]
+pub struct PlacementRequest<'a> {
+    /// Model that must be served.
+    pub model: &'a ModelName,
+    /// Oldest acceptable version.
+    pub minimum_version: WeightVersion,
+    /// Hashes of the prompt's blocks.
+    pub prefix: &'a [u64],
+    /// Tokens of the prompt.
+    pub prompt_tokens: u32,
+    /// Expected tokens of the answer.
+    pub expected_tokens: f64,
+    /// Zone of the asking node.
+    pub zone: &'a ZoneName,
+    /// Engines already tried in vain.
+    pub avoid: &'a [EngineName],
+}
+
+/// The engine chosen.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Placement {
+    /// Engine to run on.
+    pub engine: EngineName,
+    /// Expected cost in microseconds.
+    pub cost: f64,
+}
+
+/// All engines known to a node.
+#[derive(Clone, Debug, Default)]
+pub struct EngineTable {
+    engines: Vec<EngineView>,
+    by_name: HashMap<EngineName, usize>,
+    policy: Policy,
+    next: usize,
+    speed: SpeedEstimate,
+}
+
+impl EngineTable {
+    /// Creates an empty table that chooses by `policy`.
+    pub fn new(policy: Policy) -> Self {
+        Self {
+            policy,
+            ..Self::default()
+        }
+    }
+
+    /// Sets the speed used in the cost formula.
+    pub fn set_speed(&mut self, speed: SpeedEstimate) {
+        self.speed = speed;
+    }
+
+    /// The view of an engine.
+    pub fn get(&self, name: &EngineName) -> Option<&EngineView> {
+        self.by_name.get(name).map(|index| &self.engines[*index])
+    }
+
+    /// The view of an engine, to change.
+    pub fn get_mut(&mut self, name: &EngineName) -> Option<&mut EngineView> {
+        let index = *self.by_name.get(name)?;
+        self.engines.get_mut(index)
+    }
+
+    /// All engines.
+    pub fn iter(&self) -> impl Iterator<Item = &EngineView> {
+        self.engines.iter()
+    }
+
+    /// Number of engines.
+    pub fn len(&self) -> usize {
+        self.engines.len()
+    }
+
+    /// Whether no engine is known.
+    pub fn is_empty(&self) -> bool {
+        self.engines.is_empty()
+    }
+
+    /// Replaces the set of engines, keeping what is known of those that stay.
+    pub fn replace(&mut self, engines: Vec<EngineView>, now: Timestamp) {
+        let mut kept = Vec::with_capacity(engines.len());
+        for mut engine in engines {
+            if let Some(old) = self.get(&engine.name) {
+                engine.load = old.load;
+                engine.load_at = old.load_at;
+                engine.sent = old.sent;
+                engine.sent_tokens = old.sent_tokens;
+                engine.health = old.health.clone();
+                for (model, version) in &old.models {
+                    engine.models.entry(model.clone()).and_modify(|new| *new = *version);
+                }
+            } else if !self.engines.is_empty() {
+                engine.health.start(now);
+            }
+            kept.push(engine);
+        }
+        self.by_name = kept
+            .iter()
+            .enumerate()
+            .map(|(index, engine)| (engine.name.clone(), index))
+            .collect();
+        self.engines = kept;
+    }
+
+    /// Takes in the load an owner told of.
+    pub fn report(&mut self, name: &EngineName, load: EngineLoad, now: Timestamp) {
+        if let Some(engine) = self.get_mut(name) {
+            engine.load = load;
+            engine.load_at = Some(now);
+            engine.sent = 0;
+            engine.sent_tokens = 0.0;
+        }
+    }
+
+    /// Chooses an engine, or none if no engine can serve the request.
+    pub fn choose(
+        &mut self,
+        request: &PlacementRequest<'_>,
+        now: Timestamp,
+        random: &mut impl Rng,
+    ) -> Option<Placement> {
+        let chosen = match self.policy {
+            Policy::Cost => self.choose_by_cost(request, now, random),
+            Policy::RoundRobin => self.choose_in_turn(request, now),
+            Policy::LeastRequests => self.choose_least(request, now),
+            Policy::PowerOfTwo => self.choose_of_two(request, now, random),
+        };
+        let (index, cost) = chosen?;
+        let engine = &mut self.engines[index];
+        engine.sent += 1;
+        engine.sent_tokens += request.expected_tokens;
+        Some(Placement {
+            engine: engine.name.clone(),
+            cost,
+        })
+    }
+
+    fn is_eligible(&self, index: usize, request: &PlacementRequest<'_>, now: Timestamp) -> bool {
+        let engine = &self.engines[index];
+        let version = engine.models.get(request.model);
+        version.is_some_and(|version| *version >= request.minimum_version)
+            && !engine.leaving
+            && engine.health.is_eligible(now)
+            && !request.avoid.contains(&engine.name)
+    }
+
+    fn choose_in_turn(
+        &mut self,
+        request: &PlacementRequest<'_>,
+        now: Timestamp,
+    ) -> Option<(usize, f64)> {
+        let count = self.engines.len();
+        let start = self.next;
+        let index = (0..count)
+            .map(|offset| (start + offset) % count)
+            .find(|index| self.is_eligible(*index, request, now))?;
+        self.next = index + 1;
+        Some((index, 0.0))
+    }
+
+    fn choose_least(
+        &self,
+        request: &PlacementRequest<'_>,
+        now: Timestamp,
+    ) -> Option<(usize, f64)> {
+        let eligible = (0..self.engines.len()).filter(|index| self.is_eligible(*index, request, now));
+        let least = eligible.min_by_key(|index| self.engines[*index].requests())?;
+        Some((least, f64::from(self.engines[least].requests())))
+    }
+
+    fn choose_of_two(
+        &self,
+        request: &PlacementRequest<'_>,
+        now: Timestamp,
+        random: &mut impl Rng,
+    ) -> Option<(usize, f64)> {
+        let sample = self.sample(2, request, now, random);
+        let least = sample.into_iter().min_by_key(|index| self.engines[*index].requests())?;
+        Some((least, f64::from(self.engines[least].requests())))
+    }
+
+    /// Draws up to `count` eligible engines: a few draws at random, then, if
+    /// these found none, a walk over all.
+    fn sample(
+        &self,
+        count: usize,
+        request: &PlacementRequest<'_>,
+        now: Timestamp,
+        random: &mut impl Rng,
+    ) -> Vec<usize> {
+        let total = self.engines.len();
+        if total == 0 {
+            return Vec::new();
+        }
+        let mut sample = Vec::with_capacity(count);
+        for _ in 0..count * 3 {
+            let index = random.random_range(0..total);
+            if sample.len() < count
+                && !sample.contains(&index)
+                && self.is_eligible(index, request, now)
+            {
+                sample.push(index);
+            }
+        }
+        if sample.is_empty() {
+            let start = random.random_range(0..total);
+            let walk = (0..total).map(|offset| (start + offset) % total);
+            let eligible = walk.filter(|index| self.is_eligible(*index, request, now));
+            sample.extend(eligible.take(count));
+        }
+        sample
+    }
+
+    fn choose_by_cost(
+        &self,
+        request: &PlacementRequest<'_>,
+        now: Timestamp,
+        random: &mut impl Rng,
+    ) -> Option<(usize, f64)> {
+        let affine = self.affine(request, now);
+        let mut candidates = self.sample(RANDOM_CANDIDATES, request, now, random);
+        candidates.extend(affine.iter().copied());
+        let mean = self.mean_pending_tokens();
+        let priced = candidates.into_iter().map(|index| {
+            let is_affine = affine.contains(&index);
+            (index, self.cost(index, request, is_affine, mean, now))
+        });
+        priced.min_by(|left, right| left.1.total_cmp(&right.1))
+    }
+
+    /// The engines that rendezvous hashing assigns to the prompt's beginning.
+    fn affine(&self, request: &PlacementRequest<'_>, now: Timestamp) -> Vec<usize> {
+        let Some(first) = request.prefix.last() else {
+            return Vec::new();
+        };
+        let key = first.to_le_bytes();
+        let mut best: Vec<(u64, usize)> = Vec::with_capacity(AFFINITY_CANDIDATES + 1);
+        for (index, engine) in self.engines.iter().enumerate() {
+            let score = stable_hash(&[&key, engine.name.as_str().as_bytes()]);
+            let enters = best.len() < AFFINITY_CANDIDATES
+                || best.last().is_some_and(|(lowest, _)| score > *lowest);
+            if enters && self.is_eligible(index, request, now) {
+                best.push((score, index));
+                best.sort_by(|left, right| right.cmp(left));
+                best.truncate(AFFINITY_CANDIDATES);
+            }
+        }
+        best.into_iter().map(|(_, index)| index).collect()
+    }
+
+    fn mean_pending_tokens(&self) -> f64 {
+        /// Engines looked at; enough for a mean.
+        const LOOKED_AT: usize = 64;
+        let known = self
+            .engines
+            .iter()
+            .filter(|engine| engine.load_at.is_some())
+            .take(LOOKED_AT);
+        let (sum, count) = known.fold((0.0, 0u32), |(sum, count), engine| {
+            (sum + f64::from(engine.load.pending_tokens), count + 1)
+        });
+        if count == 0 { 0.0 } else { sum / f64::from(count) }
+    }
+
+    /// Expected time to the end of the answer, in microseconds.
+    fn cost(
+        &self,
+        index: usize,
+        request: &PlacementRequest<'_>,
+        is_affine: bool,
+        mean_pending: f64,
+        now: Timestamp,
+    ) -> f64 {
+        let engine = &self.engines[index];
+        let age = engine.load_at.map(|at| now.since(at).as_micros() as f64);
+        let trust = age.map_or(0.0, |age| 0.5f64.powf(age / REPORT_HALF_LIFE));
+        let reported = f64::from(engine.load.pending_tokens);
+        let pending = trust * reported + (1.0 - trust) * mean_pending + engine.sent_tokens;
+        let limit = f64::from(engine.load.limit.max(1));
+        let running = f64::from(engine.load.running + engine.sent).min(limit);
+        let step = self.speed.step_base + self.speed.step_per_sequence * running;
+        let free_places = limit - f64::from(engine.requests());
+        let wait = if free_places > 0.0 {
+            0.0
+        } else {
+            pending / limit * step
+        };
+        let uncached_part = if is_affine { 1.0 - AFFINITY_HIT } else { 1.0 };
+        let prompt_tokens = f64::from(request.prompt_tokens);
+        let prefill = prompt_tokens * uncached_part * self.speed.prefill_per_token;
+        let decode = request.expected_tokens * step;
+        let is_far = engine.zone != *request.zone;
+        let distance = if is_far { OTHER_ZONE_COST } else { 0.0 };
+        (wait + prefill + decode) * engine.health.cost_factor(now) + distance
+    }
+}
--- /dev/null
+++ b/crates/standin/src/service.rs
@@ -0,0 +1,82 @@
+//! Plain HTTP services: loans that spend licence copies, and look-ups.
+
+use brasspond_http::{Limits, Request, Response, json_response, read_body, serve};
+use hyper::{Method, StatusCode};
+use serde_json::json;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+use tokio::net::TcpListener;
+use tokio::sync::watch;
+
+/// Longest request taken, in bytes.
+const LONGEST_REQUEST: usize = 16 * 1024 * 1024;
+
+/// What the service itself knows of its runs.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct ServiceRecord {
+    /// Runs of non-repeatable requests by the caller's own mark, the header
+    /// `x-mark`.
+    pub runs: BTreeMap<String, u32>,
+    /// Requests answered.
+    pub answered: u64,
+}
+
+/// A replica of a plain service.
+pub struct ServiceServer {
+    name: String,
+    latency: Duration,
+    record: Mutex<ServiceRecord>,
+}
+
+impl ServiceServer {
+    /// A replica that takes `latency` for each request.
+    pub fn new(name: &str, latency: Duration) -> Arc<Self> {
+        Arc::new(Self {
+            name: name.to_owned(),
+            latency,
+            record: Mutex::new(ServiceRecord::default()),
+        })
+    }
+
+    /// What it ran.
+    pub fn record(&self) -> ServiceRecord {
+        self.record.lock().unwrap_or_else(PoisonError::into_inner).clone()
+    }
+
+    /// Serves until stopped.
+    pub async fn run(self: Arc<Self>, listener: TcpListener, stop: watch::Receiver<bool>) {
+        let handler = move |request, _peer: SocketAddr| {
+            let server = Arc::clone(&self);
+            async move { server.handle(request).await }
+        };
+        serve(listener, Limits::default(), handler, stop).await;
+    }
+
+    async fn handle(&self, request: Request) -> Response {
+        let method = request.method().clone();
+        let path = request.uri().path().to_owned();
+        let mark = request.headers().get("x-mark").and_then(|mark| mark.to_str().ok());
+        let mark = mark.map(str::to_owned);
+        let is_write = method != Method::GET && method != Method::HEAD;
+        if let Some(mark) = mark.filter(|_| is_write) {
+            let mut record = self.record.lock().unwrap_or_else(PoisonError::into_inner);
+            *record.runs.entry(mark).or_default() += 1;
+        }
+        let body = match read_body(request.into_body(), LONGEST_REQUEST).await {
+            Ok(body) => body,
+            Err(_) => return json_response(StatusCode::BAD_REQUEST, &json!({ "error": "body" })),
+        };
+        tokio::time::sleep(self.latency).await;
+        let mut record = self.record.lock().unwrap_or_else(PoisonError::into_inner);
+        record.answered += 1;
+        let answer = json!({
+            "replica": self.name,
+            "method": method.as_str(),
+            "path": path,
+            "bytes": body.len(),
+        });
+        json_response(StatusCode::OK, &answer)
+    }
+}
