--- /dev/null
+++ b/crates/standin/src/store.rs
@@ -0,0 +1,215 @@
+//! The platform's object API over HTTP.
+//!
+//! `GET .../objects` lists all objects, `GET .../objects?watch=true&
+//! resourceVersion=N` waits for changes after revision N,
+//! `GET|PUT|DELETE .../{plural}/{name}` reads and writes one, under
+//! `/apis/brasspond.dev/v1`. A PUT whose `metadata.resourceVersion` is not the
+//! object's answers 409; "0" means the object must not exist.
+
+use crate::faults::{FaultKind, FaultSchedule};
+use brasspond_dissemination::change_to_json;
+use brasspond_emulator::{ObjectStore, StoreError};
+use brasspond_http::{Limits, Request, Response, json_response, read_json, serve};
+use brasspond_resource::{
+    API_VERSION, Kind, Object, ObjectKey, Revision, object_from_json, object_to_json,
+};
+use hyper::{Method, StatusCode};
+use serde_json::{Value, json};
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::{Duration, Instant};
+use tokio::net::TcpListener;
+use tokio::sync::{Notify, watch};
+
+/// Longest manifest taken, in bytes.
+const LONGEST_MANIFEST: usize = 4 * 1024 * 1024;
+/// Time a watch waits for a change.
+const WATCH_TIME: Duration = Duration::from_secs(5);
+/// Delay of answers while the store is slow.
+const SLOWNESS: Duration = Duration::from_millis(1_500);
+
+/// The object store.
+pub struct StoreServer {
+    store: Mutex<ObjectStore>,
+    changed: Notify,
+    faults: Mutex<FaultSchedule>,
+    started: Instant,
+    reads: std::sync::atomic::AtomicU64,
+}
+
+impl StoreServer {
+    /// An empty store with a fault schedule.
+    pub fn new(faults: FaultSchedule) -> Arc<Self> {
+        Arc::new(Self {
+            store: Mutex::new(ObjectStore::default()),
+            changed: Notify::new(),
+            faults: Mutex::new(faults),
+            started: Instant::now(),
+            reads: std::sync::atomic::AtomicU64::new(0),
+        })
+    }
+
+    /// Replaces the fault schedule; times still count from the start.
+    pub fn set_faults(&self, faults: FaultSchedule) {
+        *self.faults.lock().unwrap_or_else(PoisonError::into_inner) = faults;
+    }
+
+    /// Time since the start, which fault schedules count from.
+    pub fn elapsed(&self) -> Duration {
+        self.started.elapsed()
+    }
+
+    /// Lists and watches served.
+    pub fn reads(&self) -> u64 {
+        self.reads.load(std::sync::atomic::Ordering::Relaxed)
+    }
+
+    /// Writes an object directly, as the platform itself does for its list of
+    /// machines.
+    pub fn put(&self, object: Object) -> Revision {
+        let result = self.locked(|store| store.put(object, None));
+        self.changed.notify_waiters();
+        result.unwrap_or_default()
+    }
+
+    /// Deletes an object directly.
+    pub fn remove(&self, key: &ObjectKey) {
+        let _ = self.locked(|store| store.remove(key, None));
+        self.changed.notify_waiters();
+    }
+
+    /// Looks at the store.
+    pub fn locked<T>(&self, look: impl FnOnce(&mut ObjectStore) -> T) -> T {
+        look(&mut self.store.lock().unwrap_or_else(PoisonError::into_inner))
+    }
+
+    /// Serves until stopped.
+    pub async fn run(self: Arc<Self>, listener: TcpListener, stop: watch::Receiver<bool>) {
+        let handler = move |request, _peer: SocketAddr| {
+            let server = Arc::clone(&self);
+            async move { server.handle(request).await }
+        };
+        serve(listener, Limits::default(), handler, stop).await;
+    }
+
+    fn is_on(&self, kind: FaultKind) -> bool {
+        let faults = self.faults.lock().unwrap_or_else(PoisonError::into_inner);
+        faults.is_on(kind, self.started.elapsed())
+    }
+
+    async fn handle(&self, request: Request) -> Response {
+        if self.is_on(FaultKind::Slow) {
+            tokio::time::sleep(SLOWNESS).await;
+        }
+        if self.is_on(FaultKind::Down) {
+            return error(StatusCode::SERVICE_UNAVAILABLE, "down");
+        }
+        let is_write = request.method() != Method::GET;
+        let response = self.serve_request(request).await;
+        if is_write && self.is_on(FaultKind::LostAnswers) {
+            return lost_answer();
+        }
+        response
+    }
+
+    async fn serve_request(&self, request: Request) -> Response {
+        let prefix = format!("/apis/{API_VERSION}/");
+        let path = request.uri().path().to_owned();
+        let Some(rest) = path.strip_prefix(&prefix) else {
+            return error(StatusCode::NOT_FOUND, "no such path");
+        };
+        if rest == "objects" {
+            return self.read_all(request.uri().query().unwrap_or("")).await;
+        }
+        let Some((plural, name)) = rest.split_once('/') else {
+            return error(StatusCode::NOT_FOUND, "no such path");
+        };
+        let Some(kind) = Kind::find(plural) else {
+            return error(StatusCode::NOT_FOUND, "no such kind");
+        };
+        let key = ObjectKey { kind, name: name.to_owned() };
+        match *request.method() {
+            Method::GET => match self.locked(|store| store.get(&key).map(object_to_json)) {
+                Some(object) => json_response(StatusCode::OK, &object),
+                None => error(StatusCode::NOT_FOUND, "no such object"),
+            },
+            Method::PUT => self.put_request(request).await,
+            Method::DELETE => {
+                let expected = query_number(request.uri().query(), "resourceVersion");
+                let result = self.locked(|store| store.remove(&key, expected.map(Revision)));
+                self.written(result)
+            }
+            _ => error(StatusCode::METHOD_NOT_ALLOWED, "GET, PUT, DELETE"),
+        }
+    }
+
+    async fn put_request(&self, request: Request) -> Response {
+        let body: Value = match read_json(request.into_body(), LONGEST_MANIFEST).await {
+            Ok(body) => body,
+            Err(problem) => return error(StatusCode::BAD_REQUEST, &problem.to_string()),
+        };
+        let object = match object_from_json(&body) {
+            Ok(object) => object,
+            Err(findings) => {
+                let findings: Vec<String> = findings.iter().map(ToString::to_string).collect();
+                return error(StatusCode::UNPROCESSABLE_ENTITY, &findings.join("; "));
+            }
+        };
+        let has_version = body["metadata"]["resourceVersion"].is_string();
+        let expected = has_version.then_some(object.metadata.resource_version);
+        let result = self.locked(|store| store.put(object, expected));
+        self.written(result)
+    }
+
+    fn written(&self, result: Result<Revision, StoreError>) -> Response {
+        match result {
+            Ok(revision) => {
+                self.changed.notify_waiters();
+                let body = json!({ "resourceVersion": revision.to_string() });
+                json_response(StatusCode::OK, &body)
+            }
+            Err(StoreError::Conflict) => error(StatusCode::CONFLICT, "conflict"),
+            Err(StoreError::NotFound) => error(StatusCode::NOT_FOUND, "no such object"),
+        }
+    }
+
+    async fn read_all(&self, query: &str) -> Response {
+        self.reads.fetch_add(1, std::sync::atomic::Ordering::Relaxed);
+        if !query.contains("watch=true") {
+            let list = self.locked(|store| {
+                let items: Vec<Value> = store.catalogue().iter().map(object_to_json).collect();
+                json!({ "resourceVersion": store.revision().to_string(), "items": items })
+            });
+            return json_response(StatusCode::OK, &list);
+        }
+        let from = Revision(query_number(Some(query), "resourceVersion").unwrap_or(0));
+        let changed = self.changed.notified();
+        tokio::pin!(changed);
+        changed.as_mut().enable();
+        let mut changes = self.locked(|store| store.changes_after(from));
+        if changes.is_empty() {
+            let _ = tokio::time::timeout(WATCH_TIME, changed).await;
+            changes = self.locked(|store| store.changes_after(from));
+        }
+        let changes: Vec<Value> = changes.iter().map(change_to_json).collect();
+        json_response(StatusCode::OK, &json!({ "changes": changes }))
+    }
+}
+
+fn error(status: StatusCode, message: &str) -> Response {
+    json_response(status, &json!({ "error": message }))
+}
+
+/// A response that breaks off, so that the caller learns nothing.
+fn lost_answer() -> Response {
+    let broken = futures::stream::once(async { Err(std::io::Error::other("answer lost")) });
+    let mut response = hyper::Response::new(brasspond_http::stream_body(broken));
+    *response.status_mut() = StatusCode::OK;
+    response
+}
+
+fn query_number(query: Option<&str>, key: &str) -> Option<u64> {
+    let pairs = query?.split('&').filter_map(|pair| pair.split_once('='));
+    let value = pairs.filter(|(name, _)| *name == key).map(|(_, value)| value).next()?;
+    value.parse().ok()
+}
--- /dev/null
+++ b/crates/types/src/name.rs
@@ -0,0 +1,102 @@
+//! Cheap-to-clone names of the things the system talks about.
+
+use serde::{Deserialize, Serialize};
+use std::fmt;
+use std::sync::Arc;
+
+/// Declares a newtype over a shared string.
+macro_rules! name_type {
+    ($(#[$documentation:meta])* $name:ident) => {
+        $(#[$documentation])*
+        #[derive(Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+        #[serde(transparent)]
+        pub struct $name(Arc<str>);
+
+        impl $name {
+            /// Wraps a name.
+            pub fn new(name: impl AsRef<str>) -> Self {
+                Self(Arc::from(name.as_ref()))
+            }
+
+            /// The name as text.
+            pub fn as_str(&self) -> &str {
+                &self.0
+            }
+        }
+
+        impl From<&str> for $name {
+            fn from(name: &str) -> Self {
+                Self::new(name)
+            }
+        }
+
+        impl fmt::Display for $name {
+            fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+                formatter.write_str(&self.0)
+            }
+        }
+
+        impl fmt::Debug for $name {
+            fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+                formatter.write_str(&self.0)
+            }
+        }
+    };
+}
+
+name_type!(
+    /// A brasspond node (one process on one machine).
+    NodeName
+);
+name_type!(
+    /// A replica of a model engine.
+    EngineName
+);
+name_type!(
+    /// A research group, the unit of fair sharing and isolation.
+    GroupName
+);
+name_type!(
+    /// A model, or an adapter on a shared base model, that one group trains.
+    ModelName
+);
+name_type!(
+    /// A failure domain inside a region.
+    ZoneName
+);
+name_type!(
+    /// A set of zones close to one another.
+    RegionName
+);
+
+/// Where a process runs.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct Locality {
+    /// Region that holds the zone.
+    pub region: RegionName,
+    /// Zone inside the region.
+    pub zone: ZoneName,
+}
+
+impl Locality {
+    /// Builds a locality from a region and a zone name.
+    pub fn new(region: &str, zone: &str) -> Self {
+        Self {
+            region: region.into(),
+            zone: zone.into(),
+        }
+    }
+}
+
+/// A 64-bit hash that is the same on every machine and in every release.
+///
+/// Used wherever nodes must agree on an order without talking (rendezvous
+/// hashing). Source: xxHash3 through the `xxhash-rust` library.
+pub fn stable_hash(parts: &[&[u8]]) -> u64 {
+    let mut hasher = xxhash_rust::xxh3::Xxh3::new();
+    for part in parts {
+        hasher.update(&(part.len() as u64).to_le_bytes());
+        hasher.update(part);
+    }
+    hasher.digest()
+}
