--- a/crates/brasspond/src/client.rs
+++ b/crates/brasspond/src/client.rs
@@ -59,7 +59,10 @@
         eprintln!("{}: not a token", options.token_file.display());
         return Outcome::Usage;
     };
-    let runtime = match tokio::runtime::Builder::new_current_thread().enable_all().build() {
+    let runtime = match tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+    {
         Ok(runtime) => runtime,
         Err(error) => {
             eprintln!("no runtime: {error}");
@@ -68,7 +71,12 @@
     };
     let result = runtime.block_on(async {
         let client = Client::default();
-        work(Session { options, client, bearer }).await
+        work(Session {
+            options,
+            client,
+            bearer,
+        })
+        .await
     });
     match result {
         Ok(()) => Outcome::Fine,
@@ -77,10 +85,17 @@
 }
 
 impl Session<'_> {
-    async fn call(&self, method: Method, path: &str, body: Option<&Value>) -> Result<Value, Problem> {
+    async fn call(
+        &self,
+        method: Method,
+        path: &str,
+        body: Option<&Value>,
+    ) -> Result<Value, Problem> {
         let path = format!("/apis/{API_VERSION}/{path}");
         let mut request = request(method, self.options.server, &path, body);
-        request.headers_mut().insert(AUTHORIZATION, self.bearer.clone());
+        request
+            .headers_mut()
+            .insert(AUTHORIZATION, self.bearer.clone());
         let exchange = async {
             let response = self.client.send(request).await;
             let response = response.map_err(|error| Problem::Failed(error.to_string()))?;
@@ -90,13 +105,21 @@
             Ok((status, body))
         };
         let answer = tokio::time::timeout(ANSWER_TIME, exchange).await;
-        let (status, body) = answer.map_err(|_| Problem::Failed("no answer in time".to_owned()))??;
-        if status.is_success() { Ok(body) } else { Err(refused(status, &body)) }
+        let (status, body) =
+            answer.map_err(|_| Problem::Failed("no answer in time".to_owned()))??;
+        if status.is_success() {
+            Ok(body)
+        } else {
+            Err(refused(status, &body))
+        }
     }
 
     fn show(&self, value: &Value) {
         match self.options.output {
-            Form::Json => println!("{}", serde_json::to_string_pretty(value).unwrap_or_default()),
+            Form::Json => println!(
+                "{}",
+                serde_json::to_string_pretty(value).unwrap_or_default()
+            ),
             Form::Yaml => print!("{}", serde_norway::to_string(value).unwrap_or_default()),
             Form::Table => {
                 let items = value["items"].as_array().cloned();
@@ -111,7 +134,10 @@
 fn refused(status: StatusCode, body: &Value) -> Problem {
     let error = &body["error"];
     let message = error["message"].as_str().unwrap_or("refused").to_owned();
-    let mut lines = vec![format!("{status}: {message} (run: {})", error["run"].as_str().unwrap_or("?"))];
+    let mut lines = vec![format!(
+        "{status}: {message} (run: {})",
+        error["run"].as_str().unwrap_or("?")
+    )];
     let findings = error["findings"].as_array().into_iter().flatten();
     lines.extend(findings.filter_map(Value::as_str).map(str::to_owned));
     if status.is_client_error() && status != StatusCode::CONFLICT {
@@ -122,9 +148,18 @@
 
 fn row(item: &Value) -> String {
     let text = |value: &Value| value.as_str().unwrap_or("").to_owned();
-    let conditions = item["status"]["conditions"].as_array().into_iter().flatten();
+    let conditions = item["status"]["conditions"]
+        .as_array()
+        .into_iter()
+        .flatten();
     let conditions: Vec<String> = conditions
-        .map(|condition| format!("{}={}", text(&condition["type"]), text(&condition["status"])))
+        .map(|condition| {
+            format!(
+                "{}={}",
+                text(&condition["type"]),
+                text(&condition["status"])
+            )
+        })
         .collect();
     let mut columns = vec![
         format!("{:<16}", text(&item["kind"])),
@@ -198,7 +233,9 @@
         };
     }
     let query = if dry_run { "?dryRun=All" } else { "" };
-    let answer = session.call(Method::PUT, &format!("{key}{query}"), Some(&body)).await?;
+    let answer = session
+        .call(Method::PUT, &format!("{key}{query}"), Some(&body))
+        .await?;
     let revision = answer["resourceVersion"].as_str().unwrap_or("-");
     let verb = if dry_run { "valid" } else { "accepted" };
     println!("{key} {verb} resourceVersion={revision}");
@@ -218,7 +255,10 @@
                 session.show(item);
                 left = left.saturating_sub(1);
             }
-            from = answer["metadata"]["resourceVersion"].as_str().unwrap_or(&from).to_owned();
+            from = answer["metadata"]["resourceVersion"]
+                .as_str()
+                .unwrap_or(&from)
+                .to_owned();
         }
         Ok(())
     })
--- a/crates/brasspond/src/demo.rs
+++ b/crates/brasspond/src/demo.rs
@@ -16,7 +16,10 @@
             return Outcome::Failed;
         }
     };
-    let demo = brasspond_demo::DemoOptions { seed: options.seed, steps: options.steps };
+    let demo = brasspond_demo::DemoOptions {
+        seed: options.seed,
+        steps: options.steps,
+    };
     let result = runtime.block_on(brasspond_demo::run(demo, |line| println!("{line}")));
     runtime.shutdown_background();
     let report = match result {
@@ -34,5 +37,9 @@
             return Outcome::Failed;
         }
     }
-    if report.is_correct() { Outcome::Fine } else { Outcome::Failed }
+    if report.is_correct() {
+        Outcome::Fine
+    } else {
+        Outcome::Failed
+    }
 }
--- a/crates/brasspond/src/emulate.rs
+++ b/crates/brasspond/src/emulate.rs
@@ -44,23 +44,35 @@
         let _ = stop.send(true);
     });
     match options {
-        EmulateOptions::Store { listen, load, faults } => {
+        EmulateOptions::Store {
+            listen,
+            load,
+            faults,
+        } => {
             let server = StoreServer::new(schedule(faults)?);
             for file in load {
                 let name = file.display().to_string();
-                let text = std::fs::read_to_string(&file).map_err(|error| vec![format!("{name}: {error}")])?;
+                let text = std::fs::read_to_string(&file)
+                    .map_err(|error| vec![format!("{name}: {error}")])?;
                 let objects = parse_manifests(&name, &text);
-                let objects = objects
-                    .map_err(|findings| findings.iter().map(ToString::to_string).collect::<Vec<_>>())?;
+                let objects = objects.map_err(|findings| {
+                    findings.iter().map(ToString::to_string).collect::<Vec<_>>()
+                })?;
                 for object in objects {
                     server.put(object);
                 }
             }
             server.run(bind(listen).await?, stopped).await;
         }
-        EmulateOptions::Weights { listen, slots, transfer_milliseconds } => {
+        EmulateOptions::Weights {
+            listen,
+            slots,
+            transfer_milliseconds,
+        } => {
             let transfer = Duration::from_millis(transfer_milliseconds);
-            WeightServer::new(slots, transfer).run(bind(listen).await?, stopped).await;
+            WeightServer::new(slots, transfer)
+                .run(bind(listen).await?, stopped)
+                .await;
         }
         EmulateOptions::Engine {
             name,
@@ -72,8 +84,15 @@
             seed,
             faults,
         } => {
-            let lengths = LengthDistribution { median: median_tokens, ..LengthDistribution::default() };
-            let parameters = EngineParameters { max_running, lengths, ..EngineParameters::default() };
+            let lengths = LengthDistribution {
+                median: median_tokens,
+                ..LengthDistribution::default()
+            };
+            let parameters = EngineParameters {
+                max_running,
+                lengths,
+                ..EngineParameters::default()
+            };
             let settings = EngineSettings {
                 name: EngineName::new(&name),
                 parameters,
@@ -85,11 +104,19 @@
                 tick: Duration::from_millis(10),
                 faults: schedule(faults)?,
             };
-            EngineServer::new(settings).run(bind(listen).await?, stopped).await;
+            EngineServer::new(settings)
+                .run(bind(listen).await?, stopped)
+                .await;
         }
-        EmulateOptions::Service { name, listen, latency_milliseconds } => {
+        EmulateOptions::Service {
+            name,
+            listen,
+            latency_milliseconds,
+        } => {
             let latency = Duration::from_millis(latency_milliseconds);
-            ServiceServer::new(&name, latency).run(bind(listen).await?, stopped).await;
+            ServiceServer::new(&name, latency)
+                .run(bind(listen).await?, stopped)
+                .await;
         }
     }
     Ok(())
--- a/crates/brasspond/src/main.rs
+++ b/crates/brasspond/src/main.rs
@@ -22,7 +22,12 @@
         Err(failure) => {
             failure.print_message(100);
             let is_help = failure.exit_code() == 0;
-            return if is_help { Outcome::Fine } else { Outcome::Usage }.into();
+            return if is_help {
+                Outcome::Fine
+            } else {
+                Outcome::Usage
+            }
+            .into();
         }
     };
     let outcome = match command {
--- a/crates/brasspond/src/node.rs
+++ b/crates/brasspond/src/node.rs
@@ -52,7 +52,9 @@
 }
 
 fn wait_for_signal() -> std::io::Result<()> {
-    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()?;
     runtime.block_on(async {
         let mut terminate = signal(SignalKind::terminate())?;
         let mut interrupt = signal(SignalKind::interrupt())?;
--- a/crates/control/src/claims.rs
+++ b/crates/control/src/claims.rs
@@ -53,10 +53,11 @@
     /// Shards this node votes on, with the epoch.
     pub(crate) fn voting(&self, context: &Context<'_>) -> Vec<(u32, u64)> {
         let shards = shards(context).iter().enumerate();
-        let voting = shards.filter(|(index, shard)| {
-            self.voter.is_active(*index as u32, shard.epoch)
-        });
-        voting.map(|(index, shard)| (index as u32, shard.epoch)).collect()
+        let voting =
+            shards.filter(|(index, shard)| self.voter.is_active(*index as u32, shard.epoch));
+        voting
+            .map(|(index, shard)| (index as u32, shard.epoch))
+            .collect()
     }
 
     /// Begins to claim a key.
@@ -102,8 +103,17 @@
             node: sender.node.clone(),
             instance: sender.instance,
         };
-        if let Message::Verdict { epoch, token, verdict, .. } = message {
-            let found = self.coordinators.iter_mut().find(|(_, claim)| *claim.token() == token);
+        if let Message::Verdict {
+            epoch,
+            token,
+            verdict,
+            ..
+        } = message
+        {
+            let found = self
+                .coordinators
+                .iter_mut()
+                .find(|(_, claim)| *claim.token() == token);
             let Some((request, coordinator)) = found else {
                 return;
             };
@@ -113,7 +123,9 @@
             self.decide(request, context);
             return;
         }
-        let answer = self.voter.handle(&from, message, shards(context), context.now);
+        let answer = self
+            .voter
+            .handle(&from, message, shards(context), context.now);
         if let Some(answer) = answer {
             context.send(&from.node, PeerMessage::Claim(answer));
         }
@@ -122,7 +134,10 @@
     /// Tells the request of a decision, once. A request that may run is kept
     /// until it ends.
     fn decide(&mut self, request: RequestId, context: &mut Context<'_>) {
-        let decision = self.coordinators.get(&request).and_then(Coordinator::decision);
+        let decision = self
+            .coordinators
+            .get(&request)
+            .and_then(Coordinator::decision);
         let Some(decision) = decision.cloned() else {
             return;
         };
--- a/crates/control/src/context.rs
+++ b/crates/control/src/context.rs
@@ -72,7 +72,11 @@
         };
         let to = to.clone();
         let envelope = Box::new(envelope);
-        self.actions.push(Action::Send { to, address, envelope });
+        self.actions.push(Action::Send {
+            to,
+            address,
+            envelope,
+        });
     }
 
     /// Sends a message to a few random working peers.
--- a/crates/control/src/control.rs
+++ b/crates/control/src/control.rs
@@ -166,7 +166,11 @@
 
     /// Whether a draining node has nothing left to do and may stop.
     pub fn is_drained(&self) -> bool {
-        if self.parameters.mutations.is_on(Mutation::StopWithoutDraining) {
+        if self
+            .parameters
+            .mutations
+            .is_on(Mutation::StopWithoutDraining)
+        {
             return self.draining;
         }
         let is_idle = self.generations.is_idle() && self.claims.is_idle();
@@ -228,18 +232,23 @@
                 self.generations.cancel_request(request, context);
             }),
             Event::Attempt { attempt, update } => with_context!(self, now, |context| {
-                self.generations.attempt(attempt, update, &mut self.engines, context);
+                self.generations
+                    .attempt(attempt, update, &mut self.engines, context);
             }),
             Event::Step { request, body } => {
                 if self.is_ready() || self.draining {
-                    with_context!(self, now, |context| self.steps.begin(request, body, context));
+                    with_context!(self, now, |context| self
+                        .steps
+                        .begin(request, body, context));
                 } else {
                     self.refuse_not_ready(request, now);
                 }
             }
             Event::Once { request, key } => {
                 if self.is_ready() {
-                    with_context!(self, now, |context| self.claims.begin(request, key, context));
+                    with_context!(self, now, |context| self
+                        .claims
+                        .begin(request, key, context));
                 } else {
                     self.refuse_not_ready(request, now);
                 }
@@ -247,20 +256,33 @@
             Event::OnceDone { request, outcome } => with_context!(self, now, |context| {
                 self.claims.done(request, outcome, context);
             }),
-            Event::EngineReport { engine, asked_at, report } => {
+            Event::EngineReport {
+                engine,
+                asked_at,
+                report,
+            } => {
                 with_context!(self, now, |context| {
                     self.owners.reported(&engine, asked_at, report, context);
                 });
             }
-            Event::EngineOrdered { engine, order, outcome } => {
+            Event::EngineOrdered {
+                engine,
+                order,
+                outcome,
+            } => {
                 with_context!(self, now, |context| {
                     self.owners.ordered(&engine, &order, &outcome, context);
                 });
             }
             Event::Store(event) => self.store(event, now),
-            Event::Write { request, operation, expected } => {
+            Event::Write {
+                request,
+                operation,
+                expected,
+            } => {
                 with_context!(self, now, |context| {
-                    self.writes.begin(Some(request), operation, expected, context);
+                    self.writes
+                        .begin(Some(request), operation, expected, context);
                 });
             }
         }
@@ -299,18 +321,24 @@
             resume: brasspond_rollout::Partial::default(),
         };
         with_context!(self, now, |context| {
-            self.generations.begin(spec, &mut self.engines, &mut self.owners, context);
+            self.generations
+                .begin(spec, &mut self.engines, &mut self.owners, context);
         });
     }
 
     fn generation_ended(&mut self, end: GenerationEnd, now: Timestamp) {
         match end {
-            GenerationEnd::Finished { purpose, generated, reason } => match purpose {
+            GenerationEnd::Finished {
+                purpose,
+                generated,
+                reason,
+            } => match purpose {
                 Purpose::Caller(request) => with_context!(self, now, |context| {
                     context.reply(request, Reply::Generated);
                 }),
                 Purpose::Slot(sample) => with_context!(self, now, |context| {
-                    self.steps.finished(&sample, generated, reason, &self.versions, context);
+                    self.steps
+                        .finished(&sample, generated, reason, &self.versions, context);
                     if self.readiness.is_ready() {
                         self.steps.pump(
                             &self.versions,
@@ -322,7 +350,10 @@
                     }
                 }),
             },
-            GenerationEnd::Refused { purpose, mut refusal } => match purpose {
+            GenerationEnd::Refused {
+                purpose,
+                mut refusal,
+            } => match purpose {
                 Purpose::Caller(request) => with_context!(self, now, |context| {
                     let lies = context.parameters.mutations.is_on(Mutation::ClaimNotRun);
                     refusal.not_run |= lies;
@@ -334,7 +365,12 @@
     }
 
     fn peer(&mut self, envelope: Envelope, now: Timestamp) {
-        let Envelope { sender, revision, message, .. } = envelope;
+        let Envelope {
+            sender,
+            revision,
+            message,
+            ..
+        } = envelope;
         if revision >= self.replica.known() {
             self.confirmed = true;
         }
@@ -346,7 +382,9 @@
     fn peer_message(&mut self, sender: &Sender, message: PeerMessage, now: Timestamp) {
         match message {
             PeerMessage::Membership(message) => {
-                let outputs = self.membership.handle(&sender.node, sender.address, message, now);
+                let outputs = self
+                    .membership
+                    .handle(&sender.node, sender.address, message, now);
                 self.membership_outputs(outputs, now);
             }
             PeerMessage::Configuration(message) => {
@@ -358,13 +396,19 @@
             }
             PeerMessage::Admission(message) => self.admission(sender, &message, now),
             PeerMessage::Step(message) => with_context!(self, now, |context| {
-                self.steps.handle(&sender.node, message, &mut self.versions, context);
+                self.steps
+                    .handle(&sender.node, message, &mut self.versions, context);
             }),
             PeerMessage::Claim(message) => with_context!(self, now, |context| {
                 self.claims.handle(sender, message, context);
             }),
-            PeerMessage::Report { revision, usage, voting } => {
-                self.fleet.reported(&sender.node, sender.instance, revision, usage, voting, now);
+            PeerMessage::Report {
+                revision,
+                usage,
+                voting,
+            } => {
+                self.fleet
+                    .reported(&sender.node, sender.instance, revision, usage, voting, now);
             }
             PeerMessage::Summary(summary) => with_context!(self, now, |context| {
                 if let Some(excess) = self.fleet.learn(summary, context) {
@@ -383,7 +427,8 @@
             if is_to_owner {
                 self.owners.handle(&sender.node, message, context);
             } else {
-                self.generations.hear(message, &mut self.engines, &mut self.owners, context);
+                self.generations
+                    .hear(message, &mut self.engines, &mut self.owners, context);
             }
         });
     }
@@ -504,9 +549,11 @@
         with_context!(self, now, |context| {
             let owners = &self.owners;
             let claims = &self.claims;
-            self.fleet.tick(|| owners.usage(), |context| claims.voting(context), context);
+            self.fleet
+                .tick(|| owners.usage(), |context| claims.voting(context), context);
             self.owners.tick(&self.versions, context);
-            self.generations.tick(&mut self.engines, &mut self.owners, context);
+            self.generations
+                .tick(&mut self.engines, &mut self.owners, context);
             self.steps.tick(
                 &self.versions,
                 &mut self.generations,
@@ -527,7 +574,9 @@
             let is_collector = Fleet::collector(context).as_ref() == Some(context.me);
             let fleet = &self.fleet;
             let voting = |voter: &_, shard, epoch| fleet.is_voting(voter, shard, epoch);
-            is_collector.then(|| self.claims.review(&voting, context)).flatten()
+            is_collector
+                .then(|| self.claims.review(&voting, context))
+                .flatten()
         });
         let Some(operation) = operation else {
             return;
@@ -565,7 +614,8 @@
         }
         if peers.is_empty() || self.confirmed {
             let is_synchronised = self.membership.is_synchronised();
-            self.readiness.update(self.replica.revision(), is_synchronised, &peers);
+            self.readiness
+                .update(self.replica.revision(), is_synchronised, &peers);
         }
     }
 }
--- a/crates/control/src/event.rs
+++ b/crates/control/src/event.rs
@@ -1,9 +1,7 @@
 //! What a node's decisions are fed with and what they ask for.
 
 use brasspond_dissemination::Change;
-use brasspond_engine_api::{
-    AttemptUpdate, EngineCall, EngineOrder, EngineReport, OrderOutcome,
-};
+use brasspond_engine_api::{AttemptUpdate, EngineCall, EngineOrder, EngineReport, OrderOutcome};
 use brasspond_fairness::Priority;
 use brasspond_idempotency::{ClaimKey, Decision, Outcome};
 use brasspond_protocol::{Envelope, StepReply, StepRequest};
--- a/crates/control/src/fleet.rs
+++ b/crates/control/src/fleet.rs
@@ -52,7 +52,9 @@
         FleetStatus {
             nodes: self.summary.nodes,
             revision_in_force: self.summary.oldest_revision,
-            usage: usage.map(|usage| (usage.group.clone(), usage.served)).collect(),
+            usage: usage
+                .map(|usage| (usage.group.clone(), usage.served))
+                .collect(),
         }
     }
 
@@ -73,7 +75,13 @@
         voting: Vec<(u32, u64)>,
         now: Timestamp,
     ) {
-        let report = Reported { instance, revision, usage, voting, at: now };
+        let report = Reported {
+            instance,
+            revision,
+            usage,
+            voting,
+            at: now,
+        };
         self.reports.insert(from.clone(), report);
     }
 
@@ -101,7 +109,10 @@
         let mut weights = BTreeMap::new();
         let shares = context.catalogue.shares();
         for usage in &self.summary.usage {
-            let earlier = before.usage.iter().find(|earlier| earlier.group == usage.group);
+            let earlier = before
+                .usage
+                .iter()
+                .find(|earlier| earlier.group == usage.group);
             let earlier = earlier.map_or(usage.served, |earlier| earlier.served);
             served.add(&usage.group, (usage.served - earlier).max(0.0));
             if let Some(weight) = shares.get(&usage.group).filter(|_| usage.waiting) {
@@ -129,7 +140,11 @@
             self.reported = Some((revision, context.now));
             let voting = voting(context);
             let usage = usage();
-            let report = PeerMessage::Report { revision, usage, voting };
+            let report = PeerMessage::Report {
+                revision,
+                usage,
+                voting,
+            };
             context.send(&collector, report);
         }
         if collector == *context.me && context.now >= self.next_summary {
@@ -141,7 +156,8 @@
 
     fn summarise(&mut self, context: &Context<'_>) -> Summary {
         let now = context.now;
-        self.reports.retain(|_, report| now.since(report.at) < REPORT_AGE);
+        self.reports
+            .retain(|_, report| now.since(report.at) < REPORT_AGE);
         let mut usage: BTreeMap<GroupName, GroupUsage> = BTreeMap::new();
         for report in self.reports.values() {
             for part in &report.usage {
--- a/crates/control/src/generation.rs
+++ b/crates/control/src/generation.rs
@@ -217,7 +217,10 @@
     /// Drops the generation of a caller that went away.
     pub(crate) fn cancel_request(&mut self, request: RequestId, context: &mut Context<'_>) {
         let purpose = Purpose::Caller(request);
-        let found = self.live.iter().find(|(_, generation)| generation.spec.purpose == purpose);
+        let found = self
+            .live
+            .iter()
+            .find(|(_, generation)| generation.spec.purpose == purpose);
         if let Some(id) = found.map(|(id, _)| *id) {
             self.cancel(id, context);
         }
@@ -237,7 +240,9 @@
             State::Queued { engine, ticket, .. } => (engine, *ticket),
             State::Running { engine, ticket, .. } => {
                 if cancel {
-                    context.actions.push(Action::CancelAttempt(AttemptId(*ticket)));
+                    context
+                        .actions
+                        .push(Action::CancelAttempt(AttemptId(*ticket)));
                 }
                 (engine, *ticket)
             }
@@ -298,7 +303,12 @@
         let ticket = self.next;
         self.next += 1;
         let unanswered = 0;
-        generation.state = State::Queued { engine, owner, ticket, unanswered };
+        generation.state = State::Queued {
+            engine,
+            owner,
+            ticket,
+            unanswered,
+        };
         self.by_ticket.insert(ticket, id);
         self.ask(id, context);
         self.schedule(id, context.now + RESEND_UNANSWERED);
@@ -309,7 +319,13 @@
         let Some(generation) = self.live.get(&id) else {
             return;
         };
-        let State::Queued { engine, owner, ticket, .. } = &generation.state else {
+        let State::Queued {
+            engine,
+            owner,
+            ticket,
+            ..
+        } = &generation.state
+        else {
             return;
         };
         let spec = &generation.spec;
@@ -354,7 +370,10 @@
         let Some(generation) = self.live.get_mut(&id) else {
             return;
         };
-        let State::Queued { engine, unanswered, .. } = &mut generation.state else {
+        let State::Queued {
+            engine, unanswered, ..
+        } = &mut generation.state
+        else {
             return;
         };
         *unanswered = 0;
@@ -419,7 +438,11 @@
             Purpose::Slot(_) => None,
         };
         let oldest = None;
-        generation.state = State::Running { engine: engine.clone(), ticket, oldest };
+        generation.state = State::Running {
+            engine: engine.clone(),
+            ticket,
+            oldest,
+        };
         context.actions.push(Action::StartAttempt {
             attempt: AttemptId(ticket),
             request,
@@ -465,7 +488,9 @@
         self.due.remove(&(generation.due, id));
         self.leave_engine(&generation.state, 0.0, false, true, context);
         let is_running = matches!(generation.state, State::Running { .. });
-        let retry_after = PLACING_BACKOFF.cap.mul_f64(1.0 + f64::from(generation.failures));
+        let retry_after = PLACING_BACKOFF
+            .cap
+            .mul_f64(1.0 + f64::from(generation.failures));
         let refusal = Refusal {
             kind,
             not_run: !generation.may_have_run && !is_running,
@@ -499,7 +524,8 @@
 
     fn progressed(&mut self, id: u64, reported: WeightVersion) {
         let generation = self.live.get_mut(&id);
-        if let Some(State::Running { oldest, .. }) = generation.map(|generation| &mut generation.state)
+        if let Some(State::Running { oldest, .. }) =
+            generation.map(|generation| &mut generation.state)
         {
             *oldest = Some(oldest.map_or(reported, |oldest| oldest.min(reported)));
         }
@@ -524,7 +550,11 @@
         let served = served_cost(&generation.spec, &generated);
         self.leave_engine(&generation.state, served, false, false, context);
         let purpose = generation.spec.purpose;
-        self.ended.push(GenerationEnd::Finished { purpose, generated, reason });
+        self.ended.push(GenerationEnd::Finished {
+            purpose,
+            generated,
+            reason,
+        });
     }
 
     /// Goes on elsewhere from what was generated, if the budget allows.
@@ -559,7 +589,11 @@
             return;
         }
         let delay = PLACING_BACKOFF.delay(failures, context.random);
-        let delay = if may_retry { delay } else { delay + PLACING_BACKOFF.cap };
+        let delay = if may_retry {
+            delay
+        } else {
+            delay + PLACING_BACKOFF.cap
+        };
         self.schedule(id, context.now + delay);
     }
 
@@ -591,13 +625,22 @@
             return;
         };
         if generation.spec.deadline <= context.now {
-            let kind = if engines.is_empty() { RefusalKind::NoEngine } else { RefusalKind::DeadlinePassed };
+            let kind = if engines.is_empty() {
+                RefusalKind::NoEngine
+            } else {
+                RefusalKind::DeadlinePassed
+            };
             self.refuse(id, kind, context);
             return;
         }
         match &mut generation.state {
             State::Waiting => self.place(id, engines, owners, context),
-            State::Queued { engine, owner, unanswered, .. } => {
+            State::Queued {
+                engine,
+                owner,
+                unanswered,
+                ..
+            } => {
                 *unanswered += 1;
                 let moved = owners.owner(engine, context).as_ref() != Some(owner);
                 if moved || *unanswered > MOST_UNANSWERED {
--- a/crates/control/src/owner.rs
+++ b/crates/control/src/owner.rs
@@ -3,9 +3,7 @@
 use crate::context::Context;
 use crate::event::Action;
 use crate::versions::Versions;
-use brasspond_engine_api::{
-    Command, EngineOrder, EngineReport, OrderOutcome, WeightSource,
-};
+use brasspond_engine_api::{Command, EngineOrder, EngineReport, OrderOutcome, WeightSource};
 use brasspond_fairness::{FairQueue, Priority, Waiting};
 use brasspond_limits::{Backoff, ConcurrencyLimit};
 use brasspond_protocol::{AdmissionMessage, PeerMessage, RefusalReason, TicketId};
@@ -103,7 +101,11 @@
     /// Load as told to the askers.
     pub(crate) fn load(&self) -> EngineLoad {
         let running: f32 = self.grants.values().map(|grant| grant.cost).sum();
-        let awaiting: f64 = self.awaiting_version.iter().map(|waiting| waiting.cost).sum();
+        let awaiting: f64 = self
+            .awaiting_version
+            .iter()
+            .map(|waiting| waiting.cost)
+            .sum();
         EngineLoad {
             running: self.occupied(self.owned_since + TAKE_OVER),
             limit: self.limit.current(),
@@ -157,7 +159,12 @@
     }
 
     /// Handles a request for a place.
-    pub(crate) fn enqueue(&mut self, message: &AdmissionMessage, is_leaving: bool, context: &mut Context<'_>) {
+    pub(crate) fn enqueue(
+        &mut self,
+        message: &AdmissionMessage,
+        is_leaving: bool,
+        context: &mut Context<'_>,
+    ) {
         let AdmissionMessage::Enqueue {
             ticket,
             asked_at,
@@ -185,8 +192,10 @@
             self.refuse(ticket, RefusalReason::EngineUnavailable, context);
             return;
         }
-        self.queue.remove_if(|waiting| waiting.item.ticket == *ticket);
-        self.awaiting_version.retain(|waiting| waiting.item.ticket != *ticket);
+        self.queue
+            .remove_if(|waiting| waiting.item.ticket == *ticket);
+        self.awaiting_version
+            .retain(|waiting| waiting.item.ticket != *ticket);
         let left = Duration::from_millis(u64::from(*milliseconds_left));
         let waiting = Waiting {
             item: Place {
@@ -226,8 +235,10 @@
         is_leaving: bool,
         context: &mut Context<'_>,
     ) -> Option<(GroupName, f64)> {
-        self.queue.remove_if(|waiting| waiting.item.ticket == *ticket);
-        self.awaiting_version.retain(|waiting| waiting.item.ticket != *ticket);
+        self.queue
+            .remove_if(|waiting| waiting.item.ticket == *ticket);
+        self.awaiting_version
+            .retain(|waiting| waiting.item.ticket != *ticket);
         let in_flight = self.grants.len() as u32;
         let grant = self.grants.remove(ticket)?;
         if engine_failed {
@@ -243,8 +254,10 @@
 
     /// Forgets what a failed process asked for.
     pub(crate) fn forget(&mut self, is_gone: impl Fn(&TicketId) -> bool) {
-        self.queue.remove_if(|waiting| is_gone(&waiting.item.ticket));
-        self.awaiting_version.retain(|waiting| !is_gone(&waiting.item.ticket));
+        self.queue
+            .remove_if(|waiting| is_gone(&waiting.item.ticket));
+        self.awaiting_version
+            .retain(|waiting| !is_gone(&waiting.item.ticket));
         self.grants.retain(|ticket, _| !is_gone(ticket));
     }
 
@@ -332,7 +345,12 @@
     }
 
     /// Takes in a report of the engine.
-    pub(crate) fn reported(&mut self, asked_at: Timestamp, report: EngineReport, context: &Context<'_>) {
+    pub(crate) fn reported(
+        &mut self,
+        asked_at: Timestamp,
+        report: EngineReport,
+        context: &Context<'_>,
+    ) {
         if asked_at < self.report_asked {
             return;
         }
@@ -363,7 +381,12 @@
     }
 
     /// Takes in the answer to an order.
-    pub(crate) fn ordered(&mut self, order: &EngineOrder, outcome: &OrderOutcome, context: &mut Context<'_>) {
+    pub(crate) fn ordered(
+        &mut self,
+        order: &EngineOrder,
+        outcome: &OrderOutcome,
+        context: &mut Context<'_>,
+    ) {
         self.order_sent = None;
         match (&order.command, outcome) {
             (_, OrderOutcome::Fenced { epoch }) => {
@@ -393,7 +416,10 @@
                 }
             }
             (Command::Load { model, version, .. }, OrderOutcome::SourceBusy) => {
-                *self.load_tries.entry((model.clone(), *version)).or_default() += 1;
+                *self
+                    .load_tries
+                    .entry((model.clone(), *version))
+                    .or_default() += 1;
                 self.next_load = context.now + LOAD_RETRY;
             }
             (Command::Claim, OrderOutcome::SourceBusy) => {}
@@ -402,16 +428,28 @@
     }
 
     /// Polls, claims and updates the engine.
-    pub(crate) fn tick(&mut self, catalogue_leaving: bool, versions: &Versions, sources: &mut dyn FnMut(&ModelName, WeightVersion, u32) -> WeightSource, context: &mut Context<'_>) {
+    pub(crate) fn tick(
+        &mut self,
+        catalogue_leaving: bool,
+        versions: &Versions,
+        sources: &mut dyn FnMut(&ModelName, WeightVersion, u32) -> WeightSource,
+        context: &mut Context<'_>,
+    ) {
         if context.now >= self.next_poll {
-            let is_loading = self.report.as_ref().is_some_and(|report| !report.loading.is_empty());
+            let is_loading = self
+                .report
+                .as_ref()
+                .is_some_and(|report| !report.loading.is_empty());
             let divisor = if is_loading { 4 } else { 1 };
             self.next_poll = context.now + context.parameters.poll_period / divisor;
             let engine = self.engine.clone();
             let address = self.address;
             context.actions.push(Action::PollEngine { engine, address });
         }
-        if self.order_sent.is_some_and(|sent| context.now.since(sent) < ORDER_TIMEOUT) {
+        if self
+            .order_sent
+            .is_some_and(|sent| context.now.since(sent) < ORDER_TIMEOUT)
+        {
             return;
         }
         if catalogue_leaving || self.report.as_ref().is_some_and(|report| report.leaving) {
@@ -444,12 +482,22 @@
         };
         let engine = self.engine.clone();
         let address = self.address;
-        context.actions.push(Action::OrderEngine { engine, address, order });
+        context.actions.push(Action::OrderEngine {
+            engine,
+            address,
+            order,
+        });
     }
 
     /// Orders the first version that the engine does not report to serve. What
     /// was ordered before does not count: only the report does.
-    fn update_versions(&mut self, epoch: u64, versions: &Versions, sources: &mut dyn FnMut(&ModelName, WeightVersion, u32) -> WeightSource, context: &mut Context<'_>) {
+    fn update_versions(
+        &mut self,
+        epoch: u64,
+        versions: &Versions,
+        sources: &mut dyn FnMut(&ModelName, WeightVersion, u32) -> WeightSource,
+        context: &mut Context<'_>,
+    ) {
         if context.now < self.next_load {
             return;
         }
@@ -472,7 +520,12 @@
         let tries = self.load_tries.get(&(model.clone(), version)).copied();
         let source = sources(&model, version, tries.unwrap_or(0));
         let swap = Versions::swap_policy(context.catalogue, &model);
-        let command = Command::Load { model, version, source, swap };
+        let command = Command::Load {
+            model,
+            version,
+            source,
+            swap,
+        };
         self.give_order(epoch, command, context);
     }
 
--- a/crates/control/src/owner_table.rs
+++ b/crates/control/src/owner_table.rs
@@ -118,8 +118,12 @@
         self.owners.clear();
         let names: Vec<EngineName> = self.listed.keys().cloned().collect();
         let my_zone = &context.membership.myself().locality.zone;
-        let zones: std::collections::BTreeSet<&ZoneName> =
-            context.working.members.iter().map(|member| &member.locality.zone).collect();
+        let zones: std::collections::BTreeSet<&ZoneName> = context
+            .working
+            .members
+            .iter()
+            .map(|member| &member.locality.zone)
+            .collect();
         for name in names {
             let zone = &self.listed[&name].zone;
             let may_be_mine = zone == my_zone || !zones.contains(zone);
@@ -151,7 +155,12 @@
     }
 
     /// Handles a message to the owner of an engine.
-    pub(crate) fn handle(&mut self, from: &NodeName, message: &AdmissionMessage, context: &mut Context<'_>) {
+    pub(crate) fn handle(
+        &mut self,
+        from: &NodeName,
+        message: &AdmissionMessage,
+        context: &mut Context<'_>,
+    ) {
         match message {
             AdmissionMessage::Enqueue { engine, ticket, .. } => {
                 let is_leaving = self.is_leaving(engine);
@@ -167,8 +176,15 @@
                     }
                 }
             }
-            AdmissionMessage::Release { ticket, engine, served, engine_failed } => {
-                let released = AdmissionMessage::Released { ticket: ticket.number };
+            AdmissionMessage::Release {
+                ticket,
+                engine,
+                served,
+                engine_failed,
+            } => {
+                let released = AdmissionMessage::Released {
+                    ticket: ticket.number,
+                };
                 context.send(from, PeerMessage::Admission(released));
                 self.release(ticket, engine, *served, *engine_failed, context);
             }
@@ -246,7 +262,14 @@
         for (name, owner) in &mut mine {
             let is_leaving = self.is_leaving(name);
             let mut sources = |model: &ModelName, version: WeightVersion, tries: u32| {
-                self.weight_source(name, model, version, tries, context.parameters.weight_roots, context.parameters.weight_fanout)
+                self.weight_source(
+                    name,
+                    model,
+                    version,
+                    tries,
+                    context.parameters.weight_roots,
+                    context.parameters.weight_fanout,
+                )
             };
             owner.tick(is_leaving, versions, &mut sources, context);
             owner.dispatch(is_leaving, context);
@@ -300,21 +323,23 @@
             self.load_order.pop_first();
         }
         let listed = &self.listed;
-        self.load_order.entry((model.clone(), version)).or_insert_with(|| {
-            let mut scored: Vec<(u64, EngineName)> = listed
-                .iter()
-                .filter(|(_, listed)| !listed.leaving)
-                .map(|(name, _)| {
-                    let parts = [
-                        model.as_str().as_bytes(),
-                        &version.0.to_le_bytes(),
-                        name.as_str().as_bytes(),
-                    ];
-                    (stable_hash(&parts), name.clone())
-                })
-                .collect();
-            scored.sort();
-            scored.into_iter().map(|(_, name)| name).collect()
-        })
+        self.load_order
+            .entry((model.clone(), version))
+            .or_insert_with(|| {
+                let mut scored: Vec<(u64, EngineName)> = listed
+                    .iter()
+                    .filter(|(_, listed)| !listed.leaving)
+                    .map(|(name, _)| {
+                        let parts = [
+                            model.as_str().as_bytes(),
+                            &version.0.to_le_bytes(),
+                            name.as_str().as_bytes(),
+                        ];
+                        (stable_hash(&parts), name.clone())
+                    })
+                    .collect();
+                scored.sort();
+                scored.into_iter().map(|(_, name)| name).collect()
+            })
     }
 }
--- a/crates/control/src/step_copies.rs
+++ b/crates/control/src/step_copies.rs
@@ -35,16 +35,24 @@
     /// Notes that a node, as home, sent the step here.
     pub(crate) fn came_from(&mut self, node: &NodeName) {
         self.source = Some(node.clone());
-        self.keepers.remove(node);
     }
 
-    /// Sets the nodes to copy to, given the other holders, the home first.
-    pub(crate) fn retarget(&mut self, holders: Vec<NodeName>, results: &[u32], is_home: bool) {
+    /// Sets the nodes to copy to, given the other holders, the home first. A
+    /// node with `own_work` goes on copying to the home wherever the step came
+    /// from, since its results are nowhere else yet.
+    pub(crate) fn retarget(
+        &mut self,
+        holders: Vec<NodeName>,
+        results: &[u32],
+        is_home: bool,
+        own_work: bool,
+    ) {
         let wanted: Vec<NodeName> = if is_home {
             holders
         } else {
             let home = holders.into_iter().take(1);
-            home.filter(|home| self.source.as_ref() != Some(home)).collect()
+            home.filter(|home| own_work || !self.has_from(home))
+                .collect()
         };
         self.keepers.retain(|node, _| wanted.contains(node));
         for node in wanted {
@@ -55,6 +63,13 @@
         }
     }
 
+    /// Whether the step came from a node that lacks nothing kept here.
+    fn has_from(&self, node: &NodeName) -> bool {
+        let keeper = self.keepers.get(node);
+        let lacks_nothing = keeper.is_none_or(|keeper| keeper.missing.is_empty());
+        self.source.as_ref() == Some(node) && lacks_nothing
+    }
+
     /// Nodes copied to.
     pub(crate) fn keepers(&self) -> Vec<NodeName> {
         self.keepers.keys().cloned().collect()
--- a/crates/control/src/steps.rs
+++ b/crates/control/src/steps.rs
@@ -114,15 +114,25 @@
         let key = format!("step:{step}");
         let members = context.working.references();
         let holders = rank_distinct_zones(&key, &members, HOLDERS);
-        holders.into_iter().map(|member| member.name.clone()).collect()
+        holders
+            .into_iter()
+            .map(|member| member.name.clone())
+            .collect()
     }
 
     /// A trainer's request came to this node: forward it to the step's home.
-    pub(crate) fn begin(&mut self, request: RequestId, body: StepRequest, context: &mut Context<'_>) {
+    pub(crate) fn begin(
+        &mut self,
+        request: RequestId,
+        body: StepRequest,
+        context: &mut Context<'_>,
+    ) {
         let number = self.next_forward;
         self.next_forward += 1;
         let wait = match &body {
-            StepRequest::Fetch { wait_milliseconds, .. } => u64::from(*wait_milliseconds),
+            StepRequest::Fetch {
+                wait_milliseconds, ..
+            } => u64::from(*wait_milliseconds),
             _ => 0,
         };
         let forwarded = Forwarded {
@@ -140,7 +150,9 @@
             return;
         };
         forwarded.sent = context.now;
-        let home = Self::holders(forwarded.body.step(), context).into_iter().next();
+        let home = Self::holders(forwarded.body.step(), context)
+            .into_iter()
+            .next();
         let id = StepRequestId {
             instance: context.instance,
             number,
@@ -239,10 +251,14 @@
             return;
         };
         let wait = match &request {
-            StepRequest::Fetch { wait_milliseconds, .. } => u64::from(*wait_milliseconds),
+            StepRequest::Fetch {
+                wait_milliseconds, ..
+            } => u64::from(*wait_milliseconds),
             _ => FORWARD_LIMIT.as_millis() as u64,
         };
-        entry.parked.retain(|parked| parked.id != id || parked.from != *from);
+        entry
+            .parked
+            .retain(|parked| parked.id != id || parked.from != *from);
         entry.parked.push(Parked {
             from: from.clone(),
             id,
@@ -261,7 +277,8 @@
         let group = context.catalogue.group(spec.id.group.as_str());
         let most = group.map_or(1, |group| group.limits.open_steps);
         let open = self.entries.values();
-        let open = open.filter(|entry| entry.is_home && entry.step.spec().id.group == spec.id.group);
+        let open =
+            open.filter(|entry| entry.is_home && entry.step.spec().id.group == spec.id.group);
         if open.count() >= most as usize {
             return Some(StepReply::TooManySteps);
         }
@@ -293,7 +310,10 @@
         if let Some(entry) = self.entries.get(step) {
             let by = context.me.clone();
             for holder in entry.copies.keepers() {
-                let message = StepMessage::Drop { step: step.clone(), by: by.clone() };
+                let message = StepMessage::Drop {
+                    step: step.clone(),
+                    by: by.clone(),
+                };
                 context.send(&holder, PeerMessage::Step(message));
             }
         }
@@ -345,7 +365,10 @@
         } else if !is_closed {
             return;
         }
-        let copied = StepMessage::ResultsCopied { step: step.clone(), slots };
+        let copied = StepMessage::ResultsCopied {
+            step: step.clone(),
+            slots,
+        };
         context.send(from, PeerMessage::Step(copied));
         self.answer_parked(&step, versions, context);
     }
@@ -534,7 +557,9 @@
     fn retarget(&mut self, holders: &[NodeName], me: &NodeName) {
         let results: Vec<u32> = self.step.results().map(|sample| sample.slot).collect();
         let others = holders.iter().filter(|holder| *holder != me);
-        self.copies.retarget(others.cloned().collect(), &results, self.is_home);
+        let own_work = !self.generations.is_empty();
+        self.copies
+            .retarget(others.cloned().collect(), &results, self.is_home, own_work);
     }
 
     /// Answers a request if it can be answered, or must be since it is late.
@@ -556,14 +581,12 @@
             "" => Ok(Cursor::empty(&spec.id, spec.slots())),
             text => text.parse(),
         };
-        let checked = parsed.and_then(|cursor: Cursor| {
-            cursor.belongs_to(&spec.id, spec.slots()).map(|()| cursor)
-        });
+        let checked = parsed
+            .and_then(|cursor: Cursor| cursor.belongs_to(&spec.id, spec.slots()).map(|()| cursor));
         let Ok(cursor) = checked else {
             return Some((StepReply::BadCursor, 0));
         };
-        let minimum =
-            versions.minimum_to_deliver(context.catalogue, &spec.id.group, &spec.model);
+        let minimum = versions.minimum_to_deliver(context.catalogue, &spec.id.group, &spec.model);
         let count = (*count).min(MOST_SAMPLES) as usize;
         let fetched = self.step.fetch(&cursor, minimum, count);
         let stale = fetched.stale.len() as u64;
@@ -668,7 +691,11 @@
             prefix,
             max_tokens: spec.max_tokens,
             expected_tokens,
-            priority: if is_tail { Priority::Tail } else { Priority::Rollout },
+            priority: if is_tail {
+                Priority::Tail
+            } else {
+                Priority::Rollout
+            },
             seed,
             minimum_version: start,
             deadline: context.now + SLOT_TIME,
--- a/crates/control/src/store_reader.rs
+++ b/crates/control/src/store_reader.rs
@@ -43,7 +43,12 @@
 
     fn is_reader(context: &Context<'_>) -> bool {
         let members = context.working.references();
-        let readers = rank("store-reader", None, &members, context.parameters.store_readers);
+        let readers = rank(
+            "store-reader",
+            None,
+            &members,
+            context.parameters.store_readers,
+        );
         readers.iter().any(|member| member.name == *context.me)
     }
 
@@ -51,14 +56,21 @@
     pub(crate) fn tick(&mut self, known: Revision, is_ready: bool, context: &mut Context<'_>) {
         let now = context.now;
         let started = *self.started.get_or_insert(now);
-        if self.under_way.is_some_and(|sent| now.since(sent) >= READ_TIMEOUT) {
+        if self
+            .under_way
+            .is_some_and(|sent| now.since(sent) >= READ_TIMEOUT)
+        {
             self.failed(context);
         }
         if self.under_way.is_some() || now < self.not_before {
             return;
         }
         let has_peers = context.working.members.len() > 1;
-        let patience = if has_peers { ASK_PEERS_FIRST } else { Duration::ZERO };
+        let patience = if has_peers {
+            ASK_PEERS_FIRST
+        } else {
+            Duration::ZERO
+        };
         if !is_ready && now.since(started) < patience {
             return;
         }
--- a/crates/control/src/versions.rs
+++ b/crates/control/src/versions.rs
@@ -50,7 +50,10 @@
 
     /// Newest published version of a model.
     pub(crate) fn newest(&self, model: &ModelName) -> WeightVersion {
-        self.models.get(model).map(|published| published.newest).unwrap_or_default()
+        self.models
+            .get(model)
+            .map(|published| published.newest)
+            .unwrap_or_default()
     }
 
     /// Oldest version a sample may contain when it is handed over.
--- a/crates/control/src/writes.rs
+++ b/crates/control/src/writes.rs
@@ -6,9 +6,7 @@
 //! again, which is safe since the version admits it at most once.
 
 use crate::context::Context;
-use crate::event::{
-    Action, PutResult, Reply, RequestId, StoreCall, WriteOperation, WriteReply,
-};
+use crate::event::{Action, PutResult, Reply, RequestId, StoreCall, WriteOperation, WriteReply};
 use brasspond_resource::{Object, ObjectKey, Revision};
 use brasspond_types::{Timestamp, stable_hash};
 use std::collections::BTreeMap;
@@ -139,7 +137,9 @@
             return;
         };
         let is_removal = matches!(write.operation, WriteOperation::Remove(_));
-        let version = object.as_ref().map(|object| object.metadata.resource_version);
+        let version = object
+            .as_ref()
+            .map(|object| object.metadata.resource_version);
         let is_ours = object
             .as_ref()
             .is_some_and(|object| object.metadata.write_id == write.identity);
--- a/crates/demo/src/cluster.rs
+++ b/crates/demo/src/cluster.rs
@@ -61,18 +61,27 @@
             scoring_service: None,
         };
         objects.push(object(group.name, Spec::ResearchGroup(spec)));
-        let model = ModelSpec { group: GroupName::new(group.name), max_tokens: 4_096 };
+        let model = ModelSpec {
+            group: GroupName::new(group.name),
+            max_tokens: 4_096,
+        };
         objects.push(object(group.model, Spec::Model(model)));
         objects.push(weight_version(group.model, 1));
     }
-    let pool = EnginePoolSpec { models: [].into(), queue_bound: 4_096 };
+    let pool = EnginePoolSpec {
+        models: [].into(),
+        queue_bound: 4_096,
+    };
     objects.push(object("shared", Spec::EnginePool(pool)));
     for (name, route, addresses) in services {
-        let backends = addresses.iter().enumerate().map(|(index, address)| Backend {
-            name: format!("{name}-{index}"),
-            address: *address,
-            locality: Locality::new(REGION, ZONES[index % ZONES.len()]),
-        });
+        let backends = addresses
+            .iter()
+            .enumerate()
+            .map(|(index, address)| Backend {
+                name: format!("{name}-{index}"),
+                address: *address,
+                locality: Locality::new(REGION, ZONES[index % ZONES.len()]),
+            });
         let spec = ServiceSpec {
             routes: vec![(*route).to_owned()],
             backends: backends.collect(),
@@ -152,7 +161,9 @@
     }
 
     fn locked(&self) -> std::sync::RwLockWriteGuard<'_, Vec<SocketAddr>> {
-        self.addresses.write().unwrap_or_else(PoisonError::into_inner)
+        self.addresses
+            .write()
+            .unwrap_or_else(PoisonError::into_inner)
     }
 
     /// Whether all nodes take work.
--- a/crates/demo/src/fleet.rs
+++ b/crates/demo/src/fleet.rs
@@ -87,7 +87,12 @@
                 leaving: false,
             };
             store.put(object(name.as_str(), Spec::Machine(machine)));
-            engines.push(EngineHandle { name, server, stop, task });
+            engines.push(EngineHandle {
+                name,
+                server,
+                stop,
+                task,
+            });
         }
         Ok(Self { engines, store })
     }
--- a/crates/demo/src/report.rs
+++ b/crates/demo/src/report.rs
@@ -121,7 +121,10 @@
         self.samples.missing += record.missing;
         self.samples.stale += record.stale;
         self.samples.mislabelled += record.mislabelled;
-        let versions = record.staleness_versions.iter().map(|versions| *versions as f64);
+        let versions = record
+            .staleness_versions
+            .iter()
+            .map(|versions| *versions as f64);
         let trainer = TrainerReport {
             idle_fraction: record.idle.as_secs_f64() / record.total.as_secs_f64().max(1e-9),
             staleness: Staleness {
@@ -138,8 +141,11 @@
             sent: caller.sent,
             answered: caller.answered,
             run_twice: runs.values().filter(|count| **count > 1).count() as u64,
-            answered_without_run: caller.lent.iter().filter(|mark| !runs.contains_key(*mark)).count()
-                as u64,
+            answered_without_run: caller
+                .lent
+                .iter()
+                .filter(|mark| !runs.contains_key(*mark))
+                .count() as u64,
             lookup_milliseconds: Quantiles::of(caller.lookup_milliseconds.iter().copied()),
         };
     }
@@ -185,7 +191,11 @@
             self.services.run_twice,
             self.services.lookup_milliseconds.p99
         ));
-        let verdict = if self.is_correct() { "all correct" } else { "NOT CORRECT" };
+        let verdict = if self.is_correct() {
+            "all correct"
+        } else {
+            "NOT CORRECT"
+        };
         lines.push(verdict.to_owned());
         lines.join("\n")
     }
--- a/crates/demo/src/run.rs
+++ b/crates/demo/src/run.rs
@@ -59,14 +59,19 @@
 pub async fn run(options: DemoOptions, progress: impl Fn(&str)) -> Result<Report, DemoError> {
     let begun = Instant::now();
     let folder = tempfile::tempdir().map_err(DemoError::StandIn)?;
-    let platform = Platform::start(options.seed).await.map_err(DemoError::StandIn)?;
+    let platform = Platform::start(options.seed)
+        .await
+        .map_err(DemoError::StandIn)?;
     let address = platform.store_address;
     let mut cluster = Cluster::new(address, folder.path()).map_err(DemoError::StandIn)?;
     for _ in 0..NODES {
         cluster = start_node(cluster).await?;
     }
     wait_until_ready(&cluster).await?;
-    progress(&format!("{NODES} nodes ready, {ENGINES} engines, {:.1} s", begun.elapsed().as_secs_f64()));
+    progress(&format!(
+        "{NODES} nodes ready, {ENGINES} engines, {:.1} s",
+        begun.elapsed().as_secs_f64()
+    ));
 
     let (stop, stopped) = watch::channel(false);
     let caller = tokio::spawn(call_services(cluster.addresses(), stopped));
@@ -91,13 +96,19 @@
         let ended = tokio::time::timeout(left, trainer).await;
         let record = ended.map_err(|_| DemoError::NotFinished)?;
         records.push(record.map_err(|_| DemoError::NotFinished)?);
-        progress(&format!("a trainer finished, {:.1} s", begun.elapsed().as_secs_f64()));
+        progress(&format!(
+            "a trainer finished, {:.1} s",
+            begun.elapsed().as_secs_f64()
+        ));
     }
     let _ = stop.send(true);
     let calls = caller.await.unwrap_or_default();
     let _ = tokio::task::spawn_blocking(move || cluster.stop()).await;
 
-    let mut report = Report { seed: options.seed, ..Report::default() };
+    let mut report = Report {
+        seed: options.seed,
+        ..Report::default()
+    };
     for (group, record) in GROUPS.iter().zip(&records) {
         report.add_trainer(group.name, record);
     }
@@ -143,7 +154,9 @@
         cluster.kill(node);
         cluster
     });
-    cluster = killed.await.map_err(|error| DemoError::StandIn(std::io::Error::other(error)))?;
+    cluster = killed
+        .await
+        .map_err(|error| DemoError::StandIn(std::io::Error::other(error)))?;
     progress(&format!("node-{node} killed"));
     tokio::time::sleep(REPLACEMENT_TIME).await;
     cluster = start_node(cluster).await?;
@@ -180,7 +193,9 @@
         for object in begin_with {
             store.put(object);
         }
-        let versions = GROUPS.iter().map(|group| (ModelName::new(group.model), WeightVersion(1)));
+        let versions = GROUPS
+            .iter()
+            .map(|group| (ModelName::new(group.model), WeightVersion(1)));
         let models: BTreeMap<ModelName, WeightVersion> = versions.collect();
         let fleet = Fleet::start(ENGINES, seed, &models, weights_address, store).await?;
         Ok(Self {
@@ -199,16 +214,26 @@
         for group in GROUPS {
             let prompts: Vec<String> = serde_json::from_str(group.prompts).unwrap_or_default();
             let prompts: BTreeSet<&str> = prompts.iter().map(String::as_str).collect();
-            let records = self.fleet.engines.iter().flat_map(|engine| engine.server.records());
+            let records = self
+                .fleet
+                .engines
+                .iter()
+                .flat_map(|engine| engine.server.records());
             let own = records.filter(|record| prompts.contains(&*record.prompt));
-            tokens.insert(group.name, own.map(|record| total_tokens(&record.spans)).sum());
+            tokens.insert(
+                group.name,
+                own.map(|record| total_tokens(&record.spans)).sum(),
+            );
         }
         let all: u64 = tokens.values().sum();
         let share = |group: &crate::cluster::Group| Share {
             declared: group.share / total_share,
             received: tokens[group.name] as f64 / all.max(1) as f64,
         };
-        GROUPS.iter().map(|group| (group.name.to_owned(), share(group))).collect()
+        GROUPS
+            .iter()
+            .map(|group| (group.name.to_owned(), share(group)))
+            .collect()
     }
 
     /// How often each loan ran, over all replicas.
--- a/crates/demo/src/services.rs
+++ b/crates/demo/src/services.rs
@@ -41,7 +41,11 @@
         tokio::spawn(Arc::clone(&server).run(listener, stopped.clone()));
         servers.push(server);
     }
-    Ok(RunningService { servers, addresses, _stop: stop })
+    Ok(RunningService {
+        servers,
+        addresses,
+        _stop: stop,
+    })
 }
 
 /// What the caller of the services noted.
@@ -86,7 +90,9 @@
             let begun = Instant::now();
             if look_up(&client, node).await {
                 record.answered += 1;
-                record.lookup_milliseconds.push(begun.elapsed().as_secs_f64() * 1e3);
+                record
+                    .lookup_milliseconds
+                    .push(begun.elapsed().as_secs_f64() * 1e3);
             }
         }
         tokio::time::sleep(PACE).await;
@@ -102,7 +108,12 @@
 async fn lend(client: &Client, node: SocketAddr, mark: &str) -> bool {
     let body = json!({ "title": "Cysgod y Mynydd", "patron": mark });
     let request = request(Method::POST, node, "/loans", Some(&body));
-    send(client, request, &[("idempotency-key", mark), ("x-mark", mark)]).await
+    send(
+        client,
+        request,
+        &[("idempotency-key", mark), ("x-mark", mark)],
+    )
+    .await
 }
 
 async fn send(
--- a/crates/demo/src/trainer.rs
+++ b/crates/demo/src/trainer.rs
@@ -105,7 +105,9 @@
             self.record.idle += waiting.elapsed();
             let end = Instant::now() + self.plan.training_time;
             while Instant::now() < end {
-                if last > step {
+                let is_whole =
+                    self.held.get(&last).map_or(0, BTreeSet::len) >= self.slots() as usize;
+                if last > step && !is_whole {
                     self.fetch(last).await;
                 } else {
                     tokio::time::sleep(RETRY).await;
@@ -148,7 +150,9 @@
             "max_tokens": self.plan.max_tokens,
         });
         loop {
-            let answer = self.call(Method::PUT, &self.step_path(step), Some(&body)).await;
+            let answer = self
+                .call(Method::PUT, &self.step_path(step), Some(&body))
+                .await;
             if answer.is_some_and(|(status, _)| status.is_success()) {
                 return;
             }
@@ -209,7 +213,9 @@
         }
         let path = format!("/apis/{}/{}", brasspond_resource::API_VERSION, object.key());
         loop {
-            let answer = self.call_as("operator", Method::PUT, &path, Some(&body)).await;
+            let answer = self
+                .call_as("operator", Method::PUT, &path, Some(&body))
+                .await;
             if answer.is_some_and(|(status, _)| status.is_success()) {
                 break;
             }
@@ -249,8 +255,13 @@
             let body = read_json(response.into_body(), LONGEST_ANSWER).await.ok()?;
             Some((status, body))
         };
-        let answer = tokio::time::timeout(ANSWER_TIME, exchange).await.ok().flatten();
-        let failed = answer.as_ref().is_none_or(|(status, _)| status.is_server_error());
+        let answer = tokio::time::timeout(ANSWER_TIME, exchange)
+            .await
+            .ok()
+            .flatten();
+        let failed = answer
+            .as_ref()
+            .is_none_or(|(status, _)| status.is_server_error());
         if failed {
             self.turn += 1;
         }
--- a/crates/dissemination/src/replica.rs
+++ b/crates/dissemination/src/replica.rs
@@ -181,7 +181,10 @@
             outputs.extend(self.apply(held));
             if !rest.is_empty() {
                 let since = waiting.since;
-                self.unconfirmed = Some(Unconfirmed { changes: rest, since });
+                self.unconfirmed = Some(Unconfirmed {
+                    changes: rest,
+                    since,
+                });
             }
         }
         let is_behind = revision > self.known();
@@ -205,7 +208,10 @@
             }
             Message::RevisionQuery => {
                 let known = self.known();
-                vec![Output::Send(from.clone(), Message::RevisionAnswer { known })]
+                vec![Output::Send(
+                    from.clone(),
+                    Message::RevisionAnswer { known },
+                )]
             }
             Message::RevisionAnswer { .. } => Vec::new(),
         }
--- a/crates/durable/src/lib.rs
+++ b/crates/durable/src/lib.rs
@@ -45,9 +45,9 @@
         let file = folder.join(FILE_NAME);
         match Database::create(&file) {
             Ok(database) => Ok(Self { database }),
-            Err(redb::DatabaseError::DatabaseAlreadyOpen) => {
-                Err(DurableError::Store(redb::DatabaseError::DatabaseAlreadyOpen.into()))
-            }
+            Err(redb::DatabaseError::DatabaseAlreadyOpen) => Err(DurableError::Store(
+                redb::DatabaseError::DatabaseAlreadyOpen.into(),
+            )),
             Err(_) => {
                 set_aside(&file).map_err(DurableError::Folder)?;
                 let database = Database::create(&file);
--- a/crates/emulator/src/cache.rs
+++ b/crates/emulator/src/cache.rs
@@ -34,7 +34,9 @@
     /// Looks up a prefix, enters all its blocks, and returns the number of
     /// tokens that were cached.
     pub fn touch(&mut self, hashes: &[u64]) -> u32 {
-        let cached = hashes.iter().take_while(|hash| self.used_at.contains_key(hash));
+        let cached = hashes
+            .iter()
+            .take_while(|hash| self.used_at.contains_key(hash));
         let hits = cached.count();
         let mut stored = Vec::new();
         for hash in hashes {
--- a/crates/emulator/src/engine.rs
+++ b/crates/emulator/src/engine.rs
@@ -197,7 +197,12 @@
     }
 
     /// Takes a request.
-    pub fn submit(&mut self, id: u64, call: EngineCall, now: Timestamp) -> Result<(), SubmitRefusal> {
+    pub fn submit(
+        &mut self,
+        id: u64,
+        call: EngineCall,
+        now: Timestamp,
+    ) -> Result<(), SubmitRefusal> {
         self.step_until(now);
         if !self.models.contains_key(&call.model) {
             return Err(SubmitRefusal::ModelNotLoaded);
@@ -215,7 +220,13 @@
         };
         let generated = (total_tokens(&call.resume.spans) as u32).min(length.saturating_sub(1));
         let queue = self.waiting.entry(call.priority).or_default();
-        queue.push_back(Sequence { id, call, generated, length, reason });
+        queue.push_back(Sequence {
+            id,
+            call,
+            generated,
+            length,
+            reason,
+        });
         Ok(())
     }
 
@@ -248,7 +259,13 @@
         self.epoch = order.epoch;
         self.holder = Some(order.holder.clone());
         self.reports.clear();
-        if let Command::Load { model, version, swap, .. } = &order.command {
+        if let Command::Load {
+            model,
+            version,
+            swap,
+            ..
+        } = &order.command
+        {
             let Some(transfer) = transfer else {
                 return OrderOutcome::SourceBusy;
             };
@@ -273,7 +290,9 @@
             waiting: self.waiting_count() as u32,
             max_running: self.parameters.max_running,
             models: self.models.clone(),
-            loading: loading.map(|(model, loading)| (model.clone(), loading.version)).collect(),
+            loading: loading
+                .map(|(model, loading)| (model.clone(), loading.version))
+                .collect(),
             leaving: self.leaving,
             cache_events: self.cache.take_events(),
         };
@@ -294,11 +313,22 @@
 
     /// When the engine next has something to tell, if nothing else happens.
     pub fn next_event(&self) -> Option<Timestamp> {
-        let swap = self.loading.values().map(|loading| loading.ready.max(self.clock)).min();
+        let swap = self
+            .loading
+            .values()
+            .map(|loading| loading.ready.max(self.clock))
+            .min();
         let has_work = !self.running.is_empty() || self.waiting_count() > 0;
         let finish = has_work.then(|| {
-            let steps = self.running.iter().map(|sequence| sequence.length - sequence.generated);
-            let steps = if self.can_admit() { 1 } else { steps.min().unwrap_or(1) };
+            let steps = self
+                .running
+                .iter()
+                .map(|sequence| sequence.length - sequence.generated);
+            let steps = if self.can_admit() {
+                1
+            } else {
+                steps.min().unwrap_or(1)
+            };
             self.clock + self.step_time(0) * steps
         });
         match (swap, finish) {
@@ -397,7 +427,10 @@
         if fitting == 0 {
             return false;
         }
-        let remaining = self.running.iter().map(|sequence| sequence.length - sequence.generated);
+        let remaining = self
+            .running
+            .iter()
+            .map(|sequence| sequence.length - sequence.generated);
         let remaining = u64::from(remaining.min().unwrap_or(1)).max(1);
         let until_swap = self.steps_until_swap(step);
         let steps = fitting.min(remaining).min(until_swap).min(MOST_STEPS) as u32;
@@ -408,16 +441,25 @@
     }
 
     fn steps_until_swap(&self, step: Duration) -> u64 {
-        let waits = self.loading.values().filter(|loading| loading.ready > self.clock);
+        let waits = self
+            .loading
+            .values()
+            .filter(|loading| loading.ready > self.clock);
         let first = waits.map(|loading| loading.ready.since(self.clock)).min();
-        first.map_or(u64::MAX, |wait| (wait.as_nanos() / step.as_nanos().max(1)) as u64 + 1)
+        first.map_or(u64::MAX, |wait| {
+            (wait.as_nanos() / step.as_nanos().max(1)) as u64 + 1
+        })
     }
 
     fn generate(&mut self, steps: u32) {
         let mut index = 0;
         while index < self.running.len() {
             let sequence = &mut self.running[index];
-            let version = self.models.get(&sequence.call.model).copied().unwrap_or_default();
+            let version = self
+                .models
+                .get(&sequence.call.model)
+                .copied()
+                .unwrap_or_default();
             self.events.push(EngineEvent::Tokens {
                 id: sequence.id,
                 start: sequence.generated,
--- a/crates/emulator/src/object_store.rs
+++ b/crates/emulator/src/object_store.rs
@@ -40,7 +40,9 @@
 
     /// Changes after a revision.
     pub fn changes_after(&self, revision: Revision) -> Vec<Change> {
-        let start = self.log.partition_point(|change| change.revision <= revision);
+        let start = self
+            .log
+            .partition_point(|change| change.revision <= revision);
         self.log[start..].to_vec()
     }
 
@@ -67,7 +69,11 @@
         object.metadata.resource_version = revision;
         self.catalogue.put(object.clone());
         let operation = Operation::Put(Box::new(object));
-        self.log.push(Change { previous, revision, operation });
+        self.log.push(Change {
+            previous,
+            revision,
+            operation,
+        });
         Ok(revision)
     }
 
@@ -87,7 +93,11 @@
         self.catalogue.remove(key);
         self.catalogue.revision = revision;
         let operation = Operation::Remove(key.clone());
-        self.log.push(Change { previous, revision, operation });
+        self.log.push(Change {
+            previous,
+            revision,
+            operation,
+        });
         Ok(revision)
     }
 }
--- a/crates/fairness/src/queue.rs
+++ b/crates/fairness/src/queue.rs
@@ -93,7 +93,10 @@
 
     /// Sum of the expected cost of what waits.
     pub fn waiting_cost(&self) -> f64 {
-        let queues = self.groups.values().flat_map(|group| group.waiting.values());
+        let queues = self
+            .groups
+            .values()
+            .flat_map(|group| group.waiting.values());
         queues.flatten().map(|waiting| waiting.cost).sum()
     }
 
--- a/crates/findings/src/document.rs
+++ b/crates/findings/src/document.rs
@@ -99,7 +99,9 @@
     lines: &mut BTreeMap<String, usize>,
 ) {
     if let Some(span) = item.span() {
-        lines.entry(path.to_owned()).or_insert_with(|| line_of_offset(text, span.start));
+        lines
+            .entry(path.to_owned())
+            .or_insert_with(|| line_of_offset(text, span.start));
     }
     if let Some(table) = item.as_table_like() {
         for (key, child) in table.iter() {
@@ -130,7 +132,11 @@
             Err(finding) => findings.push(finding),
         }
     }
-    if findings.is_empty() { Ok(documents) } else { Err(findings) }
+    if findings.is_empty() {
+        Ok(documents)
+    } else {
+        Err(findings)
+    }
 }
 
 /// The parts of `text` between `---` lines, with the lines before each.
--- a/crates/findings/src/lib.rs
+++ b/crates/findings/src/lib.rs
@@ -31,7 +31,16 @@
 
 impl fmt::Display for Finding {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
-        let Self { file, line, key, problem, allowed } = self;
-        write!(formatter, "{file}:{line}: {key}: {problem}; allowed: {allowed}")
+        let Self {
+            file,
+            line,
+            key,
+            problem,
+            allowed,
+        } = self;
+        write!(
+            formatter,
+            "{file}:{line}: {key}: {problem}; allowed: {allowed}"
+        )
     }
 }
--- a/crates/findings/src/schema.rs
+++ b/crates/findings/src/schema.rs
@@ -45,12 +45,20 @@
 impl Field {
     /// A field that must be there.
     pub const fn required(name: &'static str, kind: Kind) -> Self {
-        Self { name, kind, required: true }
+        Self {
+            name,
+            kind,
+            required: true,
+        }
     }
 
     /// A field that may be left out.
     pub const fn optional(name: &'static str, kind: Kind) -> Self {
-        Self { name, kind, required: false }
+        Self {
+            name,
+            kind,
+            required: false,
+        }
     }
 }
 
@@ -99,7 +107,8 @@
 
 fn is_name(text: &str) -> bool {
     const LONGEST_NAME: usize = 253;
-    let allowed = |byte: u8| byte.is_ascii_lowercase() || byte.is_ascii_digit() || b"-._".contains(&byte);
+    let allowed =
+        |byte: u8| byte.is_ascii_lowercase() || byte.is_ascii_digit() || b"-._".contains(&byte);
     !text.is_empty() && text.len() <= LONGEST_NAME && text.bytes().all(allowed)
 }
 
@@ -171,7 +180,13 @@
     match (kind, value) {
         (Kind::List(inner), Value::Array(items)) => {
             for (index, item) in items.iter().enumerate() {
-                check_value(document, &join(key, &index.to_string()), item, inner, findings);
+                check_value(
+                    document,
+                    &join(key, &index.to_string()),
+                    item,
+                    inner,
+                    findings,
+                );
             }
         }
         (Kind::Table(fields), Value::Object(table)) => {
--- a/crates/http/src/body.rs
+++ b/crates/http/src/body.rs
@@ -29,7 +29,9 @@
 
 /// A body known in full.
 pub fn full_body(bytes: impl Into<Bytes>) -> ResponseBody {
-    Full::new(bytes.into()).map_err(|never| match never {}).boxed()
+    Full::new(bytes.into())
+        .map_err(|never| match never {})
+        .boxed()
 }
 
 /// A body of no bytes.
@@ -63,7 +65,9 @@
     let mut response = hyper::Response::new(full_body(bytes));
     *response.status_mut() = status;
     let json = hyper::header::HeaderValue::from_static("application/json");
-    response.headers_mut().insert(hyper::header::CONTENT_TYPE, json);
+    response
+        .headers_mut()
+        .insert(hyper::header::CONTENT_TYPE, json);
     response
 }
 
--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -75,7 +75,9 @@
     let uri = format!("http://{address}{path}");
     *request.uri_mut() = uri.parse().unwrap_or_default();
     let json = hyper::header::HeaderValue::from_static("application/json");
-    request.headers_mut().insert(hyper::header::CONTENT_TYPE, json);
+    request
+        .headers_mut()
+        .insert(hyper::header::CONTENT_TYPE, json);
     request
 }
 
@@ -110,7 +112,9 @@
             if !status.is_success() {
                 return Err(CallError::Status(status));
             }
-            read_json(response.into_body(), LONGEST_ANSWER).await.map_err(CallError::Body)
+            read_json(response.into_body(), LONGEST_ANSWER)
+                .await
+                .map_err(CallError::Body)
         };
         match tokio::time::timeout(limit, exchange).await {
             Ok(result) => result,
--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -86,7 +86,11 @@
     let _ = tokio::time::timeout(limits.drain_time, graceful.shutdown()).await;
 }
 
-type Accepted = (tokio::net::TcpStream, SocketAddr, tokio::sync::OwnedSemaphorePermit);
+type Accepted = (
+    tokio::net::TcpStream,
+    SocketAddr,
+    tokio::sync::OwnedSemaphorePermit,
+);
 
 async fn accept(listener: &TcpListener, permits: &Arc<Semaphore>) -> Option<Accepted> {
     let permit = Arc::clone(permits).acquire_owned().await.ok()?;
--- a/crates/http/src/sse.rs
+++ b/crates/http/src/sse.rs
@@ -48,7 +48,10 @@
 
     fn take_event(&mut self) -> Option<Bytes> {
         const SEPARATOR: &[u8] = b"\n\n";
-        let end = self.buffer.windows(SEPARATOR.len()).position(|window| window == SEPARATOR)?;
+        let end = self
+            .buffer
+            .windows(SEPARATOR.len())
+            .position(|window| window == SEPARATOR)?;
         let event = self.buffer.split_to(end).freeze();
         self.buffer.advance(SEPARATOR.len());
         Some(event)
@@ -58,6 +61,12 @@
 fn data_of(event: &[u8]) -> Option<String> {
     let text = std::str::from_utf8(event).ok()?;
     let lines = text.lines().filter_map(|line| line.strip_prefix("data:"));
-    let data: Vec<&str> = lines.map(|line| line.strip_prefix(' ').unwrap_or(line)).collect();
-    if data.is_empty() { None } else { Some(data.join("\n")) }
+    let data: Vec<&str> = lines
+        .map(|line| line.strip_prefix(' ').unwrap_or(line))
+        .collect();
+    if data.is_empty() {
+        None
+    } else {
+        Some(data.join("\n"))
+    }
 }
--- a/crates/idempotency/src/coordinator.rs
+++ b/crates/idempotency/src/coordinator.rs
@@ -85,16 +85,20 @@
             return Vec::new();
         }
         self.last_sent = Some(now);
-        let unheard = self.in_force.voters.iter().filter(|voter| {
-            !self.accepted.contains(*voter) && !self.refused.contains(*voter)
-        });
+        let unheard = self
+            .in_force
+            .voters
+            .iter()
+            .filter(|voter| !self.accepted.contains(*voter) && !self.refused.contains(*voter));
         let claim = Message::Claim {
             shard: self.shard,
             epoch: self.in_force.epoch,
             key: self.key,
             token: self.token.clone(),
         };
-        unheard.map(|voter| (voter.node.clone(), claim.clone())).collect()
+        unheard
+            .map(|voter| (voter.node.clone(), claim.clone()))
+            .collect()
     }
 
     /// Takes in the verdict of the process `from`.
@@ -112,7 +116,9 @@
             Verdict::Accepted => {
                 self.accepted.insert(from.clone());
             }
-            Verdict::Held { outcome: Some(outcome) } => {
+            Verdict::Held {
+                outcome: Some(outcome),
+            } => {
                 self.decision = Some(Decision::Known(outcome));
                 return self.withdrawals();
             }
@@ -166,6 +172,8 @@
 
     fn to_all(&self, message: Message) -> Vec<(NodeName, Message)> {
         let voters = self.in_force.voters.iter();
-        voters.map(|voter| (voter.node.clone(), message.clone())).collect()
+        voters
+            .map(|voter| (voter.node.clone(), message.clone()))
+            .collect()
     }
 }
--- a/crates/idempotency/src/voter.rs
+++ b/crates/idempotency/src/voter.rs
@@ -77,7 +77,9 @@
             }
         }
         for shard in self.shards.values_mut() {
-            shard.claims.retain(|_, claim| now.since(claim.made) < KEEP_CLAIMS);
+            shard
+                .claims
+                .retain(|_, claim| now.since(claim.made) < KEEP_CLAIMS);
         }
         messages
     }
@@ -90,7 +92,10 @@
         messages: &mut Vec<(NodeName, Message)>,
     ) {
         let shard = self.shards.entry(index).or_default();
-        if shard.complete.is_some_and(|complete| complete >= in_force.epoch) {
+        if shard
+            .complete
+            .is_some_and(|complete| complete >= in_force.epoch)
+        {
             return;
         }
         if shard.target < in_force.epoch {
@@ -110,7 +115,10 @@
         for voter in &in_force.previous {
             if !shard.copied_from.contains(voter) {
                 let epoch = in_force.epoch;
-                let request = Message::CopyRequest { shard: index, epoch };
+                let request = Message::CopyRequest {
+                    shard: index,
+                    epoch,
+                };
                 messages.push((voter.node.clone(), request));
             }
         }
@@ -125,19 +133,38 @@
         now: Timestamp,
     ) -> Option<Message> {
         match message {
-            Message::Claim { shard, epoch, key, token } => {
+            Message::Claim {
+                shard,
+                epoch,
+                key,
+                token,
+            } => {
                 let verdict = self.claim(shard, epoch, key, &token, now);
-                Some(Message::Verdict { epoch, key, token, verdict })
+                Some(Message::Verdict {
+                    epoch,
+                    key,
+                    token,
+                    verdict,
+                })
             }
             Message::Withdraw { shard, key, token } => {
                 let shard = self.shards.entry(shard).or_default();
-                if shard.claims.get(&key).is_some_and(|claim| claim.token == token) {
+                if shard
+                    .claims
+                    .get(&key)
+                    .is_some_and(|claim| claim.token == token)
+                {
                     shard.claims.remove(&key);
                 }
                 shard.withdrawn.insert(token);
                 None
             }
-            Message::Record { shard, key, token, outcome } => {
+            Message::Record {
+                shard,
+                key,
+                token,
+                outcome,
+            } => {
                 let shard = self.shards.get_mut(&shard)?;
                 let claim = shard.claims.get_mut(&key)?;
                 if claim.token == token {
@@ -146,7 +173,11 @@
                 None
             }
             Message::CopyRequest { shard, epoch } => self.give_copy(shard, epoch),
-            Message::CopyResponse { shard, epoch, claims } => {
+            Message::CopyResponse {
+                shard,
+                epoch,
+                claims,
+            } => {
                 let in_force = shards.get(shard as usize)?;
                 self.take_copy(from, shard, epoch, claims, in_force, now);
                 None
@@ -201,7 +232,11 @@
             (*key, claim.token.clone(), outcome)
         });
         let claims = claims.collect();
-        Some(Message::CopyResponse { shard: index, epoch, claims })
+        Some(Message::CopyResponse {
+            shard: index,
+            epoch,
+            claims,
+        })
     }
 
     fn take_copy(
@@ -248,7 +283,10 @@
     /// Begins to vote once a majority of the epoch before has been copied.
     fn try_activate(&mut self, in_force: &ClaimShard) -> bool {
         let previous = &in_force.previous;
-        let copied = self.copied_from.iter().filter(|voter| previous.contains(voter));
+        let copied = self
+            .copied_from
+            .iter()
+            .filter(|voter| previous.contains(voter));
         let is_enough = is_majority(copied.count(), previous.len());
         if !previous.is_empty() && !is_enough {
             return false;
--- a/crates/limits/src/backoff.rs
+++ b/crates/limits/src/backoff.rs
@@ -17,7 +17,9 @@
 impl Backoff {
     /// Draws the time to wait after `failures` failures in a row.
     pub fn delay(&self, failures: u32, random: &mut impl Rng) -> Duration {
-        let doubled = self.base.saturating_mul(2u32.saturating_pow(failures.min(16)));
+        let doubled = self
+            .base
+            .saturating_mul(2u32.saturating_pow(failures.min(16)));
         let ceiling = doubled.min(self.cap);
         ceiling.mul_f64(random.random_range(0.1..=1.0))
     }
--- a/crates/membership/src/detector.rs
+++ b/crates/membership/src/detector.rs
@@ -174,7 +174,8 @@
         let mut outputs = Vec::new();
         self.drive_probe(now, &mut outputs);
         self.expire_suspects(now, &mut outputs);
-        self.forwarded.retain(|_, forwarded| forwarded.expires > now);
+        self.forwarded
+            .retain(|_, forwarded| forwarded.expires > now);
         if now >= self.next_probe {
             self.next_probe = now + self.parameters.probe_period;
             self.start_probe(now, &mut outputs);
@@ -357,7 +358,11 @@
     }
 
     fn acknowledge(&mut self, sequence: u64, outputs: &mut Vec<Output>) {
-        if self.probe.as_ref().is_some_and(|probe| probe.sequence == sequence) {
+        if self
+            .probe
+            .as_ref()
+            .is_some_and(|probe| probe.sequence == sequence)
+        {
             self.probe = None;
         }
         let Some(forwarded) = self.forwarded.remove(&sequence) else {
--- a/crates/node/src/attempts.rs
+++ b/crates/node/src/attempts.rs
@@ -26,8 +26,17 @@
     let running: Running = Arc::default();
     while let Some(action) = actions.recv().await {
         match action {
-            Action::StartAttempt { attempt, request, address, call, engine } => {
-                log::debug!("event=attempt_started attempt={} engine={engine}", attempt.0);
+            Action::StartAttempt {
+                attempt,
+                request,
+                address,
+                call,
+                engine,
+            } => {
+                log::debug!(
+                    "event=attempt_started attempt={} engine={engine}",
+                    attempt.0
+                );
                 let work = engine_client::attempt(
                     client.clone(),
                     handle.clone(),
@@ -46,14 +55,35 @@
             Action::PollEngine { engine, address } => {
                 let asked_at = Timestamp::from_micros(origin.elapsed().as_micros() as u64);
                 let client = client.clone();
-                tokio::spawn(engine_client::poll(client, handle.clone(), engine, address, asked_at));
+                tokio::spawn(engine_client::poll(
+                    client,
+                    handle.clone(),
+                    engine,
+                    address,
+                    asked_at,
+                ));
             }
-            Action::OrderEngine { engine, address, order } => {
+            Action::OrderEngine {
+                engine,
+                address,
+                order,
+            } => {
                 let client = client.clone();
-                tokio::spawn(engine_client::order(client, handle.clone(), engine, address, order));
+                tokio::spawn(engine_client::order(
+                    client,
+                    handle.clone(),
+                    engine,
+                    address,
+                    order,
+                ));
             }
             Action::Store(call) => {
-                tokio::spawn(store_client::call(client.clone(), handle.clone(), store, call));
+                tokio::spawn(store_client::call(
+                    client.clone(),
+                    handle.clone(),
+                    store,
+                    call,
+                ));
             }
             Action::Send { .. } | Action::Reply { .. } | Action::InForce(_) => {}
         }
--- a/crates/node/src/auth.rs
+++ b/crates/node/src/auth.rs
@@ -9,10 +9,19 @@
 
 /// Finds the caller by the digest of its bearer token.
 pub(crate) fn authenticate(headers: &HeaderMap, view: &View) -> Result<KnownCaller, ApiError> {
-    let unauthorized =
-        || ApiError::new(StatusCode::UNAUTHORIZED, "unauthorized", "a valid bearer token is needed");
-    let value = headers.get(AUTHORIZATION).and_then(|value| value.to_str().ok());
-    let token = value.and_then(|value| value.strip_prefix("Bearer ")).ok_or_else(unauthorized)?;
+    let unauthorized = || {
+        ApiError::new(
+            StatusCode::UNAUTHORIZED,
+            "unauthorized",
+            "a valid bearer token is needed",
+        )
+    };
+    let value = headers
+        .get(AUTHORIZATION)
+        .and_then(|value| value.to_str().ok());
+    let token = value
+        .and_then(|value| value.strip_prefix("Bearer "))
+        .ok_or_else(unauthorized)?;
     let digest = blake3::hash(token.trim().as_bytes()).to_hex().to_string();
     view.callers.get(&digest).cloned().ok_or_else(unauthorized)
 }
--- a/crates/node/src/completions.rs
+++ b/crates/node/src/completions.rs
@@ -167,14 +167,31 @@
     let id = handle.next_request();
     let reply = handle.expect_reply(id);
     let pieces = handle.expect_pieces(id);
-    let guard = Guard { handle: handle.clone(), request: id, ended: false };
+    let guard = Guard {
+        handle: handle.clone(),
+        request: id,
+        ended: false,
+    };
     let group = wanted.group.clone();
-    let event = Event::Generate { request: id, body: Box::new(wanted) };
+    let event = Event::Generate {
+        request: id,
+        body: Box::new(wanted),
+    };
     if !handle.try_send(event) {
         return Err(ApiError::unavailable("the node is overloaded"));
     }
-    log::debug!("event=generate request={} group={group} model={}", id.0, body.model);
-    let exchange = Exchange { guard, reply, pieces, model: body.model.clone(), shape };
+    log::debug!(
+        "event=generate request={} group={group} model={}",
+        id.0,
+        body.model
+    );
+    let exchange = Exchange {
+        guard,
+        reply,
+        pieces,
+        model: body.model.clone(),
+        shape,
+    };
     let ended = if body.stream {
         tokio::time::timeout(time_limit, exchange.stream()).await
     } else {
@@ -183,7 +200,11 @@
     match ended {
         Ok(result) => result,
         Err(_) => {
-            let error = ApiError::new(StatusCode::GATEWAY_TIMEOUT, "deadline", "the deadline passed");
+            let error = ApiError::new(
+                StatusCode::GATEWAY_TIMEOUT,
+                "deadline",
+                "the deadline passed",
+            );
             Err(error.with_fate(Fate::Unknown))
         }
     }
@@ -196,7 +217,10 @@
     longest: u64,
 ) -> Result<GenerateRequest, ApiError> {
     let no_model = || ApiError::not_found(format!("no model {}", body.model));
-    let model = view.catalogue.model(body.model.as_str()).ok_or_else(no_model)?;
+    let model = view
+        .catalogue
+        .model(body.model.as_str())
+        .ok_or_else(no_model)?;
     let extension = body.brasspond.as_ref();
     if caller.spec.group.is_some() {
         require_group(caller, &model.group).map_err(|_| no_model())?;
@@ -208,7 +232,9 @@
     let prompt = match (&body.prompt, &body.messages) {
         (Some(prompt), None) => prompt.clone(),
         (None, Some(messages)) => {
-            let lines = messages.iter().map(|message| format!("{}: {}\n", message.role, message.content));
+            let lines = messages
+                .iter()
+                .map(|message| format!("{}: {}\n", message.role, message.content));
             lines.collect::<String>() + "assistant: "
         }
         _ => return Err(ApiError::bad_request("either prompt or messages is needed")),
@@ -223,7 +249,9 @@
     let minimum = extension.map_or(0, |extension| extension.minimum_version);
     let newest = view.newest.get(&body.model).copied().unwrap_or(0);
     if minimum > newest {
-        return Err(ApiError::bad_request(format!("the newest version is {newest}")));
+        return Err(ApiError::bad_request(format!(
+            "the newest version is {newest}"
+        )));
     }
     let priority = match extension {
         Some(extension) => extension.priority,
@@ -280,7 +308,9 @@
     async fn stream(mut self) -> Result<Response, ApiError> {
         let Some(first) = self.pieces.recv().await else {
             let ended = self.end().await;
-            return Err(ended.err().unwrap_or_else(|| ApiError::unavailable("no answer")));
+            return Err(ended
+                .err()
+                .unwrap_or_else(|| ApiError::unavailable("no answer")));
         };
         let (sender, body) = channel_body(CHUNKS_BUFFERED);
         tokio::spawn(self.forward(first, sender));
@@ -288,15 +318,14 @@
         let headers = response.headers_mut();
         let kind = HeaderValue::from_static("text/event-stream");
         headers.insert(hyper::header::CONTENT_TYPE, kind);
-        headers.insert(hyper::header::CACHE_CONTROL, HeaderValue::from_static("no-store"));
+        headers.insert(
+            hyper::header::CACHE_CONTROL,
+            HeaderValue::from_static("no-store"),
+        );
         Ok(response)
     }
 
-    async fn forward(
-        mut self,
-        first: Piece,
-        sender: mpsc::Sender<Result<Bytes, std::io::Error>>,
-    ) {
+    async fn forward(mut self, first: Piece, sender: mpsc::Sender<Result<Bytes, std::io::Error>>) {
         let id = self.id();
         let mut answer = Answer::default();
         let mut next = Some(first);
--- a/crates/node/src/decisions.rs
+++ b/crates/node/src/decisions.rs
@@ -65,7 +65,9 @@
         }
         if changed || Instant::now() >= next_view {
             next_view = Instant::now() + VIEW_PERIOD;
-            outlets.view.send_replace(Arc::new(snapshot(&control, &callers)));
+            outlets
+                .view
+                .send_replace(Arc::new(snapshot(&control, &callers)));
         }
     }
 }
@@ -91,7 +93,9 @@
 /// its ring full is dropped: every exchange between nodes repeats.
 fn carry_out(action: Action, outlets: &Outlets) {
     match action {
-        Action::Send { address, envelope, .. } => {
+        Action::Send {
+            address, envelope, ..
+        } => {
             let _ = outlets.peers.try_send(Outgoing { address, envelope });
         }
         Action::Reply { request, reply } => outlets.handle.deliver(request, reply),
--- a/crates/node/src/engine_client.rs
+++ b/crates/node/src/engine_client.rs
@@ -48,10 +48,22 @@
     asked_at: Timestamp,
 ) {
     let answer: Result<EngineReport, CallError> = client
-        .call(Method::GET, address, "/engine/report", None::<&()>, CONTROL_TIME)
+        .call(
+            Method::GET,
+            address,
+            "/engine/report",
+            None::<&()>,
+            CONTROL_TIME,
+        )
         .await;
     let report = answer.ok().map(Box::new);
-    handle.send(Event::EngineReport { engine, asked_at, report }).await;
+    handle
+        .send(Event::EngineReport {
+            engine,
+            asked_at,
+            report,
+        })
+        .await;
 }
 
 /// Gives an engine an order.
@@ -63,10 +75,22 @@
     order: EngineOrder,
 ) {
     let answer = client
-        .call(Method::POST, address, "/engine/orders", Some(&order), CONTROL_TIME)
+        .call(
+            Method::POST,
+            address,
+            "/engine/orders",
+            Some(&order),
+            CONTROL_TIME,
+        )
         .await;
     let outcome = answer.unwrap_or(OrderOutcome::Unreachable);
-    handle.send(Event::EngineOrdered { engine, order, outcome }).await;
+    handle
+        .send(Event::EngineOrdered {
+            engine,
+            order,
+            outcome,
+        })
+        .await;
 }
 
 /// Runs one request on an engine and reports how it goes.
@@ -113,7 +137,12 @@
             let not_run = error.is_not_sent();
             return AttemptUpdate::Failed { generated, not_run };
         }
-        Err(_) => return AttemptUpdate::Failed { generated, not_run: false },
+        Err(_) => {
+            return AttemptUpdate::Failed {
+                generated,
+                not_run: false,
+            };
+        }
     };
     let stream = caller.and_then(|caller| handle.stream(caller));
     let mut events = EventStream::new(response.into_body());
@@ -128,10 +157,19 @@
         if chunk.tokens > 0 && reported != Some(chunk.weight_version) {
             reported = Some(chunk.weight_version);
             let oldest = chunk.weight_version;
-            handle.attempt(attempt, AttemptUpdate::Progress { oldest }).await;
+            handle
+                .attempt(attempt, AttemptUpdate::Progress { oldest })
+                .await;
         }
-        extend(&mut generated, chunk.weight_version, chunk.tokens, &choice.text);
-        generated.log_probabilities.extend(&choice.log_probabilities);
+        extend(
+            &mut generated,
+            chunk.weight_version,
+            chunk.tokens,
+            &choice.text,
+        );
+        generated
+            .log_probabilities
+            .extend(&choice.log_probabilities);
         if let Some(stream) = &stream {
             let piece = Piece {
                 text: choice.text,
@@ -140,14 +178,20 @@
                 finish_reason: choice.finish_reason,
             };
             if stream.send(piece).await.is_err() {
-                return AttemptUpdate::Failed { generated, not_run: false };
+                return AttemptUpdate::Failed {
+                    generated,
+                    not_run: false,
+                };
             }
         }
         if let Some(reason) = choice.finish_reason {
             return AttemptUpdate::Finished { generated, reason };
         }
     }
-    AttemptUpdate::Failed { generated, not_run: false }
+    AttemptUpdate::Failed {
+        generated,
+        not_run: false,
+    }
 }
 
 /// Whether a refusing engine says that it did not begin.
--- a/crates/node/src/errors.rs
+++ b/crates/node/src/errors.rs
@@ -111,21 +111,31 @@
 impl From<Refusal> for ApiError {
     fn from(refusal: Refusal) -> Self {
         let (status, code, message) = match refusal.kind {
-            RefusalKind::NotReady => {
-                (StatusCode::SERVICE_UNAVAILABLE, "not_ready", "this node starts or drains")
-            }
-            RefusalKind::NoEngine => {
-                (StatusCode::SERVICE_UNAVAILABLE, "no_engine", "no engine serves the model")
-            }
-            RefusalKind::Overloaded => {
-                (StatusCode::TOO_MANY_REQUESTS, "overloaded", "the queues are full")
-            }
-            RefusalKind::DeadlinePassed => {
-                (StatusCode::GATEWAY_TIMEOUT, "deadline", "the deadline passed")
-            }
-            RefusalKind::Failed => {
-                (StatusCode::BAD_GATEWAY, "engine_failed", "engines failed and no retry is left")
-            }
+            RefusalKind::NotReady => (
+                StatusCode::SERVICE_UNAVAILABLE,
+                "not_ready",
+                "this node starts or drains",
+            ),
+            RefusalKind::NoEngine => (
+                StatusCode::SERVICE_UNAVAILABLE,
+                "no_engine",
+                "no engine serves the model",
+            ),
+            RefusalKind::Overloaded => (
+                StatusCode::TOO_MANY_REQUESTS,
+                "overloaded",
+                "the queues are full",
+            ),
+            RefusalKind::DeadlinePassed => (
+                StatusCode::GATEWAY_TIMEOUT,
+                "deadline",
+                "the deadline passed",
+            ),
+            RefusalKind::Failed => (
+                StatusCode::BAD_GATEWAY,
+                "engine_failed",
+                "engines failed and no retry is left",
+            ),
         };
         let mut error = Self::new(status, code, message);
         error.fate = Fate::of(refusal.not_run);
--- a/crates/node/src/handle.rs
+++ b/crates/node/src/handle.rs
@@ -120,7 +120,11 @@
     }
 
     /// Tells what happened to an attempt.
-    pub(crate) async fn attempt(&self, attempt: brasspond_control::AttemptId, update: AttemptUpdate) {
+    pub(crate) async fn attempt(
+        &self,
+        attempt: brasspond_control::AttemptId,
+        update: AttemptUpdate,
+    ) {
         self.send(Event::Attempt { attempt, update }).await;
     }
 
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -29,10 +29,24 @@
         let latency = Histogram::new(exponential_buckets(0.000_1, 2.0, 20));
         let mut registry = Registry::with_prefix("brasspond");
         registry.register("state", "State of the decisions, by name", state.clone());
-        registry.register("requests", "Requests answered, by interface and status", requests.clone());
-        registry.register("request_seconds", "Time to the head of an answer", latency.clone());
+        registry.register(
+            "requests",
+            "Requests answered, by interface and status",
+            requests.clone(),
+        );
+        registry.register(
+            "request_seconds",
+            "Time to the head of an answer",
+            latency.clone(),
+        );
         let registry = Mutex::new(registry);
-        Self { registry, state, requests, latency, traffic }
+        Self {
+            registry,
+            state,
+            requests,
+            latency,
+            traffic,
+        }
     }
 
     /// Counts an answered request.
@@ -57,7 +71,10 @@
         let load = |counter: &AtomicU64| counter.load(Ordering::Relaxed) as f64;
         set("peer_sent_bytes", load(&self.traffic.sent_bytes));
         set("peer_sent_messages", load(&self.traffic.sent_messages));
-        set("peer_refused_messages", load(&self.traffic.refused_messages));
+        set(
+            "peer_refused_messages",
+            load(&self.traffic.refused_messages),
+        );
         let mut text = String::new();
         let registry = self.registry.lock().unwrap_or_else(PoisonError::into_inner);
         let _ = encode(&mut text, &registry);
--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -88,7 +88,9 @@
                 continue;
             }
         };
-        traffic.sent_bytes.fetch_add(bytes.len() as u64, Ordering::Relaxed);
+        traffic
+            .sent_bytes
+            .fetch_add(bytes.len() as u64, Ordering::Relaxed);
         traffic.sent_messages.fetch_add(1, Ordering::Relaxed);
         if bytes.len() <= LARGEST_DATAGRAM {
             let _ = sockets.datagrams.send_to(&bytes, message.address).await;
--- a/crates/node/src/resources.rs
+++ b/crates/node/src/resources.rs
@@ -32,9 +32,15 @@
     let view = server.handle.view();
     let caller = authenticate(request.headers(), &view)?;
     let is_read = request.method() == Method::GET;
-    let roles: &[Role] = if is_read { &[Role::Operator, Role::Viewer] } else { &[Role::Operator] };
+    let roles: &[Role] = if is_read {
+        &[Role::Operator, Role::Viewer]
+    } else {
+        &[Role::Operator]
+    };
     require_role(&caller, roles)?;
-    let (plural, name) = rest.split_once('/').map_or((rest, None), |(kind, name)| (kind, Some(name)));
+    let (plural, name) = rest
+        .split_once('/')
+        .map_or((rest, None), |(kind, name)| (kind, Some(name)));
     let kind = Kind::find(plural).ok_or_else(|| ApiError::not_found("no such kind"))?;
     let query = request.uri().query().unwrap_or("").to_owned();
     match (request.method(), name) {
@@ -43,17 +49,26 @@
         }
         (&Method::GET, None) => Ok(json_response(StatusCode::OK, &list(&view, kind))),
         (&Method::GET, Some(name)) => {
-            let key = ObjectKey { kind, name: name.to_owned() };
+            let key = ObjectKey {
+                kind,
+                name: name.to_owned(),
+            };
             let object = view.catalogue.get(&key);
             let object = object.ok_or_else(|| ApiError::not_found(format!("no {key}")))?;
             Ok(json_response(StatusCode::OK, &with_status(object, &view)))
         }
         (&Method::PUT, Some(name)) => {
-            let key = ObjectKey { kind, name: name.to_owned() };
+            let key = ObjectKey {
+                kind,
+                name: name.to_owned(),
+            };
             put(server, request, key, &query).await
         }
         (&Method::DELETE, Some(name)) => {
-            let key = ObjectKey { kind, name: name.to_owned() };
+            let key = ObjectKey {
+                kind,
+                name: name.to_owned(),
+            };
             let expected = query_value(&query, "resourceVersion");
             let expected = expected.and_then(|text| text.parse().ok()).map(Revision);
             write(server, WriteOperation::Remove(key), expected).await
@@ -81,7 +96,9 @@
 async fn watch(server: &Server, kind: Kind, query: &str) -> Result<Response, ApiError> {
     let number = |key: &str| query_value(query, key).and_then(|text| text.parse::<u64>().ok());
     let from = Revision(number("resourceVersion").unwrap_or(0));
-    let wait = number("timeoutMilliseconds").unwrap_or(LONGEST_WATCH).min(LONGEST_WATCH);
+    let wait = number("timeoutMilliseconds")
+        .unwrap_or(LONGEST_WATCH)
+        .min(LONGEST_WATCH);
     let until = tokio::time::Instant::now() + Duration::from_millis(wait);
     let mut view = server.handle.view();
     while view.catalogue.revision <= from && tokio::time::Instant::now() < until {
@@ -89,9 +106,14 @@
         view = server.handle.view();
     }
     let objects: Vec<&Object> = view.catalogue.of_kind(kind).collect();
-    let changed = objects.iter().filter(|object| object.metadata.resource_version > from);
+    let changed = objects
+        .iter()
+        .filter(|object| object.metadata.resource_version > from);
     let items: Vec<Value> = changed.map(|object| with_status(object, &view)).collect();
-    let names: Vec<&str> = objects.iter().map(|object| object.metadata.name.as_str()).collect();
+    let names: Vec<&str> = objects
+        .iter()
+        .map(|object| object.metadata.name.as_str())
+        .collect();
     let body = json!({
         "metadata": { "resourceVersion": view.catalogue.revision.to_string() },
         "items": items,
@@ -117,7 +139,9 @@
         error
     })?;
     if object.key() != key {
-        return Err(ApiError::bad_request("kind and name differ from those in the path"));
+        return Err(ApiError::bad_request(
+            "kind and name differ from those in the path",
+        ));
     }
     let has_version = value["metadata"]["resourceVersion"].is_string();
     let expected = has_version.then_some(object.metadata.resource_version);
@@ -144,7 +168,11 @@
     expected: Option<Revision>,
 ) -> Result<Response, ApiError> {
     let request = server.handle.next_request();
-    let event = Event::Write { request, operation, expected };
+    let event = Event::Write {
+        request,
+        operation,
+        expected,
+    };
     let reply = server.handle.ask(request, event, WRITE_TIME).await;
     match reply {
         Some(Reply::Write(WriteReply::Accepted(revision))) => {
@@ -152,9 +180,9 @@
             Ok(json_response(StatusCode::OK, &body))
         }
         Some(Reply::Write(WriteReply::Conflict)) => Err(conflict()),
-        Some(Reply::Write(WriteReply::NotWritten)) => {
-            Err(ApiError::unavailable("the store cannot be reached; nothing was written"))
-        }
+        Some(Reply::Write(WriteReply::NotWritten)) => Err(ApiError::unavailable(
+            "the store cannot be reached; nothing was written",
+        )),
         _ => {
             let error = ApiError::unavailable("the store did not answer; read the resource again");
             Err(error.with_fate(Fate::Unknown))
@@ -168,9 +196,7 @@
     let mut value = object_to_json(object);
     let revision = object.metadata.resource_version;
     let in_force = view.fleet.revision_in_force >= revision;
-    let condition = |kind: &str, holds: bool, message: String| {
-        json!({ "type": kind, "status": if holds { "True" } else { "False" }, "message": message })
-    };
+    let condition = |kind: &str, holds: bool, message: String| json!({ "type": kind, "status": if holds { "True" } else { "False" }, "message": message });
     let message = format!(
         "oldest revision in force on {} nodes: {}",
         view.fleet.nodes, view.fleet.revision_in_force
@@ -188,7 +214,8 @@
         let name = GroupName::new(&object.metadata.name);
         let served = view.fleet.usage.get(&name).copied().unwrap_or(0.0);
         let received = if total > 0.0 { served / total } else { 0.0 };
-        status["share"] = json!({ "declared": declared, "received": received, "servedTokens": served });
+        status["share"] =
+            json!({ "declared": declared, "received": received, "servedTokens": served });
         let is_over = received > declared * OVER_SHARE;
         let message = format!("received {received:.3} of the pool, declared {declared:.3}");
         conditions.push(condition("OverShare", is_over, message));
--- a/crates/node/src/router.rs
+++ b/crates/node/src/router.rs
@@ -27,12 +27,18 @@
 /// Value of a key in a query.
 pub(crate) fn query_value<'a>(query: &'a str, key: &str) -> Option<&'a str> {
     let pairs = query.split('&').filter_map(|pair| pair.split_once('='));
-    pairs.filter(|(name, _)| *name == key).map(|(_, value)| value).next()
+    pairs
+        .filter(|(name, _)| *name == key)
+        .map(|(_, value)| value)
+        .next()
 }
 
 impl Server {
     /// Reads a JSON body within the limits of size and time.
-    pub(crate) async fn read_json<T: DeserializeOwned>(&self, request: Request) -> Result<T, ApiError> {
+    pub(crate) async fn read_json<T: DeserializeOwned>(
+        &self,
+        request: Request,
+    ) -> Result<T, ApiError> {
         let time = Duration::from_millis(self.limits.body_milliseconds);
         let reading = read_json(request.into_body(), self.limits.body_bytes);
         match tokio::time::timeout(time, reading).await {
@@ -44,7 +50,11 @@
             Ok(Err(problem)) => Err(ApiError::bad_request(problem.to_string())),
             Err(_) => {
                 let status = StatusCode::REQUEST_TIMEOUT;
-                Err(ApiError::new(status, "too_slow", "the body came too slowly"))
+                Err(ApiError::new(
+                    status,
+                    "too_slow",
+                    "the body came too slowly",
+                ))
             }
         }
     }
@@ -68,8 +78,14 @@
         response
     }
 
-    async fn route(&self, request: Request, path: &str) -> (&'static str, Result<Response, ApiError>) {
-        let resources = path.strip_prefix("/apis/").and_then(|rest| rest.strip_prefix(API_VERSION));
+    async fn route(
+        &self,
+        request: Request,
+        path: &str,
+    ) -> (&'static str, Result<Response, ApiError>) {
+        let resources = path
+            .strip_prefix("/apis/")
+            .and_then(|rest| rest.strip_prefix(API_VERSION));
         match (request.method(), path) {
             (&Method::GET, "/livez") => ("health", Ok(text("ok\n"))),
             (&Method::GET, "/readyz") => ("health", self.readiness()),
@@ -77,12 +93,14 @@
                 let body = self.metrics.render(&self.handle.view());
                 ("health", Ok(text(body)))
             }
-            (&Method::POST, "/v1/completions") => {
-                ("models", completions::serve(self, request, Shape::Completion).await)
-            }
-            (&Method::POST, "/v1/chat/completions") => {
-                ("models", completions::serve(self, request, Shape::Chat).await)
-            }
+            (&Method::POST, "/v1/completions") => (
+                "models",
+                completions::serve(self, request, Shape::Completion).await,
+            ),
+            (&Method::POST, "/v1/chat/completions") => (
+                "models",
+                completions::serve(self, request, Shape::Chat).await,
+            ),
             (&Method::GET, "/v1/models") => ("models", Ok(self.models())),
             _ if path.starts_with("/v1/groups/") => ("steps", steps::serve(self, request).await),
             _ => match resources {
--- a/crates/node/src/runtime.rs
+++ b/crates/node/src/runtime.rs
@@ -74,7 +74,11 @@
     /// # Errors
     /// A key, an address or the data folder cannot be used.
     pub fn start(settings: &Settings, parameters: Parameters) -> Result<Self, StartError> {
-        let keys: Result<Vec<_>, _> = settings.key_files.iter().map(|file| read_key(file)).collect();
+        let keys: Result<Vec<_>, _> = settings
+            .key_files
+            .iter()
+            .map(|file| read_key(file))
+            .collect();
         let sealer = Sealer::new(keys.map_err(StartError::Key)?);
         let runtime = tokio::runtime::Builder::new_multi_thread()
             .worker_threads(2)
@@ -86,8 +90,12 @@
             .enable_all()
             .build()
             .map_err(StartError::Thread)?;
-        let listener = runtime.block_on(TcpListener::bind(settings.http)).map_err(StartError::Bind)?;
-        let sockets = peers_runtime.block_on(peers::bind(settings.peers)).map_err(StartError::Bind)?;
+        let listener = runtime
+            .block_on(TcpListener::bind(settings.http))
+            .map_err(StartError::Bind)?;
+        let sockets = peers_runtime
+            .block_on(peers::bind(settings.peers))
+            .map_err(StartError::Bind)?;
         let http = listener.local_addr().map_err(StartError::Bind)?;
         let peers_address = sockets.frames.local_addr().map_err(StartError::Bind)?;
 
@@ -106,7 +114,9 @@
                 let state = DurableState::open(folder).map_err(StartError::Disk)?;
                 let kept = state.catalogue();
                 let (sender, ring) = sync_channel(DISK_RING);
-                threads.push(spawn(&settings.name, "disk", move || keep_on_disk(&state, &ring))?);
+                threads.push(spawn(&settings.name, "disk", move || {
+                    keep_on_disk(&state, &ring)
+                })?);
                 (Some(sender), kept)
             }
             None => (None, None),
@@ -120,7 +130,13 @@
             state: MemberState::Alive,
         };
         let control = Control::new(myself, settings.seeds.clone(), kept, parameters);
-        let outlets = Outlets { peers: peer_ring, effects, disk, handle: handle.clone(), view };
+        let outlets = Outlets {
+            peers: peer_ring,
+            effects,
+            disk,
+            handle: handle.clone(),
+            view,
+        };
         let ended = Arc::new(AtomicBool::new(false));
         let end = Arc::clone(&ended);
         threads.push(spawn(&settings.name, "decisions", move || {
@@ -129,9 +145,20 @@
         let peer_events = events;
         let peer_traffic = Arc::clone(&traffic);
         threads.push(spawn(&settings.name, "peers", move || {
-            peers_runtime.block_on(peers::run(sockets, sealer, peer_events, outgoing, peer_traffic));
+            peers_runtime.block_on(peers::run(
+                sockets,
+                sealer,
+                peer_events,
+                outgoing,
+                peer_traffic,
+            ));
         })?);
-        runtime.spawn(attempts::run(effect_ring, handle.clone(), settings.store, origin));
+        runtime.spawn(attempts::run(
+            effect_ring,
+            handle.clone(),
+            settings.store,
+            origin,
+        ));
         let server = Arc::new(Server {
             handle: handle.clone(),
             limits: settings.limits.clone(),
@@ -242,7 +269,10 @@
             catalogue = newer;
         }
         if let Err(error) = state.keep_catalogue(&catalogue) {
-            log::warn!("event=keep_failed revision={} error=\"{error}\"", catalogue.revision);
+            log::warn!(
+                "event=keep_failed revision={} error=\"{error}\"",
+                catalogue.revision
+            );
         }
     }
 }
--- a/crates/node/src/services.rs
+++ b/crates/node/src/services.rs
@@ -80,7 +80,10 @@
             let machine = view.catalogue.machine(&backend.name);
             let is_leaving = machine.is_some_and(|machine| machine.leaving);
             let replica = self.replica(backend);
-            let ejected = replica.ejected_until.lock().unwrap_or_else(PoisonError::into_inner);
+            let ejected = replica
+                .ejected_until
+                .lock()
+                .unwrap_or_else(PoisonError::into_inner);
             let is_ejected = ejected.is_some_and(|until| until > now);
             let is_full = replica.in_flight.load(Ordering::Relaxed) >= service.max_concurrency;
             !is_leaving && !is_ejected && !is_full && !tried.contains(&backend.name)
@@ -102,7 +105,9 @@
     let routes = services.flat_map(|object| match &object.spec {
         Spec::Service(spec) => {
             let routes = spec.routes.iter();
-            routes.map(|route| (route.as_str(), object.metadata.name.as_str(), spec)).collect()
+            routes
+                .map(|route| (route.as_str(), object.metadata.name.as_str(), spec))
+                .collect()
         }
         _ => Vec::new(),
     });
@@ -126,7 +131,9 @@
     }
     let key = request.headers().get(IDEMPOTENCY_KEY);
     let key = key.map(|key| key.as_bytes().to_vec());
-    let is_repeatable = service.repeatable_methods.contains(request.method().as_str());
+    let is_repeatable = service
+        .repeatable_methods
+        .contains(request.method().as_str());
     match key.filter(|_| !is_repeatable) {
         Some(key) => {
             let key = String::from_utf8_lossy(&key).into_owned();
@@ -159,8 +166,15 @@
     key: ClaimKey,
 ) -> Result<Response, ApiError> {
     let id = server.handle.next_request();
-    let decision = server.handle.ask(id, Event::Once { request: id, key }, CLAIM_TIME).await;
-    let mut claim = Claim { handle: server.handle.clone(), request: id, open: true };
+    let decision = server
+        .handle
+        .ask(id, Event::Once { request: id, key }, CLAIM_TIME)
+        .await;
+    let mut claim = Claim {
+        handle: server.handle.clone(),
+        request: id,
+        open: true,
+    };
     match decision {
         Some(Reply::Once(Decision::Run)) => {}
         Some(Reply::Once(Decision::Known(outcome))) => {
@@ -174,20 +188,30 @@
             return Err(error.with_fate(Fate::Unknown));
         }
         Some(Reply::Refused(refusal)) => return Err(refusal.into()),
-        _ => return Err(ApiError::unavailable("the voters on idempotency keys did not agree")),
+        _ => {
+            return Err(ApiError::unavailable(
+                "the voters on idempotency keys did not agree",
+            ));
+        }
     }
     match pass_on(server, request, service, view).await {
         Ok(response) => {
             let (response, outcome) = keep(response).await?;
             claim.open = false;
-            let event = Event::OnceDone { request: id, outcome: Some(outcome) };
+            let event = Event::OnceDone {
+                request: id,
+                outcome: Some(outcome),
+            };
             server.handle.send(event).await;
             Ok(response)
         }
         Err(failure) => {
             claim.open = failure.sent;
             if !failure.sent {
-                let event = Event::OnceDone { request: id, outcome: None };
+                let event = Event::OnceDone {
+                    request: id,
+                    outcome: None,
+                };
                 server.handle.send(event).await;
             }
             Err(failure.error)
@@ -229,7 +253,10 @@
 async fn keep(response: Response) -> Result<(Response, Outcome), ApiError> {
     let status = response.status().as_u16();
     let header = |name: HeaderName| {
-        let value = response.headers().get(name).and_then(|value| value.to_str().ok());
+        let value = response
+            .headers()
+            .get(name)
+            .and_then(|value| value.to_str().ok());
         value.unwrap_or_default().to_owned()
     };
     let content_type = header(CONTENT_TYPE);
@@ -237,7 +264,15 @@
     let is_short = length.is_some_and(|length| length <= LONGEST_KEPT);
     if !is_short {
         let body = Vec::new();
-        return Ok((response, Outcome { status, content_type, body, truncated: true }));
+        return Ok((
+            response,
+            Outcome {
+                status,
+                content_type,
+                body,
+                truncated: true,
+            },
+        ));
     }
     let (head, body) = response.into_parts();
     let bytes = read_body(body, LONGEST_KEPT).await.map_err(|_| {
@@ -245,7 +280,12 @@
         error.with_fate(Fate::Unknown)
     })?;
     let body = bytes.to_vec();
-    let outcome = Outcome { status, content_type, body, truncated: false };
+    let outcome = Outcome {
+        status,
+        content_type,
+        body,
+        truncated: false,
+    };
     Ok((Response::from_parts(head, full_body(bytes)), outcome))
 }
 
@@ -276,8 +316,11 @@
         match sent {
             Ok(Ok(response)) => return Ok(incoming(response, place)),
             Ok(Err(CallError::NotSent)) => {
-                let mut ejected =
-                    place.0.ejected_until.lock().unwrap_or_else(PoisonError::into_inner);
+                let mut ejected = place
+                    .0
+                    .ejected_until
+                    .lock()
+                    .unwrap_or_else(PoisonError::into_inner);
                 *ejected = Some(Instant::now() + EJECTION);
                 drop(ejected);
                 if !is_empty {
@@ -285,16 +328,26 @@
                 }
             }
             Ok(Err(_)) => {
-                let error = ApiError::new(StatusCode::BAD_GATEWAY, "broken", "the replica broke off");
-                return Err(Failure { error: error.with_fate(Fate::Unknown), sent: true });
+                let error =
+                    ApiError::new(StatusCode::BAD_GATEWAY, "broken", "the replica broke off");
+                return Err(Failure {
+                    error: error.with_fate(Fate::Unknown),
+                    sent: true,
+                });
             }
             Err(_) => {
-                let error = ApiError::new(StatusCode::GATEWAY_TIMEOUT, "timeout", "no answer in time");
-                return Err(Failure { error: error.with_fate(Fate::Unknown), sent: true });
+                let error =
+                    ApiError::new(StatusCode::GATEWAY_TIMEOUT, "timeout", "no answer in time");
+                return Err(Failure {
+                    error: error.with_fate(Fate::Unknown),
+                    sent: true,
+                });
             }
         }
     }
-    Err(not_sent(ApiError::unavailable("no replica takes the request")))
+    Err(not_sent(ApiError::unavailable(
+        "no replica takes the request",
+    )))
 }
 
 fn outgoing(
--- a/crates/node/src/steps.rs
+++ b/crates/node/src/steps.rs
@@ -50,7 +50,9 @@
     if spec.trainer != caller.name {
         return Err(ApiError::forbidden("the caller is not the group's trainer"));
     }
-    let step = number.parse().map_err(|_| ApiError::bad_request("a step is a whole number"))?;
+    let step = number
+        .parse()
+        .map_err(|_| ApiError::bad_request("a step is a whole number"))?;
     let id = StepId { group, step };
     let body = match (request.method(), rest) {
         (&Method::PUT, None) => {
@@ -61,7 +63,11 @@
         (&Method::DELETE, None) => StepRequest::Close(id.clone()),
         _ => {
             let status = StatusCode::METHOD_NOT_ALLOWED;
-            return Err(ApiError::new(status, "method", "PUT, DELETE, or GET of samples"));
+            return Err(ApiError::new(
+                status,
+                "method",
+                "PUT, DELETE, or GET of samples",
+            ));
         }
     };
     ask(server, &id, body).await
@@ -75,7 +81,9 @@
     let slots = body.prompts.len() as u64 * u64::from(body.samples_per_prompt);
     let most = u64::from(group.limits.samples_per_step);
     if slots == 0 || slots > most {
-        findings.push(format!("prompts, samples_per_prompt: 1 to {most} samples in all"));
+        findings.push(format!(
+            "prompts, samples_per_prompt: 1 to {most} samples in all"
+        ));
     }
     let longest = group.limits.tokens_per_sample;
     if body.max_tokens == 0 || body.max_tokens > longest {
@@ -89,7 +97,10 @@
         error.findings = findings;
         return Err(error);
     }
-    let prompts = body.prompts.into_iter().map(|text| Prompt { text: text.into() });
+    let prompts = body
+        .prompts
+        .into_iter()
+        .map(|text| Prompt { text: text.into() });
     Ok(StepSpec {
         id,
         model: body.model,
@@ -118,7 +129,9 @@
 
 async fn ask(server: &Server, id: &StepId, body: StepRequest) -> Result<Response, ApiError> {
     let wait = match &body {
-        StepRequest::Fetch { wait_milliseconds, .. } => u64::from(*wait_milliseconds),
+        StepRequest::Fetch {
+            wait_milliseconds, ..
+        } => u64::from(*wait_milliseconds),
         _ => 0,
     };
     let limit = ANSWER_TIME + Duration::from_millis(wait);
@@ -138,8 +151,16 @@
             let body = json!({ "step": id, "summary": summary });
             Ok(json_response(StatusCode::OK, &body))
         }
-        StepReply::Samples { samples, cursor, complete, summary } => {
-            let samples: Vec<Value> = samples.iter().map(|sample| sample_json(id, sample)).collect();
+        StepReply::Samples {
+            samples,
+            cursor,
+            complete,
+            summary,
+        } => {
+            let samples: Vec<Value> = samples
+                .iter()
+                .map(|sample| sample_json(id, sample))
+                .collect();
             let body = json!({
                 "samples": samples,
                 "cursor": cursor,
@@ -151,7 +172,11 @@
         StepReply::Closed => Ok(json_response(StatusCode::OK, &json!({ "closed": id }))),
         StepReply::Unknown | StepReply::NotHome => {
             let message = "no such step is known here: open it again and go on with the cursor";
-            Err(ApiError::new(StatusCode::NOT_FOUND, "unknown_step", message))
+            Err(ApiError::new(
+                StatusCode::NOT_FOUND,
+                "unknown_step",
+                message,
+            ))
         }
         StepReply::Conflict => {
             let message = "the step is open with other content";
--- a/crates/node/src/store_client.rs
+++ b/crates/node/src/store_client.rs
@@ -2,11 +2,11 @@
 
 use crate::handle::Handle;
 use brasspond_control::{Event, PutResult, StoreCall, StoreEvent, WriteOperation};
+use brasspond_dissemination::{Change, change_from_json};
 use brasspond_http::{CallError, Client};
 use brasspond_resource::{
     API_VERSION, Catalogue, ObjectKey, Revision, object_from_json, object_to_json,
 };
-use brasspond_dissemination::{Change, change_from_json};
 use hyper::{Method, StatusCode};
 use serde_json::Value;
 use std::net::SocketAddr;
@@ -22,7 +22,11 @@
     let event = match call {
         StoreCall::List => list(&client, store).await,
         StoreCall::Watch(from) => watch(&client, store, from).await,
-        StoreCall::Write { write, operation, expected } => {
+        StoreCall::Write {
+            write,
+            operation,
+            expected,
+        } => {
             let result = put(&client, store, operation, expected).await;
             StoreEvent::Written { write, result }
         }
@@ -40,8 +44,9 @@
 
 async fn list(client: &Client, store: SocketAddr) -> StoreEvent {
     let path = format!("/apis/{API_VERSION}/objects");
-    let answer: Result<Value, CallError> =
-        client.call(Method::GET, store, &path, None::<&()>, CALL_TIME).await;
+    let answer: Result<Value, CallError> = client
+        .call(Method::GET, store, &path, None::<&()>, CALL_TIME)
+        .await;
     match answer.ok().and_then(|list| catalogue_of(&list)) {
         Some(catalogue) => StoreEvent::Listed(Box::new(catalogue)),
         None => StoreEvent::ReadFailed,
@@ -59,8 +64,9 @@
 
 async fn watch(client: &Client, store: SocketAddr, from: Revision) -> StoreEvent {
     let path = format!("/apis/{API_VERSION}/objects?watch=true&resourceVersion={from}");
-    let answer: Result<Value, CallError> =
-        client.call(Method::GET, store, &path, None::<&()>, WATCH_TIME).await;
+    let answer: Result<Value, CallError> = client
+        .call(Method::GET, store, &path, None::<&()>, WATCH_TIME)
+        .await;
     let changes = answer.ok().and_then(|answer| {
         let changes = answer["changes"].as_array()?.iter().map(change_from_json);
         changes.collect::<Option<Vec<Change>>>()
@@ -85,18 +91,26 @@
                 metadata.retain(|_, value| !value.is_null());
             }
             let path = path_of(&object.key());
-            client.call(Method::PUT, store, &path, Some(&body), CALL_TIME).await
+            client
+                .call(Method::PUT, store, &path, Some(&body), CALL_TIME)
+                .await
         }
         WriteOperation::Remove(key) => {
             let version = expected.map(|expected| format!("?resourceVersion={expected}"));
             let path = path_of(&key) + &version.unwrap_or_default();
-            client.call(Method::DELETE, store, &path, None::<&()>, CALL_TIME).await
+            client
+                .call(Method::DELETE, store, &path, None::<&()>, CALL_TIME)
+                .await
         }
     };
     match answer {
         Ok(answer) => {
-            let revision = answer["resourceVersion"].as_str().and_then(|text| text.parse().ok());
-            revision.map_or(PutResult::Lost, |revision| PutResult::Done(Revision(revision)))
+            let revision = answer["resourceVersion"]
+                .as_str()
+                .and_then(|text| text.parse().ok());
+            revision.map_or(PutResult::Lost, |revision| {
+                PutResult::Done(Revision(revision))
+            })
         }
         Err(CallError::Status(StatusCode::CONFLICT | StatusCode::NOT_FOUND)) => PutResult::Conflict,
         Err(CallError::Status(StatusCode::SERVICE_UNAVAILABLE) | CallError::NotSent) => {
@@ -115,7 +129,9 @@
         .call(Method::GET, store, &path_of(key), None::<&()>, CALL_TIME)
         .await;
     match answer {
-        Ok(value) => object_from_json(&value).ok().map(|object| Some(Box::new(object))),
+        Ok(value) => object_from_json(&value)
+            .ok()
+            .map(|object| Some(Box::new(object))),
         Err(CallError::Status(StatusCode::NOT_FOUND)) => Some(None),
         Err(_) => None,
     }
--- a/crates/node/src/view.rs
+++ b/crates/node/src/view.rs
@@ -27,15 +27,17 @@
 
 /// Callers of a configuration by the digest of their token.
 pub(crate) fn callers_by_digest(catalogue: &Catalogue) -> HashMap<String, KnownCaller> {
-    let callers = catalogue.of_kind(Kind::Caller).filter_map(|object| match &object.spec {
-        Spec::Caller(spec) => {
-            let caller = KnownCaller {
-                name: object.metadata.name.clone(),
-                spec: spec.clone(),
-            };
-            Some((spec.token_digest.to_ascii_lowercase(), caller))
-        }
-        _ => None,
-    });
+    let callers = catalogue
+        .of_kind(Kind::Caller)
+        .filter_map(|object| match &object.spec {
+            Spec::Caller(spec) => {
+                let caller = KnownCaller {
+                    name: object.metadata.name.clone(),
+                    spec: spec.clone(),
+                };
+                Some((spec.token_digest.to_ascii_lowercase(), caller))
+            }
+            _ => None,
+        });
     callers.collect()
 }
--- a/crates/protocol/src/codec.rs
+++ b/crates/protocol/src/codec.rs
@@ -72,11 +72,18 @@
         }
         let envelope: Envelope = rmp_serde::from_slice(body).map_err(CodecError::Decode)?;
         let is_understood = envelope.version.abs_diff(PROTOCOL_VERSION) <= 1;
-        if is_understood { Ok(envelope) } else { Err(CodecError::Version(envelope.version)) }
+        if is_understood {
+            Ok(envelope)
+        } else {
+            Err(CodecError::Version(envelope.version))
+        }
     }
 }
 
 fn constant_time_equal(left: &[u8], right: &[u8]) -> bool {
-    let difference = left.iter().zip(right).fold(0, |sum, (left, right)| sum | (left ^ right));
+    let difference = left
+        .iter()
+        .zip(right)
+        .fold(0, |sum, (left, right)| sum | (left ^ right));
     left.len() == right.len() && difference == 0
 }
--- a/crates/resource/src/catalogue.rs
+++ b/crates/resource/src/catalogue.rs
@@ -2,7 +2,8 @@
 
 use crate::object::{Kind, Object, ObjectKey, Revision};
 use crate::spec::{
-    CallerSpec, ClaimShardsSpec, EnginePoolSpec, MachineSpec, ModelSpec, ResearchGroupSpec, ServiceSpec, Spec,
+    CallerSpec, ClaimShardsSpec, EnginePoolSpec, MachineSpec, ModelSpec, ResearchGroupSpec,
+    ServiceSpec, Spec,
 };
 use brasspond_types::{GroupName, ModelName, WeightVersion, stable_hash};
 use serde::{Deserialize, Serialize};
@@ -90,10 +91,11 @@
 
     /// All machines with their names.
     pub fn machines(&self) -> impl Iterator<Item = (&str, &MachineSpec)> {
-        self.of_kind(Kind::Machine).filter_map(|object| match &object.spec {
-            Spec::Machine(spec) => Some((object.metadata.name.as_str(), spec)),
-            _ => None,
-        })
+        self.of_kind(Kind::Machine)
+            .filter_map(|object| match &object.spec {
+                Spec::Machine(spec) => Some((object.metadata.name.as_str(), spec)),
+                _ => None,
+            })
     }
 
     /// All groups with their weight in fair sharing.
--- a/crates/resource/src/lib.rs
+++ b/crates/resource/src/lib.rs
@@ -15,6 +15,7 @@
 pub use manifest::{object_from_json, object_to_json, parse_manifests};
 pub use object::{API_VERSION, Kind, Metadata, Object, ObjectKey, Revision};
 pub use spec::{
-    Backend, CallerSpec, ClaimShard, ClaimShardsSpec, EnginePoolSpec, GroupLimits, MachineRole, MachineSpec, ModelSpec,
-    ResearchGroupSpec, Role, ServiceSpec, Spec, SwapPolicy, VoterIdentity, WeightVersionSpec,
+    Backend, CallerSpec, ClaimShard, ClaimShardsSpec, EnginePoolSpec, GroupLimits, MachineRole,
+    MachineSpec, ModelSpec, ResearchGroupSpec, Role, ServiceSpec, Spec, SwapPolicy, VoterIdentity,
+    WeightVersionSpec,
 };
--- a/crates/resource/src/manifest.rs
+++ b/crates/resource/src/manifest.rs
@@ -81,7 +81,10 @@
 
 const SERVICE_FIELDS: &[Field] = &[
     Field::required("routes", FieldKind::List(&FieldKind::Text)),
-    Field::required("backends", FieldKind::List(&FieldKind::Table(BACKEND_FIELDS))),
+    Field::required(
+        "backends",
+        FieldKind::List(&FieldKind::Table(BACKEND_FIELDS)),
+    ),
     Field::optional("repeatableMethods", FieldKind::List(&METHODS)),
     Field::optional("timeoutMilliseconds", FieldKind::Integer(1, 3_600_000)),
     Field::optional("maxConcurrency", FieldKind::Integer(1, 100_000)),
@@ -129,7 +132,11 @@
             Err(found) => findings.extend(found),
         }
     }
-    if findings.is_empty() { Ok(objects) } else { Err(findings) }
+    if findings.is_empty() {
+        Ok(objects)
+    } else {
+        Err(findings)
+    }
 }
 
 /// Reads an object from the JSON of a request body.
@@ -175,14 +182,19 @@
         findings.push(document.finding(key, problem.to_owned(), allowed.to_owned()));
     };
     match &object.spec {
-        Spec::Service(service) => {
-            if service.routes.iter().any(|route| !route.starts_with('/')) {
-                find("spec.routes", "a route does not begin with '/'", "paths as /loans");
-            }
+        Spec::Service(service) if service.routes.iter().any(|route| !route.starts_with('/')) => {
+            find(
+                "spec.routes",
+                "a route does not begin with '/'",
+                "paths as /loans",
+            );
         }
         Spec::Caller(caller) => {
             let is_digest = caller.token_digest.len() == 64
-                && caller.token_digest.bytes().all(|byte| byte.is_ascii_hexdigit());
+                && caller
+                    .token_digest
+                    .bytes()
+                    .all(|byte| byte.is_ascii_hexdigit());
             if !is_digest {
                 let allowed = "64 hexadecimal digits, from `brasspond digest`";
                 find("spec.tokenDigest", "not a digest", allowed);
@@ -190,7 +202,11 @@
         }
         _ => {}
     }
-    if findings.is_empty() { Ok(()) } else { Err(findings) }
+    if findings.is_empty() {
+        Ok(())
+    } else {
+        Err(findings)
+    }
 }
 
 /// Renders an object as the API shows it, without status.
--- a/crates/resource/src/object.rs
+++ b/crates/resource/src/object.rs
@@ -85,7 +85,8 @@
     /// Finds a kind by its name, plural or not, in any case.
     pub fn find(word: &str) -> Option<Self> {
         let word = word.to_ascii_lowercase();
-        let matches = |kind: &Self| word == kind.plural() || word == kind.name().to_ascii_lowercase();
+        let matches =
+            |kind: &Self| word == kind.plural() || word == kind.name().to_ascii_lowercase();
         Self::ALL.into_iter().find(matches)
     }
 }
--- a/crates/rollout/src/cursor.rs
+++ b/crates/rollout/src/cursor.rs
@@ -106,7 +106,11 @@
         let words: Result<Vec<u64>, CursorError> = starts
             .map(|start| parse(digits.get(start..start + WORD_DIGITS)))
             .collect();
-        let cursor = Self { step_digest, slots, words: words? };
+        let cursor = Self {
+            step_digest,
+            slots,
+            words: words?,
+        };
         let beyond = slots % BITS;
         let last = cursor.words.last().copied().unwrap_or(0);
         if beyond != 0 && last >> beyond != 0 {
--- a/crates/rollout/src/lib.rs
+++ b/crates/rollout/src/lib.rs
@@ -12,6 +12,4 @@
 mod step;
 
 pub use cursor::{Cursor, CursorError};
-pub use step::{
-    FetchedSamples, Partial, Prompt, SlotState, Step, StepSpec, StepSummary,
-};
+pub use step::{FetchedSamples, Partial, Prompt, SlotState, Step, StepSpec, StepSummary};
--- a/crates/rollout/src/step.rs
+++ b/crates/rollout/src/step.rs
@@ -194,7 +194,7 @@
 
     fn next_probe(&self) -> Option<u32> {
         let per_prompt = self.spec.samples_per_prompt.max(1);
-        let first_of_prompt = |slot: &&u32| **slot % per_prompt == 0;
+        let first_of_prompt = |slot: &&u32| (**slot).is_multiple_of(per_prompt);
         self.pending.iter().find(first_of_prompt).copied()
     }
 
@@ -280,7 +280,12 @@
 
     /// Chooses up to `count` finished samples that `cursor` does not hold.
     /// Samples with a part older than `minimum` are dropped and made again.
-    pub fn fetch(&mut self, cursor: &Cursor, minimum: WeightVersion, count: usize) -> FetchedSamples {
+    pub fn fetch(
+        &mut self,
+        cursor: &Cursor,
+        minimum: WeightVersion,
+        count: usize,
+    ) -> FetchedSamples {
         let mut fetched = FetchedSamples {
             samples: Vec::new(),
             cursor: cursor.clone(),
@@ -297,7 +302,9 @@
             if held {
                 continue;
             }
-            let is_stale = sample.oldest_version().is_some_and(|oldest| oldest < minimum);
+            let is_stale = sample
+                .oldest_version()
+                .is_some_and(|oldest| oldest < minimum);
             if is_stale && !self.mutations.is_on(Mutation::SkipStalenessCheck) {
                 fetched.stale.push(slot);
                 continue;
@@ -315,9 +322,9 @@
     /// held by `cursor`, before the trainer asks for them.
     pub fn drop_stale(&mut self, cursor: &Cursor, minimum: WeightVersion) -> u32 {
         let is_stale = |state: &SlotState| match state {
-            SlotState::Done(sample) => {
-                sample.oldest_version().is_some_and(|oldest| oldest < minimum)
-            }
+            SlotState::Done(sample) => sample
+                .oldest_version()
+                .is_some_and(|oldest| oldest < minimum),
             _ => false,
         };
         let slots = 0..self.slots.len() as u32;
--- a/crates/routing/src/owner.rs
+++ b/crates/routing/src/owner.rs
@@ -39,11 +39,7 @@
 
 /// The `count` best nodes for `key`, each in a zone of its own as long as
 /// there are zones left.
-pub fn rank_distinct_zones<'a>(
-    key: &str,
-    members: &[&'a Member],
-    count: usize,
-) -> Vec<&'a Member> {
+pub fn rank_distinct_zones<'a>(key: &str, members: &[&'a Member], count: usize) -> Vec<&'a Member> {
     let ranked = rank(key, None, members, members.len());
     let mut zones = BTreeSet::new();
     let mut chosen: Vec<&Member> = Vec::new();
--- a/crates/routing/src/placement.rs
+++ b/crates/routing/src/placement.rs
@@ -200,7 +200,10 @@
                 engine.sent_tokens = old.sent_tokens;
                 engine.health = old.health.clone();
                 for (model, version) in &old.models {
-                    engine.models.entry(model.clone()).and_modify(|new| *new = *version);
+                    engine
+                        .models
+                        .entry(model.clone())
+                        .and_modify(|new| *new = *version);
                 }
             } else if !self.engines.is_empty() {
                 engine.health.start(now);
@@ -271,12 +274,9 @@
         Some((index, 0.0))
     }
 
-    fn choose_least(
-        &self,
-        request: &PlacementRequest<'_>,
-        now: Timestamp,
-    ) -> Option<(usize, f64)> {
-        let eligible = (0..self.engines.len()).filter(|index| self.is_eligible(*index, request, now));
+    fn choose_least(&self, request: &PlacementRequest<'_>, now: Timestamp) -> Option<(usize, f64)> {
+        let eligible =
+            (0..self.engines.len()).filter(|index| self.is_eligible(*index, request, now));
         let least = eligible.min_by_key(|index| self.engines[*index].requests())?;
         Some((least, f64::from(self.engines[least].requests())))
     }
@@ -288,7 +288,9 @@
         random: &mut impl Rng,
     ) -> Option<(usize, f64)> {
         let sample = self.sample(2, request, now, random);
-        let least = sample.into_iter().min_by_key(|index| self.engines[*index].requests())?;
+        let least = sample
+            .into_iter()
+            .min_by_key(|index| self.engines[*index].requests())?;
         Some((least, f64::from(self.engines[least].requests())))
     }
 
@@ -372,7 +374,11 @@
         let (sum, count) = known.fold((0.0, 0u32), |(sum, count), engine| {
             (sum + f64::from(engine.load.pending_tokens), count + 1)
         });
-        if count == 0 { 0.0 } else { sum / f64::from(count) }
+        if count == 0 {
+            0.0
+        } else {
+            sum / f64::from(count)
+        }
     }
 
     /// Expected time to the end of the answer, in microseconds.
--- a/crates/settings/src/keys.rs
+++ b/crates/settings/src/keys.rs
@@ -12,7 +12,8 @@
 pub fn read_key(file: &Path) -> std::io::Result<[u8; KEY_BYTES]> {
     let text = std::fs::read_to_string(file)?;
     let digits = text.trim();
-    let invalid = || std::io::Error::new(std::io::ErrorKind::InvalidData, "not 64 hexadecimal digits");
+    let invalid =
+        || std::io::Error::new(std::io::ErrorKind::InvalidData, "not 64 hexadecimal digits");
     if digits.len() != KEY_BYTES * 2 || !digits.is_ascii() {
         return Err(invalid());
     }
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -104,7 +104,10 @@
     Field::optional("data_folder", Kind::Text),
     Field::required("key_files", Kind::List(&Kind::Text)),
     Field::optional("log_file", Kind::Text),
-    Field::optional("log_level", Kind::Choice(&["error", "warn", "info", "debug", "trace"])),
+    Field::optional(
+        "log_level",
+        Kind::Choice(&["error", "warn", "info", "debug", "trace"]),
+    ),
     Field::optional("limits", Kind::Table(LIMIT_FIELDS)),
 ];
 
@@ -134,7 +137,11 @@
             vec![document.finding("(document)", error.to_string(), allowed)]
         })?;
         let findings = settings.check_meaning(&document);
-        if findings.is_empty() { Ok(settings) } else { Err(findings) }
+        if findings.is_empty() {
+            Ok(settings)
+        } else {
+            Err(findings)
+        }
     }
 
     fn check_meaning(&self, document: &Document) -> Vec<Finding> {
--- a/crates/standin/src/engine.rs
+++ b/crates/standin/src/engine.rs
@@ -81,6 +81,7 @@
     uploads: WeightStore,
     next: u64,
     leaving_since: Option<Duration>,
+    crashed: bool,
 }
 
 /// An engine stand-in.
@@ -132,6 +133,7 @@
                 uploads,
                 next: 1,
                 leaving_since: None,
+                crashed: false,
             }),
             settings,
             started: Instant::now(),
@@ -165,7 +167,10 @@
             let Some(leaving) = state.leaving_since else {
                 return 0;
             };
-            let late = state.records.values().filter(|record| record.began > leaving + grace);
+            let late = state
+                .records
+                .values()
+                .filter(|record| record.began > leaving + grace);
             late.count()
         })
     }
@@ -185,7 +190,12 @@
         let server = Arc::clone(&self);
         let handler = move |request, _peer: SocketAddr| {
             let server = Arc::clone(&server);
-            async move { server.handle(request).await }
+            async move {
+                if server.is_crashed() {
+                    std::future::pending::<()>().await;
+                }
+                server.handle(request).await
+            }
         };
         let serving = serve(listener, Limits::default(), handler, stop);
         match crash {
@@ -195,12 +205,20 @@
             None => serving.await,
         }
         ticker.abort();
-        self.locked(|state| state.running.clear());
+        self.crash();
     }
 
-    /// Drops everything under way, as a crash does.
+    /// Breaks off everything under way and answers nothing from now on, as a
+    /// crash does.
     pub fn crash(&self) {
-        self.locked(|state| state.running.clear());
+        self.locked(|state| {
+            state.running.clear();
+            state.crashed = true;
+        });
+    }
+
+    fn is_crashed(&self) -> bool {
+        self.locked(|state| state.crashed)
     }
 
     async fn tick_forever(self: Arc<Self>) {
@@ -219,7 +237,10 @@
             for event in events {
                 state.tell(event, &mut gone);
             }
-            let closed = state.running.iter().filter(|(_, running)| running.chunks.is_closed());
+            let closed = state
+                .running
+                .iter()
+                .filter(|(_, running)| running.chunks.is_closed());
             gone.extend(closed.map(|(id, _)| *id));
             gone
         });
@@ -233,7 +254,11 @@
 
     async fn handle(self: Arc<Self>, request: Request) -> Response {
         let path = request.uri().path().to_owned();
-        if self.settings.faults.is_on(FaultKind::Down, self.started.elapsed()) {
+        if self
+            .settings
+            .faults
+            .is_on(FaultKind::Down, self.started.elapsed())
+        {
             return refusal(StatusCode::SERVICE_UNAVAILABLE, "down");
         }
         match (request.method(), path.as_str()) {
@@ -263,8 +288,15 @@
             return refusal(StatusCode::BAD_REQUEST, "resume_bytes splits a character");
         };
         let prompt: Arc<str> = original.into();
-        let resumed = VersionSpan { version: WeightVersion(0), tokens: body.resume_tokens };
-        let spans = if body.resume_tokens > 0 { vec![resumed] } else { Vec::new() };
+        let resumed = VersionSpan {
+            version: WeightVersion(0),
+            tokens: body.resume_tokens,
+        };
+        let spans = if body.resume_tokens > 0 {
+            vec![resumed]
+        } else {
+            Vec::new()
+        };
         let call = EngineCall {
             prefix: prefix_hashes(body.model.as_str(), &prompt).into(),
             prompt_tokens: estimate_tokens(&prompt),
@@ -273,7 +305,10 @@
             max_tokens: body.max_tokens,
             seed: body.seed,
             priority: body.priority,
-            resume: Partial { spans, ..Partial::default() },
+            resume: Partial {
+                spans,
+                ..Partial::default()
+            },
         };
         let (chunks, response_body) = channel_body(CHUNKS_BUFFERED);
         let now = self.now();
@@ -282,10 +317,19 @@
             let id = state.next;
             state.next += 1;
             state.engine.submit(id, call, now)?;
-            let running = Running { prompt: Arc::clone(&prompt), chunks, model: body.model };
+            let running = Running {
+                prompt: Arc::clone(&prompt),
+                chunks,
+                model: body.model,
+            };
             state.running.insert(id, running);
             let spans = Vec::new();
-            let record = EngineRecord { prompt, spans, began, finished: false };
+            let record = EngineRecord {
+                prompt,
+                spans,
+                began,
+                finished: false,
+            };
             state.records.insert(id, record);
             Ok::<u64, SubmitRefusal>(id)
         });
@@ -294,7 +338,9 @@
         }
         let mut response = hyper::Response::new(response_body);
         let kind = hyper::header::HeaderValue::from_static("text/event-stream");
-        response.headers_mut().insert(hyper::header::CONTENT_TYPE, kind);
+        response
+            .headers_mut()
+            .insert(hyper::header::CONTENT_TYPE, kind);
         response
     }
 
@@ -305,13 +351,15 @@
         };
         let transfer = match &order.command {
             Command::Claim => None,
-            Command::Load { model, version, source, .. } => {
-                self.begin_transfer(model, *version, source).await
-            }
+            Command::Load {
+                model,
+                version,
+                source,
+                ..
+            } => self.begin_transfer(model, *version, source).await,
         };
         let now = self.now();
-        let outcome: OrderOutcome =
-            self.locked(|state| state.engine.order(&order, transfer, now));
+        let outcome: OrderOutcome = self.locked(|state| state.engine.order(&order, transfer, now));
         json_response(StatusCode::OK, &outcome)
     }
 
@@ -365,7 +413,12 @@
     /// Sends what happened to the reader; notes readers that are gone.
     fn tell(&mut self, event: EngineEvent, gone: &mut Vec<u64>) {
         match event {
-            EngineEvent::Tokens { id, start, count, version } => {
+            EngineEvent::Tokens {
+                id,
+                start,
+                count,
+                version,
+            } => {
                 if let Some(record) = self.records.get_mut(&id) {
                     brasspond_types::push_span(&mut record.spans, version, count);
                 }
@@ -374,7 +427,11 @@
                 };
                 let text = text_of(&running.prompt, start, count, version);
                 let chunk = chunk(&running.model, &text, count, version, None);
-                if running.chunks.try_send(Ok(sse_event(&chunk.to_string()))).is_err() {
+                if running
+                    .chunks
+                    .try_send(Ok(sse_event(&chunk.to_string())))
+                    .is_err()
+                {
                     gone.push(id);
                 }
             }
@@ -386,7 +443,13 @@
                     return;
                 };
                 let version = self.engine.models().get(&running.model).copied();
-                let last = chunk(&running.model, "", 0, version.unwrap_or_default(), Some(reason));
+                let last = chunk(
+                    &running.model,
+                    "",
+                    0,
+                    version.unwrap_or_default(),
+                    Some(reason),
+                );
                 let _ = running.chunks.try_send(Ok(sse_event(&last.to_string())));
                 let _ = running.chunks.try_send(Ok(sse_event("[DONE]")));
             }
--- a/crates/standin/src/faults.rs
+++ b/crates/standin/src/faults.rs
@@ -53,7 +53,10 @@
 
     /// When the process is to end, if ever.
     pub fn crash_at(&self) -> Option<Duration> {
-        let crashes = self.fault.iter().filter(|fault| fault.kind == FaultKind::Crash);
+        let crashes = self
+            .fault
+            .iter()
+            .filter(|fault| fault.kind == FaultKind::Crash);
         let first = crashes.map(|fault| fault.at_milliseconds).min();
         first.map(Duration::from_millis)
     }
--- a/crates/standin/src/service.rs
+++ b/crates/standin/src/service.rs
@@ -42,7 +42,10 @@
 
     /// What it ran.
     pub fn record(&self) -> ServiceRecord {
-        self.record.lock().unwrap_or_else(PoisonError::into_inner).clone()
+        self.record
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .clone()
     }
 
     /// Serves until stopped.
@@ -57,7 +60,10 @@
     async fn handle(&self, request: Request) -> Response {
         let method = request.method().clone();
         let path = request.uri().path().to_owned();
-        let mark = request.headers().get("x-mark").and_then(|mark| mark.to_str().ok());
+        let mark = request
+            .headers()
+            .get("x-mark")
+            .and_then(|mark| mark.to_str().ok());
         let mark = mark.map(str::to_owned);
         let is_write = method != Method::GET && method != Method::HEAD;
         if let Some(mark) = mark.filter(|_| is_write) {
--- a/crates/standin/src/store.rs
+++ b/crates/standin/src/store.rs
@@ -127,7 +127,10 @@
         let Some(kind) = Kind::find(plural) else {
             return error(StatusCode::NOT_FOUND, "no such kind");
         };
-        let key = ObjectKey { kind, name: name.to_owned() };
+        let key = ObjectKey {
+            kind,
+            name: name.to_owned(),
+        };
         match *request.method() {
             Method::GET => match self.locked(|store| store.get(&key).map(object_to_json)) {
                 Some(object) => json_response(StatusCode::OK, &object),
@@ -174,7 +177,8 @@
     }
 
     async fn read_all(&self, query: &str) -> Response {
-        self.reads.fetch_add(1, std::sync::atomic::Ordering::Relaxed);
+        self.reads
+            .fetch_add(1, std::sync::atomic::Ordering::Relaxed);
         if !query.contains("watch=true") {
             let list = self.locked(|store| {
                 let items: Vec<Value> = store.catalogue().iter().map(object_to_json).collect();
@@ -210,6 +214,9 @@
 
 fn query_number(query: Option<&str>, key: &str) -> Option<u64> {
     let pairs = query?.split('&').filter_map(|pair| pair.split_once('='));
-    let value = pairs.filter(|(name, _)| *name == key).map(|(_, value)| value).next()?;
+    let value = pairs
+        .filter(|(name, _)| *name == key)
+        .map(|(_, value)| value)
+        .next()?;
     value.parse().ok()
 }
