--- a/crates/brasspond/src/main.rs
+++ b/crates/brasspond/src/main.rs
@@ -8,6 +8,7 @@
 mod digest;
 mod emulate;
 mod exit;
+mod fuzz;
 mod logging;
 mod node;
 mod options;
@@ -38,6 +39,7 @@
         Command::Watch(options) => client::watch(&options),
         Command::Emulate(options) => emulate::run(options),
         Command::Demo(options) => demo::run(&options),
+        Command::Fuzz(options) => fuzz::run(&options),
         Command::Digest => digest::run(),
     };
     outcome.into()
--- a/crates/brasspond/src/options.rs
+++ b/crates/brasspond/src/options.rs
@@ -228,6 +228,44 @@
     },
 }
 
+/// A range of seeds, as 1..100; the end is not part of it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) struct Seeds(pub(crate) std::ops::Range<u64>);
+
+impl std::str::FromStr for Seeds {
+    type Err = String;
+
+    fn from_str(text: &str) -> Result<Self, String> {
+        let parsed = text
+            .split_once("..")
+            .and_then(|(first, end)| Some(first.parse().ok()?..end.parse().ok()?));
+        let range = parsed.filter(|range: &std::ops::Range<u64>| !range.is_empty());
+        range
+            .map(Self)
+            .ok_or_else(|| "allowed: FIRST..END, as 1..100".to_owned())
+    }
+}
+
+/// Fuzzing of the decisions.
+#[derive(Clone, Debug, Bpaf)]
+pub(crate) struct FuzzOptions {
+    /// Seeds to run, as 1..100
+    #[bpaf(argument("FIRST..END"), fallback(Seeds(1..101)))]
+    pub(crate) seeds: Seeds,
+    /// Steps each trainer plays
+    #[bpaf(argument("N"), fallback(3))]
+    pub(crate) steps: u64,
+    /// Pairs of faults a seed
+    #[bpaf(argument("N"), fallback(2))]
+    pub(crate) pairs: usize,
+    /// Kind of fault to draw; may be given several times; all where left out
+    #[bpaf(argument("KIND"), many)]
+    pub(crate) fault: Vec<String>,
+    /// Threads
+    #[bpaf(argument("N"), fallback(4))]
+    pub(crate) threads: usize,
+}
+
 /// What to do.
 #[derive(Clone, Debug, Bpaf)]
 pub(crate) enum Command {
@@ -266,6 +304,11 @@
     /// Example: brasspond demo --seed 3 --report report.json
     #[bpaf(command)]
     Demo(#[bpaf(external(demo_options))] DemoOptions),
+    /// Fuzz the decisions against the oracle, in simulated time
+    ///
+    /// Example: brasspond fuzz --seeds 1..1000 --fault node-crash --fault store-down
+    #[bpaf(command)]
+    Fuzz(#[bpaf(external(fuzz_options))] FuzzOptions),
     /// Print the digest of a token read from standard input
     ///
     /// Example: brasspond digest < operator.token
--- a/crates/control/src/claims.rs
+++ b/crates/control/src/claims.rs
@@ -12,7 +12,7 @@
     ClaimShard, ClaimShardsSpec, Kind, Metadata, Object, ObjectKey, Spec, VoterIdentity,
 };
 use brasspond_routing::rank_distinct_zones;
-use brasspond_types::{NodeName, Timestamp};
+use brasspond_types::{Mutation, NodeName, Timestamp};
 use std::collections::BTreeMap;
 use std::time::Duration;
 
@@ -62,6 +62,10 @@
 
     /// Begins to claim a key.
     pub(crate) fn begin(&mut self, request: RequestId, key: ClaimKey, context: &mut Context<'_>) {
+        if context.parameters.mutations.is_on(Mutation::SkipClaims) {
+            context.reply(request, Reply::Once(Decision::Run));
+            return;
+        }
         let shards = shards(context);
         let index = shard_of(key, shards.len());
         let Some(in_force) = shards.get(index).cloned() else {
@@ -117,6 +121,9 @@
             let Some((request, coordinator)) = found else {
                 return;
             };
+            if coordinator.decision().is_some() {
+                return;
+            }
             let request = *request;
             let messages = coordinator.hear(&from, epoch, verdict);
             send_all(messages, context);
--- a/crates/control/src/control.rs
+++ b/crates/control/src/control.rs
@@ -173,7 +173,7 @@
         {
             return self.draining;
         }
-        let is_idle = self.generations.is_idle() && self.claims.is_idle();
+        let is_idle = self.generations.is_idle() && self.claims.is_idle() && self.writes.is_idle();
         self.draining && is_idle && self.steps.is_handed_over()
     }
 
@@ -595,6 +595,13 @@
         if self.readiness.is_ready() {
             return;
         }
+        let trusts_kept = self
+            .parameters
+            .mutations
+            .is_on(Mutation::TrustKeptConfiguration);
+        if trusts_kept && self.revision() > Revision::default() {
+            self.readiness = Readiness::already_ready();
+        }
         let peers: Vec<NodeName> = self
             .working
             .members
--- a/crates/control/src/generation.rs
+++ b/crates/control/src/generation.rs
@@ -10,8 +10,8 @@
 use brasspond_rollout::Partial;
 use brasspond_routing::{EngineTable, PlacementRequest};
 use brasspond_types::{
-    EngineName, FinishReason, GroupName, ModelName, NodeName, SampleId, Timestamp, WeightVersion,
-    total_tokens,
+    EngineName, FinishReason, GroupName, ModelName, Mutation, NodeName, SampleId, Timestamp,
+    WeightVersion, total_tokens,
 };
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
@@ -359,6 +359,18 @@
                 self.releases.remove(ticket);
                 return;
             }
+            AdmissionMessage::Probe { engine, tickets } => {
+                for ticket in tickets {
+                    self.release_unknown(*ticket, engine, context);
+                }
+                return;
+            }
+            AdmissionMessage::Granted { ticket, engine, .. }
+                if !self.by_ticket.contains_key(ticket) =>
+            {
+                self.release_unknown(*ticket, engine, context);
+                return;
+            }
             AdmissionMessage::Queued { ticket, .. }
             | AdmissionMessage::Granted { ticket, .. }
             | AdmissionMessage::Refused { ticket, .. } => *ticket,
@@ -397,6 +409,20 @@
         }
     }
 
+    /// Gives back a place that an owner holds for a request that has moved on.
+    fn release_unknown(&mut self, ticket: u64, engine: &EngineName, context: &Context<'_>) {
+        if self.by_ticket.contains_key(&ticket) {
+            return;
+        }
+        self.releases.entry(ticket).or_insert(PendingRelease {
+            engine: engine.clone(),
+            served: 0.0,
+            engine_failed: false,
+            sends: 0,
+            due: context.now,
+        });
+    }
+
     /// Starts the attempt, unless the grant was so long under way that the
     /// engine may have begun to leave since; then the owner is asked again.
     fn granted(
@@ -569,6 +595,11 @@
         let Some(generation) = self.live.get_mut(&id) else {
             return;
         };
+        let delivers_partial = context.parameters.mutations.is_on(Mutation::DeliverPartial);
+        if delivers_partial && !generated.spans.is_empty() {
+            self.finished(id, generated, FinishReason::Stop, engines, context);
+            return;
+        }
         let state = std::mem::replace(&mut generation.state, State::Waiting);
         if let State::Running { engine, .. } = &state {
             generation.avoid.push(engine.clone());
--- a/crates/control/src/owner.rs
+++ b/crates/control/src/owner.rs
@@ -28,6 +28,9 @@
 /// Time after a take-over in which the engine's own count of requests is
 /// believed over this node's, since places were given by another node.
 const TAKE_OVER: Duration = Duration::from_secs(60);
+/// Time after which the holder of a place is asked whether it still holds it;
+/// releases may go to another owner while the network is parted.
+const PROBE_PERIOD: Duration = Duration::from_secs(10);
 /// Smallest concurrency limit.
 const LOWEST_LIMIT: u32 = 1;
 /// Queue length without a pool's own bound.
@@ -50,6 +53,7 @@
     group: GroupName,
     cost: f32,
     priority: Priority,
+    next_probe: Timestamp,
 }
 
 /// An engine this node owns.
@@ -137,13 +141,17 @@
     /// Whether the engine may be given work: it follows this node, told so
     /// lately, and is not leaving.
     fn takes_work(&self, is_leaving: bool, context: &Context<'_>) -> bool {
-        if context.parameters.mutations.is_on(Mutation::IgnoreLeaving) {
-            return self.report.is_some();
-        }
         let age = context.now.since(self.report_asked);
         let is_fresh = age <= context.parameters.report_age_limit;
-        let says_leaving = self.report.as_ref().is_none_or(|report| report.leaving);
-        self.held.is_some() && is_fresh && !says_leaving && !is_leaving
+        let has_report = self.report.is_some();
+        let says_leaving = self.says_leaving(context);
+        self.held.is_some() && has_report && is_fresh && !says_leaving && !is_leaving
+    }
+
+    /// Whether the engine says that it is about to stop.
+    fn says_leaving(&self, context: &Context<'_>) -> bool {
+        let is_ignored = context.parameters.mutations.is_on(Mutation::IgnoreLeaving);
+        !is_ignored && self.report.as_ref().is_some_and(|report| report.leaving)
     }
 
     /// Requests on the engine: those granted here, and after a take-over those
@@ -188,7 +196,7 @@
             }
             return;
         }
-        if is_leaving || self.report.as_ref().is_some_and(|report| report.leaving) {
+        if is_leaving || self.says_leaving(context) {
             self.refuse(ticket, RefusalReason::EngineUnavailable, context);
             return;
         }
@@ -312,6 +320,7 @@
             group: waiting.group,
             cost: waiting.cost as f32,
             priority: waiting.priority,
+            next_probe: context.now + PROBE_PERIOD,
         };
         self.grants.insert(ticket.clone(), grant);
         self.tell_granted(&ticket, waiting.item.asked_at, context);
@@ -320,6 +329,7 @@
     fn tell_granted(&self, ticket: &TicketId, asked_at: Timestamp, context: &mut Context<'_>) {
         let granted = AdmissionMessage::Granted {
             ticket: ticket.number,
+            engine: self.engine.clone(),
             asked_at,
             load: self.load(),
         };
@@ -452,7 +462,7 @@
         {
             return;
         }
-        if catalogue_leaving || self.report.as_ref().is_some_and(|report| report.leaving) {
+        if catalogue_leaving || self.says_leaving(context) {
             self.refuse_all(RefusalReason::EngineUnavailable, context);
             return;
         }
@@ -529,6 +539,24 @@
         self.give_order(epoch, command, context);
     }
 
+    /// Asks the holders of places granted long ago whether they hold them.
+    pub(crate) fn probe_grants(&mut self, context: &mut Context<'_>) {
+        let mut due: BTreeMap<NodeName, Vec<u64>> = BTreeMap::new();
+        for (ticket, grant) in &mut self.grants {
+            if grant.next_probe <= context.now {
+                grant.next_probe = context.now + PROBE_PERIOD;
+                due.entry(ticket.node.clone())
+                    .or_default()
+                    .push(ticket.number);
+            }
+        }
+        for (node, tickets) in due {
+            let engine = self.engine.clone();
+            let probe = AdmissionMessage::Probe { engine, tickets };
+            context.send(&node, PeerMessage::Admission(probe));
+        }
+    }
+
     /// Requests of rollouts on the engine, and all.
     pub(crate) fn grant_counts(&self) -> (usize, usize) {
         let rollouts = self.grants.values();
--- a/crates/control/src/owner_table.rs
+++ b/crates/control/src/owner_table.rs
@@ -9,7 +9,8 @@
 use brasspond_resource::{MachineRole, MachineSpec};
 use brasspond_routing::{EngineTable, EngineView, rank};
 use brasspond_types::{
-    EngineName, GroupName, ModelName, NodeName, Timestamp, WeightVersion, ZoneName, stable_hash,
+    EngineName, GroupName, ModelName, Mutation, NodeName, Timestamp, WeightVersion, ZoneName,
+    stable_hash,
 };
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
@@ -85,13 +86,14 @@
     pub(crate) fn reconfigure(&mut self, engines: &mut EngineTable, context: &mut Context<'_>) {
         let machines = context.catalogue.machines();
         let is_engine = |(_, machine): &(&str, &MachineSpec)| machine.role == MachineRole::Engine;
+        let heeds_leaving = !context.parameters.mutations.is_on(Mutation::IgnoreLeaving);
         self.listed = machines
             .filter(is_engine)
             .map(|(name, machine)| {
                 let listed = Listed {
                     address: machine.address,
                     zone: machine.locality.zone.clone(),
-                    leaving: machine.leaving,
+                    leaving: machine.leaving && heeds_leaving,
                 };
                 (EngineName::new(name), listed)
             })
@@ -273,6 +275,7 @@
             };
             owner.tick(is_leaving, versions, &mut sources, context);
             owner.dispatch(is_leaving, context);
+            owner.probe_grants(context);
         }
         self.mine = mine;
     }
--- a/crates/control/src/steps.rs
+++ b/crates/control/src/steps.rs
@@ -12,8 +12,8 @@
 use brasspond_rollout::{Cursor, Partial, Step, StepSpec};
 use brasspond_routing::{EngineTable, estimate_tokens, prefix_hashes, rank_distinct_zones};
 use brasspond_types::{
-    FinishReason, NodeName, Sample, SampleId, StepId, Timestamp, WeightVersion, stable_hash,
-    total_tokens,
+    FinishReason, Mutation, NodeName, Sample, SampleId, StepId, Timestamp, WeightVersion,
+    stable_hash, total_tokens,
 };
 use std::collections::BTreeMap;
 use std::sync::Arc;
@@ -39,6 +39,10 @@
 const SMALLEST_WINDOW: usize = 8;
 /// Expected time of a decoding step, to guess how long an answer takes.
 const TOKEN_TIME: Duration = Duration::from_millis(12);
+/// Time between two messages of a former home on what it has under way.
+const UNDER_WAY_PERIOD: Duration = Duration::from_secs(2);
+/// Time without such a message after which the home makes the slots itself.
+const UNDER_WAY_LIMIT: Duration = Duration::from_secs(6);
 /// Most samples in one hand-over.
 const MOST_SAMPLES: u32 = 256;
 
@@ -50,6 +54,13 @@
     until: Timestamp,
 }
 
+/// A slot that a former home has under way.
+#[derive(Debug)]
+struct Elsewhere {
+    node: NodeName,
+    heard: Timestamp,
+}
+
 #[derive(Debug)]
 struct Entry {
     step: Step,
@@ -58,7 +69,8 @@
     cursor: Cursor,
     generations: BTreeMap<u32, u64>,
     /// Slots under way at a former home.
-    elsewhere: BTreeMap<u32, NodeName>,
+    elsewhere: BTreeMap<u32, Elsewhere>,
+    next_under_way: Timestamp,
     parked: Vec<Parked>,
 }
 
@@ -187,6 +199,11 @@
             StepMessage::CopyResults { step, samples } => {
                 self.keep_results(from, step, samples, versions, context);
             }
+            StepMessage::UnderWay { step, slots } => {
+                if let Some(entry) = self.entries.get_mut(&step) {
+                    entry.set_elsewhere(from, slots, context.now);
+                }
+            }
             StepMessage::SpecCopied(step) => {
                 if let Some(entry) = self.entries.get_mut(&step) {
                     entry.copies.spec_copied(from);
@@ -299,6 +316,7 @@
             cursor,
             generations: BTreeMap::new(),
             elsewhere: BTreeMap::new(),
+            next_under_way: Timestamp::ZERO,
             parked: Vec::new(),
         });
         entry.is_home = holders.first() == Some(context.me);
@@ -341,7 +359,7 @@
             return;
         };
         entry.copies.came_from(from);
-        entry.set_elsewhere(from, under_way);
+        entry.set_elsewhere(from, under_way, context.now);
     }
 
     fn keep_results(
@@ -407,6 +425,13 @@
             return;
         };
         entry.generations.remove(&id.slot);
+        let mut generated = generated;
+        if context.parameters.mutations.is_on(Mutation::LabelAsOrdered) {
+            let version = versions.newest(&entry.step.spec().model);
+            for span in &mut generated.spans {
+                span.version = version;
+            }
+        }
         let sample = Sample {
             slot: id.slot,
             spans: generated.spans,
@@ -460,7 +485,10 @@
             if let Some(entry) = self.entries.get_mut(id) {
                 entry.copies.tick(&entry.step, &entry.generations, context);
                 if entry.is_home {
+                    entry.forget_elsewhere(context);
                     self.stale_slots += entry.follow_versions(versions, generations, context);
+                } else {
+                    entry.tell_under_way(context);
                 }
             }
             self.answer_parked(id, versions, context);
@@ -517,34 +545,51 @@
 
 impl Entry {
     /// Notes which slots a former home still has under way.
-    fn set_elsewhere(&mut self, node: &NodeName, under_way: Vec<u32>) {
+    fn set_elsewhere(&mut self, node: &NodeName, under_way: Vec<u32>, now: Timestamp) {
         let before: Vec<u32> = self
             .elsewhere
             .iter()
-            .filter(|(slot, holder)| *holder == node && !under_way.contains(slot))
+            .filter(|(slot, elsewhere)| elsewhere.node == *node && !under_way.contains(slot))
             .map(|(slot, _)| *slot)
             .collect();
         self.free_elsewhere(before);
         for slot in under_way {
-            self.elsewhere.insert(slot, node.clone());
+            let node = node.clone();
+            self.elsewhere.insert(slot, Elsewhere { node, heard: now });
         }
     }
 
-    /// Takes back slots under way at nodes that failed.
+    /// Takes back slots under way at nodes that failed, or went silent.
     fn forget_elsewhere(&mut self, context: &Context<'_>) {
-        let is_gone = |node: &NodeName| {
-            let member = context.membership.get(node);
-            member.is_none_or(|member| member.state >= MemberState::Suspect)
+        let is_gone = |elsewhere: &Elsewhere| {
+            let member = context.membership.get(&elsewhere.node);
+            let is_silent = context.now.since(elsewhere.heard) >= UNDER_WAY_LIMIT;
+            is_silent || member.is_none_or(|member| member.state >= MemberState::Suspect)
         };
         let lost: Vec<u32> = self
             .elsewhere
             .iter()
-            .filter(|(_, node)| is_gone(node))
+            .filter(|(_, elsewhere)| is_gone(elsewhere))
             .map(|(slot, _)| *slot)
             .collect();
         self.free_elsewhere(lost);
     }
 
+    /// Tells the home what this node, no longer the home, has under way.
+    fn tell_under_way(&mut self, context: &mut Context<'_>) {
+        if self.generations.is_empty() || context.now < self.next_under_way {
+            return;
+        }
+        self.next_under_way = context.now + UNDER_WAY_PERIOD;
+        let slots: Vec<u32> = self.generations.keys().copied().collect();
+        for keeper in self.copies.keepers() {
+            let step = self.step.spec().id.clone();
+            let slots = slots.clone();
+            let message = StepMessage::UnderWay { step, slots };
+            context.send(&keeper, PeerMessage::Step(message));
+        }
+    }
+
     fn free_elsewhere(&mut self, slots: Vec<u32>) {
         for slot in slots {
             self.elsewhere.remove(&slot);
@@ -612,6 +657,13 @@
         context: &mut Context<'_>,
     ) -> u64 {
         let spec = Arc::clone(self.step.spec());
+        if context
+            .parameters
+            .mutations
+            .is_on(Mutation::SkipStalenessCheck)
+        {
+            return 0;
+        }
         let minimum = versions.minimum_to_deliver(context.catalogue, &spec.id.group, &spec.model);
         let stale = self.step.drop_stale(&self.cursor, minimum);
         let is_too_old = |id: &u64| {
--- a/crates/control/src/writes.rs
+++ b/crates/control/src/writes.rs
@@ -8,7 +8,7 @@
 use crate::context::Context;
 use crate::event::{Action, PutResult, Reply, RequestId, StoreCall, WriteOperation, WriteReply};
 use brasspond_resource::{Object, ObjectKey, Revision};
-use brasspond_types::{Timestamp, stable_hash};
+use brasspond_types::{Mutation, Timestamp, stable_hash};
 use std::collections::BTreeMap;
 use std::time::Duration;
 
@@ -45,6 +45,11 @@
 }
 
 impl Writes {
+    /// Whether no write is under way.
+    pub(crate) fn is_idle(&self) -> bool {
+        self.under_way.is_empty()
+    }
+
     /// Whether a write is under way that no operator asked for.
     pub(crate) fn has_own(&self) -> bool {
         self.under_way.values().any(|write| write.request.is_none())
@@ -105,7 +110,9 @@
         let Some(write) = self.under_way.get_mut(&number) else {
             return;
         };
+        let lies = context.parameters.mutations.is_on(Mutation::ClaimNotRun);
         match result {
+            PutResult::Lost if lies => self.finish(number, WriteReply::NotWritten, context),
             PutResult::Done(revision) => {
                 self.finish(number, WriteReply::Accepted(revision), context);
             }
@@ -150,10 +157,9 @@
             self.finish(number, WriteReply::Unknown, context);
         } else if write.expected == Some(version.unwrap_or_default()) {
             self.send(number, context);
-        } else if write.expected.is_none() {
-            self.finish(number, WriteReply::Unknown, context);
         } else {
-            self.finish(number, WriteReply::Conflict, context);
+            // Somebody else has written since; ours may have come before it.
+            self.finish(number, WriteReply::Unknown, context);
         }
     }
 
--- a/crates/dissemination/src/replica.rs
+++ b/crates/dissemination/src/replica.rs
@@ -260,8 +260,7 @@
     }
 
     fn adopt(&mut self, snapshot: Catalogue) -> Vec<Output> {
-        let is_newer = snapshot.revision > self.revision();
-        if !is_newer && !self.mutations.is_on(Mutation::AdoptOldConfiguration) {
+        if snapshot.revision <= self.revision() {
             return Vec::new();
         }
         self.log.clear();
--- a/crates/emulator/src/engine.rs
+++ b/crates/emulator/src/engine.rs
@@ -186,6 +186,11 @@
         (self.tokens_made, self.busy)
     }
 
+    /// Changes the probability that a swap fails.
+    pub fn set_swap_failure(&mut self, probability: f64) {
+        self.parameters.swap_failure = probability;
+    }
+
     /// Announces a planned stop. Requests under way go on.
     pub fn leave(&mut self, now: Timestamp) {
         self.step_until(now);
@@ -313,11 +318,11 @@
 
     /// When the engine next has something to tell, if nothing else happens.
     pub fn next_event(&self) -> Option<Timestamp> {
-        let swap = self
+        let coming = self
             .loading
             .values()
-            .map(|loading| loading.ready.max(self.clock))
-            .min();
+            .filter(|loading| loading.ready > self.clock);
+        let swap = coming.map(|loading| loading.ready).min();
         let has_work = !self.running.is_empty() || self.waiting_count() > 0;
         let finish = has_work.then(|| {
             let steps = self
@@ -359,11 +364,9 @@
             self.swap_ready();
             let prefill = self.admit();
             if self.running.is_empty() {
-                let next_swap = self.loading.values().map(|loading| loading.ready).min();
-                self.clock = next_swap.map_or(now, |ready| ready.clamp(self.clock, now));
-                if next_swap.is_none_or(|ready| ready > now) {
-                    self.clock = now;
-                }
+                let waits = self.loading.values().map(|loading| loading.ready);
+                let next_swap = waits.filter(|ready| *ready > self.clock).min();
+                self.clock = next_swap.map_or(now, |ready| ready.min(now));
                 self.swap_ready();
                 continue;
             }
--- a/crates/node/src/runtime.rs
+++ b/crates/node/src/runtime.rs
@@ -64,6 +64,7 @@
     handle: Handle,
     stop: watch::Sender<bool>,
     ended: Arc<AtomicBool>,
+    serving: Option<tokio::task::JoinHandle<()>>,
     runtime: Option<Runtime>,
     threads: Vec<JoinHandle<()>>,
 }
@@ -172,7 +173,7 @@
             ..Limits::default()
         };
         let handler = move |request, _peer: SocketAddr| Arc::clone(&server).handle(request);
-        runtime.spawn(serve(listener, limits, handler, stopped));
+        let serving = runtime.spawn(serve(listener, limits, handler, stopped));
         log::info!(
             "event=node_started node={} http={http} peers={peers_address}",
             settings.name
@@ -184,6 +185,7 @@
             handle,
             stop,
             ended,
+            serving: Some(serving),
             runtime: Some(runtime),
             threads,
         })
@@ -210,6 +212,9 @@
         if let Some(runtime) = &self.runtime {
             runtime.block_on(self.handle.send(Event::Drain));
             let _ = self.stop.send(true);
+            if let Some(serving) = self.serving.take() {
+                let _ = runtime.block_on(serving);
+            }
             while !self.handle.view().drained {
                 runtime.block_on(tokio::time::sleep(DRAIN_STEP));
             }
--- a/crates/protocol/src/admission.rs
+++ b/crates/protocol/src/admission.rs
@@ -69,6 +69,8 @@
     Granted {
         /// The place.
         ticket: u64,
+        /// Engine it is on.
+        engine: EngineName,
         /// Echo of the last [`AdmissionMessage::Enqueue`] received.
         asked_at: Timestamp,
         /// Load of the engine.
@@ -83,6 +85,14 @@
         /// Load of the engine, where the receiver owns it.
         load: Option<EngineLoad>,
     },
+    /// The owner asks whether places granted long ago are still held; the
+    /// asker releases those it does not know.
+    Probe {
+        /// Engine they are on.
+        engine: EngineName,
+        /// The places.
+        tickets: Vec<u64>,
+    },
     /// The asker no longer wants the place, or is done with it; repeated until
     /// acknowledged.
     Release {
--- a/crates/protocol/src/step.rs
+++ b/crates/protocol/src/step.rs
@@ -101,6 +101,13 @@
         /// Slots the sender has under way.
         under_way: Vec<u32>,
     },
+    /// A former home still has these slots under way; repeated while it has.
+    UnderWay {
+        /// The step.
+        step: StepId,
+        /// The slots.
+        slots: Vec<u32>,
+    },
     /// Answer to [`StepMessage::CopySpec`].
     SpecCopied(StepId),
     /// Results to keep copies of; repeated until acknowledged.
--- a/crates/rollout/src/step.rs
+++ b/crates/rollout/src/step.rs
@@ -2,8 +2,8 @@
 
 use crate::Cursor;
 use brasspond_types::{
-    FinishReason, ModelName, Mutation, Mutations, Sample, StepId, VersionSpan, WeightVersion,
-    oldest_version, total_tokens,
+    ModelName, Mutation, Mutations, Sample, StepId, VersionSpan, WeightVersion, oldest_version,
+    total_tokens,
 };
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet};
@@ -232,20 +232,6 @@
         if self.slot(slot) != Some(&SlotState::Active) {
             return;
         }
-        if self.mutations.is_on(Mutation::DeliverPartial)
-            && let Some(partial) = partial
-        {
-            let sample = Sample {
-                slot,
-                spans: partial.spans,
-                text: partial.text,
-                finish_reason: FinishReason::Stop,
-                log_probabilities: partial.log_probabilities,
-                grade: None,
-            };
-            self.finish(Arc::new(sample));
-            return;
-        }
         self.active -= 1;
         self.slots[slot as usize] = SlotState::Pending;
         self.pending.insert(slot);
@@ -321,6 +307,9 @@
     /// Makes slots again that are finished but older than `minimum` and not
     /// held by `cursor`, before the trainer asks for them.
     pub fn drop_stale(&mut self, cursor: &Cursor, minimum: WeightVersion) -> u32 {
+        if self.mutations.is_on(Mutation::SkipStalenessCheck) {
+            return 0;
+        }
         let is_stale = |state: &SlotState| match state {
             SlotState::Done(sample) => sample
                 .oldest_version()
--- /dev/null
+++ b/crates/simulation/src/actions.rs
@@ -0,0 +1,189 @@
+//! Carrying out what the nodes decide.
+
+use crate::clients::Origin;
+use crate::world::{Happening, World};
+use brasspond_control::{Action, Event, StoreCall, StoreEvent};
+use brasspond_resource::Revision;
+use brasspond_types::EngineName;
+use std::time::Duration;
+
+/// Time after which a call to a store that cannot be reached fails.
+const UNREACHABLE_TIME: Duration = Duration::from_secs(3);
+/// Time a watch waits for changes.
+const WATCH_TIME: Duration = Duration::from_secs(5);
+/// One-way delay to the store.
+const STORE_DELAY: Duration = Duration::from_millis(1);
+
+/// Probability that a configuration is passed over for a newer one before the
+/// disk has kept it.
+const SLOW_DISK: f64 = 0.3;
+
+/// A watch that waits for changes.
+pub(crate) struct Watcher {
+    node: usize,
+    instance: u64,
+    from: Revision,
+    number: u64,
+}
+
+impl World {
+    /// Index of an engine by its name.
+    pub(crate) fn engine_index(&self, name: &EngineName) -> Option<usize> {
+        self.engine_indices.get(name).copied()
+    }
+
+    pub(crate) fn carry_out(&mut self, node: usize, instance: u64, action: Action) {
+        let zone = self.nodes[node].zone;
+        match action {
+            Action::Send {
+                to,
+                envelope,
+                address,
+            } => {
+                let target = self.node_indices.get(&to).copied();
+                let target = target.or_else(|| self.node_at(address));
+                let sealer = self.sealer.as_ref();
+                self.nodes[node].meter.count(&envelope, sealer);
+                let Some(target) = target else {
+                    return;
+                };
+                let target_zone = self.nodes[target].zone;
+                let delays = self.network.datagram(zone, target_zone, &mut self.random);
+                for delay in delays {
+                    let arrival = Happening::Arrives(target, envelope.clone());
+                    self.queue.push(self.now + delay, arrival);
+                }
+            }
+            Action::StartAttempt {
+                attempt,
+                request,
+                engine,
+                call,
+                ..
+            } => {
+                let Some(index) = self.engine_index(&engine) else {
+                    return;
+                };
+                if let Some(request) = request {
+                    self.nodes[node].attempt_requests.insert(attempt, request);
+                }
+                let delay = self.network.delay(zone, self.engines[index].zone);
+                let origin = (node, instance, attempt);
+                let happening = Happening::Submit(index, origin, request, call);
+                self.queue.push(self.now + delay, happening);
+            }
+            Action::CancelAttempt(attempt) => {
+                self.close_streams(|stream| {
+                    (stream.node, stream.instance, stream.attempt) == (node, instance, attempt)
+                });
+            }
+            Action::PollEngine { engine, .. } => self.poll(node, instance, &engine),
+            Action::OrderEngine { engine, order, .. } => self.order(node, instance, &engine, order),
+            Action::Reply { request, reply } => self.reply(node, instance, request, reply),
+            Action::Store(call) => {
+                let happening = Happening::StoreCalled(node, instance, Box::new(call));
+                self.queue.push(self.now + STORE_DELAY, happening);
+            }
+            Action::InForce(_) => {
+                let catalogue = self.nodes[node]
+                    .control()
+                    .map(|control| control.catalogue().clone());
+                let is_slow = self.draw(SLOW_DISK);
+                if self.nodes[node].has_disk && !is_slow {
+                    self.nodes[node].disk = catalogue;
+                }
+            }
+        }
+    }
+
+    /// A call reaches the store, or finds no way to it.
+    pub(crate) fn store_called(&mut self, node: usize, instance: u64, call: StoreCall) {
+        let zone = self.nodes[node].zone;
+        if !self.network.reaches_platform(zone) {
+            let event = match call {
+                StoreCall::List | StoreCall::Watch(_) => StoreEvent::ReadFailed,
+                StoreCall::Write { write, .. } => {
+                    let result = brasspond_control::PutResult::Lost;
+                    StoreEvent::Written { write, result }
+                }
+                StoreCall::Find { write, .. } => StoreEvent::Found {
+                    write,
+                    object: None,
+                },
+            };
+            self.store_answers(node, instance, event, UNREACHABLE_TIME);
+            return;
+        }
+        let watched = match &call {
+            StoreCall::Watch(from) => Some(*from),
+            _ => None,
+        };
+        let before = self.platform.store.revision();
+        let answer = self.platform.call(call);
+        match (answer.event, watched) {
+            (Some(event), _) => self.store_answers(node, instance, event, answer.after),
+            (None, Some(from)) => {
+                self.next_watch += 1;
+                let number = self.next_watch;
+                self.watchers.push(Watcher {
+                    node,
+                    instance,
+                    from,
+                    number,
+                });
+                self.queue
+                    .push(self.now + WATCH_TIME, Happening::WatchEnds(number));
+            }
+            (None, None) => {}
+        }
+        if self.platform.store.revision() > before {
+            self.store_changed();
+        }
+    }
+
+    fn store_answers(&mut self, node: usize, instance: u64, event: StoreEvent, after: Duration) {
+        let event = Box::new(Event::Store(event));
+        self.queue.push(
+            self.now + after,
+            Happening::NodeEvent(node, instance, event),
+        );
+    }
+
+    /// Tells all who watch.
+    pub(crate) fn store_changed(&mut self) {
+        if self.platform.down {
+            return;
+        }
+        let slow = if self.platform.slow { 1_500 } else { 2 };
+        for watcher in std::mem::take(&mut self.watchers) {
+            let changes = self.platform.store.changes_after(watcher.from);
+            let event = StoreEvent::Changed(changes);
+            let after = Duration::from_millis(slow);
+            self.store_answers(watcher.node, watcher.instance, event, after);
+        }
+    }
+
+    pub(crate) fn watch_ends(&mut self, number: u64) {
+        let position = self
+            .watchers
+            .iter()
+            .position(|watcher| watcher.number == number);
+        if let Some(position) = position {
+            let watcher = self.watchers.swap_remove(position);
+            let event = if self.platform.down {
+                StoreEvent::ReadFailed
+            } else {
+                StoreEvent::Changed(Vec::new())
+            };
+            self.store_answers(watcher.node, watcher.instance, event, STORE_DELAY);
+        }
+    }
+
+    /// Requests of callers that wait at a node.
+    pub(crate) fn is_caller_waiting(&self, node: usize, instance: u64) -> bool {
+        self.clients.open.iter().any(|((at, process, _), origin)| {
+            let is_caller = matches!(origin, Origin::Caller(_) | Origin::Once(_));
+            *at == node && *process == instance && is_caller
+        })
+    }
+}
--- /dev/null
+++ b/crates/simulation/src/faults.rs
@@ -0,0 +1,103 @@
+//! Faults and the plans they come in.
+
+use displaydoc::Display;
+use rand::Rng;
+use rand::seq::IndexedRandom;
+use rand_chacha::ChaCha8Rng;
+use std::time::Duration;
+
+/// What goes wrong.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq, PartialOrd, Ord)]
+pub enum FaultKind {
+    /// node-crash
+    NodeCrash,
+    /// node-pause
+    NodePause,
+    /// node-drain
+    NodeDrain,
+    /// engine-crash
+    EngineCrash,
+    /// engine-leave
+    EngineLeave,
+    /// failed-swaps
+    FailedSwaps,
+    /// store-down
+    StoreDown,
+    /// store-slow
+    StoreSlow,
+    /// lost-answers
+    LostAnswers,
+    /// zone-cut
+    ZoneCut,
+    /// regions-parted
+    RegionsParted,
+    /// packet-loss
+    PacketLoss,
+    /// operator-race
+    OperatorRace,
+}
+
+impl FaultKind {
+    /// All kinds.
+    pub const ALL: [Self; 13] = [
+        Self::NodeCrash,
+        Self::NodePause,
+        Self::NodeDrain,
+        Self::EngineCrash,
+        Self::EngineLeave,
+        Self::FailedSwaps,
+        Self::StoreDown,
+        Self::StoreSlow,
+        Self::LostAnswers,
+        Self::ZoneCut,
+        Self::RegionsParted,
+        Self::PacketLoss,
+        Self::OperatorRace,
+    ];
+
+    /// Finds a kind by its name.
+    pub fn find(name: &str) -> Option<Self> {
+        Self::ALL.into_iter().find(|kind| kind.to_string() == name)
+    }
+}
+
+/// One fault.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Fault {
+    /// What goes wrong.
+    pub kind: FaultKind,
+    /// When.
+    pub at: Duration,
+    /// How long.
+    pub lasts: Duration,
+    /// Which node, engine or zone, modulo their number.
+    pub target: usize,
+}
+
+/// Draws `pairs` pairs of faults, the two of a pair close to each other in
+/// time, within the first `span`.
+pub fn draw_faults(
+    random: &mut ChaCha8Rng,
+    pairs: usize,
+    span: Duration,
+    allowed: &[FaultKind],
+) -> Vec<Fault> {
+    const FIRST: f64 = 2.0;
+    let mut faults = Vec::new();
+    for _ in 0..pairs {
+        let begin = random.random_range(FIRST..span.as_secs_f64().max(FIRST + 1.0));
+        for _ in 0..2 {
+            let Some(kind) = allowed.choose(random) else {
+                continue;
+            };
+            faults.push(Fault {
+                kind: *kind,
+                at: Duration::from_secs_f64(begin + random.random_range(0.0..1.5)),
+                lasts: Duration::from_secs_f64(random.random_range(0.3..6.0)),
+                target: random.random_range(0..64),
+            });
+        }
+    }
+    faults.sort_by_key(|fault| fault.at);
+    faults
+}
--- /dev/null
+++ b/crates/simulation/src/trainers.rs
@@ -0,0 +1,405 @@
+//! Simulated trainers: open steps, fetch by cursor, train, publish.
+
+use crate::callers::step_prompt;
+use crate::clients::Origin;
+use crate::config::GroupConfig;
+use crate::world::{Happening, World, weight_object};
+use brasspond_control::{Event, Reply, WriteOperation, WriteReply};
+use brasspond_emulator::answer_length;
+use brasspond_protocol::{StepReply, StepRequest};
+use brasspond_resource::Revision;
+use brasspond_rollout::{Prompt, StepSpec};
+use brasspond_types::{
+    GroupName, ModelName, Sample, SampleId, StepId, Timestamp, VersionSpan, WeightVersion,
+    push_span, stable_hash, total_tokens,
+};
+use rand::Rng;
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Time between two looks of a trainer at what it has.
+const TRAINER_TICK: Duration = Duration::from_millis(50);
+/// Time after which a trainer asks another node.
+const ANSWER_TIME: Duration = Duration::from_secs(4);
+/// Time the service may wait for a sample, in milliseconds.
+const WAIT_MILLISECONDS: u32 = 1_000;
+/// Samples in one answer.
+const FETCH_COUNT: u32 = 256;
+
+#[derive(Clone, Debug, PartialEq, Eq)]
+enum CallKind {
+    Open(u64),
+    Fetch(u64),
+    Close,
+    Publish(u64),
+}
+
+#[derive(Debug)]
+struct Call {
+    kind: CallKind,
+    sent: Timestamp,
+    newest: u64,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Phase {
+    Collecting(Timestamp),
+    Training(Timestamp),
+    Publishing,
+    Done,
+}
+
+#[derive(Debug, Default)]
+struct OpenStep {
+    is_open: bool,
+    opened_at: Timestamp,
+    cursor: String,
+    held: u32,
+}
+
+/// What a trainer measured.
+#[derive(Clone, Debug, Default)]
+pub struct TrainerTotals {
+    /// Steps trained on.
+    pub steps: u64,
+    /// Samples taken in.
+    pub samples: u64,
+    /// Tokens of these samples.
+    pub tokens: u64,
+    /// Time spent waiting for a batch.
+    pub idle: Duration,
+    /// Time since the start, until done.
+    pub total: Duration,
+    /// Versions behind at hand-over: count of samples by number.
+    pub staleness_versions: BTreeMap<u64, u64>,
+    /// Time since the oldest version was superseded, a sample, in seconds.
+    pub staleness_seconds: Vec<f64>,
+    /// Time from opening a step to its last sample, a step, in seconds.
+    pub makespans: Vec<f64>,
+    /// Time the trainer waited, a step, in seconds.
+    pub waits: Vec<f64>,
+}
+
+pub(crate) struct SimTrainer {
+    config: GroupConfig,
+    prompts: Vec<Prompt>,
+    step: u64,
+    phase: Phase,
+    steps: BTreeMap<u64, OpenStep>,
+    calls: BTreeMap<u64, Call>,
+    next_call: u64,
+    newest: u64,
+    wanted: u64,
+    next_publication: Timestamp,
+    published_at: BTreeMap<u64, Timestamp>,
+    pub(crate) totals: TrainerTotals,
+}
+
+impl SimTrainer {
+    pub(crate) fn new(config: GroupConfig) -> Self {
+        let prompts = (0..config.prompts).map(|index| {
+            let text = step_prompt(&config.name, index, config.prompt_bytes);
+            Prompt { text: text.into() }
+        });
+        Self {
+            prompts: prompts.collect(),
+            step: 1,
+            phase: Phase::Collecting(Timestamp::ZERO),
+            steps: BTreeMap::new(),
+            calls: BTreeMap::new(),
+            next_call: 0,
+            newest: 1,
+            wanted: 1,
+            next_publication: Timestamp::ZERO + config.publish_period,
+            published_at: [(1, Timestamp::ZERO)].into(),
+            totals: TrainerTotals::default(),
+            config,
+        }
+    }
+
+    fn slots(&self) -> u32 {
+        self.config.prompts * self.config.samples_per_prompt
+    }
+
+    fn id(&self, step: u64) -> StepId {
+        let group = GroupName::new(&self.config.name);
+        StepId { group, step }
+    }
+
+    fn is_complete(&self, step: u64) -> bool {
+        self.steps
+            .get(&step)
+            .is_some_and(|open| open.held >= self.slots())
+    }
+
+    fn is_done(&self) -> bool {
+        self.phase == Phase::Done
+    }
+
+    fn has_call(&self, kind: &CallKind) -> bool {
+        self.calls.values().any(|call| call.kind == *kind)
+    }
+
+    /// What the trainer wants to ask now.
+    fn wishes(&mut self, now: Timestamp) -> Vec<CallKind> {
+        self.calls
+            .retain(|_, call| now.since(call.sent) < ANSWER_TIME);
+        let mut wishes = Vec::new();
+        let last = (self.step + self.config.steps_ahead).min(self.config.steps);
+        for step in self.step..=last {
+            let kind = match self.steps.get(&step) {
+                Some(open) if open.is_open => CallKind::Fetch(step),
+                _ => CallKind::Open(step),
+            };
+            if !self.is_complete(step) && !self.has_call(&kind) {
+                wishes.push(kind);
+            }
+        }
+        let publish = CallKind::Publish(self.newest + 1);
+        if self.wanted > self.newest && !self.has_call(&publish) {
+            wishes.push(publish);
+        }
+        wishes
+    }
+}
+
+impl World {
+    /// Totals of the trainers, in the order of the groups.
+    pub fn trainer_totals(&self) -> Vec<&TrainerTotals> {
+        self.trainers
+            .iter()
+            .map(|trainer| &trainer.totals)
+            .collect()
+    }
+
+    /// Whether all trainers have played all their steps.
+    pub fn trainers_done(&self) -> bool {
+        self.trainers.iter().all(SimTrainer::is_done)
+    }
+
+    pub(crate) fn trainer_ticks(&mut self, index: usize) {
+        self.advance_phase(index);
+        let now = self.now;
+        if self.trainers[index].is_done() {
+            return;
+        }
+        for kind in self.trainers[index].wishes(now) {
+            self.trainer_calls(index, kind);
+        }
+        self.queue
+            .push(now + TRAINER_TICK, Happening::TrainerTick(index));
+    }
+
+    fn advance_phase(&mut self, index: usize) {
+        let now = self.now;
+        let trainer = &mut self.trainers[index];
+        let periodic = trainer.config.publish_period > Duration::ZERO;
+        if periodic && now >= trainer.next_publication {
+            trainer.next_publication = now + trainer.config.publish_period;
+            trainer.wanted = trainer.newest + 1;
+        }
+        match trainer.phase {
+            Phase::Collecting(since) if trainer.is_complete(trainer.step) => {
+                let step = trainer.step;
+                let waited = now.since(since);
+                trainer.totals.idle += waited;
+                trainer.totals.waits.push(waited.as_secs_f64());
+                trainer.phase = Phase::Training(now + trainer.config.training_time);
+                let (id, slots) = (trainer.id(step), trainer.slots());
+                self.oracle.check_complete(now, &id, slots);
+            }
+            Phase::Training(until) if now >= until => {
+                trainer.totals.steps += 1;
+                trainer.phase = Phase::Publishing;
+                if !periodic {
+                    trainer.wanted = trainer.newest + 1;
+                }
+                self.trainer_calls(index, CallKind::Close);
+            }
+            Phase::Publishing if trainer.wanted <= trainer.newest || periodic => {
+                trainer.totals.total = now.since(Timestamp::ZERO);
+                trainer.step += 1;
+                trainer.phase = if trainer.step > trainer.config.steps {
+                    Phase::Done
+                } else {
+                    Phase::Collecting(now)
+                };
+            }
+            _ => {}
+        }
+    }
+
+    fn trainer_calls(&mut self, index: usize, kind: CallKind) {
+        let node = self.random.random_range(0..self.nodes.len());
+        let now = self.now;
+        let trainer = &mut self.trainers[index];
+        trainer.next_call += 1;
+        let number = trainer.next_call;
+        let origin = Origin::Trainer(index, number);
+        let newest = trainer.newest;
+        let call = Call {
+            kind: kind.clone(),
+            sent: now,
+            newest,
+        };
+        let model = ModelName::new(&trainer.config.name);
+        let body = match &kind {
+            CallKind::Open(step) => {
+                let open = trainer.steps.entry(*step).or_insert(OpenStep {
+                    opened_at: now,
+                    ..OpenStep::default()
+                });
+                open.is_open = false;
+                Some(StepRequest::Open(Arc::new(StepSpec {
+                    id: trainer.id(*step),
+                    model: model.clone(),
+                    prompts: trainer.prompts.clone(),
+                    samples_per_prompt: trainer.config.samples_per_prompt,
+                    max_tokens: trainer.config.max_tokens,
+                })))
+            }
+            CallKind::Fetch(step) => Some(StepRequest::Fetch {
+                step: trainer.id(*step),
+                cursor: trainer.steps[step].cursor.clone(),
+                newest_version: WeightVersion(newest),
+                count: FETCH_COUNT,
+                wait_milliseconds: WAIT_MILLISECONDS,
+            }),
+            CallKind::Close => Some(StepRequest::Close(trainer.id(trainer.step))),
+            CallKind::Publish(_) => None,
+        };
+        trainer.calls.insert(number, call);
+        let sent = match (body, &kind) {
+            (Some(body), _) => {
+                self.send_request(node, origin, |request| Event::Step { request, body })
+            }
+            (None, CallKind::Publish(version)) => {
+                let object = Box::new(weight_object(&model, *version));
+                self.send_request(node, origin, |request| Event::Write {
+                    request,
+                    operation: WriteOperation::Put(object),
+                    expected: Some(Revision(0)),
+                })
+            }
+            (None, _) => false,
+        };
+        if !sent {
+            self.trainers[index].calls.remove(&number);
+        }
+    }
+
+    pub(crate) fn trainer_answered(&mut self, index: usize, number: u64, reply: Option<Reply>) {
+        let now = self.now;
+        let trainer = &mut self.trainers[index];
+        let Some(call) = trainer.calls.remove(&number) else {
+            return;
+        };
+        match (call.kind, reply) {
+            (CallKind::Open(step), Some(Reply::Step(StepReply::Opened(_)))) => {
+                if let Some(open) = trainer.steps.get_mut(&step) {
+                    open.is_open = true;
+                }
+            }
+            (CallKind::Fetch(step), Some(Reply::Step(StepReply::Unknown))) => {
+                if let Some(open) = trainer.steps.get_mut(&step) {
+                    open.is_open = false;
+                }
+            }
+            (
+                CallKind::Fetch(step),
+                Some(Reply::Step(StepReply::Samples {
+                    samples, cursor, ..
+                })),
+            ) => {
+                self.take_samples(index, step, &samples, cursor, call.newest);
+            }
+            (CallKind::Publish(version), Some(Reply::Write(reply))) => {
+                let exists = matches!(reply, WriteReply::Accepted(_) | WriteReply::Conflict);
+                if exists && version > trainer.newest {
+                    trainer.newest = version;
+                    trainer.published_at.insert(version, now);
+                    self.newest_published
+                        .insert(ModelName::new(&trainer.config.name), (version, now));
+                }
+            }
+            _ => {}
+        }
+    }
+
+    fn take_samples(
+        &mut self,
+        index: usize,
+        step: u64,
+        samples: &[Arc<Sample>],
+        cursor: String,
+        newest: u64,
+    ) {
+        let now = self.now;
+        let lengths = self.config.engine.lengths;
+        let proof = self.config.proof;
+        let trainer = &mut self.trainers[index];
+        let id = trainer.id(step);
+        for sample in samples {
+            trainer.totals.samples += 1;
+            trainer.totals.tokens += total_tokens(&sample.spans);
+            self.oracle.check_once(now, &id, sample.slot);
+            let oldest = sample.oldest_version().unwrap_or_default();
+            let newest_version = WeightVersion(newest);
+            let bound = trainer.config.max_staleness;
+            self.oracle
+                .check_staleness(now, oldest, newest_version, bound);
+            let behind = oldest.behind(newest_version);
+            *trainer.totals.staleness_versions.entry(behind).or_default() += 1;
+            let superseded = trainer.published_at.get(&(oldest.0 + 1));
+            let seconds = superseded.map_or(0.0, |at| now.since(*at).as_secs_f64());
+            trainer.totals.staleness_seconds.push(seconds);
+            if proof {
+                let slot = sample.slot;
+                let sample_id = SampleId {
+                    step: id.clone(),
+                    slot,
+                };
+                let seed = stable_hash(&[sample_id.to_string().as_bytes()]);
+                let (truth, is_own) = read_proof(&sample.text, seed);
+                self.oracle.check_versions(now, &sample.spans, &truth);
+                let prompt = (slot / trainer.config.samples_per_prompt) as usize;
+                let prompt = &trainer.prompts[prompt].text;
+                let wanted = answer_length(&lengths, prompt, seed, trainer.config.max_tokens);
+                let got = total_tokens(&sample.spans);
+                self.oracle.check_whole(now, got, u64::from(wanted), is_own);
+            }
+        }
+        let slots = trainer.slots();
+        if let Some(open) = trainer.steps.get_mut(&step) {
+            open.cursor = cursor;
+            let was_complete = open.held >= slots;
+            open.held += samples.len() as u32;
+            if open.held >= slots && !was_complete {
+                let makespan = now.since(open.opened_at).as_secs_f64();
+                trainer.totals.makespans.push(makespan);
+            }
+        }
+    }
+}
+
+/// Versions that truly made a sample, and whether all of it is the answer to
+/// the request with this seed, from the marks the engines left in its text.
+fn read_proof(text: &str, seed: u64) -> (Vec<VersionSpan>, bool) {
+    let mut spans = Vec::new();
+    let mut is_own = true;
+    for piece in text.split_terminator(';') {
+        let parsed = piece.split_once('@').and_then(|(mark, rest)| {
+            let (version, count) = rest.split_once(':')?;
+            Some((mark, version.parse().ok()?, count.parse().ok()?))
+        });
+        match parsed {
+            Some((mark, version, count)) => {
+                is_own &= mark == format!("{seed:x}");
+                push_span(&mut spans, WeightVersion(version), count);
+            }
+            None => is_own = false,
+        }
+    }
+    (spans, is_own)
+}
--- /dev/null
+++ b/crates/simulation/tests/guarantees.rs
@@ -0,0 +1,125 @@
+//! The decisions against the oracle, and the oracle against deliberate faults.
+
+use brasspond_simulation::{Fault, FaultKind, FuzzOptions, Guarantee, run_faults, run_seed};
+use brasspond_types::{Mutation, Mutations};
+use proptest::prelude::*;
+use rstest::rstest;
+use std::time::Duration;
+
+/// Seeds that a deliberate fault may take to be noticed.
+const SEEDS_TO_NOTICE: u64 = 60;
+
+#[rstest]
+#[case::first(1..16)]
+#[case::second(16..31)]
+#[case::third(31..46)]
+#[case::fourth(46..61)]
+fn seeds_with_double_faults_hold(#[case] seeds: std::ops::Range<u64>) {
+    for seed in seeds {
+        let result = run_seed(seed, &FuzzOptions::default());
+        assert!(result.is_ok(), "{result:?}");
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 24,
+        rng_seed: proptest::test_runner::RngSeed::Fixed(20_261_202),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    /// Plans that the drawn seeds hardly ever make: few kinds, any times.
+    #[test]
+    fn any_two_faults_hold(
+        seed in 0u64..1_000_000,
+        kinds in proptest::sample::subsequence(FaultKind::ALL.to_vec(), 2),
+        begin in 2_000u64..18_000,
+        apart in 0u64..3_000,
+        lasts in 200u64..6_000,
+        target in 0usize..64,
+    ) {
+        let faults: Vec<Fault> = kinds
+            .iter()
+            .enumerate()
+            .map(|(index, kind)| Fault {
+                kind: *kind,
+                at: Duration::from_millis(begin + apart * index as u64),
+                lasts: Duration::from_millis(lasts),
+                target: target + index,
+            })
+            .collect();
+        let result = run_faults(seed, &FuzzOptions::default(), &faults);
+        prop_assert!(result.is_ok(), "{result:?}");
+    }
+}
+
+#[rstest]
+#[case(Mutation::LabelAsOrdered, Guarantee::TrueVersions)]
+#[case(Mutation::SkipStalenessCheck, Guarantee::StalenessBound)]
+#[case(Mutation::IgnoreCursor, Guarantee::ExactlyOnce)]
+#[case(Mutation::DeliverPartial, Guarantee::WholeAnswer)]
+#[case(Mutation::ClaimNotRun, Guarantee::TrueRefusal)]
+#[case(Mutation::SkipClaims, Guarantee::AtMostOnce)]
+#[case(Mutation::IgnoreLeaving, Guarantee::LeavingGetsNoWork)]
+#[case(Mutation::StopWithoutDraining, Guarantee::StopCutsNothing)]
+#[case(Mutation::TrustKeptConfiguration, Guarantee::NeverReverts)]
+#[case(Mutation::NeverPull, Guarantee::InForceEverywhere)]
+fn oracle_notices(#[case] mutation: Mutation, #[case] guarantee: Guarantee) {
+    let options = FuzzOptions {
+        mutations: Mutations::only(mutation),
+        ..FuzzOptions::default()
+    };
+    let noticed = (1..SEEDS_TO_NOTICE).any(|seed| {
+        let failure = run_seed(seed, &options).err();
+        let violations = failure
+            .map(|failure| failure.violations)
+            .unwrap_or_default();
+        violations
+            .iter()
+            .any(|violation| violation.guarantee == guarantee)
+    });
+    assert!(noticed, "{mutation:?} was not noticed as: {guarantee}");
+}
+
+fn fault(kind: FaultKind, at: f64, lasts: f64, target: usize) -> Fault {
+    Fault {
+        kind,
+        at: Duration::from_secs_f64(at),
+        lasts: Duration::from_secs_f64(lasts),
+        target,
+    }
+}
+
+/// Failures met by fuzzing, as shrunk then.
+#[rstest]
+#[case::place_leaked_by_a_release_to_another_owner(26, vec![
+    fault(FaultKind::ZoneCut, 2.31, 1.89, 43),
+])]
+#[case::slot_left_at_a_former_home_behind_a_cut(13, vec![
+    fault(FaultKind::NodeDrain, 8.32, 4.58, 13),
+    fault(FaultKind::ZoneCut, 8.46, 5.12, 16),
+])]
+#[case::conflict_said_of_a_write_that_took_effect(119, vec![
+    fault(FaultKind::LostAnswers, 3.69, 4.23, 50),
+    fault(FaultKind::OperatorRace, 6.09, 2.36, 63),
+])]
+#[case::stop_with_a_write_under_way(1_761, vec![
+    fault(FaultKind::ZoneCut, 12.82, 3.11, 21),
+    fault(FaultKind::StoreDown, 13.14, 1.08, 59),
+    fault(FaultKind::NodeDrain, 14.89, 3.46, 56),
+])]
+#[case::late_word_of_slots_under_way(5_552, vec![
+    fault(FaultKind::PacketLoss, 5.732_698_853, 4.772_286_501, 49),
+    fault(FaultKind::FailedSwaps, 6.212_259_014, 5.322_485_485, 36),
+])]
+#[case::pause_and_leaving_engines(5_939, vec![
+    fault(FaultKind::StoreDown, 3.65, 5.70, 0),
+    fault(FaultKind::EngineLeave, 3.81, 1.96, 46),
+    fault(FaultKind::NodePause, 8.60, 5.74, 13),
+    fault(FaultKind::EngineLeave, 8.77, 4.44, 21),
+])]
+fn failures_met_before_stay_mended(#[case] seed: u64, #[case] faults: Vec<Fault>) {
+    let result = run_faults(seed, &FuzzOptions::default(), &faults);
+    assert!(result.is_ok(), "{result:?}");
+}
--- a/crates/types/src/mutation.rs
+++ b/crates/types/src/mutation.rs
@@ -23,8 +23,8 @@
     IgnoreLeaving,
     /// Stops a draining node without waiting for its requests.
     StopWithoutDraining,
-    /// Adopts configuration snapshots whatever their revision.
-    AdoptOldConfiguration,
+    /// Takes work with the configuration kept on disk, without asking peers.
+    TrustKeptConfiguration,
     /// Never pulls configuration missed in a push.
     NeverPull,
 }
