--- a/crates/simulation/src/engines.rs
+++ b/crates/simulation/src/engines.rs
@@ -117,7 +117,7 @@
         index: usize,
         origin: (usize, u64, AttemptId),
         request: Option<RequestId>,
-        call: Box<EngineCall>,
+        call: EngineCall,
     ) {
         let (node, instance, attempt) = origin;
         let now = self.now;
@@ -129,7 +129,7 @@
         let id = engine.next_stream;
         if !refused {
             engine.next_stream += 1;
-            refused = engine.engine.submit(id, (*call).clone(), now).is_err();
+            refused = engine.engine.submit(id, call.clone(), now).is_err();
         }
         if refused {
             let update = AttemptUpdate::Failed {
--- a/crates/simulation/src/world.rs
+++ b/crates/simulation/src/world.rs
@@ -421,7 +421,7 @@
                 self.feed(node, instance, Event::Peer(envelope));
             }
             Happening::Submit(engine, origin, request, call) => {
-                self.submit(engine, origin, request, call);
+                self.submit(engine, origin, request, *call);
             }
             Happening::EngineWake(engine, planned) => self.engine_woke(engine, planned),
             Happening::StoreCalled(node, instance, call) => {
