--- a/crates/brasspond/src/main.rs
+++ b/crates/brasspond/src/main.rs
@@ -2,6 +2,7 @@
 //! operator installs one file (`docs/design/0001-architecture.md`).
 #![forbid(unsafe_code)]
 
+mod capacity;
 mod check;
 mod client;
 mod demo;
@@ -40,6 +41,7 @@
         Command::Emulate(options) => emulate::run(options),
         Command::Demo(options) => demo::run(&options),
         Command::Fuzz(options) => fuzz::run(&options),
+        Command::Capacity(options) => capacity::run(&options),
         Command::Digest => digest::run(),
     };
     outcome.into()
--- a/crates/simulation/src/world.rs
+++ b/crates/simulation/src/world.rs
@@ -203,6 +203,11 @@
         self.nodes.iter().filter_map(SimNode::control).collect()
     }
 
+    /// Revision of the store.
+    pub fn store_revision(&self) -> brasspond_resource::Revision {
+        self.platform.store.revision()
+    }
+
     /// Starts the meters anew.
     pub fn reset_meters(&mut self) {
         for node in &mut self.nodes {
