Placement: own engines first, even ownership; weights by a patient tree

Change: an engine of unknown load is priced at the mean; a node's own engines are always candidates, with exact load and no message; ownership by rendezvous hashing with bounded loads; prompts this node sent are remembered block by block; slimmer messages; an engine waits for its parent and turns away only from one that is gone. Uneven arrival is still to be measured.

--- a/crates/brasspond/src/capacity.rs
+++ b/crates/brasspond/src/capacity.rs
@@ -13,7 +13,11 @@
 
 /// Measures and prints tables in Markdown.
 pub(crate) fn run(options: &CapacityOptions) -> Outcome {
-    let sizes = if options.size.is_empty() { DEFAULT_SIZES.to_vec() } else { options.size.clone() };
+    let sizes = if options.size.is_empty() {
+        DEFAULT_SIZES.to_vec()
+    } else {
+        options.size.clone()
+    };
     let largest = sizes.iter().copied().max().unwrap_or(1);
     let wanted = Options {
         sizes,
@@ -41,12 +45,14 @@
 }
 
 fn print_sizes(report: &CapacityReport) {
-    println!("| nodes | engines | load | bytes/s mean | bytes/s most | messages/s | core % mean | core % most | MB a node | store reads/s |");
-    println!("|---|---|---|---|---|---|---|---|---|---|");
+    println!(
+        "| nodes | engines | load | bytes/s mean | bytes/s most | messages/s | core % mean | core % most | MB a node | store reads/s | answer p99 ms |"
+    );
+    println!("|---|---|---|---|---|---|---|---|---|---|---|");
     for (load, sizes) in [("idle", &report.idle), ("loaded", &report.loaded)] {
         for size in sizes {
             println!(
-                "| {} | {} | {load} | {:.0} | {:.0} | {:.1} | {:.3} | {:.3} | {:.2} | {:.2} |",
+                "| {} | {} | {load} | {:.0} | {:.0} | {:.1} | {:.3} | {:.3} | {:.2} | {:.2} | {:.0} |",
                 size.nodes,
                 size.engines,
                 size.bytes_mean,
@@ -55,7 +61,8 @@
                 size.core_percent_mean,
                 size.core_percent_most,
                 size.megabytes,
-                size.store_reads
+                size.store_reads,
+                size.answer_p99
             );
         }
     }
@@ -70,7 +77,10 @@
         );
     }
     if let Some(largest) = report.loaded.last() {
-        println!("\n| class | bytes/s a node, loaded, {} nodes |", largest.nodes);
+        println!(
+            "\n| class | bytes/s a node, loaded, {} nodes |",
+            largest.nodes
+        );
         println!("|---|---|");
         for (class, bytes) in &largest.bytes_by_class {
             println!("| {class} | {bytes:.0} |");
@@ -79,21 +89,33 @@
 }
 
 fn print_promises(promises: &Promises) {
-    println!("\n| promise, {} nodes, {} engines | measured |", promises.nodes, promises.engines);
+    println!(
+        "\n| promise, {} nodes, {} engines | measured |",
+        promises.nodes, promises.engines
+    );
     println!("|---|---|");
     println!(
         "| configuration in force, p99.9 and longest over {} changes, 2% loss | {:.2} s, {:.2} s |",
         promises.changes, promises.in_force_p999, promises.in_force_most
     );
-    println!("| control bytes/s a node meanwhile | {:.0} |", promises.bytes_mean);
+    println!(
+        "| control bytes/s a node meanwhile | {:.0} |",
+        promises.bytes_mean
+    );
     println!(
         "| killed node noticed, longest of {} | {:.2} s |",
         promises.kills, promises.noticed_most
     );
-    println!("| no node gives it new work, longest | {:.2} s |", promises.no_work_most);
+    println!(
+        "| no node gives it new work, longest | {:.2} s |",
+        promises.no_work_most
+    );
     println!(
         "| false deaths in {:.0} s at 1% loss | {} |",
         promises.calm_seconds, promises.false_deaths
     );
-    println!("| new weights on all engines | {:.2} s |", promises.weights_everywhere);
+    println!(
+        "| new weights on all engines | {:.2} s |",
+        promises.weights_everywhere
+    );
 }
--- a/crates/control/src/context.rs
+++ b/crates/control/src/context.rs
@@ -5,6 +5,7 @@
 use brasspond_membership::{Member, Membership};
 use brasspond_protocol::{Envelope, PROTOCOL_VERSION, PeerMessage, Sender};
 use brasspond_resource::Catalogue;
+use brasspond_routing::rank;
 use brasspond_types::{NodeName, Timestamp};
 use rand::seq::IndexedRandom;
 use rand_chacha::ChaCha8Rng;
@@ -16,9 +17,27 @@
 pub(crate) struct Working {
     /// The members, this node included while it takes work.
     pub(crate) members: Vec<Member>,
+    /// The one that collects the reports of all.
+    pub(crate) collector: Option<NodeName>,
+    /// Whether this node is among those that read the store.
+    pub(crate) reads_store: bool,
 }
 
 impl Working {
+    /// Works out the roles that follow from the members alone.
+    pub(crate) fn new(members: Vec<Member>, me: &NodeName, store_readers: usize) -> Self {
+        let references: Vec<&Member> = members.iter().collect();
+        let collector = rank("fleet", None, &references, 1);
+        let collector = collector.first().map(|member| member.name.clone());
+        let readers = rank("store-reader", None, &references, store_readers);
+        let reads_store = readers.iter().any(|member| member.name == *me);
+        Self {
+            members,
+            collector,
+            reads_store,
+        }
+    }
+
     pub(crate) fn references(&self) -> Vec<&Member> {
         self.members.iter().collect()
     }
@@ -59,10 +78,11 @@
         address: SocketAddr,
         message: PeerMessage,
     ) {
+        let tells_address = matches!(message, PeerMessage::Membership(_));
         let sender = Sender {
             node: self.me.clone(),
             instance: self.instance,
-            address: self.membership.myself().address,
+            address: tells_address.then(|| self.membership.myself().address),
         };
         let envelope = Envelope {
             version: PROTOCOL_VERSION,
--- a/crates/control/src/control.rs
+++ b/crates/control/src/control.rs
@@ -214,7 +214,7 @@
             let sender = Sender {
                 node: self.me.clone(),
                 instance: self.instance,
-                address: self.membership.myself().address,
+                address: None,
             };
             for message in std::mem::take(&mut self.loopback) {
                 self.peer_message(&sender, message, now);
@@ -382,9 +382,10 @@
     fn peer_message(&mut self, sender: &Sender, message: PeerMessage, now: Timestamp) {
         match message {
             PeerMessage::Membership(message) => {
-                let outputs = self
-                    .membership
-                    .handle(&sender.node, sender.address, message, now);
+                let Some(address) = sender.address else {
+                    return;
+                };
+                let outputs = self.membership.handle(&sender.node, address, message, now);
                 self.membership_outputs(outputs, now);
             }
             PeerMessage::Configuration(message) => {
@@ -425,7 +426,7 @@
         );
         with_context!(self, now, |context| {
             if is_to_owner {
-                self.owners.handle(&sender.node, message, context);
+                self.owners.handle(sender, message, context);
             } else {
                 self.generations
                     .hear(message, &mut self.engines, &mut self.owners, context);
@@ -502,8 +503,8 @@
     }
 
     fn refresh_working(&mut self, _now: Timestamp) {
-        let working = self.membership.working();
-        self.working.members = working.into_iter().cloned().collect();
+        let members = self.membership.working().into_iter().cloned().collect();
+        self.working = Working::new(members, &self.me, self.parameters.store_readers);
     }
 
     fn members_changed(&mut self, now: Timestamp) {
@@ -516,7 +517,7 @@
             })
         });
         with_context!(self, now, |context| {
-            self.owners.reassign(context);
+            self.owners.reassign(&mut self.engines, context);
             self.steps.reassign(&mut self.generations, context);
         });
     }
@@ -571,7 +572,7 @@
             return;
         }
         let operation = with_context!(self, now, |context| {
-            let is_collector = Fleet::collector(context).as_ref() == Some(context.me);
+            let is_collector = context.working.collector.as_ref() == Some(context.me);
             let fleet = &self.fleet;
             let voting = |voter: &_, shard, epoch| fleet.is_voting(voter, shard, epoch);
             is_collector
--- a/crates/control/src/fleet.rs
+++ b/crates/control/src/fleet.rs
@@ -4,7 +4,6 @@
 use brasspond_fairness::{GroupUsage, UsageTable};
 use brasspond_protocol::{PeerMessage, Summary};
 use brasspond_resource::{Revision, VoterIdentity};
-use brasspond_routing::rank;
 use brasspond_types::{GroupName, NodeName, Timestamp};
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -58,13 +57,6 @@
         }
     }
 
-    /// The node that collects the reports.
-    pub(crate) fn collector(context: &Context<'_>) -> Option<NodeName> {
-        let members = context.working.references();
-        let best = rank("fleet", None, &members, 1);
-        best.first().map(|member| member.name.clone())
-    }
-
     /// Takes in a report.
     pub(crate) fn reported(
         &mut self,
@@ -133,7 +125,7 @@
         let is_due = self.reported.is_none_or(|(reported, at)| {
             reported != revision || context.now.since(at) >= REPORT_PERIOD
         });
-        let Some(collector) = Self::collector(context) else {
+        let Some(collector) = context.working.collector.clone() else {
             return;
         };
         if is_due {
--- a/crates/control/src/generation.rs
+++ b/crates/control/src/generation.rs
@@ -6,7 +6,7 @@
 use brasspond_engine_api::{AttemptUpdate, EngineCall};
 use brasspond_fairness::Priority;
 use brasspond_limits::{Backoff, RetryBudget};
-use brasspond_protocol::{AdmissionMessage, PeerMessage, RefusalReason, TicketId};
+use brasspond_protocol::{AdmissionMessage, PeerMessage, RefusalReason};
 use brasspond_rollout::Partial;
 use brasspond_routing::{EngineTable, PlacementRequest};
 use brasspond_types::{
@@ -287,6 +287,7 @@
             zone,
             avoid: &generation.avoid,
         };
+        owners.refresh_own(engines, context.now);
         let placement = engines.choose(&request, context.now, context.random);
         let placed = placement.and_then(|placement| {
             let owner = owners.owner(&placement.engine, context)?;
@@ -332,7 +333,7 @@
         let left = spec.deadline.since(context.now).as_millis();
         let cost = spec.expected_tokens + f64::from(spec.prompt_tokens) * PROMPT_COST;
         let enqueue = AdmissionMessage::Enqueue {
-            ticket: ticket_id(*ticket, context),
+            ticket: *ticket,
             asked_at: context.now,
             engine: engine.clone(),
             group: spec.group.clone(),
@@ -710,7 +711,7 @@
                 continue;
             };
             let message = AdmissionMessage::Release {
-                ticket: ticket_id(ticket, context),
+                ticket,
                 engine: release.engine.clone(),
                 served: release.served,
                 engine_failed: release.engine_failed,
@@ -720,14 +721,6 @@
     }
 }
 
-fn ticket_id(number: u64, context: &Context<'_>) -> TicketId {
-    TicketId {
-        node: context.me.clone(),
-        instance: context.instance,
-        number,
-    }
-}
-
 /// Cost of what one attempt generated behind what it resumed.
 fn served_cost(spec: &GenerationSpec, generated: &Partial) -> f32 {
     let tokens = total_tokens(&generated.spans).saturating_sub(total_tokens(&spec.resume.spans));
--- a/crates/control/src/owner.rs
+++ b/crates/control/src/owner.rs
@@ -6,7 +6,7 @@
 use brasspond_engine_api::{Command, EngineOrder, EngineReport, OrderOutcome, WeightSource};
 use brasspond_fairness::{FairQueue, Priority, Waiting};
 use brasspond_limits::{Backoff, ConcurrencyLimit};
-use brasspond_protocol::{AdmissionMessage, PeerMessage, RefusalReason, TicketId};
+use brasspond_protocol::{AdmissionMessage, PeerMessage, RefusalReason, Sender};
 use brasspond_routing::{EngineLoad, PrefixIndex};
 use brasspond_types::{
     EngineName, GroupName, ModelName, Mutation, NodeName, Timestamp, WeightVersion,
@@ -25,6 +25,8 @@
 };
 /// Time between two tries to get weights from a busy source.
 const LOAD_RETRY: Duration = Duration::from_millis(120);
+/// Tries with one source of weights before the next one is asked.
+pub(crate) const TRIES_PER_ANCESTOR: u32 = 40;
 /// Time after a take-over in which the engine's own count of requests is
 /// believed over this node's, since places were given by another node.
 const TAKE_OVER: Duration = Duration::from_secs(60);
@@ -38,6 +40,28 @@
 /// Part of the pool's excess that one correction moves a group's counter by.
 const FAIRNESS_GAIN: f64 = 0.5;
 
+/// Identity of one place in a queue.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub(crate) struct TicketId {
+    /// Node that asked.
+    pub(crate) node: NodeName,
+    /// Process on that node.
+    pub(crate) instance: u64,
+    /// Number within the process; never used twice.
+    pub(crate) number: u64,
+}
+
+impl TicketId {
+    /// Identity of a place that a process numbered.
+    pub(crate) fn new(sender: &Sender, number: u64) -> Self {
+        Self {
+            node: sender.node.clone(),
+            instance: sender.instance,
+            number,
+        }
+    }
+}
+
 /// A request in the queue.
 #[derive(Clone, Debug, PartialEq)]
 struct Place {
@@ -169,6 +193,7 @@
     /// Handles a request for a place.
     pub(crate) fn enqueue(
         &mut self,
+        sender: &Sender,
         message: &AdmissionMessage,
         is_leaving: bool,
         context: &mut Context<'_>,
@@ -187,6 +212,7 @@
         else {
             return;
         };
+        let ticket = &TicketId::new(sender, *ticket);
         if self.grants.contains_key(ticket) {
             if self.takes_work(is_leaving, context) {
                 self.tell_granted(ticket, *asked_at, context);
@@ -425,6 +451,14 @@
                     report.loading.insert(model.clone(), *version);
                 }
             }
+            (Command::Load { model, version, .. }, OrderOutcome::SourceGone) => {
+                let tries = self
+                    .load_tries
+                    .entry((model.clone(), *version))
+                    .or_default();
+                *tries += TRIES_PER_ANCESTOR;
+                self.next_load = context.now + LOAD_RETRY;
+            }
             (Command::Load { model, version, .. }, OrderOutcome::SourceBusy) => {
                 *self
                     .load_tries
@@ -432,7 +466,7 @@
                     .or_default() += 1;
                 self.next_load = context.now + LOAD_RETRY;
             }
-            (Command::Claim, OrderOutcome::SourceBusy) => {}
+            (Command::Claim, OrderOutcome::SourceBusy | OrderOutcome::SourceGone) => {}
             (_, OrderOutcome::Unreachable) => self.next_load = context.now + ORDER_TIMEOUT,
         }
     }
--- a/crates/control/src/owner_table.rs
+++ b/crates/control/src/owner_table.rs
@@ -1,13 +1,13 @@
 //! Which node owns which engine, and the engines this node owns.
 
 use crate::context::Context;
-use crate::owner::Owner;
+use crate::owner::{Owner, TRIES_PER_ANCESTOR, TicketId};
 use crate::versions::Versions;
 use brasspond_engine_api::{EngineOrder, EngineReport, OrderOutcome, WeightSource};
 use brasspond_fairness::{GroupUsage, UsageTable};
-use brasspond_protocol::{AdmissionMessage, PeerMessage, RefusalReason, TicketId};
+use brasspond_protocol::{AdmissionMessage, PeerMessage, RefusalReason, Sender};
 use brasspond_resource::{MachineRole, MachineSpec};
-use brasspond_routing::{EngineTable, EngineView, rank};
+use brasspond_routing::{EngineTable, EngineView, assign_evenly};
 use brasspond_types::{
     EngineName, GroupName, ModelName, Mutation, NodeName, Timestamp, WeightVersion, ZoneName,
     stable_hash,
@@ -17,7 +17,7 @@
 
 /// Tries after which a version is asked of the weight store, whatever the
 /// engine's place in the distribution tree.
-const TRIES_BEFORE_STORE: u32 = 40;
+const TRIES_BEFORE_STORE: u32 = 200;
 
 #[derive(Clone, Debug)]
 struct Listed {
@@ -42,12 +42,33 @@
         if let Some(owner) = self.owners.get(engine) {
             return Some(owner.clone());
         }
-        let listed = self.listed.get(engine)?;
-        let members = context.working.references();
-        let best = rank(engine.as_str(), Some(&listed.zone), &members, 1);
-        let owner = best.first()?.name.clone();
-        self.owners.insert(engine.clone(), owner.clone());
-        Some(owner)
+        let zone = self.listed.get(engine)?.zone.clone();
+        self.assign_zone(&zone, context);
+        self.owners.get(engine).cloned()
+    }
+
+    /// Works out the owners of all engines of a zone: the zone's own nodes, or
+    /// all nodes where the zone has none.
+    fn assign_zone(&mut self, zone: &ZoneName, context: &Context<'_>) {
+        let mut members = context.working.references();
+        if members.iter().any(|member| member.locality.zone == *zone) {
+            members.retain(|member| member.locality.zone == *zone);
+        }
+        let engines = self
+            .listed
+            .iter()
+            .filter(|(_, listed)| listed.zone == *zone);
+        let keys: Vec<&str> = engines.map(|(name, _)| name.as_str()).collect();
+        for (name, owner) in assign_evenly(&keys, &members) {
+            self.owners.insert(EngineName::new(name), owner);
+        }
+    }
+
+    /// Enters the exact loads of this node's engines.
+    pub(crate) fn refresh_own(&self, engines: &mut EngineTable, now: Timestamp) {
+        for (name, owner) in &self.mine {
+            engines.report(name, owner.load(), now);
+        }
     }
 
     /// Address of an engine.
@@ -112,11 +133,11 @@
             view
         });
         engines.replace(views.collect(), context.now);
-        self.reassign(context);
+        self.reassign(engines, context);
     }
 
     /// Works out anew which engines are this node's.
-    pub(crate) fn reassign(&mut self, context: &mut Context<'_>) {
+    pub(crate) fn reassign(&mut self, engines: &mut EngineTable, context: &mut Context<'_>) {
         self.owners.clear();
         let names: Vec<EngineName> = self.listed.keys().cloned().collect();
         let my_zone = &context.membership.myself().locality.zone;
@@ -146,6 +167,8 @@
         }
         let listed = &self.listed;
         self.mine.retain(|name, _| listed.contains_key(name));
+        let mine = &self.mine;
+        engines.set_own(|name| mine.contains_key(name));
         let weights = context.catalogue.shares();
         for owner in self.mine.values_mut() {
             owner.set_weights(&weights);
@@ -159,7 +182,7 @@
     /// Handles a message to the owner of an engine.
     pub(crate) fn handle(
         &mut self,
-        from: &NodeName,
+        sender: &Sender,
         message: &AdmissionMessage,
         context: &mut Context<'_>,
     ) {
@@ -167,14 +190,14 @@
             AdmissionMessage::Enqueue { engine, ticket, .. } => {
                 let is_leaving = self.is_leaving(engine);
                 match self.mine.get_mut(engine) {
-                    Some(owner) => owner.enqueue(message, is_leaving, context),
+                    Some(owner) => owner.enqueue(sender, message, is_leaving, context),
                     None => {
                         let refused = AdmissionMessage::Refused {
-                            ticket: ticket.number,
+                            ticket: *ticket,
                             reason: RefusalReason::NotOwner,
                             load: None,
                         };
-                        context.send(from, PeerMessage::Admission(refused));
+                        context.send(&sender.node, PeerMessage::Admission(refused));
                     }
                 }
             }
@@ -184,10 +207,9 @@
                 served,
                 engine_failed,
             } => {
-                let released = AdmissionMessage::Released {
-                    ticket: ticket.number,
-                };
-                context.send(from, PeerMessage::Admission(released));
+                let released = AdmissionMessage::Released { ticket: *ticket };
+                context.send(&sender.node, PeerMessage::Admission(released));
+                let ticket = &TicketId::new(sender, *ticket);
                 self.release(ticket, engine, *served, *engine_failed, context);
             }
             _ => {}
@@ -294,8 +316,6 @@
         roots: usize,
         fanout: usize,
     ) -> WeightSource {
-        /// Tries with one ancestor before the next is asked in turn.
-        const TRIES_PER_ANCESTOR: u32 = 10;
         let order = self.load_order(model, version);
         let Some(mut index) = order.iter().position(|name| name == engine) else {
             return WeightSource::Store;
--- a/crates/control/src/store_reader.rs
+++ b/crates/control/src/store_reader.rs
@@ -4,7 +4,6 @@
 use crate::event::{Action, StoreCall};
 use brasspond_limits::Backoff;
 use brasspond_resource::Revision;
-use brasspond_routing::rank;
 use brasspond_types::Timestamp;
 use std::time::Duration;
 
@@ -41,17 +40,6 @@
         self.not_before = context.now + delay;
     }
 
-    fn is_reader(context: &Context<'_>) -> bool {
-        let members = context.working.references();
-        let readers = rank(
-            "store-reader",
-            None,
-            &members,
-            context.parameters.store_readers,
-        );
-        readers.iter().any(|member| member.name == *context.me)
-    }
-
     /// Begins a read if one is due. `known` is the newest revision here.
     pub(crate) fn tick(&mut self, known: Revision, is_ready: bool, context: &mut Context<'_>) {
         let now = context.now;
@@ -74,7 +62,7 @@
         if !is_ready && now.since(started) < patience {
             return;
         }
-        if is_ready && !Self::is_reader(context) {
+        if is_ready && !context.working.reads_store {
             return;
         }
         self.under_way = Some(now);
--- a/crates/emulator/src/engine.rs
+++ b/crates/emulator/src/engine.rs
@@ -249,11 +249,12 @@
     }
 
     /// Checks an order's fencing token and takes it in. A load needs the time
-    /// its transfer takes, which the world around the engine knows.
+    /// its transfer takes, or why there is none, which the world around the
+    /// engine knows.
     pub fn order(
         &mut self,
         order: &EngineOrder,
-        transfer: Option<Duration>,
+        transfer: Result<Duration, OrderOutcome>,
         now: Timestamp,
     ) -> OrderOutcome {
         self.step_until(now);
@@ -271,8 +272,9 @@
             ..
         } = &order.command
         {
-            let Some(transfer) = transfer else {
-                return OrderOutcome::SourceBusy;
+            let transfer = match transfer {
+                Ok(transfer) => transfer,
+                Err(outcome) => return outcome,
             };
             let loading = Loading {
                 version: *version,
--- a/crates/engine-api/src/lib.rs
+++ b/crates/engine-api/src/lib.rs
@@ -117,6 +117,8 @@
     },
     /// The source does not have the weights, or has no capacity left now.
     SourceBusy,
+    /// The source does not answer.
+    SourceGone,
     /// The engine did not answer; the order may or may not be in force.
     Unreachable,
 }
--- a/crates/experiment/src/capacity.rs
+++ b/crates/experiment/src/capacity.rs
@@ -53,6 +53,8 @@
     pub bytes_by_class: BTreeMap<String, f64>,
     /// Lists and watches of the store, a second.
     pub store_reads: f64,
+    /// Time to a whole answer, 99th percentile, in milliseconds.
+    pub answer_p99: f64,
 }
 
 /// Measurements at all sizes, and the lines through them.
@@ -66,9 +68,23 @@
     pub fits: BTreeMap<String, Fit>,
 }
 
+fn quantile(values: &[f64], part: f64) -> f64 {
+    let mut sorted = values.to_vec();
+    sorted.sort_by(f64::total_cmp);
+    let index = (sorted.len() as f64 * part).ceil() as usize;
+    let last = sorted.len().saturating_sub(1);
+    sorted
+        .get(index.saturating_sub(1).min(last))
+        .copied()
+        .unwrap_or(0.0)
+}
+
 fn resident_bytes() -> f64 {
     let statm = std::fs::read_to_string("/proc/self/statm").unwrap_or_default();
-    let pages = statm.split_whitespace().nth(1).and_then(|text| text.parse::<f64>().ok());
+    let pages = statm
+        .split_whitespace()
+        .nth(1)
+        .and_then(|text| text.parse::<f64>().ok());
     pages.unwrap_or(0.0) * PAGE_BYTES
 }
 
@@ -113,6 +129,7 @@
         megabytes: memory / nodes as f64 / 1e6,
         bytes_by_class,
         store_reads: (world.store_reads() - reads) as f64 / seconds,
+        answer_p99: quantile(world.caller_totals().2, 0.99),
     }
 }
 
@@ -122,7 +139,9 @@
     for nodes in &options.sizes {
         report.idle.push(measure(*nodes, options, 0.0));
         progress(&format!("{nodes} nodes idle"));
-        report.loaded.push(measure(*nodes, options, options.requests_per_node));
+        report
+            .loaded
+            .push(measure(*nodes, options, options.requests_per_node));
         progress(&format!("{nodes} nodes loaded"));
     }
     let mut line = |name: &str, sizes: &[SizeReport], value: &dyn Fn(&SizeReport) -> f64| {
@@ -135,12 +154,20 @@
     line("idle bytes/s, mean", &idle, &|size| size.bytes_mean);
     line("idle bytes/s, busiest node", &idle, &|size| size.bytes_most);
     line("idle core %, mean", &idle, &|size| size.core_percent_mean);
-    line("idle core %, busiest node", &idle, &|size| size.core_percent_most);
+    line("idle core %, busiest node", &idle, &|size| {
+        size.core_percent_most
+    });
     line("idle megabytes", &idle, &|size| size.megabytes);
     line("loaded bytes/s, mean", &loaded, &|size| size.bytes_mean);
-    line("loaded bytes/s, busiest node", &loaded, &|size| size.bytes_most);
-    line("loaded core %, mean", &loaded, &|size| size.core_percent_mean);
-    line("loaded core %, busiest node", &loaded, &|size| size.core_percent_most);
+    line("loaded bytes/s, busiest node", &loaded, &|size| {
+        size.bytes_most
+    });
+    line("loaded core %, mean", &loaded, &|size| {
+        size.core_percent_mean
+    });
+    line("loaded core %, busiest node", &loaded, &|size| {
+        size.core_percent_most
+    });
     report
 }
 
@@ -181,7 +208,11 @@
     calm: Duration,
     progress: impl Fn(&str),
 ) -> Promises {
-    let mut promises = Promises { nodes, changes, ..Promises::default() };
+    let mut promises = Promises {
+        nodes,
+        changes,
+        ..Promises::default()
+    };
     measure_configuration(&mut promises);
     progress("configuration measured");
     measure_failures(&mut promises);
@@ -229,7 +260,11 @@
     promises.in_force_p999 = times[index];
     promises.in_force_most = times[times.len() - 1];
     let seconds = GAP.as_secs_f64() * promises.changes as f64;
-    let bytes: u64 = world.meters().iter().map(|meter| meter.control_bytes()).sum();
+    let bytes: u64 = world
+        .meters()
+        .iter()
+        .map(|meter| meter.control_bytes())
+        .sum();
     promises.bytes_mean = bytes as f64 / promises.nodes as f64 / seconds;
 }
 
--- a/crates/experiment/src/lib.rs
+++ b/crates/experiment/src/lib.rs
@@ -7,8 +7,8 @@
 
 mod bound;
 mod capacity;
-mod file;
 mod figures;
+mod file;
 mod html;
 mod plan;
 mod run;
@@ -16,7 +16,4 @@
 
 pub use capacity::{CapacityOptions, CapacityReport, Promises, measure_capacity, measure_promises};
 
-
-
-
 pub use slope::{Fit, fit};
--- a/crates/experiment/src/plan.rs
+++ b/crates/experiment/src/plan.rs
@@ -47,7 +47,10 @@
         },
         operator_period: Duration::ZERO,
         parameters: Parameters::default(),
-        network: NetworkConfig { loss, ..NetworkConfig::default() },
+        network: NetworkConfig {
+            loss,
+            ..NetworkConfig::default()
+        },
         weight_slots: 12,
         weight_transfer: Duration::from_millis(1_200),
         upload_slots: 4,
--- a/crates/experiment/src/slope.rs
+++ b/crates/experiment/src/slope.rs
@@ -33,12 +33,28 @@
         .iter()
         .map(|(size, value)| (size - mean_size) * (value - mean_value))
         .sum();
-    let variance: f64 = points.iter().map(|(size, _)| (size - mean_size).powi(2)).sum();
-    let slope = if variance > 0.0 { covariance / variance } else { 0.0 };
+    let variance: f64 = points
+        .iter()
+        .map(|(size, _)| (size - mean_size).powi(2))
+        .sum();
+    let slope = if variance > 0.0 {
+        covariance / variance
+    } else {
+        0.0
+    };
     let intercept = mean_value - slope * mean_size;
-    let line = Fit { intercept, slope, residual: 0.0 };
-    let largest = points.iter().map(|(_, value)| value.abs()).fold(f64::MIN_POSITIVE, f64::max);
-    let distance = points.iter().map(|(size, value)| (value - line.at(*size)).abs());
+    let line = Fit {
+        intercept,
+        slope,
+        residual: 0.0,
+    };
+    let largest = points
+        .iter()
+        .map(|(_, value)| value.abs())
+        .fold(f64::MIN_POSITIVE, f64::max);
+    let distance = points
+        .iter()
+        .map(|(size, value)| (value - line.at(*size)).abs());
     let residual = distance.fold(0.0, f64::max) / largest;
     Fit { residual, ..line }
 }
--- a/crates/protocol/src/admission.rs
+++ b/crates/protocol/src/admission.rs
@@ -3,20 +3,9 @@
 
 use brasspond_fairness::Priority;
 use brasspond_routing::EngineLoad;
-use brasspond_types::{EngineName, GroupName, ModelName, NodeName, Timestamp, WeightVersion};
+use brasspond_types::{EngineName, GroupName, ModelName, Timestamp, WeightVersion};
 use serde::{Deserialize, Serialize};
 
-/// Identity of one place in a queue.
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
-pub struct TicketId {
-    /// Node that asked.
-    pub node: NodeName,
-    /// Process on that node.
-    pub instance: u64,
-    /// Number within the process; never used twice.
-    pub number: u64,
-}
-
 /// Why an owner did not queue a request, or dropped it from the queue. In all
 /// cases the request was not run.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -38,8 +27,8 @@
 pub enum AdmissionMessage {
     /// Asks for a place; repeated until answered, and to refresh `asked_at`.
     Enqueue {
-        /// The place.
-        ticket: TicketId,
+        /// The place, numbered by the asking process.
+        ticket: u64,
         /// Time at the asking node, echoed by a grant so that the asker can
         /// tell a grant that was long under way.
         asked_at: Timestamp,
@@ -97,7 +86,7 @@
     /// acknowledged.
     Release {
         /// The place.
-        ticket: TicketId,
+        ticket: u64,
         /// Engine it was for.
         engine: EngineName,
         /// True cost in token-equivalents; zero if never started.
--- a/crates/protocol/src/envelope.rs
+++ b/crates/protocol/src/envelope.rs
@@ -21,8 +21,10 @@
     pub node: NodeName,
     /// Process on the node.
     pub instance: u64,
-    /// Address to answer to.
-    pub address: SocketAddr,
+    /// Address to answer to, where the receiver may not know it yet: on
+    /// messages of the membership protocol.
+    #[serde(default)]
+    pub address: Option<SocketAddr>,
 }
 
 /// State of the fleet, worked out by one node from the reports of all and
--- a/crates/protocol/src/lib.rs
+++ b/crates/protocol/src/lib.rs
@@ -12,7 +12,7 @@
 mod envelope;
 mod step;
 
-pub use admission::{AdmissionMessage, RefusalReason, TicketId};
+pub use admission::{AdmissionMessage, RefusalReason};
 pub use codec::{CodecError, KEY_BYTES, Key, LARGEST_DATAGRAM, LARGEST_FRAME, Sealer};
 pub use envelope::{Envelope, PROTOCOL_VERSION, PeerMessage, Sender, Summary};
 pub use step::{StepMessage, StepReply, StepRequest, StepRequestId};
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -13,9 +13,10 @@
 mod owner;
 mod placement;
 mod prefix;
+mod sent;
 
 pub use health::Health;
-pub use owner::{rank, rank_distinct_zones};
+pub use owner::{assign_evenly, rank, rank_distinct_zones};
 pub use placement::{
     EngineLoad, EngineTable, EngineView, Placement, PlacementRequest, Policy, SpeedEstimate,
 };
--- a/crates/routing/src/owner.rs
+++ b/crates/routing/src/owner.rs
@@ -5,7 +5,7 @@
 
 use brasspond_membership::Member;
 use brasspond_types::{NodeName, ZoneName, stable_hash};
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 
 fn score(key: &str, node: &NodeName) -> u64 {
     stable_hash(&[key.as_bytes(), node.as_str().as_bytes()])
@@ -55,3 +55,34 @@
     chosen.extend(others.into_iter().take(missing));
     chosen
 }
+
+/// Spreads `keys` over `members` so that the numbers differ by one at most:
+/// rendezvous hashing with bounded loads (after Mirrokni, Thorup and
+/// Zadimoghaddam, *Consistent Hashing with Bounded Loads*, 2018). Every node
+/// that knows the same keys and members works out the same.
+///
+/// Cost: `keys * members` hashes, so callers spread zone by zone.
+pub fn assign_evenly(keys: &[&str], members: &[&Member]) -> BTreeMap<String, NodeName> {
+    let mut assigned = BTreeMap::new();
+    if members.is_empty() {
+        return assigned;
+    }
+    let everyone_has = keys.len() / members.len();
+    let mut order: Vec<(u64, &str)> = keys
+        .iter()
+        .map(|key| (stable_hash(&[key.as_bytes()]), *key))
+        .collect();
+    order.sort_unstable();
+    let mut loads = vec![0usize; members.len()];
+    for (position, (_, key)) in order.into_iter().enumerate() {
+        let is_remainder = position >= everyone_has * members.len();
+        let bound = everyone_has + usize::from(is_remainder);
+        let open = (0..members.len()).filter(|index| loads[*index] < bound);
+        let best = open.max_by_key(|index| (score(key, &members[*index].name), *index));
+        if let Some(best) = best {
+            loads[best] += 1;
+            assigned.insert(key.to_owned(), members[best].name.clone());
+        }
+    }
+    assigned
+}
--- a/crates/routing/src/placement.rs
+++ b/crates/routing/src/placement.rs
@@ -1,6 +1,8 @@
 //! Choice of an engine for one request.
 
 use crate::health::Health;
+use crate::prefix::BLOCK_TOKENS;
+use crate::sent::SentPrefixes;
 use brasspond_types::{EngineName, ModelName, Timestamp, WeightVersion, ZoneName, stable_hash};
 use rand::Rng;
 use serde::{Deserialize, Serialize};
@@ -12,11 +14,15 @@
 const RANDOM_CANDIDATES: usize = 6;
 /// Extra cost of leaving the zone, in microseconds.
 const OTHER_ZONE_COST: f64 = 1_000.0;
+/// Extra cost of asking another node for a place, in microseconds: messages,
+/// and a load that may have changed.
+const OTHER_OWNER_COST: f64 = 4_000.0;
 /// Age after which a load report says little, in microseconds; the estimate
 /// moves to the mean of all engines over this time.
 const REPORT_HALF_LIFE: f64 = 2_000_000.0;
-/// Part of the prompt expected in the cache of an affine engine.
-const AFFINITY_HIT: f64 = 0.8;
+/// Part of the prompt expected in the cache of an engine that rendezvous
+/// hashing assigns to it, since other nodes may have sent it there.
+const AFFINITY_HIT: f64 = 0.2;
 
 /// How an engine is chosen; all but the first are baselines to compare with.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -88,6 +94,9 @@
     pub sent_tokens: f64,
     /// Failures seen from here.
     pub health: Health,
+    /// Whether the asking node owns it: its load is then known exactly, and a
+    /// place costs no message.
+    pub is_own: bool,
 }
 
 impl EngineView {
@@ -103,6 +112,7 @@
             sent: 0,
             sent_tokens: 0.0,
             health: Health::default(),
+            is_own: false,
         }
     }
 
@@ -139,11 +149,22 @@
     pub cost: f64,
 }
 
+/// Mean load of the engines a node has heard of; what it expects of the others.
+#[derive(Clone, Copy, Debug, Default)]
+struct MeanLoad {
+    pending_tokens: f64,
+    running: f64,
+    queued: f64,
+    limit: f64,
+}
+
 /// All engines known to a node.
 #[derive(Clone, Debug, Default)]
 pub struct EngineTable {
     engines: Vec<EngineView>,
     by_name: HashMap<EngineName, usize>,
+    own: Vec<usize>,
+    sent: SentPrefixes,
     policy: Policy,
     next: usize,
     speed: SpeedEstimate,
@@ -218,6 +239,17 @@
         self.engines = kept;
     }
 
+    /// Sets which engines the asking node owns.
+    pub fn set_own(&mut self, own: impl Fn(&EngineName) -> bool) {
+        self.own.clear();
+        for (index, engine) in self.engines.iter_mut().enumerate() {
+            engine.is_own = own(&engine.name);
+            if engine.is_own {
+                self.own.push(index);
+            }
+        }
+    }
+
     /// Takes in the load an owner told of.
     pub fn report(&mut self, name: &EngineName, load: EngineLoad, now: Timestamp) {
         if let Some(engine) = self.get_mut(name) {
@@ -245,6 +277,7 @@
         let engine = &mut self.engines[index];
         engine.sent += 1;
         engine.sent_tokens += request.expected_tokens;
+        self.sent.remember(request.prefix, &engine.name);
         Some(Placement {
             engine: engine.name.clone(),
             cost,
@@ -335,10 +368,18 @@
         let affine = self.affine(request, now);
         let mut candidates = self.sample(RANDOM_CANDIDATES, request, now, random);
         candidates.extend(affine.iter().copied());
-        let mean = self.mean_pending_tokens();
+        let own = self.own.iter().copied();
+        candidates.extend(own.filter(|index| self.is_eligible(*index, request, now)));
+        let sent = self.sent.find(request.prefix).and_then(|(engine, blocks)| {
+            let index = *self.by_name.get(engine)?;
+            self.is_eligible(index, request, now)
+                .then_some((index, blocks))
+        });
+        candidates.extend(sent.map(|(index, _)| index));
+        let mean = self.mean_load();
         let priced = candidates.into_iter().map(|index| {
-            let is_affine = affine.contains(&index);
-            (index, self.cost(index, request, is_affine, mean, now))
+            let cached = self.cached_tokens(index, request, &affine, sent);
+            (index, self.cost(index, request, cached, &mean, now))
         });
         priced.min_by(|left, right| left.1.total_cmp(&right.1))
     }
@@ -363,21 +404,44 @@
         best.into_iter().map(|(_, index)| index).collect()
     }
 
-    fn mean_pending_tokens(&self) -> f64 {
+    /// Tokens of the prompt expected in an engine's cache.
+    fn cached_tokens(
+        &self,
+        index: usize,
+        request: &PlacementRequest<'_>,
+        affine: &[usize],
+        sent: Option<(usize, usize)>,
+    ) -> f64 {
+        match sent {
+            Some((engine, blocks)) if engine == index => blocks as f64 * f64::from(BLOCK_TOKENS),
+            _ if affine.contains(&index) => f64::from(request.prompt_tokens) * AFFINITY_HIT,
+            _ => 0.0,
+        }
+    }
+
+    /// Mean load of the engines whose load was heard.
+    fn mean_load(&self) -> MeanLoad {
         /// Engines looked at; enough for a mean.
         const LOOKED_AT: usize = 64;
         let known = self
             .engines
             .iter()
-            .filter(|engine| engine.load_at.is_some())
-            .take(LOOKED_AT);
-        let (sum, count) = known.fold((0.0, 0u32), |(sum, count), engine| {
-            (sum + f64::from(engine.load.pending_tokens), count + 1)
-        });
-        if count == 0 {
-            0.0
-        } else {
-            sum / f64::from(count)
+            .filter(|engine| engine.load_at.is_some());
+        let mut mean = MeanLoad::default();
+        let mut count = 0.0f64;
+        for engine in known.take(LOOKED_AT) {
+            mean.pending_tokens += f64::from(engine.load.pending_tokens);
+            mean.running += f64::from(engine.load.running);
+            mean.queued += f64::from(engine.load.queued);
+            mean.limit += f64::from(engine.load.limit);
+            count += 1.0;
+        }
+        let count = count.max(1.0);
+        MeanLoad {
+            pending_tokens: mean.pending_tokens / count,
+            running: mean.running / count,
+            queued: mean.queued / count,
+            limit: (mean.limit / count).max(1.0),
         }
     }
 
@@ -386,30 +450,35 @@
         &self,
         index: usize,
         request: &PlacementRequest<'_>,
-        is_affine: bool,
-        mean_pending: f64,
+        cached_tokens: f64,
+        mean: &MeanLoad,
         now: Timestamp,
     ) -> f64 {
         let engine = &self.engines[index];
         let age = engine.load_at.map(|at| now.since(at).as_micros() as f64);
         let trust = age.map_or(0.0, |age| 0.5f64.powf(age / REPORT_HALF_LIFE));
-        let reported = f64::from(engine.load.pending_tokens);
-        let pending = trust * reported + (1.0 - trust) * mean_pending + engine.sent_tokens;
-        let limit = f64::from(engine.load.limit.max(1));
-        let running = f64::from(engine.load.running + engine.sent).min(limit);
-        let step = self.speed.step_base + self.speed.step_per_sequence * running;
-        let free_places = limit - f64::from(engine.requests());
+        let blend = |reported: f64, mean: f64| trust * reported + (1.0 - trust) * mean;
+        let load = &engine.load;
+        let sent = f64::from(engine.sent);
+        let pending = blend(f64::from(load.pending_tokens), mean.pending_tokens);
+        let pending = pending + engine.sent_tokens;
+        let limit = blend(f64::from(load.limit), mean.limit).max(1.0);
+        let running = blend(f64::from(load.running), mean.running);
+        let queued = blend(f64::from(load.queued), mean.queued);
+        let batch = (running + sent).min(limit);
+        let step = self.speed.step_base + self.speed.step_per_sequence * batch;
+        let free_places = limit - running - queued - sent;
         let wait = if free_places > 0.0 {
             0.0
         } else {
             pending / limit * step
         };
-        let uncached_part = if is_affine { 1.0 - AFFINITY_HIT } else { 1.0 };
         let prompt_tokens = f64::from(request.prompt_tokens);
-        let prefill = prompt_tokens * uncached_part * self.speed.prefill_per_token;
+        let prefill = (prompt_tokens - cached_tokens).max(0.0) * self.speed.prefill_per_token;
         let decode = request.expected_tokens * step;
         let is_far = engine.zone != *request.zone;
         let distance = if is_far { OTHER_ZONE_COST } else { 0.0 };
-        (wait + prefill + decode) * engine.health.cost_factor(now) + distance
+        let asking = if engine.is_own { 0.0 } else { OTHER_OWNER_COST };
+        (wait + prefill + decode) * engine.health.cost_factor(now) + distance + asking
     }
 }
--- a/crates/simulation/src/engines.rs
+++ b/crates/simulation/src/engines.rs
@@ -327,7 +327,7 @@
         let delay = self.network.delay(zone, self.engines[index].zone);
         let (outcome, after) = if reachable {
             let transfer = match &order.command {
-                Command::Claim => None,
+                Command::Claim => Ok(Duration::ZERO),
                 Command::Load {
                     model,
                     version,
@@ -358,26 +358,29 @@
         model: &ModelName,
         version: WeightVersion,
         source: &WeightSource,
-    ) -> Option<Duration> {
+    ) -> Result<Duration, OrderOutcome> {
         let now = self.now;
         let transfer = match source {
             WeightSource::Store => self.platform.weights.begin(now),
             WeightSource::Peer { engine, .. } => {
-                let from = self.engine_index(engine)?;
+                let from = self.engine_index(engine).ok_or(OrderOutcome::SourceGone)?;
                 let connects = self
                     .network
                     .connects(self.engines[from].zone, self.engines[index].zone);
                 let source = &mut self.engines[from];
                 let has = source.engine.models().get(model) == Some(&version);
-                if !source.up || !has || !connects {
-                    return None;
+                if !source.up || !connects {
+                    return Err(OrderOutcome::SourceGone);
+                }
+                if !has {
+                    return Err(OrderOutcome::SourceBusy);
                 }
                 source.uploads.begin(now)
             }
         };
         match transfer {
-            Transfer::Begun(time) => Some(time),
-            Transfer::Busy => None,
+            Transfer::Begun(time) => Ok(time),
+            Transfer::Busy => Err(OrderOutcome::SourceBusy),
         }
     }
 
--- a/crates/standin/src/engine.rs
+++ b/crates/standin/src/engine.rs
@@ -350,7 +350,7 @@
             Err(problem) => return refusal(StatusCode::BAD_REQUEST, &problem.to_string()),
         };
         let transfer = match &order.command {
-            Command::Claim => None,
+            Command::Claim => Ok(Duration::ZERO),
             Command::Load {
                 model,
                 version,
@@ -363,13 +363,13 @@
         json_response(StatusCode::OK, &outcome)
     }
 
-    /// Asks the source for the weights; `None` where it is busy or lacks them.
+    /// Asks the source for the weights.
     async fn begin_transfer(
         &self,
         model: &ModelName,
         version: WeightVersion,
         source: &WeightSource,
-    ) -> Option<Duration> {
+    ) -> Result<Duration, OrderOutcome> {
         let address = match source {
             WeightSource::Store => self.settings.weight_store,
             WeightSource::Peer { address, .. } => *address,
@@ -379,8 +379,15 @@
             .client
             .call(Method::GET, address, &path, None::<&Value>, SOURCE_TIME)
             .await;
-        let milliseconds = answer.ok()?["milliseconds"].as_u64()?;
-        Some(Duration::from_millis(milliseconds))
+        match answer {
+            Ok(answer) => {
+                let milliseconds = answer["milliseconds"].as_u64();
+                let milliseconds = milliseconds.ok_or(OrderOutcome::SourceGone)?;
+                Ok(Duration::from_millis(milliseconds))
+            }
+            Err(CallError::Status(_)) => Err(OrderOutcome::SourceBusy),
+            Err(_) => Err(OrderOutcome::SourceGone),
+        }
     }
 
     /// Gives weights to another engine, if it has them and a slot is free.
