--- a/crates/brasspond/src/main.rs
+++ b/crates/brasspond/src/main.rs
@@ -9,6 +9,7 @@
 mod digest;
 mod emulate;
 mod exit;
+mod experiment;
 mod fuzz;
 mod logging;
 mod node;
@@ -41,6 +42,7 @@
         Command::Emulate(options) => emulate::run(options),
         Command::Demo(options) => demo::run(&options),
         Command::Fuzz(options) => fuzz::run(&options),
+        Command::Experiment(options) => experiment::run(&options),
         Command::Capacity(options) => capacity::run(&options),
         Command::Digest => digest::run(),
     };
--- a/crates/brasspond/src/options.rs
+++ b/crates/brasspond/src/options.rs
@@ -266,6 +266,20 @@
     pub(crate) threads: usize,
 }
 
+/// Experiments to run.
+#[derive(Clone, Debug, Bpaf)]
+pub(crate) struct ExperimentOptions {
+    /// Folder for report.json and report.html of each experiment
+    #[bpaf(argument("FOLDER"))]
+    pub(crate) out: PathBuf,
+    /// Runs at a time
+    #[bpaf(argument("N"), fallback(4))]
+    pub(crate) threads: usize,
+    /// Experiment files
+    #[bpaf(positional("FILE"), some("at least one FILE is needed"))]
+    pub(crate) files: Vec<PathBuf>,
+}
+
 /// Cost of control by the size of the fleet.
 #[derive(Clone, Debug, Bpaf)]
 pub(crate) struct CapacityOptions {
@@ -332,6 +346,11 @@
     /// Example: brasspond fuzz --seeds 1..1000 --fault node-crash --fault store-down
     #[bpaf(command)]
     Fuzz(#[bpaf(external(fuzz_options))] FuzzOptions),
+    /// Compare policies on the emulator, in simulated time
+    ///
+    /// Example: brasspond experiment scenarios/cardiff.toml --out out
+    #[bpaf(command)]
+    Experiment(#[bpaf(external(experiment_options))] ExperimentOptions),
     /// Measure the cost of control on hollow fleets of several sizes
     ///
     /// Example: brasspond capacity --size 49 --size 98 --size 195 --size 390
--- a/crates/control/src/parameters.rs
+++ b/crates/control/src/parameters.rs
@@ -25,6 +25,8 @@
     pub interactive_reserve: f64,
     /// Queued slots a step for each engine.
     pub window_per_engine: f64,
+    /// Whether the slots of a step with the longest expected answers go first.
+    pub longest_first: bool,
     /// Nodes that read the store.
     pub store_readers: usize,
     /// Engines that load a version from the weight store; all others load it
@@ -56,6 +58,7 @@
             grant_age_limit: Duration::from_millis(800),
             interactive_reserve: 1.0 / 16.0,
             window_per_engine: 4.0,
+            longest_first: true,
             store_readers: 5,
             weight_roots: 12,
             weight_fanout: 4,
--- a/crates/control/src/steps.rs
+++ b/crates/control/src/steps.rs
@@ -523,7 +523,7 @@
             let waiting = entry.generations.values();
             let mut queued = waiting.filter(|id| generations.is_waiting(**id)).count();
             while queued < window {
-                let Some(slot) = entry.step.take_next() else {
+                let Some(slot) = entry.step.take_next(context.parameters.longest_first) else {
                     break;
                 };
                 if entry.elsewhere.contains_key(&slot) {
--- a/crates/experiment/src/capacity.rs
+++ b/crates/experiment/src/capacity.rs
@@ -2,6 +2,7 @@
 //! and the promises that depend on the size: configuration everywhere, failure
 //! noticed, weights on all replicas.
 
+use crate::figures::quantile;
 use crate::plan::hollow;
 use crate::slope::{Fit, fit};
 use brasspond_membership::MemberState;
@@ -68,17 +69,6 @@
     pub fits: BTreeMap<String, Fit>,
 }
 
-fn quantile(values: &[f64], part: f64) -> f64 {
-    let mut sorted = values.to_vec();
-    sorted.sort_by(f64::total_cmp);
-    let index = (sorted.len() as f64 * part).ceil() as usize;
-    let last = sorted.len().saturating_sub(1);
-    sorted
-        .get(index.saturating_sub(1).min(last))
-        .copied()
-        .unwrap_or(0.0)
-}
-
 fn resident_bytes() -> f64 {
     let statm = std::fs::read_to_string("/proc/self/statm").unwrap_or_default();
     let pages = statm
--- a/crates/experiment/src/lib.rs
+++ b/crates/experiment/src/lib.rs
@@ -15,5 +15,8 @@
 mod slope;
 
 pub use capacity::{CapacityOptions, CapacityReport, Promises, measure_capacity, measure_promises};
-
+pub use figures::{ExperimentReport, GroupReport, PolicyReport};
+pub use file::{Experiment, PolicyName, parse_experiment};
+pub use html::render_html;
+pub use run::run_experiment;
 pub use slope::{Fit, fit};
--- a/crates/rollout/src/step.rs
+++ b/crates/rollout/src/step.rs
@@ -184,8 +184,14 @@
     /// are; then the slots with the longest expected answers, since what is
     /// started last should be short (Graham, *Bounds on Multiprocessing
     /// Timing Anomalies*, 1969: longest processing time first).
-    pub fn take_next(&mut self) -> Option<u32> {
-        let slot = self.next_probe().or_else(|| self.longest_pending())?;
+    ///
+    /// Without `longest_first` the slots go in order.
+    pub fn take_next(&mut self, longest_first: bool) -> Option<u32> {
+        let slot = if longest_first {
+            self.next_probe().or_else(|| self.longest_pending())?
+        } else {
+            self.pending.first().copied()?
+        };
         self.pending.remove(&slot);
         self.slots[slot as usize] = SlotState::Active;
         self.active += 1;
--- a/crates/simulation/src/callers.rs
+++ b/crates/simulation/src/callers.rs
@@ -60,6 +60,7 @@
     loans: BTreeMap<u64, u32>,
     next: u64,
     pub(crate) answered: u64,
+    pub(crate) tokens: u64,
     pub(crate) refused: u64,
     /// Times to the whole answer, in milliseconds.
     pub(crate) milliseconds: Vec<f64>,
@@ -73,6 +74,11 @@
         (callers.answered, callers.refused, &callers.milliseconds)
     }
 
+    /// Tokens of the answers to callers of models.
+    pub fn caller_tokens(&self) -> u64 {
+        self.callers.tokens
+    }
+
     fn callers_stopped(&self) -> bool {
         let stop = self.config.callers.stop_after;
         stop > Duration::ZERO && self.now.as_secs_f64() > stop.as_secs_f64()
@@ -145,6 +151,7 @@
                     answer_length(&lengths, &record.prompt, record.seed, record.max_tokens);
                 let answer = answer.unwrap_or_default();
                 let got = total_tokens(&answer.spans);
+                self.callers.tokens += got;
                 let mark = format!("{:x}@", record.seed);
                 let mut pieces = answer.text.split_terminator(';');
                 let is_own = pieces.all(|piece| piece.starts_with(&mark));
@@ -278,7 +285,7 @@
 
 /// Prompt of a group's step, of the wanted length; the same index is the same
 /// prompt in every step.
-pub(crate) fn step_prompt(group: &str, index: u32, bytes: usize) -> String {
+pub fn step_prompt(group: &str, index: u32, bytes: usize) -> String {
     let mut prompt = format!("{group} prompt {index}: ");
     let mut filler = stable_hash(&[prompt.as_bytes()]);
     while prompt.len() < bytes {
--- a/crates/simulation/src/faults.rs
+++ b/crates/simulation/src/faults.rs
@@ -29,6 +29,8 @@
     LostAnswers,
     /// zone-cut
     ZoneCut,
+    /// zone-lost
+    ZoneLost,
     /// regions-parted
     RegionsParted,
     /// packet-loss
@@ -39,7 +41,7 @@
 
 impl FaultKind {
     /// All kinds.
-    pub const ALL: [Self; 13] = [
+    pub const ALL: [Self; 14] = [
         Self::NodeCrash,
         Self::NodePause,
         Self::NodeDrain,
@@ -50,6 +52,7 @@
         Self::StoreSlow,
         Self::LostAnswers,
         Self::ZoneCut,
+        Self::ZoneLost,
         Self::RegionsParted,
         Self::PacketLoss,
         Self::OperatorRace,
--- a/crates/simulation/src/lib.rs
+++ b/crates/simulation/src/lib.rs
@@ -23,7 +23,7 @@
 mod trainers;
 mod world;
 
-pub use callers::CallerConfig;
+pub use callers::{CallerConfig, step_prompt};
 pub use config::{GroupConfig, NetworkConfig, WorldConfig};
 pub use engines::EngineTotals;
 pub use faults::{Fault, FaultKind, draw_faults};
--- a/crates/simulation/src/trainers.rs
+++ b/crates/simulation/src/trainers.rs
@@ -54,6 +54,7 @@
 struct OpenStep {
     is_open: bool,
     opened_at: Timestamp,
+    completed_at: Option<Timestamp>,
     cursor: String,
     held: u32,
 }
@@ -75,7 +76,8 @@
     pub staleness_versions: BTreeMap<u64, u64>,
     /// Time since the oldest version was superseded, a sample, in seconds.
     pub staleness_seconds: Vec<f64>,
-    /// Time from opening a step to its last sample, a step, in seconds.
+    /// Time from the later of a step's opening and the last sample of the step
+    /// before, to its last sample, a step, in seconds.
     pub makespans: Vec<f64>,
     /// Time the trainer waited, a step, in seconds.
     pub waits: Vec<f64>,
@@ -173,6 +175,18 @@
             .collect()
     }
 
+    /// Whether each trainer has slots that wait or run, in the order of the
+    /// groups.
+    pub fn trainers_with_waiting_slots(&self) -> Vec<bool> {
+        let waits = |trainer: &SimTrainer| {
+            let last = (trainer.step + trainer.config.steps_ahead).min(trainer.config.steps);
+            let slots = trainer.slots();
+            let mut steps = (trainer.step..=last).filter_map(|step| trainer.steps.get(&step));
+            steps.any(|open| open.held < slots / 2)
+        };
+        self.trainers.iter().map(waits).collect()
+    }
+
     /// Whether all trainers have played all their steps.
     pub fn trainers_done(&self) -> bool {
         self.trainers.iter().all(SimTrainer::is_done)
@@ -371,12 +385,16 @@
             }
         }
         let slots = trainer.slots();
+        let before = trainer.steps.get(&step.wrapping_sub(1));
+        let before = before.and_then(|before| before.completed_at);
         if let Some(open) = trainer.steps.get_mut(&step) {
             open.cursor = cursor;
             let was_complete = open.held >= slots;
             open.held += samples.len() as u32;
             if open.held >= slots && !was_complete {
-                let makespan = now.since(open.opened_at).as_secs_f64();
+                open.completed_at = Some(now);
+                let begun = before.map_or(open.opened_at, |before| before.max(open.opened_at));
+                let makespan = now.since(begun).as_secs_f64();
                 trainer.totals.makespans.push(makespan);
             }
         }
--- a/crates/simulation/src/world.rs
+++ b/crates/simulation/src/world.rs
@@ -572,6 +572,7 @@
             FaultKind::StoreSlow => self.platform.slow = true,
             FaultKind::LostAnswers => self.platform.loses_answers = true,
             FaultKind::ZoneCut => self.network.cut_zone(zone, true),
+            FaultKind::ZoneLost => self.lose_zone(zone),
             FaultKind::RegionsParted => self.network.part_regions(true),
             FaultKind::PacketLoss => {
                 self.network.set_extra_loss(0.2);
@@ -603,6 +604,7 @@
             FaultKind::StoreSlow => self.platform.slow = false,
             FaultKind::LostAnswers => self.platform.loses_answers = false,
             FaultKind::ZoneCut => self.network.cut_zone(zone, false),
+            FaultKind::ZoneLost => self.restore_zone(zone),
             FaultKind::RegionsParted => self.network.part_regions(false),
             FaultKind::PacketLoss => {
                 self.network.set_extra_loss(0.0);
@@ -611,6 +613,34 @@
         }
     }
 
+    /// All nodes and engines of a zone crash at once.
+    fn lose_zone(&mut self, zone: usize) {
+        for index in 0..self.nodes.len() {
+            if self.nodes[index].zone == zone {
+                self.crash_node(index);
+            }
+        }
+        for index in 0..self.engines.len() {
+            if self.engines[index].zone == zone {
+                self.engines[index].up = false;
+                self.break_streams(index);
+            }
+        }
+    }
+
+    fn restore_zone(&mut self, zone: usize) {
+        for index in 0..self.nodes.len() {
+            if self.nodes[index].zone == zone && self.nodes[index].control.is_none() {
+                self.start_node(index);
+            }
+        }
+        for index in 0..self.engines.len() {
+            if self.engines[index].zone == zone {
+                self.engine_returns(index);
+            }
+        }
+    }
+
     /// A paused process goes on: first with all that waited in its sockets.
     fn resume_node(&mut self, index: usize) {
         if !std::mem::take(&mut self.nodes[index].paused) {
