Placement: engines of unknown load are priced at the mean of the whole pool

Cause: in cardiff both step homes used only their own three engines of ten (loads 60, 60, 60 beside 0 to 2), because the mean of the engines a node had heard of was that of its own. Ruled out: the window, the order of slots. Change: nodes report the load of their engines with their usage, the summary carries the pool's load, and placement takes its mean for engines it has not heard of. A release is answered with the engine's load.

--- a/crates/control/src/control.rs
+++ b/crates/control/src/control.rs
@@ -403,17 +403,11 @@
             PeerMessage::Claim(message) => with_context!(self, now, |context| {
                 self.claims.handle(sender, message, context);
             }),
-            PeerMessage::Report {
-                revision,
-                usage,
-                voting,
-            } => {
-                self.fleet
-                    .reported(&sender.node, sender.instance, revision, usage, voting, now);
-            }
+            report @ PeerMessage::Report { .. } => self.fleet.reported(sender, report, now),
             PeerMessage::Summary(summary) => with_context!(self, now, |context| {
                 if let Some(excess) = self.fleet.learn(summary, context) {
                     self.owners.correct(&excess);
+                    self.engines.set_pool(self.fleet.pool());
                 }
             }),
         }
@@ -550,8 +544,7 @@
         with_context!(self, now, |context| {
             let owners = &self.owners;
             let claims = &self.claims;
-            self.fleet
-                .tick(|| owners.usage(), |context| claims.voting(context), context);
+            self.fleet.tick(owners, |context| claims.voting(context), context);
             self.owners.tick(&self.versions, context);
             self.generations
                 .tick(&mut self.engines, &mut self.owners, context);
--- a/crates/control/src/fleet.rs
+++ b/crates/control/src/fleet.rs
@@ -1,15 +1,17 @@
 //! State of the fleet: every node reports to one, which tells all.
 
 use crate::context::Context;
+use crate::owner_table::OwnerTable;
 use brasspond_fairness::{GroupUsage, UsageTable};
-use brasspond_protocol::{PeerMessage, Summary};
+use brasspond_protocol::{PeerMessage, Sender, Summary};
 use brasspond_resource::{Revision, VoterIdentity};
+use brasspond_routing::PoolLoad;
 use brasspond_types::{GroupName, NodeName, Timestamp};
 use std::collections::BTreeMap;
 use std::time::Duration;
 
 /// Time between two reports of a node whose configuration did not change.
-const REPORT_PERIOD: Duration = Duration::from_secs(5);
+const REPORT_PERIOD: Duration = Duration::from_secs(3);
 /// Time between two summaries.
 const SUMMARY_PERIOD: Duration = Duration::from_secs(2);
 /// Age beyond which a report does not count.
@@ -21,6 +23,7 @@
     revision: Revision,
     usage: Vec<GroupUsage>,
     voting: Vec<(u32, u64)>,
+    load: PoolLoad,
     at: Timestamp,
 }
 
@@ -57,24 +60,25 @@
         }
     }
 
-    /// Takes in a report.
-    pub(crate) fn reported(
-        &mut self,
-        from: &NodeName,
-        instance: u64,
-        revision: Revision,
-        usage: Vec<GroupUsage>,
-        voting: Vec<(u32, u64)>,
-        now: Timestamp,
-    ) {
+    /// Takes in a report; anything else is not one.
+    pub(crate) fn reported(&mut self, sender: &Sender, message: PeerMessage, now: Timestamp) {
+        let PeerMessage::Report { revision, usage, voting, load } = message else {
+            return;
+        };
         let report = Reported {
-            instance,
+            instance: sender.instance,
             revision,
             usage,
             voting,
+            load,
             at: now,
         };
-        self.reports.insert(from.clone(), report);
+        self.reports.insert(sender.node.clone(), report);
+    }
+
+    /// Load of the whole pool as last summarised.
+    pub(crate) fn pool(&self) -> PoolLoad {
+        self.summary.load
     }
 
     /// Whether a process reported to vote in an epoch of a shard.
@@ -117,7 +121,7 @@
     /// Reports, and summarises where this node is the one to do so.
     pub(crate) fn tick(
         &mut self,
-        usage: impl FnOnce() -> Vec<GroupUsage>,
+        owners: &OwnerTable,
         voting: impl FnOnce(&Context<'_>) -> Vec<(u32, u64)>,
         context: &mut Context<'_>,
     ) {
@@ -131,12 +135,9 @@
         if is_due {
             self.reported = Some((revision, context.now));
             let voting = voting(context);
-            let usage = usage();
-            let report = PeerMessage::Report {
-                revision,
-                usage,
-                voting,
-            };
+            let usage = owners.usage();
+            let load = owners.pool_load();
+            let report = PeerMessage::Report { revision, usage, voting, load };
             context.send(&collector, report);
         }
         if collector == *context.me && context.now >= self.next_summary {
@@ -162,6 +163,10 @@
                 whole.waiting |= part.waiting;
             }
         }
+        let mut load = PoolLoad::default();
+        for report in self.reports.values() {
+            load.join(&report.load);
+        }
         let members = &context.working.members;
         let in_force = members.iter().map(|member| {
             let report = self.reports.get(&member.name);
@@ -172,6 +177,7 @@
             nodes: members.len() as u32,
             oldest_revision: in_force.min().unwrap_or_default(),
             usage: usage.into_values().collect(),
+            load,
         }
     }
 }
--- a/crates/control/src/generation.rs
+++ b/crates/control/src/generation.rs
@@ -356,8 +356,11 @@
         context: &mut Context<'_>,
     ) {
         let ticket = match message {
-            AdmissionMessage::Released { ticket } => {
-                self.releases.remove(ticket);
+            AdmissionMessage::Released { ticket, load } => {
+                let release = self.releases.remove(ticket);
+                if let (Some(release), Some(load)) = (release, load) {
+                    engines.report(&release.engine, *load, context.now);
+                }
                 return;
             }
             AdmissionMessage::Probe { engine, tickets } => {
--- a/crates/control/src/owner_table.rs
+++ b/crates/control/src/owner_table.rs
@@ -7,7 +7,7 @@
 use brasspond_fairness::{GroupUsage, UsageTable};
 use brasspond_protocol::{AdmissionMessage, PeerMessage, RefusalReason, Sender};
 use brasspond_resource::{MachineRole, MachineSpec};
-use brasspond_routing::{EngineTable, EngineView, assign_evenly};
+use brasspond_routing::{EngineTable, EngineView, PoolLoad, assign_evenly};
 use brasspond_types::{
     EngineName, GroupName, ModelName, Mutation, NodeName, Timestamp, WeightVersion, ZoneName,
     stable_hash,
@@ -64,6 +64,15 @@
         }
     }
 
+    /// Load of this node's engines together.
+    pub(crate) fn pool_load(&self) -> PoolLoad {
+        let mut pool = PoolLoad::default();
+        for owner in self.mine.values() {
+            pool.add(&owner.load());
+        }
+        pool
+    }
+
     /// Enters the exact loads of this node's engines.
     pub(crate) fn refresh_own(&self, engines: &mut EngineTable, now: Timestamp) {
         for (name, owner) in &self.mine {
@@ -207,10 +216,11 @@
                 served,
                 engine_failed,
             } => {
-                let released = AdmissionMessage::Released { ticket: *ticket };
+                let place = TicketId::new(sender, *ticket);
+                self.release(&place, engine, *served, *engine_failed, context);
+                let load = self.mine.get(engine).map(Owner::load);
+                let released = AdmissionMessage::Released { ticket: *ticket, load };
                 context.send(&sender.node, PeerMessage::Admission(released));
-                let ticket = &TicketId::new(sender, *ticket);
-                self.release(ticket, engine, *served, *engine_failed, context);
             }
             _ => {}
         }
--- a/crates/experiment/src/bound.rs
+++ b/crates/experiment/src/bound.rs
@@ -42,3 +42,19 @@
     }
     (longest, total)
 }
+
+/// Least time a trainer waits in all, in seconds, when step `k` takes at least
+/// `bounds[k]` and is opened as step `k - ahead` begins to be collected.
+pub(crate) fn least_wait(bounds: &[f64], ahead: usize, training: f64) -> f64 {
+    let mut starts: Vec<f64> = Vec::new();
+    let mut start = 0.0;
+    let mut waited = 0.0;
+    for (step, bound) in bounds.iter().enumerate() {
+        starts.push(start);
+        let opened = starts[step.saturating_sub(ahead)];
+        let wait = (opened + bound - start).max(0.0);
+        waited += wait;
+        start += wait + training;
+    }
+    waited
+}
--- a/crates/experiment/src/plan.rs
+++ b/crates/experiment/src/plan.rs
@@ -163,3 +163,5 @@
         faults: faults.collect(),
     }
 }
+#[doc(hidden)]
+pub fn dbg_world(e: &Experiment, p: PolicyName) -> WorldConfig { experiment_world(e, p, 0) }
--- a/crates/experiment/src/run.rs
+++ b/crates/experiment/src/run.rs
@@ -1,6 +1,6 @@
 //! Runs of an experiment.
 
-use crate::bound::step_bound;
+use crate::bound::{least_wait, step_bound};
 use crate::figures::{ExperimentReport, GroupReport, PolicyReport, counted_quantile, quantile};
 use crate::file::{Experiment, PolicyName};
 use crate::plan::experiment_world;
@@ -196,12 +196,8 @@
             .collect();
         let ratios = trainer.makespans.iter().zip(&bounds).map(|(makespan, bound)| makespan / bound);
         let count = trainer.makespans.len().max(1) as f64;
-        let overlap = if group.steps_ahead > 0 { group.training_seconds } else { 0.0 };
-        let least: f64 = bounds
-            .iter()
-            .enumerate()
-            .map(|(index, bound)| if index == 0 { *bound } else { (bound - overlap).max(0.0) })
-            .sum();
+        let ahead = group.steps_ahead as usize;
+        let least = least_wait(&bounds, ahead, group.training_seconds);
         let training = group.training_seconds * trainer.steps as f64;
         let tokens = totals.by_model.get(&ModelName::new(&group.name)).copied().unwrap_or(0);
         let idle = trainer.idle.as_secs_f64();
--- a/crates/protocol/src/admission.rs
+++ b/crates/protocol/src/admission.rs
@@ -98,5 +98,7 @@
     Released {
         /// The place.
         ticket: u64,
+        /// Load of the engine, where the receiver owns it.
+        load: Option<EngineLoad>,
     },
 }
--- a/crates/protocol/src/envelope.rs
+++ b/crates/protocol/src/envelope.rs
@@ -6,6 +6,7 @@
 use brasspond_idempotency as idempotency;
 use brasspond_membership as membership;
 use brasspond_resource::Revision;
+use brasspond_routing::PoolLoad;
 use brasspond_types::NodeName;
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
@@ -39,6 +40,8 @@
     pub oldest_revision: Revision,
     /// Usage of each group over all nodes.
     pub usage: Vec<GroupUsage>,
+    /// Load of all engines.
+    pub load: PoolLoad,
 }
 
 /// All messages between nodes.
@@ -62,6 +65,8 @@
         usage: Vec<GroupUsage>,
         /// Shards of idempotency keys it votes on, with the epoch.
         voting: Vec<(u32, u64)>,
+        /// Load of its engines.
+        load: PoolLoad,
     },
     /// State of the fleet.
     Summary(Summary),
--- a/crates/routing/src/placement.rs
+++ b/crates/routing/src/placement.rs
@@ -149,7 +149,53 @@
     pub cost: f64,
 }
 
-/// Mean load of the engines a node has heard of; what it expects of the others.
+/// Load of many engines together.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct PoolLoad {
+    /// Engines.
+    pub engines: u32,
+    /// Requests on them.
+    pub running: u32,
+    /// Requests they may run at a time.
+    pub limit: u32,
+    /// Requests in their queues.
+    pub queued: u32,
+    /// Expected tokens of what waits and runs.
+    pub pending_tokens: f32,
+}
+
+impl PoolLoad {
+    /// Adds the load of one engine.
+    pub fn add(&mut self, load: &EngineLoad) {
+        self.engines += 1;
+        self.running += load.running;
+        self.limit += load.limit;
+        self.queued += load.queued;
+        self.pending_tokens += load.pending_tokens;
+    }
+
+    /// Adds the load of other engines.
+    pub fn join(&mut self, other: &Self) {
+        self.engines += other.engines;
+        self.running += other.running;
+        self.limit += other.limit;
+        self.queued += other.queued;
+        self.pending_tokens += other.pending_tokens;
+    }
+
+    /// Mean of one engine.
+    fn mean(&self) -> MeanLoad {
+        let engines = f64::from(self.engines.max(1));
+        MeanLoad {
+            running: f64::from(self.running) / engines,
+            limit: (f64::from(self.limit) / engines).max(1.0),
+            queued: f64::from(self.queued) / engines,
+            pending_tokens: f64::from(self.pending_tokens) / engines,
+        }
+    }
+}
+
+/// Mean load of an engine: what is expected of one whose own load is unknown.
 #[derive(Clone, Copy, Debug, Default)]
 struct MeanLoad {
     pending_tokens: f64,
@@ -165,6 +211,7 @@
     by_name: HashMap<EngineName, usize>,
     own: Vec<usize>,
     sent: SentPrefixes,
+    pool: PoolLoad,
     policy: Policy,
     next: usize,
     speed: SpeedEstimate,
@@ -250,6 +297,11 @@
         }
     }
 
+    /// Takes in the load of the whole pool, some seconds old.
+    pub fn set_pool(&mut self, pool: PoolLoad) {
+        self.pool = pool;
+    }
+
     /// Takes in the load an owner told of.
     pub fn report(&mut self, name: &EngineName, load: EngineLoad, now: Timestamp) {
         if let Some(engine) = self.get_mut(name) {
@@ -376,7 +428,7 @@
                 .then_some((index, blocks))
         });
         candidates.extend(sent.map(|(index, _)| index));
-        let mean = self.mean_load();
+        let mean = self.pool.mean();
         let priced = candidates.into_iter().map(|index| {
             let cached = self.cached_tokens(index, request, &affine, sent);
             (index, self.cost(index, request, cached, &mean, now))
@@ -419,32 +471,6 @@
         }
     }
 
-    /// Mean load of the engines whose load was heard.
-    fn mean_load(&self) -> MeanLoad {
-        /// Engines looked at; enough for a mean.
-        const LOOKED_AT: usize = 64;
-        let known = self
-            .engines
-            .iter()
-            .filter(|engine| engine.load_at.is_some());
-        let mut mean = MeanLoad::default();
-        let mut count = 0.0f64;
-        for engine in known.take(LOOKED_AT) {
-            mean.pending_tokens += f64::from(engine.load.pending_tokens);
-            mean.running += f64::from(engine.load.running);
-            mean.queued += f64::from(engine.load.queued);
-            mean.limit += f64::from(engine.load.limit);
-            count += 1.0;
-        }
-        let count = count.max(1.0);
-        MeanLoad {
-            pending_tokens: mean.pending_tokens / count,
-            running: mean.running / count,
-            queued: mean.queued / count,
-            limit: (mean.limit / count).max(1.0),
-        }
-    }
-
     /// Expected time to the end of the answer, in microseconds.
     fn cost(
         &self,
