--- a/crates/routing/src/sent.rs
+++ b/crates/routing/src/sent.rs
@@ -30,7 +30,7 @@
 
     /// The engine that got the longest part of the prompt, and how many blocks.
     pub(crate) fn find(&self, prefix: &[u64]) -> Option<(&EngineName, usize)> {
-        let found = |length: &usize| self.engines.get(&prefix[length - 1]).is_some();
+        let found = |length: &usize| self.engines.contains_key(&prefix[length - 1]);
         let longest = (1..=prefix.len()).rev().find(found)?;
         let engine = self.engines.get(&prefix[longest - 1])?;
         Some((engine, longest))
