--- a/crates/brasspond/src/emulate.rs
+++ b/crates/brasspond/src/emulate.rs
@@ -124,7 +124,11 @@
 
 async fn bind(address: SocketAddr) -> Result<TcpListener, Vec<String>> {
     let listener = TcpListener::bind(address).await;
-    listener.map_err(|error| vec![format!("{address}: {error}")])
+    let listener = listener.map_err(|error| vec![format!("{address}: {error}")])?;
+    if let Ok(address) = listener.local_addr() {
+        println!("listening={address}");
+    }
+    Ok(listener)
 }
 
 fn schedule(file: Option<PathBuf>) -> Result<FaultSchedule, Vec<String>> {
--- a/crates/brasspond/src/node.rs
+++ b/crates/brasspond/src/node.rs
@@ -39,6 +39,8 @@
             return Outcome::Failed;
         }
     };
+    println!("http={}", node.http_address());
+    println!("peers={}", node.peers_address());
     match wait_for_signal() {
         Ok(()) => {
             node.drain();
--- a/crates/node/src/runtime.rs
+++ b/crates/node/src/runtime.rs
@@ -216,9 +216,9 @@
                 let _ = runtime.block_on(serving);
             }
             while !self.handle.view().drained {
-                runtime.block_on(tokio::time::sleep(DRAIN_STEP));
+                runtime.block_on(async { tokio::time::sleep(DRAIN_STEP).await });
             }
-            runtime.block_on(tokio::time::sleep(LINGER));
+            runtime.block_on(async { tokio::time::sleep(LINGER).await });
         }
         log::info!("event=node_stopped node={}", self.name);
         self.end();
--- a/crates/standin/src/faults.rs
+++ b/crates/standin/src/faults.rs
@@ -21,7 +21,7 @@
 
 /// One fault.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(rename_all = "kebab-case", deny_unknown_fields)]
+#[serde(deny_unknown_fields)]
 pub struct Fault {
     /// What goes wrong.
     pub kind: FaultKind,
