Placement: callers' requests stay with a node's own engines if nearly as good

Change: another node's engine must be better by a fifth of the decoding time for a caller's request; slots of steps are placed as before. A third load, with all requests to half of the nodes, is measured.

--- a/crates/bench/benches/decisions.rs
+++ b/crates/bench/benches/decisions.rs
@@ -56,6 +56,7 @@
                 expected_tokens: 200.0,
                 zone: &zone,
                 avoid: &[],
+                own_preference: 0.2,
             };
             table.choose(&request, now, &mut random)
         });
--- a/crates/brasspond/src/capacity.rs
+++ b/crates/brasspond/src/capacity.rs
@@ -49,7 +49,11 @@
         "| nodes | engines | load | bytes/s mean | bytes/s most | messages/s | core % mean | core % most | MB a node | store reads/s | answer p99 ms |"
     );
     println!("|---|---|---|---|---|---|---|---|---|---|---|");
-    for (load, sizes) in [("idle", &report.idle), ("loaded", &report.loaded)] {
+    for (load, sizes) in [
+        ("idle", &report.idle),
+        ("loaded", &report.loaded),
+        ("uneven", &report.uneven),
+    ] {
         for size in sizes {
             println!(
                 "| {} | {} | {load} | {:.0} | {:.0} | {:.1} | {:.3} | {:.3} | {:.2} | {:.2} | {:.0} |",
--- a/crates/control/src/generation.rs
+++ b/crates/control/src/generation.rs
@@ -37,6 +37,9 @@
 const RETRY_RATIO: f64 = 0.1;
 const RETRY_MINIMUM: f64 = 2.0;
 const RETRY_WINDOW: Duration = Duration::from_secs(10);
+/// How much better another node's engine must be for a caller's request: these
+/// are many and short, while slots are few, long and placed by one node.
+const CALLER_OWN_PREFERENCE: f64 = 0.2;
 const PLACING_BACKOFF: Backoff = Backoff {
     base: Duration::from_millis(20),
     cap: Duration::from_millis(1_000),
@@ -286,6 +289,10 @@
             expected_tokens: generation.spec.expected_tokens,
             zone,
             avoid: &generation.avoid,
+            own_preference: match generation.spec.purpose {
+                Purpose::Caller(_) => CALLER_OWN_PREFERENCE,
+                Purpose::Slot(_) => 0.0,
+            },
         };
         owners.refresh_own(engines, context.now);
         let placement = engines.choose(&request, context.now, context.random);
--- a/crates/experiment/src/capacity.rs
+++ b/crates/experiment/src/capacity.rs
@@ -65,6 +65,8 @@
     pub idle: Vec<SizeReport>,
     /// By size, with requests.
     pub loaded: Vec<SizeReport>,
+    /// By size, with as many requests, all to half of the nodes.
+    pub uneven: Vec<SizeReport>,
     /// Lines through the measurements by the number of nodes.
     pub fits: BTreeMap<String, Fit>,
 }
@@ -78,10 +80,11 @@
     pages.unwrap_or(0.0) * PAGE_BYTES
 }
 
-fn measure(nodes: usize, options: &CapacityOptions, rate: f64) -> SizeReport {
+fn measure(nodes: usize, options: &CapacityOptions, rate: f64, node_part: f64) -> SizeReport {
     let memory_before = resident_bytes();
     let mut config = hollow(nodes, 0.0);
     config.callers.model_rate = rate * nodes as f64;
+    config.callers.node_part = node_part;
     config.count_bytes = true;
     config.measure_time = true;
     let engines = config.engines;
@@ -127,12 +130,16 @@
 pub fn measure_capacity(options: &CapacityOptions, progress: impl Fn(&str)) -> CapacityReport {
     let mut report = CapacityReport::default();
     for nodes in &options.sizes {
-        report.idle.push(measure(*nodes, options, 0.0));
+        report.idle.push(measure(*nodes, options, 0.0, 1.0));
         progress(&format!("{nodes} nodes idle"));
         report
             .loaded
-            .push(measure(*nodes, options, options.requests_per_node));
+            .push(measure(*nodes, options, options.requests_per_node, 1.0));
         progress(&format!("{nodes} nodes loaded"));
+        report
+            .uneven
+            .push(measure(*nodes, options, options.requests_per_node, 0.5));
+        progress(&format!("{nodes} nodes loaded unevenly"));
     }
     let mut line = |name: &str, sizes: &[SizeReport], value: &dyn Fn(&SizeReport) -> f64| {
         let points = sizes.iter().map(|size| (size.nodes as f64, value(size)));
@@ -148,6 +155,11 @@
         size.core_percent_most
     });
     line("idle megabytes", &idle, &|size| size.megabytes);
+    let uneven = report.uneven.clone();
+    line("uneven bytes/s, mean", &uneven, &|size| size.bytes_mean);
+    line("uneven bytes/s, busiest node", &uneven, &|size| {
+        size.bytes_most
+    });
     line("loaded bytes/s, mean", &loaded, &|size| size.bytes_mean);
     line("loaded bytes/s, busiest node", &loaded, &|size| {
         size.bytes_most
--- a/crates/routing/src/placement.rs
+++ b/crates/routing/src/placement.rs
@@ -142,6 +142,9 @@
     pub zone: &'a ZoneName,
     /// Engines already tried in vain.
     pub avoid: &'a [EngineName],
+    /// Part of the decoding time by which another node's engine must be better
+    /// than one of this node's, since asking costs messages.
+    pub own_preference: f64,
 }
 
 /// The engine chosen.
@@ -508,7 +511,11 @@
         let decode = request.expected_tokens * step;
         let is_far = engine.zone != *request.zone;
         let distance = if is_far { OTHER_ZONE_COST } else { 0.0 };
-        let asking = if engine.is_own { 0.0 } else { OTHER_OWNER_COST };
+        let asking = if engine.is_own {
+            0.0
+        } else {
+            OTHER_OWNER_COST + decode * request.own_preference
+        };
         (wait + prefill + decode) * engine.health.cost_factor(now) + distance + asking
     }
 }
--- a/crates/simulation/src/callers.rs
+++ b/crates/simulation/src/callers.rs
@@ -23,6 +23,8 @@
     pub prompt_bytes: usize,
     /// Loans a second.
     pub loan_rate: f64,
+    /// Part of the nodes that callers of models go to; zero for all.
+    pub node_part: f64,
     /// Whether the callers stop after this time; zero for never.
     pub stop_after: Duration,
 }
@@ -115,7 +117,13 @@
             minimum_version: WeightVersion(0),
             time_limit: CALLER_TIME,
         };
-        let node = self.random.random_range(0..self.nodes.len());
+        let reached = (self.nodes.len() as f64 * config.node_part).ceil() as usize;
+        let reached = if reached == 0 {
+            self.nodes.len()
+        } else {
+            reached
+        };
+        let node = self.random.random_range(0..reached);
         let max_tokens = config.model_tokens;
         let record = ModelCall {
             prompt,
