--- a/crates/simulation/src/fuzz.rs
+++ b/crates/simulation/src/fuzz.rs
@@ -103,6 +103,7 @@
             model_tokens: 60,
             prompt_bytes: 64,
             loan_rate: 2.0,
+            node_part: 1.0,
             stop_after: FAULT_SPAN + Duration::from_secs(10),
         },
         operator_period: Duration::from_secs(3),
