--- /dev/null
+++ b/crates/control/src/control/configuration.rs
@@ -0,0 +1,137 @@
+//! Configuration at a node: from the store and from peers, until ready.
+
+use super::*;
+
+impl Control {
+    pub(super) fn store(&mut self, event: StoreEvent, now: Timestamp) {
+        match event {
+            StoreEvent::Listed(catalogue) => {
+                self.store_reader.succeeded();
+                self.readiness.hear_store(catalogue.revision);
+                let outputs = self.replica.learn_snapshot(*catalogue);
+                self.replica_outputs(outputs, now);
+            }
+            StoreEvent::Changed(changes) => {
+                self.store_reader.succeeded();
+                let has_elsewhere = self.has_elsewhere();
+                let outputs = self.replica.learn_from_store(changes, has_elsewhere, now);
+                self.replica_outputs(outputs, now);
+            }
+            StoreEvent::ReadFailed => with_context!(self, now, |context| {
+                self.store_reader.failed(context);
+            }),
+            StoreEvent::Written { write, result } => with_context!(self, now, |context| {
+                self.writes.written(write, result, context);
+            }),
+            StoreEvent::Found { write, object } => with_context!(self, now, |context| {
+                self.writes.found(write, object, context);
+            }),
+        }
+    }
+
+    pub(super) fn replica_outputs(&mut self, outputs: Vec<dissemination::Output>, now: Timestamp) {
+        for output in outputs {
+            match output {
+                dissemination::Output::Send(to, message) => with_context!(self, now, |context| {
+                    context.send(&to, PeerMessage::Configuration(message));
+                }),
+                dissemination::Output::Spread(changes) => with_context!(self, now, |context| {
+                    let push = dissemination::Message::Push(changes);
+                    context.spread(&PeerMessage::Configuration(push));
+                }),
+                dissemination::Output::Offer(changes) => with_context!(self, now, |context| {
+                    let offer = dissemination::Message::Offer(changes);
+                    context.spread(&PeerMessage::Configuration(offer));
+                }),
+                dissemination::Output::InForce(revision) => {
+                    self.actions.push(Action::InForce(revision));
+                    self.reconfigure(now);
+                }
+            }
+        }
+    }
+
+    /// Whether a node is known to be of another zone than this one.
+    pub(super) fn is_elsewhere(&self, node: &NodeName) -> bool {
+        let zone = &self.membership.myself().locality.zone;
+        let member = self.membership.get(node);
+        member.is_some_and(|member| member.locality.zone != *zone)
+    }
+
+    /// Whether nodes of other zones work.
+    pub(super) fn has_elsewhere(&self) -> bool {
+        let mut working = self.working.members.iter();
+        working.any(|member| self.is_elsewhere(&member.name))
+    }
+
+    pub(super) fn reconfigure(&mut self, now: Timestamp) {
+        self.versions.update(self.replica.catalogue(), now);
+        with_context!(self, now, |context| {
+            self.owners.reconfigure(&mut self.engines, context);
+        });
+    }
+
+    /// Keeps the list of voters, at the node that collects the reports.
+    pub(super) fn review_claims(&mut self, now: Timestamp) {
+        if self.writes.has_own() {
+            return;
+        }
+        let operation = with_context!(self, now, |context| {
+            let is_collector = context.working.collector.as_ref() == Some(context.me);
+            let fleet = &self.fleet;
+            let voting = |voter: &_, shard, epoch| fleet.is_voting(voter, shard, epoch);
+            is_collector
+                .then(|| self.claims.review(&voting, context))
+                .flatten()
+        });
+        let Some(operation) = operation else {
+            return;
+        };
+        let expected = match &operation {
+            crate::event::WriteOperation::Put(object) => object.metadata.resource_version,
+            crate::event::WriteOperation::Remove(_) => Revision::default(),
+        };
+        with_context!(self, now, |context| {
+            self.writes.begin(None, operation, Some(expected), context);
+        });
+    }
+
+    /// Asks peers for their revision until enough is known to take work.
+    pub(super) fn become_ready(&mut self, now: Timestamp) {
+        if self.readiness.is_ready() {
+            return;
+        }
+        let trusts_kept = self
+            .parameters
+            .mutations
+            .is_on(Mutation::TrustKeptConfiguration);
+        if trusts_kept && self.revision() > Revision::default() {
+            self.readiness = Readiness::already_ready();
+        }
+        let peers: Vec<NodeName> = self
+            .working
+            .members
+            .iter()
+            .map(|member| member.name.clone())
+            .filter(|name| *name != self.me)
+            .collect();
+        if now >= self.next_question {
+            self.next_question = now + ASK_REVISION_PERIOD;
+            let unheard: Vec<NodeName> = self.readiness.unheard(&peers).cloned().collect();
+            for peer in unheard {
+                with_context!(self, now, |context| {
+                    let query = dissemination::Message::RevisionQuery;
+                    context.send(&peer, PeerMessage::Configuration(query));
+                });
+            }
+        }
+        // A zone of its own must not mistake itself for the whole fleet.
+        let is_alone = self.membership.knows_all_seeds() && !self.has_elsewhere();
+        if peers.is_empty() || self.confirmed || is_alone {
+            let sees_zones = is_alone || self.has_elsewhere();
+            let is_synchronised = self.membership.is_synchronised() && sees_zones;
+            self.readiness
+                .update(self.replica.revision(), is_synchronised, &peers);
+        }
+    }
+}
--- /dev/null
+++ b/crates/control/src/generation/admission.rs
@@ -0,0 +1,287 @@
+//! The asker's side of admission: a place asked for, granted, refused, given
+//! back.
+
+use super::*;
+
+impl Generations {
+    /// Chooses an engine and asks its owner for a place.
+    pub(super) fn place(
+        &mut self,
+        id: u64,
+        engines: &mut EngineTable,
+        owners: &mut OwnerTable,
+        context: &mut Context<'_>,
+    ) {
+        let Some(generation) = self.live.get_mut(&id) else {
+            return;
+        };
+        let zone = &context.membership.myself().locality.zone;
+        let request = PlacementRequest {
+            model: &generation.spec.model,
+            minimum_version: generation.spec.minimum_version,
+            prefix: &generation.spec.prefix,
+            prompt_tokens: generation.spec.prompt_tokens,
+            expected_tokens: generation.spec.expected_tokens,
+            zone,
+            avoid: &generation.avoid,
+            own_preference: match generation.spec.purpose {
+                Purpose::Caller(_) => CALLER_OWN_PREFERENCE,
+                Purpose::Slot(_) => 0.0,
+            },
+        };
+        owners.refresh_own(engines, context.now);
+        let placement = engines.choose(&request, context.now, context.random);
+        let placed = placement.and_then(|placement| {
+            let owner = owners.owner(&placement.engine, context)?;
+            Some((placement.engine, owner))
+        });
+        generation.placings += 1;
+        let Some((engine, owner)) = placed else {
+            generation.state = State::Waiting;
+            generation.avoid.clear();
+            let delay = PLACING_BACKOFF.delay(generation.placings, context.random);
+            self.schedule(id, context.now + delay);
+            return;
+        };
+        let ticket = self.next;
+        self.next += 1;
+        let unanswered = 0;
+        generation.state = State::Queued {
+            engine,
+            owner,
+            ticket,
+            unanswered,
+        };
+        self.by_ticket.insert(ticket, id);
+        self.ask(id, context);
+        self.schedule(id, context.now + RESEND_UNANSWERED);
+    }
+
+    /// Sends the request for a place.
+    pub(super) fn ask(&mut self, id: u64, context: &mut Context<'_>) {
+        let Some(generation) = self.live.get(&id) else {
+            return;
+        };
+        let State::Queued {
+            engine,
+            owner,
+            ticket,
+            ..
+        } = &generation.state
+        else {
+            return;
+        };
+        let spec = &generation.spec;
+        let left = spec.deadline.since(context.now).as_millis();
+        let cost = spec.expected_tokens + f64::from(spec.prompt_tokens) * PROMPT_COST;
+        let enqueue = AdmissionMessage::Enqueue {
+            ticket: *ticket,
+            asked_at: context.now,
+            engine: engine.clone(),
+            group: spec.group.clone(),
+            model: spec.model.clone(),
+            minimum_version: spec.minimum_version,
+            cost: cost as f32,
+            priority: spec.priority,
+            milliseconds_left: u32::try_from(left).unwrap_or(u32::MAX),
+        };
+        let owner = owner.clone();
+        context.send(&owner, PeerMessage::Admission(enqueue));
+    }
+
+    /// Handles an owner's answer.
+    pub(crate) fn hear(
+        &mut self,
+        message: &AdmissionMessage,
+        engines: &mut EngineTable,
+        owners: &mut OwnerTable,
+        context: &mut Context<'_>,
+    ) {
+        let ticket = match message {
+            AdmissionMessage::Released { ticket, load } => {
+                let release = self.releases.remove(ticket);
+                if let (Some(release), Some(load)) = (release, load) {
+                    engines.report(&release.engine, *load, context.now);
+                }
+                return;
+            }
+            AdmissionMessage::Probe { engine, tickets } => {
+                for ticket in tickets {
+                    self.release_unknown(*ticket, engine, context);
+                }
+                return;
+            }
+            AdmissionMessage::Granted { ticket, engine, .. }
+                if !self.by_ticket.contains_key(ticket) =>
+            {
+                self.release_unknown(*ticket, engine, context);
+                return;
+            }
+            AdmissionMessage::Queued { ticket, .. }
+            | AdmissionMessage::Granted { ticket, .. }
+            | AdmissionMessage::Refused { ticket, .. } => *ticket,
+            _ => return,
+        };
+        let Some(id) = self.by_ticket.get(&ticket).copied() else {
+            return;
+        };
+        let Some(generation) = self.live.get_mut(&id) else {
+            return;
+        };
+        let State::Queued {
+            engine, unanswered, ..
+        } = &mut generation.state
+        else {
+            return;
+        };
+        *unanswered = 0;
+        let engine = engine.clone();
+        match message {
+            AdmissionMessage::Queued { load, .. } => {
+                engines.report(&engine, *load, context.now);
+                self.schedule(id, context.now + RESEND_QUEUED);
+            }
+            AdmissionMessage::Granted { asked_at, load, .. } => {
+                engines.report(&engine, *load, context.now);
+                self.granted(id, engine, *asked_at, owners, context);
+            }
+            AdmissionMessage::Refused { reason, load, .. } => {
+                if let Some(load) = load {
+                    engines.report(&engine, *load, context.now);
+                }
+                self.refused(id, engine, *reason, context);
+            }
+            _ => {}
+        }
+    }
+
+    /// Gives back a place that an owner holds for a request that has moved on.
+    pub(super) fn release_unknown(
+        &mut self,
+        ticket: u64,
+        engine: &EngineName,
+        context: &Context<'_>,
+    ) {
+        if self.by_ticket.contains_key(&ticket) {
+            return;
+        }
+        self.releases.entry(ticket).or_insert(PendingRelease {
+            engine: engine.clone(),
+            served: 0.0,
+            engine_failed: false,
+            sends: 0,
+            due: context.now,
+        });
+    }
+
+    /// Starts the attempt, unless the grant was so long under way that the
+    /// engine may have begun to leave since; then the owner is asked again.
+    pub(super) fn granted(
+        &mut self,
+        id: u64,
+        engine: EngineName,
+        asked_at: Timestamp,
+        owners: &OwnerTable,
+        context: &mut Context<'_>,
+    ) {
+        if context.now.since(asked_at) > context.parameters.grant_age_limit {
+            self.ask(id, context);
+            self.schedule(id, context.now + RESEND_UNANSWERED);
+            return;
+        }
+        let Some(address) = owners.address(&engine) else {
+            return;
+        };
+        let Some(generation) = self.live.get_mut(&id) else {
+            return;
+        };
+        let State::Queued { ticket, .. } = generation.state else {
+            return;
+        };
+        self.due.remove(&(generation.due, id));
+        let spec = &generation.spec;
+        let call = EngineCall {
+            model: spec.model.clone(),
+            prompt: Arc::clone(&spec.prompt),
+            prefix: Arc::clone(&spec.prefix),
+            prompt_tokens: spec.prompt_tokens,
+            max_tokens: spec.max_tokens,
+            seed: spec.seed,
+            priority: spec.priority,
+            resume: spec.resume.clone(),
+        };
+        let request = match &spec.purpose {
+            Purpose::Caller(request) => Some(*request),
+            Purpose::Slot(_) => None,
+        };
+        let oldest = None;
+        generation.state = State::Running {
+            engine: engine.clone(),
+            ticket,
+            oldest,
+        };
+        context.actions.push(Action::StartAttempt {
+            attempt: AttemptId(ticket),
+            request,
+            engine,
+            address,
+            call: Box::new(call),
+        });
+    }
+
+    pub(super) fn refused(
+        &mut self,
+        id: u64,
+        engine: EngineName,
+        reason: RefusalReason,
+        context: &mut Context<'_>,
+    ) {
+        let Some(generation) = self.live.get_mut(&id) else {
+            return;
+        };
+        if let State::Queued { ticket, .. } = generation.state {
+            self.by_ticket.remove(&ticket);
+        }
+        generation.state = State::Waiting;
+        generation.avoid.push(engine);
+        if generation.avoid.len() > MOST_AVOIDED {
+            generation.avoid.remove(0);
+        }
+        let is_caller = matches!(generation.spec.purpose, Purpose::Caller(_));
+        let is_full = reason == RefusalReason::QueueFull;
+        if is_caller && is_full && generation.placings as usize > MOST_AVOIDED {
+            self.refuse(id, RefusalKind::Overloaded, context);
+            return;
+        }
+        let delay = PLACING_BACKOFF.delay(generation.placings.min(3), context.random);
+        self.schedule(id, context.now + delay);
+    }
+
+    pub(super) fn send_releases(&mut self, owners: &mut OwnerTable, context: &mut Context<'_>) {
+        let due: Vec<u64> = self
+            .releases
+            .iter()
+            .filter(|(_, release)| release.due <= context.now)
+            .map(|(ticket, _)| *ticket)
+            .collect();
+        for ticket in due {
+            let Some(release) = self.releases.get_mut(&ticket) else {
+                continue;
+            };
+            release.sends += 1;
+            release.due = context.now + RESEND_RELEASE;
+            let owner = owners.owner(&release.engine, context);
+            let Some(owner) = owner.filter(|_| release.sends <= MOST_RELEASES) else {
+                self.releases.remove(&ticket);
+                continue;
+            };
+            let message = AdmissionMessage::Release {
+                ticket,
+                engine: release.engine.clone(),
+                served: release.served,
+                engine_failed: release.engine_failed,
+            };
+            context.send(&owner, PeerMessage::Admission(message));
+        }
+    }
+}
--- /dev/null
+++ b/crates/simulation/src/world/build.rs
@@ -0,0 +1,173 @@
+//! How a fleet is built.
+
+use super::*;
+
+impl World {
+    pub(super) fn write_resources(&mut self) {
+        let mut objects = Vec::new();
+        for group in &self.config.groups {
+            let spec = ResearchGroupSpec {
+                share: group.share,
+                models: [ModelName::new(&group.name)].into(),
+                max_staleness: group.max_staleness,
+                swap_policy: group.swap,
+                limits: GroupLimits {
+                    open_steps: 16,
+                    ..GroupLimits::default()
+                },
+                trainer: format!("{}-trainer", group.name),
+                scoring_service: None,
+            };
+            objects.push(named(&group.name, Spec::ResearchGroup(spec)));
+            let model = ModelSpec {
+                group: GroupName::new(&group.name),
+                max_tokens: group.max_tokens,
+            };
+            objects.push(named(&group.name, Spec::Model(model)));
+            objects.push(weight_object(&ModelName::new(&group.name), 1));
+        }
+        for index in 0..self.config.engines {
+            objects.push(self.machine(index, false));
+        }
+        for object in objects {
+            let _ = self.platform.store.put(object, None);
+        }
+    }
+
+    pub(super) fn machine(&self, index: usize, leaving: bool) -> Object {
+        let zone = index % self.config.zones();
+        let spec = MachineSpec {
+            role: MachineRole::Engine,
+            address: address(2, index),
+            locality: self.network.locality(zone),
+            pool: None,
+            leaving,
+        };
+        named(&format!("engine-{index}"), Spec::Machine(spec))
+    }
+
+    pub(super) fn new_engine(&mut self, index: usize, seed: u64) -> Engine {
+        let models = self.config.groups.iter();
+        let models = models.map(|group| (ModelName::new(&group.name), WeightVersion(1)));
+        let mut parameters = self.config.engine.clone();
+        parameters.swap_failure = self.swap_failure;
+        let name = EngineName::new(format!("engine-{index}"));
+        Engine::new(name, parameters, models.collect(), seed, self.now)
+    }
+
+    pub(super) fn build_engines(&mut self) {
+        for index in 0..self.config.engines {
+            let seed = self.random.random();
+            let engine = self.new_engine(index, seed);
+            let uploads = WeightStore::new(self.config.upload_slots, self.config.weight_transfer);
+            let zone = index % self.config.zones();
+            let engine = SimEngine::new(engine, zone, uploads);
+            self.engine_indices.insert(engine.name.clone(), index);
+            self.engines.push(engine);
+        }
+    }
+
+    pub(super) fn build_nodes(&mut self) {
+        for index in 0..self.config.nodes {
+            let zone = index % self.config.zones();
+            let name = NodeName::new(format!("node-{index}"));
+            self.node_indices.insert(name.clone(), index);
+            self.nodes.push(SimNode {
+                control: None,
+                instance: 0,
+                zone,
+                name,
+                address: address(1, index),
+                paused: false,
+                backlog: Vec::new(),
+                has_disk: index < 2,
+                disk: None,
+                attempt_requests: BTreeMap::new(),
+                meter: Meter::default(),
+                incarnation: 0,
+                draining: false,
+            });
+        }
+        for index in 0..self.config.nodes {
+            self.start_node(index);
+        }
+        if self.config.preloaded {
+            self.preload();
+        }
+    }
+
+    /// Lets every node know all others and the configuration.
+    pub(super) fn preload(&mut self) {
+        let members: Vec<Member> = (0..self.nodes.len())
+            .map(|index| self.member(index))
+            .collect();
+        let catalogue = self.platform.store.catalogue().clone();
+        for node in &mut self.nodes {
+            if let Some(control) = &mut node.control {
+                control.preload(&members, catalogue.clone(), Timestamp::ZERO);
+            }
+        }
+    }
+
+    pub(super) fn member(&self, index: usize) -> Member {
+        let node = &self.nodes[index];
+        Member {
+            name: node.name.clone(),
+            address: node.address,
+            locality: self.network.locality(node.zone),
+            instance: Instance(node.instance),
+            incarnation: node.incarnation,
+            state: MemberState::Alive,
+        }
+    }
+
+    pub(super) fn start_node(&mut self, index: usize) {
+        /// Nodes that a starting one asks for the others.
+        const SEEDS: usize = 3;
+        let instance = self.random.random();
+        let node = &mut self.nodes[index];
+        node.instance = instance;
+        node.incarnation += 1_000;
+        node.paused = false;
+        node.draining = false;
+        node.backlog.clear();
+        node.attempt_requests.clear();
+        let kept = node
+            .disk
+            .as_ref()
+            .map(|catalogue| Catalogue::clone(catalogue));
+        let member = self.member(index);
+        let seeds = (0..SEEDS.min(self.nodes.len())).map(|seed| self.nodes[seed].address);
+        let control = Control::new(
+            member,
+            seeds.collect(),
+            kept,
+            self.config.parameters.clone(),
+        );
+        self.nodes[index].control = Some(control);
+        let jitter = self.random.random_range(0.0..1.0);
+        let first = self.now + self.config.tick.mul_f64(jitter);
+        self.queue.push(first, Happening::NodeTick(index, instance));
+    }
+
+    pub(super) fn schedule_clients(&mut self) {
+        for index in 0..self.trainers.len() {
+            let at = self.now + Duration::from_millis(10 * index as u64);
+            self.queue.push(at, Happening::TrainerTick(index));
+        }
+        if self.config.callers.model_rate > 0.0 {
+            self.queue.push(self.now, Happening::CallerArrives);
+        }
+        if self.config.callers.loan_rate > 0.0 {
+            self.queue.push(self.now, Happening::LoanArrives);
+        }
+        if self.config.operator_period > Duration::ZERO {
+            let at = self.now + self.config.operator_period;
+            self.queue.push(at, Happening::OperatorTick);
+        }
+        for fault in self.config.faults.clone() {
+            self.queue
+                .push(Timestamp::ZERO + fault.at, Happening::FaultBegins(fault));
+        }
+    }
+}
