--- a/crates/membership/src/detector.rs
+++ b/crates/membership/src/detector.rs
@@ -41,7 +41,7 @@
             probe_period: Duration::from_millis(500),
             direct_timeout: Duration::from_millis(200),
             indirect_probes: 3,
-            suspicion_timeout: Duration::from_millis(2_500),
+            suspicion_timeout: Duration::from_millis(4_000),
             sync_period: Duration::from_secs(60),
             dead_probe_period: Duration::from_secs(5),
             forget_after: Duration::from_secs(3_600),
@@ -391,7 +391,14 @@
         };
         let mut suspected = member.clone();
         suspected.state = MemberState::Suspect;
+        let address = suspected.address;
         self.merge(suspected, now, outputs);
+        // Told at once, a member that is alive has the whole time to refute.
+        let mut updates = Vec::new();
+        self.add_doubt_about(name, &mut updates);
+        let sequence = self.next_sequence();
+        let ping = Message::Ping { sequence, updates };
+        outputs.push(Output::Send(name.clone(), address, ping));
     }
 
     fn expire_suspects(&mut self, now: Timestamp, outputs: &mut Vec<Output>) {
