--- a/crates/brasspond/tests/processes.rs
+++ b/crates/brasspond/tests/processes.rs
@@ -18,12 +18,18 @@
     sum
 }
 
-#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
-async fn killed_home_loses_no_sample() {
-    let mut system = System::start("");
+/// A system with one step open, and the index of the step's home.
+async fn system_with_home() -> (System, usize) {
+    let system = System::start("");
     system.ready().await;
     system.open_step(1).await;
     let home = system.home().await;
+    (system, home)
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn killed_home_loses_no_sample() {
+    let (mut system, home) = system_with_home().await;
     system
         .collect(1, |system| {
             system.nodes[home].program.signal(Signal::SIGKILL)
@@ -33,10 +39,7 @@
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn paused_home_that_wakes_up_delivers_nothing_twice() {
-    let mut system = System::start("");
-    system.ready().await;
-    system.open_step(1).await;
-    let home = system.home().await;
+    let (mut system, home) = system_with_home().await;
     system
         .collect(1, |system| {
             system.nodes[home].program.signal(Signal::SIGSTOP)
--- a/crates/control/src/control.rs
+++ b/crates/control/src/control.rs
@@ -116,7 +116,7 @@
             actions: Vec::new(),
             loopback: Vec::new(),
         };
-        control.refresh_working(Timestamp::ZERO);
+        control.refresh_working();
         control.reconfigure(Timestamp::ZERO);
         control
     }
@@ -127,7 +127,7 @@
         self.membership.preload(members.iter().cloned());
         self.replica.learn_snapshot(catalogue);
         self.readiness = Readiness::already_ready();
-        self.refresh_working(now);
+        self.refresh_working();
         self.reconfigure(now);
     }
 
@@ -453,13 +453,13 @@
         }
     }
 
-    fn refresh_working(&mut self, _now: Timestamp) {
+    fn refresh_working(&mut self) {
         let members = self.membership.working().into_iter().cloned().collect();
         self.working = Working::new(members, &self.me, self.parameters.store_readers);
     }
 
     fn members_changed(&mut self, now: Timestamp) {
-        self.refresh_working(now);
+        self.refresh_working();
         let membership = &self.membership;
         self.owners.forget(|ticket| {
             let member = membership.get(&ticket.node);
--- a/crates/control/src/owner.rs
+++ b/crates/control/src/owner.rs
@@ -9,7 +9,7 @@
 use brasspond_fairness::{FairQueue, Priority, Waiting};
 use brasspond_limits::{Backoff, ConcurrencyLimit};
 use brasspond_protocol::{AdmissionMessage, PeerMessage, RefusalReason, Sender};
-use brasspond_routing::{EngineLoad, PrefixIndex};
+use brasspond_routing::EngineLoad;
 use brasspond_types::{
     EngineName, GroupName, ModelName, Mutation, NodeName, Timestamp, WeightVersion,
 };
@@ -102,7 +102,6 @@
     report_asked: Timestamp,
     next_poll: Timestamp,
     owned_since: Timestamp,
-    prefixes: PrefixIndex,
 }
 
 impl Owner {
@@ -124,7 +123,6 @@
             report_asked: Timestamp::ZERO,
             next_poll: now,
             owned_since: now,
-            prefixes: PrefixIndex::default(),
         }
     }
 
--- a/crates/control/src/owner/orders.rs
+++ b/crates/control/src/owner/orders.rs
@@ -32,9 +32,6 @@
             return;
         }
         self.report_asked = asked_at;
-        for event in &report.cache_events {
-            self.prefixes.apply(event);
-        }
         if self.limit.current() <= LOWEST_LIMIT && report.max_running > LOWEST_LIMIT {
             let most = report.max_running;
             self.limit = ConcurrencyLimit::new(most, LOWEST_LIMIT, most);
--- a/crates/emulator/src/engine.rs
+++ b/crates/emulator/src/engine.rs
@@ -84,8 +84,6 @@
 pub enum SubmitRefusal {
     /// the model is not loaded
     ModelNotLoaded,
-    /// the engine is leaving
-    Leaving,
     /// a request with this id is under way
     Duplicate,
 }
--- a/crates/experiment/src/run.rs
+++ b/crates/experiment/src/run.rs
@@ -117,7 +117,7 @@
     } else {
         Duration::from_secs(experiment.longest_seconds)
     };
-    let mut shares = ShareWatch::new(experiment);
+    let mut shares = ShareWatch::default();
     while world.now().since(Timestamp::ZERO) < longest && (job.alone || !world.trainers_done()) {
         let next = world.now() + LOOK;
         world.run_until(next);
@@ -131,6 +131,7 @@
 }
 
 /// Follows the groups' shares.
+#[derive(Default)]
 struct ShareWatch {
     before: BTreeMap<ModelName, u64>,
     window: Vec<BTreeMap<String, f64>>,
@@ -139,15 +140,6 @@
 }
 
 impl ShareWatch {
-    fn new(_experiment: &Experiment) -> Self {
-        Self {
-            before: BTreeMap::new(),
-            window: Vec::new(),
-            over_time: Vec::new(),
-            error_most: None,
-        }
-    }
-
     fn look(&mut self, experiment: &Experiment, world: &World) {
         let totals = world.engine_totals().by_model;
         let made: BTreeMap<String, f64> = experiment
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -21,4 +21,4 @@
     EngineLoad, EngineTable, EngineView, Placement, PlacementRequest, Policy, PoolLoad,
     SpeedEstimate,
 };
-pub use prefix::{BLOCK_TOKENS, CacheEvent, PrefixIndex, estimate_tokens, prefix_hashes};
+pub use prefix::{BLOCK_TOKENS, CacheEvent, estimate_tokens, prefix_hashes};
--- a/crates/routing/src/prefix.rs
+++ b/crates/routing/src/prefix.rs
@@ -1,8 +1,7 @@
-//! Prompt prefixes as chains of block hashes, and which an engine has cached.
+//! Prompt prefixes as chains of block hashes, and what engines tell of them.
 
 use brasspond_types::stable_hash;
 use serde::{Deserialize, Serialize};
-use std::collections::HashSet;
 
 /// Tokens in one cache block.
 pub const BLOCK_TOKENS: u32 = 16;
@@ -38,48 +37,3 @@
     /// Block hashes evicted.
     pub evicted: Vec<u64>,
 }
-
-/// What one engine is believed to have cached.
-#[derive(Clone, Debug, Default)]
-pub struct PrefixIndex {
-    blocks: HashSet<u64>,
-    next_sequence: u64,
-    uncertain: bool,
-}
-
-impl PrefixIndex {
-    /// Takes in an event. After a gap the index only counts as a hint until
-    /// [`PrefixIndex::reset`], since evictions may have been missed.
-    pub fn apply(&mut self, event: &CacheEvent) {
-        if event.sequence < self.next_sequence {
-            return;
-        }
-        if event.sequence > self.next_sequence {
-            self.uncertain = true;
-        }
-        self.next_sequence = event.sequence + 1;
-        for block in &event.evicted {
-            self.blocks.remove(block);
-        }
-        self.blocks.extend(&event.stored);
-    }
-
-    /// Forgets everything, as after a restart of the engine.
-    pub fn reset(&mut self, next_sequence: u64) {
-        self.blocks.clear();
-        self.next_sequence = next_sequence;
-        self.uncertain = false;
-    }
-
-    /// Whether events were missed.
-    pub fn is_uncertain(&self) -> bool {
-        self.uncertain
-    }
-
-    /// Tokens of the prefix believed cached; half of them while uncertain.
-    pub fn cached_tokens(&self, hashes: &[u64]) -> u32 {
-        let cached = hashes.iter().take_while(|hash| self.blocks.contains(hash));
-        let tokens = cached.count() as u32 * BLOCK_TOKENS;
-        if self.uncertain { tokens / 2 } else { tokens }
-    }
-}
