--- a/crates/brasspond/src/logging.rs
+++ b/crates/brasspond/src/logging.rs
@@ -22,3 +22,15 @@
     let _ = WriteLogger::init(level, config, target);
     Ok(())
 }
+
+/// Begins to log to standard output.
+pub(crate) fn start_to_output(level: &str) -> std::io::Result<()> {
+    let level = level.parse().unwrap_or(LevelFilter::Info);
+    let config = ConfigBuilder::new()
+        .set_time_level(LevelFilter::Off)
+        .set_thread_level(LevelFilter::Off)
+        .set_target_level(LevelFilter::Off)
+        .build();
+    let _ = WriteLogger::init(level, config, std::io::stdout());
+    Ok(())
+}
--- a/crates/brasspond/src/main.rs
+++ b/crates/brasspond/src/main.rs
@@ -14,6 +14,7 @@
 mod logging;
 mod node;
 mod options;
+mod process;
 
 use crate::exit::Outcome;
 use crate::options::{Command, command_line};
@@ -35,6 +36,8 @@
     };
     let outcome = match command {
         Command::Node(options) => node::run(&options),
+        Command::Edge(options) | Command::Storage(options) => process::run(&options),
+        Command::CheckProcess(options) => process::check(&options),
         Command::Check(options) => check::run(&options),
         Command::Get(options) => client::get(&options),
         Command::Apply(options) => client::apply(&options),
--- a/crates/brasspond/src/options.rs
+++ b/crates/brasspond/src/options.rs
@@ -39,6 +39,28 @@
     pub(crate) output: Form,
 }
 
+/// Settings of a process of a cluster.
+#[derive(Clone, Debug, Bpaf)]
+pub(crate) struct ProcessOptions {
+    /// Settings file; where the platform puts it if not given
+    #[bpaf(argument("FILE"), optional)]
+    pub(crate) settings: Option<PathBuf>,
+    /// Least important events that are logged: error, warn, info, debug
+    #[bpaf(argument("LEVEL"), fallback("info".to_owned()))]
+    pub(crate) log_level: String,
+    /// Port of the metrics, on the machine's own address
+    #[bpaf(argument("PORT"), optional)]
+    pub(crate) metrics_port: Option<u16>,
+}
+
+/// What to check.
+#[derive(Clone, Debug, Bpaf)]
+pub(crate) struct CheckProcessOptions {
+    /// Settings file
+    #[bpaf(positional("FILE"))]
+    pub(crate) settings: PathBuf,
+}
+
 /// Settings of a node that override its file.
 #[derive(Clone, Debug, Bpaf)]
 pub(crate) struct NodeOptions {
@@ -311,6 +333,21 @@
     /// Example: brasspond node --settings node-0.toml --zone zone-b
     #[bpaf(command)]
     Node(#[bpaf(external(node_options))] NodeOptions),
+    /// Run an edge of a cluster on the prepared platform
+    ///
+    /// Example: brasspond edge --settings settings.yaml
+    #[bpaf(command)]
+    Edge(#[bpaf(external(process_options))] ProcessOptions),
+    /// Run a storage process of a cluster on the prepared platform
+    ///
+    /// Example: brasspond storage --settings settings.yaml
+    #[bpaf(command)]
+    Storage(#[bpaf(external(process_options))] ProcessOptions),
+    /// Check the settings of an edge or a storage process
+    ///
+    /// Example: brasspond check-process settings.yaml
+    #[bpaf(command("check-process"))]
+    CheckProcess(#[bpaf(external(check_process_options))] CheckProcessOptions),
     /// Check settings and manifests without starting anything
     ///
     /// Example: brasspond check node-0.toml resources.yaml
--- /dev/null
+++ b/crates/cluster-protocol/src/frame.rs
@@ -0,0 +1,63 @@
+//! Frames on a connection.
+
+use crate::Message;
+use bytes::{Buf, Bytes, BytesMut};
+use displaydoc::Display;
+
+/// Longest frame taken, in bytes: a snapshot fits.
+pub const LONGEST_FRAME: usize = 256 * 1024 * 1024;
+const LENGTH_BYTES: usize = 4;
+
+/// Why a frame cannot be read.
+#[derive(Debug, Display)]
+pub enum FrameError {
+    /// a frame of {0} bytes is longer than allowed
+    TooLong(usize),
+    /// the content cannot be decoded: {0}
+    Decode(rmp_serde::decode::Error),
+}
+
+impl std::error::Error for FrameError {}
+
+/// Encodes a message as a frame.
+pub fn encode(message: &Message) -> Bytes {
+    let mut frame = vec![0; LENGTH_BYTES];
+    // Every message type can be encoded; writing to a vector does not fail.
+    if rmp_serde::encode::write(&mut frame, message).is_err() {
+        return Bytes::new();
+    }
+    let length = u32::try_from(frame.len() - LENGTH_BYTES).unwrap_or(u32::MAX);
+    frame[..LENGTH_BYTES].copy_from_slice(&length.to_be_bytes());
+    frame.into()
+}
+
+/// Collects bytes and gives out whole messages.
+#[derive(Debug, Default)]
+pub struct FrameBuffer {
+    /// Bytes received and not yet decoded; readers append here.
+    pub bytes: BytesMut,
+}
+
+impl FrameBuffer {
+    /// The next whole message, if it has arrived.
+    ///
+    /// # Errors
+    /// The bytes are no message; the connection is of no more use.
+    pub fn next_message(&mut self) -> Result<Option<Message>, FrameError> {
+        let Some(length) = self.bytes.first_chunk::<LENGTH_BYTES>() else {
+            return Ok(None);
+        };
+        let length = u32::from_be_bytes(*length) as usize;
+        if length > LONGEST_FRAME {
+            return Err(FrameError::TooLong(length));
+        }
+        if self.bytes.len() < LENGTH_BYTES + length {
+            self.bytes.reserve(LENGTH_BYTES + length - self.bytes.len());
+            return Ok(None);
+        }
+        self.bytes.advance(LENGTH_BYTES);
+        let frame = self.bytes.split_to(length);
+        let message = rmp_serde::from_slice(&frame).map_err(FrameError::Decode)?;
+        Ok(Some(message))
+    }
+}
--- /dev/null
+++ b/crates/cluster-protocol/src/lib.rs
@@ -0,0 +1,162 @@
+//! What the processes of a cluster say to one another.
+//!
+//! Frames: a length of 4 bytes, big endian, then a [`Message`] in MessagePack.
+//! A connection begins with [`Message::Hello`] from the side that opened it.
+#![forbid(unsafe_code)]
+
+mod frame;
+mod run;
+
+pub use frame::{FrameBuffer, FrameError, LONGEST_FRAME, encode};
+pub use run::{AttemptId, RunEnd, RunReport, RunSpec, StreamEvent};
+
+use brasspond_consensus::{Member, MemberId};
+use brasspond_fleet::FleetView;
+use brasspond_jobs::{BodyError, Page, Submission};
+use bytes::Bytes;
+use serde::{Deserialize, Serialize};
+
+/// What a process is.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Peer {
+    /// Serves callers and runs items.
+    Edge {
+        /// Name of its machine.
+        machine: String,
+        /// Zone of its machine.
+        zone: String,
+        /// Drawn at each start.
+        incarnation: u64,
+    },
+    /// Keeps the log, or is about to.
+    Storage(Member),
+}
+
+/// A question that is answered on the same connection.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub enum Question {
+    /// Take a job.
+    Submit(Submission),
+    /// Results of a job from a position on, held until there is one.
+    Results {
+        /// The job.
+        job: String,
+        /// First position.
+        since: u64,
+        /// Longest time to hold the answer, in ms.
+        wait_ms: u64,
+    },
+    /// Body of an item.
+    Body {
+        /// The job.
+        job: String,
+        /// Identity of the item.
+        item: String,
+    },
+    /// End a job.
+    End {
+        /// The job.
+        job: String,
+    },
+    /// Where the members of the log are.
+    Members,
+}
+
+/// An answer to a [`Question`].
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub enum Answer {
+    /// Done, and kept by a quorum.
+    Done,
+    /// Results, kept by a quorum; none: no such job.
+    Page(Option<Page>),
+    /// Body of an item.
+    Body(Result<Bytes, BodyError>),
+    /// Members of the log, as far as known.
+    Members(Vec<Member>),
+    /// Nothing was done: this process does not lead; who may.
+    NotLeader(Option<MemberId>),
+    /// It may have been done or may yet be.
+    Unknown,
+}
+
+/// A message between two processes.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub enum Message {
+    /// Who opened the connection.
+    Hello(Peer),
+    /// Between members of the log.
+    Consensus {
+        /// Sender.
+        from: MemberId,
+        /// Receiver: another life of its disk must not take it.
+        to: MemberId,
+        /// Content.
+        message: brasspond_consensus::Message,
+    },
+    /// A question, numbered by the asker.
+    Ask {
+        /// Number.
+        number: u64,
+        /// Question.
+        question: Question,
+    },
+    /// The answer to the question of that number.
+    Reply {
+        /// Number.
+        number: u64,
+        /// Answer.
+        answer: Answer,
+    },
+    /// The sender leads in this term; sent at once to all edges, and repeated.
+    Leading {
+        /// Term.
+        term: u64,
+        /// Members of the log.
+        members: Vec<Member>,
+    },
+    /// The sender's newest view of the fleet.
+    View(FleetView),
+    /// Leader to edge: run an item.
+    Run(Box<RunSpec>),
+    /// Leader to edge: stop a run.
+    Cancel {
+        /// Term of the leader.
+        term: u64,
+        /// The run.
+        attempt: AttemptId,
+    },
+    /// Leader to edge: the end of this run is kept, forget it.
+    Recorded {
+        /// The run.
+        attempt: AttemptId,
+    },
+    /// Edge to a new leader: all runs it holds.
+    Runs {
+        /// Term of the leader it is meant for.
+        term: u64,
+        /// Runs under way or ended and not recorded.
+        runs: Vec<RunReport>,
+        /// Takes no new ones: the edge is about to stop.
+        draining: bool,
+    },
+    /// Edge to leader: events since the last message about this run.
+    Progress {
+        /// The run.
+        attempt: AttemptId,
+        /// New events.
+        events: Vec<StreamEvent>,
+    },
+    /// Edge to leader: a run ended; the events not told yet come with it.
+    Ended {
+        /// The run.
+        attempt: AttemptId,
+        /// Events since the last message about this run.
+        events: Vec<StreamEvent>,
+        /// How it ended.
+        end: RunEnd,
+    },
+    /// The sender takes no new work.
+    Draining,
+    /// Nothing; shows that the sender lives.
+    Beat,
+}
--- /dev/null
+++ b/crates/cluster-protocol/src/run.rs
@@ -0,0 +1,97 @@
+//! Runs of items on replicas.
+
+use bytes::Bytes;
+use serde::{Deserialize, Serialize};
+use std::net::SocketAddr;
+
+/// A run of an item on one replica: the leader's term and a number.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct AttemptId {
+    /// Term of the leader that began it.
+    pub term: u64,
+    /// Number within the term.
+    pub number: u64,
+}
+
+/// An event of a stream.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct StreamEvent {
+    /// Its identity; they rise within a stream.
+    pub id: u64,
+    /// Its data.
+    pub data: Bytes,
+    /// Version of the weights that made it.
+    pub version: u64,
+}
+
+/// What an edge needs to run an item.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RunSpec {
+    /// The run.
+    pub attempt: AttemptId,
+    /// Its job.
+    pub job: String,
+    /// Index of the item in its job.
+    pub item: u32,
+    /// Identity of the item.
+    pub item_id: String,
+    /// Host asked for.
+    pub host: String,
+    /// Path asked for.
+    pub path: String,
+    /// Headers of the item.
+    pub headers: Vec<(String, String)>,
+    /// Body of the item.
+    pub body: Bytes,
+    /// Identity of the replica.
+    pub replica: String,
+    /// Where the replica listens.
+    pub address: SocketAddr,
+    /// Oldest version that may make an event.
+    pub min_version: u64,
+    /// Only one version may make the events.
+    pub single_version: bool,
+    /// Events that earlier runs made; the run goes on after them.
+    pub events: Vec<StreamEvent>,
+}
+
+/// How a run ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum RunEnd {
+    /// The stream is whole.
+    Whole,
+    /// The replica said that it did not run the item.
+    NotRun {
+        /// It is no longer the replica it was taken for.
+        other_instance: bool,
+    },
+    /// The replica ran it and failed (500).
+    Failed,
+    /// It can never be done (422).
+    Impossible,
+    /// The replica's weights are older than the item allows.
+    TooOld,
+    /// The replica cannot be reached.
+    Unreachable,
+    /// The stream broke off, or its bytes made no sense.
+    Broken,
+    /// Stopped by the leader, or by the edge's own stop.
+    Cancelled,
+}
+
+/// A run as an edge tells a new leader of it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RunReport {
+    /// The run.
+    pub attempt: AttemptId,
+    /// Its job.
+    pub job: String,
+    /// Index of the item in its job.
+    pub item: u32,
+    /// The replica.
+    pub replica: String,
+    /// All events so far, those of earlier runs included.
+    pub events: Vec<StreamEvent>,
+    /// How it ended, if it has.
+    pub end: Option<RunEnd>,
+}
--- /dev/null
+++ b/crates/cluster/src/edge/balance.rs
@@ -0,0 +1,153 @@
+//! Which replica of a plain service takes a request.
+
+use brasspond_fleet::FleetView;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+/// Weight of a new answer's time against what was known.
+const TIME_WEIGHT: f64 = 0.3;
+/// Time assumed of a replica that has not answered yet, in ms.
+const UNKNOWN_MS: f64 = 20.0;
+/// Cost of a replica in another zone, in ms.
+const OTHER_ZONE_MS: f64 = 3.0;
+/// First pause after a fault; it doubles with each more.
+const FIRST_PAUSE: Duration = Duration::from_millis(200);
+/// Longest pause.
+const LONGEST_PAUSE: Duration = Duration::from_secs(3);
+/// Reported load older than this says nothing.
+const LOAD_LIFE: Duration = Duration::from_millis(500);
+
+/// A replica as an edge sees it.
+#[derive(Clone, Debug)]
+pub(super) struct Known {
+    pub address: SocketAddr,
+    service: String,
+    zone: String,
+    slots: u32,
+    draining: bool,
+    in_flight: u32,
+    answer_ms: Option<f64>,
+    faults: u32,
+    paused_until: Option<Instant>,
+    /// Requests there as it told, our own not counted.
+    others: (u32, Instant),
+}
+
+/// All replicas by identity.
+pub(super) struct Balance {
+    zone: String,
+    replicas: HashMap<String, Known>,
+}
+
+impl Balance {
+    pub fn new(zone: String) -> Self {
+        Self {
+            zone,
+            replicas: HashMap::new(),
+        }
+    }
+
+    pub fn take_view(&mut self, view: &FleetView) {
+        self.replicas.retain(|id, _| view.replicas.contains_key(id));
+        for (id, info) in view.replicas.iter() {
+            let known = self.replicas.entry(id.clone()).or_insert_with(|| Known {
+                address: info.address,
+                service: info.service.clone(),
+                zone: info.zone.clone(),
+                slots: info.slots,
+                draining: false,
+                in_flight: 0,
+                answer_ms: None,
+                faults: 0,
+                paused_until: None,
+                others: (0, Instant::now()),
+            });
+            known.draining = info.draining;
+            known.slots = info.slots;
+        }
+    }
+
+    /// The replica expected to answer first; those in `tried` only if there is
+    /// no other, and not at all where `again` is false.
+    pub fn choose(&self, service: &str, tried: &[String], again: bool) -> Option<String> {
+        let now = Instant::now();
+        let fitting = self
+            .replicas
+            .iter()
+            .filter(|(_, known)| known.service == service && !known.draining);
+        let costed = fitting.filter_map(|(id, known)| {
+            let was_tried = tried.contains(id);
+            if was_tried && !again {
+                return None;
+            }
+            let is_paused = known.paused_until.is_some_and(|until| until > now);
+            let cost = self.cost(known, now);
+            Some(((was_tried, is_paused), cost, id))
+        });
+        let best = costed.min_by(|a, b| {
+            (a.0).cmp(&b.0).then(a.1.total_cmp(&b.1)).then(a.2.cmp(b.2))
+        });
+        best.map(|(_, _, id)| id.clone())
+    }
+
+    /// Expected time to an answer, in ms: the replica's own time, once for each
+    /// round of requests before this one.
+    fn cost(&self, known: &Known, now: Instant) -> f64 {
+        let own = known.answer_ms.unwrap_or(UNKNOWN_MS);
+        let others = if now.duration_since(known.others.1) < LOAD_LIFE {
+            known.others.0
+        } else {
+            0
+        };
+        let there = f64::from(known.in_flight + others);
+        let rounds = 1.0 + there / f64::from(known.slots.max(1));
+        let distance = if known.zone == self.zone {
+            0.0
+        } else {
+            OTHER_ZONE_MS
+        };
+        own * rounds + distance
+    }
+
+    pub fn address(&self, id: &str) -> Option<SocketAddr> {
+        self.replicas.get(id).map(|known| known.address)
+    }
+
+    pub fn begin(&mut self, id: &str) {
+        if let Some(known) = self.replicas.get_mut(id) {
+            known.in_flight += 1;
+        }
+    }
+
+    pub fn end(&mut self, id: &str) {
+        if let Some(known) = self.replicas.get_mut(id) {
+            known.in_flight = known.in_flight.saturating_sub(1);
+        }
+    }
+
+    pub fn note_answer(&mut self, id: &str, time: Duration) {
+        if let Some(known) = self.replicas.get_mut(id) {
+            let time = time.as_secs_f64() * 1_000.0;
+            let before = known.answer_ms.unwrap_or(time);
+            known.answer_ms = Some(before + TIME_WEIGHT * (time - before));
+            known.faults = 0;
+            known.paused_until = None;
+        }
+    }
+
+    pub fn note_load(&mut self, id: &str, running: u32, waiting: u32) {
+        if let Some(known) = self.replicas.get_mut(id) {
+            let others = (running + waiting).saturating_sub(known.in_flight);
+            known.others = (others, Instant::now());
+        }
+    }
+
+    pub fn note_fault(&mut self, id: &str) {
+        if let Some(known) = self.replicas.get_mut(id) {
+            let pause = FIRST_PAUSE * (1 << known.faults.min(4));
+            known.faults += 1;
+            known.paused_until = Some(Instant::now() + pause.min(LONGEST_PAUSE));
+        }
+    }
+}
--- /dev/null
+++ b/crates/cluster/src/edge/cluster.rs
@@ -0,0 +1,369 @@
+//! What an edge knows of the storage processes, and its questions to the leader.
+
+use super::process::Edge;
+use crate::link::{LinkEvent, LinkId, LinkNumbers, Writer, dial};
+use brasspond_cluster_protocol::{Answer, Message, Peer, Question, RunSpec};
+use brasspond_consensus::Member;
+use brasspond_fleet::FleetView;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+use tokio::sync::{mpsc, oneshot, watch};
+use tokio::task::AbortHandle;
+
+/// Pause between two signs of life to the leader, in ms.
+const BEAT_PAUSE: u64 = 500;
+/// A leader silent this long counts as gone, in ms.
+const LEADER_SILENT: u64 = 1_300;
+/// Time for an answer before the question is asked again.
+const ANSWER_TIME: Duration = Duration::from_millis(1_200);
+/// Pause before a question that found no leader is asked again.
+const ASK_PAUSE: Duration = Duration::from_millis(60);
+/// Pause between two searches for storage processes.
+const SEARCH_PAUSE: Duration = Duration::from_millis(500);
+
+/// The leader as an edge knows it.
+#[derive(Clone, Debug)]
+pub(super) struct Leader {
+    pub link: LinkId,
+    pub term: u64,
+    pub writer: Writer,
+    heard_at: u64,
+}
+
+struct LinkState {
+    writer: Writer,
+    peer: Option<Peer>,
+    address: SocketAddr,
+}
+
+/// What a message asks the edge to do.
+pub(super) enum Happening {
+    NewLeader(u64),
+    View(FleetView),
+    Run(Box<RunSpec>),
+    Cancel(u64, brasspond_cluster_protocol::AttemptId),
+    Recorded(brasspond_cluster_protocol::AttemptId),
+}
+
+/// Storage processes, links, questions under way.
+pub(super) struct Cluster {
+    hello: Peer,
+    events: mpsc::Sender<LinkEvent>,
+    numbers: Rc<LinkNumbers>,
+    dialers: HashMap<SocketAddr, AbortHandle>,
+    links: HashMap<LinkId, LinkState>,
+    members: Vec<Member>,
+    leader: watch::Sender<Option<Leader>>,
+    asked: HashMap<u64, (LinkId, oneshot::Sender<Answer>)>,
+    next_number: u64,
+    newest_term: u64,
+    beat_at: u64,
+}
+
+impl Cluster {
+    pub fn new(hello: Peer, events: mpsc::Sender<LinkEvent>, numbers: Rc<LinkNumbers>) -> Self {
+        Self {
+            hello,
+            events,
+            numbers,
+            dialers: HashMap::new(),
+            links: HashMap::new(),
+            members: Vec::new(),
+            leader: watch::Sender::new(None),
+            asked: HashMap::new(),
+            next_number: 0,
+            newest_term: 0,
+            beat_at: 0,
+        }
+    }
+
+    /// The leader, if one is known at present.
+    pub fn leader(&self) -> Option<Leader> {
+        self.leader.borrow().clone()
+    }
+
+    fn watch_leader(&self) -> watch::Receiver<Option<Leader>> {
+        self.leader.subscribe()
+    }
+
+    /// Connects to these storage processes and to no others.
+    pub fn set_members(&mut self, members: Vec<Member>) {
+        if members.is_empty() || members == self.members {
+            return;
+        }
+        self.dialers.retain(|address, task| {
+            let stays = members.iter().any(|member| member.address == *address);
+            if !stays {
+                task.abort();
+            }
+            stays
+        });
+        let links = &self.links;
+        let kept: Vec<LinkId> = links
+            .iter()
+            .filter(|(_, state)| members.iter().any(|one| one.address == state.address))
+            .map(|(link, _)| *link)
+            .collect();
+        self.links.retain(|link, _| kept.contains(link));
+        for member in &members {
+            self.dial_to(member.address);
+        }
+        self.members = members;
+    }
+
+    pub fn dial_to(&mut self, address: SocketAddr) {
+        if self.dialers.contains_key(&address) {
+            return;
+        }
+        let dialing = dial(
+            address,
+            self.hello.clone(),
+            Rc::clone(&self.numbers),
+            self.events.clone(),
+        );
+        let task = tokio::task::spawn_local(dialing);
+        self.dialers.insert(address, task.abort_handle());
+    }
+
+    pub fn on_link(&mut self, event: LinkEvent, now: u64) -> Vec<Happening> {
+        match event {
+            LinkEvent::Up {
+                link,
+                writer,
+                peer,
+                address,
+            } => {
+                let state = LinkState {
+                    writer,
+                    peer,
+                    address,
+                };
+                self.links.insert(link, state);
+                Vec::new()
+            }
+            LinkEvent::Message { link, message } => self.on_message(link, message, now),
+            LinkEvent::Down { link, .. } => {
+                self.links.remove(&link);
+                self.leader.send_if_modified(|leader| {
+                    let is_gone = leader.as_ref().is_some_and(|one| one.link == link);
+                    if is_gone {
+                        log::info!("event=leader_link_down");
+                        *leader = None;
+                    }
+                    is_gone
+                });
+                self.asked.retain(|_, (asked, _)| *asked != link);
+                Vec::new()
+            }
+            LinkEvent::Refused { .. } => Vec::new(),
+        }
+    }
+
+    fn on_message(&mut self, link: LinkId, message: Message, now: u64) -> Vec<Happening> {
+        match message {
+            Message::Hello(peer) => {
+                if let Some(state) = self.links.get_mut(&link) {
+                    state.peer = Some(peer);
+                }
+                Vec::new()
+            }
+            Message::Leading { term, members } => self.on_leading(link, term, members, now),
+            Message::View(view) => vec![Happening::View(view)],
+            Message::Run(spec) => vec![Happening::Run(spec)],
+            Message::Cancel { term, attempt } => vec![Happening::Cancel(term, attempt)],
+            Message::Recorded { attempt } => vec![Happening::Recorded(attempt)],
+            Message::Reply { number, answer } => {
+                if let Some((_, asker)) = self.asked.remove(&number) {
+                    let _ = asker.send(answer);
+                }
+                Vec::new()
+            }
+            Message::Ask {
+                number,
+                question: Question::Members,
+            } => {
+                let answer = Answer::Members(self.members.clone());
+                if let Some(state) = self.links.get(&link) {
+                    state.writer.send(&Message::Reply { number, answer });
+                }
+                Vec::new()
+            }
+            _ => Vec::new(),
+        }
+    }
+
+    fn on_leading(
+        &mut self,
+        link: LinkId,
+        term: u64,
+        members: Vec<Member>,
+        now: u64,
+    ) -> Vec<Happening> {
+        if term < self.newest_term {
+            return Vec::new();
+        }
+        self.newest_term = term;
+        let Some(writer) = self.links.get(&link).map(|state| state.writer.clone()) else {
+            return Vec::new();
+        };
+        let known = self.leader();
+        let is_new = known.is_none_or(|known| known.link != link || known.term != term);
+        let leader = Leader {
+            link,
+            term,
+            writer,
+            heard_at: now,
+        };
+        if is_new {
+            log::info!("event=leader_known term={term}");
+            self.leader.send_replace(Some(leader));
+        } else {
+            self.leader.send_if_modified(|known| {
+                *known = Some(leader);
+                false
+            });
+        }
+        self.set_members(members);
+        if is_new {
+            vec![Happening::NewLeader(term)]
+        } else {
+            Vec::new()
+        }
+    }
+
+    pub fn newest_term(&self) -> u64 {
+        self.newest_term
+    }
+
+    pub fn tick(&mut self, now: u64) {
+        self.leader.send_if_modified(|leader| {
+            let silent = leader
+                .as_ref()
+                .is_some_and(|one| now >= one.heard_at + LEADER_SILENT);
+            if silent {
+                log::info!("event=leader_silent");
+                *leader = None;
+            }
+            silent
+        });
+        if now >= self.beat_at + BEAT_PAUSE
+            && let Some(leader) = self.leader()
+        {
+            self.beat_at = now;
+            leader.writer.send(&Message::Beat);
+        }
+    }
+
+    fn ask(&mut self, leader: &Leader, question: Question) -> Option<oneshot::Receiver<Answer>> {
+        self.next_number += 1;
+        let number = self.next_number;
+        let (sender, receiver) = oneshot::channel();
+        let message = Message::Ask { number, question };
+        if !leader.writer.send(&message) {
+            return None;
+        }
+        self.asked.insert(number, (leader.link, sender));
+        Some(receiver)
+    }
+
+    fn known_peers(&self) -> Vec<SocketAddr> {
+        self.links.values().map(|state| state.address).collect()
+    }
+}
+
+/// Does what a message of a storage process asks for.
+pub(super) fn act(edge: &Rc<Edge>, happening: Happening) {
+    match happening {
+        Happening::NewLeader(term) => edge.tell_runs(term),
+        Happening::View(view) => edge.take_view(&view),
+        Happening::Run(spec) => edge.start_run(*spec),
+        Happening::Cancel(term, attempt) => edge.cancel_run(term, attempt),
+        Happening::Recorded(attempt) => edge.forget_run(attempt),
+    }
+}
+
+/// Why a question has no answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum AskError {
+    /// No leader took it: nothing was done.
+    NotAsked,
+    /// A leader may have done it.
+    Unknown,
+}
+
+impl Edge {
+    /// Asks the leader, and again while there is time: every question may be
+    /// asked twice.
+    pub(super) async fn ask(
+        &self,
+        question: Question,
+        wait: Duration,
+        deadline: Instant,
+    ) -> Result<Answer, AskError> {
+        let mut leaders = self.cluster.borrow().watch_leader();
+        let mut failure = AskError::NotAsked;
+        loop {
+            let left = deadline.saturating_duration_since(Instant::now());
+            if left.is_zero() {
+                return Err(failure);
+            }
+            let leader = leaders.borrow_and_update().clone();
+            let Some(leader) = leader else {
+                let _ = tokio::time::timeout(left, leaders.changed()).await;
+                continue;
+            };
+            let asked = self.cluster.borrow_mut().ask(&leader, question.clone());
+            let answer = match asked {
+                Some(receiver) => {
+                    let limit = left.min(ANSWER_TIME + wait);
+                    tokio::time::timeout(limit, receiver).await
+                }
+                None => Ok(Ok(Answer::NotLeader(None))),
+            };
+            match answer {
+                Ok(Ok(Answer::NotLeader(_))) => {}
+                Ok(Ok(Answer::Unknown)) | Ok(Err(_)) | Err(_) => failure = AskError::Unknown,
+                Ok(Ok(answer)) => return Ok(answer),
+            }
+            let pause = ASK_PAUSE.min(left);
+            let _ = tokio::time::timeout(pause, leaders.changed()).await;
+        }
+    }
+}
+
+/// Looks for storage processes until some are known: in the group's record,
+/// then with the seeds.
+pub(super) async fn find_members(edge: Rc<Edge>) {
+    loop {
+        if edge.cluster.borrow().leader().is_none() {
+            if let Ok(Some(record)) = edge.outside.registry.read().await {
+                let mut cluster = edge.cluster.borrow_mut();
+                for member in &record.members {
+                    cluster.dial_to(member.address);
+                }
+            }
+            ask_seeds(&edge).await;
+        }
+        tokio::time::sleep(SEARCH_PAUSE).await;
+    }
+}
+
+async fn ask_seeds(edge: &Rc<Edge>) {
+    for seed in &edge.settings.process.seeds {
+        if *seed == edge.settings.process.cluster_address {
+            continue;
+        }
+        if let Some(members) = crate::link::ask_members(*seed).await {
+            let known = edge.cluster.borrow().known_peers();
+            let mut cluster = edge.cluster.borrow_mut();
+            for member in members {
+                if !known.contains(&member.address) {
+                    cluster.dial_to(member.address);
+                }
+            }
+            return;
+        }
+    }
+}
--- /dev/null
+++ b/crates/cluster/src/edge/front.rs
@@ -0,0 +1,260 @@
+//! What callers connect to.
+
+use super::cluster::AskError;
+use super::forward::{forward, give_up};
+use super::process::Edge;
+use crate::outside::Call;
+use brasspond_cluster_protocol::{Answer, Question};
+use bytes::Bytes;
+use futures::future::Either;
+use http_body_util::combinators::UnsyncBoxBody;
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::Incoming;
+use hyper::header::{HeaderValue, RETRY_AFTER};
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper::{Method, Request, Response, StatusCode};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use std::convert::Infallible;
+use std::pin::pin;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+use tokio::net::{TcpListener, TcpStream};
+
+/// Body of an answer.
+pub(super) type Body = UnsyncBoxBody<Bytes, std::io::Error>;
+
+/// Longest time a job's call waits for a leader.
+const CALL_TIME: Duration = Duration::from_millis(4_000);
+/// Longest time a read of results waits for a leader.
+const READ_TIME: Duration = Duration::from_millis(1_800);
+/// Longest hold of a read of results, in ms.
+const LONGEST_WAIT: u64 = 1_000;
+/// Buffer of a connection, in bytes.
+const BUFFER_BYTES: usize = 32 * 1024;
+
+/// Accepts callers until the edge stops.
+pub(super) async fn serve(edge: Rc<Edge>, listener: TcpListener) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                tokio::task::spawn_local(serve_connection(Rc::clone(&edge), stream));
+            }
+            Err(error) => {
+                log::warn!("event=accept_failed error=\"{error}\"");
+                tokio::time::sleep(Duration::from_millis(20)).await;
+            }
+        }
+    }
+}
+
+async fn serve_connection(edge: Rc<Edge>, stream: TcpStream) {
+    crate::link::prepare(&stream);
+    let limits = {
+        let view = edge.view.borrow();
+        view.configuration.as_ref().map(|one| one.limits)
+    };
+    let limits = limits.unwrap_or_default();
+    let mut closing = edge.closing.subscribe();
+    let handler = Rc::clone(&edge);
+    let service = service_fn(move |request| {
+        let edge = Rc::clone(&handler);
+        async move { Ok::<_, Infallible>(answer(&edge, request).await) }
+    });
+    let idle = Duration::from_millis(limits.idle_timeout_ms.max(limits.header_timeout_ms));
+    let connection = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(idle)
+        .max_buf_size(limits.header_bytes.max(BUFFER_BYTES))
+        .serve_connection(TokioIo::new(stream), service);
+    let mut connection = pin!(connection);
+    let stopped = pin!(closing.wait_for(|closing| *closing));
+    if let Either::Right((_, connection)) =
+        futures::future::select(connection.as_mut(), stopped).await
+    {
+        connection.graceful_shutdown();
+    } else {
+        return;
+    }
+    let _ = connection.await;
+}
+
+/// Counts a request while it is under way.
+struct Counted<'a>(&'a Edge);
+
+impl<'a> Counted<'a> {
+    fn new(edge: &'a Edge) -> Self {
+        edge.requests.set(edge.requests.get().saturating_add(1));
+        Self(edge)
+    }
+}
+
+impl Drop for Counted<'_> {
+    fn drop(&mut self) {
+        let count = self.0.requests.get();
+        if count != usize::MAX {
+            self.0.requests.set(count.saturating_sub(1));
+        }
+    }
+}
+
+async fn answer(edge: &Rc<Edge>, request: Request<Incoming>) -> Response<Body> {
+    let _counted = Counted::new(edge);
+    let (head, body) = request.into_parts();
+    let mut response = match edge.outside.dialect.call(&head) {
+        Call::Results {
+            job,
+            since,
+            wait_ms,
+        } => results(edge, job, since, wait_ms).await,
+        Call::Body { job, item } => item_body(edge, job, item).await,
+        Call::End { job } => end(edge, job).await,
+        Call::Unknown => plain(StatusCode::NOT_FOUND, Bytes::new()),
+        Call::Request => service_request(edge, head, body).await,
+    };
+    if edge.draining.get() {
+        let close = HeaderValue::from_static("close");
+        response.headers_mut().insert(hyper::header::CONNECTION, close);
+    }
+    response
+}
+
+async fn service_request(
+    edge: &Rc<Edge>,
+    head: hyper::http::request::Parts,
+    body: Incoming,
+) -> Response<Body> {
+    let arrived = Instant::now();
+    let Some(configuration) = edge.view.borrow().configuration.clone() else {
+        return unavailable(Duration::from_millis(300));
+    };
+    let host = host_of(&head);
+    let Some(route) = configuration.route(&host, head.uri.path()) else {
+        return plain(StatusCode::NOT_FOUND, Bytes::new());
+    };
+    let body = match Limited::new(body, configuration.limits.body_bytes).collect().await {
+        Ok(collected) => collected.to_bytes(),
+        Err(error) if error.is::<http_body_util::LengthLimitError>() => {
+            return plain(StatusCode::PAYLOAD_TOO_LARGE, Bytes::new());
+        }
+        Err(_) => return plain(StatusCode::BAD_REQUEST, Bytes::new()),
+    };
+    if route.kind.is_job() {
+        if head.method != Method::POST {
+            return plain(StatusCode::METHOD_NOT_ALLOWED, Bytes::new());
+        }
+        return submit(edge, &head, &host, &body, arrived).await;
+    }
+    forward(edge, route, head, body, arrived).await
+}
+
+/// Takes a job: answers 202 once a quorum keeps it.
+async fn submit(
+    edge: &Rc<Edge>,
+    head: &hyper::http::request::Parts,
+    host: &str,
+    body: &[u8],
+    arrived: Instant,
+) -> Response<Body> {
+    let names = edge.outside.dialect.names();
+    let id = head.headers.get(&names.request_id);
+    let Some(id) = id.and_then(|id| id.to_str().ok()) else {
+        return plain(StatusCode::BAD_REQUEST, Bytes::new());
+    };
+    let parsed = edge
+        .outside
+        .dialect
+        .submission(id, host, head.uri.path(), body);
+    let submission = match parsed {
+        Ok(submission) => submission,
+        Err(problem) => {
+            log::info!("event=job_refused job={id} problem=\"{problem}\"");
+            return plain(StatusCode::BAD_REQUEST, Bytes::from(problem));
+        }
+    };
+    let deadline = arrived + CALL_TIME;
+    let question = Question::Submit(submission);
+    match edge.ask(question, Duration::ZERO, deadline).await {
+        Ok(Answer::Done) => plain(StatusCode::ACCEPTED, Bytes::new()),
+        Err(AskError::NotAsked) => {
+            log::info!("event=job_not_taken job={id} reason=no_leader");
+            unavailable(Duration::from_millis(500))
+        }
+        Ok(_) | Err(AskError::Unknown) => {
+            log::info!("event=job_not_taken job={id} reason=unknown");
+            give_up(StatusCode::GATEWAY_TIMEOUT)
+        }
+    }
+}
+
+async fn results(edge: &Rc<Edge>, job: String, since: u64, wait_ms: u64) -> Response<Body> {
+    let wait = wait_ms.min(LONGEST_WAIT);
+    let deadline = Instant::now() + Duration::from_millis(wait) + READ_TIME;
+    let question = Question::Results {
+        job,
+        since,
+        wait_ms: wait,
+    };
+    match edge.ask(question, Duration::from_millis(wait), deadline).await {
+        Ok(Answer::Page(Some(page))) => json(edge.outside.dialect.page(&page)),
+        Ok(Answer::Page(None)) => plain(StatusCode::NOT_FOUND, Bytes::new()),
+        _ => unavailable(Duration::from_millis(200)),
+    }
+}
+
+async fn item_body(edge: &Rc<Edge>, job: String, item: String) -> Response<Body> {
+    let deadline = Instant::now() + READ_TIME;
+    let question = Question::Body { job, item };
+    match edge.ask(question, Duration::ZERO, deadline).await {
+        Ok(Answer::Body(Ok(body))) => plain(StatusCode::OK, body),
+        Ok(Answer::Body(Err(_))) => plain(StatusCode::NOT_FOUND, Bytes::new()),
+        _ => unavailable(Duration::from_millis(200)),
+    }
+}
+
+async fn end(edge: &Rc<Edge>, job: String) -> Response<Body> {
+    let deadline = Instant::now() + CALL_TIME;
+    match edge.ask(Question::End { job }, Duration::ZERO, deadline).await {
+        Ok(Answer::Done) => plain(StatusCode::OK, Bytes::new()),
+        Ok(Answer::Page(None)) => plain(StatusCode::NOT_FOUND, Bytes::new()),
+        _ => unavailable(Duration::from_millis(200)),
+    }
+}
+
+fn host_of(head: &hyper::http::request::Parts) -> String {
+    let header = head.headers.get(hyper::header::HOST);
+    let host = header.and_then(|host| host.to_str().ok());
+    let host = host.or_else(|| head.uri.authority().map(|authority| authority.as_str()));
+    host.unwrap_or_default().to_string()
+}
+
+/// A body known in full.
+pub(super) fn whole(bytes: Bytes) -> Body {
+    Full::new(bytes).map_err(|never| match never {}).boxed_unsync()
+}
+
+/// An answer of this edge's own.
+pub(super) fn plain(status: StatusCode, bytes: Bytes) -> Response<Body> {
+    let mut response = Response::new(whole(bytes));
+    *response.status_mut() = status;
+    response
+}
+
+fn json(bytes: Bytes) -> Response<Body> {
+    let mut response = plain(StatusCode::OK, bytes);
+    let kind = HeaderValue::from_static("application/json");
+    response
+        .headers_mut()
+        .insert(hyper::header::CONTENT_TYPE, kind);
+    response
+}
+
+/// The request was not run and will not be; it may come back after `pause`.
+pub(super) fn unavailable(pause: Duration) -> Response<Body> {
+    let mut response = plain(StatusCode::SERVICE_UNAVAILABLE, Bytes::new());
+    let seconds = format!("{:.3}", pause.as_secs_f64());
+    if let Ok(value) = HeaderValue::from_str(&seconds) {
+        response.headers_mut().insert(RETRY_AFTER, value);
+    }
+    response
+}
--- /dev/null
+++ b/crates/cluster/src/edge/mod.rs
@@ -0,0 +1,12 @@
+//! An edge: serves callers, forwards their requests, takes jobs, runs items.
+
+mod balance;
+mod cluster;
+mod forward;
+mod front;
+mod process;
+mod ready;
+mod runs;
+mod stream;
+
+pub use process::run;
--- /dev/null
+++ b/crates/cluster/src/edge/process.rs
@@ -0,0 +1,183 @@
+//! The event loop of an edge.
+
+use super::balance::Balance;
+use super::cluster::Cluster;
+use super::runs::{RunNews, Runs};
+use super::{front, ready};
+use crate::clock::Clock;
+use crate::link::{LinkEvent, LinkNumbers, accept_links};
+use crate::outside::{Interest, Outside};
+use crate::settings::EdgeSettings;
+use crate::storage::ProcessError;
+use crate::upstream::Pool;
+use brasspond_cluster_protocol::Peer;
+use brasspond_fleet::FleetView;
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::net::TcpListener;
+use tokio::signal::unix::{SignalKind, signal};
+use tokio::sync::mpsc;
+
+/// Events waiting to be handled.
+const EVENT_QUEUE: usize = 4_096;
+/// Pause between two looks at what time brings.
+const TICK: Duration = Duration::from_millis(250);
+/// Time from the order to stop during which new connections still come.
+const REMOVAL_TIME: Duration = Duration::from_millis(2_600);
+/// Time kept free at the end of the grace period.
+const STOP_MARGIN: Duration = Duration::from_millis(500);
+
+/// What all tasks of an edge share.
+pub(super) struct Edge {
+    pub settings: EdgeSettings,
+    pub clock: Clock,
+    pub outside: Outside,
+    pub view: RefCell<FleetView>,
+    pub cluster: RefCell<Cluster>,
+    pub balance: RefCell<Balance>,
+    pub pool: Pool,
+    pub runs: RefCell<Runs>,
+    pub run_news: mpsc::Sender<RunNews>,
+    pub draining: Cell<bool>,
+    pub requests: Cell<usize>,
+    /// Becomes true when connections are to end after their present request.
+    pub closing: tokio::sync::watch::Sender<bool>,
+}
+
+/// Runs an edge until it is told to stop.
+///
+/// # Errors
+/// See [`ProcessError`].
+pub async fn run(settings: EdgeSettings, outside: Outside) -> Result<(), ProcessError> {
+    let front_listener = TcpListener::bind(settings.front).await;
+    let front_listener = front_listener.map_err(ProcessError::Listen)?;
+    let ready_listener = TcpListener::bind(settings.ready).await;
+    let ready_listener = ready_listener.map_err(ProcessError::Listen)?;
+    let cluster_listener = TcpListener::bind(settings.process.cluster_address).await;
+    let cluster_listener = cluster_listener.map_err(ProcessError::Listen)?;
+    let mut terminate = signal(SignalKind::terminate()).map_err(ProcessError::Listen)?;
+    let mut hang_up = signal(SignalKind::hangup()).map_err(ProcessError::Listen)?;
+    let (events, mut link_events) = mpsc::channel(EVENT_QUEUE);
+    let (run_news, mut run_events) = mpsc::channel(EVENT_QUEUE);
+    let numbers = Rc::new(LinkNumbers::default());
+    let hello = Peer::Edge {
+        machine: settings.process.machine.clone(),
+        zone: settings.process.zone.clone(),
+        incarnation: rand::random(),
+    };
+    let cluster = Cluster::new(hello, events.clone(), Rc::clone(&numbers));
+    log::info!(
+        "event=started role=edge machine={} front={}",
+        settings.process.machine,
+        settings.front
+    );
+    let edge = Rc::new(Edge {
+        balance: RefCell::new(Balance::new(settings.process.zone.clone())),
+        settings,
+        clock: Clock::default(),
+        outside,
+        view: RefCell::new(FleetView::default()),
+        cluster: RefCell::new(cluster),
+        pool: Pool::default(),
+        runs: RefCell::new(Runs::default()),
+        run_news,
+        draining: Cell::new(false),
+        requests: Cell::new(0),
+        closing: tokio::sync::watch::Sender::new(false),
+    });
+    let wanted = Interest {
+        configuration: true,
+        replicas: true,
+        ..Interest::NONE
+    };
+    edge.outside.interest.send_replace(wanted);
+    tokio::task::spawn_local(accept_links(cluster_listener, numbers, events));
+    tokio::task::spawn_local(ready::serve(Rc::clone(&edge), ready_listener));
+    tokio::task::spawn_local(front::serve(Rc::clone(&edge), front_listener));
+    tokio::task::spawn_local(super::cluster::find_members(Rc::clone(&edge)));
+    let mut observed = edge.outside.observed.clone();
+    let mut tick = tokio::time::interval(TICK);
+    tick.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    loop {
+        tokio::select! {
+            Some(event) = link_events.recv() => edge.on_link(event),
+            Some(news) = run_events.recv() => edge.on_run_news(news),
+            Ok(()) = observed.changed() => {
+                let seen = observed.borrow_and_update().clone();
+                edge.take_view(&seen.view);
+            }
+            _ = tick.tick() => edge.tick(),
+            _ = hang_up.recv() => log::info!("event=reload role=edge"),
+            _ = terminate.recv() => {
+                edge.begin_drain();
+                tokio::task::spawn_local(finish(Rc::clone(&edge)));
+            }
+            () = edge.drained() => {
+                log::info!("event=stopped role=edge machine={}", edge.settings.process.machine);
+                return Ok(());
+            }
+        }
+    }
+}
+
+/// After the time in which new connections still come, ends all connections as
+/// their requests end.
+async fn finish(edge: Rc<Edge>) {
+    tokio::time::sleep(REMOVAL_TIME).await;
+    edge.closing.send_replace(true);
+    let latest = edge.settings.grace.saturating_sub(REMOVAL_TIME + STOP_MARGIN);
+    let deadline = tokio::time::Instant::now() + latest;
+    while edge.requests.get() > 0 && tokio::time::Instant::now() < deadline {
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+    // Answers are written by the connections' own tasks; let them finish.
+    tokio::time::sleep(Duration::from_millis(100)).await;
+    edge.requests.set(usize::MAX);
+    edge.closing.send_replace(true);
+}
+
+impl Edge {
+    fn on_link(self: &Rc<Self>, event: LinkEvent) {
+        let now = self.clock.now();
+        let happenings = self.cluster.borrow_mut().on_link(event, now);
+        for happening in happenings {
+            super::cluster::act(self, happening);
+        }
+    }
+
+    pub(super) fn take_view(&self, view: &FleetView) {
+        let changed = self.view.borrow_mut().merge(view);
+        if changed {
+            let view = self.view.borrow();
+            self.balance.borrow_mut().take_view(&view);
+        }
+    }
+
+    fn tick(self: &Rc<Self>) {
+        let now = self.clock.now();
+        self.cluster.borrow_mut().tick(now);
+        self.report_progress();
+        self.pool.close_old();
+    }
+
+    fn begin_drain(self: &Rc<Self>) {
+        if self.draining.replace(true) {
+            return;
+        }
+        log::info!("event=stopping role=edge requests={}", self.requests.get());
+        self.hand_over_runs();
+    }
+
+    async fn drained(&self) {
+        let mut closing = self.closing.subscribe();
+        loop {
+            if self.requests.get() == usize::MAX {
+                return;
+            }
+            if closing.changed().await.is_err() {
+                return;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/cluster/src/edge/runs.rs
@@ -0,0 +1,266 @@
+//! Runs of items on this edge.
+
+use super::process::Edge;
+use super::stream::{EventReader, StreamEnd};
+use crate::upstream::UpstreamError;
+use brasspond_cluster_protocol::{
+    AttemptId, Message, RunEnd, RunReport, RunSpec, StreamEvent,
+};
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::{Method, Request, StatusCode};
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::task::AbortHandle;
+
+/// Time for a replica to begin to answer.
+const HEAD_TIME: Duration = Duration::from_millis(3_000);
+
+/// A run as its task and the event loop share it.
+#[derive(Debug, Default)]
+struct Progress {
+    /// All events, those of earlier runs included.
+    events: Vec<StreamEvent>,
+    /// How many of them the leader knows.
+    told: usize,
+}
+
+struct Held {
+    job: String,
+    item: u32,
+    replica: String,
+    progress: Rc<RefCell<Progress>>,
+    task: AbortHandle,
+    end: Option<RunEnd>,
+}
+
+/// A run has ended.
+pub(super) struct RunNews {
+    attempt: AttemptId,
+    end: RunEnd,
+}
+
+/// All runs that this edge holds.
+#[derive(Default)]
+pub(super) struct Runs {
+    held: HashMap<AttemptId, Held>,
+}
+
+impl Edge {
+    pub(super) fn start_run(self: &Rc<Self>, spec: RunSpec) {
+        let is_old = spec.attempt.term < self.cluster.borrow().newest_term();
+        if is_old || self.runs.borrow().held.contains_key(&spec.attempt) {
+            return;
+        }
+        let progress = Rc::new(RefCell::new(Progress {
+            told: spec.events.len(),
+            events: spec.events.clone(),
+        }));
+        let attempt = spec.attempt;
+        let (job, item, replica) = (spec.job.clone(), spec.item, spec.replica.clone());
+        let edge = Rc::clone(self);
+        let shared = Rc::clone(&progress);
+        let task = tokio::task::spawn_local(async move {
+            let end = run_item(&edge, &spec, &shared).await;
+            let news = RunNews {
+                attempt: spec.attempt,
+                end,
+            };
+            let _ = edge.run_news.send(news).await;
+        });
+        let held = Held {
+            job,
+            item,
+            replica,
+            progress,
+            task: task.abort_handle(),
+            end: None,
+        };
+        self.runs.borrow_mut().held.insert(attempt, held);
+        if self.draining.get() {
+            self.end_run(attempt, RunEnd::Cancelled);
+        }
+    }
+
+    pub(super) fn cancel_run(&self, term: u64, attempt: AttemptId) {
+        if term >= self.cluster.borrow().newest_term() {
+            self.end_run(attempt, RunEnd::Cancelled);
+        }
+    }
+
+    pub(super) fn forget_run(&self, attempt: AttemptId) {
+        let held = self.runs.borrow_mut().held.remove(&attempt);
+        if let Some(held) = held {
+            held.task.abort();
+        }
+    }
+
+    pub(super) fn on_run_news(&self, news: RunNews) {
+        self.end_run(news.attempt, news.end);
+    }
+
+    /// Notes how a run ended and tells the leader, once.
+    fn end_run(&self, attempt: AttemptId, end: RunEnd) {
+        let mut runs = self.runs.borrow_mut();
+        let Some(held) = runs.held.get_mut(&attempt) else {
+            return;
+        };
+        if held.end.is_some() {
+            return;
+        }
+        held.end = Some(end);
+        held.task.abort();
+        let events = take_untold(&held.progress);
+        if let Some(leader) = self.cluster.borrow().leader() {
+            leader.writer.send(&Message::Ended {
+                attempt,
+                events,
+                end,
+            });
+        }
+    }
+
+    /// Tells the leader what the runs made since the last time.
+    pub(super) fn report_progress(&self) {
+        let Some(leader) = self.cluster.borrow().leader() else {
+            return;
+        };
+        for (attempt, held) in &self.runs.borrow().held {
+            if held.end.is_some() {
+                continue;
+            }
+            let events = take_untold(&held.progress);
+            if !events.is_empty() {
+                leader.writer.send(&Message::Progress {
+                    attempt: *attempt,
+                    events,
+                });
+            }
+        }
+    }
+
+    /// Tells a new leader of all runs.
+    pub(super) fn tell_runs(&self, term: u64) {
+        let Some(leader) = self.cluster.borrow().leader() else {
+            return;
+        };
+        let mut reports = Vec::new();
+        for (attempt, held) in &self.runs.borrow().held {
+            let mut progress = held.progress.borrow_mut();
+            progress.told = progress.events.len();
+            reports.push(RunReport {
+                attempt: *attempt,
+                job: held.job.clone(),
+                item: held.item,
+                replica: held.replica.clone(),
+                events: progress.events.clone(),
+                end: held.end,
+            });
+        }
+        leader.writer.send(&Message::Runs {
+            term,
+            runs: reports,
+            draining: self.draining.get(),
+        });
+    }
+
+    /// Hands every run back, so that other edges go on with them.
+    pub(super) fn hand_over_runs(&self) {
+        if let Some(leader) = self.cluster.borrow().leader() {
+            leader.writer.send(&Message::Draining);
+        }
+        let held: Vec<AttemptId> = self.runs.borrow().held.keys().copied().collect();
+        for attempt in held {
+            self.end_run(attempt, RunEnd::Cancelled);
+        }
+    }
+}
+
+fn take_untold(progress: &Rc<RefCell<Progress>>) -> Vec<StreamEvent> {
+    let mut progress = progress.borrow_mut();
+    let events = progress.events[progress.told..].to_vec();
+    progress.told = progress.events.len();
+    events
+}
+
+/// Runs an item on its replica; its events go into `progress`.
+async fn run_item(edge: &Edge, spec: &RunSpec, progress: &RefCell<Progress>) -> RunEnd {
+    let names = edge.outside.dialect.names();
+    let Some(request) = build_request(edge, spec) else {
+        return RunEnd::Impossible;
+    };
+    let mut connection = match edge.pool.take(spec.address).await {
+        Ok(connection) => connection,
+        Err(_) => return RunEnd::Unreachable,
+    };
+    let response = match tokio::time::timeout(HEAD_TIME, connection.send(request)).await {
+        Ok(Ok(response)) => response,
+        Ok(Err(UpstreamError::NotSent)) => return RunEnd::Unreachable,
+        Ok(Err(UpstreamError::Broken)) | Err(_) => return RunEnd::Broken,
+    };
+    let (head, body) = response.into_parts();
+    let is_own = head
+        .headers
+        .get(&names.request_id)
+        .is_none_or(|id| id.as_bytes() == spec.item_id.as_bytes());
+    if !is_own {
+        return RunEnd::Broken;
+    }
+    if head.headers.contains_key(&names.not_run) || head.status == StatusCode::MISDIRECTED_REQUEST {
+        return RunEnd::NotRun {
+            other_instance: head.status == StatusCode::MISDIRECTED_REQUEST,
+        };
+    }
+    match head.status {
+        StatusCode::OK => {}
+        StatusCode::UNPROCESSABLE_ENTITY => return RunEnd::Impossible,
+        StatusCode::INTERNAL_SERVER_ERROR => return RunEnd::Failed,
+        _ => return RunEnd::Broken,
+    }
+    if !head.headers.contains_key(&names.signature) {
+        return RunEnd::Broken;
+    }
+    let version = head.headers.get(&names.version);
+    let version = version.and_then(|value| value.to_str().ok()?.parse().ok());
+    let version = version.unwrap_or(0);
+    if version < spec.min_version {
+        return RunEnd::TooOld;
+    }
+    let mut reader = EventReader::new(body, version);
+    loop {
+        match reader.next(&*edge.outside.dialect).await {
+            Ok(event) => {
+                let mut progress = progress.borrow_mut();
+                let last = progress.events.last().map_or(0, |last| last.id);
+                if event.id != last + 1 {
+                    return RunEnd::Broken;
+                }
+                progress.events.push(event);
+            }
+            Err(StreamEnd::Whole) => {
+                edge.pool.give_back(connection);
+                return RunEnd::Whole;
+            }
+            Err(StreamEnd::Broken) => return RunEnd::Broken,
+        }
+    }
+}
+
+fn build_request(edge: &Edge, spec: &RunSpec) -> Option<Request<Full<Bytes>>> {
+    let names = edge.outside.dialect.names();
+    let mut builder = Request::builder()
+        .method(Method::POST)
+        .uri(&spec.path)
+        .header(hyper::header::HOST, &spec.host)
+        .header(&names.request_id, &spec.item_id)
+        .header(&names.expect_instance, &spec.replica);
+    for (name, value) in &spec.headers {
+        builder = builder.header(name, value);
+    }
+    if let Some(last) = spec.events.last() {
+        builder = builder.header(&names.last_event_id, last.id);
+    }
+    builder.body(Full::new(spec.body.clone())).ok()
+}
--- /dev/null
+++ b/crates/cluster/src/link.rs
@@ -0,0 +1,294 @@
+//! Connections between processes of the cluster.
+//!
+//! A link carries frames both ways. The side that opens it says who it is and
+//! opens it again when it breaks. What arrives goes into one bounded queue of
+//! events, so that a process handles everything in one place.
+
+use brasspond_cluster_protocol::{FrameBuffer, Message, Peer, encode};
+use bytes::Bytes;
+use socket2::{SockRef, TcpKeepalive};
+use std::net::SocketAddr;
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::mpsc;
+
+/// Frames waiting to be written to one link; more are dropped.
+const WRITE_QUEUE: usize = 4_096;
+/// Time to connect.
+const CONNECT_TIME: Duration = Duration::from_millis(600);
+/// Pause between two attempts to connect.
+const RECONNECT_PAUSE: Duration = Duration::from_millis(150);
+/// Unacknowledged bytes for this long break a link.
+const USER_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// Pause between probes of a connection at rest.
+const PROBE_PAUSE: Duration = Duration::from_secs(1);
+/// Bytes read at a time.
+const READ_BYTES: usize = 32 * 1024;
+
+/// Identity of a link within a process.
+pub type LinkId = u64;
+
+/// What happens on links.
+#[derive(Debug)]
+pub enum LinkEvent {
+    /// A link is up. For links opened by others, the peer said who it is.
+    Up {
+        /// The link.
+        link: LinkId,
+        /// Writes to it.
+        writer: Writer,
+        /// Who opened it; none if this process did.
+        peer: Option<Peer>,
+        /// The other side's address.
+        address: SocketAddr,
+    },
+    /// A message arrived.
+    Message {
+        /// The link.
+        link: LinkId,
+        /// The message.
+        message: Message,
+    },
+    /// The link is no more.
+    Down {
+        /// The link.
+        link: LinkId,
+        /// The other side's address.
+        address: SocketAddr,
+    },
+    /// The other side's process does not listen.
+    Refused {
+        /// The other side's address.
+        address: SocketAddr,
+    },
+}
+
+/// Writes frames to a link without ever waiting.
+#[derive(Clone, Debug)]
+pub struct Writer {
+    queue: mpsc::Sender<Bytes>,
+}
+
+impl Writer {
+    /// Queues a message; false if the queue is full or the link is down.
+    pub fn send(&self, message: &Message) -> bool {
+        self.send_frame(encode(message))
+    }
+
+    /// Queues a frame encoded before.
+    pub fn send_frame(&self, frame: Bytes) -> bool {
+        self.queue.try_send(frame).is_ok()
+    }
+}
+
+/// Sets what every connection of the system needs: no delay, and an end when
+/// the other machine is silent.
+pub fn prepare(stream: &TcpStream) {
+    let _ = stream.set_nodelay(true);
+    let socket = SockRef::from(stream);
+    let _ = socket.set_tcp_user_timeout(Some(USER_TIMEOUT));
+    let probes = TcpKeepalive::new()
+        .with_time(PROBE_PAUSE)
+        .with_interval(PROBE_PAUSE)
+        .with_retries(2);
+    let _ = socket.set_tcp_keepalive(&probes);
+}
+
+/// Numbers links.
+#[derive(Debug, Default)]
+pub struct LinkNumbers {
+    next: std::cell::Cell<LinkId>,
+}
+
+impl LinkNumbers {
+    fn take(&self) -> LinkId {
+        let number = self.next.get() + 1;
+        self.next.set(number);
+        number
+    }
+}
+
+/// Accepts links until the process ends.
+pub async fn accept_links(
+    listener: TcpListener,
+    numbers: std::rc::Rc<LinkNumbers>,
+    events: mpsc::Sender<LinkEvent>,
+) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, address)) => {
+                let link = numbers.take();
+                let events = events.clone();
+                tokio::task::spawn_local(serve_link(stream, address, link, events));
+            }
+            Err(error) => {
+                log::warn!("event=link_accept_failed error=\"{error}\"");
+                tokio::time::sleep(RECONNECT_PAUSE).await;
+            }
+        }
+    }
+}
+
+async fn serve_link(
+    stream: TcpStream,
+    address: SocketAddr,
+    link: LinkId,
+    events: mpsc::Sender<LinkEvent>,
+) {
+    prepare(&stream);
+    let (mut reader, writer) = stream.into_split();
+    let mut buffer = FrameBuffer::default();
+    let Some(Message::Hello(peer)) = read_message(&mut reader, &mut buffer).await else {
+        return;
+    };
+    let writer = start_writer(writer);
+    let up = LinkEvent::Up {
+        link,
+        writer,
+        peer: Some(peer),
+        address,
+    };
+    if events.send(up).await.is_ok() {
+        pump(reader, buffer, link, &events).await;
+        let _ = events.send(LinkEvent::Down { link, address }).await;
+    }
+}
+
+/// Keeps a link to `address` up until the task is aborted.
+pub async fn dial(
+    address: SocketAddr,
+    hello: Peer,
+    numbers: std::rc::Rc<LinkNumbers>,
+    events: mpsc::Sender<LinkEvent>,
+) {
+    loop {
+        match tokio::time::timeout(CONNECT_TIME, TcpStream::connect(address)).await {
+            Ok(Ok(stream)) => {
+                let link = numbers.take();
+                run_dialed(stream, address, &hello, link, &events).await;
+                if events.send(LinkEvent::Down { link, address }).await.is_err() {
+                    return;
+                }
+            }
+            Ok(Err(error)) if error.kind() == std::io::ErrorKind::ConnectionRefused => {
+                let _ = events.send(LinkEvent::Refused { address }).await;
+            }
+            Ok(Err(_)) | Err(_) => {}
+        }
+        tokio::time::sleep(RECONNECT_PAUSE).await;
+    }
+}
+
+async fn run_dialed(
+    stream: TcpStream,
+    address: SocketAddr,
+    hello: &Peer,
+    link: LinkId,
+    events: &mpsc::Sender<LinkEvent>,
+) {
+    prepare(&stream);
+    let (reader, writer) = stream.into_split();
+    let writer = start_writer(writer);
+    writer.send(&Message::Hello(hello.clone()));
+    let up = LinkEvent::Up {
+        link,
+        writer,
+        peer: None,
+        address,
+    };
+    if events.send(up).await.is_ok() {
+        pump(reader, FrameBuffer::default(), link, events).await;
+    }
+}
+
+async fn pump(
+    mut reader: OwnedReadHalf,
+    mut buffer: FrameBuffer,
+    link: LinkId,
+    events: &mpsc::Sender<LinkEvent>,
+) {
+    while let Some(message) = read_message(&mut reader, &mut buffer).await {
+        let event = LinkEvent::Message { link, message };
+        if events.send(event).await.is_err() {
+            return;
+        }
+    }
+}
+
+async fn read_message(reader: &mut OwnedReadHalf, buffer: &mut FrameBuffer) -> Option<Message> {
+    loop {
+        match buffer.next_message() {
+            Ok(Some(message)) => return Some(message),
+            Ok(None) => {}
+            Err(error) => {
+                log::warn!("event=link_garbled error=\"{error}\"");
+                return None;
+            }
+        }
+        buffer.bytes.reserve(READ_BYTES);
+        let read = reader.read_buf(&mut buffer.bytes).await;
+        if !matches!(read, Ok(bytes) if bytes > 0) {
+            return None;
+        }
+    }
+}
+
+/// Writes queued frames, several at a time; ends when the queue is dropped.
+fn start_writer(mut writer: OwnedWriteHalf) -> Writer {
+    const BATCH_BYTES: usize = 64 * 1024;
+    let (queue, mut frames) = mpsc::channel::<Bytes>(WRITE_QUEUE);
+    tokio::task::spawn_local(async move {
+        while let Some(frame) = frames.recv().await {
+            let mut batch = Vec::new();
+            let mut next = Some(frame);
+            while let Some(frame) = next {
+                batch.extend_from_slice(&frame);
+                next = (batch.len() < BATCH_BYTES)
+                    .then(|| frames.try_recv().ok())
+                    .flatten();
+            }
+            if writer.write_all(&batch).await.is_err() {
+                return;
+            }
+        }
+        let _ = writer.shutdown().await;
+    });
+    Writer { queue }
+}
+
+/// Asks a process where the members of the log are.
+pub async fn ask_members(
+    address: SocketAddr,
+) -> Option<Vec<brasspond_consensus::Member>> {
+    use brasspond_cluster_protocol::{Answer, Question};
+    const ASK_TIME: Duration = Duration::from_millis(700);
+    let exchange = async {
+        let mut stream = TcpStream::connect(address).await.ok()?;
+        prepare(&stream);
+        let hello = Peer::Edge {
+            machine: String::new(),
+            zone: String::new(),
+            incarnation: 0,
+        };
+        stream.write_all(&encode(&Message::Hello(hello))).await.ok()?;
+        let ask = Message::Ask {
+            number: 1,
+            question: Question::Members,
+        };
+        stream.write_all(&encode(&ask)).await.ok()?;
+        let (mut reader, _writer) = stream.into_split();
+        let mut buffer = FrameBuffer::default();
+        loop {
+            if let Message::Reply {
+                answer: Answer::Members(members),
+                ..
+            } = read_message(&mut reader, &mut buffer).await?
+            {
+                return (!members.is_empty()).then_some(members);
+            }
+        }
+    };
+    tokio::time::timeout(ASK_TIME, exchange).await.ok()?
+}
--- /dev/null
+++ b/crates/cluster/src/settings.rs
@@ -0,0 +1,52 @@
+//! Settings of a process, already checked.
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::time::Duration;
+
+/// What every process of a cluster is told.
+#[derive(Clone, Debug)]
+pub struct ProcessSettings {
+    /// Name of the machine.
+    pub machine: String,
+    /// Zone of the machine.
+    pub zone: String,
+    /// Where other processes of the cluster connect to.
+    pub cluster_address: SocketAddr,
+    /// Processes that may know the others.
+    pub seeds: Vec<SocketAddr>,
+    /// Machines with a disk whose loss at one time must be borne.
+    pub tolerated_losses: usize,
+    /// Where metrics are served; none: nowhere.
+    pub metrics_address: Option<SocketAddr>,
+}
+
+/// Settings of an edge.
+#[derive(Clone, Debug)]
+pub struct EdgeSettings {
+    /// Those of every process.
+    pub process: ProcessSettings,
+    /// Where callers connect to.
+    pub front: SocketAddr,
+    /// Where readiness is asked for.
+    pub ready: SocketAddr,
+    /// Time from the order to stop until the process is killed.
+    pub grace: Duration,
+}
+
+/// Settings of a storage process.
+#[derive(Clone, Debug)]
+pub struct StorageSettings {
+    /// Those of every process.
+    pub process: ProcessSettings,
+    /// Folder on the disk.
+    pub folder: PathBuf,
+    /// Whether the whole system starts for the first time.
+    pub first_start: bool,
+    /// Time for which a holder of replicas' orders keeps its place, in ms.
+    pub lease_ms: u64,
+    /// Time after its submission until which a job may be asked for, in ms.
+    pub job_life_ms: u64,
+    /// Time from the order to stop until the process is killed.
+    pub grace: Duration,
+}
--- /dev/null
+++ b/crates/cluster/src/storage/asks.rs
@@ -0,0 +1,174 @@
+//! Questions of edges, and answers once they are true for good.
+
+use super::process::Storage;
+use crate::link::LinkId;
+use brasspond_cluster_protocol::{Answer, Message, Question};
+use brasspond_jobs::Command;
+use std::collections::BTreeMap;
+
+/// Text of results in one answer, in bytes.
+const PAGE_BYTES: usize = 700 * 1024;
+/// A leader answers reads only if a quorum answered it within this time, in ms.
+pub(super) const READ_LEASE: u64 = 550;
+
+/// Who asked.
+#[derive(Clone, Copy, Debug)]
+struct Asker {
+    link: LinkId,
+    number: u64,
+}
+
+/// A question about results that waits for one.
+#[derive(Clone, Debug)]
+struct Waiting {
+    asker: Asker,
+    job: String,
+    since: u64,
+    until: u64,
+}
+
+/// Questions under way.
+#[derive(Debug, Default)]
+pub(super) struct Asks {
+    /// By the index of the entry whose commit answers them.
+    proposed: BTreeMap<u64, Vec<Asker>>,
+    done: Vec<Asker>,
+    waiting: Vec<Waiting>,
+}
+
+impl Asks {
+    /// The entry at `index` is committed and applied.
+    pub fn committed(&mut self, index: u64) {
+        if let Some(askers) = self.proposed.remove(&index) {
+            self.done.extend(askers);
+        }
+    }
+}
+
+impl Storage {
+    pub(super) fn on_question(&mut self, link: LinkId, number: u64, question: Question) {
+        let asker = Asker { link, number };
+        if let Question::Members = question {
+            let members = self.consensus.members().to_vec();
+            self.answer(asker, Answer::Members(members));
+            return;
+        }
+        if !self.may_answer() {
+            let leader = self.consensus.leader().filter(|id| *id != self.own.id);
+            self.answer(asker, Answer::NotLeader(leader));
+            return;
+        }
+        match question {
+            Question::Submit(submission) => {
+                log::info!(
+                    "event=job_submitted job={} items={} model={} step={} min_version={}",
+                    submission.id,
+                    submission.items.len(),
+                    submission.model,
+                    submission.step,
+                    submission.min_version
+                );
+                if self.table.job(&submission.id).is_some() {
+                    self.answer(asker, Answer::Done);
+                } else {
+                    self.propose_for(asker, &Command::Accept(submission));
+                }
+            }
+            Question::End { job } => match self.table.job(&job) {
+                None => self.answer(asker, Answer::Page(None)),
+                Some(known) if known.ended => self.answer(asker, Answer::Done),
+                Some(_) => self.propose_for(asker, &Command::End { job }),
+            },
+            Question::Body { job, item } => {
+                let body = self.table.body(&job, &item);
+                self.answer(asker, Answer::Body(body));
+            }
+            Question::Results {
+                job,
+                since,
+                wait_ms,
+            } => {
+                let until = self.clock.now() + wait_ms;
+                let waiting = Waiting {
+                    asker,
+                    job,
+                    since,
+                    until,
+                };
+                self.asks.waiting.push(waiting);
+            }
+            Question::Members => {}
+        }
+    }
+
+    /// Whether this process leads and knows all that was acknowledged.
+    fn may_answer(&self) -> bool {
+        let now = self.clock.now();
+        self.leading.is_some()
+            && self.consensus.is_established()
+            && self.consensus.has_quorum_contact(READ_LEASE, now)
+            && self.holds_enough_copies()
+    }
+
+    /// A group that has not grown to its size yet takes no work: one disk could
+    /// lose it.
+    fn holds_enough_copies(&self) -> bool {
+        self.consensus.quorum() > self.settings.process.tolerated_losses
+    }
+
+    fn propose_for(&mut self, asker: Asker, command: &Command) {
+        let index = command
+            .encode()
+            .ok()
+            .and_then(|bytes| self.consensus.propose(bytes));
+        match index {
+            Some(index) => self.asks.proposed.entry(index).or_default().push(asker),
+            None => self.answer(asker, Answer::Unknown),
+        }
+    }
+
+    /// Answers what can be answered by now.
+    pub(super) fn answer_waiting(&mut self, now: u64) {
+        for asker in std::mem::take(&mut self.asks.done) {
+            self.answer(asker, Answer::Done);
+        }
+        if self.leading.is_none() {
+            self.answer_all_unknown();
+            return;
+        }
+        if self.asks.waiting.is_empty() || !self.may_answer() {
+            return;
+        }
+        for waiting in std::mem::take(&mut self.asks.waiting) {
+            let page = self.table.page(&waiting.job, waiting.since, PAGE_BYTES);
+            let is_due = match &page {
+                None => true,
+                Some(page) => !page.results.is_empty() || now >= waiting.until,
+            };
+            if is_due {
+                self.answer(waiting.asker, Answer::Page(page));
+            } else {
+                self.asks.waiting.push(waiting);
+            }
+        }
+    }
+
+    fn answer_all_unknown(&mut self) {
+        let proposed = std::mem::take(&mut self.asks.proposed);
+        for asker in proposed.into_values().flatten() {
+            self.answer(asker, Answer::Unknown);
+        }
+        for waiting in std::mem::take(&mut self.asks.waiting) {
+            self.answer(waiting.asker, Answer::NotLeader(None));
+        }
+    }
+
+    fn answer(&mut self, asker: Asker, answer: Answer) {
+        if let Some(state) = self.links.get(&asker.link) {
+            state.writer.send(&Message::Reply {
+                number: asker.number,
+                answer,
+            });
+        }
+    }
+}
--- /dev/null
+++ b/crates/cluster/src/storage/group.rs
@@ -0,0 +1,352 @@
+//! The group that keeps the log: finding it, joining it, changing it.
+
+use super::plan::{Candidate, Situation, Step, next_step};
+use super::process::{Local, Storage};
+use crate::link::{LinkId, dial};
+use crate::outside::GroupRecord;
+use brasspond_cluster_protocol::Peer;
+use brasspond_consensus::{Member, MemberId};
+use std::collections::{BTreeSet, HashMap};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use tokio::task::AbortHandle;
+
+/// Pause between two calls to the registry, in ms.
+const REGISTRY_PAUSE: u64 = 400;
+/// Pause after a failed call to the registry, in ms.
+const REGISTRY_RETRY: u64 = 700;
+
+/// What is known of other storage processes.
+#[derive(Default)]
+pub(super) struct Group {
+    /// The newest link to each member.
+    link_by_member: HashMap<MemberId, LinkId>,
+    /// Members that said who they are, voters or not.
+    peers: HashMap<MemberId, Member>,
+    heard_at: HashMap<MemberId, u64>,
+    dialers: HashMap<SocketAddr, AbortHandle>,
+    registry_at: u64,
+    registry_busy: bool,
+    /// Members as the record names them, as far as known.
+    recorded: Option<Vec<Member>>,
+    reported: HashMap<String, bool>,
+}
+
+impl Group {
+    pub fn link_of(&self, member: MemberId) -> Option<LinkId> {
+        self.link_by_member.get(&member).copied()
+    }
+
+    pub fn heard(&mut self, member: MemberId, now: u64) {
+        self.heard_at.insert(member, now);
+    }
+}
+
+impl Storage {
+    pub(super) fn on_hello(&mut self, link: LinkId, peer: Peer) {
+        let now = self.clock.now();
+        if let Peer::Storage(member) = &peer
+            && member.id != self.own.id
+        {
+            self.group.link_by_member.insert(member.id, link);
+            self.group.heard(member.id, now);
+            self.group.peers.insert(member.id, member.clone());
+            self.dial_to(member.address);
+        }
+        if let Some(state) = self.links.get_mut(&link) {
+            state.peer = Some(peer);
+        }
+    }
+
+    pub(super) fn on_link_down(&mut self, link: LinkId, now: u64) {
+        let Some(state) = self.links.remove(&link) else {
+            return;
+        };
+        self.group.link_by_member.retain(|_, other| *other != link);
+        match state.peer {
+            Some(Peer::Storage(member)) => {
+                // Another link to the same member may still be up.
+                let other = self.links.iter().find(|(_, other)| {
+                    matches!(&other.peer, Some(Peer::Storage(known)) if known.id == member.id)
+                });
+                if let Some((other, _)) = other {
+                    self.group.link_by_member.insert(member.id, *other);
+                }
+            }
+            Some(Peer::Edge { machine, .. }) => self.edge_link_down(link, machine, now),
+            None => {}
+        }
+    }
+
+    /// Connects to every member named in the log or in the record.
+    pub(super) fn dial_members(&mut self) {
+        let members = self.consensus.members().to_vec();
+        self.learn_members(&members);
+    }
+
+    pub(super) fn learn_members(&mut self, members: &[Member]) {
+        for member in members {
+            if member.id != self.own.id && member.address != self.own.address {
+                self.dial_to(member.address);
+            }
+        }
+    }
+
+    fn dial_to(&mut self, address: SocketAddr) {
+        if self.group.dialers.contains_key(&address) {
+            return;
+        }
+        let hello = Peer::Storage(self.own.clone());
+        let events = self.events.clone();
+        let dialing = dial(address, hello, Rc::clone(&self.numbers), events);
+        let task = tokio::task::spawn_local(dialing);
+        self.group.dialers.insert(address, task.abort_handle());
+    }
+
+    pub(super) fn members_applied(&mut self, members: &[Member]) {
+        let names: Vec<&str> = members.iter().map(|one| one.machine.as_str()).collect();
+        log::info!("event=members_changed members={}", names.join(","));
+        self.learn_members(members);
+    }
+
+    /// A process outside the group looks for it; the very first makes it.
+    pub(super) fn seek_group(&mut self, now: u64) {
+        let is_outside = !self.consensus.is_voter();
+        if !is_outside || self.group.registry_busy || now < self.group.registry_at {
+            return;
+        }
+        let hears_leader = self.consensus.leader().is_some();
+        if hears_leader {
+            return;
+        }
+        self.group.registry_busy = true;
+        let registry = Rc::clone(&self.outside.registry);
+        let local = self.local.clone();
+        tokio::task::spawn_local(async move {
+            let event = match registry.read().await {
+                Ok(record) => Local::Record(record),
+                Err(_) => Local::RegistryFailed,
+            };
+            let _ = local.send(event).await;
+        });
+    }
+
+    pub(super) fn on_local(&mut self, event: Local) {
+        let now = self.clock.now();
+        match event {
+            Local::Dispatch(term, event) => {
+                if self.consensus.term() == term {
+                    self.dispatch(event);
+                }
+            }
+            Local::Record(record) => {
+                self.registry_done(now + REGISTRY_PAUSE);
+                self.on_record(record, now);
+            }
+            Local::RecordMade => {
+                self.registry_done(now + REGISTRY_PAUSE);
+                self.make_group(now);
+            }
+            Local::RecordWritten(members) => {
+                self.registry_done(now + REGISTRY_PAUSE);
+                self.group.recorded = Some(members);
+            }
+            Local::RetirementReported(machine, completed) => {
+                self.registry_done(now);
+                self.group.reported.insert(machine, completed);
+            }
+            Local::RegistryFailed => self.registry_done(now + REGISTRY_RETRY),
+        }
+    }
+
+    fn registry_done(&mut self, next: u64) {
+        self.group.registry_busy = false;
+        self.group.registry_at = next;
+    }
+
+    fn on_record(&mut self, record: Option<GroupRecord>, now: u64) {
+        match record {
+            Some(record) => {
+                let is_own = record.members.len() == 1 && record.members[0].id == self.own.id;
+                if is_own && self.consensus.last_index() == 0 {
+                    self.make_group(now);
+                } else {
+                    self.learn_members(&record.members);
+                }
+            }
+            None if self.settings.first_start && self.consensus.last_index() == 0 => {
+                self.create_record();
+            }
+            None => {}
+        }
+    }
+
+    fn create_record(&mut self) {
+        self.group.registry_busy = true;
+        let registry = Rc::clone(&self.outside.registry);
+        let local = self.local.clone();
+        let own = self.own.clone();
+        tokio::task::spawn_local(async move {
+            let event = match registry.create(vec![own]).await {
+                Ok(()) => Local::RecordMade,
+                Err(_) => Local::RegistryFailed,
+            };
+            let _ = local.send(event).await;
+        });
+    }
+
+    fn make_group(&mut self, now: u64) {
+        if self.consensus.last_index() == 0 {
+            log::info!("event=group_made member={:016x}", self.own.id);
+            self.consensus.bootstrap(self.own.clone(), now);
+        }
+    }
+
+    /// The leader keeps enough live members that stay, one change at a time.
+    pub(super) fn tend_members(&mut self, now: u64) {
+        self.add_learners(now);
+        if self.consensus.may_change_members().is_err() {
+            return;
+        }
+        let candidates = self.candidates(now);
+        let retiring = self.retiring();
+        let situation = Situation {
+            own: self.own.id,
+            voters: self.consensus.members(),
+            candidates: &candidates,
+            retiring: &retiring,
+            target: 2 * self.settings.process.tolerated_losses + 1,
+        };
+        match next_step(&situation) {
+            Step::Stay => {}
+            Step::Change(members) => {
+                let names: Vec<&str> = members.iter().map(|one| one.machine.as_str()).collect();
+                log::info!("event=members_proposed members={}", names.join(","));
+                let _ = self.consensus.propose_members(members, now);
+            }
+            Step::HandOver => {
+                log::info!("event=leadership_handed_over reason=retirement");
+                self.consensus.transfer_leadership();
+            }
+        }
+    }
+
+    fn add_learners(&mut self, now: u64) {
+        let peers: Vec<Member> = self.group.peers.values().cloned().collect();
+        for peer in peers {
+            let is_voter = self.consensus.members().iter().any(|one| one.id == peer.id);
+            let is_linked = self.group.link_of(peer.id).is_some();
+            if is_voter {
+                continue;
+            }
+            if is_linked {
+                self.consensus.add_learner(peer, now);
+            } else {
+                self.consensus.remove_learner(peer.id);
+                self.group.peers.remove(&peer.id);
+            }
+        }
+    }
+
+    fn candidates(&self, now: u64) -> Vec<Candidate> {
+        let mut known: HashMap<MemberId, Member> = self.group.peers.clone();
+        for member in self.consensus.members() {
+            known.insert(member.id, member.clone());
+        }
+        let candidates = known.into_values().map(|member| {
+            let progress = self.consensus.progress_of(member.id);
+            let silent_ms = progress.map(|peer| now.saturating_sub(peer.heard_at));
+            Candidate {
+                lag: self.consensus.lag_of(member.id),
+                silent_ms,
+                member,
+            }
+        });
+        candidates.collect()
+    }
+
+    fn retiring(&self) -> BTreeSet<String> {
+        let retirements = self.view.retirements.values();
+        retirements.map(|one| one.machine.clone()).collect()
+    }
+
+    /// The leader writes down who keeps the log, and which machines are empty.
+    pub(super) fn tend_records(&mut self, now: u64) {
+        if self.group.registry_busy || now < self.group.registry_at {
+            return;
+        }
+        if let Some((machine, completed)) = self.retirement_to_report() {
+            self.report_retirement(machine, completed);
+            return;
+        }
+        let members = self.consensus.members().to_vec();
+        if self.group.recorded.as_ref() != Some(&members)
+            && self.consensus.may_change_members().is_ok()
+        {
+            self.write_record(members);
+        }
+    }
+
+    fn retirement_to_report(&self) -> Option<(String, bool)> {
+        let is_settled = self.consensus.may_change_members().is_ok();
+        for retirement in self.view.retirements.values() {
+            let machine = &retirement.machine;
+            let votes = self.consensus.members().iter().any(|one| one.machine == *machine);
+            let known = self.group.reported.get(machine).copied();
+            let known = known.or(retirement.completed.then_some(true));
+            let known = known.or(retirement.begun.then_some(false));
+            if !votes && is_settled && known != Some(true) {
+                return Some((machine.clone(), true));
+            }
+            if votes && known.is_none() {
+                return Some((machine.clone(), false));
+            }
+        }
+        None
+    }
+
+    fn report_retirement(&mut self, machine: String, completed: bool) {
+        log::info!("event=retirement_reported machine={machine} completed={completed}");
+        self.group.registry_busy = true;
+        let registry = Rc::clone(&self.outside.registry);
+        let local = self.local.clone();
+        tokio::task::spawn_local(async move {
+            let reported = registry.report_retirement(machine.clone(), completed).await;
+            let event = match reported {
+                Ok(()) => Local::RetirementReported(machine, completed),
+                Err(_) => Local::RegistryFailed,
+            };
+            let _ = local.send(event).await;
+        });
+    }
+
+    fn write_record(&mut self, members: Vec<Member>) {
+        self.group.registry_busy = true;
+        let registry = Rc::clone(&self.outside.registry);
+        let local = self.local.clone();
+        tokio::task::spawn_local(async move {
+            let event = match replace_record(&*registry, &members).await {
+                Ok(()) => Local::RecordWritten(members),
+                Err(_) => Local::RegistryFailed,
+            };
+            let _ = local.send(event).await;
+        });
+    }
+}
+
+async fn replace_record(
+    registry: &dyn crate::outside::Registry,
+    members: &[Member],
+) -> Result<(), crate::outside::RegistryError> {
+    match registry.read().await? {
+        None => registry.create(members.to_vec()).await,
+        Some(record) if record.members == members => Ok(()),
+        Some(record) => {
+            let record = GroupRecord {
+                members: members.to_vec(),
+                revision: record.revision,
+            };
+            registry.replace(record).await
+        }
+    }
+}
--- /dev/null
+++ b/crates/cluster/src/storage/leading.rs
@@ -0,0 +1,468 @@
+//! What a storage process does while it leads: runs jobs, orders replicas,
+//! tells edges.
+
+use super::asks::READ_LEASE;
+use super::process::{Local, Storage};
+use crate::link::LinkId;
+use crate::outside::{Interest, VersionOrder};
+use crate::upstream::call_once;
+use brasspond_cluster_protocol::{Message, Peer, encode};
+use brasspond_dispatch::{Action, Dispatcher, Event, OrderAnswer, Settings};
+use brasspond_fleet::FleetView;
+use brasspond_jobs::{Command, Listing};
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::{Method, Request};
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+/// Pause between two signs of life to edges, in ms.
+const LEADING_PAUSE: u64 = 500;
+/// Pause between two looks at runs, in ms.
+const DISPATCH_TICK: u64 = 100;
+/// An edge that is silent this long is out of reach, in ms.
+const EDGE_SILENT: u64 = 1_600;
+/// An edge whose link broke may come back within this time, in ms.
+const EDGE_RETURN: u64 = 400;
+/// Time for a replica to answer a report or an order.
+const REPLICA_ANSWER: Duration = Duration::from_millis(1_000);
+/// Pause between two copies of the view into the log, in ms.
+const REMEMBER_PAUSE: u64 = 1_000;
+/// Most results in one entry of the log, in bytes of text.
+const LISTING_BYTES: usize = 512 * 1024;
+
+/// State of a leader.
+pub(super) struct Leading {
+    dispatcher: Dispatcher,
+    term: u64,
+    told_at: u64,
+    ticked_at: u64,
+    remembered_at: u64,
+    /// Links of edges that take runs, by machine.
+    edges: HashMap<String, LinkId>,
+    /// Edges whose link broke, and when.
+    lost: HashMap<String, u64>,
+    listings: Vec<Listing>,
+    job_ages: HashMap<String, u64>,
+}
+
+impl Storage {
+    /// Begins or ends to lead, and does what a leader does.
+    pub(super) fn lead(&mut self, now: u64) {
+        if !self.consensus.is_leader() {
+            if self.leading.take().is_some() {
+                log::info!("event=leadership_lost term={}", self.consensus.term());
+                self.outside.interest.send_replace(Interest::NONE);
+            }
+            self.seek_group(now);
+            return;
+        }
+        if self.leading.is_none() {
+            self.begin_leading(now);
+        }
+        self.tell_edges(now);
+        if self.is_tick_due(now) {
+            self.tend_members(now);
+            self.tend_records(now);
+            self.check_edges(now);
+            self.dispatch(Event::Tick);
+            self.remember_view(now);
+            self.forget_jobs(now);
+        }
+    }
+
+    fn begin_leading(&mut self, now: u64) {
+        let is_caught_up = self.consensus.is_established()
+            && self.consensus.applied_index() == self.consensus.commit_index();
+        if !is_caught_up {
+            return;
+        }
+        let term = self.consensus.term();
+        log::info!(
+            "event=leadership_won term={term} members={} jobs={}",
+            self.consensus.members().len(),
+            self.table.jobs().count()
+        );
+        let settings = Settings {
+            order_wait_ms: self.settings.lease_ms + 200,
+            ..Settings::default()
+        };
+        let view = self.view.clone();
+        let dispatcher = Dispatcher::new(term, settings, &self.table, view, now);
+        self.outside.interest.send_replace(Interest::ALL);
+        self.leading = Some(Leading {
+            dispatcher,
+            term,
+            told_at: 0,
+            ticked_at: now,
+            remembered_at: 0,
+            edges: HashMap::new(),
+            lost: HashMap::new(),
+            listings: Vec::new(),
+            job_ages: HashMap::new(),
+        });
+        self.tell_edges(now);
+    }
+
+    /// Hands an event to the dispatcher and carries out what it wants.
+    pub(super) fn dispatch(&mut self, event: Event) {
+        let now = self.clock.now();
+        let Some(leading) = &mut self.leading else {
+            return;
+        };
+        let actions = leading.dispatcher.handle(event, &self.table, now);
+        for action in actions {
+            self.carry_out(action);
+        }
+    }
+
+    fn carry_out(&mut self, action: Action) {
+        match action {
+            Action::Run { machine, spec } => self.send_to_edge(&machine, &Message::Run(spec)),
+            Action::Cancel { machine, attempt } => {
+                let term = self.consensus.term();
+                self.send_to_edge(&machine, &Message::Cancel { term, attempt });
+            }
+            Action::Recorded { machine, attempt } => {
+                self.send_to_edge(&machine, &Message::Recorded { attempt });
+            }
+            Action::List(listing) => {
+                if let Some(leading) = &mut self.leading {
+                    leading.listings.push(listing);
+                }
+            }
+            Action::AskReport { replica, address } => self.ask_report(replica, address),
+            Action::Order {
+                replica,
+                address,
+                model,
+                version,
+                expected_count,
+            } => {
+                let order = VersionOrder {
+                    model,
+                    version,
+                    holder: self.own.machine.clone(),
+                    fence: self.consensus.term(),
+                    expected_count,
+                    replica,
+                    address,
+                };
+                self.give_order(order);
+            }
+        }
+    }
+
+    fn send_to_edge(&mut self, machine: &str, message: &Message) {
+        let link = self.leading.as_ref().and_then(|one| one.edges.get(machine));
+        if let Some(state) = link.and_then(|link| self.links.get(link)) {
+            state.writer.send(message);
+        }
+    }
+
+    fn ask_report(&mut self, replica: String, address: SocketAddr) {
+        let dialect = Rc::clone(&self.outside.dialect);
+        let local = self.local.clone();
+        let term = self.consensus.term();
+        tokio::task::spawn_local(async move {
+            let request = Request::builder()
+                .method(Method::GET)
+                .uri(dialect.report_path())
+                .header(hyper::header::HOST, address.to_string())
+                .header(&dialect.names().expect_instance, &replica)
+                .body(Full::new(Bytes::new()));
+            let report = match request {
+                Ok(request) => call_once(address, request, REPLICA_ANSWER).await.ok(),
+                Err(_) => None,
+            };
+            let report = report
+                .filter(|(status, _, _)| status.is_success())
+                .and_then(|(_, _, body)| dialect.report(&body));
+            let event = Event::Report { replica, report };
+            let _ = local.send(Local::Dispatch(term, event)).await;
+        });
+    }
+
+    /// Sends an order, if this process surely leads at this moment.
+    fn give_order(&mut self, order: VersionOrder) {
+        let now = self.clock.now();
+        let surely_leads = self.consensus.has_quorum_contact(READ_LEASE, now);
+        let dialect = Rc::clone(&self.outside.dialect);
+        let local = self.local.clone();
+        let term = self.consensus.term();
+        log::info!(
+            "event=order_given replica={} model={} version={} fence={} expected_count={} sent={surely_leads}",
+            order.replica,
+            order.model,
+            order.version,
+            order.fence,
+            order.expected_count
+        );
+        tokio::task::spawn_local(async move {
+            let answer = if surely_leads {
+                send_order(&*dialect, &order).await
+            } else {
+                OrderAnswer::NotSent
+            };
+            let replica = order.replica;
+            let event = Event::Ordered { replica, answer };
+            let _ = local.send(Local::Dispatch(term, event)).await;
+        });
+    }
+
+    pub(super) fn on_edge_message(&mut self, link: LinkId, message: Message) {
+        let peer = self.links.get(&link).and_then(|state| state.peer.clone());
+        let Some(Peer::Edge { machine, zone, .. }) = peer else {
+            return;
+        };
+        let Some(leading) = &mut self.leading else {
+            return;
+        };
+        match message {
+            Message::Runs {
+                term,
+                runs,
+                draining,
+            } if term == leading.term => {
+                leading.edges.insert(machine.clone(), link);
+                leading.lost.remove(&machine);
+                log::info!("event=edge_up machine={machine} runs={} draining={draining}", runs.len());
+                self.dispatch(Event::EdgeUp {
+                    machine: machine.clone(),
+                    zone,
+                    runs,
+                });
+                if draining {
+                    self.dispatch(Event::EdgeDraining(machine));
+                }
+            }
+            Message::Progress { attempt, events } => {
+                self.dispatch(Event::Progress { attempt, events });
+            }
+            Message::Ended {
+                attempt,
+                events,
+                end,
+            } => self.dispatch(Event::Ended {
+                machine,
+                attempt,
+                events,
+                end,
+            }),
+            Message::Draining => {
+                log::info!("event=edge_draining machine={machine}");
+                self.dispatch(Event::EdgeDraining(machine));
+            }
+            _ => {}
+        }
+    }
+
+    pub(super) fn edge_link_down(&mut self, link: LinkId, machine: String, now: u64) {
+        let Some(leading) = &mut self.leading else {
+            return;
+        };
+        if leading.edges.get(&machine) == Some(&link) {
+            leading.edges.remove(&machine);
+            leading.lost.insert(machine, now);
+        }
+    }
+
+    /// Tells every edge who leads, at once and then from time to time.
+    fn tell_edges(&mut self, now: u64) {
+        let Some(leading) = &mut self.leading else {
+            return;
+        };
+        let is_due = now >= leading.told_at + LEADING_PAUSE;
+        let term = leading.term;
+        if is_due {
+            leading.told_at = now;
+        }
+        let members = self.consensus.members().to_vec();
+        let mut frame = None;
+        let mut view = None;
+        for state in self.links.values_mut() {
+            let is_edge = matches!(state.peer, Some(Peer::Edge { .. }));
+            let is_new = state.told_term != term;
+            if !is_edge || !(is_due || is_new) {
+                continue;
+            }
+            let members = &members;
+            let frame = frame.get_or_insert_with(|| {
+                encode(&Message::Leading {
+                    term,
+                    members: members.clone(),
+                })
+            });
+            state.writer.send_frame(frame.clone());
+            if is_new {
+                state.told_term = term;
+                let view =
+                    view.get_or_insert_with(|| encode(&Message::View(self.view.clone())));
+                state.writer.send_frame(view.clone());
+            }
+        }
+    }
+
+    /// The view changed: the dispatcher and the edges learn of it.
+    pub(super) fn view_changed(&mut self) {
+        if self.leading.is_none() {
+            return;
+        }
+        let frame = encode(&Message::View(self.view.clone()));
+        for state in self.links.values() {
+            if matches!(state.peer, Some(Peer::Edge { .. })) {
+                state.writer.send_frame(frame.clone());
+            }
+        }
+        self.dispatch(Event::View(self.view.clone()));
+    }
+
+    fn check_edges(&mut self, now: u64) {
+        let Some(leading) = &mut self.leading else {
+            return;
+        };
+        let links = &self.links;
+        let silent: Vec<String> = leading
+            .edges
+            .iter()
+            .filter(|(_, link)| {
+                let heard = links.get(link).map_or(0, |state| state.heard_at);
+                now >= heard + EDGE_SILENT
+            })
+            .map(|(machine, _)| machine.clone())
+            .collect();
+        let mut gone: Vec<String> = silent;
+        for (machine, since) in &leading.lost {
+            if now >= since + EDGE_RETURN {
+                gone.push(machine.clone());
+            }
+        }
+        for machine in gone {
+            if let Some(leading) = &mut self.leading {
+                leading.lost.remove(&machine);
+                if let Some(link) = leading.edges.remove(&machine)
+                    && let Some(state) = self.links.get_mut(&link)
+                {
+                    // If it speaks again, it is asked for its runs anew.
+                    state.told_term = 0;
+                }
+            }
+            self.dispatch(Event::EdgeDown(machine));
+        }
+    }
+
+    fn is_tick_due(&mut self, now: u64) -> bool {
+        match &mut self.leading {
+            Some(leading) if now >= leading.ticked_at + DISPATCH_TICK => {
+                leading.ticked_at = now;
+                true
+            }
+            _ => false,
+        }
+    }
+
+    pub(super) fn has_proposals(&self) -> bool {
+        self.leading.as_ref().is_some_and(|one| !one.listings.is_empty())
+    }
+
+    /// Puts the results collected since the last sync into the log.
+    pub(super) fn propose_collected(&mut self) {
+        let Some(leading) = &mut self.leading else {
+            return;
+        };
+        let listings = std::mem::take(&mut leading.listings);
+        let mut batch = Vec::new();
+        let mut bytes = 0;
+        for listing in listings {
+            bytes += text_bytes(&listing);
+            batch.push(listing);
+            if bytes >= LISTING_BYTES {
+                self.propose(&Command::List(std::mem::take(&mut batch)));
+                bytes = 0;
+            }
+        }
+        if !batch.is_empty() {
+            self.propose(&Command::List(batch));
+        }
+    }
+
+    fn propose(&mut self, command: &Command) {
+        if let Ok(bytes) = command.encode() {
+            self.consensus.propose(bytes);
+        }
+    }
+
+    /// Keeps the newest view in the log, for starts without its source.
+    fn remember_view(&mut self, now: u64) {
+        let Some(leading) = &mut self.leading else {
+            return;
+        };
+        let revision = view_revision(&self.view);
+        let known = self.table.remembered().map_or(0, |(revision, _)| *revision);
+        let is_due = now >= leading.remembered_at + REMEMBER_PAUSE;
+        if revision <= known || !is_due || self.view.configuration.is_none() {
+            return;
+        }
+        leading.remembered_at = now;
+        if let Ok(bytes) = rmp_serde::to_vec(&self.view) {
+            self.propose(&Command::Remember {
+                revision,
+                configuration: bytes.into(),
+            });
+        }
+    }
+
+    /// Drops jobs that nobody may ask for any more.
+    fn forget_jobs(&mut self, now: u64) {
+        let life = self.settings.job_life_ms;
+        let Some(leading) = &mut self.leading else {
+            return;
+        };
+        let mut old = Vec::new();
+        for (id, job) in self.table.jobs() {
+            let since = *leading.job_ages.entry(id.clone()).or_insert(now);
+            if job.is_finished() && now >= since + life {
+                old.push(id.clone());
+            }
+        }
+        if old.is_empty() {
+            return;
+        }
+        leading.job_ages.retain(|id, _| !old.contains(id));
+        self.propose(&Command::Forget { jobs: old });
+    }
+}
+
+async fn send_order(dialect: &dyn crate::outside::Dialect, order: &VersionOrder) -> OrderAnswer {
+    let (path, body) = dialect.order(order);
+    let request = Request::builder()
+        .method(Method::POST)
+        .uri(path)
+        .header(hyper::header::HOST, order.address.to_string())
+        .header(hyper::header::CONTENT_TYPE, "application/json")
+        .header(&dialect.names().expect_instance, &order.replica)
+        .body(Full::new(body));
+    let Ok(request) = request else {
+        return OrderAnswer::NotSent;
+    };
+    match call_once(order.address, request, REPLICA_ANSWER).await {
+        Ok((status, _, _)) => dialect.order_answer(status),
+        Err(crate::upstream::UpstreamError::NotSent) => OrderAnswer::NotSent,
+        Err(crate::upstream::UpstreamError::Broken) => OrderAnswer::Unknown,
+    }
+}
+
+fn view_revision(view: &FleetView) -> u64 {
+    view.configuration_revision
+        .max(view.replicas_revision)
+        .max(view.versions_revision)
+}
+
+fn text_bytes(listing: &Listing) -> usize {
+    match &listing.outcome {
+        brasspond_jobs::Outcome::Completed { text, .. } => text.len(),
+        brasspond_jobs::Outcome::Terminated => 0,
+    }
+}
--- /dev/null
+++ b/crates/cluster/src/storage/mod.rs
@@ -0,0 +1,9 @@
+//! A storage process: keeps the replicated log; its leader runs the jobs.
+
+mod asks;
+mod group;
+mod leading;
+pub mod plan;
+mod process;
+
+pub use process::{ProcessError, run};
--- /dev/null
+++ b/crates/cluster/src/storage/process.rs
@@ -0,0 +1,448 @@
+//! The event loop of a storage process.
+
+use super::asks::Asks;
+use super::group::Group;
+use super::leading::Leading;
+use crate::clock::Clock;
+use crate::link::{LinkEvent, LinkId, LinkNumbers, Writer, accept_links};
+use crate::outside::{Interest, Outside};
+use crate::settings::StorageSettings;
+use brasspond_cluster_protocol::{Message, Peer};
+use brasspond_consensus::{Consensus, Entry, Member, MemberId, Payload, Persisted, Timing};
+use brasspond_dispatch::Event;
+use brasspond_durable::{RecordLog, RecordLogError};
+use brasspond_fleet::FleetView;
+use brasspond_jobs::{Accepted, Command, JobTable};
+use displaydoc::Display;
+use std::collections::HashMap;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::net::TcpListener;
+use tokio::signal::unix::{SignalKind, signal};
+use tokio::sync::mpsc;
+
+/// Events waiting to be handled.
+const EVENT_QUEUE: usize = 4_096;
+/// Events handled between two syncs of the disk.
+const BATCH: usize = 256;
+/// Pause between two looks at what time brings, in ms.
+const TICK: u64 = 100;
+/// Bytes of log kept in memory for followers that are a little behind.
+const LOG_MEMORY: usize = 1024 * 1024;
+/// Bytes of the file after which it is begun anew with a snapshot.
+const LONGEST_FILE: u64 = 96 * 1024 * 1024;
+
+/// Why a process cannot run.
+#[derive(Debug, Display)]
+pub enum ProcessError {
+    /// an address cannot be listened on: {0}
+    Listen(std::io::Error),
+    /// the log cannot be kept: {0}
+    Disk(RecordLogError),
+    /// the log cannot be read: {0}
+    Table(String),
+}
+
+impl std::error::Error for ProcessError {}
+
+/// Something that a task of this process found out.
+pub(super) enum Local {
+    /// For the dispatcher of this term.
+    Dispatch(u64, Event),
+    /// What the group's record says.
+    Record(Option<crate::outside::GroupRecord>),
+    /// The group's record was made.
+    RecordMade,
+    /// The group's record is as this leader wants it.
+    RecordWritten(Vec<Member>),
+    /// The status of a retirement was written.
+    RetirementReported(String, bool),
+    /// A call to the registry failed.
+    RegistryFailed,
+}
+
+/// A link as this process sees it.
+pub(super) struct LinkState {
+    pub writer: Writer,
+    pub peer: Option<Peer>,
+    pub heard_at: u64,
+    /// It was told that this process leads.
+    pub told_term: u64,
+}
+
+/// All of a storage process.
+pub(super) struct Storage {
+    pub settings: StorageSettings,
+    pub own: Member,
+    pub clock: Clock,
+    pub outside: Outside,
+    pub consensus: Consensus,
+    pub table: JobTable,
+    pub view: FleetView,
+    pub links: HashMap<LinkId, LinkState>,
+    pub group: Group,
+    pub asks: Asks,
+    pub leading: Option<Leading>,
+    pub local: mpsc::Sender<Local>,
+    pub events: mpsc::Sender<LinkEvent>,
+    pub numbers: Rc<LinkNumbers>,
+    disk: RecordLog,
+    stopping: Option<u64>,
+}
+
+/// Runs a storage process until it is told to stop.
+///
+/// # Errors
+/// See [`ProcessError`].
+pub async fn run(settings: StorageSettings, outside: Outside) -> Result<(), ProcessError> {
+    let opened = RecordLog::open(&settings.folder, rand::random()).map_err(ProcessError::Disk)?;
+    let listener = TcpListener::bind(settings.process.cluster_address).await;
+    let listener = listener.map_err(ProcessError::Listen)?;
+    let (events, mut link_events) = mpsc::channel(EVENT_QUEUE);
+    let (local, mut local_events) = mpsc::channel(EVENT_QUEUE);
+    let numbers = Rc::new(LinkNumbers::default());
+    tokio::task::spawn_local(accept_links(listener, Rc::clone(&numbers), events.clone()));
+    let mut terminate = signal(SignalKind::terminate()).map_err(ProcessError::Listen)?;
+    let mut hang_up = signal(SignalKind::hangup()).map_err(ProcessError::Listen)?;
+    let mut observed = outside.observed.clone();
+    let mut storage = Storage::new(settings, outside, opened.log, opened.id, opened.kept)?;
+    storage.events = events;
+    storage.local = local;
+    storage.numbers = numbers;
+    log::info!(
+        "event=started role=storage machine={} member={:016x} term={} last_index={}",
+        storage.own.machine,
+        storage.own.id,
+        storage.consensus.term(),
+        storage.consensus.last_index()
+    );
+    storage.begin();
+    storage.settle()?;
+    loop {
+        let now = storage.clock.now();
+        let wake = storage.next_wake().saturating_sub(now).max(1);
+        tokio::select! {
+            Some(event) = link_events.recv() => storage.on_link(event),
+            Some(event) = local_events.recv() => storage.on_local(event),
+            Ok(()) = observed.changed() => {
+                let seen = observed.borrow_and_update().clone();
+                storage.on_observed(&seen.view);
+            }
+            _ = terminate.recv() => storage.begin_stop(),
+            _ = hang_up.recv() => log::info!("event=reload role=storage"),
+            () = tokio::time::sleep(Duration::from_millis(wake)) => {}
+        }
+        for _ in 0..BATCH {
+            match link_events.try_recv() {
+                Ok(event) => storage.on_link(event),
+                Err(_) => break,
+            }
+        }
+        while let Ok(event) = local_events.try_recv() {
+            storage.on_local(event);
+        }
+        storage.settle()?;
+        if storage.may_stop() {
+            log::info!("event=stopped role=storage machine={}", storage.own.machine);
+            return Ok(());
+        }
+    }
+}
+
+impl Storage {
+    fn new(
+        settings: StorageSettings,
+        outside: Outside,
+        disk: RecordLog,
+        id: MemberId,
+        kept: Persisted,
+    ) -> Result<Self, ProcessError> {
+        let clock = Clock::default();
+        let table = match &kept.snapshot {
+            Some(snapshot) => JobTable::decode(&snapshot.state)
+                .map_err(|error| ProcessError::Table(error.to_string()))?,
+            None => JobTable::default(),
+        };
+        let own = Member {
+            id,
+            machine: settings.process.machine.clone(),
+            address: settings.process.cluster_address,
+            zone: settings.process.zone.clone(),
+        };
+        let seed = rand::random();
+        let consensus = Consensus::new(id, kept, Timing::default(), seed, clock.now());
+        let (events, _) = mpsc::channel(1);
+        let (local, _) = mpsc::channel(1);
+        Ok(Self {
+            settings,
+            own,
+            clock,
+            outside,
+            consensus,
+            table,
+            view: FleetView::default(),
+            links: HashMap::new(),
+            group: Group::default(),
+            asks: Asks::default(),
+            leading: None,
+            local,
+            events,
+            numbers: Rc::new(LinkNumbers::default()),
+            disk,
+            stopping: None,
+        })
+    }
+
+    fn begin(&mut self) {
+        self.outside.interest.send_replace(Interest::NONE);
+        self.take_remembered();
+        self.dial_members();
+    }
+
+    fn next_wake(&self) -> u64 {
+        let now = self.clock.now();
+        let tick = if self.leading.is_some() { TICK } else { 3 * TICK };
+        self.consensus.next_tick().min(now + tick)
+    }
+
+    fn on_link(&mut self, event: LinkEvent) {
+        let now = self.clock.now();
+        match event {
+            LinkEvent::Up {
+                link,
+                writer,
+                peer,
+                ..
+            } => {
+                if peer.is_some() {
+                    writer.send(&Message::Hello(Peer::Storage(self.own.clone())));
+                }
+                let state = LinkState {
+                    writer,
+                    peer: None,
+                    heard_at: now,
+                    told_term: 0,
+                };
+                self.links.insert(link, state);
+                if let Some(peer) = peer {
+                    self.on_hello(link, peer);
+                }
+            }
+            LinkEvent::Message { link, message } => self.on_message(link, message, now),
+            LinkEvent::Down { link, .. } => self.on_link_down(link, now),
+            LinkEvent::Refused { address } => self.on_refused(address, now),
+        }
+    }
+
+    fn on_message(&mut self, link: LinkId, message: Message, now: u64) {
+        if let Some(state) = self.links.get_mut(&link) {
+            state.heard_at = now;
+        }
+        match message {
+            Message::Hello(peer) => self.on_hello(link, peer),
+            Message::Consensus { from, to, message } => {
+                self.group.heard(from, now);
+                if to == self.own.id {
+                    self.consensus.receive(from, message, now);
+                }
+            }
+            Message::Ask { number, question } => self.on_question(link, number, question),
+            Message::Leading { members, .. } => self.learn_members(&members),
+            other => self.on_edge_message(link, other),
+        }
+    }
+
+    fn on_refused(&mut self, address: std::net::SocketAddr, now: u64) {
+        let leader = self.consensus.leader();
+        let members = self.consensus.members();
+        let refused = members.iter().find(|member| member.address == address);
+        if let Some(refused) = refused
+            && leader == Some(refused.id)
+        {
+            let id = refused.id;
+            log::info!("event=leader_ended member={id:016x} address={address}");
+            self.consensus.leader_ended(id, now);
+        }
+    }
+
+    fn on_observed(&mut self, view: &FleetView) {
+        if self.view.merge(view) {
+            self.view_changed();
+        }
+    }
+
+    /// Lets time pass, then writes, sends and applies until nothing is left.
+    fn settle(&mut self) -> Result<(), ProcessError> {
+        let now = self.clock.now();
+        self.consensus.tick(now);
+        self.lead(now);
+        loop {
+            self.propose_collected();
+            self.consensus.replicate(now);
+            let ready = self.consensus.take_ready();
+            let must_sync = ready.must_sync();
+            if must_sync {
+                let hard_state = self.consensus.hard_state();
+                self.disk
+                    .keep(&ready, hard_state)
+                    .map_err(ProcessError::Disk)?;
+            }
+            if let Some(snapshot) = &ready.snapshot {
+                self.table = JobTable::decode(&snapshot.state)
+                    .map_err(|error| ProcessError::Table(error.to_string()))?;
+                log::info!("event=snapshot_installed index={}", snapshot.index);
+            }
+            self.consensus.persisted(self.consensus.last_index());
+            let has_messages = !ready.messages.is_empty();
+            for (to, message) in ready.messages {
+                self.send_to_member(to, message);
+            }
+            for member in ready.snapshots_wanted {
+                self.send_snapshot(member)?;
+            }
+            let committed = self.consensus.take_committed();
+            let has_committed = !committed.is_empty();
+            for entry in committed {
+                self.apply(entry)?;
+            }
+            self.answer_waiting(now);
+            if !must_sync && !has_messages && !has_committed && !self.has_proposals() {
+                break;
+            }
+        }
+        self.consensus.compact(LOG_MEMORY);
+        if self.disk.bytes() > LONGEST_FILE {
+            self.begin_file_anew()?;
+        }
+        Ok(())
+    }
+
+    fn send_snapshot(&mut self, member: MemberId) -> Result<(), ProcessError> {
+        let state = self.table.encode();
+        let state = state.map_err(|error| ProcessError::Table(error.to_string()))?;
+        let snapshot = self.consensus.snapshot(state);
+        log::info!(
+            "event=snapshot_sent member={member:016x} index={} bytes={}",
+            snapshot.index,
+            snapshot.state.len()
+        );
+        self.consensus.send_snapshot(member, snapshot);
+        Ok(())
+    }
+
+    fn begin_file_anew(&mut self) -> Result<(), ProcessError> {
+        let state = self.table.encode();
+        let state = state.map_err(|error| ProcessError::Table(error.to_string()))?;
+        let snapshot = self.consensus.snapshot(state);
+        let entries = self.consensus.unapplied();
+        self.disk
+            .rewrite(self.consensus.hard_state(), snapshot, &entries)
+            .map_err(ProcessError::Disk)
+    }
+
+    fn apply(&mut self, entry: Entry) -> Result<(), ProcessError> {
+        let command = match entry.payload {
+            Payload::Command(bytes) => Command::decode(&bytes)
+                .map_err(|error| ProcessError::Table(error.to_string()))?,
+            Payload::Members(members) => {
+                self.members_applied(&members);
+                return Ok(());
+            }
+            Payload::Nothing => return Ok(()),
+        };
+        let told = Told::of(&command);
+        let accepted = self.table.apply(command);
+        self.asks.committed(entry.index);
+        self.tell(told, accepted);
+        Ok(())
+    }
+
+    fn tell(&mut self, told: Told, accepted: Option<Accepted>) {
+        match told {
+            Told::Accepted(job) if accepted == Some(Accepted::New) => {
+                log::info!("event=job_accepted job={job}");
+                self.dispatch(Event::JobAccepted(job));
+            }
+            Told::Accepted(_) => {}
+            Told::Listed(items) => {
+                for (job, item) in items {
+                    self.dispatch(Event::Listed { job, item });
+                }
+            }
+            Told::Ended(job) => {
+                log::info!("event=job_ended job={job}");
+                self.dispatch(Event::JobEnded(job));
+            }
+            Told::Forgotten(jobs) => {
+                for job in jobs {
+                    self.dispatch(Event::JobForgotten(job));
+                }
+            }
+            Told::Remembered => self.take_remembered(),
+        }
+    }
+
+    fn take_remembered(&mut self) {
+        let Some((_, bytes)) = self.table.remembered() else {
+            return;
+        };
+        if let Ok(view) = rmp_serde::from_slice::<FleetView>(bytes)
+            && self.view.merge(&view)
+        {
+            self.view_changed();
+        }
+    }
+
+    pub(super) fn send_to_member(&mut self, to: MemberId, message: brasspond_consensus::Message) {
+        let message = Message::Consensus {
+            from: self.own.id,
+            to,
+            message,
+        };
+        let link = self.group.link_of(to);
+        if let Some(state) = link.and_then(|link| self.links.get(&link)) {
+            state.writer.send(&message);
+        }
+    }
+
+    fn begin_stop(&mut self) {
+        let now = self.clock.now();
+        log::info!("event=stopping role=storage leads={}", self.consensus.is_leader());
+        if self.consensus.is_leader() {
+            self.consensus.transfer_leadership();
+        }
+        self.stopping = Some(now);
+    }
+
+    fn may_stop(&self) -> bool {
+        const HAND_OVER_MS: u64 = 1_000;
+        let Some(since) = self.stopping else {
+            return false;
+        };
+        !self.consensus.is_leader() || self.clock.now() >= since + HAND_OVER_MS
+    }
+}
+
+/// What a command means for the dispatcher.
+enum Told {
+    Accepted(String),
+    Listed(Vec<(String, u32)>),
+    Ended(String),
+    Forgotten(Vec<String>),
+    Remembered,
+}
+
+impl Told {
+    fn of(command: &Command) -> Self {
+        match command {
+            Command::Accept(submission) => Self::Accepted(submission.id.clone()),
+            Command::List(listings) => {
+                let items = listings.iter().map(|one| (one.job.clone(), one.item));
+                Self::Listed(items.collect())
+            }
+            Command::End { job } => Self::Ended(job.clone()),
+            Command::Forget { jobs } => Self::Forgotten(jobs.clone()),
+            Command::Remember { .. } => Self::Remembered,
+        }
+    }
+}
--- /dev/null
+++ b/crates/cluster/src/upstream.rs
@@ -0,0 +1,179 @@
+//! Connections to replicas: kept, reused, closed.
+
+use crate::link::prepare;
+use bytes::Bytes;
+use displaydoc::Display;
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::Incoming;
+use hyper::client::conn::http1::{SendRequest, handshake};
+use hyper::{Request, Response};
+use hyper_util::rt::TokioIo;
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+use tokio::net::TcpStream;
+
+/// Time to connect.
+const CONNECT_TIME: Duration = Duration::from_millis(500);
+/// Time a connection rests before it is closed here, if the replica says
+/// nothing.
+const IDLE_TIME: Duration = Duration::from_secs(8);
+/// A connection is not used this shortly before the replica closes it.
+const IDLE_MARGIN: Duration = Duration::from_millis(1_000);
+/// Connections at rest to one replica.
+const MOST_IDLE: usize = 24;
+
+/// Why there is no answer.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
+pub enum UpstreamError {
+    /// no connection: the request was certainly not received
+    NotSent,
+    /// the connection broke: the request may have been received
+    Broken,
+}
+
+/// A connection that carries one request at a time.
+pub struct Connection {
+    sender: SendRequest<Full<Bytes>>,
+    address: SocketAddr,
+    idle_until: Instant,
+    /// It carried a request before.
+    pub reused: bool,
+}
+
+impl Connection {
+    /// Sends a request and waits for the head of its answer.
+    ///
+    /// # Errors
+    /// See [`UpstreamError`].
+    pub async fn send(
+        &mut self,
+        request: Request<Full<Bytes>>,
+    ) -> Result<Response<Incoming>, UpstreamError> {
+        match self.sender.send_request(request).await {
+            Ok(response) => {
+                self.note_keep_alive(&response);
+                Ok(response)
+            }
+            Err(error) if error.is_canceled() => Err(UpstreamError::NotSent),
+            Err(_) => Err(UpstreamError::Broken),
+        }
+    }
+
+    fn note_keep_alive(&mut self, response: &Response<Incoming>) {
+        let header = response.headers().get("keep-alive");
+        let text = header.and_then(|value| value.to_str().ok()).unwrap_or("");
+        let seconds = text
+            .split(',')
+            .filter_map(|part| part.trim().strip_prefix("timeout="))
+            .find_map(|seconds| seconds.parse::<u64>().ok());
+        let idle = seconds.map_or(IDLE_TIME, Duration::from_secs);
+        self.idle_until = Instant::now() + idle.saturating_sub(IDLE_MARGIN);
+    }
+}
+
+/// Connections at rest, by address.
+#[derive(Clone, Default)]
+pub struct Pool {
+    idle: Rc<RefCell<HashMap<SocketAddr, Vec<Connection>>>>,
+}
+
+impl Pool {
+    /// A connection at rest, or a new one.
+    ///
+    /// # Errors
+    /// The replica cannot be reached: nothing was sent.
+    pub async fn take(&self, address: SocketAddr) -> Result<Connection, UpstreamError> {
+        if let Some(connection) = self.take_idle(address) {
+            return Ok(connection);
+        }
+        connect(address).await
+    }
+
+    fn take_idle(&self, address: SocketAddr) -> Option<Connection> {
+        let mut idle = self.idle.borrow_mut();
+        let resting = idle.get_mut(&address)?;
+        let now = Instant::now();
+        while let Some(mut connection) = resting.pop() {
+            let is_usable = connection.sender.is_ready() && connection.idle_until > now;
+            if is_usable {
+                connection.reused = true;
+                return Some(connection);
+            }
+        }
+        None
+    }
+
+    /// Keeps a connection whose answer was read to its end.
+    pub fn give_back(&self, connection: Connection) {
+        if connection.sender.is_closed() || connection.idle_until <= Instant::now() {
+            return;
+        }
+        let mut idle = self.idle.borrow_mut();
+        let resting = idle.entry(connection.address).or_default();
+        if resting.len() < MOST_IDLE {
+            resting.push(connection);
+        }
+    }
+
+    /// Closes connections that rested long enough.
+    pub fn close_old(&self) {
+        let now = Instant::now();
+        let mut idle = self.idle.borrow_mut();
+        for resting in idle.values_mut() {
+            resting.retain(|one| one.idle_until > now && !one.sender.is_closed());
+        }
+        idle.retain(|_, resting| !resting.is_empty());
+    }
+}
+
+/// Opens a connection.
+///
+/// # Errors
+/// The replica cannot be reached: nothing was sent.
+pub async fn connect(address: SocketAddr) -> Result<Connection, UpstreamError> {
+    let connecting = TcpStream::connect(address);
+    let stream = match tokio::time::timeout(CONNECT_TIME, connecting).await {
+        Ok(Ok(stream)) => stream,
+        Ok(Err(_)) | Err(_) => return Err(UpstreamError::NotSent),
+    };
+    prepare(&stream);
+    let Ok((sender, driver)) = handshake(TokioIo::new(stream)).await else {
+        return Err(UpstreamError::NotSent);
+    };
+    tokio::task::spawn_local(async move {
+        let _ = driver.await;
+    });
+    Ok(Connection {
+        sender,
+        address,
+        idle_until: Instant::now() + IDLE_TIME,
+        reused: false,
+    })
+}
+
+/// Makes one call on a connection of its own and reads the whole answer.
+///
+/// # Errors
+/// See [`UpstreamError`].
+pub async fn call_once(
+    address: SocketAddr,
+    request: Request<Full<Bytes>>,
+    limit: Duration,
+) -> Result<(hyper::StatusCode, hyper::HeaderMap, Bytes), UpstreamError> {
+    const LONGEST_ANSWER: usize = 4 * 1024 * 1024;
+    let mut connection = connect(address).await?;
+    let exchange = async {
+        let response = connection.send(request).await?;
+        let (head, body) = response.into_parts();
+        let body = Limited::new(body, LONGEST_ANSWER).collect().await;
+        let body = body.map_err(|_| UpstreamError::Broken)?;
+        Ok((head.status, head.headers, body.to_bytes()))
+    };
+    match tokio::time::timeout(limit, exchange).await {
+        Ok(result) => result,
+        Err(_) => Err(UpstreamError::Broken),
+    }
+}
--- /dev/null
+++ b/crates/dispatch/src/dispatcher.rs
@@ -0,0 +1,303 @@
+//! The dispatcher: its state, events and actions.
+
+use crate::jobs::JobRuns;
+use crate::orders::{OrderAnswer, Orders, ReplicaReport};
+use crate::replicas::Replicas;
+use crate::runs::Runs;
+use brasspond_cluster_protocol::{AttemptId, RunEnd, RunReport, RunSpec, StreamEvent};
+use brasspond_fleet::FleetView;
+use brasspond_jobs::{JobTable, Listing};
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+/// Milliseconds of a steady clock.
+pub type Millis = u64;
+
+/// Periods and limits.
+#[derive(Clone, Copy, Debug)]
+pub struct Settings {
+    /// Replicas that load weights at a time.
+    pub loads_at_once: usize,
+    /// Time for edges to tell a new leader of their runs, in ms.
+    pub adopt_ms: Millis,
+    /// Time a new leader waits before its first order, in ms: the lease of the
+    /// leader before may still hold.
+    pub order_wait_ms: Millis,
+    /// Share of a model's replicas that take each new version at once, 0 to 1.
+    pub fresh_share: f64,
+    /// Silence of a run after which another replica goes on with it, in ms.
+    pub stall_ms: Millis,
+    /// A replica is slow when an event takes this many times the median.
+    pub slow_factor: f64,
+    /// Time a change of version takes at least, in ms.
+    pub load_ms: Millis,
+}
+
+impl Default for Settings {
+    fn default() -> Self {
+        Self {
+            loads_at_once: 2,
+            adopt_ms: 300,
+            order_wait_ms: 3_200,
+            fresh_share: 0.5,
+            stall_ms: 800,
+            slow_factor: 1.8,
+            load_ms: 900,
+        }
+    }
+}
+
+/// What the dispatcher learns.
+#[derive(Clone, Debug)]
+pub enum Event {
+    /// A newer view of the fleet.
+    View(FleetView),
+    /// A job was taken; it stands in the table.
+    JobAccepted(String),
+    /// A job was ended.
+    JobEnded(String),
+    /// A job is forgotten.
+    JobForgotten(String),
+    /// An item stands at its position.
+    Listed {
+        /// The job.
+        job: String,
+        /// Index of the item.
+        item: u32,
+    },
+    /// An edge takes runs; it holds these already.
+    EdgeUp {
+        /// Name of its machine.
+        machine: String,
+        /// Its zone.
+        zone: String,
+        /// Runs it holds.
+        runs: Vec<RunReport>,
+    },
+    /// An edge takes no new runs.
+    EdgeDraining(String),
+    /// An edge is out of reach.
+    EdgeDown(String),
+    /// A run made events.
+    Progress {
+        /// The run.
+        attempt: AttemptId,
+        /// New events.
+        events: Vec<StreamEvent>,
+    },
+    /// A run ended.
+    Ended {
+        /// Machine of the edge that tells it.
+        machine: String,
+        /// The run.
+        attempt: AttemptId,
+        /// Events not told before.
+        events: Vec<StreamEvent>,
+        /// How.
+        end: RunEnd,
+    },
+    /// Answer to [`Action::AskReport`]; none: no answer.
+    Report {
+        /// Identity of the replica.
+        replica: String,
+        /// What it said.
+        report: Option<ReplicaReport>,
+    },
+    /// Answer to [`Action::Order`].
+    Ordered {
+        /// Identity of the replica.
+        replica: String,
+        /// What it said.
+        answer: OrderAnswer,
+    },
+    /// Time passes.
+    Tick,
+}
+
+/// What the dispatcher wants done.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Action {
+    /// Have an edge run an item.
+    Run {
+        /// Machine of the edge.
+        machine: String,
+        /// What to run.
+        spec: Box<RunSpec>,
+    },
+    /// Have an edge stop a run.
+    Cancel {
+        /// Machine of the edge.
+        machine: String,
+        /// The run.
+        attempt: AttemptId,
+    },
+    /// Tell an edge to forget a run.
+    Recorded {
+        /// Machine of the edge.
+        machine: String,
+        /// The run.
+        attempt: AttemptId,
+    },
+    /// Put an item at the next position of its job.
+    List(Listing),
+    /// Ask a replica for its state.
+    AskReport {
+        /// Identity of the replica.
+        replica: String,
+        /// Where it listens.
+        address: SocketAddr,
+    },
+    /// Order a replica to load a version.
+    Order {
+        /// Identity of the replica.
+        replica: String,
+        /// Where it listens.
+        address: SocketAddr,
+        /// The model.
+        model: String,
+        /// The version.
+        version: u64,
+        /// Orders the replica must have taken so far.
+        expected_count: u64,
+    },
+}
+
+/// An edge that takes runs.
+#[derive(Clone, Debug)]
+pub(crate) struct Edge {
+    pub zone: String,
+    pub draining: bool,
+    pub running: usize,
+}
+
+/// See the module's page.
+pub struct Dispatcher {
+    pub(crate) settings: Settings,
+    pub(crate) term: u64,
+    pub(crate) began: Millis,
+    pub(crate) view: FleetView,
+    pub(crate) edges: BTreeMap<String, Edge>,
+    pub(crate) jobs: JobRuns,
+    pub(crate) runs: Runs,
+    pub(crate) replicas: Replicas,
+    pub(crate) orders: Orders,
+    pub(crate) actions: Vec<Action>,
+}
+
+impl Dispatcher {
+    /// A dispatcher for a leader of `term` that has applied all of `table`.
+    pub fn new(
+        term: u64,
+        settings: Settings,
+        table: &JobTable,
+        view: FleetView,
+        now: Millis,
+    ) -> Self {
+        let mut dispatcher = Self {
+            settings,
+            term,
+            began: now,
+            view: FleetView::default(),
+            edges: BTreeMap::new(),
+            jobs: JobRuns::default(),
+            runs: Runs::default(),
+            replicas: Replicas::default(),
+            orders: Orders::default(),
+            actions: Vec::new(),
+        };
+        dispatcher.take_view(view, now);
+        for (id, job) in table.jobs() {
+            dispatcher.jobs.open(id, job, table, now);
+        }
+        dispatcher
+    }
+
+    /// Takes an event; returns what is to be done.
+    pub fn handle(&mut self, event: Event, table: &JobTable, now: Millis) -> Vec<Action> {
+        match event {
+            Event::View(view) => self.take_view(view, now),
+            Event::JobAccepted(id) => self.open_job(&id, table, now),
+            Event::JobEnded(id) => self.end_job(&id),
+            Event::JobForgotten(id) => self.jobs.forget(&id),
+            Event::Listed { job, item } => self.on_listed(&job, item, table),
+            Event::EdgeUp {
+                machine,
+                zone,
+                runs,
+            } => self.edge_up(machine, zone, runs, table, now),
+            Event::EdgeDraining(machine) => {
+                if let Some(edge) = self.edges.get_mut(&machine) {
+                    edge.draining = true;
+                }
+            }
+            Event::EdgeDown(machine) => self.edge_down(&machine, now),
+            Event::Progress { attempt, events } => self.on_progress(attempt, events, now),
+            Event::Ended {
+                machine,
+                attempt,
+                events,
+                end,
+            } => self.on_ended(&machine, attempt, events, end, now),
+            Event::Report { replica, report } => self.on_report(&replica, report, now),
+            Event::Ordered { replica, answer } => self.on_ordered(&replica, answer, now),
+            Event::Tick => self.tick(now),
+        }
+        self.plan_orders(now);
+        self.start_runs(table, now);
+        std::mem::take(&mut self.actions)
+    }
+
+    /// Runs under way, items waiting, orders under way.
+    pub fn load(&self) -> (usize, usize, usize) {
+        (
+            self.runs.len(),
+            self.jobs.waiting(),
+            self.orders.under_way(),
+        )
+    }
+
+    fn take_view(&mut self, view: FleetView, now: Millis) {
+        let configuration_changed =
+            view.configuration_revision != self.view.configuration_revision;
+        self.view.merge(&view);
+        self.replicas.take_view(&self.view, now);
+        if configuration_changed {
+            self.jobs.resolve_routes(&self.view);
+        }
+        self.orders.assign(&self.view);
+    }
+
+    fn open_job(&mut self, id: &str, table: &JobTable, now: Millis) {
+        if let Some(job) = table.job(id) {
+            let listings = self.jobs.open(id, job, table, now);
+            self.actions.extend(listings.into_iter().map(Action::List));
+            self.jobs.resolve_routes(&self.view);
+        }
+    }
+
+    fn edge_up(
+        &mut self,
+        machine: String,
+        zone: String,
+        runs: Vec<RunReport>,
+        table: &JobTable,
+        now: Millis,
+    ) {
+        let edge = Edge {
+            zone,
+            draining: false,
+            running: 0,
+        };
+        self.abandon_untold(&machine, &runs, now);
+        self.edges.insert(machine.clone(), edge);
+        for report in runs {
+            self.adopt(&machine, report, table, now);
+        }
+    }
+
+    fn tick(&mut self, now: Millis) {
+        self.move_from_slow_replicas(now);
+        self.move_stalled(now);
+        self.give_up_overdue(now);
+    }
+}
--- /dev/null
+++ b/crates/dispatch/src/jobs.rs
@@ -0,0 +1,266 @@
+//! Items that wait, run and are done, by job.
+
+use crate::dispatcher::Millis;
+use brasspond_cluster_protocol::{AttemptId, StreamEvent};
+use brasspond_fleet::{FleetView, Route};
+use brasspond_jobs::{Job, JobTable, Listing, Outcome};
+use bytes::{Bytes, BytesMut};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+
+/// Most items whose partial text is kept for a later job.
+const MOST_KEPT: usize = 2_000;
+/// Items assumed to be written where the caller expects nothing.
+const UNKNOWN_LENGTH: u64 = 1;
+
+/// Where an item stands.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) enum State {
+    Waiting,
+    Running(AttemptId),
+    /// Its end is proposed to the log by this run, if by one.
+    Ending(Option<AttemptId>),
+    Listed,
+}
+
+/// An item under way.
+#[derive(Clone, Debug)]
+pub(crate) struct ItemRun {
+    pub id: String,
+    pub state: State,
+    pub expected_tokens: u64,
+    /// Events that ended runs made and told.
+    pub events: Vec<StreamEvent>,
+    /// Runs that the replica failed.
+    pub failures: u32,
+}
+
+/// Where a job's items may go.
+#[derive(Clone, Debug)]
+pub(crate) struct JobRoute {
+    pub service: String,
+    pub max_attempts: u32,
+    pub max_queue_ms: u64,
+    pub single_version: bool,
+}
+
+/// A job under way.
+#[derive(Clone, Debug)]
+pub(crate) struct JobRun {
+    pub host: String,
+    pub path: String,
+    pub model: String,
+    pub min_version: u64,
+    pub since: Millis,
+    /// None: no route leads anywhere at present.
+    pub route: Option<JobRoute>,
+    pub items: Vec<ItemRun>,
+    /// Waiting items, the longest expected first.
+    pub waiting: BTreeSet<(std::cmp::Reverse<u64>, u32)>,
+}
+
+/// Text of an item that a later job may use.
+#[derive(Clone, Debug)]
+struct Kept {
+    events: Vec<StreamEvent>,
+}
+
+/// All jobs under way.
+#[derive(Debug, Default)]
+pub(crate) struct JobRuns {
+    pub jobs: BTreeMap<String, JobRun>,
+    /// Jobs by age, so that the oldest is served first.
+    pub order: Vec<String>,
+    kept: HashMap<String, Kept>,
+    /// Where an item's whole text stands: job and position.
+    completed: HashMap<String, (String, usize)>,
+}
+
+impl JobRuns {
+    /// Opens a job; returns items that are done already, by an earlier job.
+    pub fn open(&mut self, id: &str, job: &Job, table: &JobTable, now: Millis) -> Vec<Listing> {
+        self.index_completed(id, job);
+        if job.is_finished() || self.jobs.contains_key(id) {
+            return Vec::new();
+        }
+        let mut run = JobRun {
+            host: job.host.clone(),
+            path: job.path.clone(),
+            model: job.model.clone(),
+            min_version: job.min_version,
+            since: now,
+            route: None,
+            items: Vec::with_capacity(job.items.len()),
+            waiting: BTreeSet::new(),
+        };
+        let mut listings = Vec::new();
+        for (index, item) in job.items.iter().enumerate() {
+            let number = index as u32;
+            let mut item_run = ItemRun {
+                id: item.id.clone(),
+                state: State::Waiting,
+                expected_tokens: item.expected_tokens.max(UNKNOWN_LENGTH),
+                events: Vec::new(),
+                failures: 0,
+            };
+            if job.listed[index] {
+                item_run.state = State::Listed;
+            } else if let Some(outcome) = self.reuse(&item.id, job, table) {
+                item_run.state = State::Ending(None);
+                listings.push(Listing {
+                    job: id.to_string(),
+                    item: number,
+                    outcome,
+                });
+            } else {
+                item_run.events = self.partial(&item.id, job.min_version);
+                run.waiting.insert((
+                    std::cmp::Reverse(item_run.expected_tokens),
+                    number,
+                ));
+            }
+            run.items.push(item_run);
+        }
+        self.jobs.insert(id.to_string(), run);
+        self.order.push(id.to_string());
+        listings
+    }
+
+    /// Looks up every job's route in the newest configuration.
+    pub fn resolve_routes(&mut self, view: &FleetView) {
+        let Some(configuration) = &view.configuration else {
+            return;
+        };
+        for job in self.jobs.values_mut() {
+            let route = configuration.route(&job.host, &job.path);
+            job.route = route.and_then(job_route);
+        }
+    }
+
+    /// Puts an item back among those that wait.
+    pub fn wait(&mut self, job: &str, item: u32) {
+        let Some(run) = self.jobs.get_mut(job) else {
+            return;
+        };
+        let item_run = &mut run.items[item as usize];
+        item_run.state = State::Waiting;
+        let key = std::cmp::Reverse(item_run.expected_tokens);
+        run.waiting.insert((key, item));
+    }
+
+    /// Takes an item out of those that wait.
+    pub fn take_waiting(&mut self, job: &str, item: u32) {
+        if let Some(run) = self.jobs.get_mut(job) {
+            let tokens = run.items[item as usize].expected_tokens;
+            run.waiting.remove(&(std::cmp::Reverse(tokens), item));
+        }
+    }
+
+    /// Keeps what a run of an ended job made, for the job that brings the item
+    /// again.
+    pub fn keep(&mut self, item_id: String, events: Vec<StreamEvent>) {
+        if events.is_empty() {
+            return;
+        }
+        if self.kept.len() >= MOST_KEPT {
+            self.kept.clear();
+        }
+        self.kept.insert(item_id, Kept { events });
+    }
+
+    /// Items that wait.
+    pub fn waiting(&self) -> usize {
+        self.jobs.values().map(|job| job.waiting.len()).sum()
+    }
+
+    /// Notes that an item is listed.
+    pub fn listed(&mut self, id: &str, item: u32, table: &JobTable) -> Option<State> {
+        if let Some(job) = table.job(id)
+            && let Some(position) = job.results.iter().rposition(|(listed, _)| *listed == item)
+        {
+            let item_id = job.items[item as usize].id.clone();
+            self.completed.insert(item_id, (id.to_string(), position));
+        }
+        let run = self.jobs.get_mut(id)?;
+        let item_run = run.items.get_mut(item as usize)?;
+        let before = std::mem::replace(&mut item_run.state, State::Listed);
+        item_run.events = Vec::new();
+        run.waiting
+            .remove(&(std::cmp::Reverse(item_run.expected_tokens), item));
+        let is_done = run.items.iter().all(|item| item.state == State::Listed);
+        if is_done {
+            self.close(id);
+        }
+        Some(before)
+    }
+
+    /// Drops a finished job from those under way.
+    pub fn close(&mut self, id: &str) -> Option<JobRun> {
+        self.order.retain(|other| other != id);
+        self.jobs.remove(id)
+    }
+
+    /// Drops all that is known of a job.
+    pub fn forget(&mut self, id: &str) {
+        self.close(id);
+        self.completed.retain(|_, (job, _)| job != id);
+    }
+
+    fn index_completed(&mut self, id: &str, job: &Job) {
+        for (position, (item, outcome)) in job.results.iter().enumerate() {
+            if matches!(outcome, Outcome::Completed { .. }) {
+                let item_id = job.items[*item as usize].id.clone();
+                self.completed.insert(item_id, (id.to_string(), position));
+            }
+        }
+    }
+
+    /// The whole text of an item out of an earlier job, if its versions fit.
+    fn reuse(&self, item_id: &str, job: &Job, table: &JobTable) -> Option<Outcome> {
+        let (earlier, position) = self.completed.get(item_id)?;
+        let earlier = table.job(earlier)?;
+        let (_, outcome) = earlier.results.get(*position)?;
+        let Outcome::Completed { versions, .. } = outcome else {
+            return None;
+        };
+        let fits = versions.iter().all(|version| *version >= job.min_version);
+        (fits && earlier.model == job.model).then(|| outcome.clone())
+    }
+
+    fn partial(&mut self, item_id: &str, min_version: u64) -> Vec<StreamEvent> {
+        let Some(kept) = self.kept.remove(item_id) else {
+            return Vec::new();
+        };
+        let fits = kept.events.iter().all(|event| event.version >= min_version);
+        if fits { kept.events } else { Vec::new() }
+    }
+}
+
+fn job_route(route: &Route) -> Option<JobRoute> {
+    if !route.kind.is_job() {
+        return None;
+    }
+    let target = route.targets.first()?;
+    Some(JobRoute {
+        service: target.service.clone(),
+        max_attempts: route.max_attempts.max(1),
+        max_queue_ms: route.max_queue_ms,
+        single_version: route.single_version,
+    })
+}
+
+/// The outcome of a whole stream: its text and the versions that made it.
+pub(crate) fn outcome_of(events: &[StreamEvent]) -> Outcome {
+    let mut text = BytesMut::new();
+    let mut versions = BTreeSet::new();
+    for (number, event) in events.iter().enumerate() {
+        if number > 0 {
+            text.extend_from_slice(b"\n");
+        }
+        text.extend_from_slice(&event.data);
+        versions.insert(event.version);
+    }
+    Outcome::Completed {
+        text: Bytes::from(text),
+        versions: versions.into_iter().collect(),
+    }
+}
--- /dev/null
+++ b/crates/dispatch/src/lib.rs
@@ -0,0 +1,16 @@
+//! Which item of which job runs where, and which replica loads which version.
+//!
+//! Decided by the leader of the log alone; edges carry it out. Free of I/O:
+//! [`Dispatcher::handle`] takes an event and the present time and returns
+//! actions. Everything here can be lost: a new leader begins from the job table
+//! and from what the edges tell it of their runs.
+#![forbid(unsafe_code)]
+
+mod dispatcher;
+mod jobs;
+mod orders;
+mod replicas;
+mod runs;
+
+pub use dispatcher::{Action, Dispatcher, Event, Millis, Settings};
+pub use orders::{OrderAnswer, ReplicaReport};
--- /dev/null
+++ b/crates/dispatch/src/orders.rs
@@ -0,0 +1,353 @@
+//! Orders to replicas to load a version.
+//!
+//! One holder gives them all. Each order states how many orders the replica has
+//! taken, so that one carried out late changes nothing after a newer one.
+//! A step allows the version before the newest, so a share of a model's
+//! replicas takes each version and the others skip it: half as many loads.
+
+use crate::dispatcher::{Action, Dispatcher, Millis};
+use brasspond_fleet::FleetView;
+use std::collections::{BTreeMap, HashMap};
+
+/// Pause between questions to a replica that loads, in ms.
+const ASK_AGAIN: Millis = 250;
+/// Silence after which an order counts as not taken, in ms.
+const ORDER_LOST: Millis = 2_500;
+
+/// What a replica says of itself.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ReplicaReport {
+    /// Versions by model.
+    pub versions: Vec<(String, u64)>,
+    /// Whether an order is under way.
+    pub busy: bool,
+    /// Orders taken.
+    pub sequence: u64,
+}
+
+/// What a replica said to an order.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum OrderAnswer {
+    /// It is being done.
+    Taken,
+    /// It holds already.
+    Holds,
+    /// Another order is under way, or another number of orders was taken.
+    Conflict,
+    /// A newer holder gave orders.
+    Fenced,
+    /// It is no such order, or another replica.
+    Refused,
+    /// No answer: it may be done at any time.
+    Unknown,
+    /// The order was not sent.
+    NotSent,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq)]
+enum Stage {
+    /// Its state is asked for, to learn how many orders it took.
+    Asking,
+    /// The order is on its way.
+    Sent,
+    /// It loads; asked for its state from time to time.
+    Loading,
+}
+
+#[derive(Clone, Debug)]
+struct Load {
+    model: String,
+    version: u64,
+    stage: Stage,
+    since: Millis,
+    ask_at: Option<Millis>,
+}
+
+/// Orders under way, and which model each replica serves first.
+#[derive(Debug, Default)]
+pub(crate) struct Orders {
+    loads: BTreeMap<String, Load>,
+    sequences: HashMap<String, u64>,
+    pub serves_first: BTreeMap<String, String>,
+    not_before: HashMap<String, Millis>,
+}
+
+impl Orders {
+    pub fn under_way(&self) -> usize {
+        self.loads.len()
+    }
+
+    /// Whether a replica is about to load, or loads, a version of a model.
+    pub fn is_loading(&self, replica: &str, model: &str) -> bool {
+        self.loads
+            .get(replica)
+            .is_some_and(|load| load.model == model && load.stage != Stage::Asking)
+    }
+
+    /// Whether a replica loads anything at all.
+    pub fn is_busy(&self, replica: &str) -> bool {
+        self.loads.contains_key(replica)
+    }
+
+    /// Divides the replicas of each service among its models, changing as few
+    /// as possible.
+    pub fn assign(&mut self, view: &FleetView) {
+        self.serves_first.retain(|id, _| {
+            view.replicas
+                .get(id)
+                .is_some_and(|replica| !replica.draining)
+        });
+        let Some(configuration) = &view.configuration else {
+            return;
+        };
+        for service in &configuration.services {
+            if service.models.is_empty() {
+                continue;
+            }
+            let mut ready: Vec<_> = view.ready_replicas(&service.name).collect();
+            ready.sort_by(|a, b| (&a.zone, &a.id).cmp(&(&b.zone, &b.id)));
+            for replica in &ready {
+                if !self.serves_first.contains_key(&replica.id) {
+                    let model = self.least_served(&service.models, |_| true);
+                    self.serves_first.insert(replica.id.clone(), model);
+                }
+            }
+            self.level(&service.models);
+        }
+    }
+
+    fn count(&self, model: &str) -> usize {
+        self.serves_first.values().filter(|one| *one == model).count()
+    }
+
+    fn least_served(&self, models: &[String], also: impl Fn(&str) -> bool) -> String {
+        let fitting = models.iter().filter(|model| also(model));
+        let least = fitting.min_by_key(|model| self.count(model));
+        least.cloned().unwrap_or_default()
+    }
+
+    fn level(&mut self, models: &[String]) {
+        while let Some(most) = models.iter().max_by_key(|model| self.count(model)) {
+            let least = self.least_served(models, |_| true);
+            if self.count(most) <= self.count(&least) + 1 {
+                return;
+            }
+            let moved = self.serves_first.values_mut().find(|model| *model == most);
+            match moved {
+                Some(model) => *model = least,
+                None => return,
+            }
+        }
+    }
+}
+
+impl Dispatcher {
+    /// Begins loads that are due and asks after those under way.
+    pub(crate) fn plan_orders(&mut self, now: Millis) {
+        self.drop_orders_of_gone();
+        self.ask_after_loads(now);
+        if now < self.began + self.settings.order_wait_ms && self.term > 1 {
+            return;
+        }
+        while self.orders.loads.len() < self.settings.loads_at_once {
+            let Some((replica, model, version)) = self.next_load(now) else {
+                return;
+            };
+            self.begin_load(replica, model, version, now);
+        }
+    }
+
+    fn drop_orders_of_gone(&mut self) {
+        let replicas = &self.replicas.by_id;
+        let is_live = |id: &String| replicas.get(id).is_some_and(|replica| !replica.draining);
+        self.orders.loads.retain(|id, _| is_live(id));
+        self.orders.not_before.retain(|id, _| is_live(id));
+        self.orders.sequences.retain(|id, _| is_live(id));
+    }
+
+    /// The replica to load next: first those too old for the newest step, then
+    /// as many as should be fresh; the idlest first.
+    fn next_load(&self, now: Millis) -> Option<(String, String, u64)> {
+        let mut best: Option<((bool, usize, &String), (&String, u64))> = None;
+        for (model, target) in self.view.versions.iter() {
+            let (fresh, total) = self.fresh_replicas(model, *target);
+            let wanted = (total as f64 * self.settings.fresh_share).ceil() as usize;
+            for (id, first) in &self.orders.serves_first {
+                if first != model || !self.may_load(id, now) {
+                    continue;
+                }
+                let Some(replica) = self.replicas.by_id.get(id) else {
+                    continue;
+                };
+                let version = replica.versions.get(model).copied().unwrap_or(0);
+                let is_fit = version + 1 >= *target;
+                if version >= *target || (is_fit && fresh >= wanted) {
+                    continue;
+                }
+                let key = (is_fit, replica.running, id);
+                if best.as_ref().is_none_or(|(known, _)| key < *known) {
+                    best = Some((key, (model, *target)));
+                }
+            }
+        }
+        best.map(|((_, _, id), (model, version))| (id.clone(), model.clone(), version))
+    }
+
+    /// Replicas of a model that have a version or load it, and all of them.
+    fn fresh_replicas(&self, model: &str, target: u64) -> (usize, usize) {
+        let mut fresh = 0;
+        let mut total = 0;
+        for (id, first) in &self.orders.serves_first {
+            if first != model {
+                continue;
+            }
+            total += 1;
+            let replica = self.replicas.by_id.get(id);
+            let version = replica.and_then(|one| one.versions.get(model)).copied();
+            let is_loading = self.orders.loads.get(id).is_some_and(|load| {
+                load.model == model && load.version >= target
+            });
+            if is_loading || version.is_some_and(|version| version >= target) {
+                fresh += 1;
+            }
+        }
+        (fresh, total)
+    }
+
+    fn may_load(&self, id: &str, now: Millis) -> bool {
+        let is_due = self.orders.not_before.get(id).is_none_or(|at| *at <= now);
+        is_due && !self.orders.loads.contains_key(id)
+    }
+
+    fn begin_load(&mut self, replica: String, model: String, version: u64, now: Millis) {
+        let sequence = self.orders.sequences.get(&replica).copied();
+        let stage = if sequence.is_some() {
+            Stage::Sent
+        } else {
+            Stage::Asking
+        };
+        let load = Load {
+            model,
+            version,
+            stage,
+            since: now,
+            ask_at: None,
+        };
+        self.orders.loads.insert(replica.clone(), load);
+        match sequence {
+            Some(sequence) => self.send_order(&replica, sequence),
+            None => self.ask(&replica),
+        }
+    }
+
+    fn ask(&mut self, replica: &str) {
+        if let Some(known) = self.replicas.by_id.get(replica) {
+            self.actions.push(Action::AskReport {
+                replica: replica.to_string(),
+                address: known.address,
+            });
+        }
+    }
+
+    fn send_order(&mut self, replica: &str, sequence: u64) {
+        let known = self.replicas.by_id.get(replica);
+        let load = self.orders.loads.get(replica);
+        if let (Some(known), Some(load)) = (known, load) {
+            self.actions.push(Action::Order {
+                replica: replica.to_string(),
+                address: known.address,
+                model: load.model.clone(),
+                version: load.version,
+                expected_count: sequence,
+            });
+        }
+    }
+
+    fn ask_after_loads(&mut self, now: Millis) {
+        let mut due = Vec::new();
+        for (id, load) in &mut self.orders.loads {
+            if load.ask_at.is_some_and(|at| at <= now) {
+                load.ask_at = None;
+                due.push(id.clone());
+            }
+        }
+        for id in due {
+            self.ask(&id);
+        }
+    }
+
+    pub(crate) fn on_report(&mut self, id: &str, report: Option<ReplicaReport>, now: Millis) {
+        let Some(load) = self.orders.loads.get_mut(id) else {
+            return;
+        };
+        let Some(report) = report else {
+            load.ask_at = Some(now + ASK_AGAIN);
+            if now >= load.since + ORDER_LOST {
+                self.abandon_load(id, now);
+            }
+            return;
+        };
+        self.orders.sequences.insert(id.to_string(), report.sequence);
+        let mut versions = report.versions.iter();
+        let version = versions.find(|(model, _)| *model == load.model);
+        let version = version.map_or(0, |(_, version)| *version);
+        if version >= load.version && !report.busy {
+            let model = load.model.clone();
+            self.orders.loads.remove(id);
+            self.replicas.set_version(id, &model, version);
+            log::info!("event=version_loaded replica={id} model={model} version={version}");
+            return;
+        }
+        if load.stage == Stage::Asking && !report.busy {
+            load.stage = Stage::Sent;
+            load.since = now;
+            self.send_order(id, report.sequence);
+        } else if load.stage == Stage::Loading && !report.busy && now >= load.since + ORDER_LOST {
+            self.abandon_load(id, now);
+        } else {
+            load.ask_at = Some(now + ASK_AGAIN);
+        }
+    }
+
+    pub(crate) fn on_ordered(&mut self, id: &str, answer: OrderAnswer, now: Millis) {
+        let load_ms = self.settings.load_ms;
+        log::info!("event=order_answered replica={id} answer={answer:?}");
+        let Some(load) = self.orders.loads.get_mut(id) else {
+            return;
+        };
+        load.stage = Stage::Loading;
+        load.since = now;
+        match answer {
+            OrderAnswer::Taken => {
+                load.ask_at = Some(now + load_ms);
+                let sequence = self.orders.sequences.entry(id.to_string()).or_default();
+                *sequence += 1;
+            }
+            OrderAnswer::Holds => {
+                let (model, version) = (load.model.clone(), load.version);
+                self.orders.loads.remove(id);
+                self.replicas.set_version(id, &model, version);
+            }
+            OrderAnswer::Unknown => {
+                self.orders.sequences.remove(id);
+                load.ask_at = Some(now + load_ms);
+            }
+            OrderAnswer::Conflict => {
+                self.orders.sequences.remove(id);
+                load.stage = Stage::Asking;
+                load.ask_at = Some(now + ASK_AGAIN);
+            }
+            OrderAnswer::Fenced | OrderAnswer::Refused | OrderAnswer::NotSent => {
+                self.abandon_load(id, now);
+            }
+        }
+    }
+
+    fn abandon_load(&mut self, id: &str, now: Millis) {
+        self.orders.loads.remove(id);
+        self.orders.sequences.remove(id);
+        let again = now + 2 * ASK_AGAIN;
+        self.orders.not_before.insert(id.to_string(), again);
+        log::warn!("event=load_abandoned replica={id}");
+    }
+}
--- /dev/null
+++ b/crates/dispatch/src/replicas.rs
@@ -0,0 +1,149 @@
+//! What is known of each replica: its load, its speed, its faults.
+
+use crate::dispatcher::Millis;
+use brasspond_fleet::FleetView;
+use std::collections::{BTreeMap, HashMap};
+use std::net::SocketAddr;
+
+/// First pause after a fault of a replica, in ms; it doubles with each more.
+const FIRST_PAUSE: Millis = 150;
+/// Longest pause, in ms.
+const LONGEST_PAUSE: Millis = 2_000;
+/// Weight of a new speed against what was known.
+const SPEED_WEIGHT: f64 = 0.3;
+/// A full replica counts as this much slower than an empty one.
+const LOAD_COST: f64 = 0.3;
+/// A replica that serves another model first counts as this much slower.
+const OTHER_MODEL_COST: f64 = 0.6;
+
+/// A replica.
+#[derive(Clone, Debug)]
+pub(crate) struct Replica {
+    pub address: SocketAddr,
+    pub service: String,
+    pub zone: String,
+    pub slots: usize,
+    pub draining: bool,
+    pub versions: HashMap<String, u64>,
+    pub running: usize,
+    /// Milliseconds an event takes; none before any was seen.
+    pub event_ms: Option<f64>,
+    pub faults: u32,
+    pub paused_until: Millis,
+}
+
+/// All replicas by identity.
+#[derive(Debug, Default)]
+pub(crate) struct Replicas {
+    pub by_id: BTreeMap<String, Replica>,
+}
+
+/// What a run asks of a replica.
+pub(crate) struct Need<'a> {
+    pub service: &'a str,
+    pub model: &'a str,
+    pub min_version: u64,
+}
+
+impl Replicas {
+    pub fn take_view(&mut self, view: &FleetView, _now: Millis) {
+        self.by_id.retain(|id, replica| {
+            let is_listed = view.replicas.contains_key(id);
+            if !is_listed {
+                replica.draining = true;
+            }
+            is_listed || replica.running > 0
+        });
+        for (id, info) in view.replicas.iter() {
+            let replica = self.by_id.entry(id.clone()).or_insert_with(|| Replica {
+                address: info.address,
+                service: info.service.clone(),
+                zone: info.zone.clone(),
+                slots: info.slots as usize,
+                draining: false,
+                versions: HashMap::new(),
+                running: 0,
+                event_ms: None,
+                faults: 0,
+                paused_until: 0,
+            });
+            replica.draining = info.draining;
+            replica.slots = info.slots as usize;
+            for served in &info.models {
+                let known = replica.versions.entry(served.name.clone()).or_default();
+                *known = (*known).max(served.version);
+            }
+        }
+    }
+
+    /// The replica on which a run is expected to end first.
+    pub fn choose(
+        &self,
+        need: &Need<'_>,
+        is_loading: impl Fn(&str) -> bool,
+        serves_first: impl Fn(&str) -> bool,
+        now: Millis,
+    ) -> Option<String> {
+        let typical = self.typical_event_ms(need.service).unwrap_or(1.0);
+        let fitting = self.by_id.iter().filter(|(id, replica)| {
+            replica.service == need.service
+                && !replica.draining
+                && replica.running < replica.slots
+                && replica.paused_until <= now
+                && replica.has_version(need)
+                && !is_loading(id)
+        });
+        let cost = |id: &str, replica: &Replica| {
+            let speed = replica.event_ms.unwrap_or(typical);
+            let load = replica.running as f64 / replica.slots.max(1) as f64;
+            let mut cost = speed * (1.0 + LOAD_COST * load);
+            if !serves_first(id) {
+                cost *= 1.0 + OTHER_MODEL_COST;
+            }
+            cost
+        };
+        let costed = fitting.map(|(id, replica)| (cost(id, replica), id));
+        let best = costed.min_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(b.1)));
+        best.map(|(_, id)| id.clone())
+    }
+
+    /// Median time of an event over the replicas of a service, in ms.
+    pub fn typical_event_ms(&self, service: &str) -> Option<f64> {
+        let of_service = self.by_id.values().filter(|one| one.service == service);
+        let mut speeds: Vec<f64> = of_service.filter_map(|one| one.event_ms).collect();
+        speeds.sort_by(f64::total_cmp);
+        speeds.get(speeds.len() / 2).copied()
+    }
+
+    pub fn note_speed(&mut self, id: &str, event_ms: f64) {
+        if let Some(replica) = self.by_id.get_mut(id) {
+            let known = replica.event_ms.unwrap_or(event_ms);
+            replica.event_ms = Some(known + SPEED_WEIGHT * (event_ms - known));
+            replica.faults = 0;
+        }
+    }
+
+    pub fn note_fault(&mut self, id: &str, now: Millis) {
+        if let Some(replica) = self.by_id.get_mut(id) {
+            let pause = FIRST_PAUSE << replica.faults.min(4);
+            replica.faults += 1;
+            replica.paused_until = now + pause.min(LONGEST_PAUSE);
+        }
+    }
+
+    pub fn set_version(&mut self, id: &str, model: &str, version: u64) {
+        if let Some(replica) = self.by_id.get_mut(id) {
+            replica.versions.insert(model.to_string(), version);
+        }
+    }
+}
+
+impl Replica {
+    fn has_version(&self, need: &Need<'_>) -> bool {
+        if need.model.is_empty() || need.min_version == 0 {
+            return true;
+        }
+        let version = self.versions.get(need.model);
+        version.is_some_and(|version| *version >= need.min_version)
+    }
+}
--- /dev/null
+++ b/crates/dispatch/src/runs.rs
@@ -0,0 +1,531 @@
+//! Runs: begun, told of, ended, moved.
+
+use crate::dispatcher::{Action, Dispatcher, Millis};
+use crate::jobs::{State, outcome_of};
+use crate::replicas::Need;
+use brasspond_cluster_protocol::{AttemptId, RunEnd, RunReport, RunSpec, StreamEvent};
+use brasspond_jobs::{JobTable, Listing, Outcome};
+use std::collections::{BTreeMap, HashMap};
+
+/// Events of a run from which its replica's speed is told.
+const SPEED_EVENTS: u64 = 3;
+/// Events of a run after which it is worth moving.
+const MOVE_EVENTS: u64 = 2;
+
+/// A run under way.
+#[derive(Clone, Debug)]
+pub(crate) struct Run {
+    pub machine: String,
+    pub job: String,
+    pub item: u32,
+    pub item_id: String,
+    pub replica: String,
+    /// All events so far, those of earlier runs included.
+    pub events: Vec<StreamEvent>,
+    /// When it began, or was last heard of.
+    pub heard_at: Millis,
+    /// Time and number of the first events told, for its speed.
+    pub first: Option<(Millis, u64)>,
+    pub made: u64,
+    /// It is being stopped.
+    pub cancelled: bool,
+}
+
+/// All runs.
+#[derive(Debug, Default)]
+pub(crate) struct Runs {
+    pub by_id: HashMap<AttemptId, Run>,
+    number: u64,
+}
+
+impl Runs {
+    pub fn len(&self) -> usize {
+        self.by_id.len()
+    }
+}
+
+impl Dispatcher {
+    /// Starts as many waiting items as replicas have room for.
+    pub(crate) fn start_runs(&mut self, table: &JobTable, now: Millis) {
+        if now < self.began + self.settings.adopt_ms {
+            return;
+        }
+        for id in self.jobs.order.clone() {
+            while self.start_one(&id, table, now) {}
+        }
+    }
+
+    fn start_one(&mut self, id: &str, table: &JobTable, now: Millis) -> bool {
+        let Some(job) = self.jobs.jobs.get(id) else {
+            return false;
+        };
+        let (Some(route), Some((_, item))) = (&job.route, job.waiting.first()) else {
+            return false;
+        };
+        let item = *item;
+        let need = Need {
+            service: &route.service,
+            model: &job.model,
+            min_version: job.min_version,
+        };
+        let orders = &self.orders;
+        let is_loading = |replica: &str| orders.is_loading(replica, &job.model);
+        let serves_first = |replica: &str| {
+            let first = orders.serves_first.get(replica);
+            first.is_none_or(|model| *model == job.model)
+        };
+        let Some(replica) = self.replicas.choose(&need, is_loading, serves_first, now) else {
+            return false;
+        };
+        let Some(machine) = self.choose_edge(&replica) else {
+            return false;
+        };
+        let single_version = route.single_version;
+        let Some(stored) = table.job(id).and_then(|job| job.items.get(item as usize)) else {
+            return false;
+        };
+        self.runs.number += 1;
+        let attempt = AttemptId {
+            term: self.term,
+            number: self.runs.number,
+        };
+        let Some(job) = self.jobs.jobs.get_mut(id) else {
+            return false;
+        };
+        job.waiting.pop_first();
+        let item_run = &mut job.items[item as usize];
+        item_run.state = State::Running(attempt);
+        let events = std::mem::take(&mut item_run.events);
+        let Some(known) = self.replicas.by_id.get_mut(&replica) else {
+            return false;
+        };
+        known.running += 1;
+        if let Some(edge) = self.edges.get_mut(&machine) {
+            edge.running += 1;
+        }
+        let spec = RunSpec {
+            attempt,
+            job: id.to_string(),
+            item,
+            item_id: stored.id.clone(),
+            host: job.host.clone(),
+            path: stored.path.clone(),
+            headers: stored.headers.clone(),
+            body: stored.body.clone(),
+            replica: replica.clone(),
+            address: known.address,
+            min_version: job.min_version,
+            single_version,
+            events: events.clone(),
+        };
+        log::debug!(
+            "event=run_started job={id} item={} attempt={}.{} replica={replica} edge={machine} events={}",
+            stored.id,
+            attempt.term,
+            attempt.number,
+            events.len()
+        );
+        let run = Run {
+            machine: machine.clone(),
+            job: id.to_string(),
+            item,
+            item_id: stored.id.clone(),
+            replica,
+            events,
+            heard_at: now,
+            first: None,
+            made: 0,
+            cancelled: false,
+        };
+        self.runs.by_id.insert(attempt, run);
+        self.actions.push(Action::Run {
+            machine,
+            spec: Box::new(spec),
+        });
+        true
+    }
+
+    /// The edge with the fewest runs, one in the replica's zone before others.
+    fn choose_edge(&self, replica: &str) -> Option<String> {
+        const ELSEWHERE: usize = 40;
+        let zone = &self.replicas.by_id.get(replica)?.zone;
+        let taking = self.edges.iter().filter(|(_, edge)| !edge.draining);
+        let cost = |edge: &crate::dispatcher::Edge| {
+            let distance = if edge.zone == *zone { 0 } else { ELSEWHERE };
+            edge.running + distance
+        };
+        let best = taking.min_by_key(|(_, edge)| cost(edge));
+        best.map(|(machine, _)| machine.clone())
+    }
+
+    pub(crate) fn on_progress(
+        &mut self,
+        attempt: AttemptId,
+        events: Vec<StreamEvent>,
+        now: Millis,
+    ) {
+        let Some(run) = self.runs.by_id.get_mut(&attempt) else {
+            return;
+        };
+        run.heard_at = now;
+        run.made += events.len() as u64;
+        let made = run.made;
+        run.events.extend(events);
+        let (since, before) = *run.first.get_or_insert((now, made));
+        let counted = made - before;
+        if counted >= SPEED_EVENTS {
+            let event_ms = (now - since) as f64 / counted as f64;
+            let replica = run.replica.clone();
+            self.replicas.note_speed(&replica, event_ms);
+        }
+    }
+
+    pub(crate) fn on_ended(
+        &mut self,
+        machine: &str,
+        attempt: AttemptId,
+        events: Vec<StreamEvent>,
+        end: RunEnd,
+        now: Millis,
+    ) {
+        self.on_progress(attempt, events, now);
+        let Some(run) = self.remove_run(attempt) else {
+            self.recorded(machine, attempt);
+            return;
+        };
+        self.judge_replica(&run.replica, end, now);
+        log::debug!(
+            "event=run_ended job={} item={} attempt={}.{} replica={} end={end:?} events={}",
+            run.job,
+            run.item,
+            attempt.term,
+            attempt.number,
+            run.replica,
+            run.events.len()
+        );
+        let Some(job) = self.jobs.jobs.get_mut(&run.job) else {
+            self.keep_for_later(run);
+            self.recorded(machine, attempt);
+            return;
+        };
+        let item = &mut job.items[run.item as usize];
+        if item.state != State::Running(attempt) {
+            self.recorded(machine, attempt);
+            return;
+        }
+        let max_attempts = job.route.as_ref().map_or(1, |route| route.max_attempts);
+        let is_failed = matches!(end, RunEnd::Failed);
+        item.failures += u32::from(is_failed);
+        let gives_up = end == RunEnd::Impossible || item.failures >= max_attempts;
+        if end == RunEnd::Whole {
+            item.state = State::Ending(Some(attempt));
+            self.list(&run.job, run.item, outcome_of(&run.events));
+            return;
+        }
+        if gives_up {
+            item.state = State::Ending(Some(attempt));
+            self.list(&run.job, run.item, Outcome::Terminated);
+            return;
+        }
+        item.events = run.events;
+        self.jobs.wait(&run.job, run.item);
+        self.recorded(machine, attempt);
+    }
+
+    fn list(&mut self, job: &str, item: u32, outcome: Outcome) {
+        self.actions.push(Action::List(Listing {
+            job: job.to_string(),
+            item,
+            outcome,
+        }));
+    }
+
+    fn recorded(&mut self, machine: &str, attempt: AttemptId) {
+        self.actions.push(Action::Recorded {
+            machine: machine.to_string(),
+            attempt,
+        });
+    }
+
+    fn judge_replica(&mut self, replica: &str, end: RunEnd, now: Millis) {
+        match end {
+            RunEnd::Broken | RunEnd::Unreachable | RunEnd::NotRun { .. } | RunEnd::TooOld => {
+                self.replicas.note_fault(replica, now);
+            }
+            RunEnd::Whole | RunEnd::Failed | RunEnd::Impossible | RunEnd::Cancelled => {}
+        }
+    }
+
+    /// Takes a run out and frees its place.
+    fn remove_run(&mut self, attempt: AttemptId) -> Option<Run> {
+        let run = self.runs.by_id.remove(&attempt)?;
+        if let Some(replica) = self.replicas.by_id.get_mut(&run.replica) {
+            replica.running = replica.running.saturating_sub(1);
+        }
+        if let Some(edge) = self.edges.get_mut(&run.machine) {
+            edge.running = edge.running.saturating_sub(1);
+        }
+        Some(run)
+    }
+
+    fn keep_for_later(&mut self, run: Run) {
+        self.jobs.keep(run.item_id, run.events);
+    }
+
+    pub(crate) fn on_listed(&mut self, job: &str, item: u32, table: &JobTable) {
+        let before = self.jobs.listed(job, item, table);
+        match before {
+            Some(State::Ending(Some(attempt))) => self.tell_recorded(attempt),
+            Some(State::Running(attempt)) => self.cancel(attempt),
+            _ => {}
+        }
+    }
+
+    fn tell_recorded(&mut self, attempt: AttemptId) {
+        // The edge that held it may have changed hands; all forget it.
+        let machines: Vec<String> = self.edges.keys().cloned().collect();
+        match self.runs.by_id.get(&attempt) {
+            Some(run) => {
+                let machine = run.machine.clone();
+                self.recorded(&machine, attempt);
+            }
+            None => {
+                for machine in machines {
+                    self.recorded(&machine, attempt);
+                }
+            }
+        }
+    }
+
+    pub(crate) fn cancel(&mut self, attempt: AttemptId) {
+        if let Some(run) = self.runs.by_id.get_mut(&attempt)
+            && !run.cancelled
+        {
+            run.cancelled = true;
+            let machine = run.machine.clone();
+            self.actions.push(Action::Cancel { machine, attempt });
+        }
+    }
+
+    pub(crate) fn end_job(&mut self, id: &str) {
+        let Some(job) = self.jobs.close(id) else {
+            return;
+        };
+        for item in job.items {
+            if let State::Running(attempt) = item.state {
+                self.cancel(attempt);
+            } else if item.state == State::Waiting {
+                self.jobs.keep(item.id, item.events);
+            }
+        }
+    }
+
+    /// A new leader takes over a run that an edge holds.
+    pub(crate) fn adopt(
+        &mut self,
+        machine: &str,
+        report: RunReport,
+        _table: &JobTable,
+        now: Millis,
+    ) {
+        let attempt = report.attempt;
+        let state = self.jobs.jobs.get(&report.job).and_then(|job| {
+            let item = job.items.get(report.item as usize)?;
+            Some(item.state.clone())
+        });
+        let is_whole = report.end == Some(RunEnd::Whole);
+        match state {
+            Some(State::Waiting) => self.jobs.take_waiting(&report.job, report.item),
+            Some(State::Running(other)) if is_whole && other != attempt => self.cancel(other),
+            Some(State::Running(other)) if other == attempt => {
+                self.refresh(machine, report, now);
+                return;
+            }
+            _ => {
+                self.actions.push(Action::Cancel {
+                    machine: machine.to_string(),
+                    attempt,
+                });
+                self.recorded(machine, attempt);
+                return;
+            }
+        }
+        let mut item_id = String::new();
+        if let Some(job) = self.jobs.jobs.get_mut(&report.job) {
+            let item = &mut job.items[report.item as usize];
+            item.state = State::Running(attempt);
+            item_id = item.id.clone();
+        }
+        if let Some(replica) = self.replicas.by_id.get_mut(&report.replica) {
+            replica.running += 1;
+        }
+        if let Some(edge) = self.edges.get_mut(machine) {
+            edge.running += 1;
+        }
+        let run = Run {
+            machine: machine.to_string(),
+            job: report.job,
+            item: report.item,
+            item_id,
+            replica: report.replica,
+            events: report.events,
+            heard_at: now,
+            first: None,
+            made: 0,
+            cancelled: false,
+        };
+        self.runs.by_id.insert(attempt, run);
+        if let Some(end) = report.end {
+            self.on_ended(machine, attempt, Vec::new(), end, now);
+        }
+    }
+
+    /// An edge that came back tells of a run that was never given up.
+    fn refresh(&mut self, machine: &str, report: RunReport, now: Millis) {
+        let attempt = report.attempt;
+        if let Some(run) = self.runs.by_id.get_mut(&attempt) {
+            run.heard_at = now;
+            run.events = report.events;
+            run.machine = machine.to_string();
+        }
+        if let Some(edge) = self.edges.get_mut(machine) {
+            edge.running += 1;
+        }
+        if let Some(end) = report.end {
+            self.on_ended(machine, attempt, Vec::new(), end, now);
+        }
+    }
+
+    /// Runs that an edge which came back does not hold: it never got them, or
+    /// its process ended meanwhile.
+    pub(crate) fn abandon_untold(&mut self, machine: &str, told: &[RunReport], now: Millis) {
+        let is_told = |attempt: &AttemptId| told.iter().any(|one| one.attempt == *attempt);
+        let held = self.runs.by_id.iter();
+        let untold = held.filter(|(id, run)| run.machine == machine && !is_told(id));
+        let untold: Vec<AttemptId> = untold.map(|(attempt, _)| *attempt).collect();
+        for attempt in untold {
+            self.abandon_run(attempt, now);
+        }
+    }
+
+    /// All runs of an edge that is out of reach go on elsewhere, from what it
+    /// told of them.
+    pub(crate) fn edge_down(&mut self, machine: &str, now: Millis) {
+        if self.edges.remove(machine).is_none() {
+            return;
+        }
+        let held = self.runs.by_id.iter();
+        let held = held.filter(|(_, run)| run.machine == machine);
+        let lost: Vec<AttemptId> = held.map(|(attempt, _)| *attempt).collect();
+        log::warn!("event=edge_lost machine={machine} runs={}", lost.len());
+        for attempt in lost {
+            self.abandon_run(attempt, now);
+        }
+    }
+
+    /// Gives up a run without waiting for its end; its item waits again.
+    fn abandon_run(&mut self, attempt: AttemptId, _now: Millis) {
+        let Some(run) = self.remove_run(attempt) else {
+            return;
+        };
+        let Some(job) = self.jobs.jobs.get_mut(&run.job) else {
+            return;
+        };
+        let item = &mut job.items[run.item as usize];
+        if item.state == State::Running(attempt) {
+            item.events = run.events;
+            self.jobs.wait(&run.job, run.item);
+        }
+    }
+
+    /// Stops a run at its edge; its item goes on elsewhere at once.
+    fn move_run(&mut self, attempt: AttemptId, now: Millis) {
+        self.cancel(attempt);
+        self.abandon_run(attempt, now);
+    }
+
+    /// A run that tells nothing goes on at another replica.
+    pub(crate) fn move_stalled(&mut self, now: Millis) {
+        let stall = self.settings.stall_ms;
+        let silent = self.runs.by_id.iter().filter(|(_, run)| {
+            let loads = self.orders.is_busy(&run.replica);
+            let patience = if loads { 4 * stall } else { stall };
+            !run.cancelled && now >= run.heard_at + patience
+        });
+        let stalled: Vec<(AttemptId, String)> = silent
+            .map(|(attempt, run)| (*attempt, run.replica.clone()))
+            .collect();
+        for (attempt, replica) in stalled {
+            self.replicas.note_fault(&replica, now);
+            log::info!(
+                "event=run_stalled attempt={}.{} replica={replica}",
+                attempt.term,
+                attempt.number
+            );
+            self.move_run(attempt, now);
+        }
+    }
+
+    /// Runs on a replica that has become slow go on elsewhere while others have
+    /// room.
+    pub(crate) fn move_from_slow_replicas(&mut self, now: Millis) {
+        let mut free: BTreeMap<String, usize> = BTreeMap::new();
+        let mut slow: Vec<String> = Vec::new();
+        for (id, replica) in &self.replicas.by_id {
+            let typical = self.replicas.typical_event_ms(&replica.service);
+            let is_slow = match (replica.event_ms, typical) {
+                (Some(own), Some(typical)) => own > typical * self.settings.slow_factor,
+                _ => false,
+            };
+            if is_slow {
+                slow.push(id.clone());
+            } else if !replica.draining && !self.orders.is_busy(id) {
+                let room = replica.slots.saturating_sub(replica.running);
+                *free.entry(replica.service.clone()).or_default() += room;
+            }
+        }
+        for id in slow {
+            if self.orders.is_busy(&id) {
+                continue;
+            }
+            let Some(service) = self.replicas.by_id.get(&id).map(|one| one.service.clone()) else {
+                continue;
+            };
+            let on_it = self.runs.by_id.iter().filter(|(_, run)| {
+                run.replica == id && run.made >= MOVE_EVENTS && !run.cancelled
+            });
+            let moving: Vec<AttemptId> = on_it.map(|(attempt, _)| *attempt).collect();
+            for attempt in moving {
+                let room = free.entry(service.clone()).or_default();
+                if *room == 0 {
+                    break;
+                }
+                *room -= 1;
+                self.move_run(attempt, now);
+            }
+        }
+    }
+
+    /// Items that waited longer than their route allows are given up.
+    pub(crate) fn give_up_overdue(&mut self, now: Millis) {
+        let mut overdue = Vec::new();
+        for (id, job) in &self.jobs.jobs {
+            let Some(route) = &job.route else {
+                continue;
+            };
+            if route.max_queue_ms == 0 || now < job.since + route.max_queue_ms {
+                continue;
+            }
+            for (_, item) in &job.waiting {
+                overdue.push((id.clone(), *item));
+            }
+        }
+        for (id, item) in overdue {
+            self.jobs.take_waiting(&id, item);
+            if let Some(job) = self.jobs.jobs.get_mut(&id) {
+                job.items[item as usize].state = State::Ending(None);
+            }
+            self.list(&id, item, Outcome::Terminated);
+        }
+    }
+}
--- a/crates/durable/src/lib.rs
+++ b/crates/durable/src/lib.rs
@@ -7,6 +7,10 @@
 //! that an older configuration is kept. See `docs/design/0011-durability.md`.
 #![forbid(unsafe_code)]
 
+mod record_log;
+
+pub use record_log::{Opened, RecordLog, RecordLogError};
+
 use brasspond_resource::Catalogue;
 use displaydoc::Display;
 use redb::{Database, ReadableDatabase, TableDefinition};
--- /dev/null
+++ b/crates/durable/src/record_log.rs
@@ -0,0 +1,232 @@
+//! The log of a member of the replicated log: one file of checked records.
+//!
+//! A record is a length (4 bytes), a checksum (8 bytes, XXH3) and MessagePack.
+//! Records after the last sync may be missing or torn when power is lost, so
+//! reading stops at the first that does not check, and the file is cut there.
+//! Rewriting goes through a second file that is synced, renamed, and whose
+//! folder is synced before anything is appended to it.
+
+use brasspond_consensus::{Entry, HardState, MemberId, Persisted, Ready, Snapshot};
+use displaydoc::Display;
+use serde::{Deserialize, Serialize};
+use std::fs::{File, OpenOptions};
+use std::io::{BufReader, Read, Write};
+use std::path::{Path, PathBuf};
+use xxhash_rust::xxh3::xxh3_64;
+
+const FILE_NAME: &str = "log";
+const NEW_FILE_NAME: &str = "log.new";
+const HEAD_BYTES: usize = 12;
+/// Longest record, in bytes; longer lengths are damage.
+const LONGEST_RECORD: u32 = 512 * 1024 * 1024;
+
+/// Why the log cannot be kept.
+#[derive(Debug, Display)]
+pub enum RecordLogError {
+    /// the disk failed: {0}
+    Disk(std::io::Error),
+    /// a record cannot be encoded: {0}
+    Encode(rmp_serde::encode::Error),
+}
+
+impl std::error::Error for RecordLogError {}
+
+impl From<std::io::Error> for RecordLogError {
+    fn from(error: std::io::Error) -> Self {
+        Self::Disk(error)
+    }
+}
+
+#[derive(Serialize, Deserialize)]
+enum Record {
+    Identity(MemberId),
+    HardState(HardState),
+    Snapshot(Snapshot),
+    Truncate(u64),
+    Entry(Entry),
+}
+
+/// The file of one member.
+pub struct RecordLog {
+    folder: PathBuf,
+    file: File,
+    id: MemberId,
+    bytes: u64,
+}
+
+/// What a file held when it was opened.
+pub struct Opened {
+    /// The file, ready to be appended to.
+    pub log: RecordLog,
+    /// Identity of the member: drawn now if the folder was empty.
+    pub id: MemberId,
+    /// What the member must remember.
+    pub kept: Persisted,
+}
+
+impl RecordLog {
+    /// Opens the log in `folder`, or begins one with the identity `new_id`.
+    ///
+    /// # Errors
+    /// The disk fails.
+    pub fn open(folder: &Path, new_id: MemberId) -> Result<Opened, RecordLogError> {
+        std::fs::create_dir_all(folder)?;
+        let path = folder.join(FILE_NAME);
+        let _ = std::fs::remove_file(folder.join(NEW_FILE_NAME));
+        let file = OpenOptions::new()
+            .read(true)
+            .append(true)
+            .create(true)
+            .open(&path)?;
+        let length = file.metadata()?.len();
+        let read = read_records(&file);
+        if read.valid < length {
+            file.set_len(read.valid)?;
+        }
+        let id = read.id.unwrap_or(new_id);
+        let mut log = Self {
+            folder: folder.to_path_buf(),
+            file,
+            id,
+            bytes: read.valid,
+        };
+        if read.id.is_none() {
+            log.append(&[Record::Identity(id)])?;
+        }
+        log.file.sync_data()?;
+        sync_folder(folder)?;
+        Ok(Opened {
+            log,
+            id,
+            kept: read.kept,
+        })
+    }
+
+    /// Bytes of the file.
+    pub fn bytes(&self) -> u64 {
+        self.bytes
+    }
+
+    /// Writes and syncs what a member wants kept. A snapshot rewrites the file.
+    ///
+    /// # Errors
+    /// The disk fails: nothing of it may be acknowledged.
+    pub fn keep(&mut self, ready: &Ready, hard_state: HardState) -> Result<(), RecordLogError> {
+        if let Some(snapshot) = &ready.snapshot {
+            return self.rewrite(hard_state, snapshot.clone(), &ready.entries);
+        }
+        let mut records = Vec::new();
+        if let Some(state) = ready.hard_state {
+            records.push(Record::HardState(state));
+        }
+        if let Some(first) = ready.truncate_from {
+            records.push(Record::Truncate(first));
+        }
+        records.extend(ready.entries.iter().cloned().map(Record::Entry));
+        self.append(&records)?;
+        self.file.sync_data()?;
+        Ok(())
+    }
+
+    /// Begins the file anew with a snapshot and the entries after it.
+    ///
+    /// # Errors
+    /// The disk fails; the file before stays.
+    pub fn rewrite(
+        &mut self,
+        hard_state: HardState,
+        snapshot: Snapshot,
+        entries: &[Entry],
+    ) -> Result<(), RecordLogError> {
+        let path = self.folder.join(NEW_FILE_NAME);
+        let file = OpenOptions::new()
+            .read(true)
+            .append(true)
+            .create(true)
+            .open(&path)?;
+        file.set_len(0)?;
+        let mut fresh = Self {
+            folder: self.folder.clone(),
+            file,
+            id: self.id,
+            bytes: 0,
+        };
+        let mut records = vec![
+            Record::Identity(self.id),
+            Record::HardState(hard_state),
+            Record::Snapshot(snapshot),
+        ];
+        records.extend(entries.iter().cloned().map(Record::Entry));
+        fresh.append(&records)?;
+        fresh.file.sync_all()?;
+        std::fs::rename(&path, self.folder.join(FILE_NAME))?;
+        sync_folder(&self.folder)?;
+        *self = fresh;
+        Ok(())
+    }
+
+    fn append(&mut self, records: &[Record]) -> Result<(), RecordLogError> {
+        let mut buffer = Vec::new();
+        for record in records {
+            let start = buffer.len();
+            buffer.resize(start + HEAD_BYTES, 0);
+            rmp_serde::encode::write(&mut buffer, record).map_err(RecordLogError::Encode)?;
+            let body = &buffer[start + HEAD_BYTES..];
+            let length = u32::try_from(body.len()).unwrap_or(u32::MAX);
+            let checksum = xxh3_64(body);
+            buffer[start..start + 4].copy_from_slice(&length.to_be_bytes());
+            buffer[start + 4..start + HEAD_BYTES].copy_from_slice(&checksum.to_be_bytes());
+        }
+        self.file.write_all(&buffer)?;
+        self.bytes += buffer.len() as u64;
+        Ok(())
+    }
+}
+
+#[derive(Default)]
+struct ReadRecords {
+    id: Option<MemberId>,
+    kept: Persisted,
+    valid: u64,
+}
+
+/// Reads records one by one, so that a long file does not fill the memory.
+fn read_records(file: &File) -> ReadRecords {
+    let mut read = ReadRecords::default();
+    let mut reader = BufReader::new(file);
+    let mut body = Vec::new();
+    while let Some(record) = next_record(&mut reader, &mut body) {
+        match record {
+            Record::Identity(id) => read.id = Some(id),
+            Record::HardState(state) => read.kept.hard_state = state,
+            Record::Snapshot(snapshot) => {
+                read.kept.snapshot = Some(snapshot);
+                read.kept.entries.clear();
+            }
+            Record::Truncate(first) => read.kept.entries.retain(|entry| entry.index < first),
+            Record::Entry(entry) => read.kept.entries.push(entry),
+        }
+        read.valid += (HEAD_BYTES + body.len()) as u64;
+    }
+    read
+}
+
+fn next_record(reader: &mut impl Read, body: &mut Vec<u8>) -> Option<Record> {
+    let mut head = [0; HEAD_BYTES];
+    reader.read_exact(&mut head).ok()?;
+    let length = u32::from_be_bytes(head[..4].try_into().ok()?);
+    let checksum = u64::from_be_bytes(head[4..].try_into().ok()?);
+    if length > LONGEST_RECORD {
+        return None;
+    }
+    body.clear();
+    let read = reader.take(u64::from(length)).read_to_end(body).ok()?;
+    if read < length as usize || xxh3_64(body) != checksum {
+        return None;
+    }
+    rmp_serde::from_slice(body).ok()
+}
+
+fn sync_folder(folder: &Path) -> std::io::Result<()> {
+    File::open(folder)?.sync_all()
+}
--- /dev/null
+++ b/crates/fleet/src/configuration.rs
@@ -0,0 +1,152 @@
+//! Routes, services and limits.
+
+use serde::{Deserialize, Serialize};
+
+/// How requests of a route may be treated.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum RouteKind {
+    /// May run more than once.
+    Idempotent,
+    /// Runs at most once.
+    NonIdempotent,
+    /// Answered by a series of events; at most once unless resumable.
+    Streaming,
+    /// Steps of trainers.
+    Rollout,
+    /// Jobs of requests run later, without a trainer.
+    Batch,
+}
+
+impl RouteKind {
+    /// Whether requests come as jobs of many items.
+    pub fn is_job(self) -> bool {
+        matches!(self, Self::Rollout | Self::Batch)
+    }
+}
+
+/// A share of a route's requests goes to this service.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Target {
+    /// Name of the service.
+    pub service: String,
+    /// Share, relative to the other targets' weights.
+    pub weight: u32,
+}
+
+/// A way from callers to services.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Route {
+    /// Name, for logs and metrics.
+    pub name: String,
+    /// Host asked for.
+    pub host: String,
+    /// Start of the path; begins and ends with a slash.
+    pub prefix: String,
+    /// How requests may be treated.
+    pub kind: RouteKind,
+    /// Longest time a request may be held, in ms.
+    pub timeout_ms: u64,
+    /// Time within which an answer is worth most, in ms.
+    pub objective_ms: u64,
+    /// Rank; 0 is the most urgent.
+    pub priority: u32,
+    /// Services, by weight.
+    pub targets: Vec<Target>,
+    /// Most replicas one request may be sent to.
+    pub max_attempts: u32,
+    /// Whether a stream may be taken up by another replica.
+    pub resumable: bool,
+    /// Whether one version must make a whole sample.
+    pub single_version: bool,
+    /// Time after which an item of a job may be given up, in ms.
+    pub max_queue_ms: u64,
+    /// Time by which a job's results are due, in ms.
+    pub due_ms: u64,
+}
+
+/// A service: replicas that answer alike.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Service {
+    /// Name.
+    pub name: String,
+    /// Connections a replica takes from all callers together.
+    pub max_connections: u32,
+    /// Requests an engine of this service batches; 0 where it is no engine.
+    pub engine_slots: u32,
+    /// Models its engines hold.
+    pub models: Vec<String>,
+}
+
+/// Bounds on what a caller may send.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Limits {
+    /// Bytes of a request's head.
+    pub header_bytes: usize,
+    /// Bytes of a request's body.
+    pub body_bytes: usize,
+    /// Time for the head to arrive, in ms.
+    pub header_timeout_ms: u64,
+    /// Time a connection may rest, in ms.
+    pub idle_timeout_ms: u64,
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        Self {
+            header_bytes: 64 * 1024,
+            body_bytes: 32 * 1024 * 1024,
+            header_timeout_ms: 10_000,
+            idle_timeout_ms: 60_000,
+        }
+    }
+}
+
+/// A whole configuration.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Configuration {
+    /// Version the operator gave it.
+    pub version: u64,
+    /// All routes.
+    pub routes: Vec<Route>,
+    /// All services.
+    pub services: Vec<Service>,
+    /// Bounds on callers.
+    pub limits: Limits,
+}
+
+impl Configuration {
+    /// The route of a request: of those for its host, the one with the longest
+    /// prefix that begins its path.
+    pub fn route(&self, host: &str, path: &str) -> Option<&Route> {
+        let host = host.split(':').next().unwrap_or(host);
+        let fitting = self.routes.iter().filter(|route| {
+            route.host.eq_ignore_ascii_case(host) && path.starts_with(&route.prefix)
+        });
+        fitting.max_by_key(|route| route.prefix.len())
+    }
+
+    /// A service by name.
+    pub fn service(&self, name: &str) -> Option<&Service> {
+        self.services.iter().find(|service| service.name == name)
+    }
+}
+
+/// The target for the `count`-th request of a route: shares are kept exactly
+/// over any run of requests as long as the sum of the weights.
+pub fn choose_target(targets: &[Target], count: u64) -> Option<&Target> {
+    let total: u64 = targets.iter().map(|target| u64::from(target.weight)).sum();
+    if total == 0 {
+        return targets.first();
+    }
+    // A step that shares no factor with most sums spreads the shares out.
+    const SPREAD: u64 = 7_919;
+    let mut point = count.wrapping_mul(SPREAD) % total;
+    for target in targets {
+        let weight = u64::from(target.weight);
+        if point < weight {
+            return Some(target);
+        }
+        point -= weight;
+    }
+    targets.last()
+}
--- /dev/null
+++ b/crates/fleet/src/lib.rs
@@ -0,0 +1,13 @@
+//! What operators declare and what back ends report, as every process sees it.
+//!
+//! [`FleetView`] is a value: processes exchange it whole or in parts, and the
+//! newer part wins by its revision. Nothing here does I/O.
+#![forbid(unsafe_code)]
+
+mod configuration;
+mod view;
+
+pub use configuration::{
+    Configuration, Limits, Route, RouteKind, Service, Target, choose_target,
+};
+pub use view::{FleetView, ReplicaInfo, Retirement, ServedModel};
