--- /dev/null
+++ b/crates/fleet/src/view.rs
@@ -0,0 +1,120 @@
+//! The newest known state of configuration, replicas, versions, retirements.
+
+use crate::configuration::Configuration;
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+/// A model as a replica serves it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ServedModel {
+    /// Name of the model.
+    pub name: String,
+    /// Version of its weights.
+    pub version: u64,
+}
+
+/// A replica of a service.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ReplicaInfo {
+    /// Identity of this start of the replica.
+    pub id: String,
+    /// Service it answers for.
+    pub service: String,
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// Its zone.
+    pub zone: String,
+    /// Requests at once.
+    pub slots: u32,
+    /// Gets no new work.
+    pub draining: bool,
+    /// Weights it holds.
+    pub models: Vec<ServedModel>,
+    /// Revision of its entry.
+    pub revision: u64,
+}
+
+impl ReplicaInfo {
+    /// Version of a model that this replica holds.
+    pub fn version_of(&self, model: &str) -> Option<u64> {
+        let served = self.models.iter().find(|served| served.name == model)?;
+        Some(served.version)
+    }
+}
+
+/// A storage machine that is to be emptied.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Retirement {
+    /// Name of the machine.
+    pub machine: String,
+    /// Time it may take, in ms.
+    pub within_ms: u64,
+    /// Whether it is recorded as begun.
+    pub begun: bool,
+    /// Whether it is recorded as done.
+    pub completed: bool,
+    /// Revision of its entry.
+    pub revision: u64,
+}
+
+/// All of it. Parts are shared, so that a copy is cheap.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct FleetView {
+    /// Newest configuration; none before the first is known.
+    pub configuration: Option<Arc<Configuration>>,
+    /// Revision of the configuration.
+    pub configuration_revision: u64,
+    /// Replicas by identity.
+    pub replicas: Arc<BTreeMap<String, ReplicaInfo>>,
+    /// Revision up to which `replicas` is true.
+    pub replicas_revision: u64,
+    /// Newest version named for each model.
+    pub versions: Arc<BTreeMap<String, u64>>,
+    /// Revision up to which `versions` is true.
+    pub versions_revision: u64,
+    /// Storage machines to be emptied.
+    pub retirements: Arc<BTreeMap<String, Retirement>>,
+    /// Revision up to which `retirements` is true.
+    pub retirements_revision: u64,
+}
+
+impl FleetView {
+    /// Takes from `other` each part that is newer. Returns whether anything
+    /// changed.
+    pub fn merge(&mut self, other: &Self) -> bool {
+        let mut changed = false;
+        if other.configuration_revision > self.configuration_revision {
+            self.configuration = other.configuration.clone();
+            self.configuration_revision = other.configuration_revision;
+            changed = true;
+        }
+        if other.replicas_revision > self.replicas_revision {
+            self.replicas = Arc::clone(&other.replicas);
+            self.replicas_revision = other.replicas_revision;
+            changed = true;
+        }
+        if other.versions_revision > self.versions_revision {
+            self.versions = Arc::clone(&other.versions);
+            self.versions_revision = other.versions_revision;
+            changed = true;
+        }
+        if other.retirements_revision > self.retirements_revision {
+            self.retirements = Arc::clone(&other.retirements);
+            self.retirements_revision = other.retirements_revision;
+            changed = true;
+        }
+        changed
+    }
+
+    /// Replicas of a service that take work.
+    pub fn ready_replicas<'a>(
+        &'a self,
+        service: &'a str,
+    ) -> impl Iterator<Item = &'a ReplicaInfo> {
+        self.replicas
+            .values()
+            .filter(move |replica| replica.service == service && !replica.draining)
+    }
+}
--- /dev/null
+++ b/crates/jobs/src/command.rs
@@ -0,0 +1,124 @@
+//! Commands of the log.
+
+use bytes::Bytes;
+use displaydoc::Display;
+use serde::{Deserialize, Serialize};
+
+/// One request of a job, run later.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Item {
+    /// Identity, chosen by the caller; an item may come again in a later job.
+    pub id: String,
+    /// Path asked for at the replica.
+    pub path: String,
+    /// Headers handed to the replica.
+    pub headers: Vec<(String, String)>,
+    /// Body handed to the replica.
+    pub body: Bytes,
+    /// Tokens read and at most written.
+    pub tokens: u64,
+    /// Tokens the caller expects to be written; 0 where it does not say.
+    pub expected_tokens: u64,
+    /// Items of one group share their prompt and count together.
+    pub group: String,
+    /// Model asked for; empty where the service has none.
+    pub model: String,
+}
+
+/// A job as a caller hands it in.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Submission {
+    /// Identity, chosen by the caller.
+    pub id: String,
+    /// Host asked for.
+    pub host: String,
+    /// Path of the call that handed it in.
+    pub path: String,
+    /// Model that is trained; empty where there is no trainer.
+    pub model: String,
+    /// Step of the trainer.
+    pub step: u64,
+    /// Oldest version of the weights that may make a token.
+    pub min_version: u64,
+    /// Whole groups the trainer waits for.
+    pub desired: u64,
+    /// The requests.
+    pub items: Vec<Item>,
+}
+
+/// How an item ended.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Outcome {
+    /// The whole output.
+    Completed {
+        /// Data of all events in order, separated by line feeds.
+        text: Bytes,
+        /// Versions of the weights that made an event, ascending.
+        versions: Vec<u64>,
+    },
+    /// Given up.
+    Terminated,
+}
+
+/// An item to be put at the next position of its job.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Listing {
+    /// The job.
+    pub job: String,
+    /// Index of the item in its job.
+    pub item: u32,
+    /// How it ended.
+    pub outcome: Outcome,
+}
+
+/// A command of the log.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Command {
+    /// Takes a job; a job of this identity that is known stays as it is.
+    Accept(Submission),
+    /// Puts items at the next positions; items already listed stay.
+    List(Vec<Listing>),
+    /// Ends a job.
+    End {
+        /// The job.
+        job: String,
+    },
+    /// Drops jobs that nobody may ask for any more.
+    Forget {
+        /// The jobs.
+        jobs: Vec<String>,
+    },
+    /// Keeps the newest known configuration, for processes that start while its
+    /// source is out of reach. Opaque here.
+    Remember {
+        /// Revision of the configuration; an older one changes nothing.
+        revision: u64,
+        /// The configuration, encoded.
+        configuration: Bytes,
+    },
+}
+
+/// A command or table cannot be read or written: {0}
+#[derive(Debug, Display)]
+pub struct CommandError(pub String);
+
+impl std::error::Error for CommandError {}
+
+impl Command {
+    /// Encodes the command for the log.
+    ///
+    /// # Errors
+    /// The encoder refuses it.
+    pub fn encode(&self) -> Result<Bytes, CommandError> {
+        let bytes = rmp_serde::to_vec(self).map_err(|error| CommandError(error.to_string()))?;
+        Ok(bytes.into())
+    }
+
+    /// Decodes a command of the log.
+    ///
+    /// # Errors
+    /// The bytes are no command.
+    pub fn decode(bytes: &[u8]) -> Result<Self, CommandError> {
+        rmp_serde::from_slice(bytes).map_err(|error| CommandError(error.to_string()))
+    }
+}
--- /dev/null
+++ b/crates/jobs/src/table.rs
@@ -0,0 +1,233 @@
+//! The table of jobs.
+
+use crate::command::{Command, CommandError, Item, Listing, Outcome, Submission};
+use bytes::Bytes;
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
+
+/// A job and its results so far.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Job {
+    /// Host asked for.
+    pub host: String,
+    /// Path of the call that handed it in.
+    pub path: String,
+    /// Model that is trained.
+    pub model: String,
+    /// Step of the trainer.
+    pub step: u64,
+    /// Oldest version that may make a token.
+    pub min_version: u64,
+    /// Whole groups the trainer waits for.
+    pub desired: u64,
+    /// Items, in the order handed in. Bodies are dropped once listed or ended.
+    pub items: Vec<Item>,
+    /// Listed items with how they ended, by position.
+    pub results: Vec<(u32, Outcome)>,
+    /// For each item, whether it is listed.
+    pub listed: Vec<bool>,
+    /// Whether its caller ended it.
+    pub ended: bool,
+}
+
+impl Job {
+    /// Whether nothing is left to run.
+    pub fn is_finished(&self) -> bool {
+        self.ended || self.results.len() == self.items.len()
+    }
+}
+
+/// Whether a job was new.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Accepted {
+    /// Taken by this command.
+    New,
+    /// Known before.
+    Known,
+}
+
+/// A result at its position.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Positioned {
+    /// Identity of the item.
+    pub id: String,
+    /// How it ended.
+    pub outcome: Outcome,
+}
+
+/// Results of a job from a position on.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Page {
+    /// Number of items of the job.
+    pub total: u64,
+    /// Position after the last result given.
+    pub next: u64,
+    /// Results from the position asked for.
+    pub results: Vec<Positioned>,
+}
+
+/// Why there is no body.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum BodyError {
+    /// No such job.
+    NoJob,
+    /// No such item, or it is listed, or its job has ended.
+    NoItem,
+}
+
+/// All jobs.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct JobTable {
+    jobs: BTreeMap<String, Job>,
+    remembered: Option<(u64, Bytes)>,
+}
+
+impl JobTable {
+    /// Applies a command. Tells of a job whether it was new.
+    pub fn apply(&mut self, command: Command) -> Option<Accepted> {
+        match command {
+            Command::Accept(submission) => return Some(self.accept(submission)),
+            Command::List(listings) => listings.into_iter().for_each(|one| self.list(one)),
+            Command::End { job } => self.end(&job),
+            Command::Forget { jobs } => {
+                self.jobs.retain(|id, _| !jobs.contains(id));
+            }
+            Command::Remember {
+                revision,
+                configuration,
+            } => self.remember(revision, configuration),
+        }
+        None
+    }
+
+    /// A job by its identity.
+    pub fn job(&self, id: &str) -> Option<&Job> {
+        self.jobs.get(id)
+    }
+
+    /// All jobs by identity.
+    pub fn jobs(&self) -> impl Iterator<Item = (&String, &Job)> {
+        self.jobs.iter()
+    }
+
+    /// The configuration remembered, with its revision.
+    pub fn remembered(&self) -> Option<&(u64, Bytes)> {
+        self.remembered.as_ref()
+    }
+
+    /// Results of a job from position `since` on: about `limit` bytes of text at
+    /// most, but at least one result if there is one. None: no such job.
+    pub fn page(&self, id: &str, since: u64, limit: usize) -> Option<Page> {
+        let job = self.jobs.get(id)?;
+        let first = usize::try_from(since).unwrap_or(usize::MAX);
+        let mut results = Vec::new();
+        let mut bytes = 0;
+        for (item, outcome) in job.results.iter().skip(first) {
+            bytes += text_length(outcome);
+            if !results.is_empty() && bytes > limit {
+                break;
+            }
+            let item = &job.items[*item as usize];
+            results.push(Positioned {
+                id: item.id.clone(),
+                outcome: outcome.clone(),
+            });
+        }
+        Some(Page {
+            total: job.items.len() as u64,
+            next: since + results.len() as u64,
+            results,
+        })
+    }
+
+    /// Body of an item that is not listed yet.
+    ///
+    /// # Errors
+    /// See [`BodyError`].
+    pub fn body(&self, id: &str, item: &str) -> Result<Bytes, BodyError> {
+        let job = self.jobs.get(id).ok_or(BodyError::NoJob)?;
+        let mut items = job.items.iter();
+        let index = items.position(|candidate| candidate.id == item);
+        let index = index.ok_or(BodyError::NoItem)?;
+        if job.ended || job.listed[index] {
+            return Err(BodyError::NoItem);
+        }
+        Ok(job.items[index].body.clone())
+    }
+
+    /// Encodes the table for a snapshot.
+    ///
+    /// # Errors
+    /// The encoder refuses it.
+    pub fn encode(&self) -> Result<Bytes, CommandError> {
+        let bytes = rmp_serde::to_vec(self).map_err(|error| CommandError(error.to_string()))?;
+        Ok(bytes.into())
+    }
+
+    /// Decodes a table out of a snapshot.
+    ///
+    /// # Errors
+    /// The bytes are no table.
+    pub fn decode(bytes: &[u8]) -> Result<Self, CommandError> {
+        rmp_serde::from_slice(bytes).map_err(|error| CommandError(error.to_string()))
+    }
+
+    fn accept(&mut self, submission: Submission) -> Accepted {
+        if self.jobs.contains_key(&submission.id) {
+            return Accepted::Known;
+        }
+        let job = Job {
+            host: submission.host,
+            path: submission.path,
+            model: submission.model,
+            step: submission.step,
+            min_version: submission.min_version,
+            desired: submission.desired,
+            listed: vec![false; submission.items.len()],
+            items: submission.items,
+            results: Vec::new(),
+            ended: false,
+        };
+        self.jobs.insert(submission.id, job);
+        Accepted::New
+    }
+
+    fn list(&mut self, listing: Listing) {
+        let Some(job) = self.jobs.get_mut(&listing.job) else {
+            return;
+        };
+        let index = listing.item as usize;
+        match job.listed.get_mut(index) {
+            Some(listed) if !*listed => *listed = true,
+            _ => return,
+        }
+        drop_content(&mut job.items[index]);
+        job.results.push((listing.item, listing.outcome));
+    }
+
+    fn end(&mut self, id: &str) {
+        if let Some(job) = self.jobs.get_mut(id) {
+            job.ended = true;
+            job.items.iter_mut().for_each(drop_content);
+        }
+    }
+
+    fn remember(&mut self, revision: u64, configuration: Bytes) {
+        let known = self.remembered.as_ref().map_or(0, |(known, _)| *known);
+        if revision > known {
+            self.remembered = Some((revision, configuration));
+        }
+    }
+}
+
+fn drop_content(item: &mut Item) {
+    item.body = Bytes::new();
+    item.headers = Vec::new();
+}
+
+fn text_length(outcome: &Outcome) -> usize {
+    match outcome {
+        Outcome::Completed { text, .. } => text.len(),
+        Outcome::Terminated => 0,
+    }
+}
