--- a/crates/cluster/src/edge/balance.rs
+++ b/crates/cluster/src/edge/balance.rs
@@ -85,9 +85,8 @@
             let cost = self.cost(known, now);
             Some(((was_tried, is_paused), cost, id))
         });
-        let best = costed.min_by(|a, b| {
-            (a.0).cmp(&b.0).then(a.1.total_cmp(&b.1)).then(a.2.cmp(b.2))
-        });
+        let best =
+            costed.min_by(|a, b| (a.0).cmp(&b.0).then(a.1.total_cmp(&b.1)).then(a.2.cmp(b.2)));
         best.map(|(_, _, id)| id.clone())
     }
 
--- a/crates/cluster/src/edge/forward.rs
+++ b/crates/cluster/src/edge/forward.rs
@@ -170,7 +170,12 @@
         unavailable(Duration::from_millis(150))
     }
 
-    async fn attempt(&self, replica: &str, left: Duration, is_last: bool) -> Result<Passed, Failed> {
+    async fn attempt(
+        &self,
+        replica: &str,
+        left: Duration,
+        is_last: bool,
+    ) -> Result<Passed, Failed> {
         let address = self.edge.balance.borrow().address(replica);
         let Some(address) = address else {
             return Err(Failed::NotRun { is_full: false });
@@ -295,9 +300,8 @@
                     |(mut body, connection)| async move {
                         let frame = body.frame().await?;
                         let frame = frame.map_err(std::io::Error::other);
-                        let frame = frame.map(|frame| {
-                            Frame::data(frame.into_data().unwrap_or_default())
-                        });
+                        let frame =
+                            frame.map(|frame| Frame::data(frame.into_data().unwrap_or_default()));
                         Some((frame, (body, connection)))
                     },
                 );
--- a/crates/cluster/src/edge/front.rs
+++ b/crates/cluster/src/edge/front.rs
@@ -114,7 +114,9 @@
     };
     if edge.draining.get() {
         let close = HeaderValue::from_static("close");
-        response.headers_mut().insert(hyper::header::CONNECTION, close);
+        response
+            .headers_mut()
+            .insert(hyper::header::CONNECTION, close);
     }
     response
 }
@@ -132,7 +134,10 @@
     let Some(route) = configuration.route(&host, head.uri.path()) else {
         return plain(StatusCode::NOT_FOUND, Bytes::new());
     };
-    let body = match Limited::new(body, configuration.limits.body_bytes).collect().await {
+    let body = match Limited::new(body, configuration.limits.body_bytes)
+        .collect()
+        .await
+    {
         Ok(collected) => collected.to_bytes(),
         Err(error) if error.is::<http_body_util::LengthLimitError>() => {
             return plain(StatusCode::PAYLOAD_TOO_LARGE, Bytes::new());
@@ -195,7 +200,10 @@
         since,
         wait_ms: wait,
     };
-    match edge.ask(question, Duration::from_millis(wait), deadline).await {
+    match edge
+        .ask(question, Duration::from_millis(wait), deadline)
+        .await
+    {
         Ok(Answer::Page(Some(page))) => json(edge.outside.dialect.page(&page)),
         Ok(Answer::Page(None)) => plain(StatusCode::NOT_FOUND, Bytes::new()),
         _ => unavailable(Duration::from_millis(200)),
@@ -214,7 +222,10 @@
 
 async fn end(edge: &Rc<Edge>, job: String) -> Response<Body> {
     let deadline = Instant::now() + CALL_TIME;
-    match edge.ask(Question::End { job }, Duration::ZERO, deadline).await {
+    match edge
+        .ask(Question::End { job }, Duration::ZERO, deadline)
+        .await
+    {
         Ok(Answer::Done) => plain(StatusCode::OK, Bytes::new()),
         Ok(Answer::Page(None)) => plain(StatusCode::NOT_FOUND, Bytes::new()),
         _ => unavailable(Duration::from_millis(200)),
@@ -230,7 +241,9 @@
 
 /// A body known in full.
 pub(super) fn whole(bytes: Bytes) -> Body {
-    Full::new(bytes).map_err(|never| match never {}).boxed_unsync()
+    Full::new(bytes)
+        .map_err(|never| match never {})
+        .boxed_unsync()
 }
 
 /// An answer of this edge's own.
--- a/crates/cluster/src/edge/process.rs
+++ b/crates/cluster/src/edge/process.rs
@@ -126,7 +126,10 @@
 async fn finish(edge: Rc<Edge>) {
     tokio::time::sleep(REMOVAL_TIME).await;
     edge.closing.send_replace(true);
-    let latest = edge.settings.grace.saturating_sub(REMOVAL_TIME + STOP_MARGIN);
+    let latest = edge
+        .settings
+        .grace
+        .saturating_sub(REMOVAL_TIME + STOP_MARGIN);
     let deadline = tokio::time::Instant::now() + latest;
     while edge.requests.get() > 0 && tokio::time::Instant::now() < deadline {
         tokio::time::sleep(Duration::from_millis(50)).await;
--- a/crates/cluster/src/edge/runs.rs
+++ b/crates/cluster/src/edge/runs.rs
@@ -3,9 +3,7 @@
 use super::process::Edge;
 use super::stream::{EventReader, StreamEnd};
 use crate::upstream::UpstreamError;
-use brasspond_cluster_protocol::{
-    AttemptId, Message, RunEnd, RunReport, RunSpec, StreamEvent,
-};
+use brasspond_cluster_protocol::{AttemptId, Message, RunEnd, RunReport, RunSpec, StreamEvent};
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::{Method, Request, StatusCode};
--- a/crates/cluster/src/link.rs
+++ b/crates/cluster/src/link.rs
@@ -168,7 +168,11 @@
             Ok(Ok(stream)) => {
                 let link = numbers.take();
                 run_dialed(stream, address, &hello, link, &events).await;
-                if events.send(LinkEvent::Down { link, address }).await.is_err() {
+                if events
+                    .send(LinkEvent::Down { link, address })
+                    .await
+                    .is_err()
+                {
                     return;
                 }
             }
@@ -259,9 +263,7 @@
 }
 
 /// Asks a process where the members of the log are.
-pub async fn ask_members(
-    address: SocketAddr,
-) -> Option<Vec<brasspond_consensus::Member>> {
+pub async fn ask_members(address: SocketAddr) -> Option<Vec<brasspond_consensus::Member>> {
     use brasspond_cluster_protocol::{Answer, Question};
     const ASK_TIME: Duration = Duration::from_millis(700);
     let exchange = async {
@@ -272,7 +274,10 @@
             zone: String::new(),
             incarnation: 0,
         };
-        stream.write_all(&encode(&Message::Hello(hello))).await.ok()?;
+        stream
+            .write_all(&encode(&Message::Hello(hello)))
+            .await
+            .ok()?;
         let ask = Message::Ask {
             number: 1,
             question: Question::Members,
--- a/crates/cluster/src/storage/group.rs
+++ b/crates/cluster/src/storage/group.rs
@@ -291,7 +291,11 @@
         let is_settled = self.consensus.may_change_members().is_ok();
         for retirement in self.view.retirements.values() {
             let machine = &retirement.machine;
-            let votes = self.consensus.members().iter().any(|one| one.machine == *machine);
+            let votes = self
+                .consensus
+                .members()
+                .iter()
+                .any(|one| one.machine == *machine);
             let known = self.group.reported.get(machine).copied();
             let known = known.or(retirement.completed.then_some(true));
             let known = known.or(retirement.begun.then_some(false));
--- a/crates/cluster/src/storage/leading.rs
+++ b/crates/cluster/src/storage/leading.rs
@@ -228,7 +228,10 @@
             } if term == leading.term => {
                 leading.edges.insert(machine.clone(), link);
                 leading.lost.remove(&machine);
-                log::info!("event=edge_up machine={machine} runs={} draining={draining}", runs.len());
+                log::info!(
+                    "event=edge_up machine={machine} runs={} draining={draining}",
+                    runs.len()
+                );
                 self.dispatch(Event::EdgeUp {
                     machine: machine.clone(),
                     zone,
@@ -298,8 +301,7 @@
             state.writer.send_frame(frame.clone());
             if is_new {
                 state.told_term = term;
-                let view =
-                    view.get_or_insert_with(|| encode(&Message::View(self.view.clone())));
+                let view = view.get_or_insert_with(|| encode(&Message::View(self.view.clone())));
                 state.writer.send_frame(view.clone());
             }
         }
@@ -364,7 +366,9 @@
     }
 
     pub(super) fn has_proposals(&self) -> bool {
-        self.leading.as_ref().is_some_and(|one| !one.listings.is_empty())
+        self.leading
+            .as_ref()
+            .is_some_and(|one| !one.listings.is_empty())
     }
 
     /// Puts the results collected since the last sync into the log.
--- a/crates/cluster/src/storage/plan.rs
+++ b/crates/cluster/src/storage/plan.rs
@@ -88,7 +88,10 @@
         .candidates
         .iter()
         .filter(|candidate| {
-            let votes = situation.voters.iter().any(|voter| voter.id == candidate.member.id);
+            let votes = situation
+                .voters
+                .iter()
+                .any(|voter| voter.id == candidate.member.id);
             !votes
                 && is_alive(candidate)
                 && candidate.lag.is_some_and(|lag| lag <= SMALL_LAG)
@@ -118,8 +121,15 @@
         return Step::Stay;
     }
     if situation.voters.len() > situation.target {
-        let dead = situation.voters.iter().find(|voter| is_dead(situation, voter.id));
-        let last = situation.voters.iter().rev().find(|voter| voter.id != situation.own);
+        let dead = situation
+            .voters
+            .iter()
+            .find(|voter| is_dead(situation, voter.id));
+        let last = situation
+            .voters
+            .iter()
+            .rev()
+            .find(|voter| voter.id != situation.own);
         if let Some(voter) = dead.or(last) {
             return without(situation, voter.id).unwrap_or(Step::Stay);
         }
@@ -139,7 +149,10 @@
 
 fn has_newcomer(situation: &Situation<'_>) -> bool {
     situation.candidates.iter().any(|candidate| {
-        let votes = situation.voters.iter().any(|voter| voter.id == candidate.member.id);
+        let votes = situation
+            .voters
+            .iter()
+            .any(|voter| voter.id == candidate.member.id);
         !votes && is_alive(candidate) && !situation.retiring.contains(&candidate.member.machine)
     })
 }
--- a/crates/cluster/src/storage/process.rs
+++ b/crates/cluster/src/storage/process.rs
@@ -201,7 +201,11 @@
 
     fn next_wake(&self) -> u64 {
         let now = self.clock.now();
-        let tick = if self.leading.is_some() { TICK } else { 3 * TICK };
+        let tick = if self.leading.is_some() {
+            TICK
+        } else {
+            3 * TICK
+        };
         self.consensus.next_tick().min(now + tick)
     }
 
@@ -209,10 +213,7 @@
         let now = self.clock.now();
         match event {
             LinkEvent::Up {
-                link,
-                writer,
-                peer,
-                ..
+                link, writer, peer, ..
             } => {
                 if peer.is_some() {
                     writer.send(&Message::Hello(Peer::Storage(self.own.clone())));
@@ -342,8 +343,9 @@
 
     fn apply(&mut self, entry: Entry) -> Result<(), ProcessError> {
         let command = match entry.payload {
-            Payload::Command(bytes) => Command::decode(&bytes)
-                .map_err(|error| ProcessError::Table(error.to_string()))?,
+            Payload::Command(bytes) => {
+                Command::decode(&bytes).map_err(|error| ProcessError::Table(error.to_string()))?
+            }
             Payload::Members(members) => {
                 self.members_applied(&members);
                 return Ok(());
@@ -407,7 +409,10 @@
 
     fn begin_stop(&mut self) {
         let now = self.clock.now();
-        log::info!("event=stopping role=storage leads={}", self.consensus.is_leader());
+        log::info!(
+            "event=stopping role=storage leads={}",
+            self.consensus.is_leader()
+        );
         if self.consensus.is_leader() {
             self.consensus.transfer_leadership();
         }
--- a/crates/consensus/src/election.rs
+++ b/crates/consensus/src/election.rs
@@ -53,7 +53,7 @@
             .leader_heard_at
             .is_some_and(|heard| now < heard + self.timing.election);
         let leads = self.is_leader() && self.has_quorum_contact(self.timing.election, now);
-        (*probe || hears_leader) && (hears_leader || leads)
+        hears_leader || (*probe && leads)
     }
 
     /// A newer term ends whatever this member was; a probe does not count.
--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -257,8 +257,7 @@
     }
 
     fn take_view(&mut self, view: FleetView, now: Millis) {
-        let configuration_changed =
-            view.configuration_revision != self.view.configuration_revision;
+        let configuration_changed = view.configuration_revision != self.view.configuration_revision;
         self.view.merge(&view);
         self.replicas.take_view(&self.view, now);
         if configuration_changed {
--- a/crates/dispatch/src/jobs.rs
+++ b/crates/dispatch/src/jobs.rs
@@ -113,10 +113,8 @@
                 });
             } else {
                 item_run.events = self.partial(&item.id, job.min_version);
-                run.waiting.insert((
-                    std::cmp::Reverse(item_run.expected_tokens),
-                    number,
-                ));
+                run.waiting
+                    .insert((std::cmp::Reverse(item_run.expected_tokens), number));
             }
             run.items.push(item_run);
         }
--- a/crates/dispatch/src/orders.rs
+++ b/crates/dispatch/src/orders.rs
@@ -117,7 +117,10 @@
     }
 
     fn count(&self, model: &str) -> usize {
-        self.serves_first.values().filter(|one| *one == model).count()
+        self.serves_first
+            .values()
+            .filter(|one| *one == model)
+            .count()
     }
 
     fn least_served(&self, models: &[String], also: impl Fn(&str) -> bool) -> String {
@@ -141,6 +144,17 @@
     }
 }
 
+/// A load that is due; the lesser goes first.
+#[derive(Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct DueLoad {
+    /// It can still serve the newest step.
+    is_fit: bool,
+    running: usize,
+    replica: String,
+    model: String,
+    version: u64,
+}
+
 impl Dispatcher {
     /// Begins loads that are due and asks after those under way.
     pub(crate) fn plan_orders(&mut self, now: Millis) {
@@ -150,10 +164,10 @@
             return;
         }
         while self.orders.loads.len() < self.settings.loads_at_once {
-            let Some((replica, model, version)) = self.next_load(now) else {
+            let Some(due) = self.next_load(now) else {
                 return;
             };
-            self.begin_load(replica, model, version, now);
+            self.begin_load(due.replica, due.model, due.version, now);
         }
     }
 
@@ -167,30 +181,31 @@
 
     /// The replica to load next: first those too old for the newest step, then
     /// as many as should be fresh; the idlest first.
-    fn next_load(&self, now: Millis) -> Option<(String, String, u64)> {
-        let mut best: Option<((bool, usize, &String), (&String, u64))> = None;
+    fn next_load(&self, now: Millis) -> Option<DueLoad> {
+        let mut due = Vec::new();
         for (model, target) in self.view.versions.iter() {
             let (fresh, total) = self.fresh_replicas(model, *target);
             let wanted = (total as f64 * self.settings.fresh_share).ceil() as usize;
             for (id, first) in &self.orders.serves_first {
-                if first != model || !self.may_load(id, now) {
-                    continue;
-                }
                 let Some(replica) = self.replicas.by_id.get(id) else {
                     continue;
                 };
                 let version = replica.versions.get(model).copied().unwrap_or(0);
                 let is_fit = version + 1 >= *target;
-                if version >= *target || (is_fit && fresh >= wanted) {
-                    continue;
-                }
-                let key = (is_fit, replica.running, id);
-                if best.as_ref().is_none_or(|(known, _)| key < *known) {
-                    best = Some((key, (model, *target)));
+                let is_enough = is_fit && fresh >= wanted;
+                let is_due = first == model && version < *target && !is_enough;
+                if is_due && self.may_load(id, now) {
+                    due.push(DueLoad {
+                        is_fit,
+                        running: replica.running,
+                        replica: id.clone(),
+                        model: model.clone(),
+                        version: *target,
+                    });
                 }
             }
         }
-        best.map(|((_, _, id), (model, version))| (id.clone(), model.clone(), version))
+        due.into_iter().min()
     }
 
     /// Replicas of a model that have a version or load it, and all of them.
@@ -204,9 +219,11 @@
             total += 1;
             let replica = self.replicas.by_id.get(id);
             let version = replica.and_then(|one| one.versions.get(model)).copied();
-            let is_loading = self.orders.loads.get(id).is_some_and(|load| {
-                load.model == model && load.version >= target
-            });
+            let is_loading = self
+                .orders
+                .loads
+                .get(id)
+                .is_some_and(|load| load.model == model && load.version >= target);
             if is_loading || version.is_some_and(|version| version >= target) {
                 fresh += 1;
             }
@@ -287,7 +304,9 @@
             }
             return;
         };
-        self.orders.sequences.insert(id.to_string(), report.sequence);
+        self.orders
+            .sequences
+            .insert(id.to_string(), report.sequence);
         let mut versions = report.versions.iter();
         let version = versions.find(|(model, _)| *model == load.model);
         let version = version.map_or(0, |(_, version)| *version);
--- a/crates/dispatch/src/runs.rs
+++ b/crates/dispatch/src/runs.rs
@@ -491,9 +491,10 @@
             let Some(service) = self.replicas.by_id.get(&id).map(|one| one.service.clone()) else {
                 continue;
             };
-            let on_it = self.runs.by_id.iter().filter(|(_, run)| {
-                run.replica == id && run.made >= MOVE_EVENTS && !run.cancelled
-            });
+            let on_it =
+                self.runs.by_id.iter().filter(|(_, run)| {
+                    run.replica == id && run.made >= MOVE_EVENTS && !run.cancelled
+                });
             let moving: Vec<AttemptId> = on_it.map(|(attempt, _)| *attempt).collect();
             for attempt in moving {
                 let room = free.entry(service.clone()).or_default();
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -7,7 +7,5 @@
 mod configuration;
 mod view;
 
-pub use configuration::{
-    Configuration, Limits, Route, RouteKind, Service, Target, choose_target,
-};
+pub use configuration::{Configuration, Limits, Route, RouteKind, Service, Target, choose_target};
 pub use view::{FleetView, ReplicaInfo, Retirement, ServedModel};
--- a/crates/fleet/src/view.rs
+++ b/crates/fleet/src/view.rs
@@ -109,10 +109,7 @@
     }
 
     /// Replicas of a service that take work.
-    pub fn ready_replicas<'a>(
-        &'a self,
-        service: &'a str,
-    ) -> impl Iterator<Item = &'a ReplicaInfo> {
+    pub fn ready_replicas<'a>(&'a self, service: &'a str) -> impl Iterator<Item = &'a ReplicaInfo> {
         self.replicas
             .values()
             .filter(move |replica| replica.service == service && !replica.draining)
