--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -18,6 +18,9 @@
 pub struct Settings {
     /// Replicas that load weights at a time.
     pub loads_at_once: usize,
+    /// Share of a model's replicas that take each new version while nothing
+    /// waits, 0 to 1; the others skip it while they still serve.
+    pub fresh_share: f64,
     /// Time for edges to tell a new leader of their runs, in ms.
     pub adopt_ms: Millis,
     /// Silence of a run after which another replica goes on with it, in ms.
@@ -32,6 +35,7 @@
     fn default() -> Self {
         Self {
             loads_at_once: 2,
+            fresh_share: 0.5,
             adopt_ms: 300,
             stall_ms: 800,
             slow_factor: 1.8,
--- a/crates/dispatch/src/orders.rs
+++ b/crates/dispatch/src/orders.rs
@@ -200,13 +200,14 @@
         let mut due = Vec::new();
         for (model, target) in self.view.versions.iter() {
             let is_calm = !self.jobs.has_waiting(model);
+            let wants_more = is_calm && self.wants_fresh(model, *target);
             for (id, first) in &self.orders.serves_first {
                 let Some(replica) = self.replicas.by_id.get(id) else {
                     continue;
                 };
                 let version = replica.versions.get(model).copied().unwrap_or(0);
                 let is_fit = version + 1 >= *target;
-                let is_due = first == model && version < *target && (is_calm || !is_fit);
+                let is_due = first == model && version < *target && (wants_more || !is_fit);
                 if is_due && self.may_load(id, now) {
                     due.push(DueLoad {
                         is_fit,
@@ -221,6 +222,24 @@
         due.into_iter().min()
     }
 
+    /// Whether fewer replicas of a model than wanted have a version or load it.
+    fn wants_fresh(&self, model: &str, target: u64) -> bool {
+        let of_model = self.orders.serves_first.iter();
+        let of_model = of_model.filter(|(_, first)| *first == model);
+        let mut fresh = 0;
+        let mut total = 0;
+        for (id, _) in of_model {
+            total += 1;
+            let replica = self.replicas.by_id.get(id);
+            let version = replica.and_then(|one| one.versions.get(model)).copied();
+            let loads = self.orders.loads.get(id);
+            let is_loading =
+                loads.is_some_and(|load| load.model == model && load.version >= target);
+            fresh += usize::from(is_loading || version.is_some_and(|known| known >= target));
+        }
+        (fresh as f64) < f64::from(total) * self.settings.fresh_share
+    }
+
     fn may_load(&self, id: &str, now: Millis) -> bool {
         let is_due = self.orders.not_before.get(id).is_none_or(|at| *at <= now);
         is_due && !self.orders.is_leased(id, now) && !self.orders.loads.contains_key(id)
