--- a/crates/cluster/src/link.rs
+++ b/crates/cluster/src/link.rs
@@ -7,13 +7,17 @@
 use brasspond_cluster_protocol::{FrameBuffer, Message, Peer, encode};
 use bytes::Bytes;
 use socket2::{SockRef, TcpKeepalive};
+use std::cell::Cell;
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::mpsc;
 
+/// Bytes waiting to be written to one link; more are dropped.
+const MOST_WAITING: usize = 8 * 1024 * 1024;
 /// Frames waiting to be written to one link; more are dropped.
 const WRITE_QUEUE: usize = 4_096;
 /// Time to connect.
@@ -69,6 +73,7 @@
 #[derive(Clone, Debug)]
 pub struct Writer {
     queue: mpsc::Sender<Bytes>,
+    waiting: Rc<Cell<usize>>,
 }
 
 impl Writer {
@@ -77,9 +82,24 @@
         self.send_frame(encode(message))
     }
 
-    /// Queues a frame encoded before.
+    /// Queues a frame encoded before. A peer that does not read is sent no more
+    /// than a bounded number of bytes; whoever sends asks again.
     pub fn send_frame(&self, frame: Bytes) -> bool {
-        self.queue.try_send(frame).is_ok()
+        let length = frame.len();
+        let waiting = self.waiting.get();
+        if waiting > 0 && waiting + length > MOST_WAITING {
+            return false;
+        }
+        let is_queued = self.queue.try_send(frame).is_ok();
+        if is_queued {
+            self.waiting.set(waiting + length);
+        }
+        is_queued
+    }
+
+    /// Bytes queued and not yet handed to the connection.
+    pub fn waiting_bytes(&self) -> usize {
+        self.waiting.get()
     }
 }
 
@@ -99,7 +119,7 @@
 /// Numbers links.
 #[derive(Debug, Default)]
 pub struct LinkNumbers {
-    next: std::cell::Cell<LinkId>,
+    next: Cell<LinkId>,
 }
 
 impl LinkNumbers {
@@ -113,7 +133,7 @@
 /// Accepts links until the process ends.
 pub async fn accept_links(
     listener: TcpListener,
-    numbers: std::rc::Rc<LinkNumbers>,
+    numbers: Rc<LinkNumbers>,
     events: mpsc::Sender<LinkEvent>,
 ) {
     loop {
@@ -160,7 +180,7 @@
 pub async fn dial(
     address: SocketAddr,
     hello: Peer,
-    numbers: std::rc::Rc<LinkNumbers>,
+    numbers: Rc<LinkNumbers>,
     events: mpsc::Sender<LinkEvent>,
 ) {
     loop {
@@ -243,6 +263,8 @@
 fn start_writer(mut writer: OwnedWriteHalf) -> Writer {
     const BATCH_BYTES: usize = 64 * 1024;
     let (queue, mut frames) = mpsc::channel::<Bytes>(WRITE_QUEUE);
+    let waiting = Rc::new(Cell::new(0));
+    let written = Rc::clone(&waiting);
     tokio::task::spawn_local(async move {
         while let Some(frame) = frames.recv().await {
             let mut batch = Vec::new();
@@ -256,10 +278,11 @@
             if writer.write_all(&batch).await.is_err() {
                 return;
             }
+            written.set(written.get() - batch.len());
         }
         let _ = writer.shutdown().await;
     });
-    Writer { queue }
+    Writer { queue, waiting }
 }
 
 /// Asks a process where the members of the log are.
--- a/crates/cluster/src/storage/plan.rs
+++ b/crates/cluster/src/storage/plan.rs
@@ -52,7 +52,8 @@
 ///
 /// Invariants: one member changes at a time; a voter is never taken out while
 /// that would leave fewer live voters than a quorum of the rest; a member
-/// becomes a voter only once it has nearly all of the log.
+/// becomes a voter only once it has nearly all of the log; a machine that is to
+/// be emptied stays while without it one lost disk could lose the log.
 pub fn next_step(situation: &Situation<'_>) -> Step {
     if let Some(step) = drop_lost_disk(situation) {
         return step;
@@ -112,7 +113,9 @@
         .find(|voter| situation.retiring.contains(&voter.machine));
     if let Some(retiring) = retiring {
         let others = situation.voters.len() - 1;
-        if others >= situation.target || !has_newcomer(situation) {
+        let is_enough = others >= situation.target;
+        let is_safe = others > situation.target / 2;
+        if is_enough || (is_safe && !has_newcomer(situation)) {
             if retiring.id == situation.own && others > 0 {
                 return Step::HandOver;
             }
--- a/crates/cluster/src/storage/process.rs
+++ b/crates/cluster/src/storage/process.rs
@@ -29,7 +29,9 @@
 /// Pause between two looks at what time brings, in ms.
 const TICK: u64 = 100;
 /// Bytes of log kept in memory for followers that are a little behind.
-const LOG_MEMORY: usize = 1024 * 1024;
+const LOG_MEMORY: usize = 256 * 1024;
+/// Bytes of entries read from disk for one message.
+const HISTORY_BYTES: u64 = 512 * 1024;
 /// Bytes of the file after which it is begun anew with a snapshot.
 const LONGEST_FILE: u64 = 96 * 1024 * 1024;
 
@@ -302,8 +304,8 @@
             for (to, message) in ready.messages {
                 self.send_to_member(to, message);
             }
-            for member in ready.snapshots_wanted {
-                self.send_snapshot(member)?;
+            for (member, next) in ready.history_wanted {
+                self.send_history(member, next, now)?;
             }
             let committed = self.consensus.take_committed();
             let has_committed = !committed.is_empty();
@@ -322,8 +324,21 @@
         Ok(())
     }
 
-    fn send_snapshot(&mut self, member: MemberId) -> Result<(), ProcessError> {
-        if self.group.link_of(member).is_none() {
+    /// Sends a member what it lacks: entries out of the file, or a snapshot
+    /// where the file begins later.
+    fn send_history(
+        &mut self,
+        member: MemberId,
+        next: u64,
+        now: u64,
+    ) -> Result<(), ProcessError> {
+        if !self.has_free_link(member) {
+            return Ok(());
+        }
+        let stored = self.disk.entries_from(next, HISTORY_BYTES);
+        if let Some((previous_term, entries)) = stored.map_err(ProcessError::Disk)? {
+            self.consensus
+                .send_stored(member, previous_term, entries, now);
             return Ok(());
         }
         let state = self.table.encode();
@@ -334,10 +349,17 @@
             snapshot.index,
             snapshot.state.len()
         );
-        self.consensus.send_snapshot(member, snapshot);
+        self.consensus.send_snapshot(member, snapshot, now);
         Ok(())
     }
 
+    /// Whether a member can be reached and reads what it is sent.
+    fn has_free_link(&self, member: MemberId) -> bool {
+        let link = self.group.link_of(member);
+        let state = link.and_then(|link| self.links.get(&link));
+        state.is_some_and(|state| state.writer.waiting_bytes() == 0)
+    }
+
     fn begin_file_anew(&mut self) -> Result<(), ProcessError> {
         let state = self.table.encode();
         let state = state.map_err(|error| ProcessError::Table(error.to_string()))?;
--- a/crates/cluster/tests/support/mod.rs
+++ b/crates/cluster/tests/support/mod.rs
@@ -266,10 +266,15 @@
             }
         }
         let state = encode(&machine.applied);
-        for member in &ready.snapshots_wanted {
-            let snapshot = process.snapshot(state.clone());
-            process.send_snapshot(*member, snapshot);
+        for (member, next) in &ready.history_wanted {
             did = true;
+            match stored_entries(&machine.disk, *next) {
+                Some((term, entries)) => process.send_stored(*member, term, entries, now),
+                None => {
+                    let snapshot = process.snapshot(state.clone());
+                    process.send_snapshot(*member, snapshot, now);
+                }
+            }
         }
         process.compact(400);
         for entry in committed {
@@ -528,6 +533,19 @@
     }
 }
 
+/// Entries out of a disk that keeps only the newest, as one begun anew does.
+fn stored_entries(disk: &Disk, next: u64) -> Option<(u64, Vec<Entry>)> {
+    const KEPT: usize = 12;
+    let oldest = disk.entries.keys().rev().nth(KEPT).copied().unwrap_or(0);
+    let term = match next - 1 {
+        0 => 0,
+        previous => disk.entries.get(&previous)?.term,
+    };
+    let entries = disk.entries.range(next..).map(|(_, entry)| entry.clone());
+    let entries: Vec<Entry> = entries.take(3).collect();
+    (next >= oldest && !entries.is_empty()).then_some((term, entries))
+}
+
 fn encode(applied: &BTreeMap<u64, Bytes>) -> Bytes {
     let mut text = String::new();
     for (index, command) in applied {
--- a/crates/consensus/src/node.rs
+++ b/crates/consensus/src/node.rs
@@ -46,7 +46,7 @@
 
 /// What the caller must do, in this order: write and sync `hard_state`,
 /// `snapshot`, `truncate_from` and `entries`; call [`Consensus::persisted`];
-/// send `messages`; build the snapshots wanted.
+/// send `messages`; send the history wanted.
 #[derive(Debug, Default)]
 pub struct Ready {
     /// To be written where it changed.
@@ -59,8 +59,9 @@
     pub entries: Vec<Entry>,
     /// Messages to members, to be sent after the sync.
     pub messages: Vec<(MemberId, Message)>,
-    /// Members that need a snapshot: [`Consensus::send_snapshot`].
-    pub snapshots_wanted: Vec<MemberId>,
+    /// Members that need entries no longer in memory, from this index on:
+    /// [`Consensus::send_stored`], or else [`Consensus::send_snapshot`].
+    pub history_wanted: Vec<(MemberId, u64)>,
 }
 
 impl Ready {
--- a/crates/consensus/src/replication.rs
+++ b/crates/consensus/src/replication.rs
@@ -7,6 +7,9 @@
 /// Bytes of entries in one message.
 const APPEND_BYTES: usize = 512 * 1024;
 
+/// Pause before a snapshot is sent again, in ms.
+const SNAPSHOT_PAUSE: Millis = 3_000;
+
 /// What a leader knows of another member.
 #[derive(Clone, Debug)]
 pub struct Progress {
@@ -122,7 +125,7 @@
                 commit: self.commit,
             },
             None => {
-                self.want_snapshot(member, now);
+                self.want_history(member, next, now);
                 return;
             }
         };
@@ -134,11 +137,9 @@
         self.send(member, message);
     }
 
-    fn want_snapshot(&mut self, member: MemberId, now: Millis) {
-        self.await_reply(member, 0, now);
-        if !self.ready.snapshots_wanted.contains(&member) {
-            self.ready.snapshots_wanted.push(member);
-        }
+    fn want_history(&mut self, member: MemberId, next: u64, now: Millis) {
+        self.await_reply(member, next, now);
+        self.ready.history_wanted.push((member, next));
     }
 
     fn await_reply(&mut self, member: MemberId, last_index: u64, now: Millis) {
@@ -152,12 +153,44 @@
         }
     }
 
-    /// Sends a snapshot that [`crate::Ready`] asked for.
-    pub fn send_snapshot(&mut self, member: MemberId, snapshot: Snapshot) {
+    /// Sends entries read from disk that [`crate::Ready`] asked for;
+    /// `previous_term` is that of the entry before the first.
+    pub fn send_stored(
+        &mut self,
+        member: MemberId,
+        previous_term: u64,
+        entries: Vec<Entry>,
+        now: Millis,
+    ) {
+        let Some(first) = entries.first().map(|entry| entry.index) else {
+            return;
+        };
+        if !self.is_leader() {
+            return;
+        }
+        let previous_index = first - 1;
+        let last_index = previous_index + entries.len() as u64;
+        let message = Message::Append {
+            term: self.term(),
+            previous_index,
+            previous_term,
+            entries,
+            commit: self.commit,
+        };
+        self.await_reply(member, last_index, now);
+        self.send(member, message);
+    }
+
+    /// Sends a snapshot in place of entries that are on disk no longer. It is
+    /// not sent again before long: it may be large.
+    pub fn send_snapshot(&mut self, member: MemberId, snapshot: Snapshot, now: Millis) {
         let term = self.term();
-        if self.is_leader() {
-            self.send(member, Message::Install { term, snapshot });
+        if !self.is_leader() {
+            return;
         }
+        let again = now + SNAPSHOT_PAUSE;
+        self.await_reply(member, snapshot.index, again);
+        self.send(member, Message::Install { term, snapshot });
     }
 
     pub(crate) fn on_append(
--- a/crates/durable/src/record_log.rs
+++ b/crates/durable/src/record_log.rs
@@ -11,6 +11,7 @@
 use serde::{Deserialize, Serialize};
 use std::fs::{File, OpenOptions};
 use std::io::{BufReader, Read, Write};
+use std::os::unix::fs::FileExt;
 use std::path::{Path, PathBuf};
 use xxhash_rust::xxh3::xxh3_64;
 
@@ -52,6 +53,41 @@
     file: File,
     id: MemberId,
     bytes: u64,
+    places: Places,
+}
+
+/// Where each entry begins in the file.
+#[derive(Clone, Debug, Default)]
+struct Places {
+    /// Index of the first entry in the file.
+    first: u64,
+    offsets: Vec<u64>,
+}
+
+impl Places {
+    fn after(index: u64) -> Self {
+        Self {
+            first: index + 1,
+            offsets: Vec::new(),
+        }
+    }
+
+    fn push(&mut self, index: u64, offset: u64) {
+        if self.offsets.is_empty() {
+            self.first = index;
+        }
+        self.offsets.push(offset);
+    }
+
+    fn truncate(&mut self, from: u64) {
+        let kept = from.saturating_sub(self.first);
+        self.offsets.truncate(usize::try_from(kept).unwrap_or(0));
+    }
+
+    fn find(&self, index: u64) -> Option<u64> {
+        let number = index.checked_sub(self.first)?;
+        self.offsets.get(usize::try_from(number).ok()?).copied()
+    }
 }
 
 /// What a file held when it was opened.
@@ -89,6 +125,7 @@
             file,
             id,
             bytes: read.valid,
+            places: read.places,
         };
         if read.id.is_none() {
             log.append(&[Record::Identity(id)])?;
@@ -107,6 +144,55 @@
         self.bytes
     }
 
+    /// Entries from `first` on, about `limit` bytes of them but at least one,
+    /// with the term of the entry before; none where the file begins later.
+    ///
+    /// # Errors
+    /// The disk fails.
+    pub fn entries_from(
+        &self,
+        first: u64,
+        limit: u64,
+    ) -> Result<Option<(u64, Vec<Entry>)>, RecordLogError> {
+        let previous_term = match first.checked_sub(1) {
+            None => return Ok(None),
+            Some(0) => 0,
+            Some(previous) => match self.entry_at(previous)? {
+                Some((entry, _)) => entry.term,
+                None => return Ok(None),
+            },
+        };
+        let mut entries = Vec::new();
+        let mut bytes = 0;
+        while bytes < limit {
+            let Some((entry, length)) = self.entry_at(first + entries.len() as u64)? else {
+                break;
+            };
+            bytes += length;
+            entries.push(entry);
+        }
+        Ok((!entries.is_empty()).then_some((previous_term, entries)))
+    }
+
+    /// The entry of an index and the bytes of its record.
+    fn entry_at(&self, index: u64) -> Result<Option<(Entry, u64)>, RecordLogError> {
+        let Some(offset) = self.places.find(index) else {
+            return Ok(None);
+        };
+        let mut head = [0; HEAD_BYTES];
+        self.file.read_exact_at(&mut head, offset)?;
+        let length = u32::from_be_bytes([head[0], head[1], head[2], head[3]]);
+        let mut body = vec![0; length as usize];
+        self.file
+            .read_exact_at(&mut body, offset + HEAD_BYTES as u64)?;
+        match rmp_serde::from_slice(&body) {
+            Ok(Record::Entry(entry)) if entry.index == index => {
+                Ok(Some((entry, HEAD_BYTES as u64 + u64::from(length))))
+            }
+            _ => Ok(None),
+        }
+    }
+
     /// Writes and syncs what a member wants kept. A snapshot rewrites the file.
     ///
     /// # Errors
@@ -150,6 +236,7 @@
             file,
             id: self.id,
             bytes: 0,
+            places: Places::after(snapshot.index),
         };
         let mut records = vec![
             Record::Identity(self.id),
@@ -172,6 +259,11 @@
             buffer.resize(start + HEAD_BYTES, 0);
             rmp_serde::encode::write(&mut buffer, record).map_err(RecordLogError::Encode)?;
             let body = &buffer[start + HEAD_BYTES..];
+            match record {
+                Record::Entry(entry) => self.places.push(entry.index, self.bytes + start as u64),
+                Record::Truncate(first) => self.places.truncate(*first),
+                _ => {}
+            }
             let length = u32::try_from(body.len()).unwrap_or(u32::MAX);
             let checksum = xxh3_64(body);
             buffer[start..start + 4].copy_from_slice(&length.to_be_bytes());
@@ -187,6 +279,7 @@
 struct ReadRecords {
     id: Option<MemberId>,
     kept: Persisted,
+    places: Places,
     valid: u64,
 }
 
@@ -200,11 +293,18 @@
             Record::Identity(id) => read.id = Some(id),
             Record::HardState(state) => read.kept.hard_state = state,
             Record::Snapshot(snapshot) => {
+                read.places = Places::after(snapshot.index);
                 read.kept.snapshot = Some(snapshot);
                 read.kept.entries.clear();
             }
-            Record::Truncate(first) => read.kept.entries.retain(|entry| entry.index < first),
-            Record::Entry(entry) => read.kept.entries.push(entry),
+            Record::Truncate(first) => {
+                read.places.truncate(first);
+                read.kept.entries.retain(|entry| entry.index < first);
+            }
+            Record::Entry(entry) => {
+                read.places.push(entry.index, read.valid);
+                read.kept.entries.push(entry);
+            }
         }
         read.valid += (HEAD_BYTES + body.len()) as u64;
     }
--- a/crates/durable/tests/record_log.rs
+++ b/crates/durable/tests/record_log.rs
@@ -107,3 +107,43 @@
         prop_assert_eq!(third.kept.entries.last().expect("entries").index, last + 1);
     }
 }
+
+#[rstest]
+fn entries_are_read_back_by_their_index() {
+    let folder = tempfile::tempdir().expect("folder");
+    let state = HardState::default();
+    let mut log = RecordLog::open(folder.path(), 7).expect("opens").log;
+    log.keep(&ready(1..=9), state).expect("kept");
+    let cut = Ready {
+        truncate_from: Some(8),
+        entries: vec![entry(8)],
+        ..Ready::default()
+    };
+    log.keep(&cut, state).expect("kept");
+    for log in [log, RecordLog::open(folder.path(), 7).expect("opens").log] {
+        let (term, entries) = log.entries_from(1, u64::MAX).expect("reads").expect("there");
+        assert_eq!((term, entries.len()), (0, 8));
+        let (term, entries) = log.entries_from(4, 1).expect("reads").expect("there");
+        assert_eq!((term, entries[0].index, entries.len()), (1, 4, 1));
+        assert!(log.entries_from(9, 1).expect("reads").is_none());
+    }
+}
+
+#[rstest]
+fn a_file_begun_anew_has_no_older_entries() {
+    let folder = tempfile::tempdir().expect("folder");
+    let state = HardState::default();
+    let mut log = RecordLog::open(folder.path(), 7).expect("opens").log;
+    log.keep(&ready(1..=5), state).expect("kept");
+    let snapshot = Snapshot {
+        index: 5,
+        term: 1,
+        members: Vec::new(),
+        state: Bytes::new(),
+    };
+    log.rewrite(state, snapshot, &[entry(6)]).expect("rewritten");
+    log.keep(&ready([7, 8]), state).expect("kept");
+    assert!(log.entries_from(3, 100).expect("reads").is_none());
+    let (_, entries) = log.entries_from(7, u64::MAX).expect("reads").expect("there");
+    assert_eq!(entries.len(), 2);
+}
