--- a/crates/cluster/src/storage/leading.rs
+++ b/crates/cluster/src/storage/leading.rs
@@ -124,9 +124,7 @@
         );
         let lease_ms = self.settings.lease_ms + LEASE_MARGIN;
         let is_first = term <= FIRST_LEADER_TERM;
-        let leases = self
-            .order_log
-            .leases(&self.own.machine, lease_ms, is_first);
+        let leases = self.order_log.leases(&self.own.machine, lease_ms, is_first);
         let settings = Settings::default();
         let view = self.view.clone();
         let dispatcher = Dispatcher::new(term, settings, &self.table, view, leases, now);
@@ -243,7 +241,10 @@
     }
 
     pub(super) fn intent_applied(&mut self, index: u64) {
-        let announced = self.leading.as_mut().and_then(|one| one.announced.remove(&index));
+        let announced = self
+            .leading
+            .as_mut()
+            .and_then(|one| one.announced.remove(&index));
         if let Some((order, since)) = announced {
             self.give_order(order, since);
         }
--- a/crates/cluster/src/storage/process.rs
+++ b/crates/cluster/src/storage/process.rs
@@ -326,12 +326,7 @@
 
     /// Sends a member what it lacks: entries out of the file, or a snapshot
     /// where the file begins later.
-    fn send_history(
-        &mut self,
-        member: MemberId,
-        next: u64,
-        now: u64,
-    ) -> Result<(), ProcessError> {
+    fn send_history(&mut self, member: MemberId, next: u64, now: u64) -> Result<(), ProcessError> {
         if !self.has_free_link(member) {
             return Ok(());
         }
--- /dev/null
+++ b/crates/cluster/tests/plan.rs
@@ -0,0 +1,141 @@
+//! Which change of the log's members comes next.
+
+use brasspond_cluster::storage::plan::{Candidate, Situation, Step, next_step};
+use brasspond_consensus::{Member, MemberId};
+use rstest::rstest;
+use std::collections::BTreeSet;
+
+fn member(id: MemberId, machine: &str, zone: &str) -> Member {
+    Member {
+        id,
+        machine: machine.to_string(),
+        address: format!("10.0.0.{id}:1").parse().expect("address"),
+        zone: zone.to_string(),
+    }
+}
+
+fn candidate(member: &Member, lag: u64, silent_ms: u64) -> Candidate {
+    Candidate {
+        member: member.clone(),
+        lag: Some(lag),
+        silent_ms: Some(silent_ms),
+    }
+}
+
+fn ids(step: &Step) -> Vec<MemberId> {
+    match step {
+        Step::Change(members) => members.iter().map(|member| member.id).collect(),
+        Step::Stay | Step::HandOver => Vec::new(),
+    }
+}
+
+struct Case {
+    voters: Vec<Member>,
+    candidates: Vec<Candidate>,
+    retiring: BTreeSet<String>,
+}
+
+impl Case {
+    /// Three voters, all alive, led by the first.
+    fn calm() -> Self {
+        let voters = vec![
+            member(1, "a", "x"),
+            member(2, "b", "y"),
+            member(3, "c", "z"),
+        ];
+        let candidates = voters
+            .iter()
+            .map(|voter| candidate(voter, 0, 100))
+            .collect();
+        Self {
+            voters,
+            candidates,
+            retiring: BTreeSet::new(),
+        }
+    }
+
+    fn with(mut self, other: Candidate) -> Self {
+        self.candidates
+            .retain(|one| one.member.id != other.member.id);
+        self.candidates.push(other);
+        self
+    }
+
+    fn retiring(mut self, machine: &str) -> Self {
+        self.retiring.insert(machine.to_string());
+        self
+    }
+
+    fn next(&self) -> Step {
+        next_step(&Situation {
+            own: 1,
+            voters: &self.voters,
+            candidates: &self.candidates,
+            retiring: &self.retiring,
+            target: 3,
+        })
+    }
+}
+
+#[rstest]
+fn a_calm_group_stays() {
+    assert_eq!(Case::calm().next(), Step::Stay);
+    let standby = candidate(&member(4, "d", "x"), 0, 10);
+    assert_eq!(Case::calm().with(standby).next(), Step::Stay);
+}
+
+#[rstest]
+fn a_machine_back_without_its_disk_takes_its_old_place_in_two_steps() {
+    let returned = candidate(&member(9, "c", "z"), 500, 10);
+    let mut case = Case::calm()
+        .with(candidate(&member(3, "c", "z"), 90, 2_000))
+        .with(returned);
+    assert_eq!(ids(&case.next()), [1, 2]);
+    case.voters.retain(|voter| voter.id != 3);
+    assert_eq!(case.next(), Step::Stay, "not before it has caught up");
+    let case = case.with(candidate(&member(9, "c", "z"), 3, 10));
+    assert_eq!(ids(&case.next()), [1, 2, 9]);
+}
+
+#[rstest]
+fn a_dead_voter_is_replaced_where_another_machine_can() {
+    let case = Case::calm().with(candidate(&member(3, "c", "z"), 90, 2_000));
+    assert_eq!(case.next(), Step::Stay);
+    let mut case = case.with(candidate(&member(4, "d", "z"), 0, 10));
+    assert_eq!(ids(&case.next()), [1, 2, 3, 4]);
+    case.voters.push(member(4, "d", "z"));
+    assert_eq!(ids(&case.next()), [1, 2, 4]);
+}
+
+#[rstest]
+fn a_retiring_machine_is_replaced_before_it_goes() {
+    let mut case = Case::calm()
+        .retiring("c")
+        .with(candidate(&member(4, "d", "z"), 0, 10));
+    assert_eq!(ids(&case.next()), [1, 2, 3, 4]);
+    case.voters.push(member(4, "d", "z"));
+    assert_eq!(ids(&case.next()), [1, 2, 4]);
+}
+
+#[rstest]
+fn without_another_machine_two_copies_are_enough_and_one_is_not() {
+    let mut case = Case::calm().retiring("c");
+    assert_eq!(ids(&case.next()), [1, 2]);
+    case.voters.retain(|voter| voter.id != 3);
+    case.candidates.retain(|one| one.member.id != 3);
+    assert_eq!(case.retiring("b").next(), Step::Stay);
+}
+
+#[rstest]
+fn a_retiring_leader_hands_over_first() {
+    let case = Case::calm().retiring("a");
+    assert_eq!(case.next(), Step::HandOver);
+}
+
+#[rstest]
+fn nothing_changes_that_would_leave_no_quorum() {
+    let case = Case::calm()
+        .retiring("c")
+        .with(candidate(&member(2, "b", "y"), 90, 2_000));
+    assert_eq!(case.next(), Step::Stay);
+}
--- a/crates/cluster/tests/support/mod.rs
+++ b/crates/cluster/tests/support/mod.rs
@@ -180,7 +180,10 @@
             if !self.passes(parcel.from, parcel.to) {
                 continue;
             }
-            let to = self.machines.iter_mut().find(|one| one.member.id == parcel.to);
+            let to = self
+                .machines
+                .iter_mut()
+                .find(|one| one.member.id == parcel.to);
             let Some(machine) = to else {
                 continue;
             };
@@ -295,7 +298,10 @@
 
     fn check_applied(&mut self, entry: &Entry) {
         if let Payload::Command(command) = &entry.payload {
-            let known = self.truth.entry(entry.index).or_insert_with(|| command.clone());
+            let known = self
+                .truth
+                .entry(entry.index)
+                .or_insert_with(|| command.clone());
             assert_eq!(known, command, "index {} applied differently", entry.index);
         }
     }
@@ -330,7 +336,9 @@
             .collect();
         let process = self.machines[number].process.as_mut().expect("running");
         for voter in process.members().to_vec() {
-            let came = peers.iter().any(|one| one.machine == voter.machine && one.id != voter.id);
+            let came = peers
+                .iter()
+                .any(|one| one.machine == voter.machine && one.id != voter.id);
             if came {
                 process.note_lost(voter.id);
             }
@@ -355,7 +363,9 @@
             .into_values()
             .map(|member| Candidate {
                 lag: process.lag_of(member.id),
-                silent_ms: process.progress_of(member.id).map(|peer| now - peer.heard_at),
+                silent_ms: process
+                    .progress_of(member.id)
+                    .map(|peer| now - peer.heard_at),
                 member,
             })
             .collect();
@@ -382,7 +392,11 @@
             one.process.as_ref().is_some_and(Consensus::is_established)
                 && one.paused_until <= self.now
         };
-        let leading = self.machines.iter().enumerate().filter(|(_, one)| leads(one));
+        let leading = self
+            .machines
+            .iter()
+            .enumerate()
+            .filter(|(_, one)| leads(one));
         leading
             .max_by_key(|(_, one)| one.process.as_ref().map(Consensus::term))
             .map(|(number, _)| number)
@@ -558,6 +572,11 @@
     let text = String::from_utf8_lossy(state);
     let lines = text.lines().filter_map(|line| line.split_once('='));
     lines
-        .map(|(index, command)| (index.parse().expect("index"), Bytes::from(command.to_string())))
+        .map(|(index, command)| {
+            (
+                index.parse().expect("index"),
+                Bytes::from(command.to_string()),
+            )
+        })
         .collect()
 }
--- a/crates/consensus/src/node.rs
+++ b/crates/consensus/src/node.rs
@@ -274,7 +274,10 @@
     }
 
     fn survivors(&self) -> usize {
-        let live = self.members.iter().filter(|one| !self.lost.contains(&one.id));
+        let live = self
+            .members
+            .iter()
+            .filter(|one| !self.lost.contains(&one.id));
         live.count()
     }
 
--- /dev/null
+++ b/crates/dispatch/tests/dispatcher.rs
@@ -0,0 +1,330 @@
+//! Placement, failover and orders, decided without I/O.
+
+mod support;
+
+use brasspond_cluster_protocol::{RunEnd, RunReport};
+use brasspond_dispatch::{Action, Event, OrderAnswer, OrderLeases, ReplicaReport};
+use brasspond_jobs::Outcome;
+use rstest::rstest;
+use support::{Fixture, event, runs, submission, view};
+
+#[rstest]
+fn the_longest_items_start_first_and_no_replica_is_overfull() {
+    let mut fixture = Fixture::new(view(2, 3), OrderLeases::default());
+    fixture.edge("edge-1");
+    let actions = fixture.accept(submission("job", &[10, 50, 30, 20, 40, 60, 5, 1], 0));
+    let started = runs(&actions);
+    assert_eq!(started.len(), 6, "two replicas of three places");
+    let items: Vec<u32> = started.iter().map(|run| run.item).collect();
+    assert_eq!(items, [5, 1, 4, 2, 3, 0]);
+    for replica in ["replica-0", "replica-1"] {
+        let there = started.iter().filter(|run| run.replica == replica);
+        assert_eq!(there.count(), 3);
+    }
+}
+
+#[rstest]
+fn a_whole_stream_becomes_a_result_with_its_versions() {
+    let mut fixture = Fixture::new(view(1, 1), OrderLeases::default());
+    fixture.edge("edge-1");
+    let actions = fixture.accept(submission("job", &[1], 0));
+    let run = runs(&actions)[0].clone();
+    let events = vec![event(1, "a", 3), event(2, "b", 4)];
+    let actions = fixture.handle(Event::Ended {
+        machine: "edge-1".to_string(),
+        attempt: run.attempt,
+        events,
+        end: RunEnd::Whole,
+    });
+    let listed = actions.iter().find_map(|action| match action {
+        Action::List(listing) => Some(listing.outcome.clone()),
+        _ => None,
+    });
+    let expected = Outcome::Completed {
+        text: "a\nb".into(),
+        versions: vec![3, 4],
+    };
+    assert_eq!(listed, Some(expected));
+}
+
+#[rstest]
+fn a_broken_run_goes_on_after_its_last_event_on_another_replica() {
+    let mut fixture = Fixture::new(view(2, 1), OrderLeases::default());
+    fixture.edge("edge-1");
+    let actions = fixture.accept(submission("job", &[1], 0));
+    let first = runs(&actions)[0].clone();
+    let actions = fixture.handle(Event::Ended {
+        machine: "edge-1".to_string(),
+        attempt: first.attempt,
+        events: vec![event(1, "a", 1)],
+        end: RunEnd::Broken,
+    });
+    let second = runs(&actions)[0].clone();
+    assert_ne!(second.replica, first.replica, "the faulty one rests");
+    assert_eq!(second.events, vec![event(1, "a", 1)]);
+}
+
+#[rstest]
+#[case::failed_often(RunEnd::Failed, 3)]
+#[case::impossible(RunEnd::Impossible, 1)]
+fn an_item_that_cannot_be_done_is_given_up(#[case] end: RunEnd, #[case] runs_needed: usize) {
+    let mut fixture = Fixture::new(view(1, 1), OrderLeases::default());
+    fixture.edge("edge-1");
+    let mut actions = fixture.accept(submission("job", &[1], 0));
+    for number in 1..=runs_needed {
+        let run = runs(&actions)[0].clone();
+        actions = fixture.handle(Event::Ended {
+            machine: "edge-1".to_string(),
+            attempt: run.attempt,
+            events: Vec::new(),
+            end,
+        });
+        let is_given_up = actions.iter().any(|action| {
+            matches!(action, Action::List(listing) if listing.outcome == Outcome::Terminated)
+        });
+        assert_eq!(is_given_up, number == runs_needed);
+    }
+}
+
+/// The cause of the first lost steps on the platform: routes were resolved
+/// before the jobs of a new leader were opened.
+#[rstest]
+fn a_new_leader_starts_the_items_of_jobs_it_finds() {
+    let mut before = Fixture::new(view(1, 4), OrderLeases::default());
+    before.accept(submission("job", &[1, 2], 0));
+    let mut after = before.next_leader();
+    after.edge("edge-1");
+    after.advance(400);
+    let actions = after.handle(Event::Tick);
+    assert_eq!(runs(&actions).len(), 2);
+}
+
+#[rstest]
+fn a_new_leader_takes_over_runs_that_edges_hold() {
+    let mut before = Fixture::new(view(1, 4), OrderLeases::default());
+    before.edge("edge-1");
+    let actions = before.accept(submission("job", &[1, 2], 0));
+    let held = runs(&actions)[0].clone();
+    let mut after = before.next_leader();
+    let report = RunReport {
+        attempt: held.attempt,
+        job: held.job.clone(),
+        item: held.item,
+        replica: held.replica.clone(),
+        events: vec![event(1, "a", 1)],
+        end: None,
+    };
+    after.edge_with("edge-1", vec![report]);
+    after.advance(400);
+    let actions = after.handle(Event::Tick);
+    let started = runs(&actions);
+    assert_eq!(started.len(), 1, "only the item nobody runs");
+    assert_ne!(started[0].item, held.item);
+}
+
+#[rstest]
+fn runs_of_a_lost_edge_go_on_elsewhere() {
+    let mut fixture = Fixture::new(view(1, 4), OrderLeases::default());
+    fixture.edge("edge-1");
+    let actions = fixture.accept(submission("job", &[1], 0));
+    let run = runs(&actions)[0].clone();
+    fixture.edge("edge-2");
+    fixture.handle(Event::Progress {
+        attempt: run.attempt,
+        events: vec![event(1, "a", 1), event(2, "b", 1)],
+    });
+    let actions = fixture.handle(Event::EdgeDown("edge-1".to_string()));
+    let again = runs(&actions)[0].clone();
+    assert_eq!(again.events.len(), 2);
+    let machine = actions.iter().find_map(|action| match action {
+        Action::Run { machine, .. } => Some(machine.as_str()),
+        _ => None,
+    });
+    assert_eq!(machine, Some("edge-2"));
+}
+
+#[rstest]
+fn an_edge_that_came_back_empty_runs_its_items_again() {
+    let mut fixture = Fixture::new(view(1, 4), OrderLeases::default());
+    fixture.edge("edge-1");
+    fixture.accept(submission("job", &[1], 0));
+    let actions = fixture.edge("edge-1");
+    assert_eq!(runs(&actions).len(), 1);
+}
+
+#[rstest]
+fn a_silent_run_is_moved() {
+    let mut fixture = Fixture::new(view(2, 1), OrderLeases::default());
+    fixture.edge("edge-1");
+    let actions = fixture.accept(submission("job", &[1], 0));
+    let first = runs(&actions)[0].clone();
+    fixture.advance(1_000);
+    let actions = fixture.handle(Event::Tick);
+    assert!(actions.contains(&Action::Cancel {
+        machine: "edge-1".to_string(),
+        attempt: first.attempt,
+    }));
+    assert_ne!(runs(&actions)[0].replica, first.replica);
+}
+
+#[rstest]
+fn nothing_starts_on_replicas_that_leave_or_are_too_old() {
+    let mut fleet = view(3, 1);
+    let replicas = std::sync::Arc::make_mut(&mut fleet.replicas);
+    replicas.get_mut("replica-0").expect("there").draining = true;
+    replicas.get_mut("replica-1").expect("there").models[0].version = 4;
+    replicas.get_mut("replica-2").expect("there").models[0].version = 5;
+    let mut fixture = Fixture::new(fleet, OrderLeases::default());
+    fixture.edge("edge-1");
+    let actions = fixture.accept(submission("job", &[1, 2], 5));
+    let started = runs(&actions);
+    assert_eq!(started.len(), 1);
+    assert_eq!(started[0].replica, "replica-2");
+}
+
+#[rstest]
+fn an_item_of_an_ended_job_is_stopped_and_not_started_again() {
+    let mut fixture = Fixture::new(view(1, 1), OrderLeases::default());
+    fixture.edge("edge-1");
+    let actions = fixture.accept(submission("job", &[2, 1], 0));
+    let run = runs(&actions)[0].clone();
+    let actions = fixture.end("job");
+    assert!(matches!(&actions[0], Action::Cancel { attempt, .. } if *attempt == run.attempt));
+    let actions = fixture.handle(Event::Ended {
+        machine: "edge-1".to_string(),
+        attempt: run.attempt,
+        events: vec![event(1, "a", 7)],
+        end: RunEnd::Cancelled,
+    });
+    assert!(runs(&actions).is_empty());
+    // The same item in a later job goes on after what was made.
+    fixture.set_version("replica-0", 7);
+    let mut next = submission("later", &[2], 7);
+    next.items[0].id = "job-item-0".to_string();
+    let actions = fixture.accept(next);
+    assert_eq!(runs(&actions)[0].events, vec![event(1, "a", 7)]);
+}
+
+#[rstest]
+fn text_made_under_too_old_weights_is_not_used_again() {
+    let mut fixture = Fixture::new(view(1, 1), OrderLeases::default());
+    fixture.edge("edge-1");
+    let actions = fixture.accept(submission("job", &[2], 0));
+    let run = runs(&actions)[0].clone();
+    fixture.end("job");
+    fixture.handle(Event::Ended {
+        machine: "edge-1".to_string(),
+        attempt: run.attempt,
+        events: vec![event(1, "a", 6)],
+        end: RunEnd::Cancelled,
+    });
+    let mut next = submission("later", &[2], 7);
+    next.items[0].id = "job-item-0".to_string();
+    fixture.set_version("replica-0", 7);
+    let actions = fixture.accept(next);
+    assert!(runs(&actions)[0].events.is_empty());
+}
+
+fn orders(actions: &[Action]) -> Vec<(String, u64, u64)> {
+    let orders = actions.iter().filter_map(|action| match action {
+        Action::Order {
+            replica,
+            version,
+            expected_count,
+            ..
+        } => Some((replica.clone(), *version, *expected_count)),
+        _ => None,
+    });
+    orders.collect()
+}
+
+fn asked(actions: &[Action]) -> Vec<String> {
+    let asked = actions.iter().filter_map(|action| match action {
+        Action::AskReport { replica, .. } => Some(replica.clone()),
+        _ => None,
+    });
+    asked.collect()
+}
+
+fn report(version: u64, busy: bool, sequence: u64) -> Option<ReplicaReport> {
+    Some(ReplicaReport {
+        versions: vec![("model".to_string(), version)],
+        busy,
+        sequence,
+    })
+}
+
+#[rstest]
+fn two_replicas_load_at_a_time_and_half_take_each_version() {
+    let mut fixture = Fixture::new(view(8, 4), OrderLeases::default());
+    let mut loaded = 0;
+    let mut actions = fixture.name_version(2);
+    for _ in 0..10 {
+        let replicas = asked(&actions);
+        actions = Vec::new();
+        assert!(replicas.len() <= 2);
+        for replica in replicas {
+            let order = fixture.handle(Event::Report {
+                replica: replica.clone(),
+                report: report(1, false, 0),
+            });
+            assert_eq!(orders(&order), [(replica.clone(), 2, 0)]);
+            fixture.handle(Event::Ordered {
+                replica: replica.clone(),
+                answer: OrderAnswer::Taken,
+            });
+            fixture.advance(1_000);
+            fixture.handle(Event::Tick);
+            loaded += 1;
+            actions.extend(fixture.handle(Event::Report {
+                replica,
+                report: report(2, false, 1),
+            }));
+        }
+    }
+    assert_eq!(loaded, 4);
+}
+
+#[rstest]
+fn a_replica_under_another_holders_lease_is_left_alone() {
+    let mut leases = OrderLeases::default();
+    leases.until.insert("replica-0".to_string(), 3_000);
+    let mut fixture = Fixture::new(view(1, 4), leases);
+    assert!(asked(&fixture.name_version(2)).is_empty());
+    fixture.advance(2_900);
+    assert!(asked(&fixture.handle(Event::Tick)).is_empty());
+    fixture.advance(200);
+    assert_eq!(asked(&fixture.handle(Event::Tick)), ["replica-0"]);
+}
+
+/// An unanswered order may be done at any later time: it is repeated under the
+/// same count, so that only one of the two counts.
+#[rstest]
+fn an_unanswered_order_is_repeated_under_the_same_count() {
+    let mut fixture = Fixture::new(view(1, 4), OrderLeases::default());
+    fixture.name_version(2);
+    fixture.handle(Event::Report {
+        replica: "replica-0".to_string(),
+        report: report(1, false, 5),
+    });
+    fixture.handle(Event::Ordered {
+        replica: "replica-0".to_string(),
+        answer: OrderAnswer::Unknown,
+    });
+    fixture.advance(300);
+    assert_eq!(asked(&fixture.handle(Event::Tick)), ["replica-0"]);
+    let actions = fixture.handle(Event::Report {
+        replica: "replica-0".to_string(),
+        report: report(1, false, 5),
+    });
+    assert_eq!(orders(&actions), [("replica-0".to_string(), 2, 5)]);
+}
+
+#[rstest]
+fn optional_loads_wait_until_nothing_waits() {
+    let mut fixture = Fixture::new(view(1, 1), OrderLeases::default());
+    fixture.edge("edge-1");
+    fixture.accept(submission("job", &[2, 1], 0));
+    assert!(asked(&fixture.name_version(2)).is_empty());
+    assert_eq!(asked(&fixture.end("job")), ["replica-0"]);
+}
--- a/crates/durable/tests/record_log.rs
+++ b/crates/durable/tests/record_log.rs
@@ -63,7 +63,8 @@
         members: Vec::new(),
         state: Bytes::from_static(b"state"),
     };
-    log.rewrite(state, snapshot.clone(), &[entry(6)]).expect("rewritten");
+    log.rewrite(state, snapshot.clone(), &[entry(6)])
+        .expect("rewritten");
     log.keep(&ready([7]), state).expect("kept");
     drop(log);
     let again = RecordLog::open(folder.path(), 8).expect("opens");
@@ -121,7 +122,10 @@
     };
     log.keep(&cut, state).expect("kept");
     for log in [log, RecordLog::open(folder.path(), 7).expect("opens").log] {
-        let (term, entries) = log.entries_from(1, u64::MAX).expect("reads").expect("there");
+        let (term, entries) = log
+            .entries_from(1, u64::MAX)
+            .expect("reads")
+            .expect("there");
         assert_eq!((term, entries.len()), (0, 8));
         let (term, entries) = log.entries_from(4, 1).expect("reads").expect("there");
         assert_eq!((term, entries[0].index, entries.len()), (1, 4, 1));
@@ -141,9 +145,13 @@
         members: Vec::new(),
         state: Bytes::new(),
     };
-    log.rewrite(state, snapshot, &[entry(6)]).expect("rewritten");
+    log.rewrite(state, snapshot, &[entry(6)])
+        .expect("rewritten");
     log.keep(&ready([7, 8]), state).expect("kept");
     assert!(log.entries_from(3, 100).expect("reads").is_none());
-    let (_, entries) = log.entries_from(7, u64::MAX).expect("reads").expect("there");
+    let (_, entries) = log
+        .entries_from(7, u64::MAX)
+        .expect("reads")
+        .expect("there");
     assert_eq!(entries.len(), 2);
 }
--- a/crates/jobs/tests/table.rs
+++ b/crates/jobs/tests/table.rs
@@ -1,8 +1,6 @@
 //! The job table: positions never change, an item has one of them.
 
-use brasspond_jobs::{
-    Accepted, BodyError, Command, Item, JobTable, Listing, Outcome, Submission,
-};
+use brasspond_jobs::{Accepted, BodyError, Command, Item, JobTable, Listing, Outcome, Submission};
 use bytes::Bytes;
 use proptest::prelude::*;
 use rstest::rstest;
@@ -58,8 +56,14 @@
 fn an_item_is_listed_once() {
     let mut table = JobTable::default();
     table.apply(Command::Accept(submission("job", 3)));
-    table.apply(Command::List(vec![listing("job", 1, "first"), listing("job", 1, "second")]));
-    table.apply(Command::List(vec![listing("job", 1, "third"), listing("job", 9, "none")]));
+    table.apply(Command::List(vec![
+        listing("job", 1, "first"),
+        listing("job", 1, "second"),
+    ]));
+    table.apply(Command::List(vec![
+        listing("job", 1, "third"),
+        listing("job", 9, "none"),
+    ]));
     let page = table.page("job", 0, 1_000).expect("job");
     assert_eq!(page.results.len(), 1);
     assert_eq!(page.results[0].id, "item-1");
@@ -70,12 +74,17 @@
 fn a_body_is_there_until_its_item_is_listed_or_its_job_ended() {
     let mut table = JobTable::default();
     table.apply(Command::Accept(submission("job", 2)));
-    assert_eq!(table.body("job", "item-0"), Ok(Bytes::from_static(b"body 0")));
+    assert_eq!(
+        table.body("job", "item-0"),
+        Ok(Bytes::from_static(b"body 0"))
+    );
     assert_eq!(table.body("job", "other"), Err(BodyError::NoItem));
     assert_eq!(table.body("other", "item-0"), Err(BodyError::NoJob));
     table.apply(Command::List(vec![listing("job", 0, "text")]));
     assert_eq!(table.body("job", "item-0"), Err(BodyError::NoItem));
-    table.apply(Command::End { job: "job".to_string() });
+    table.apply(Command::End {
+        job: "job".to_string(),
+    });
     assert_eq!(table.body("job", "item-1"), Err(BodyError::NoItem));
     assert_eq!(table.page("job", 0, 10).expect("job").results.len(), 1);
 }
@@ -110,10 +119,13 @@
 fn any_command() -> impl Strategy<Value = Command> {
     let job = prop_oneof![Just("a"), Just("b")];
     prop_oneof![
-        job.clone().prop_map(|id| Command::Accept(submission(id, 4))),
+        job.clone()
+            .prop_map(|id| Command::Accept(submission(id, 4))),
         (job.clone(), 0_u32..6, "[a-z]{1,3}")
             .prop_map(|(id, item, text)| Command::List(vec![listing(id, item, &text)])),
-        job.prop_map(|id| Command::End { job: id.to_string() }),
+        job.prop_map(|id| Command::End {
+            job: id.to_string()
+        }),
     ]
 }
 
