Logs behind a bounded ring, a line for each decision, metrics of both roles

Cause: on-call engineers have only logs and metrics; the processes wrote a handful of lines, by a write call each, and no metrics. Ruled out: a write call a line (blocks where standard output does).

--- a/crates/brasspond/src/logging.rs
+++ b/crates/brasspond/src/logging.rs
@@ -1,5 +1,6 @@
 //! Logs: one line of key=value pairs an event.
 
+use brasspond_telemetry::{LogLimits, LogRing};
 use simplelog::{ConfigBuilder, LevelFilter, WriteLogger};
 use std::io::Write;
 use std::path::Path;
@@ -23,14 +24,8 @@
     Ok(())
 }
 
-/// Begins to log to standard output.
-pub(crate) fn start_to_output(level: &str) -> std::io::Result<()> {
+/// Begins to log to standard output, through a ring that never blocks.
+pub(crate) fn start_to_output(level: &str) -> std::io::Result<LogRing> {
     let level = level.parse().unwrap_or(LevelFilter::Info);
-    let config = ConfigBuilder::new()
-        .set_time_level(LevelFilter::Off)
-        .set_thread_level(LevelFilter::Off)
-        .set_target_level(LevelFilter::Off)
-        .build();
-    let _ = WriteLogger::init(level, config, std::io::stdout());
-    Ok(())
+    brasspond_telemetry::start(level, LogLimits::default(), std::io::stdout())
 }
--- a/crates/brasspond/src/process.rs
+++ b/crates/brasspond/src/process.rs
@@ -6,18 +6,25 @@
 use crate::options::{CheckProcessOptions, ProcessOptions};
 use brasspond_platform::{PlatformSettings, Role, connect, read_settings, settings_path};
 use std::path::PathBuf;
+use std::time::Duration;
 use tokio::task::LocalSet;
 
+/// Longest wait at the end for log lines to be written.
+const FLUSH_TIME: Duration = Duration::from_millis(200);
+
 /// Runs the process whose settings the platform wrote.
 pub(crate) fn run(options: &ProcessOptions) -> Outcome {
     let settings = match read(options.settings.clone(), options.metrics_port) {
         Ok(settings) => settings,
         Err(outcome) => return outcome,
     };
-    if let Err(error) = logging::start_to_output(&options.log_level) {
-        eprintln!("cannot log: {error}");
-        return Outcome::Failed;
-    }
+    let log_ring = match logging::start_to_output(&options.log_level) {
+        Ok(log_ring) => log_ring,
+        Err(error) => {
+            eprintln!("cannot log: {error}");
+            return Outcome::Failed;
+        }
+    };
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build();
@@ -31,10 +38,15 @@
     let result = LocalSet::new().block_on(&runtime, async {
         let outside = connect(&settings);
         match settings.role {
-            Role::Edge(settings) => brasspond_cluster::edge::run(settings, outside).await,
-            Role::Storage(settings) => brasspond_cluster::storage::run(settings, outside).await,
+            Role::Edge(settings) => {
+                brasspond_cluster::edge::run(settings, outside, Some(log_ring.clone())).await
+            }
+            Role::Storage(settings) => {
+                brasspond_cluster::storage::run(settings, outside, Some(log_ring.clone())).await
+            }
         }
     });
+    log_ring.flush(FLUSH_TIME);
     match result {
         Ok(()) => Outcome::Fine,
         Err(error) => {
--- a/crates/cluster-protocol/src/lib.rs
+++ b/crates/cluster-protocol/src/lib.rs
@@ -62,6 +62,19 @@
     Members,
 }
 
+impl Question {
+    /// Name for logs and metrics.
+    pub fn name(&self) -> &'static str {
+        match self {
+            Self::Submit(_) => "submit",
+            Self::Results { .. } => "results",
+            Self::Body { .. } => "body",
+            Self::End { .. } => "end",
+            Self::Members => "members",
+        }
+    }
+}
+
 /// An answer to a [`Question`].
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub enum Answer {
--- a/crates/cluster-protocol/src/run.rs
+++ b/crates/cluster-protocol/src/run.rs
@@ -13,6 +13,12 @@
     pub number: u64,
 }
 
+impl std::fmt::Display for AttemptId {
+    fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(formatter, "{}.{}", self.term, self.number)
+    }
+}
+
 /// An event of a stream.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct StreamEvent {
@@ -79,6 +85,22 @@
     Cancelled,
 }
 
+impl RunEnd {
+    /// Name for logs and metrics.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Whole => "whole",
+            Self::NotRun { .. } => "not_run",
+            Self::Failed => "failed",
+            Self::Impossible => "impossible",
+            Self::TooOld => "too_old",
+            Self::Unreachable => "unreachable",
+            Self::Broken => "broken",
+            Self::Cancelled => "cancelled",
+        }
+    }
+}
+
 /// A run as an edge tells a new leader of it.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct RunReport {
--- a/crates/cluster/src/edge/balance.rs
+++ b/crates/cluster/src/edge/balance.rs
@@ -48,7 +48,9 @@
         }
     }
 
-    pub fn take_view(&mut self, view: &FleetView) {
+    /// Takes a newer view; returns how many replicas took work before.
+    pub fn take_view(&mut self, view: &FleetView) -> usize {
+        let before = self.replicas.values().filter(|one| !one.draining).count();
         self.replicas.retain(|id, _| view.replicas.contains_key(id));
         for (id, info) in view.replicas.iter() {
             let known = self.replicas.entry(id.clone()).or_insert_with(|| Known {
@@ -66,6 +68,7 @@
             known.draining = info.draining;
             known.slots = info.slots;
         }
+        before
     }
 
     /// The replica expected to answer first; those in `tried` only if there is
@@ -130,6 +133,12 @@
             let time = time.as_secs_f64() * 1_000.0;
             let before = known.answer_ms.unwrap_or(time);
             known.answer_ms = Some(before + TIME_WEIGHT * (time - before));
+            if known.faults > 0 {
+                log::info!(
+                    "event=replica_regained replica={id} faults={}",
+                    known.faults
+                );
+            }
             known.faults = 0;
             known.paused_until = None;
         }
@@ -146,7 +155,13 @@
         if let Some(known) = self.replicas.get_mut(id) {
             let pause = FIRST_PAUSE * (1 << known.faults.min(4));
             known.faults += 1;
-            known.paused_until = Some(Instant::now() + pause.min(LONGEST_PAUSE));
+            let pause = pause.min(LONGEST_PAUSE);
+            known.paused_until = Some(Instant::now() + pause);
+            log::info!(
+                "event=replica_paused replica={id} faults={} pause_ms={}",
+                known.faults,
+                pause.as_millis()
+            );
         }
     }
 }
--- a/crates/cluster/src/edge/forward.rs
+++ b/crates/cluster/src/edge/forward.rs
@@ -54,6 +54,7 @@
     pub route: Route,
     pub deadline: Instant,
     pub id: String,
+    arrived: Instant,
     head: Parts,
     body: Bytes,
     service: String,
@@ -75,6 +76,10 @@
         count.get()
     });
     let Some(target) = choose_target(&route.targets, count) else {
+        log::info!(
+            "event=request_failed route={} reason=no_service",
+            route.name
+        );
         return unavailable(Duration::from_millis(300));
     };
     let held = header_number(&head.headers, &names.deadline_ms).unwrap_or(route.timeout_ms);
@@ -88,6 +93,7 @@
         head,
         body,
         id,
+        arrived,
     };
     request.run(counted).await
 }
@@ -108,9 +114,11 @@
             let is_last = attempt == self.route.max_attempts;
             let failed = match self.attempt(&replica, None, is_last).await {
                 Ok(Attempt::Whole(status, headers, body)) => {
+                    self.log_answer(&replica, attempt, status);
                     return response(status, &headers, whole(body));
                 }
                 Ok(Attempt::Stream(status, headers, upstream)) => {
+                    self.log_answer(&replica, attempt, status);
                     let body = pass_stream(self, upstream, tried, attempt, counted);
                     return response(status, &headers, body);
                 }
@@ -136,6 +144,23 @@
         self.refuse(may_have_run, last_answer, tried.len())
     }
 
+    fn log_answer(&self, replica: &str, attempt: u32, status: StatusCode) {
+        let view = self.edge.view.borrow();
+        let elapsed = self.arrived.elapsed();
+        log::info!(
+            "event=request_answered request={} route={} replica={replica} attempt={attempt} status={} elapsed_ms={} left_ms={} configuration={} replicas_revision={}",
+            self.id,
+            self.route.name,
+            status.as_u16(),
+            elapsed.as_millis(),
+            self.left().as_millis(),
+            view.configuration_revision,
+            view.replicas_revision
+        );
+        let metrics = &self.edge.metrics;
+        metrics.request(&self.route.name, "answered", elapsed.as_secs_f64());
+    }
+
     /// Whether the request may run more than once.
     pub(super) fn is_repeatable(&self) -> bool {
         match self.route.kind {
@@ -179,12 +204,24 @@
         last_answer: Option<Box<(StatusCode, HeaderMap, Bytes)>>,
         attempts: usize,
     ) -> Response<Body> {
+        let view = self.edge.view.borrow();
+        let ready = view.ready_replicas(&self.service).count();
         log::info!(
-            "event=request_failed request={} route={} attempts={attempts} may_have_run={may_have_run} late={} configuration={}",
+            "event=request_failed request={} route={} service={} attempts={attempts} may_have_run={may_have_run} late={} ready_replicas={ready} elapsed_ms={} configuration={} replicas_revision={}",
             self.id,
             self.route.name,
+            self.service,
             self.left().is_zero(),
-            self.edge.view.borrow().configuration_revision
+            self.arrived.elapsed().as_millis(),
+            view.configuration_revision,
+            view.replicas_revision
+        );
+        let outcome = if may_have_run { "failed" } else { "refused" };
+        let metrics = &self.edge.metrics;
+        metrics.request(
+            &self.route.name,
+            outcome,
+            self.arrived.elapsed().as_secs_f64(),
         );
         if let Some(answer) = last_answer {
             let (status, headers, body) = *answer;
@@ -225,6 +262,12 @@
             Err(_) if sent.get() => Err(Failed::MayHaveRun),
             Err(_) => Err(Failed::NotRun { is_full: false }),
         };
+        let outcome = match &result {
+            Ok(_) => "answered",
+            Err(failed) => failed.name(),
+        };
+        let metrics = &self.edge.metrics;
+        metrics.attempt(outcome, begun.elapsed().as_secs_f64());
         if result.is_ok() {
             let mut balance = self.edge.balance.borrow_mut();
             balance.note_answer(replica, begun.elapsed());
--- a/crates/cluster/src/edge/front.rs
+++ b/crates/cluster/src/edge/front.rs
@@ -99,8 +99,11 @@
 
 async fn answer(edge: &Rc<Edge>, request: Request<Incoming>) -> Response<Body> {
     let counted = Counted::new(edge);
+    let begun = Instant::now();
     let (head, body) = request.into_parts();
-    let mut response = match edge.outside.dialect.call(&head) {
+    let call = edge.outside.dialect.call(&head);
+    let told = JobCall::of(&call);
+    let mut response = match call {
         Call::Results {
             job,
             since,
@@ -111,6 +114,9 @@
         Call::Unknown => plain(StatusCode::NOT_FOUND, Bytes::new()),
         Call::Request => service_request(edge, head, body, counted).await,
     };
+    if let Some(told) = told {
+        told.log(edge, response.status(), begun);
+    }
     if edge.draining.get() {
         let close = HeaderValue::from_static("close");
         response
@@ -120,6 +126,43 @@
     response
 }
 
+/// A call about a job, for log and metrics.
+struct JobCall {
+    name: &'static str,
+    job: String,
+}
+
+impl JobCall {
+    fn of(call: &Call) -> Option<Self> {
+        let (name, job) = match call {
+            Call::Results { job, .. } => ("results", job),
+            Call::Body { job, .. } => ("body", job),
+            Call::End { job } => ("end", job),
+            Call::Unknown | Call::Request => return None,
+        };
+        Some(Self {
+            name,
+            job: job.clone(),
+        })
+    }
+
+    fn log(&self, edge: &Edge, status: StatusCode, begun: Instant) {
+        let elapsed = begun.elapsed();
+        let code = status.as_u16();
+        edge.metrics
+            .job_call(self.name, &code.to_string(), elapsed.as_secs_f64());
+        if !status.is_success() || self.name == "end" {
+            log::info!(
+                "event=job_call call={} job={} status={code} elapsed_ms={} leader_known={}",
+                self.name,
+                self.job,
+                elapsed.as_millis(),
+                edge.cluster.borrow().leader().is_some()
+            );
+        }
+    }
+}
+
 async fn service_request(
     edge: &Rc<Edge>,
     head: hyper::http::request::Parts,
@@ -128,10 +171,19 @@
 ) -> Response<Body> {
     let arrived = Instant::now();
     let Some(configuration) = edge.view.borrow().configuration.clone() else {
+        log::info!(
+            "event=request_failed path={} reason=no_configuration",
+            head.uri.path()
+        );
         return unavailable(Duration::from_millis(300));
     };
     let host = host_of(&head);
     let Some(route) = configuration.route(&host, head.uri.path()) else {
+        log::info!(
+            "event=request_failed host={host} path={} reason=no_route configuration={}",
+            head.uri.path(),
+            configuration.version
+        );
         return plain(StatusCode::NOT_FOUND, Bytes::new());
     };
     let body = match Limited::new(body, configuration.limits.body_bytes)
@@ -179,17 +231,21 @@
     };
     let deadline = arrived + CALL_TIME;
     let question = Question::Submit(submission);
-    match edge.ask(question, Duration::ZERO, deadline).await {
-        Ok(Answer::Done) => plain(StatusCode::ACCEPTED, Bytes::new()),
-        Err(AskError::NotAsked) => {
-            log::info!("event=job_not_taken job={id} reason=no_leader");
-            unavailable(Duration::from_millis(500))
-        }
-        Ok(_) | Err(AskError::Unknown) => {
-            log::info!("event=job_not_taken job={id} reason=unknown");
-            give_up(StatusCode::GATEWAY_TIMEOUT)
-        }
-    }
+    let answer = edge.ask(question, Duration::ZERO, deadline).await;
+    let (outcome, response) = match answer {
+        Ok(Answer::Done) => ("taken", plain(StatusCode::ACCEPTED, Bytes::new())),
+        Err(AskError::NotAsked) => ("no_leader", unavailable(Duration::from_millis(500))),
+        Ok(_) | Err(AskError::Unknown) => ("unknown", give_up(StatusCode::GATEWAY_TIMEOUT)),
+    };
+    let elapsed = arrived.elapsed();
+    log::info!(
+        "event=job_call call=submit job={id} outcome={outcome} status={} elapsed_ms={}",
+        response.status().as_u16(),
+        elapsed.as_millis()
+    );
+    edge.metrics
+        .job_call("submit", outcome, elapsed.as_secs_f64());
+    response
 }
 
 async fn results(edge: &Rc<Edge>, job: String, since: u64, wait_ms: u64) -> Response<Body> {
--- a/crates/cluster/src/edge/process.rs
+++ b/crates/cluster/src/edge/process.rs
@@ -12,6 +12,7 @@
 use crate::upstream::Pool;
 use brasspond_cluster_protocol::Peer;
 use brasspond_fleet::FleetView;
+use brasspond_telemetry::{EdgeMetrics, LogRing};
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::time::Duration;
@@ -40,6 +41,7 @@
     pub runs: RefCell<Runs>,
     pub run_news: mpsc::Sender<RunNews>,
     pub draining: Cell<bool>,
+    pub metrics: EdgeMetrics,
     pub requests: Cell<usize>,
     /// Becomes true when connections are to end after their present request.
     pub closing: tokio::sync::watch::Sender<bool>,
@@ -49,7 +51,11 @@
 ///
 /// # Errors
 /// See [`ProcessError`].
-pub async fn run(settings: EdgeSettings, outside: Outside) -> Result<(), ProcessError> {
+pub async fn run(
+    settings: EdgeSettings,
+    outside: Outside,
+    log_ring: Option<LogRing>,
+) -> Result<(), ProcessError> {
     let front_listener = TcpListener::bind(settings.front).await;
     let front_listener = front_listener.map_err(ProcessError::Listen)?;
     let ready_listener = TcpListener::bind(settings.ready).await;
@@ -83,6 +89,7 @@
         runs: RefCell::new(Runs::default()),
         run_news,
         draining: Cell::new(false),
+        metrics: EdgeMetrics::default(),
         requests: Cell::new(0),
         closing: tokio::sync::watch::Sender::new(false),
     });
@@ -96,6 +103,7 @@
     tokio::task::spawn_local(ready::serve(Rc::clone(&edge), ready_listener));
     tokio::task::spawn_local(front::serve(Rc::clone(&edge), front_listener));
     tokio::task::spawn_local(super::cluster::find_members(Rc::clone(&edge)));
+    serve_metrics(&edge, log_ring);
     let mut observed = edge.outside.observed.clone();
     let mut tick = tokio::time::interval(TICK);
     tick.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
@@ -105,6 +113,7 @@
             Some(news) = run_events.recv() => edge.on_run_news(news),
             Ok(()) = observed.changed() => {
                 let seen = observed.borrow_and_update().clone();
+                edge.metrics.store_reachable(seen.reachable);
                 edge.take_view(&seen.view);
             }
             _ = tick.tick() => edge.tick(),
@@ -121,6 +130,17 @@
     }
 }
 
+fn serve_metrics(edge: &Rc<Edge>, log_ring: Option<LogRing>) {
+    if let Some(address) = edge.settings.process.metrics_address {
+        let edge = Rc::clone(edge);
+        let text = move || {
+            let dropped = log_ring.as_ref().map_or(0, LogRing::dropped);
+            edge.metrics.text(dropped)
+        };
+        tokio::task::spawn_local(crate::metrics_server::serve(address, Rc::new(text)));
+    }
+}
+
 /// After the time in which new connections still come, ends all connections as
 /// their requests end.
 async fn finish(edge: Rc<Edge>) {
@@ -153,7 +173,15 @@
         let changed = self.view.borrow_mut().merge(view);
         if changed {
             let view = self.view.borrow();
-            self.balance.borrow_mut().take_view(&view);
+            let was_ready = self.balance.borrow_mut().take_view(&view);
+            let ready = view.replicas.values().filter(|one| !one.draining).count();
+            if was_ready != ready {
+                log::info!(
+                    "event=replicas_known revision={} all={} ready={ready} before={was_ready}",
+                    view.replicas_revision,
+                    view.replicas.len()
+                );
+            }
         }
     }
 
--- a/crates/cluster/src/edge/runs.rs
+++ b/crates/cluster/src/edge/runs.rs
@@ -109,6 +109,7 @@
             return;
         }
         held.end = Some(end);
+        self.metrics.run(end.name());
         held.task.abort();
         let events = take_untold(&held.progress);
         if let Some(leader) = self.cluster.borrow().leader() {
--- a/crates/cluster/src/lib.rs
+++ b/crates/cluster/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod clock;
 pub mod edge;
 pub mod link;
+mod metrics_server;
 pub mod outside;
 pub mod settings;
 pub mod storage;
--- a/crates/cluster/src/storage/asks.rs
+++ b/crates/cluster/src/storage/asks.rs
@@ -16,6 +16,8 @@
 struct Asker {
     link: LinkId,
     number: u64,
+    /// When it asked, in ms of this process's clock.
+    asked_at: u64,
 }
 
 /// A question about results that waits for one.
@@ -37,17 +39,25 @@
 }
 
 impl Asks {
-    /// The entry at `index` is committed and applied.
-    pub fn committed(&mut self, index: u64) {
-        if let Some(askers) = self.proposed.remove(&index) {
-            self.done.extend(askers);
-        }
+    /// The entry at `index` is committed and applied; returns how long each that
+    /// asked for it waited, in ms.
+    pub fn committed(&mut self, index: u64, now: u64) -> Vec<u64> {
+        let askers = self.proposed.remove(&index).unwrap_or_default();
+        let waits = askers.iter().map(|one| now.saturating_sub(one.asked_at));
+        let waits = waits.collect();
+        self.done.extend(askers);
+        waits
     }
 }
 
 impl Storage {
     pub(super) fn on_question(&mut self, link: LinkId, number: u64, question: Question) {
-        let asker = Asker { link, number };
+        let asker = Asker {
+            link,
+            number,
+            asked_at: self.clock.now(),
+        };
+        self.metrics.question(question.name());
         if let Question::Members = question {
             let members = self.consensus.members().to_vec();
             self.answer(asker, Answer::Members(members));
--- a/crates/cluster/src/storage/leading.rs
+++ b/crates/cluster/src/storage/leading.rs
@@ -128,6 +128,7 @@
         let settings = Settings::default();
         let view = self.view.clone();
         let dispatcher = Dispatcher::new(term, settings, &self.table, view, leases, now);
+        self.metrics.leadership();
         self.outside.interest.send_replace(Interest::ALL);
         self.leading = Some(Leading {
             dispatcher,
@@ -315,12 +316,15 @@
                 attempt,
                 events,
                 end,
-            } => self.dispatch(Event::Ended {
-                machine,
-                attempt,
-                events,
-                end,
-            }),
+            } => {
+                self.metrics.run_ended(end.name());
+                self.dispatch(Event::Ended {
+                    machine,
+                    attempt,
+                    events,
+                    end,
+                });
+            }
             Message::Draining => {
                 log::info!("event=edge_draining machine={machine}");
                 self.dispatch(Event::EdgeDraining(machine));
@@ -432,6 +436,12 @@
         }
     }
 
+    /// Runs under way and items that wait.
+    pub(super) fn dispatch_load(&self) -> (usize, usize) {
+        let leading = self.leading.as_ref();
+        leading.map_or((0, 0), |leading| leading.dispatcher.counts())
+    }
+
     pub(super) fn has_proposals(&self) -> bool {
         self.leading
             .as_ref()
--- a/crates/cluster/src/storage/process.rs
+++ b/crates/cluster/src/storage/process.rs
@@ -14,10 +14,12 @@
 use brasspond_durable::{RecordLog, RecordLogError};
 use brasspond_fleet::FleetView;
 use brasspond_jobs::{Accepted, Command, JobTable};
+use brasspond_telemetry::{LogRing, StorageMetrics, StorageState};
 use displaydoc::Display;
+use std::cell::Cell;
 use std::collections::HashMap;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use tokio::net::TcpListener;
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::mpsc;
@@ -90,6 +92,9 @@
     pub local: mpsc::Sender<Local>,
     pub events: mpsc::Sender<LinkEvent>,
     pub numbers: Rc<LinkNumbers>,
+    pub metrics: Rc<StorageMetrics>,
+    /// For whoever asks for metrics; renewed from time to time.
+    pub state: Rc<Cell<StorageState>>,
     disk: RecordLog,
     stopping: Option<u64>,
 }
@@ -98,7 +103,11 @@
 ///
 /// # Errors
 /// See [`ProcessError`].
-pub async fn run(settings: StorageSettings, outside: Outside) -> Result<(), ProcessError> {
+pub async fn run(
+    settings: StorageSettings,
+    outside: Outside,
+    log_ring: Option<LogRing>,
+) -> Result<(), ProcessError> {
     let opened = RecordLog::open(&settings.folder, rand::random()).map_err(ProcessError::Disk)?;
     let listener = TcpListener::bind(settings.process.cluster_address).await;
     let listener = listener.map_err(ProcessError::Listen)?;
@@ -121,6 +130,7 @@
         storage.consensus.last_index()
     );
     storage.begin();
+    storage.serve_metrics(log_ring);
     storage.settle()?;
     loop {
         let now = storage.clock.now();
@@ -193,6 +203,8 @@
             local,
             events,
             numbers: Rc::new(LinkNumbers::default()),
+            metrics: Rc::new(StorageMetrics::default()),
+            state: Rc::default(),
             disk,
             stopping: None,
         })
@@ -289,9 +301,11 @@
             let must_sync = ready.must_sync();
             if must_sync {
                 let hard_state = self.consensus.hard_state();
+                let begun = Instant::now();
                 self.disk
                     .keep(&ready, hard_state)
                     .map_err(ProcessError::Disk)?;
+                self.metrics.sync(begun.elapsed().as_secs_f64());
             }
             if let Some(snapshot) = &ready.snapshot {
                 self.table = JobTable::decode(&snapshot.state)
@@ -318,6 +332,9 @@
             }
         }
         self.consensus.compact(LOG_MEMORY);
+        if self.settings.process.metrics_address.is_some() {
+            self.note_state();
+        }
         if self.disk.bytes() > LONGEST_FILE {
             self.begin_file_anew()?;
         }
@@ -383,7 +400,10 @@
         }
         let told = Told::of(&command);
         let accepted = self.table.apply(command);
-        self.asks.committed(entry.index);
+        let waits = self.asks.committed(entry.index, self.clock.now());
+        for wait_ms in waits {
+            self.metrics.commit(wait_ms as f64 / 1_000.0);
+        }
         self.tell(told, accepted);
         Ok(())
     }
@@ -437,6 +457,36 @@
         }
     }
 
+    fn serve_metrics(&self, log_ring: Option<LogRing>) {
+        let Some(address) = self.settings.process.metrics_address else {
+            return;
+        };
+        let metrics = Rc::clone(&self.metrics);
+        let state = Rc::clone(&self.state);
+        let text = move || {
+            let mut state = state.get();
+            state.log_lines_dropped = log_ring.as_ref().map_or(0, LogRing::dropped);
+            metrics.text(&state)
+        };
+        tokio::task::spawn_local(crate::metrics_server::serve(address, Rc::new(text)));
+    }
+
+    /// Renews what metrics tell of this process.
+    fn note_state(&self) {
+        let load = self.dispatch_load();
+        self.state.set(StorageState {
+            term: self.consensus.term(),
+            committed: self.consensus.commit_index(),
+            file_bytes: self.disk.bytes(),
+            voters: self.consensus.members().len(),
+            leads: self.leading.is_some(),
+            jobs: self.table.jobs().count(),
+            running: load.0,
+            waiting: load.1,
+            log_lines_dropped: 0,
+        });
+    }
+
     fn begin_stop(&mut self) {
         let now = self.clock.now();
         log::info!(
--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -277,6 +277,11 @@
         std::mem::take(&mut self.actions)
     }
 
+    /// Runs under way and items that wait.
+    pub fn counts(&self) -> (usize, usize) {
+        (self.runs.len(), self.jobs.waiting())
+    }
+
     /// What there is to do at present.
     pub fn load(&self) -> Load {
         let mut replicas = String::new();
--- a/crates/dispatch/src/runs.rs
+++ b/crates/dispatch/src/runs.rs
@@ -118,12 +118,18 @@
             single_version,
             events: events.clone(),
         };
-        log::debug!(
-            "event=run_started job={id} item={} attempt={}.{} replica={replica} edge={machine} events={}",
+        log::info!(
+            "event=run_started job={id} item={} attempt={} replica={replica} edge={machine} events={} waited_ms={} expected_tokens={} version={} min_version={} runs_there={} event_ms={:.1} replicas_revision={}",
             stored.id,
-            attempt.term,
-            attempt.number,
-            events.len()
+            attempt,
+            events.len(),
+            now - job.since,
+            stored.expected_tokens,
+            known.versions.get(&job.model).copied().unwrap_or(0),
+            job.min_version,
+            known.running,
+            known.event_ms.unwrap_or(0.0),
+            self.view.replicas_revision
         );
         let run = Run {
             machine: machine.clone(),
@@ -194,13 +200,12 @@
             return;
         };
         self.judge_replica(&run.replica, end, now);
-        log::debug!(
-            "event=run_ended job={} item={} attempt={}.{} replica={} end={end:?} events={}",
+        log::info!(
+            "event=run_ended job={} item={} attempt={attempt} replica={} end={} events={}",
             run.job,
-            run.item,
-            attempt.term,
-            attempt.number,
+            run.item_id,
             run.replica,
+            end.name(),
             run.events.len()
         );
         let Some(job) = self.jobs.jobs.get_mut(&run.job) else {
@@ -439,7 +444,17 @@
     }
 
     /// Stops a run at its edge; its item goes on elsewhere at once.
-    fn move_run(&mut self, attempt: AttemptId, now: Millis) {
+    fn move_run(&mut self, attempt: AttemptId, reason: &str, now: Millis) {
+        if let Some(run) = self.runs.by_id.get(&attempt) {
+            log::info!(
+                "event=run_moved job={} item={} attempt={attempt} replica={} reason={reason} events={} silent_ms={}",
+                run.job,
+                run.item_id,
+                run.replica,
+                run.events.len(),
+                now - run.heard_at
+            );
+        }
         self.cancel(attempt);
         self.abandon_run(attempt, now);
     }
@@ -455,7 +470,7 @@
                 return;
             }
             room -= 1;
-            self.move_run(attempt, now);
+            self.move_run(attempt, "replica_loads", now);
         }
     }
 
@@ -487,12 +502,7 @@
             .collect();
         for (attempt, replica) in stalled {
             self.replicas.note_fault(&replica, now);
-            log::info!(
-                "event=run_stalled attempt={}.{} replica={replica}",
-                attempt.term,
-                attempt.number
-            );
-            self.move_run(attempt, now);
+            self.move_run(attempt, "stalled", now);
         }
     }
 
@@ -532,7 +542,7 @@
                     break;
                 }
                 *room -= 1;
-                self.move_run(attempt, now);
+                self.move_run(attempt, "replica_slow", now);
             }
         }
     }
@@ -554,6 +564,11 @@
         for (id, item) in overdue {
             self.jobs.take_waiting(&id, item);
             if let Some(job) = self.jobs.jobs.get_mut(&id) {
+                log::info!(
+                    "event=item_given_up job={id} item={} waited_ms={}",
+                    job.items[item as usize].id,
+                    now - job.since
+                );
                 job.items[item as usize].state = State::Ending(None);
             }
             self.list(&id, item, Outcome::Terminated);
--- /dev/null
+++ b/crates/telemetry/src/lib.rs
@@ -0,0 +1,12 @@
+//! What an operator sees of a process: log lines and metrics.
+//!
+//! Neither ever makes a request wait: log lines go through a bounded ring to a
+//! thread that writes them, and are counted where they are dropped; metrics are
+//! counters in memory, written out when asked for.
+#![forbid(unsafe_code)]
+
+mod log_ring;
+mod metrics;
+
+pub use log_ring::{LogLimits, LogRing, start};
+pub use metrics::{EdgeMetrics, StorageMetrics, StorageState};
--- /dev/null
+++ b/crates/telemetry/src/metrics.rs
@@ -0,0 +1,299 @@
+//! Metrics of an edge and of a storage process, in the Prometheus text format
+//! (version 0.0.4 as `prometheus-client` writes it).
+
+use prometheus_client::encoding::text::encode;
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::gauge::Gauge;
+use prometheus_client::metrics::histogram::{Histogram, exponential_buckets};
+use prometheus_client::registry::Registry;
+
+type Labels = Vec<(&'static str, String)>;
+type Counters = Family<Labels, Counter>;
+type Histograms = Family<Labels, Histogram>;
+
+/// Buckets from 1 ms to about 16 s.
+fn latency() -> Histogram {
+    Histogram::new(exponential_buckets(0.001, 2.0, 15))
+}
+
+/// Metrics of an edge.
+pub struct EdgeMetrics {
+    registry: Registry,
+    requests: Counters,
+    request_seconds: Histograms,
+    attempts: Counters,
+    attempt_seconds: Histograms,
+    job_calls: Counters,
+    job_call_seconds: Histograms,
+    runs: Counters,
+    store_reachable: Gauge,
+    log_lines_dropped: Gauge,
+}
+
+impl Default for EdgeMetrics {
+    fn default() -> Self {
+        let mut registry = Registry::with_prefix("brasspond_edge");
+        let requests = Counters::default();
+        let request_seconds = Histograms::new_with_constructor(latency);
+        let attempts = Counters::default();
+        let attempt_seconds = Histograms::new_with_constructor(latency);
+        let job_calls = Counters::default();
+        let job_call_seconds = Histograms::new_with_constructor(latency);
+        let runs = Counters::default();
+        let store_reachable = Gauge::default();
+        let log_lines_dropped = Gauge::default();
+        registry.register(
+            "requests",
+            "Requests by route and outcome",
+            requests.clone(),
+        );
+        registry.register(
+            "request_seconds",
+            "Time from a request's arrival to the head of its answer, by route",
+            request_seconds.clone(),
+        );
+        registry.register(
+            "attempts",
+            "Attempts at replicas by outcome",
+            attempts.clone(),
+        );
+        registry.register(
+            "attempt_seconds",
+            "Time of an attempt to the head of its answer, by outcome",
+            attempt_seconds.clone(),
+        );
+        registry.register(
+            "job_calls",
+            "Calls about jobs by call and outcome",
+            job_calls.clone(),
+        );
+        registry.register(
+            "job_call_seconds",
+            "Time of a call about a job, by call",
+            job_call_seconds.clone(),
+        );
+        registry.register("runs", "Runs of items by how they ended", runs.clone());
+        registry.register(
+            "store_reachable",
+            "1 while the platform's store answers",
+            store_reachable.clone(),
+        );
+        registry.register(
+            "log_lines_dropped",
+            "Log lines dropped since the start",
+            log_lines_dropped.clone(),
+        );
+        Self {
+            registry,
+            requests,
+            request_seconds,
+            attempts,
+            attempt_seconds,
+            job_calls,
+            job_call_seconds,
+            runs,
+            store_reachable,
+            log_lines_dropped,
+        }
+    }
+}
+
+impl EdgeMetrics {
+    /// A request ended.
+    pub fn request(&self, route: &str, outcome: &str, seconds: f64) {
+        let labels = vec![
+            ("route", route.to_string()),
+            ("outcome", outcome.to_string()),
+        ];
+        self.requests.get_or_create(&labels).inc();
+        let labels = vec![("route", route.to_string())];
+        self.request_seconds.get_or_create(&labels).observe(seconds);
+    }
+
+    /// An attempt at a replica ended.
+    pub fn attempt(&self, outcome: &str, seconds: f64) {
+        let labels = vec![("outcome", outcome.to_string())];
+        self.attempts.get_or_create(&labels).inc();
+        self.attempt_seconds.get_or_create(&labels).observe(seconds);
+    }
+
+    /// A call about a job was answered.
+    pub fn job_call(&self, call: &str, outcome: &str, seconds: f64) {
+        let labels = vec![("call", call.to_string()), ("outcome", outcome.to_string())];
+        self.job_calls.get_or_create(&labels).inc();
+        let labels = vec![("call", call.to_string())];
+        self.job_call_seconds
+            .get_or_create(&labels)
+            .observe(seconds);
+    }
+
+    /// A run of an item ended.
+    pub fn run(&self, end: &str) {
+        let labels = vec![("end", end.to_string())];
+        self.runs.get_or_create(&labels).inc();
+    }
+
+    /// Whether the platform's store answers.
+    pub fn store_reachable(&self, reachable: bool) {
+        self.store_reachable.set(i64::from(reachable));
+    }
+
+    /// All metrics as text.
+    pub fn text(&self, log_lines_dropped: u64) -> String {
+        self.log_lines_dropped.set(log_lines_dropped as i64);
+        text(&self.registry)
+    }
+}
+
+/// Metrics of a storage process.
+pub struct StorageMetrics {
+    registry: Registry,
+    questions: Counters,
+    sync_seconds: Histogram,
+    commit_seconds: Histogram,
+    orders: Counters,
+    runs_ended: Counters,
+    leaderships: Counter,
+    term: Gauge,
+    committed: Gauge,
+    file_bytes: Gauge,
+    voters: Gauge,
+    leads: Gauge,
+    jobs: Gauge,
+    running: Gauge,
+    waiting: Gauge,
+    log_lines_dropped: Gauge,
+}
+
+/// State of a storage process at one moment.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct StorageState {
+    /// Term of the log.
+    pub term: u64,
+    /// Last committed index.
+    pub committed: u64,
+    /// Bytes of the log's file.
+    pub file_bytes: u64,
+    /// Members that vote.
+    pub voters: usize,
+    /// Whether this process leads.
+    pub leads: bool,
+    /// Jobs in the table.
+    pub jobs: usize,
+    /// Runs under way, if it leads.
+    pub running: usize,
+    /// Items that wait, if it leads.
+    pub waiting: usize,
+    /// Log lines dropped since the start.
+    pub log_lines_dropped: u64,
+}
+
+impl Default for StorageMetrics {
+    fn default() -> Self {
+        let mut registry = Registry::with_prefix("brasspond_storage");
+        let questions = Counters::default();
+        let sync_seconds = latency();
+        let commit_seconds = latency();
+        let orders = Counters::default();
+        let runs_ended = Counters::default();
+        let leaderships = Counter::default();
+        registry.register("questions", "Questions of edges by kind", questions.clone());
+        registry.register(
+            "sync_seconds",
+            "Time to write and sync the log's file",
+            sync_seconds.clone(),
+        );
+        registry.register(
+            "commit_seconds",
+            "Time from a proposal for an edge to its commit",
+            commit_seconds.clone(),
+        );
+        registry.register("orders", "Orders to replicas by answer", orders.clone());
+        registry.register("runs_ended", "Runs by how they ended", runs_ended.clone());
+        registry.register(
+            "leaderships",
+            "Times this process began to lead",
+            leaderships.clone(),
+        );
+        let mut gauge = |name: &str, help: &str| {
+            let gauge = Gauge::default();
+            registry.register(name, help, gauge.clone());
+            gauge
+        };
+        Self {
+            term: gauge("term", "Term of the log"),
+            committed: gauge("committed_index", "Last committed index"),
+            file_bytes: gauge("file_bytes", "Bytes of the log's file"),
+            voters: gauge("voters", "Members that vote"),
+            leads: gauge("leads", "1 while this process leads"),
+            jobs: gauge("jobs", "Jobs in the table"),
+            running: gauge("runs", "Runs under way, where it leads"),
+            waiting: gauge("items_waiting", "Items that wait, where it leads"),
+            log_lines_dropped: gauge("log_lines_dropped", "Log lines dropped since the start"),
+            registry,
+            questions,
+            sync_seconds,
+            commit_seconds,
+            orders,
+            runs_ended,
+            leaderships,
+        }
+    }
+}
+
+impl StorageMetrics {
+    /// An edge asked something.
+    pub fn question(&self, kind: &str) {
+        let labels = vec![("kind", kind.to_string())];
+        self.questions.get_or_create(&labels).inc();
+    }
+
+    /// The file was written and synced.
+    pub fn sync(&self, seconds: f64) {
+        self.sync_seconds.observe(seconds);
+    }
+
+    /// A proposal for an edge was committed.
+    pub fn commit(&self, seconds: f64) {
+        self.commit_seconds.observe(seconds);
+    }
+
+    /// A replica answered an order.
+    pub fn order(&self, answer: &str) {
+        let labels = vec![("answer", answer.to_string())];
+        self.orders.get_or_create(&labels).inc();
+    }
+
+    /// A run ended.
+    pub fn run_ended(&self, end: &str) {
+        let labels = vec![("end", end.to_string())];
+        self.runs_ended.get_or_create(&labels).inc();
+    }
+
+    /// This process began to lead.
+    pub fn leadership(&self) {
+        self.leaderships.inc();
+    }
+
+    /// All metrics as text.
+    pub fn text(&self, state: &StorageState) -> String {
+        self.term.set(state.term as i64);
+        self.committed.set(state.committed as i64);
+        self.file_bytes.set(state.file_bytes as i64);
+        self.voters.set(state.voters as i64);
+        self.leads.set(i64::from(state.leads));
+        self.jobs.set(state.jobs as i64);
+        self.running.set(state.running as i64);
+        self.waiting.set(state.waiting as i64);
+        self.log_lines_dropped.set(state.log_lines_dropped as i64);
+        text(&self.registry)
+    }
+}
+
+fn text(registry: &Registry) -> String {
+    let mut text = String::new();
+    // Writing to a string does not fail.
+    let _ = encode(&mut text, registry);
+    text
+}
