The real programs before a stand-in of the platform; the explain command

Change: a stand-in of the store and of replicas in the tests, a cluster of five processes; tests for a leader and its disk lost, all processes ended, a planned stop, the store down, at-most-once, versions, retirement, metrics read by a library; brasspond explain ID FILE... Found: an edge that starts while the store is down finds the leader only by its seeds; a test whose one seed was itself never did (the platform gives three).

--- /dev/null
+++ b/crates/brasspond/src/explain.rs
@@ -0,0 +1,39 @@
+//! `brasspond explain`: one request's, item's or job's story out of log files.
+
+use crate::exit::Outcome;
+use crate::options::ExplainOptions;
+use brasspond_telemetry::Story;
+use std::fs::File;
+use std::io::{BufReader, Write};
+
+/// Prints the story in the order of time, its cause at the end.
+pub(crate) fn run(options: &ExplainOptions) -> Outcome {
+    let mut story = Story::of(&options.id);
+    for path in &options.files {
+        let source = path.file_stem().unwrap_or(path.as_os_str());
+        let source = source.to_string_lossy().into_owned();
+        let file = match File::open(path) {
+            Ok(file) => file,
+            Err(error) => {
+                eprintln!("{}: {error}", path.display());
+                return Outcome::Usage;
+            }
+        };
+        let progress = |lines| eprintln!("{source}: {lines} lines read");
+        if let Err(error) = story.read(&source, BufReader::new(file), progress) {
+            eprintln!("{}: {error}", path.display());
+            return Outcome::Failed;
+        }
+    }
+    if !story.is_known() {
+        eprintln!("{}: no line names it", options.id);
+        return Outcome::Failed;
+    }
+    let mut output = std::io::stdout().lock();
+    for line in story.tell() {
+        if writeln!(output, "{line}").is_err() {
+            return Outcome::Failed;
+        }
+    }
+    Outcome::Fine
+}
--- a/crates/brasspond/src/main.rs
+++ b/crates/brasspond/src/main.rs
@@ -10,6 +10,7 @@
 mod emulate;
 mod exit;
 mod experiment;
+mod explain;
 mod fuzz;
 mod logging;
 mod node;
@@ -37,6 +38,7 @@
     let outcome = match command {
         Command::Node(options) => node::run(&options),
         Command::Edge(options) | Command::Storage(options) => process::run(&options),
+        Command::Explain(options) => explain::run(&options),
         Command::CheckProcess(options) => process::check(&options),
         Command::Check(options) => check::run(&options),
         Command::Get(options) => client::get(&options),
--- a/crates/brasspond/src/options.rs
+++ b/crates/brasspond/src/options.rs
@@ -53,6 +53,17 @@
     pub(crate) metrics_port: Option<u16>,
 }
 
+/// What to explain.
+#[derive(Clone, Debug, Bpaf)]
+pub(crate) struct ExplainOptions {
+    /// Identity of a request, an item or a job
+    #[bpaf(positional("ID"))]
+    pub(crate) id: String,
+    /// Log files, one a process
+    #[bpaf(positional("FILE"), some("at least one log file"))]
+    pub(crate) files: Vec<PathBuf>,
+}
+
 /// What to check.
 #[derive(Clone, Debug, Bpaf)]
 pub(crate) struct CheckProcessOptions {
@@ -348,6 +359,11 @@
     /// Example: brasspond check-process settings.yaml
     #[bpaf(command("check-process"))]
     CheckProcess(#[bpaf(external(check_process_options))] CheckProcessOptions),
+    /// Tell one request's, item's or job's story out of log files
+    ///
+    /// Example: brasspond explain 9c41d07be2a35f68 edge-a-1.log storage-a-1.log
+    #[bpaf(command)]
+    Explain(#[bpaf(external(explain_options))] ExplainOptions),
     /// Check settings and manifests without starting anything
     ///
     /// Example: brasspond check node-0.toml resources.yaml
--- /dev/null
+++ b/crates/brasspond/tests/cluster.rs
@@ -0,0 +1,252 @@
+//! The real programs as separate processes before a stand-in of the platform.
+
+mod platform_standin;
+
+use nix::sys::signal::Signal;
+use platform_standin::processes::{Cluster, call, job, results, text};
+use platform_standin::{EVENTS, event_data};
+use rstest::rstest;
+use std::collections::BTreeSet;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+/// Starting five programs and their timers take seconds; a hang takes longer.
+fn whole_text(request: &str) -> String {
+    let events: Vec<String> = (1..=EVENTS)
+        .map(|number| event_data(request, number))
+        .collect();
+    events.join("\n")
+}
+
+fn check_results(results: &[(String, String)], items: usize) {
+    let ids: BTreeSet<&str> = results.iter().map(|(id, _)| id.as_str()).collect();
+    assert_eq!((results.len(), ids.len()), (items, items), "each item once");
+    for (id, text) in results {
+        assert_eq!(*text, whole_text(id), "the whole text of its own item");
+    }
+}
+
+#[rstest]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_job_survives_its_leader_and_a_lost_disk() {
+    const ITEMS: usize = 40;
+    let mut cluster = Cluster::start().await;
+    let response = call(
+        cluster.edges[0].front,
+        "POST",
+        "/jobs/x",
+        "job-1",
+        job(ITEMS),
+    )
+    .await;
+    assert_eq!(response.expect("answered").status(), 202);
+    tokio::time::sleep(Duration::from_millis(400)).await;
+    let leader = cluster.leader();
+    cluster.storage[leader].kill();
+    cluster.storage[leader].wipe();
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    cluster.storage[leader].start();
+    let first = results(cluster.edges[0].front, "job-1", ITEMS).await;
+    check_results(&first, ITEMS);
+    // The machine that lost its disk votes again under another identity.
+    cluster.storage[leader]
+        .await_line("event=members_changed")
+        .await;
+    let next = cluster.leader();
+    assert_ne!(next, leader);
+    let second = results(cluster.edges[1].front, "job-1", ITEMS).await;
+    assert_eq!(first, second, "positions agree at every edge");
+    let again = call(
+        cluster.edges[1].front,
+        "POST",
+        "/jobs/x",
+        "job-1",
+        job(ITEMS),
+    )
+    .await;
+    assert_eq!(
+        again.expect("answered").status(),
+        202,
+        "taken once, answered again"
+    );
+    assert_eq!(results(cluster.edges[0].front, "job-1", ITEMS).await, first);
+}
+
+#[rstest]
+#[tokio::test(flavor = "multi_thread")]
+async fn all_processes_may_end_at_once() {
+    const ITEMS: usize = 20;
+    let mut cluster = Cluster::start().await;
+    let response = call(
+        cluster.edges[0].front,
+        "POST",
+        "/jobs/x",
+        "job-2",
+        job(ITEMS),
+    )
+    .await;
+    assert_eq!(response.expect("answered").status(), 202);
+    tokio::time::sleep(Duration::from_millis(200)).await;
+    for machine in cluster.storage.iter_mut().chain(&mut cluster.edges) {
+        machine.kill();
+    }
+    for machine in cluster.storage.iter_mut().chain(&mut cluster.edges) {
+        machine.start();
+    }
+    check_results(
+        &results(cluster.edges[1].front, "job-2", ITEMS).await,
+        ITEMS,
+    );
+}
+
+/// An edge told to stop ended with streams under way: it counted a request only
+/// until the head of its answer was returned.
+#[rstest]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_planned_stop_cuts_no_stream() {
+    let mut cluster = Cluster::start().await;
+    let front = cluster.edges[0].front;
+    // As connections come until the platform has noticed, some begin late.
+    cluster.edges[0].signal(Signal::SIGTERM);
+    tokio::time::sleep(Duration::from_millis(2_450)).await;
+    let response = call(front, "POST", "/streams/x", "stream-1", "body").await;
+    let stream = text(response.expect("still served")).await.expect("whole");
+    assert_eq!(stream.matches("data: ").count() as u64, EVENTS);
+    let well = cluster.edges[0].ended(Duration::from_secs(8)).await;
+    assert_eq!(well, Some(true), "ends by itself, in time");
+}
+
+#[rstest]
+#[tokio::test(flavor = "multi_thread")]
+async fn service_goes_on_while_the_store_is_down() {
+    const ITEMS: usize = 8;
+    let mut cluster = Cluster::start().await;
+    // The leader copies the view into the log about once a second.
+    tokio::time::sleep(Duration::from_millis(1_500)).await;
+    cluster.store.down.store(true, Ordering::Relaxed);
+    let response = call(
+        cluster.edges[0].front,
+        "POST",
+        "/jobs/x",
+        "job-3",
+        job(ITEMS),
+    )
+    .await;
+    assert_eq!(response.expect("answered").status(), 202);
+    check_results(
+        &results(cluster.edges[1].front, "job-3", ITEMS).await,
+        ITEMS,
+    );
+    // A process started meanwhile gets the newest known view from the leader.
+    cluster.edges[0].kill();
+    cluster.edges[0].start();
+    cluster.edges[0].await_line("event=replicas_known").await;
+    let response = call(
+        cluster.edges[0].front,
+        "POST",
+        "/reads/x",
+        "read-1",
+        "hello",
+    )
+    .await;
+    let response = response.expect("answered");
+    assert_eq!(response.status(), 200);
+    assert_eq!(text(response).await.as_deref(), Some("hello"));
+}
+
+#[rstest]
+#[case::may_be_repeated("/reads/x", 502, 3)]
+#[case::may_not("/writes/x", 502, 1)]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_broken_answer_is_asked_again_only_where_allowed(
+    #[case] path: &str,
+    #[case] status: u16,
+    #[case] runs: u32,
+) {
+    let cluster = Cluster::start().await;
+    cluster.plain.breaks.store(true, Ordering::Relaxed);
+    let response = call(cluster.edges[0].front, "POST", path, "request-1", "x").await;
+    assert_eq!(response.expect("answered").status(), status);
+    assert_eq!(cluster.plain.runs_of("request-1"), runs);
+}
+
+#[rstest]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_named_version_reaches_half_of_the_replicas() {
+    let cluster = Cluster::start().await;
+    cluster.store.put(
+        "versions",
+        "model",
+        serde_json::json!({"model_id": "model", "version": 2}),
+    );
+    let deadline = std::time::Instant::now() + Duration::from_secs(30);
+    loop {
+        let fresh = cluster
+            .replicas
+            .iter()
+            .filter(|replica| replica.version() == 2);
+        if fresh.count() == 1 {
+            return;
+        }
+        assert!(
+            std::time::Instant::now() < deadline,
+            "no replica took the version"
+        );
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+}
+
+#[rstest]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_storage_machine_is_emptied_and_said_to_be() {
+    let cluster = Cluster::start().await;
+    let leaver = &cluster.storage[(cluster.leader() + 1) % 3];
+    let order = serde_json::json!({"duration_s": 10});
+    cluster.store.put("retirements", &leaver.name, order);
+    let deadline = std::time::Instant::now() + Duration::from_secs(30);
+    while cluster.store.status("retirements", &leaver.name)["state"] != "completed" {
+        assert!(std::time::Instant::now() < deadline, "not emptied");
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+}
+
+#[rstest]
+#[tokio::test(flavor = "multi_thread")]
+async fn metrics_are_served_and_can_be_read() {
+    let cluster = Cluster::start().await;
+    let response = call(cluster.edges[0].front, "POST", "/reads/x", "read-1", "x").await;
+    assert_eq!(response.expect("answered").status(), 200);
+    let response = call(cluster.edges[0].metrics, "GET", "/metrics", "", "").await;
+    let metrics = text(response.expect("answered")).await.expect("whole");
+    let answered = sample(
+        &metrics,
+        "brasspond_edge_requests_total",
+        &[("outcome", "answered")],
+    );
+    assert_eq!(answered, Some(1.0), "{metrics}");
+    let leader = &cluster.storage[cluster.leader()];
+    let response = call(leader.metrics, "GET", "/metrics", "", "").await;
+    let metrics = text(response.expect("answered")).await.expect("whole");
+    assert_eq!(
+        sample(&metrics, "brasspond_storage_leads", &[]),
+        Some(1.0),
+        "{metrics}"
+    );
+    assert_eq!(sample(&metrics, "brasspond_storage_voters", &[]), Some(3.0));
+}
+
+/// A sample out of metrics, read by a library.
+fn sample(metrics: &str, name: &str, labels: &[(&str, &str)]) -> Option<f64> {
+    let lines = metrics.lines().map(|line| Ok(line.to_string()));
+    let scrape = prometheus_parse::Scrape::parse(lines).expect("readable");
+    let mut samples = scrape.samples.iter().filter(|sample| {
+        let has = |(key, value): &(&str, &str)| sample.labels.get(key) == Some(value);
+        sample.metric == name && labels.iter().all(has)
+    });
+    match samples.next()?.value {
+        prometheus_parse::Value::Counter(value)
+        | prometheus_parse::Value::Gauge(value)
+        | prometheus_parse::Value::Untyped(value) => Some(value),
+        _ => None,
+    }
+}
--- /dev/null
+++ b/crates/brasspond/tests/platform_standin/mod.rs
@@ -0,0 +1,347 @@
+//! A small stand-in of the prepared platform: its object store and its replicas,
+//! as the adapter's pages describe them, over real sockets.
+#![allow(dead_code)]
+
+pub mod processes;
+
+use bytes::Bytes;
+use futures::StreamExt;
+use http_body_util::combinators::BoxBody;
+use http_body_util::{BodyExt, Full, StreamBody};
+use hyper::body::{Frame, Incoming};
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper::{Method, Request, Response, StatusCode};
+use hyper_util::rt::TokioIo;
+use serde_json::{Value, json};
+use std::collections::{BTreeMap, HashMap};
+use std::convert::Infallible;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+use tokio::net::TcpListener;
+
+type Body = BoxBody<Bytes, std::io::Error>;
+
+fn whole(text: impl Into<Bytes>) -> Body {
+    Full::new(text.into())
+        .map_err(|never| match never {})
+        .boxed()
+}
+
+fn answer(status: u16, text: impl Into<Bytes>) -> Response<Body> {
+    let mut response = Response::new(whole(text));
+    *response.status_mut() = StatusCode::from_u16(status).expect("status");
+    response
+}
+
+async fn serve<S, F>(
+    listener: TcpListener,
+    state: Arc<S>,
+    handle: fn(Arc<S>, Request<Incoming>) -> F,
+) where
+    S: Send + Sync + 'static,
+    F: Future<Output = Response<Body>> + Send + 'static,
+{
+    loop {
+        let Ok((stream, _)) = listener.accept().await else {
+            return;
+        };
+        let state = Arc::clone(&state);
+        tokio::spawn(async move {
+            let service = service_fn(move |request| {
+                let answer = handle(Arc::clone(&state), request);
+                async move { Ok::<_, Infallible>(answer.await) }
+            });
+            let _ = http1::Builder::new()
+                .serve_connection(TokioIo::new(stream), service)
+                .await;
+        });
+    }
+}
+
+/// The object store.
+#[derive(Default)]
+pub struct Store {
+    objects: Mutex<Objects>,
+    /// Answers 503 to everything.
+    pub down: AtomicBool,
+}
+
+#[derive(Default)]
+struct Objects {
+    revision: u64,
+    by_name: BTreeMap<(String, String), Value>,
+    changes: Vec<(u64, String, Value, bool)>,
+}
+
+impl Store {
+    pub async fn start() -> (Arc<Self>, SocketAddr) {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("port");
+        let address = listener.local_addr().expect("address");
+        let store = Arc::new(Self::default());
+        tokio::spawn(serve(listener, Arc::clone(&store), store_call));
+        (store, address)
+    }
+
+    /// Writes an object as an operator or a replica does.
+    pub fn put(&self, kind: &str, name: &str, spec: Value) {
+        let mut objects = self.objects.lock().expect("lock");
+        objects.write(kind, name, Some(spec), None);
+    }
+
+    pub fn status(&self, kind: &str, name: &str) -> Value {
+        let objects = self.objects.lock().expect("lock");
+        let key = (kind.to_string(), name.to_string());
+        objects
+            .by_name
+            .get(&key)
+            .map_or(Value::Null, |object| object["status"].clone())
+    }
+}
+
+impl Objects {
+    fn write(
+        &mut self,
+        kind: &str,
+        name: &str,
+        spec: Option<Value>,
+        status: Option<Value>,
+    ) -> Value {
+        self.revision += 1;
+        let key = (kind.to_string(), name.to_string());
+        let object = self
+            .by_name
+            .entry(key)
+            .or_insert_with(|| json!({"metadata": {"name": name}, "spec": null, "status": null}));
+        object["metadata"]["revision"] = json!(self.revision);
+        if let Some(spec) = spec {
+            object["spec"] = spec;
+        }
+        if let Some(status) = status {
+            object["status"] = status;
+        }
+        let object = object.clone();
+        self.changes
+            .push((self.revision, kind.to_string(), object.clone(), false));
+        object
+    }
+
+    fn list(&self, kind: &str) -> Value {
+        let of_kind = self.by_name.iter().filter(|((other, _), _)| other == kind);
+        let objects: Vec<Value> = of_kind.map(|(_, object)| object.clone()).collect();
+        json!({"requests": objects, "has_more": false, "at": self.revision})
+    }
+
+    fn since(&self, kind: &str, at: u64) -> Vec<Value> {
+        let new = self
+            .changes
+            .iter()
+            .filter(|(revision, other, _, _)| *revision > at && other == kind);
+        new.map(|(_, _, object, gone)| json!({"object": object, "gone": gone}))
+            .collect()
+    }
+}
+
+async fn store_call(store: Arc<Store>, request: Request<Incoming>) -> Response<Body> {
+    if store.down.load(Ordering::Relaxed) {
+        return answer(503, "");
+    }
+    let (head, body) = request.into_parts();
+    let body = body.collect().await.expect("body").to_bytes();
+    let path = head
+        .uri
+        .path()
+        .trim_start_matches("/-/objects/")
+        .to_string();
+    let parts: Vec<&str> = path.split('/').collect();
+    let query: HashMap<String, String> = head
+        .uri
+        .query()
+        .unwrap_or("")
+        .split('&')
+        .filter_map(|pair| pair.split_once('='))
+        .map(|(key, value)| (key.to_string(), value.to_string()))
+        .collect();
+    if let Some(at) = query.get("watch") {
+        let wait = query
+            .get("wait_ms")
+            .and_then(|wait| wait.parse().ok())
+            .unwrap_or(0);
+        return watch(&store, parts[0], at.parse().expect("revision"), wait).await;
+    }
+    let mut objects = store.objects.lock().expect("lock");
+    let value: Value = serde_json::from_slice(&body).unwrap_or(Value::Null);
+    let key = |name: &str| (parts[0].to_string(), name.to_string());
+    match (head.method, parts.as_slice()) {
+        (Method::GET, [kind]) => answer(200, objects.list(kind).to_string()),
+        (Method::GET, [_, name]) => match objects.by_name.get(&key(name)) {
+            Some(object) => answer(200, object.to_string()),
+            None => answer(404, ""),
+        },
+        (Method::POST, [kind]) => {
+            let name = value["metadata"]["name"]
+                .as_str()
+                .expect("name")
+                .to_string();
+            if objects.by_name.contains_key(&key(&name)) {
+                return answer(409, "{}");
+            }
+            let object = objects.write(kind, &name, Some(value["spec"].clone()), None);
+            answer(200, object.to_string())
+        }
+        (Method::PUT, [kind, name]) => {
+            let known = objects
+                .by_name
+                .get(&key(name))
+                .map(|one| one["metadata"]["revision"].clone());
+            let asked = &value["metadata"]["revision"];
+            if !asked.is_null() && known.as_ref() != Some(asked) {
+                return answer(409, "{}");
+            }
+            let object = objects.write(kind, name, Some(value["spec"].clone()), None);
+            answer(200, object.to_string())
+        }
+        (Method::PUT, [kind, name, "status"]) => {
+            let object = objects.write(kind, name, None, Some(value["status"].clone()));
+            answer(200, object.to_string())
+        }
+        _ => answer(400, ""),
+    }
+}
+
+async fn watch(store: &Store, kind: &str, at: u64, wait_ms: u64) -> Response<Body> {
+    let deadline = tokio::time::Instant::now() + Duration::from_millis(wait_ms);
+    loop {
+        let (events, now) = {
+            let objects = store.objects.lock().expect("lock");
+            (objects.since(kind, at), objects.revision)
+        };
+        if !events.is_empty() || tokio::time::Instant::now() >= deadline {
+            return answer(200, json!({"events": events, "at": now}).to_string());
+        }
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+}
+
+/// A replica: streams under `/jobs/` and `/streams/`, echoes elsewhere.
+pub struct Replica {
+    pub id: String,
+    /// Runs by the request's identity.
+    pub runs: Mutex<HashMap<String, u32>>,
+    /// Breaks off plain answers after their head.
+    pub breaks: AtomicBool,
+    version: AtomicU64,
+    sequence: AtomicU64,
+}
+
+/// Events of a stream.
+pub const EVENTS: u64 = 30;
+/// Time of an event.
+const EVENT_TIME: Duration = Duration::from_millis(15);
+
+impl Replica {
+    pub async fn start(id: &str) -> (Arc<Self>, SocketAddr) {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("port");
+        let address = listener.local_addr().expect("address");
+        let replica = Arc::new(Self {
+            id: id.to_string(),
+            runs: Mutex::default(),
+            breaks: AtomicBool::new(false),
+            version: AtomicU64::new(1),
+            sequence: AtomicU64::new(0),
+        });
+        tokio::spawn(serve(listener, Arc::clone(&replica), replica_call));
+        (replica, address)
+    }
+
+    pub fn version(&self) -> u64 {
+        self.version.load(Ordering::Relaxed)
+    }
+
+    pub fn runs_of(&self, id: &str) -> u32 {
+        self.runs
+            .lock()
+            .expect("lock")
+            .get(id)
+            .copied()
+            .unwrap_or(0)
+    }
+}
+
+/// Data of an event of a request's stream.
+pub fn event_data(request: &str, number: u64) -> String {
+    format!("{request}-{number}")
+}
+
+async fn replica_call(replica: Arc<Replica>, request: Request<Incoming>) -> Response<Body> {
+    let (head, body) = request.into_parts();
+    let header = |name: &str| {
+        let value = head.headers.get(name).and_then(|value| value.to_str().ok());
+        value.unwrap_or("").to_string()
+    };
+    let expected = header("x-brasspond-expect-instance");
+    if !expected.is_empty() && expected != replica.id {
+        return answer(421, "");
+    }
+    let body = body.collect().await.expect("body").to_bytes();
+    match head.uri.path() {
+        "/-/report" => {
+            let report = json!({
+                "model_list": [{"name": "model", "version": replica.version()}],
+                "utilization": false,
+                "sequence": replica.sequence.load(Ordering::Relaxed),
+            });
+            return answer(200, report.to_string());
+        }
+        "/-/order" => {
+            let order: Value = serde_json::from_slice(&body).expect("order");
+            let version = order["version"].as_u64().expect("version");
+            replica.version.store(version, Ordering::Relaxed);
+            replica.sequence.fetch_add(1, Ordering::Relaxed);
+            return answer(202, "");
+        }
+        _ => {}
+    }
+    let id = header("x-brasspond-request-id");
+    *replica
+        .runs
+        .lock()
+        .expect("lock")
+        .entry(id.clone())
+        .or_default() += 1;
+    let path = head.uri.path();
+    let is_stream = path.starts_with("/jobs/") || path.starts_with("/streams/");
+    let body = if is_stream {
+        let after: u64 = header("last-event-id").parse().unwrap_or(0);
+        stream(&id, after)
+    } else if replica.breaks.load(Ordering::Relaxed) {
+        let cut = futures::stream::iter([Err(std::io::Error::other("broken on purpose"))]);
+        BodyExt::boxed(StreamBody::new(cut.map(|one: Result<Bytes, _>| one.map(Frame::data))))
+    } else {
+        whole(body)
+    };
+    let response = Response::builder()
+        .status(200)
+        .header("x-brasspond-request-id", &id)
+        .header("x-brasspond-server-stamp", "stamp")
+        .header("x-brasspond-weight-versions", replica.version().to_string());
+    response.body(body).expect("response")
+}
+
+fn stream(id: &str, after: u64) -> Body {
+    let id = id.to_string();
+    let events = futures::stream::unfold(after + 1, move |number| {
+        let id = id.clone();
+        async move {
+            if number > EVENTS {
+                return None;
+            }
+            tokio::time::sleep(EVENT_TIME).await;
+            let text = format!("id: {number}\ndata: {}\n\n", event_data(&id, number));
+            Some((Ok(Frame::data(Bytes::from(text))), number + 1))
+        }
+    });
+    BodyExt::boxed(StreamBody::new(events))
+}
--- /dev/null
+++ b/crates/brasspond/tests/platform_standin/processes.rs
@@ -0,0 +1,366 @@
+//! A cluster of real processes on loopback addresses, one address a machine.
+
+use super::{Replica, Store};
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
+use hyper::client::conn::http1::handshake;
+use hyper::{Request, Response};
+use hyper_util::rt::TokioIo;
+use nix::sys::signal::{Signal, kill};
+use nix::unistd::Pid;
+use serde_json::{Value, json};
+use std::fs::File;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::process::{Child, Command, Stdio};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU16, Ordering};
+use std::time::{Duration, Instant};
+use tempfile::TempDir;
+use tokio::net::TcpStream;
+
+/// Time for anything to happen; only a hang is longer.
+const PATIENCE: Duration = Duration::from_secs(60);
+const HOST: &str = "host.example";
+/// Ports differ between the tests of one run and between runs.
+static NEXT_PORTS: AtomicU16 = AtomicU16::new(0);
+
+/// A machine and its process.
+pub struct Machine {
+    pub name: String,
+    pub front: SocketAddr,
+    pub metrics: SocketAddr,
+    folder: PathBuf,
+    settings: PathBuf,
+    role: &'static str,
+    child: Option<Child>,
+    starts: u32,
+}
+
+/// Everything that runs.
+pub struct Cluster {
+    pub store: Arc<Store>,
+    pub replicas: Vec<Arc<Replica>>,
+    pub plain: Arc<Replica>,
+    pub edges: Vec<Machine>,
+    pub storage: Vec<Machine>,
+    _folder: TempDir,
+}
+
+impl Cluster {
+    /// Three storage machines, two edges, two engines, a plain service.
+    pub async fn start() -> Self {
+        let folder = tempfile::tempdir().expect("folder");
+        let (store, store_address) = Store::start().await;
+        let mut replicas = Vec::new();
+        for number in 0..2 {
+            let id = format!("engine-{number}");
+            let (replica, address) = Replica::start(&id).await;
+            store.put("servers", &id, server("engines", address));
+            replicas.push(replica);
+        }
+        let (plain, address) = Replica::start("plain-0").await;
+        store.put("servers", "plain-0", server("plain", address));
+        store.put("config", "main", configuration());
+        let ports = 21_000
+            + (std::process::id() % 300) as u16 * 100
+            + NEXT_PORTS.fetch_add(10, Ordering::Relaxed);
+        let machine = |role, number| {
+            Machine::new(
+                folder.path().to_path_buf(),
+                role,
+                number,
+                ports,
+                store_address,
+            )
+        };
+        let storage: Vec<Machine> = (1..=3).map(|number| machine("storage", number)).collect();
+        let edges: Vec<Machine> = (4..=5).map(|number| machine("edge", number)).collect();
+        let mut cluster = Self {
+            store,
+            replicas,
+            plain,
+            edges,
+            storage,
+            _folder: folder,
+        };
+        for machine in cluster.storage.iter_mut().chain(&mut cluster.edges) {
+            machine.start();
+        }
+        cluster.await_voters(3).await;
+        cluster.await_ready().await;
+        cluster
+    }
+
+    async fn await_ready(&self) {
+        for edge in &self.edges {
+            edge.await_line("event=leader_known").await;
+            edge.await_line("event=configuration_known").await;
+        }
+    }
+
+    async fn await_voters(&self, count: usize) {
+        let commas = count - 1;
+        let deadline = Instant::now() + PATIENCE;
+        loop {
+            let grown = self.storage.iter().any(|machine| {
+                let text = machine.log();
+                let mut changes = text.lines().rev();
+                let last = changes.find(|line| line.contains("event=members_changed"));
+                last.is_some_and(|line| line.matches(',').count() == commas)
+            });
+            if grown {
+                return;
+            }
+            assert!(Instant::now() < deadline, "the group did not grow");
+            tokio::time::sleep(Duration::from_millis(50)).await;
+        }
+    }
+
+    /// Which storage process leads.
+    pub fn leader(&self) -> usize {
+        let term = |machine: &Machine| {
+            let text = machine.log();
+            let won = text
+                .lines()
+                .rev()
+                .find(|line| line.contains("event=leadership_won"))?;
+            let term = won.split("term=").nth(1)?.split(' ').next()?;
+            term.parse::<u64>().ok()
+        };
+        let terms = self.storage.iter().enumerate();
+        let newest = terms.max_by_key(|(_, machine)| term(machine));
+        newest.expect("a leader").0
+    }
+}
+
+impl Machine {
+    fn new(root: PathBuf, role: &'static str, number: u8, ports: u16, store: SocketAddr) -> Self {
+        let name = format!("{role}-{number}");
+        let folder = root.join(&name);
+        std::fs::create_dir_all(&folder).expect("folder");
+        let ip = format!("127.0.1.{number}");
+        let settings = folder.join("settings.yaml");
+        let data = folder.join("data");
+        let text = json!({
+            "node": name,
+            "zone": format!("zone-{}", number % 3),
+            "ip": ip,
+            "serves": [role],
+            "listen": {
+                "front": format!("{ip}:{}", ports + 1),
+                "ready": format!("{ip}:{}", ports + 2),
+            },
+            "internal_ports": [ports, ports + 1],
+            "seeds": [format!("127.0.1.4:{ports}"), format!("127.0.1.5:{ports}")],
+            "bootstrap": true,
+            "data_dir": if role == "storage" { json!(data) } else { Value::Null },
+            "fault_tolerance": {"machines": 1},
+            "bounds": {"grace_s": 8, "lease_ms": 3000, "status_s": 120},
+            "platform": {"address": store.to_string()},
+        });
+        // JSON is YAML.
+        std::fs::write(&settings, text.to_string()).expect("settings");
+        Self {
+            name,
+            front: format!("{ip}:{}", ports + 1).parse().expect("address"),
+            metrics: format!("{ip}:{}", ports + 3).parse().expect("address"),
+            folder,
+            settings,
+            role,
+            child: None,
+            starts: 0,
+        }
+    }
+
+    pub fn start(&mut self) {
+        self.starts += 1;
+        let log = File::create(self.folder.join(format!("{}.log", self.starts))).expect("log");
+        let child = Command::new(env!("CARGO_BIN_EXE_brasspond"))
+            .arg(self.role)
+            .arg("--settings")
+            .arg(&self.settings)
+            .arg("--metrics-port")
+            .arg(self.metrics.port().to_string())
+            .stdout(Stdio::from(log.try_clone().expect("log")))
+            .stderr(Stdio::from(log))
+            .spawn()
+            .expect("starts");
+        self.child = Some(child);
+    }
+
+    /// All log lines of the present process.
+    pub fn log(&self) -> String {
+        let path = self.folder.join(format!("{}.log", self.starts));
+        std::fs::read_to_string(path).unwrap_or_default()
+    }
+
+    pub async fn await_line(&self, part: &str) {
+        let deadline = Instant::now() + PATIENCE;
+        while !self.log().contains(part) {
+            assert!(Instant::now() < deadline, "{} never said {part}", self.name);
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+    }
+
+    pub fn signal(&self, signal: Signal) {
+        let child = self.child.as_ref().expect("runs");
+        kill(Pid::from_raw(child.id() as i32), signal).expect("signalled");
+    }
+
+    /// Ends the process at once.
+    pub fn kill(&mut self) {
+        if let Some(mut child) = self.child.take() {
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+    }
+
+    /// The disk is lost.
+    pub fn wipe(&self) {
+        let _ = std::fs::remove_dir_all(self.folder.join("data"));
+    }
+
+    /// Waits for the process to end by itself; whether it ended well.
+    pub async fn ended(&mut self, limit: Duration) -> Option<bool> {
+        let deadline = Instant::now() + limit;
+        let child = self.child.as_mut().expect("runs");
+        loop {
+            if let Some(status) = child.try_wait().expect("waits") {
+                return Some(status.success());
+            }
+            if Instant::now() >= deadline {
+                return None;
+            }
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+    }
+}
+
+impl Drop for Machine {
+    fn drop(&mut self) {
+        self.kill();
+    }
+}
+
+fn server(service: &str, address: SocketAddr) -> Value {
+    json!({
+        "service": service,
+        "address": address.to_string(),
+        "zone": "zone-0",
+        "slots": 8,
+        "state": "ready",
+        "model_list": [{"name": "model", "version": 1}],
+    })
+}
+
+fn configuration() -> Value {
+    let route = |name: &str, kind: &str, service: &str| {
+        json!({
+            "name": name,
+            "host": HOST,
+            "path_prefix": format!("/{name}/"),
+            "type": kind,
+            "timeout_ms": 10_000,
+            "target_ms": 300,
+            "priority": 1,
+            "service": service,
+            "max_attempts": 3,
+            "max_queue_s": 60.0,
+            "due_ms": 7_500,
+            "resumable": kind != "non_idempotent",
+        })
+    };
+    json!({
+        "version": 1,
+        "route_list": [
+            route("jobs", "rollout", "engines"),
+            route("streams", "streaming", "engines"),
+            route("reads", "idempotent", "plain"),
+            route("writes", "non_idempotent", "plain"),
+        ],
+        "services": [
+            {"name": "engines", "max_conns": 100, "engine": {"slots": 8, "model_list": [{"name": "model"}]}},
+            {"name": "plain", "max_conns": 100},
+        ],
+        "limits": {"max_header_bytes": 16_384, "max_body_bytes": 1_000_000,
+                   "header_timeout_ms": 3_000, "idle_timeout_ms": 15_000},
+    })
+}
+
+/// Makes a call on a connection of its own.
+pub async fn call(
+    address: SocketAddr,
+    method: &str,
+    path: &str,
+    id: &str,
+    body: impl Into<Bytes>,
+) -> Option<Response<Incoming>> {
+    let stream = TcpStream::connect(address).await.ok()?;
+    let (mut sender, connection) = handshake(TokioIo::new(stream)).await.ok()?;
+    tokio::spawn(connection);
+    let request = Request::builder()
+        .method(method)
+        .uri(path)
+        .header("host", HOST)
+        .header("x-brasspond-request-id", id)
+        .header("x-brasspond-deadline-ms", "9000")
+        .body(Full::new(body.into()))
+        .expect("request");
+    sender.send_request(request).await.ok()
+}
+
+/// Reads a whole answer; none if it broke off.
+pub async fn text(response: Response<Incoming>) -> Option<String> {
+    let bytes = response.into_body().collect().await.ok()?.to_bytes();
+    String::from_utf8(bytes.to_vec()).ok()
+}
+
+/// A job of `items` items.
+pub fn job(items: usize) -> String {
+    let items = (0..items).map(|number| {
+        json!({
+            "id": format!("item-{number}"),
+            "path": format!("/jobs/run/{number}"),
+            "headers": {"X-Brasspond-Model": "model"},
+            "body": "AAEC",
+            "token_count": 100,
+            "group": format!("group-{}", number / 4),
+        })
+    });
+    let items: Vec<Value> = items.collect();
+    json!({"step": 0, "model_id": "model", "min_version": 1, "desired": 1, "requests": items})
+        .to_string()
+}
+
+/// Reads all results of a job at an edge, from the first, until all are there.
+pub async fn results(edge: SocketAddr, job: &str, items: usize) -> Vec<(String, String)> {
+    let deadline = Instant::now() + PATIENCE;
+    let mut results: Vec<(String, String)> = Vec::new();
+    while results.len() < items {
+        assert!(
+            Instant::now() < deadline,
+            "{} of {items} results",
+            results.len()
+        );
+        let path = format!("/-/lots/{job}?since_rev={}", results.len());
+        let Some(response) = call(edge, "GET", &path, "reader", "").await else {
+            tokio::time::sleep(Duration::from_millis(100)).await;
+            continue;
+        };
+        if response.status() != 200 {
+            assert_eq!(response.status(), 503, "a kept job is never unknown");
+            tokio::time::sleep(Duration::from_millis(100)).await;
+            continue;
+        }
+        let page: Value = serde_json::from_str(&text(response).await.expect("page")).expect("page");
+        for result in page["results"].as_array().expect("results") {
+            let field = |name: &str| result[name].as_str().expect("text").to_string();
+            assert_eq!(field("state"), "completed");
+            results.push((field("id"), field("text")));
+        }
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+    results
+}
--- a/crates/telemetry/src/lib.rs
+++ b/crates/telemetry/src/lib.rs
@@ -5,8 +5,10 @@
 //! counters in memory, written out when asked for.
 #![forbid(unsafe_code)]
 
+mod explain;
 mod log_ring;
 mod metrics;
 
+pub use explain::{LogLine, Story};
 pub use log_ring::{LogLimits, LogRing, start};
 pub use metrics::{EdgeMetrics, StorageMetrics, StorageState};
--- a/crates/telemetry/src/log_ring.rs
+++ b/crates/telemetry/src/log_ring.rs
@@ -34,8 +34,8 @@
 impl Default for LogLimits {
     fn default() -> Self {
         Self {
-            ring: 2_048,
-            per_event: 200,
+            ring: 4_096,
+            per_event: 1_000,
         }
     }
 }
--- /dev/null
+++ b/crates/telemetry/tests/explain.rs
@@ -0,0 +1,65 @@
+//! Stories out of logs of several processes.
+
+use brasspond_telemetry::Story;
+use rstest::rstest;
+
+const EDGE: &str = "\
+2026-01-01T00:00:01.5Z [INFO] event=attempt_failed request=r1 route=x attempt=1 replica=i-1 outcome=full left_ms=900
+2026-01-01T00:00:01.55Z [INFO] event=request_failed request=r1 route=x attempts=1 may_have_run=false late=false ready_replicas=0
+2026-01-01T00:00:02Z [INFO] event=request_answered request=r2 route=x replica=i-2 attempt=1 status=200 elapsed_ms=31
+noise that is no event
+2026-01-01T00:00:03Z [INFO] event=leader_silent
+";
+const LEADER: &str = "\
+2026-01-01T00:00:02.1Z [INFO] event=run_started job=j item=a attempt=2.1 replica=i-3 waited_ms=40
+2026-01-01T00:00:03.5Z [INFO] event=run_moved job=j item=a attempt=2.1 replica=i-3 reason=stalled events=4
+2026-01-01T00:00:04Z [INFO] event=run_ended job=j item=a attempt=2.2 replica=i-4 end=whole events=9
+";
+
+fn story(id: &str) -> Vec<String> {
+    let mut story = Story::of(id);
+    story.read("edge", EDGE.as_bytes(), |_| {}).expect("reads");
+    story
+        .read("leader", LEADER.as_bytes(), |_| {})
+        .expect("reads");
+    story.tell()
+}
+
+#[rstest]
+#[case::refused("r1", "not run: no replica was ready; failed attempts: full at i-1")]
+#[case::answered("r2", "answered with 200 by i-2 after 31 ms; no attempt failed")]
+#[case::item(
+    "a",
+    "waited 40 ms for a place, 1 runs; 1 moved (stalled); 1 ended whole"
+)]
+#[case::job(
+    "j",
+    "1 runs ended whole; 1 runs moved (stalled); last start 40 ms after the job was known to the leader"
+)]
+fn the_cause_is_named(#[case] id: &str, #[case] cause: &str) {
+    let told = story(id);
+    assert_eq!(
+        told.last().map(String::as_str),
+        Some(format!("cause: {cause}").as_str())
+    );
+}
+
+#[rstest]
+fn what_happened_meanwhile_is_told_in_order() {
+    let told = story("a");
+    let events: Vec<&str> = told
+        .iter()
+        .filter_map(|line| line.split("event=").nth(1)?.split(' ').next())
+        .collect();
+    assert_eq!(
+        events,
+        ["run_started", "leader_silent", "run_moved", "run_ended"]
+    );
+}
+
+#[rstest]
+fn an_unknown_identity_is_known_as_such() {
+    let mut story = Story::of("nobody");
+    story.read("edge", EDGE.as_bytes(), |_| {}).expect("reads");
+    assert!(!story.is_known());
+}
