Fleets of hundreds: views by difference, few standbys, cheaper placement

Change: differences of views with their base (a whole view on request); copies of the view in the log at 30 KB/s at most; three standbys; medians once a tick; orders planned only on events that matter; 16 edges watch, the others are told, and watch by themselves after 100 ms without a leader at their start, 1 s later.

--- a/crates/brasspond/tests/platform_standin/mod.rs
+++ b/crates/brasspond/tests/platform_standin/mod.rs
@@ -318,7 +318,9 @@
         stream(&id, after)
     } else if replica.breaks.load(Ordering::Relaxed) {
         let cut = futures::stream::iter([Err(std::io::Error::other("broken on purpose"))]);
-        BodyExt::boxed(StreamBody::new(cut.map(|one: Result<Bytes, _>| one.map(Frame::data))))
+        BodyExt::boxed(StreamBody::new(
+            cut.map(|one: Result<Bytes, _>| one.map(Frame::data)),
+        ))
     } else {
         whole(body)
     };
--- a/crates/cluster-protocol/src/lib.rs
+++ b/crates/cluster-protocol/src/lib.rs
@@ -11,7 +11,7 @@
 pub use run::{AttemptId, RunEnd, RunReport, RunSpec, StreamEvent};
 
 use brasspond_consensus::{Member, MemberId};
-use brasspond_fleet::FleetView;
+use brasspond_fleet::{FleetView, ViewDelta};
 use brasspond_jobs::{BodyError, Page, Submission};
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
@@ -126,9 +126,15 @@
         term: u64,
         /// Members of the log.
         members: Vec<Member>,
+        /// Whether the receiver is to watch the view's source by itself too.
+        watch: bool,
     },
     /// The sender's newest view of the fleet.
     View(FleetView),
+    /// What changed in the sender's view.
+    ViewChanged(ViewDelta),
+    /// The sender needs a whole view.
+    NeedView,
     /// Leader to edge: run an item.
     Run(Box<RunSpec>),
     /// Leader to edge: stop a run.
--- a/crates/cluster/src/edge/cluster.rs
+++ b/crates/cluster/src/edge/cluster.rs
@@ -4,7 +4,7 @@
 use crate::link::{LinkEvent, LinkId, LinkNumbers, Writer, dial};
 use brasspond_cluster_protocol::{Answer, Message, Peer, Question, RunSpec};
 use brasspond_consensus::Member;
-use brasspond_fleet::FleetView;
+use brasspond_fleet::{FleetView, ViewDelta};
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -20,8 +20,17 @@
 const ANSWER_TIME: Duration = Duration::from_millis(1_200);
 /// Pause before a question that found no leader is asked again.
 const ASK_PAUSE: Duration = Duration::from_millis(60);
-/// Pause between two searches for storage processes.
+/// Pause between two searches for storage processes; it grows.
 const SEARCH_PAUSE: Duration = Duration::from_millis(500);
+/// Longest pause between two searches.
+const LONGEST_SEARCH_PAUSE: Duration = Duration::from_secs(2);
+/// Pause between two requests for a whole view, in ms.
+const VIEW_ASK_PAUSE: u64 = 500;
+/// Time after its start in which a leader may tell an edge the view, before it
+/// watches by itself, in ms.
+const ALONE_AT_START: u64 = 100;
+/// Time without a leader after which an edge watches by itself, in ms.
+const ALONE_TIME: u64 = 1_000;
 
 /// The leader as an edge knows it.
 #[derive(Clone, Debug)]
@@ -42,6 +51,7 @@
 pub(super) enum Happening {
     NewLeader(u64),
     View(FleetView),
+    ViewChanged(ViewDelta, LinkId),
     Run(Box<RunSpec>),
     Cancel(u64, brasspond_cluster_protocol::AttemptId),
     Recorded(brasspond_cluster_protocol::AttemptId),
@@ -60,6 +70,13 @@
     next_number: u64,
     newest_term: u64,
     beat_at: u64,
+    /// The leader wants this edge to watch the view's source by itself.
+    watches: bool,
+    view_asked_at: u64,
+    /// A whole view is to be asked for, a little later.
+    view_wanted: Option<LinkId>,
+    /// Since when no leader is known.
+    alone_since: Option<u64>,
 }
 
 impl Cluster {
@@ -76,6 +93,10 @@
             next_number: 0,
             newest_term: 0,
             beat_at: 0,
+            watches: false,
+            view_asked_at: 0,
+            view_wanted: None,
+            alone_since: None,
         }
     }
 
@@ -169,8 +190,16 @@
                 }
                 Vec::new()
             }
-            Message::Leading { term, members } => self.on_leading(link, term, members, now),
+            Message::Leading {
+                term,
+                members,
+                watch,
+            } => {
+                self.watches = watch;
+                self.on_leading(link, term, members, now)
+            }
             Message::View(view) => vec![Happening::View(view)],
+            Message::ViewChanged(delta) => vec![Happening::ViewChanged(delta, link)],
             Message::Run(spec) => vec![Happening::Run(spec)],
             Message::Cancel { term, attempt } => vec![Happening::Cancel(term, attempt)],
             Message::Recorded { attempt } => vec![Happening::Recorded(attempt)],
@@ -238,6 +267,9 @@
     }
 
     pub fn tick(&mut self, now: u64) {
+        if let Some(link) = self.view_wanted {
+            self.need_view(link, now);
+        }
         self.leader.send_if_modified(|leader| {
             let silent = leader
                 .as_ref()
@@ -268,6 +300,32 @@
         Some(receiver)
     }
 
+    /// Whether to watch the view's source: where the leader wants it, or where
+    /// no leader tells of changes.
+    pub fn should_watch(&mut self, now: u64) -> bool {
+        if self.leader.borrow().is_some() {
+            self.alone_since = None;
+            return self.watches;
+        }
+        let since = *self.alone_since.get_or_insert(now);
+        let has_view = self.newest_term > 0;
+        let patience = if has_view { ALONE_TIME } else { ALONE_AT_START };
+        self.watches || now >= since + patience
+    }
+
+    /// Asks for a whole view.
+    fn need_view(&mut self, link: LinkId, now: u64) {
+        if now < self.view_asked_at + VIEW_ASK_PAUSE {
+            self.view_wanted = Some(link);
+            return;
+        }
+        self.view_asked_at = now;
+        self.view_wanted = None;
+        if let Some(state) = self.links.get(&link) {
+            state.writer.send(&Message::NeedView);
+        }
+    }
+
     fn known_peers(&self) -> Vec<SocketAddr> {
         self.links.values().map(|state| state.address).collect()
     }
@@ -278,6 +336,12 @@
     match happening {
         Happening::NewLeader(term) => edge.tell_runs(term),
         Happening::View(view) => edge.take_view(&view),
+        Happening::ViewChanged(delta, link) => {
+            if edge.take_delta(&delta).is_err() {
+                let now = edge.clock.now();
+                edge.cluster.borrow_mut().need_view(link, now);
+            }
+        }
         Happening::Run(spec) => edge.start_run(*spec),
         Happening::Cancel(term, attempt) => edge.cancel_run(term, attempt),
         Happening::Recorded(attempt) => edge.forget_run(attempt),
@@ -336,8 +400,11 @@
 /// Looks for storage processes until some are known: in the group's record,
 /// then with the seeds.
 pub(super) async fn find_members(edge: Rc<Edge>) {
+    let mut pause = SEARCH_PAUSE;
     loop {
-        if edge.cluster.borrow().leader().is_none() {
+        if edge.cluster.borrow().leader().is_some() {
+            pause = SEARCH_PAUSE;
+        } else {
             if let Ok(Some(record)) = edge.outside.registry.read().await {
                 let mut cluster = edge.cluster.borrow_mut();
                 for member in &record.members {
@@ -346,7 +413,8 @@
             }
             ask_seeds(&edge).await;
         }
-        tokio::time::sleep(SEARCH_PAUSE).await;
+        tokio::time::sleep(pause).await;
+        pause = (pause + SEARCH_PAUSE / 2).min(LONGEST_SEARCH_PAUSE);
     }
 }
 
--- a/crates/cluster/src/edge/process.rs
+++ b/crates/cluster/src/edge/process.rs
@@ -11,7 +11,7 @@
 use crate::storage::ProcessError;
 use crate::upstream::Pool;
 use brasspond_cluster_protocol::Peer;
-use brasspond_fleet::FleetView;
+use brasspond_fleet::{FleetView, OtherBase, ViewDelta};
 use brasspond_telemetry::{EdgeMetrics, LogRing};
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
@@ -24,6 +24,8 @@
 const EVENT_QUEUE: usize = 4_096;
 /// Pause between two looks at what time brings.
 const TICK: Duration = Duration::from_millis(250);
+/// Pause to the first look.
+const FIRST_TICK: Duration = Duration::from_millis(110);
 /// Time from the order to stop during which new connections still come.
 const REMOVAL_TIME: Duration = Duration::from_millis(2_600);
 /// Time kept free at the end of the grace period.
@@ -93,19 +95,14 @@
         requests: Cell::new(0),
         closing: tokio::sync::watch::Sender::new(false),
     });
-    let wanted = Interest {
-        configuration: true,
-        replicas: true,
-        ..Interest::NONE
-    };
-    edge.outside.interest.send_replace(wanted);
     tokio::task::spawn_local(accept_links(cluster_listener, numbers, events));
     tokio::task::spawn_local(ready::serve(Rc::clone(&edge), ready_listener));
     tokio::task::spawn_local(front::serve(Rc::clone(&edge), front_listener));
     tokio::task::spawn_local(super::cluster::find_members(Rc::clone(&edge)));
     serve_metrics(&edge, log_ring);
     let mut observed = edge.outside.observed.clone();
-    let mut tick = tokio::time::interval(TICK);
+    edge.set_interest(edge.clock.now());
+    let mut tick = tokio::time::interval_at(tokio::time::Instant::now() + FIRST_TICK, TICK);
     tick.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
     loop {
         tokio::select! {
@@ -171,6 +168,32 @@
 
     pub(super) fn take_view(&self, view: &FleetView) {
         let changed = self.view.borrow_mut().merge(view);
+        self.view_taken(changed);
+    }
+
+    /// Takes what changed at the leader.
+    pub(super) fn take_delta(&self, delta: &ViewDelta) -> Result<(), OtherBase> {
+        let changed = self.view.borrow_mut().apply(delta)?;
+        self.view_taken(changed);
+        Ok(())
+    }
+
+    /// Watches the view's source as long as that is wanted.
+    fn set_interest(&self, now: u64) {
+        let watches = self.cluster.borrow_mut().should_watch(now);
+        let wanted = Interest {
+            configuration: watches,
+            replicas: watches,
+            ..Interest::NONE
+        };
+        self.outside.interest.send_if_modified(|interest| {
+            let changes = *interest != wanted;
+            *interest = wanted;
+            changes
+        });
+    }
+
+    fn view_taken(&self, changed: bool) {
         if changed {
             let view = self.view.borrow();
             let was_ready = self.balance.borrow_mut().take_view(&view);
@@ -188,6 +211,7 @@
     fn tick(self: &Rc<Self>) {
         let now = self.clock.now();
         self.cluster.borrow_mut().tick(now);
+        self.set_interest(now);
         self.report_progress();
         self.pool.close_old();
     }
--- a/crates/cluster/src/storage/group.rs
+++ b/crates/cluster/src/storage/group.rs
@@ -13,6 +13,8 @@
 
 /// Pause between two calls to the registry, in ms.
 const REGISTRY_PAUSE: u64 = 400;
+/// Members that are sent the log without a vote, to stand by.
+const STANDBYS: usize = 3;
 /// Pause after a failed call to the registry, in ms.
 const REGISTRY_RETRY: u64 = 700;
 
@@ -54,6 +56,7 @@
             self.dial_to(member.address);
             self.note_lost_disks(member);
         }
+        self.has_untold_edges |= matches!(peer, Peer::Edge { .. });
         if let Some(state) = self.links.get_mut(&link) {
             state.peer = Some(peer);
         }
@@ -247,23 +250,46 @@
         }
     }
 
+    /// Sends the log to a few members that do not vote yet: those on voters'
+    /// machines, which lost their disks, and some to stand by. On large fleets
+    /// the others wait until one of these is needed.
     fn add_learners(&mut self, now: u64) {
-        let peers: Vec<Member> = self.group.peers.values().cloned().collect();
-        for peer in peers {
-            let is_voter = self.consensus.members().iter().any(|one| one.id == peer.id);
-            let is_linked = self.group.link_of(peer.id).is_some();
-            if is_voter {
-                continue;
-            }
-            if is_linked {
+        self.drop_unlinked_peers();
+        let voters = self.consensus.members();
+        let retiring = self.retiring();
+        let mut waiting: Vec<Member> = self.group.peers.values().cloned().collect();
+        waiting.retain(|peer| !voters.iter().any(|voter| voter.id == peer.id));
+        let is_returned = |peer: &Member| voters.iter().any(|voter| voter.machine == peer.machine);
+        let is_learner = |peer: &Member| self.consensus.progress_of(peer.id).is_some();
+        waiting.sort_by_key(|peer| {
+            (
+                !is_returned(peer),
+                retiring.contains(&peer.machine),
+                !is_learner(peer),
+                peer.id,
+            )
+        });
+        let returned = waiting.iter().filter(|peer| is_returned(peer)).count();
+        let chosen = returned + STANDBYS;
+        for (number, peer) in waiting.into_iter().enumerate() {
+            if number < chosen {
                 self.consensus.add_learner(peer, now);
             } else {
                 self.consensus.remove_learner(peer.id);
-                self.group.peers.remove(&peer.id);
             }
         }
     }
 
+    fn drop_unlinked_peers(&mut self) {
+        let links = &self.group.link_by_member;
+        let gone = self.group.peers.keys().filter(|id| !links.contains_key(id));
+        let gone: Vec<MemberId> = gone.copied().collect();
+        for id in gone {
+            self.group.peers.remove(&id);
+            self.consensus.remove_learner(id);
+        }
+    }
+
     fn candidates(&self, now: u64) -> Vec<Candidate> {
         let mut known: HashMap<MemberId, Member> = self.group.peers.clone();
         for member in self.consensus.members() {
--- a/crates/cluster/src/storage/leading.rs
+++ b/crates/cluster/src/storage/leading.rs
@@ -34,8 +34,14 @@
 const ANNOUNCED_FOR: u64 = 400;
 /// Term of the leader of a group just made: nobody gave orders before.
 const FIRST_LEADER_TERM: u64 = 2;
-/// Pause between two copies of the view into the log, in ms.
+/// Pause between two copies of the view into the log, in ms, at the least.
 const REMEMBER_PAUSE: u64 = 1_000;
+/// Bytes of such copies a millisecond at the most.
+const REMEMBERED_BYTES_A_MS: u64 = 30;
+/// Pause between two changes of the view sent to edges, in ms.
+const VIEW_PAUSE: u64 = 100;
+/// Edges that watch the view's source by themselves; the others are told.
+const WATCHING_EDGES: usize = 16;
 /// Pause between two lines on what runs, in ms.
 const STATE_LOG_PAUSE: u64 = 1_000;
 /// Most results in one entry of the log, in bytes of text.
@@ -47,7 +53,12 @@
     term: u64,
     told_at: u64,
     ticked_at: u64,
-    remembered_at: u64,
+    /// When the view may be copied into the log again.
+    remember_at: u64,
+    /// The view as it was last sent to all edges.
+    sent_view: FleetView,
+    view_sent_at: u64,
+    view_is_new: bool,
     logged_at: u64,
     /// Links of edges that take runs, by machine.
     edges: HashMap<String, LinkId>,
@@ -75,6 +86,7 @@
             self.begin_leading(now);
         }
         self.tell_edges(now);
+        self.spread_view(now);
         if self.is_tick_due(now) {
             self.tend_members(now);
             self.tend_records(now);
@@ -129,13 +141,17 @@
         let view = self.view.clone();
         let dispatcher = Dispatcher::new(term, settings, &self.table, view, leases, now);
         self.metrics.leadership();
+        self.has_untold_edges = true;
         self.outside.interest.send_replace(Interest::ALL);
         self.leading = Some(Leading {
             dispatcher,
             term,
             told_at: 0,
             ticked_at: now,
-            remembered_at: 0,
+            remember_at: 0,
+            sent_view: FleetView::default(),
+            view_sent_at: 0,
+            view_is_new: true,
             logged_at: 0,
             edges: HashMap::new(),
             lost: HashMap::new(),
@@ -349,46 +365,92 @@
             return;
         };
         let is_due = now >= leading.told_at + LEADING_PAUSE;
-        let term = leading.term;
+        if !is_due && !self.has_untold_edges {
+            return;
+        }
         if is_due {
             leading.told_at = now;
         }
+        let term = leading.term;
         let members = self.consensus.members().to_vec();
-        let mut frame = None;
-        let mut view = None;
-        for state in self.links.values_mut() {
-            let is_edge = matches!(state.peer, Some(Peer::Edge { .. }));
+        let leading_frame = |watch| {
+            encode(&Message::Leading {
+                term,
+                members: members.clone(),
+                watch,
+            })
+        };
+        // One frame for those that watch by themselves, one for the others.
+        let watching = leading_frame(true);
+        let told = leading_frame(false);
+        let mut links: Vec<_> = self.links.iter_mut().collect();
+        links.sort_by_key(|(link, _)| **link);
+        let edges = links
+            .into_iter()
+            .map(|(_, state)| state)
+            .filter(|state| matches!(state.peer, Some(Peer::Edge { .. })));
+        for (number, state) in edges.enumerate() {
             let is_new = state.told_term != term;
-            if !is_edge || !(is_due || is_new) {
+            if !is_due && !is_new {
                 continue;
             }
-            let members = &members;
-            let frame = frame.get_or_insert_with(|| {
-                encode(&Message::Leading {
-                    term,
-                    members: members.clone(),
-                })
-            });
+            let watches = number < WATCHING_EDGES;
+            let frame = if watches { &watching } else { &told };
             state.writer.send_frame(frame.clone());
             if is_new {
                 state.told_term = term;
-                let view = view.get_or_insert_with(|| encode(&Message::View(self.view.clone())));
-                state.writer.send_frame(view.clone());
+                state.has_view = false;
             }
         }
     }
 
-    /// The view changed: the dispatcher and the edges learn of it.
-    pub(super) fn view_changed(&mut self) {
-        if self.leading.is_none() {
+    /// Sends edges what changed in the view, and a whole view to those that
+    /// hold none.
+    fn spread_view(&mut self, now: u64) {
+        let Some(leading) = &mut self.leading else {
+            return;
+        };
+        let is_due = leading.view_is_new && now >= leading.view_sent_at + VIEW_PAUSE;
+        if !is_due && !self.has_untold_edges {
             return;
         }
-        let frame = encode(&Message::View(self.view.clone()));
-        for state in self.links.values() {
-            if matches!(state.peer, Some(Peer::Edge { .. })) {
-                state.writer.send_frame(frame.clone());
+        let mut delta = None;
+        if is_due {
+            let changed = self.view.delta_from(&leading.sent_view);
+            delta = Some(encode(&Message::ViewChanged(changed)));
+            leading.sent_view = self.view.clone();
+            leading.view_sent_at = now;
+            leading.view_is_new = false;
+        }
+        let term = leading.term;
+        let sent_view = &leading.sent_view;
+        let mut whole = None;
+        let mut lacks_view = false;
+        for state in self.links.values_mut() {
+            let is_edge = matches!(state.peer, Some(Peer::Edge { .. }));
+            if !is_edge || state.told_term != term {
+                continue;
+            }
+            let frame = if state.has_view {
+                delta.clone()
+            } else {
+                let whole = whole.get_or_insert_with(|| encode(&Message::View(sent_view.clone())));
+                Some(whole.clone())
+            };
+            if let Some(frame) = frame {
+                state.has_view = state.writer.send_frame(frame);
             }
+            lacks_view |= !state.has_view;
         }
+        self.has_untold_edges = lacks_view;
+    }
+
+    /// The view changed: the dispatcher and the edges learn of it.
+    pub(super) fn view_changed(&mut self) {
+        let Some(leading) = &mut self.leading else {
+            return;
+        };
+        leading.view_is_new = true;
         self.dispatch(Event::View(self.view.clone()));
     }
 
@@ -420,6 +482,7 @@
                 {
                     // If it speaks again, it is asked for its runs anew.
                     state.told_term = 0;
+                    self.has_untold_edges = true;
                 }
             }
             self.dispatch(Event::EdgeDown(machine));
@@ -482,12 +545,13 @@
         };
         let revision = view_revision(&self.view);
         let known = self.table.remembered().map_or(0, |(revision, _)| *revision);
-        let is_due = now >= leading.remembered_at + REMEMBER_PAUSE;
+        let is_due = now >= leading.remember_at;
         if revision <= known || !is_due || self.view.configuration.is_none() {
             return;
         }
-        leading.remembered_at = now;
         if let Ok(bytes) = rmp_serde::to_vec(&self.view) {
+            let pause = bytes.len() as u64 / REMEMBERED_BYTES_A_MS;
+            leading.remember_at = now + pause.max(REMEMBER_PAUSE);
             self.propose(&Command::Remember {
                 revision,
                 configuration: bytes.into(),
--- a/crates/cluster/src/storage/process.rs
+++ b/crates/cluster/src/storage/process.rs
@@ -73,6 +73,8 @@
     pub heard_at: u64,
     /// It was told that this process leads.
     pub told_term: u64,
+    /// It holds the view that was last sent to all.
+    pub has_view: bool,
 }
 
 /// All of a storage process.
@@ -88,6 +90,8 @@
     pub group: Group,
     pub asks: Asks,
     pub leading: Option<Leading>,
+    /// Some edge was not told who leads, or holds no view.
+    pub has_untold_edges: bool,
     pub order_log: OrderLog,
     pub local: mpsc::Sender<Local>,
     pub events: mpsc::Sender<LinkEvent>,
@@ -199,6 +203,7 @@
             group: Group::default(),
             asks: Asks::default(),
             leading: None,
+            has_untold_edges: false,
             order_log: OrderLog::new(clock.now()),
             local,
             events,
@@ -240,6 +245,7 @@
                     peer: None,
                     heard_at: now,
                     told_term: 0,
+                    has_view: false,
                 };
                 self.links.insert(link, state);
                 if let Some(peer) = peer {
@@ -264,6 +270,12 @@
                     self.consensus.receive(from, message, now);
                 }
             }
+            Message::NeedView => {
+                if let Some(state) = self.links.get_mut(&link) {
+                    state.has_view = false;
+                    self.has_untold_edges = true;
+                }
+            }
             Message::Ask { number, question } => self.on_question(link, number, question),
             Message::Leading { members, .. } => self.learn_members(&members),
             other => self.on_edge_message(link, other),
--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -176,6 +176,9 @@
     pub running: usize,
 }
 
+/// Engines named in a line on the state.
+const MOST_LOGGED: usize = 24;
+
 /// What a dispatcher has to do.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Load {
@@ -244,6 +247,8 @@
 
     /// Takes an event; returns what is to be done.
     pub fn handle(&mut self, event: Event, table: &JobTable, now: Millis) -> Vec<Action> {
+        // Orders are planned when something they depend on may have changed.
+        let plans_orders = !matches!(event, Event::Progress { .. } | Event::Ended { .. });
         match event {
             Event::View(view) => self.take_view(view, now),
             Event::JobAccepted(id) => self.open_job(&id, table, now),
@@ -272,7 +277,9 @@
             Event::Ordered { replica, answer } => self.on_ordered(&replica, answer, now),
             Event::Tick => self.tick(now),
         }
-        self.plan_orders(now);
+        if plans_orders {
+            self.plan_orders(now);
+        }
         self.start_runs(table, now);
         std::mem::take(&mut self.actions)
     }
@@ -285,10 +292,9 @@
     /// What there is to do at present.
     pub fn load(&self) -> Load {
         let mut replicas = String::new();
-        for (id, replica) in &self.replicas.by_id {
-            if replica.versions.is_empty() {
-                continue;
-            }
+        let engines = self.replicas.by_id.iter();
+        let engines = engines.filter(|(_, replica)| !replica.versions.is_empty());
+        for (id, replica) in engines.take(MOST_LOGGED) {
             let newest = replica.versions.values().max().copied().unwrap_or(0);
             let running = replica.running;
             let mark = if self.orders.is_busy(id) { "*" } else { "" };
@@ -341,6 +347,7 @@
     }
 
     fn tick(&mut self, now: Millis) {
+        self.replicas.renew_typical();
         self.move_from_slow_replicas(now);
         self.move_stalled(now);
         self.give_up_overdue(now);
--- a/crates/dispatch/src/orders.rs
+++ b/crates/dispatch/src/orders.rs
@@ -124,44 +124,54 @@
             }
             let mut ready: Vec<_> = view.ready_replicas(&service.name).collect();
             ready.sort_by(|a, b| (&a.zone, &a.id).cmp(&(&b.zone, &b.id)));
+            let mut counts = self.counts(&service.models);
             for replica in &ready {
                 if !self.serves_first.contains_key(&replica.id) {
-                    let model = self.least_served(&service.models, |_| true);
+                    let least = least_served(&counts);
+                    counts[least] += 1;
+                    let model = service.models[least].clone();
                     self.serves_first.insert(replica.id.clone(), model);
                 }
             }
-            self.level(&service.models);
+            self.level(&service.models, counts);
         }
     }
 
-    fn count(&self, model: &str) -> usize {
-        self.serves_first
-            .values()
-            .filter(|one| *one == model)
-            .count()
-    }
-
-    fn least_served(&self, models: &[String], also: impl Fn(&str) -> bool) -> String {
-        let fitting = models.iter().filter(|model| also(model));
-        let least = fitting.min_by_key(|model| self.count(model));
-        least.cloned().unwrap_or_default()
+    /// Replicas that serve each of these models first.
+    fn counts(&self, models: &[String]) -> Vec<usize> {
+        let mut counts = vec![0; models.len()];
+        for first in self.serves_first.values() {
+            if let Some(number) = models.iter().position(|model| model == first) {
+                counts[number] += 1;
+            }
+        }
+        counts
     }
 
-    fn level(&mut self, models: &[String]) {
-        while let Some(most) = models.iter().max_by_key(|model| self.count(model)) {
-            let least = self.least_served(models, |_| true);
-            if self.count(most) <= self.count(&least) + 1 {
+    /// Moves replicas until no model has two more than another.
+    fn level(&mut self, models: &[String], mut counts: Vec<usize>) {
+        loop {
+            let least = least_served(&counts);
+            let most = (0..counts.len()).max_by_key(|number| counts[*number]);
+            let Some(most) = most.filter(|most| counts[*most] > counts[least] + 1) else {
                 return;
-            }
-            let moved = self.serves_first.values_mut().find(|model| *model == most);
-            match moved {
-                Some(model) => *model = least,
+            };
+            let mut firsts = self.serves_first.values_mut();
+            match firsts.find(|model| **model == models[most]) {
+                Some(model) => *model = models[least].clone(),
                 None => return,
             }
+            counts[most] -= 1;
+            counts[least] += 1;
         }
     }
 }
 
+fn least_served(counts: &[usize]) -> usize {
+    let least = (0..counts.len()).min_by_key(|number| counts[*number]);
+    least.unwrap_or(0)
+}
+
 /// A load that is due; the lesser goes first.
 #[derive(Debug, PartialEq, Eq, PartialOrd, Ord)]
 struct DueLoad {
--- a/crates/dispatch/src/replicas.rs
+++ b/crates/dispatch/src/replicas.rs
@@ -36,6 +36,8 @@
 #[derive(Debug, Default)]
 pub(crate) struct Replicas {
     pub by_id: BTreeMap<String, Replica>,
+    /// Median time of an event by service, as of the last tick.
+    typical: HashMap<String, f64>,
 }
 
 /// What a run asks of a replica.
@@ -109,10 +111,22 @@
 
     /// Median time of an event over the replicas of a service, in ms.
     pub fn typical_event_ms(&self, service: &str) -> Option<f64> {
-        let of_service = self.by_id.values().filter(|one| one.service == service);
-        let mut speeds: Vec<f64> = of_service.filter_map(|one| one.event_ms).collect();
-        speeds.sort_by(f64::total_cmp);
-        speeds.get(speeds.len() / 2).copied()
+        self.typical.get(service).copied()
+    }
+
+    /// Takes the medians anew: once a tick, not at each placement.
+    pub fn renew_typical(&mut self) {
+        let mut speeds: HashMap<&str, Vec<f64>> = HashMap::new();
+        for replica in self.by_id.values() {
+            if let Some(event_ms) = replica.event_ms {
+                speeds.entry(&replica.service).or_default().push(event_ms);
+            }
+        }
+        let medians = speeds.into_iter().map(|(service, mut speeds)| {
+            speeds.sort_by(f64::total_cmp);
+            (service.to_string(), speeds[speeds.len() / 2])
+        });
+        self.typical = medians.collect();
     }
 
     pub fn note_speed(&mut self, id: &str, event_ms: f64) {
--- /dev/null
+++ b/crates/fleet/src/delta.rs
@@ -0,0 +1,101 @@
+//! Differences between two views, so that a change costs what it changes and
+//! not what the fleet holds.
+
+use crate::configuration::Configuration;
+use crate::view::{FleetView, ReplicaInfo, Retirement};
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+/// What changed between two views. Applied to a view whose replicas are as of
+/// `base`, it gives the newer view. (Not to one in between: a replica that came
+/// and went since `base` stands in neither view.)
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct ViewDelta {
+    /// Revision of the replicas in the older view.
+    pub base: u64,
+    /// The configuration and its revision, if it changed.
+    pub configuration: Option<(u64, Arc<Configuration>)>,
+    /// Replicas that came or changed.
+    pub changed: Vec<ReplicaInfo>,
+    /// Identities of replicas that went.
+    pub gone: Vec<String>,
+    /// Revision of the replicas in the newer view.
+    pub replicas_revision: u64,
+    /// Versions and their revision, if they changed.
+    pub versions: Option<(u64, Arc<BTreeMap<String, u64>>)>,
+    /// Retirements and their revision, if they changed.
+    pub retirements: Option<(u64, Arc<BTreeMap<String, Retirement>>)>,
+}
+
+/// The view is not the difference's base: it needs a whole view.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct OtherBase;
+
+impl FleetView {
+    /// What changed since `older`.
+    pub fn delta_from(&self, older: &Self) -> ViewDelta {
+        let mut delta = ViewDelta {
+            base: older.replicas_revision,
+            replicas_revision: self.replicas_revision,
+            ..ViewDelta::default()
+        };
+        if self.configuration_revision > older.configuration_revision {
+            let configuration = self.configuration.clone();
+            delta.configuration = configuration.map(|one| (self.configuration_revision, one));
+        }
+        if self.versions != older.versions {
+            delta.versions = Some((self.versions_revision, Arc::clone(&self.versions)));
+        }
+        if self.retirements != older.retirements {
+            delta.retirements = Some((self.retirements_revision, Arc::clone(&self.retirements)));
+        }
+        if !Arc::ptr_eq(&self.replicas, &older.replicas) {
+            let changed = self.replicas.iter();
+            let changed = changed.filter(|(id, replica)| older.replicas.get(*id) != Some(replica));
+            delta.changed = changed.map(|(_, replica)| replica.clone()).collect();
+            let gone = older.replicas.keys();
+            let gone = gone.filter(|id| !self.replicas.contains_key(*id));
+            delta.gone = gone.cloned().collect();
+        }
+        delta
+    }
+
+    /// Takes a difference; returns whether anything changed.
+    ///
+    /// # Errors
+    /// [`OtherBase`]: the replicas known here are others than the difference
+    /// begins with, and older than those it ends with.
+    pub fn apply(&mut self, delta: &ViewDelta) -> Result<bool, OtherBase> {
+        let is_newer = self.replicas_revision >= delta.replicas_revision;
+        if self.replicas_revision != delta.base && !is_newer {
+            return Err(OtherBase);
+        }
+        let mut newer = self.clone();
+        if let Some((revision, configuration)) = &delta.configuration {
+            newer.configuration = Some(Arc::clone(configuration));
+            newer.configuration_revision = *revision;
+        }
+        if let Some((revision, versions)) = &delta.versions {
+            newer.versions = Arc::clone(versions);
+            newer.versions_revision = *revision;
+        }
+        if let Some((revision, retirements)) = &delta.retirements {
+            newer.retirements = Arc::clone(retirements);
+            newer.retirements_revision = *revision;
+        }
+        if delta.replicas_revision > self.replicas_revision {
+            newer.replicas_revision = delta.replicas_revision;
+            if !delta.changed.is_empty() || !delta.gone.is_empty() {
+                let replicas = Arc::make_mut(&mut newer.replicas);
+                for id in &delta.gone {
+                    replicas.remove(id);
+                }
+                for replica in &delta.changed {
+                    replicas.insert(replica.id.clone(), replica.clone());
+                }
+            }
+        }
+        Ok(self.merge(&newer))
+    }
+}
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -5,7 +5,9 @@
 #![forbid(unsafe_code)]
 
 mod configuration;
+mod delta;
 mod view;
 
 pub use configuration::{Configuration, Limits, Route, RouteKind, Service, Target, choose_target};
+pub use delta::{OtherBase, ViewDelta};
 pub use view::{FleetView, ReplicaInfo, Retirement, ServedModel};
--- /dev/null
+++ b/crates/fleet/tests/delta.rs
@@ -0,0 +1,94 @@
+//! A difference gives the newer view, or says that it cannot.
+
+use brasspond_fleet::{Configuration, FleetView, OtherBase, ReplicaInfo};
+use proptest::prelude::*;
+use rstest::rstest;
+use std::sync::Arc;
+
+fn replica(number: u64, revision: u64) -> ReplicaInfo {
+    ReplicaInfo {
+        id: format!("replica-{number}"),
+        service: "service".to_string(),
+        address: "10.0.0.1:80".parse().expect("address"),
+        zone: "zone".to_string(),
+        slots: 1,
+        draining: revision.is_multiple_of(3),
+        models: Vec::new(),
+        revision,
+    }
+}
+
+/// Views after each of some changes: a replica written or gone.
+fn history(changes: &[(u64, bool)]) -> Vec<FleetView> {
+    let mut view = FleetView::default();
+    let mut views = vec![view.clone()];
+    for (step, (number, gone)) in changes.iter().enumerate() {
+        let revision = step as u64 + 1;
+        let replicas = Arc::make_mut(&mut view.replicas);
+        if *gone {
+            replicas.remove(&format!("replica-{number}"));
+        } else {
+            let one = replica(*number, revision);
+            replicas.insert(one.id.clone(), one);
+        }
+        view.replicas_revision = revision;
+        views.push(view.clone());
+    }
+    views
+}
+
+proptest! {
+    #[test]
+    fn the_newer_view_is_reached_or_nothing_changes(
+        changes in proptest::collection::vec((0_u64..5, any::<bool>()), 1..20),
+        points in (0_usize..20, 0_usize..20, 0_usize..20),
+    ) {
+        let views = history(&changes);
+        let mut points = [points.0, points.1, points.2].map(|point| point % views.len());
+        points.sort_unstable();
+        let [base, own, newest] = points;
+        let delta = views[newest].delta_from(&views[base]);
+        let mut view = views[own].clone();
+        match view.apply(&delta) {
+            Ok(_) => prop_assert_eq!(&view, &views[newest]),
+            // A replica that came and went since the base is in neither view.
+            Err(OtherBase) => {
+                prop_assert!(own != base && own != newest);
+                prop_assert_eq!(&view, &views[own]);
+            }
+        }
+    }
+}
+
+#[rstest]
+fn a_view_that_lacks_the_base_asks_for_a_whole_one() {
+    let views = history(&[(1, false), (2, false), (3, false)]);
+    let delta = views[3].delta_from(&views[2]);
+    let mut view = views[1].clone();
+    assert_eq!(view.apply(&delta), Err(OtherBase));
+    assert_eq!(view, views[1]);
+}
+
+#[rstest]
+fn an_older_configuration_never_comes_back() {
+    let configuration = |version| {
+        Arc::new(Configuration {
+            version,
+            ..Configuration::default()
+        })
+    };
+    let older = FleetView::default();
+    let middle = FleetView {
+        configuration: Some(configuration(1)),
+        configuration_revision: 1,
+        ..FleetView::default()
+    };
+    let mut newest = FleetView {
+        configuration: Some(configuration(2)),
+        configuration_revision: 2,
+        ..FleetView::default()
+    };
+    let delta = middle.delta_from(&older);
+    assert_eq!(newest.apply(&delta), Ok(false));
+    assert_eq!(newest.configuration_revision, 2);
+}
