--- a/crates/cluster/tests/group.rs
+++ b/crates/cluster/tests/group.rs
@@ -5,12 +5,19 @@
 
 use proptest::prelude::*;
 use rstest::rstest;
-use support::{Fault, World};
+use support::{Fault, Mutation, World};
 
 /// Whatever happens within what must be borne, nothing acknowledged is lost, no
 /// two members apply different entries, one leader a term.
 fn play(seed: u64, faults: &[Fault]) {
+    play_mutated(seed, faults, None);
+}
+
+fn play_mutated(seed: u64, faults: &[Fault], mutation: Option<Mutation>) {
     let mut world = World::new(seed, 3);
+    if let Some(mutation) = mutation {
+        world.mutate(mutation);
+    }
     world.run(2_000);
     assert!(world.leader().is_some(), "a calm group has a leader");
     for fault in faults {
@@ -55,6 +62,7 @@
         Just(Fault::Add),
         member.prop_map(Fault::Retire),
         Just(Fault::PauseLeader),
+        Just(Fault::WipeBehindCut),
     ]
 }
 
@@ -89,3 +97,26 @@
         play(seed, &faults);
     }
 }
+
+/// Each check fails when the fault it is there for is built in.
+#[rstest]
+#[case::entries_not_synced(
+    Mutation::UnsyncedEntries,
+    vec![Fault::PowerLossAll, Fault::PowerLossAll, Fault::PowerLossAll]
+)]
+#[case::votes_forgotten(
+    Mutation::ForgottenVotes,
+    vec![Fault::PowerLossAll, Fault::Kill(0), Fault::Kill(1), Fault::Kill(2)]
+)]
+#[case::identity_kept_without_the_disk(
+    Mutation::KeptIdentity,
+    vec![Fault::WipeBehindCut, Fault::WipeBehindCut]
+)]
+fn a_built_in_fault_is_caught(#[case] mutation: Mutation, #[case] faults: Vec<Fault>) {
+    const SEEDS: u64 = 60;
+    let caught = (0..SEEDS).any(|seed| {
+        let faults = faults.clone();
+        std::panic::catch_unwind(move || play_mutated(seed, &faults, Some(mutation))).is_err()
+    });
+    assert!(caught, "{mutation:?} was never noticed");
+}
--- a/crates/cluster/tests/support/mod.rs
+++ b/crates/cluster/tests/support/mod.rs
@@ -30,12 +30,26 @@
     PowerLossAll,
     /// One loses its disk while all others lose power.
     WipeOnePowerLossAll(usize),
+    /// A follower is cut off and misses entries; then the other follower loses
+    /// its disk while the leader is dark, and the cut heals.
+    WipeBehindCut,
     /// An empty machine joins.
     Add,
     /// A machine is emptied and, once that is done, taken away.
     Retire(usize),
 }
 
+/// A fault built into the members, to show that the checks can fail.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Mutation {
+    /// The newest entries were never synced though it was said so.
+    UnsyncedEntries,
+    /// Votes are not remembered across a restart.
+    ForgottenVotes,
+    /// A machine that lost its disk comes back under its old identity.
+    KeptIdentity,
+}
+
 #[derive(Clone, Debug, Default)]
 struct Disk {
     hard_state: HardState,
@@ -77,6 +91,7 @@
     awaiting: Vec<(MemberId, u64, Bytes)>,
     leaders: BTreeMap<u64, MemberId>,
     proposals: u64,
+    mutation: Option<Mutation>,
 }
 
 const TARGET: usize = 3;
@@ -95,6 +110,7 @@
             awaiting: Vec::new(),
             leaders: BTreeMap::new(),
             proposals: 0,
+            mutation: None,
         };
         for _ in 0..machines {
             world.add_machine();
@@ -105,6 +121,11 @@
         world
     }
 
+    /// The same with a fault built in.
+    pub fn mutate(&mut self, mutation: Mutation) {
+        self.mutation = Some(mutation);
+    }
+
     fn add_machine(&mut self) {
         let number = self.machines.len();
         let name = format!("machine-{number}");
@@ -438,7 +459,17 @@
 
     fn kill(&mut self, number: usize, for_ms: u64) {
         let until = self.now + for_ms;
+        let mutation = self.mutation;
         let machine = &mut self.machines[number];
+        match mutation {
+            Some(Mutation::UnsyncedEntries) => {
+                let last = machine.disk.entries.keys().next_back().copied();
+                let kept = last.unwrap_or(0).saturating_sub(6);
+                machine.disk.entries.split_off(&(kept + 1));
+            }
+            Some(Mutation::ForgottenVotes) => machine.disk.hard_state = HardState::default(),
+            Some(Mutation::KeptIdentity) | None => {}
+        }
         machine.process = None;
         machine.down_until = until;
         let id = machine.member.id;
@@ -450,9 +481,12 @@
         self.kill(number, for_ms);
         let name = self.machines[number].name.clone();
         let member = self.new_member(&name, number);
+        let keeps_identity = self.mutation == Some(Mutation::KeptIdentity);
         let machine = &mut self.machines[number];
         machine.disk = Disk::default();
-        machine.member = member;
+        if !keeps_identity {
+            machine.member = member;
+        }
     }
 
     pub fn inflict(&mut self, fault: &Fault) {
@@ -467,7 +501,7 @@
             | Fault::WipeOnePowerLossAll(number)
             | Fault::Retire(number) => self.live(*number),
             Fault::PauseLeader => self.leader(),
-            Fault::PowerLossAll | Fault::Add => Some(0),
+            Fault::PowerLossAll | Fault::Add | Fault::WipeBehindCut => Some(0),
         };
         let Some(number) = number else {
             return;
@@ -504,6 +538,7 @@
                 self.wipe(number, 300);
                 self.run(4_500);
             }
+            Fault::WipeBehindCut => self.wipe_behind_cut(),
             Fault::Add => {
                 if self.machines.len() < 6 {
                     self.add_machine();
@@ -513,6 +548,29 @@
         }
     }
 
+    fn wipe_behind_cut(&mut self) {
+        self.run(4_500);
+        let Some(leader) = self.leader() else {
+            return;
+        };
+        let process = self.machines[leader].process.as_ref().expect("leads");
+        let voters: Vec<MemberId> = process.members().iter().map(|one| one.id).collect();
+        let followers: Vec<usize> = (0..self.machines.len())
+            .filter(|number| *number != leader)
+            .filter(|number| voters.contains(&self.machines[*number].member.id))
+            .collect();
+        let [behind, lost] = followers[..] else {
+            return;
+        };
+        self.machines[behind].cut_until = self.now + 400;
+        self.run(20);
+        self.propose_some();
+        self.run(100);
+        self.kill(leader, 3_500);
+        self.wipe(lost, 100);
+        self.run(5_000);
+    }
+
     fn retire(&mut self, number: usize) {
         let staying = self.machines.iter().filter(|one| !one.gone).count();
         if staying <= 2 {
