A retiring storage machine keeps its vote until another has taken its place

(The rule for disks known to be lost needs the same name.) Ruled out: two voters with a witness in the platform's store (weighed: more code in the most delicate place, and the store may be down just then); no price stands on an order that waits.

--- a/crates/cluster/src/storage/plan.rs
+++ b/crates/cluster/src/storage/plan.rs
@@ -53,7 +53,8 @@
 /// Invariants: one member changes at a time; a voter is never taken out while
 /// that would leave fewer live voters than a quorum of the rest; a member
 /// becomes a voter only once it has nearly all of the log; a machine that is to
-/// be emptied stays while without it one lost disk could lose the log.
+/// be emptied keeps its vote until another has taken its place, since fewer
+/// voters than the target do not bear the losses that were declared.
 pub fn next_step(situation: &Situation<'_>) -> Step {
     if let Some(step) = drop_lost_disk(situation) {
         return step;
@@ -113,9 +114,7 @@
         .find(|voter| situation.retiring.contains(&voter.machine));
     if let Some(retiring) = retiring {
         let others = situation.voters.len() - 1;
-        let is_enough = others >= situation.target;
-        let is_safe = others > situation.target / 2;
-        if is_enough || (is_safe && !has_newcomer(situation)) {
+        if others >= situation.target {
             if retiring.id == situation.own && others > 0 {
                 return Step::HandOver;
             }
@@ -150,16 +149,6 @@
     (!rest.is_empty() && heard.count() >= quorum).then_some(Step::Change(rest))
 }
 
-fn has_newcomer(situation: &Situation<'_>) -> bool {
-    situation.candidates.iter().any(|candidate| {
-        let votes = situation
-            .voters
-            .iter()
-            .any(|voter| voter.id == candidate.member.id);
-        !votes && is_alive(candidate) && !situation.retiring.contains(&candidate.member.machine)
-    })
-}
-
 fn find<'a>(situation: &'a Situation<'_>, id: MemberId) -> Option<&'a Candidate> {
     let mut candidates = situation.candidates.iter();
     candidates.find(|candidate| candidate.member.id == id)
