The last runs of a step move to faster replicas; spare groups tried and dropped

Ruled out: too few places (tail phase: 2 to 10 runs on 72 places); the trainer's reading (twice a second). Change: while nothing waits, runs on replicas 1.15 times slower than a free one go on there after their last event.

--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -349,6 +349,7 @@
     fn tick(&mut self, now: Millis) {
         self.replicas.renew_typical();
         self.move_from_slow_replicas(now);
+        self.move_to_faster_replicas(now);
         self.move_stalled(now);
         self.give_up_overdue(now);
     }
--- a/crates/dispatch/src/runs.rs
+++ b/crates/dispatch/src/runs.rs
@@ -8,10 +8,18 @@
 use std::collections::{BTreeMap, HashMap};
 
 /// Events of a run from which its replica's speed is told.
-const SPEED_EVENTS: u64 = 3;
+const SPEED_EVENTS: u64 = 6;
 /// Events of a run after which it is worth moving.
 const MOVE_EVENTS: u64 = 2;
 
+/// Events of a run after which it may go on at a faster replica.
+const FASTER_EVENTS: u64 = 10;
+/// A replica is worth moving to when an event takes this many times longer
+/// where the run is.
+const FASTER_FACTOR: f64 = 1.15;
+/// Runs moved to faster replicas at a time.
+const FASTER_AT_ONCE: usize = 8;
+
 /// A run under way.
 #[derive(Clone, Debug)]
 pub(crate) struct Run {
@@ -31,6 +39,15 @@
     pub cancelled: bool,
 }
 
+/// Free places on a replica.
+struct FastRoom {
+    service: String,
+    model: String,
+    version: u64,
+    event_ms: f64,
+    free: usize,
+}
+
 /// All runs.
 #[derive(Debug, Default)]
 pub(crate) struct Runs {
@@ -547,6 +564,70 @@
         }
     }
 
+    /// Once nothing waits, a step ends with its longest runs: those on slower
+    /// replicas go on at faster ones that have room. Going on elsewhere costs
+    /// reading the text so far, which takes milliseconds; staying costs the
+    /// difference in speed for all the events to come.
+    pub(crate) fn move_to_faster_replicas(&mut self, now: Millis) {
+        let mut room = self.fast_rooms(now);
+        let mut moving = Vec::new();
+        for (attempt, run) in &self.runs.by_id {
+            if run.cancelled || run.made < FASTER_EVENTS || moving.len() >= FASTER_AT_ONCE {
+                continue;
+            }
+            let Some(job) = self.jobs.jobs.get(&run.job) else {
+                continue;
+            };
+            let own = self.replicas.by_id.get(&run.replica);
+            let Some((own, service)) = own.and_then(|one| Some((one.event_ms?, &one.service)))
+            else {
+                continue;
+            };
+            if self.jobs.has_waiting(&job.model) {
+                continue;
+            }
+            let faster = room.iter_mut().find(|place| {
+                place.free > 0
+                    && place.service == *service
+                    && place.model == job.model
+                    && place.version >= job.min_version
+                    && own > place.event_ms * FASTER_FACTOR
+            });
+            if let Some(place) = faster {
+                place.free -= 1;
+                moving.push(*attempt);
+            }
+        }
+        for attempt in moving {
+            self.move_run(attempt, "faster_replica", now);
+        }
+    }
+
+    /// Free places on replicas of known speed, the fastest first.
+    fn fast_rooms(&self, now: Millis) -> Vec<FastRoom> {
+        let mut rooms = Vec::new();
+        for (id, replica) in &self.replicas.by_id {
+            let Some(event_ms) = replica.event_ms else {
+                continue;
+            };
+            let Some(model) = self.orders.serves_first.get(id) else {
+                continue;
+            };
+            if replica.draining || replica.paused_until > now || self.orders.is_busy(id) {
+                continue;
+            }
+            rooms.push(FastRoom {
+                service: replica.service.clone(),
+                model: model.clone(),
+                version: replica.versions.get(model).copied().unwrap_or(0),
+                event_ms,
+                free: replica.slots.saturating_sub(replica.running),
+            });
+        }
+        rooms.sort_by(|a, b| a.event_ms.total_cmp(&b.event_ms));
+        rooms
+    }
+
     /// Items that waited longer than their route allows are given up.
     pub(crate) fn give_up_overdue(&mut self, now: Millis) {
         let mut overdue = Vec::new();
--- a/crates/dispatch/tests/dispatcher.rs
+++ b/crates/dispatch/tests/dispatcher.rs
@@ -328,3 +328,32 @@
     assert!(asked(&fixture.name_version(2)).is_empty());
     assert_eq!(asked(&fixture.end("job")), ["replica-0"]);
 }
+
+/// A step ends with its longest runs: one that sits on a slower replica while a
+/// faster one has room costs the whole step (llyfr-rollout, quiet-1, seed 1).
+#[rstest]
+fn the_last_runs_move_to_faster_replicas() {
+    let mut fixture = Fixture::new(view(2, 2), OrderLeases::default());
+    fixture.edge("edge-1");
+    let started = runs(&fixture.accept(submission("job", &[2, 1], 0)));
+    assert_ne!(started[0].replica, started[1].replica);
+    let mut next = [1, 1];
+    for _ in 0..8 {
+        fixture.advance(100);
+        for (number, events) in [(0, 2), (1, 3)] {
+            let first = next[number];
+            next[number] += events;
+            let events = (first..next[number]).map(|id| event(id, "x", 1));
+            fixture.handle(Event::Progress {
+                attempt: started[number].attempt,
+                events: events.collect(),
+            });
+        }
+    }
+    let actions = fixture.handle(Event::Tick);
+    let moved = runs(&actions);
+    assert_eq!(moved.len(), 1);
+    assert_eq!(moved[0].item, started[0].item);
+    assert_eq!(moved[0].replica, started[1].replica, "the faster one");
+    assert_eq!(moved[0].events.len(), 16, "goes on after its last event");
+}
