--- a/crates/simulation/src/fuzz.rs
+++ b/crates/simulation/src/fuzz.rs
@@ -17,6 +17,10 @@
 const FAULT_SPAN: Duration = Duration::from_secs(20);
 /// Time after the faults by which everything must be done.
 const SETTLE_TIME: Duration = Duration::from_secs(240);
+/// Steps whose time is contained in [`SETTLE_TIME`].
+const USUAL_STEPS: u64 = 3;
+/// Time for each step beyond those.
+const STEP_TIME: Duration = Duration::from_secs(20);
 /// Time without changes after which all nodes must agree.
 const QUIET_TIME: Duration = Duration::from_secs(20);
 /// Step in which the end of the work is looked for.
@@ -55,6 +59,9 @@
     pub faults: Vec<Fault>,
     /// What was broken.
     pub violations: Vec<Violation>,
+    /// The run ended before all steps were done: nothing need be broken, but
+    /// something took far too long.
+    pub out_of_time: bool,
 }
 
 /// The fleet of a seed with its faults.
@@ -133,30 +140,52 @@
     }
 }
 
+/// Simulated time by which a run of so many steps must be done.
+pub fn run_limit(steps: u64) -> Duration {
+    let more = steps.saturating_sub(USUAL_STEPS);
+    let more = u32::try_from(more).unwrap_or(u32::MAX);
+    FAULT_SPAN + SETTLE_TIME + STEP_TIME * more
+}
+
+/// How a run ended.
+struct Played {
+    violations: Vec<Violation>,
+    out_of_time: bool,
+}
+
 /// Runs one seed with given faults until all work is done and all is quiet.
-fn run_config(config: WorldConfig) -> Vec<Violation> {
+fn run_config(config: WorldConfig, steps: u64) -> Played {
     let mut world = World::new(config);
     world.run_until(Timestamp::ZERO + FAULT_SPAN);
     world.stop_operators();
-    let end = Timestamp::ZERO + FAULT_SPAN + SETTLE_TIME;
+    let end = Timestamp::ZERO + run_limit(steps);
     while !world.trainers_done() && world.now() < end {
         let next = world.now() + LOOK;
         world.run_until(next);
         if !world.oracle().violations().is_empty() {
-            return world.oracle().violations().to_vec();
+            return Played {
+                violations: world.oracle().violations().to_vec(),
+                out_of_time: false,
+            };
         }
     }
+    let out_of_time = !world.trainers_done();
     let quiet = world.now() + QUIET_TIME;
     world.run_until(quiet);
-    world.check_all_delivered();
+    if !out_of_time {
+        world.check_all_delivered();
+    }
     world.check_everywhere();
-    world.oracle().violations().to_vec()
+    Played {
+        violations: world.oracle().violations().to_vec(),
+        out_of_time,
+    }
 }
 
 /// Runs one seed.
 ///
 /// # Errors
-/// A guarantee was broken.
+/// A guarantee was broken, or the run took too long.
 pub fn run_seed(seed: u64, options: &FuzzOptions) -> Result<(), FuzzFailure> {
     let faults = fuzz_config(seed, options).faults;
     run_faults(seed, options, &faults)
@@ -165,19 +194,20 @@
 /// Runs one seed with faults of the caller's choice.
 ///
 /// # Errors
-/// A guarantee was broken.
+/// A guarantee was broken, or the run took too long.
 pub fn run_faults(seed: u64, options: &FuzzOptions, faults: &[Fault]) -> Result<(), FuzzFailure> {
     let mut config = fuzz_config(seed, options);
     config.faults = faults.to_vec();
-    let violations = run_config(config);
-    if violations.is_empty() {
+    let played = run_config(config, options.steps);
+    if played.violations.is_empty() && !played.out_of_time {
         return Ok(());
     }
     let faults = faults.to_vec();
     Err(FuzzFailure {
         seed,
         faults,
-        violations,
+        violations: played.violations,
+        out_of_time: played.out_of_time,
     })
 }
 
--- a/crates/simulation/src/lib.rs
+++ b/crates/simulation/src/lib.rs
@@ -27,7 +27,7 @@
 pub use config::{GroupConfig, NetworkConfig, WorldConfig};
 pub use engines::EngineTotals;
 pub use faults::{Fault, FaultKind, draw_faults};
-pub use fuzz::{FuzzFailure, FuzzOptions, fuzz_config, run_faults, run_seed, shrink};
+pub use fuzz::{FuzzFailure, FuzzOptions, fuzz_config, run_faults, run_limit, run_seed, shrink};
 pub use meter::{MessageClass, Meter};
 pub use oracle::{Guarantee, Oracle, Violation};
 pub use trainers::TrainerTotals;
