Samples of a single version are never mixed

Ruled out: results mislabelled (they named both versions truly). Change: what was made goes on only at its version, else it begins anew; an edge ends a run that another version took over; replicas of such services load once their runs have ended.

--- a/crates/cluster-protocol/src/run.rs
+++ b/crates/cluster-protocol/src/run.rs
@@ -81,6 +81,8 @@
     Unreachable,
     /// The stream broke off, or its bytes made no sense.
     Broken,
+    /// Another version went on with it, where one must make the whole.
+    Mixed,
     /// Stopped by the leader, or by the edge's own stop.
     Cancelled,
 }
@@ -96,6 +98,7 @@
             Self::TooOld => "too_old",
             Self::Unreachable => "unreachable",
             Self::Broken => "broken",
+            Self::Mixed => "mixed",
             Self::Cancelled => "cancelled",
         }
     }
--- a/crates/cluster/src/edge/runs.rs
+++ b/crates/cluster/src/edge/runs.rs
@@ -236,6 +236,10 @@
                 if event.id != last + 1 {
                     return RunEnd::Broken;
                 }
+                let first = progress.events.first().map(|first| first.version);
+                if spec.single_version && first.is_some_and(|first| first != event.version) {
+                    return RunEnd::Mixed;
+                }
                 progress.events.push(event);
             }
             Err(StreamEnd::Whole) => {
--- a/crates/cluster/src/outside.rs
+++ b/crates/cluster/src/outside.rs
@@ -189,6 +189,8 @@
     pub fence: u64,
     /// Orders the replica must have taken so far.
     pub expected_count: u64,
+    /// Runs end under their version first; else they go on under the new one.
+    pub runs_finish: bool,
     /// The replica.
     pub replica: String,
     /// Where it listens.
--- a/crates/cluster/src/storage/leading.rs
+++ b/crates/cluster/src/storage/leading.rs
@@ -196,6 +196,7 @@
                 model,
                 version,
                 expected_count,
+                runs_finish,
             } => {
                 let order = VersionOrder {
                     model,
@@ -203,6 +204,7 @@
                     holder: self.own.machine.clone(),
                     fence: self.consensus.term(),
                     expected_count,
+                    runs_finish,
                     replica,
                     address,
                 };
--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -165,6 +165,9 @@
         version: u64,
         /// Orders the replica must have taken so far.
         expected_count: u64,
+        /// Runs end under their version before the replica loads; else they go
+        /// on under the new one.
+        runs_finish: bool,
     },
 }
 
@@ -237,11 +240,11 @@
         };
         dispatcher.take_view(view, now);
         for (id, job) in table.jobs() {
-            let listings = dispatcher.jobs.open(id, job, table, now);
+            let view = &dispatcher.view;
+            let listings = dispatcher.jobs.open(id, job, table, view, now);
             let listings = listings.into_iter().map(Action::List);
             dispatcher.actions.extend(listings);
         }
-        dispatcher.jobs.resolve_routes(&dispatcher.view);
         dispatcher
     }
 
@@ -320,9 +323,8 @@
 
     fn open_job(&mut self, id: &str, table: &JobTable, now: Millis) {
         if let Some(job) = table.job(id) {
-            let listings = self.jobs.open(id, job, table, now);
+            let listings = self.jobs.open(id, job, table, &self.view, now);
             self.actions.extend(listings.into_iter().map(Action::List));
-            self.jobs.resolve_routes(&self.view);
         }
     }
 
--- a/crates/dispatch/src/jobs.rs
+++ b/crates/dispatch/src/jobs.rs
@@ -64,6 +64,15 @@
     events: Vec<StreamEvent>,
 }
 
+impl JobRun {
+    /// Whether one version must make the whole text of an item.
+    pub fn is_single_version(&self) -> bool {
+        self.route
+            .as_ref()
+            .is_some_and(|route| route.single_version)
+    }
+}
+
 /// All jobs under way.
 #[derive(Debug, Default)]
 pub(crate) struct JobRuns {
@@ -77,7 +86,14 @@
 
 impl JobRuns {
     /// Opens a job; returns items that are done already, by an earlier job.
-    pub fn open(&mut self, id: &str, job: &Job, table: &JobTable, now: Millis) -> Vec<Listing> {
+    pub fn open(
+        &mut self,
+        id: &str,
+        job: &Job,
+        table: &JobTable,
+        view: &FleetView,
+        now: Millis,
+    ) -> Vec<Listing> {
         self.index_completed(id, job);
         if job.is_finished() || self.jobs.contains_key(id) {
             return Vec::new();
@@ -88,7 +104,7 @@
             model: job.model.clone(),
             min_version: job.min_version,
             since: now,
-            route: None,
+            route: find_route(view, &job.host, &job.path),
             items: Vec::with_capacity(job.items.len()),
             waiting: BTreeSet::new(),
         };
@@ -104,7 +120,8 @@
             };
             if job.listed[index] {
                 item_run.state = State::Listed;
-            } else if let Some(outcome) = self.reuse(&item.id, job, table) {
+            } else if let Some(outcome) = self.reuse(&item.id, job, run.is_single_version(), table)
+            {
                 item_run.state = State::Ending(None);
                 listings.push(Listing {
                     job: id.to_string(),
@@ -219,7 +236,13 @@
     }
 
     /// The whole text of an item out of an earlier job, if its versions fit.
-    fn reuse(&self, item_id: &str, job: &Job, table: &JobTable) -> Option<Outcome> {
+    fn reuse(
+        &self,
+        item_id: &str,
+        job: &Job,
+        single_version: bool,
+        table: &JobTable,
+    ) -> Option<Outcome> {
         let (earlier, position) = self.completed.get(item_id)?;
         let earlier = table.job(earlier)?;
         let (_, outcome) = earlier.results.get(*position)?;
@@ -227,6 +250,7 @@
             return None;
         };
         let fits = versions.iter().all(|version| *version >= job.min_version);
+        let fits = fits && !(single_version && versions.len() > 1);
         (fits && earlier.model == job.model).then(|| outcome.clone())
     }
 
@@ -239,6 +263,11 @@
     }
 }
 
+fn find_route(view: &FleetView, host: &str, path: &str) -> Option<JobRoute> {
+    let configuration = view.configuration.as_ref()?;
+    configuration.route(host, path).and_then(job_route)
+}
+
 fn job_route(route: &Route) -> Option<JobRoute> {
     if !route.kind.is_job() {
         return None;
--- a/crates/dispatch/src/orders.rs
+++ b/crates/dispatch/src/orders.rs
@@ -15,6 +15,8 @@
 /// A replica that neither took nor finished an order by then is left alone for
 /// a while, in ms.
 const ORDER_LOST: Millis = 2_500;
+/// Longest time a replica may be at work on an order, its runs included, in ms.
+const LONGEST_LOAD: Millis = 20_000;
 /// Pause before a replica is ordered again after that, in ms.
 const LEFT_ALONE: Millis = 500;
 
@@ -296,10 +298,26 @@
                 model: load.model.clone(),
                 version: load.version,
                 expected_count: sequence,
+                runs_finish: self.runs_finish_first(replica),
             });
         }
     }
 
+    /// Whether runs on a replica must end under their version: a route to its
+    /// service wants samples of a single one.
+    pub(crate) fn runs_finish_first(&self, replica: &str) -> bool {
+        let Some(replica) = self.replicas.by_id.get(replica) else {
+            return false;
+        };
+        let configuration = self.view.configuration.as_ref();
+        configuration.is_some_and(|configuration| {
+            configuration.routes.iter().any(|route| {
+                let mut targets = route.targets.iter();
+                route.single_version && targets.any(|one| one.service == replica.service)
+            })
+        })
+    }
+
     fn ask_after_loads(&mut self, now: Millis) {
         let mut due = Vec::new();
         for (id, load) in &mut self.orders.loads {
@@ -337,7 +355,10 @@
             log::info!("event=version_loaded replica={id} model={model} version={version}");
             return;
         }
-        if now >= load.since + ORDER_LOST {
+        if report.busy && now < load.since + LONGEST_LOAD {
+            load.stage = Stage::Loading;
+            load.ask_at = Some(now + ASK_AGAIN);
+        } else if now >= load.since + ORDER_LOST {
             self.abandon_load(id, now);
         } else if load.stage == Stage::Asking && !report.busy {
             load.stage = Stage::Sent;
--- a/crates/dispatch/src/replicas.rs
+++ b/crates/dispatch/src/replicas.rs
@@ -45,6 +45,8 @@
     pub service: &'a str,
     pub model: &'a str,
     pub min_version: u64,
+    /// The one version that may go on with what was made.
+    pub exact: Option<u64>,
 }
 
 impl Replicas {
@@ -154,10 +156,12 @@
 
 impl Replica {
     fn has_version(&self, need: &Need<'_>) -> bool {
-        if need.model.is_empty() || need.min_version == 0 {
+        if need.model.is_empty() || (need.min_version == 0 && need.exact.is_none()) {
             return true;
         }
         let version = self.versions.get(need.model);
-        version.is_some_and(|version| *version >= need.min_version)
+        version.is_some_and(|version| {
+            *version >= need.min_version && need.exact.is_none_or(|exact| *version == exact)
+        })
     }
 }
--- a/crates/dispatch/src/runs.rs
+++ b/crates/dispatch/src/runs.rs
@@ -1,7 +1,7 @@
 //! Runs: begun, told of, ended, moved.
 
 use crate::dispatcher::{Action, Dispatcher, Millis};
-use crate::jobs::{State, outcome_of};
+use crate::jobs::{JobRun, State, outcome_of};
 use crate::replicas::Need;
 use brasspond_cluster_protocol::{AttemptId, RunEnd, RunReport, RunSpec, StreamEvent};
 use brasspond_jobs::{JobTable, Listing, Outcome};
@@ -39,6 +39,12 @@
     pub cancelled: bool,
 }
 
+/// The version that must go on with what was made, where one must make all.
+fn exact_version(job: &JobRun, events: &[StreamEvent]) -> Option<u64> {
+    let first = events.first()?;
+    job.is_single_version().then_some(first.version)
+}
+
 /// Free places on a replica.
 struct FastRoom {
     service: String,
@@ -84,6 +90,7 @@
             service: &route.service,
             model: &job.model,
             min_version: job.min_version,
+            exact: exact_version(job, &job.items[item as usize].events),
         };
         let orders = &self.orders;
         let is_loading = |replica: &str| orders.is_loading(replica, &job.model);
@@ -91,7 +98,17 @@
             let first = orders.serves_first.get(replica);
             first.is_none_or(|model| *model == job.model)
         };
-        let Some(replica) = self.replicas.choose(&need, is_loading, serves_first, now) else {
+        let mut chosen = self.replicas.choose(&need, is_loading, serves_first, now);
+        let mut begins_anew = false;
+        if chosen.is_none() && need.exact.is_some() {
+            let anew = Need {
+                exact: None,
+                ..need
+            };
+            chosen = self.replicas.choose(&anew, is_loading, serves_first, now);
+            begins_anew = true;
+        }
+        let Some(replica) = chosen else {
             return false;
         };
         let Some(machine) = self.choose_edge(&replica) else {
@@ -112,7 +129,10 @@
         job.waiting.pop_first();
         let item_run = &mut job.items[item as usize];
         item_run.state = State::Running(attempt);
-        let events = std::mem::take(&mut item_run.events);
+        let mut events = std::mem::take(&mut item_run.events);
+        if begins_anew {
+            events.clear();
+        }
         let Some(known) = self.replicas.by_id.get_mut(&replica) else {
             return false;
         };
@@ -230,6 +250,9 @@
             self.recorded(machine, attempt);
             return;
         };
+        let exact = exact_version(job, &run.events);
+        let is_mixed = exact.is_some_and(|exact| run.events.iter().any(|one| one.version != exact));
+        let end = if is_mixed { RunEnd::Mixed } else { end };
         let item = &mut job.items[run.item as usize];
         if item.state != State::Running(attempt) {
             self.recorded(machine, attempt);
@@ -249,7 +272,9 @@
             self.list(&run.job, run.item, Outcome::Terminated);
             return;
         }
-        item.events = run.events;
+        if end != RunEnd::Mixed {
+            item.events = run.events;
+        }
         self.jobs.wait(&run.job, run.item);
         self.recorded(machine, attempt);
     }
@@ -274,7 +299,11 @@
             RunEnd::Broken | RunEnd::Unreachable | RunEnd::NotRun { .. } | RunEnd::TooOld => {
                 self.replicas.note_fault(replica, now);
             }
-            RunEnd::Whole | RunEnd::Failed | RunEnd::Impossible | RunEnd::Cancelled => {}
+            RunEnd::Whole
+            | RunEnd::Failed
+            | RunEnd::Impossible
+            | RunEnd::Mixed
+            | RunEnd::Cancelled => {}
         }
     }
 
@@ -478,6 +507,9 @@
 
     /// Runs on a replica about to load go on elsewhere, as far as there is room.
     pub(crate) fn move_from_loading(&mut self, loading: &str, now: Millis) {
+        if self.runs_finish_first(loading) {
+            return;
+        }
         let on_it = self.runs.by_id.iter();
         let on_it = on_it.filter(|(_, run)| run.replica == loading && !run.cancelled);
         let moving: Vec<AttemptId> = on_it.map(|(attempt, _)| *attempt).collect();
@@ -586,8 +618,10 @@
             if self.jobs.has_waiting(&job.model) {
                 continue;
             }
+            let exact = exact_version(job, &run.events);
             let faster = room.iter_mut().find(|place| {
                 place.free > 0
+                    && exact.is_none_or(|exact| place.version == exact)
                     && place.service == *service
                     && place.model == job.model
                     && place.version >= job.min_version
--- a/crates/dispatch/tests/dispatcher.rs
+++ b/crates/dispatch/tests/dispatcher.rs
@@ -357,3 +357,38 @@
     assert_eq!(moved[0].replica, started[1].replica, "the faster one");
     assert_eq!(moved[0].events.len(), 16, "goes on after its last event");
 }
+
+/// Routes whose samples must be of one version: what was made goes on only
+/// where that version is; else it begins anew (own site, quiet-1: VERSION 185).
+#[rstest]
+fn a_sample_of_a_single_version_is_never_mixed() {
+    let mut fleet = view(2, 1);
+    let configuration = fleet.configuration.as_mut().expect("there");
+    std::sync::Arc::make_mut(configuration).routes[0].single_version = true;
+    let mut fixture = Fixture::new(fleet, OrderLeases::default());
+    fixture.edge("edge-1");
+    let first = runs(&fixture.accept(submission("job", &[1], 1)))[0].clone();
+    assert!(first.single_version);
+    let other = if first.replica == "replica-0" {
+        "replica-1"
+    } else {
+        "replica-0"
+    };
+    fixture.set_version(other, 2);
+    let actions = fixture.handle(Event::Ended {
+        machine: "edge-1".to_string(),
+        attempt: first.attempt,
+        events: vec![event(1, "a", 1)],
+        end: RunEnd::Broken,
+    });
+    let second = runs(&actions)[0].clone();
+    assert_eq!(second.replica, other, "the first rests after its fault");
+    assert!(second.events.is_empty(), "another version begins anew");
+    let actions = fixture.handle(Event::Ended {
+        machine: "edge-1".to_string(),
+        attempt: second.attempt,
+        events: vec![event(1, "a", 2)],
+        end: RunEnd::Mixed,
+    });
+    assert!(runs(&actions)[0].events.is_empty());
+}
