--- a/crates/brasspond/tests/cluster.rs
+++ b/crates/brasspond/tests/cluster.rs
@@ -3,7 +3,7 @@
 mod platform_standin;
 
 use nix::sys::signal::Signal;
-use platform_standin::processes::{Cluster, call, job, results, text};
+use platform_standin::processes::{Cluster, call, configuration, job, results, text};
 use platform_standin::{EVENTS, event_data};
 use rstest::rstest;
 use std::collections::BTreeSet;
@@ -257,3 +257,24 @@
         _ => None,
     }
 }
+
+/// A store that was silent for a while never answered the watches held at that
+/// time, and edges waited ten seconds for them (adrese-riga, own day 324).
+#[rstest]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_configuration_is_in_force_soon_after_the_store_was_silent() {
+    let cluster = Cluster::start().await;
+    cluster.store.silent.store(true, Ordering::Relaxed);
+    tokio::time::sleep(Duration::from_millis(1_000)).await;
+    cluster.store.silent.store(false, Ordering::Relaxed);
+    let back = std::time::Instant::now();
+    cluster.store.put("config", "main", configuration(2));
+    for edge in &cluster.edges {
+        edge.await_line("event=configuration_known version=2").await;
+    }
+    assert!(
+        back.elapsed() < Duration::from_millis(3_000),
+        "{:?}",
+        back.elapsed()
+    );
+}
--- a/crates/brasspond/tests/platform_standin/mod.rs
+++ b/crates/brasspond/tests/platform_standin/mod.rs
@@ -67,8 +67,13 @@
     objects: Mutex<Objects>,
     /// Answers 503 to everything.
     pub down: AtomicBool,
+    /// Takes calls and never answers them, also not once it is back.
+    pub silent: AtomicBool,
 }
 
+/// Longer than any test.
+const NEVER: Duration = Duration::from_secs(600);
+
 #[derive(Default)]
 struct Objects {
     revision: u64,
@@ -214,6 +219,9 @@
 async fn watch(store: &Store, kind: &str, at: u64, wait_ms: u64) -> Response<Body> {
     let deadline = tokio::time::Instant::now() + Duration::from_millis(wait_ms);
     loop {
+        if store.silent.load(Ordering::Relaxed) {
+            tokio::time::sleep(NEVER).await;
+        }
         let (events, now) = {
             let objects = store.objects.lock().expect("lock");
             (objects.since(kind, at), objects.revision)
--- a/crates/brasspond/tests/platform_standin/processes.rs
+++ b/crates/brasspond/tests/platform_standin/processes.rs
@@ -64,7 +64,7 @@
         }
         let (plain, address) = Replica::start("plain-0").await;
         store.put("servers", "plain-0", server("plain", address));
-        store.put("config", "main", configuration());
+        store.put("config", "main", configuration(1));
         let ports = 21_000
             + (std::process::id() % 300) as u16 * 100
             + NEXT_PORTS.fetch_add(10, Ordering::Relaxed);
@@ -268,7 +268,8 @@
     })
 }
 
-fn configuration() -> Value {
+/// The configuration of a version.
+pub fn configuration(version: u64) -> Value {
     let route = |name: &str, kind: &str, service: &str| {
         json!({
             "name": name,
@@ -286,7 +287,7 @@
         })
     };
     json!({
-        "version": 1,
+        "version": version,
         "route_list": [
             route("jobs", "rollout", "engines"),
             route("streams", "streaming", "engines"),
