Large files split by what they decide

Change: moves.rs (runs that go on elsewhere), spread.rs (what edges are told), applying.rs (committed entries); code moved, none changed.

--- a/crates/cluster/src/storage/mod.rs
+++ b/crates/cluster/src/storage/mod.rs
@@ -1,10 +1,12 @@
 //! A storage process: keeps the replicated log; its leader runs the jobs.
 
+mod applying;
 mod asks;
 mod group;
 mod leading;
 mod order_log;
 pub mod plan;
 mod process;
+mod spread;
 
 pub use process::{ProcessError, run};
--- /dev/null
+++ b/crates/cluster/src/storage/spread.rs
@@ -0,0 +1,109 @@
+//! What the leader tells the edges: that it leads, and what changes in its view.
+
+use super::process::Storage;
+use brasspond_cluster_protocol::{Message, Peer, encode};
+use brasspond_dispatch::Event;
+
+/// Pause between two signs of life to edges, in ms.
+const LEADING_PAUSE: u64 = 500;
+/// Pause between two changes of the view sent to edges, in ms.
+const VIEW_PAUSE: u64 = 100;
+/// Edges that watch the view's source by themselves; the others are told.
+const WATCHING_EDGES: usize = 16;
+
+impl Storage {
+    /// Tells every edge who leads, at once and then from time to time.
+    pub(super) fn tell_edges(&mut self, now: u64) {
+        let Some(leading) = &mut self.leading else {
+            return;
+        };
+        let is_due = now >= leading.told_at + LEADING_PAUSE;
+        if !is_due && !self.has_untold_edges {
+            return;
+        }
+        if is_due {
+            leading.told_at = now;
+        }
+        let term = leading.term;
+        let members = self.consensus.members().to_vec();
+        let leading_frame = |watch| {
+            encode(&Message::Leading {
+                term,
+                members: members.clone(),
+                watch,
+            })
+        };
+        // One frame for those that watch by themselves, one for the others.
+        let watching = leading_frame(true);
+        let told = leading_frame(false);
+        let mut links: Vec<_> = self.links.iter_mut().collect();
+        links.sort_by_key(|(link, _)| **link);
+        let edges = links
+            .into_iter()
+            .map(|(_, state)| state)
+            .filter(|state| matches!(state.peer, Some(Peer::Edge { .. })));
+        for (number, state) in edges.enumerate() {
+            let is_new = state.told_term != term;
+            if !is_due && !is_new {
+                continue;
+            }
+            let watches = number < WATCHING_EDGES;
+            let frame = if watches { &watching } else { &told };
+            state.writer.send_frame(frame.clone());
+            if is_new {
+                state.told_term = term;
+                state.has_view = false;
+            }
+        }
+    }
+
+    /// Sends edges what changed in the view, and a whole view to those that
+    /// hold none.
+    pub(super) fn spread_view(&mut self, now: u64) {
+        let Some(leading) = &mut self.leading else {
+            return;
+        };
+        let is_due = leading.view_is_new && now >= leading.view_sent_at + VIEW_PAUSE;
+        if !is_due && !self.has_untold_edges {
+            return;
+        }
+        let mut delta = None;
+        if is_due {
+            let changed = self.view.delta_from(&leading.sent_view);
+            delta = Some(encode(&Message::ViewChanged(changed)));
+            leading.sent_view = self.view.clone();
+            leading.view_sent_at = now;
+            leading.view_is_new = false;
+        }
+        let term = leading.term;
+        let sent_view = &leading.sent_view;
+        let mut whole = None;
+        let mut lacks_view = false;
+        for state in self.links.values_mut() {
+            let is_edge = matches!(state.peer, Some(Peer::Edge { .. }));
+            if !is_edge || state.told_term != term {
+                continue;
+            }
+            let frame = if state.has_view {
+                delta.clone()
+            } else {
+                let whole = whole.get_or_insert_with(|| encode(&Message::View(sent_view.clone())));
+                Some(whole.clone())
+            };
+            if let Some(frame) = frame {
+                state.has_view = state.writer.send_frame(frame);
+            }
+            lacks_view |= !state.has_view;
+        }
+        self.has_untold_edges = lacks_view;
+    }
+
+    /// The view changed: the dispatcher and the edges learn of it.
+    pub(super) fn view_changed(&mut self) {
+        let Some(leading) = &mut self.leading else {
+            return;
+        };
+        leading.view_is_new = true;
+        self.dispatch(Event::View(self.view.clone()));
+    }
+}
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -8,6 +8,7 @@
 
 mod dispatcher;
 mod jobs;
+mod moves;
 mod orders;
 mod replicas;
 mod runs;
