Fuzzing of the dispatcher: events told twice, and strict jobs that waited for ever

Cause: the dispatcher's decisions had tests of single cases and no stateful fuzzing. (2) A job that allows only the newest version waited for ever: replicas load that version while nothing waits, and its items waited for just that load. Ruled out: the model itself; three faults of the model (carried items, impossible items behind a silent replica, edges that never came back) were mended first. Change: a run's events are taken in order, those known already are passed over and a gap sends the run on after the last event before it; a replica is fit for its jobs only if its version is one that all of them allow. Five built-in faults are each caught. The three tests of single cases fail on the code before.

--- a/crates/dispatch/src/jobs.rs
+++ b/crates/dispatch/src/jobs.rs
@@ -188,6 +188,12 @@
         jobs.any(|job| job.model == model && !job.waiting.is_empty())
     }
 
+    /// The newest of the oldest versions that jobs of a model allow.
+    pub fn newest_asked(&self, model: &str) -> u64 {
+        let of_model = self.jobs.values().filter(|job| job.model == model);
+        of_model.map(|job| job.min_version).max().unwrap_or(0)
+    }
+
     /// Items that wait.
     pub fn waiting(&self) -> usize {
         self.jobs.values().map(|job| job.waiting.len()).sum()
--- a/crates/dispatch/src/moves.rs
+++ b/crates/dispatch/src/moves.rs
@@ -29,7 +29,7 @@
 
 impl Dispatcher {
     /// Stops a run at its edge; its item goes on elsewhere at once.
-    fn move_run(&mut self, attempt: AttemptId, reason: &str, now: Millis) {
+    pub(crate) fn move_run(&mut self, attempt: AttemptId, reason: &str, now: Millis) {
         if let Some(run) = self.runs.by_id.get(&attempt) {
             log::info!(
                 "event=run_moved job={} item={} attempt={attempt} replica={} reason={reason} events={} silent_ms={}",
--- a/crates/dispatch/src/orders.rs
+++ b/crates/dispatch/src/orders.rs
@@ -213,12 +213,13 @@
         for (model, target) in self.view.versions.iter() {
             let is_calm = !self.jobs.has_waiting(model);
             let wants_more = is_calm && self.wants_fresh(model, *target);
+            let oldest_fit = self.oldest_fit(model, *target);
             for (id, first) in &self.orders.serves_first {
                 let Some(replica) = self.replicas.by_id.get(id) else {
                     continue;
                 };
                 let version = replica.versions.get(model).copied().unwrap_or(0);
-                let is_fit = version + 1 >= *target;
+                let is_fit = version >= oldest_fit;
                 let is_due = first == model && version < *target && (wants_more || !is_fit);
                 if is_due && self.may_load(id, now) {
                     due.push(DueLoad {
@@ -234,6 +235,13 @@
         due.into_iter().min()
     }
 
+    /// The oldest version that serves every job under way: the one before the
+    /// newest, or a newer one where a job allows nothing older.
+    fn oldest_fit(&self, model: &str, target: u64) -> u64 {
+        let asked = self.jobs.newest_asked(model);
+        asked.max(target.saturating_sub(1)).min(target)
+    }
+
     /// Whether fewer replicas of a model than wanted have a version or load it.
     fn wants_fresh(&self, model: &str, target: u64) -> bool {
         let of_model = self.orders.serves_first.iter();
--- a/crates/dispatch/src/runs.rs
+++ b/crates/dispatch/src/runs.rs
@@ -35,6 +35,22 @@
     job.is_single_version().then_some(first.version)
 }
 
+/// Adds the events that follow those known, which are numbered from 1 without a
+/// gap; says whether none is missing. Events known already come again where an
+/// edge's old link delivers late, after its new link told of all runs.
+fn extend_in_order(known: &mut Vec<StreamEvent>, told: Vec<StreamEvent>) -> bool {
+    for event in told {
+        let next = known.last().map_or(1, |last| last.id + 1);
+        if event.id > next {
+            return false;
+        }
+        if event.id == next {
+            known.push(event);
+        }
+    }
+    true
+}
+
 /// All runs.
 #[derive(Debug, Default)]
 pub(crate) struct Runs {
@@ -188,13 +204,22 @@
         events: Vec<StreamEvent>,
         now: Millis,
     ) {
+        if !self.take_events(attempt, events, now) {
+            self.move_run(attempt, "events_missing", now);
+        }
+    }
+
+    /// Adds events of a run to those known and learns its replica's speed; says
+    /// whether none is missing between them.
+    fn take_events(&mut self, attempt: AttemptId, events: Vec<StreamEvent>, now: Millis) -> bool {
         let Some(run) = self.runs.by_id.get_mut(&attempt) else {
-            return;
+            return true;
         };
         run.heard_at = now;
-        run.made += events.len() as u64;
+        let known = run.events.len();
+        let is_complete = extend_in_order(&mut run.events, events);
+        run.made += (run.events.len() - known) as u64;
         let made = run.made;
-        run.events.extend(events);
         let (since, before) = *run.first.get_or_insert((now, made));
         let counted = made - before;
         if counted >= SPEED_EVENTS {
@@ -202,6 +227,7 @@
             let replica = run.replica.clone();
             self.replicas.note_speed(&replica, event_ms);
         }
+        is_complete
     }
 
     pub(crate) fn on_ended(
@@ -212,7 +238,8 @@
         end: RunEnd,
         now: Millis,
     ) {
-        self.on_progress(attempt, events, now);
+        let is_complete = self.take_events(attempt, events, now);
+        let end = if is_complete { end } else { RunEnd::Broken };
         let Some(run) = self.remove_run(attempt) else {
             self.recorded(machine, attempt);
             return;
--- a/crates/dispatch/tests/dispatcher.rs
+++ b/crates/dispatch/tests/dispatcher.rs
@@ -1,12 +1,14 @@
 //! Placement, failover and orders, decided without I/O.
 
+mod fixture;
 mod support;
 
 use brasspond_cluster_protocol::{RunEnd, RunReport};
 use brasspond_dispatch::{Action, Event, OrderAnswer, OrderLeases, ReplicaReport};
 use brasspond_jobs::Outcome;
+use fixture::{Fixture, event, runs};
 use rstest::rstest;
-use support::{Fixture, event, runs, submission, view};
+use support::{submission, view};
 
 #[rstest]
 fn the_longest_items_start_first_and_no_replica_is_overfull() {
@@ -392,3 +394,71 @@
     });
     assert!(runs(&actions)[0].events.is_empty());
 }
+
+/// Found by fuzzing: replicas load the newest version only while nothing waits,
+/// and the items of a job that allows nothing older waited for just that.
+#[rstest]
+fn a_job_that_allows_only_the_newest_version_has_replicas_loaded() {
+    let mut fixture = Fixture::new(view(2, 3), OrderLeases::default());
+    fixture.edge("edge-1");
+    fixture.name_version(2);
+    let actions = fixture.accept(submission("job", &[10, 20], 2));
+    let asks = |action: &Action| matches!(action, Action::AskReport { .. });
+    let loads = actions.iter().any(asks);
+    assert!(
+        loads,
+        "a load begins with a question to the replica: {actions:?}"
+    );
+}
+
+/// Found by fuzzing: an old link delivered late, after the new link's first
+/// words, and the same events were taken twice.
+#[rstest]
+fn events_told_twice_are_taken_once() {
+    let mut fixture = Fixture::new(view(1, 1), OrderLeases::default());
+    fixture.edge("edge-1");
+    let actions = fixture.accept(submission("job", &[1], 0));
+    let attempt = runs(&actions)[0].attempt;
+    let told = vec![event(1, "a", 1), event(2, "b", 1)];
+    for _ in 0..2 {
+        fixture.handle(Event::Progress {
+            attempt,
+            events: told.clone(),
+        });
+    }
+    let actions = fixture.handle(Event::Ended {
+        machine: "edge-1".to_string(),
+        attempt,
+        events: vec![event(3, "c", 1)],
+        end: RunEnd::Whole,
+    });
+    let expected = Outcome::Completed {
+        text: "a\nb\nc".into(),
+        versions: vec![1],
+    };
+    let is_listed =
+        |action: &Action| matches!(action, Action::List(one) if one.outcome == expected);
+    assert!(actions.iter().any(is_listed), "{actions:?}");
+}
+
+/// A stream told as whole with a gap in it is not a result; it goes on after the
+/// last event before the gap.
+#[rstest]
+fn a_whole_stream_with_a_gap_is_no_result() {
+    let mut fixture = Fixture::new(view(2, 1), OrderLeases::default());
+    fixture.edge("edge-1");
+    let actions = fixture.accept(submission("job", &[1], 0));
+    let attempt = runs(&actions)[0].attempt;
+    let actions = fixture.handle(Event::Ended {
+        machine: "edge-1".to_string(),
+        attempt,
+        events: vec![event(1, "a", 1), event(3, "c", 1)],
+        end: RunEnd::Whole,
+    });
+    assert!(
+        !actions
+            .iter()
+            .any(|action| matches!(action, Action::List(_)))
+    );
+    assert_eq!(runs(&actions)[0].events, vec![event(1, "a", 1)]);
+}
--- /dev/null
+++ b/crates/dispatch/tests/fuzzing.rs
@@ -0,0 +1,115 @@
+//! Stateful fuzzing of the dispatcher: whatever happens to edges, replicas,
+//! orders and leaders, every result is whole and true, orders have one holder,
+//! ended jobs stop, and once all is well again every job is finished.
+
+mod model;
+mod support;
+
+use model::{Fault, Mutation, World};
+use proptest::prelude::*;
+use rstest::rstest;
+
+/// One case: a fault, and how long the world runs on after it, in ms.
+type Strike = (Fault, u64);
+
+fn play(seed: u64, single_version: bool, strikes: &[Strike]) {
+    play_mutated(seed, single_version, strikes, None);
+}
+
+fn play_mutated(seed: u64, single: bool, strikes: &[Strike], mutation: Option<Mutation>) {
+    let mut world = World::new(seed, single, mutation);
+    world.run(500);
+    world.submit(24);
+    world.run(300);
+    for (fault, pause) in strikes {
+        world.inflict(fault);
+        world.run(*pause);
+    }
+    world.finish();
+}
+
+/// Cases played: `DISPATCH_CASES`, or few enough for every run of the tests.
+fn config() -> ProptestConfig {
+    let cases = std::env::var("DISPATCH_CASES").ok();
+    let cases = cases.and_then(|cases| cases.parse().ok()).unwrap_or(150);
+    ProptestConfig {
+        failure_persistence: None,
+        ..ProptestConfig::with_cases(cases)
+    }
+}
+
+fn any_fault() -> impl Strategy<Value = Fault> {
+    let edge = 0_usize..3;
+    let replica = 0_usize..4;
+    prop_oneof![
+        (0_usize..3, 20_u64..2_500, any::<bool>()).prop_map(|(next, pause_ms, proposals_kept)| {
+            Fault::LeaderFalls {
+                next,
+                pause_ms,
+                proposals_kept,
+            }
+        }),
+        edge.clone().prop_map(Fault::EdgeEnds),
+        (edge.clone(), 20_u64..2_000, any::<bool>())
+            .prop_map(|(edge, for_ms, late)| Fault::LinkBreaks { edge, for_ms, late }),
+        edge.prop_map(Fault::EdgeDrains),
+        replica.clone().prop_map(Fault::ReplicaEnds),
+        (replica.clone(), 200_u64..6_000).prop_map(|(one, ms)| Fault::ReplicaDark(one, ms)),
+        (replica.clone(), 20_u64..200).prop_map(|(one, ms)| Fault::ReplicaSlow(one, ms)),
+        replica.clone().prop_map(Fault::ReplicaDrains),
+        replica.clone().prop_map(Fault::StreamsBreak),
+        (replica, any::<u8>()).prop_map(|(one, share)| Fault::OrdersLate(one, share)),
+        Just(Fault::Version),
+        Just(Fault::Version),
+        (1_usize..40).prop_map(Fault::Submit),
+        Just(Fault::End),
+    ]
+}
+
+proptest! {
+    #![proptest_config(config())]
+    #[test]
+    fn results_are_true_and_jobs_finish(
+        seed in any::<u64>(),
+        single in any::<bool>(),
+        strikes in proptest::collection::vec((any_fault(), 10_u64..1_500), 1..14),
+    ) {
+        play(seed, single, &strikes);
+    }
+}
+
+/// Each check fails when the fault it is there for is built in.
+#[rstest]
+#[case::a_lease_ignored(Mutation::LeaseIgnored)]
+#[case::a_count_ignored(Mutation::CountIgnored)]
+#[case::a_version_mislabelled(Mutation::VersionMislabelled)]
+#[case::an_event_skipped(Mutation::EventSkipped)]
+#[case::a_cancel_ignored(Mutation::CancelIgnored)]
+fn a_built_in_fault_is_caught(#[case] mutation: Mutation) {
+    const SEEDS: u64 = 40;
+    let late = |next| Fault::LeaderFalls {
+        next,
+        pause_ms: 50,
+        proposals_kept: false,
+    };
+    let strikes = [
+        (Fault::OrdersLate(0, 200), 10),
+        (Fault::OrdersLate(1, 200), 10),
+        (Fault::Version, 500),
+        (late(1), 700),
+        (Fault::Submit(40), 300),
+        (Fault::End, 4_000),
+        (Fault::Version, 900),
+        (Fault::Version, 400),
+        (late(2), 700),
+        (Fault::End, 4_000),
+        (Fault::Submit(30), 900),
+        (Fault::Version, 6_000),
+        (Fault::Version, 6_000),
+    ];
+    let caught = (0..SEEDS).any(|seed| {
+        let play = || play_mutated(seed, false, &strikes, Some(mutation));
+        std::panic::catch_unwind(play).is_err()
+    });
+    assert!(caught, "{mutation:?} was never noticed");
+}
--- /dev/null
+++ b/crates/dispatch/tests/model/carry.rs
@@ -0,0 +1,131 @@
+//! What the leader wants, carried out.
+
+use super::edge::ToEdge;
+use super::oracle::GivenOrder;
+use super::replica::ArrivedOrder;
+use super::{Answer, STEP_MS, World};
+use brasspond_dispatch::{Action, Event, OrderAnswer, ReplicaReport};
+use brasspond_jobs::Command;
+use rand::Rng;
+
+/// Time after which an unanswered call is given up, in ms.
+const ANSWER_MS: u64 = 400;
+
+impl World {
+    pub(super) fn dispatch(&mut self, event: Event) {
+        let Some(dispatcher) = &mut self.dispatcher else {
+            return;
+        };
+        for action in dispatcher.handle(event, &self.table, self.now) {
+            self.carry_out(action);
+        }
+    }
+
+    fn carry_out(&mut self, action: Action) {
+        match action {
+            Action::Run { machine, spec } => {
+                let ended = self.ended_at.contains_key(&spec.job);
+                assert!(!ended, "{} has ended and runs again", spec.job);
+                self.to_edge(&machine, ToEdge::Run(spec));
+            }
+            Action::Cancel { machine, attempt } => {
+                self.to_edge(&machine, ToEdge::Cancel(self.term, attempt));
+            }
+            Action::Recorded { machine, attempt } => {
+                self.to_edge(&machine, ToEdge::Recorded(attempt));
+            }
+            Action::List(listing) => {
+                self.oracle
+                    .check_listing(&listing, &self.table, self.single_version);
+                self.propose(Command::List(vec![listing]));
+            }
+            Action::AskReport { replica, .. } => self.report(&replica),
+            Action::Order {
+                replica,
+                version,
+                expected_count,
+                ..
+            } => self.order(replica, version, expected_count),
+        }
+    }
+
+    fn to_edge(&mut self, machine: &str, message: ToEdge) {
+        let edge = self.edges.iter_mut().find(|edge| edge.machine == machine);
+        let edge = edge.expect("a known edge");
+        if edge.linked {
+            edge.to_edge.push_back((self.now + STEP_MS, message));
+        }
+    }
+
+    fn report(&mut self, id: &str) {
+        let replica = self.replicas.iter().find(|one| one.id == id);
+        let heard = replica.filter(|replica| !replica.is_dark(self.now));
+        let report = heard.map(|replica| ReplicaReport {
+            versions: vec![("model".to_string(), replica.version)],
+            busy: replica.loading.is_some(),
+            sequence: replica.sequence,
+        });
+        let wait = if report.is_some() { STEP_MS } else { ANSWER_MS };
+        self.answers.push(Answer {
+            at: self.now + wait,
+            event: Event::Report {
+                replica: id.to_string(),
+                report,
+            },
+        });
+    }
+
+    fn order(&mut self, replica: String, version: u64, expected_count: u64) {
+        let holder = self.holder.clone();
+        self.leases
+            .insert(replica.clone(), (holder.clone(), self.now));
+        self.oracle.check_order(GivenOrder {
+            replica: replica.clone(),
+            holder,
+            version,
+            at: self.now,
+        });
+        let order = ArrivedOrder {
+            version,
+            expected_count,
+        };
+        let answer = self.arrive(&replica, order);
+        let wait = if answer == OrderAnswer::Unknown {
+            ANSWER_MS
+        } else {
+            STEP_MS
+        };
+        self.answers.push(Answer {
+            at: self.now + wait,
+            event: Event::Ordered { replica, answer },
+        });
+    }
+
+    fn arrive(&mut self, id: &str, order: ArrivedOrder) -> OrderAnswer {
+        let now = self.now;
+        let later = now + self.random.random_range(2_000..12_000);
+        let chance: u8 = self.random.random();
+        let Some(replica) = self.replicas.iter_mut().find(|one| one.id == id) else {
+            return OrderAnswer::Refused;
+        };
+        if replica.is_dark(now) {
+            return OrderAnswer::Unknown;
+        }
+        if chance < replica.late_orders {
+            replica.late.push((later, order));
+            return OrderAnswer::Unknown;
+        }
+        replica.order(&order, now)
+    }
+
+    pub(super) fn take_answers(&mut self) {
+        let now = self.now;
+        let (due, later) = std::mem::take(&mut self.answers)
+            .into_iter()
+            .partition(|answer| answer.at <= now);
+        self.answers = later;
+        for answer in due {
+            self.dispatch(answer.event);
+        }
+    }
+}
--- /dev/null
+++ b/crates/dispatch/tests/model/edge.rs
@@ -0,0 +1,80 @@
+//! An edge as the model has it: runs it holds, and its link to the leader.
+
+use brasspond_cluster_protocol::{AttemptId, RunEnd, RunReport, RunSpec, StreamEvent};
+use std::collections::{BTreeMap, VecDeque};
+
+/// A run on an edge.
+#[derive(Clone, Debug)]
+pub struct Held {
+    pub spec: RunSpec,
+    pub events: Vec<StreamEvent>,
+    pub told: usize,
+    pub end: Option<RunEnd>,
+    /// Last instant at which a silent replica is waited for.
+    pub head_until: u64,
+}
+
+impl Held {
+    pub fn untold(&mut self) -> Vec<StreamEvent> {
+        let events = self.events[self.told..].to_vec();
+        self.told = self.events.len();
+        events
+    }
+}
+
+/// From an edge to the leader.
+#[derive(Clone, Debug)]
+pub enum ToLeader {
+    Runs(Vec<RunReport>),
+    Progress(AttemptId, Vec<StreamEvent>),
+    Ended(AttemptId, Vec<StreamEvent>, RunEnd),
+    Draining,
+}
+
+/// From the leader to an edge.
+#[derive(Clone, Debug)]
+pub enum ToEdge {
+    Run(Box<RunSpec>),
+    Cancel(u64, AttemptId),
+    Recorded(AttemptId),
+}
+
+#[derive(Debug, Default)]
+pub struct Edge {
+    pub machine: String,
+    pub held: BTreeMap<AttemptId, Held>,
+    pub newest_term: u64,
+    pub draining: bool,
+    /// Whether the leader hears it; else when it comes back.
+    pub linked: bool,
+    pub back_at: u64,
+    /// When the leader gives it up, if it does not come back before.
+    pub given_up_at: Option<u64>,
+    pub to_leader: VecDeque<(u64, ToLeader)>,
+    pub to_edge: VecDeque<(u64, ToEdge)>,
+}
+
+impl Edge {
+    pub fn new(number: usize) -> Self {
+        Self {
+            machine: format!("edge-{number}"),
+            ..Self::default()
+        }
+    }
+
+    pub fn reports(&mut self) -> Vec<RunReport> {
+        let held = self.held.iter_mut();
+        let reports = held.map(|(attempt, held)| {
+            held.told = held.events.len();
+            RunReport {
+                attempt: *attempt,
+                job: held.spec.job.clone(),
+                item: held.spec.item,
+                replica: held.spec.replica.clone(),
+                events: held.events.clone(),
+                end: held.end,
+            }
+        });
+        reports.collect()
+    }
+}
--- /dev/null
+++ b/crates/dispatch/tests/model/fault.rs
@@ -0,0 +1,200 @@
+//! Faults that strike the world, and faults built into it.
+
+use super::replica::Replica;
+use super::{SLOTS, World};
+use brasspond_cluster_protocol::RunEnd;
+use rand::Rng;
+
+/// Something that happens to the world.
+#[derive(Clone, Debug)]
+pub enum Fault {
+    /// The leader falls; another of the three follows after so many ms. Whether
+    /// what it had proposed is kept.
+    LeaderFalls {
+        next: usize,
+        pause_ms: u64,
+        proposals_kept: bool,
+    },
+    /// An edge's process ends with all its runs and comes back empty.
+    EdgeEnds(usize),
+    /// An edge's link breaks for so many ms; what it had sent may arrive late.
+    LinkBreaks {
+        edge: usize,
+        for_ms: u64,
+        late: bool,
+    },
+    /// An edge hands its runs back and comes back after a while.
+    EdgeDrains(usize),
+    /// A replica ends; another begins at its address.
+    ReplicaEnds(usize),
+    /// A replica falls silent for so many ms.
+    ReplicaDark(usize, u64),
+    /// A replica becomes slow, or its old self.
+    ReplicaSlow(usize, u64),
+    /// A replica takes its leave and is replaced.
+    ReplicaDrains(usize),
+    /// A replica's streams break off.
+    StreamsBreak(usize),
+    /// A replica leaves orders unanswered and carries them out late.
+    OrdersLate(usize, u8),
+    /// A trainer names a version.
+    Version,
+    /// A trainer hands in a step of so many items.
+    Submit(usize),
+    /// A trainer ends a step.
+    End,
+}
+
+/// A fault built into the world, which a check must notice.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Mutation {
+    /// A new leader respects no lease.
+    LeaseIgnored,
+    /// Replicas carry out orders whatever their count.
+    CountIgnored,
+    /// Edges tell the newest version whatever made an event.
+    VersionMislabelled,
+    /// Edges leave out an event and number the others on.
+    EventSkipped,
+    /// Edges never stop a run that they are told to stop.
+    CancelIgnored,
+}
+
+/// Time after which a link that stays broken is given up by the leader, in ms.
+const LINK_RETURN: u64 = 400;
+
+impl World {
+    pub fn inflict(&mut self, fault: &Fault) {
+        match *fault {
+            Fault::LeaderFalls {
+                next,
+                pause_ms,
+                proposals_kept,
+            } => self.leader_falls(next, pause_ms, proposals_kept),
+            Fault::EdgeEnds(edge) => self.edge_ends(edge),
+            Fault::LinkBreaks { edge, for_ms, late } => self.link_breaks(edge, for_ms, late),
+            Fault::EdgeDrains(edge) => self.edge_drains(edge),
+            Fault::ReplicaEnds(number) => self.replace_replica(number),
+            Fault::ReplicaDark(number, ms) => self.replicas[number].dark_until = self.now + ms,
+            Fault::ReplicaSlow(number, event_ms) => self.replicas[number].event_ms = event_ms,
+            Fault::ReplicaDrains(number) => {
+                self.replicas[number].draining = true;
+                self.view_changed();
+            }
+            Fault::StreamsBreak(number) => self.break_streams(number),
+            Fault::OrdersLate(number, share) => self.replicas[number].late_orders = share,
+            Fault::Version => self.name_version(),
+            Fault::Submit(items) => self.submit(items),
+            Fault::End => self.end_job(),
+        }
+    }
+
+    /// Everything works again.
+    pub(super) fn heal(&mut self) {
+        for number in 0..self.replicas.len() {
+            let replica = &mut self.replicas[number];
+            replica.dark_until = 0;
+            replica.late_orders = 0;
+            replica.event_ms = 30;
+            if replica.draining {
+                self.replace_replica(number);
+            }
+        }
+        for number in 0..self.edges.len() {
+            if self.edges[number].draining {
+                self.edges[number].draining = false;
+                self.edge_ends(number);
+            }
+        }
+        self.view_changed();
+    }
+
+    fn leader_falls(&mut self, next: usize, pause_ms: u64, proposals_kept: bool) {
+        self.dispatcher = None;
+        self.answers.clear();
+        for proposal in &mut self.proposals {
+            proposal.commits_at = self.now;
+        }
+        if proposals_kept {
+            self.commit_due();
+        }
+        // What callers handed in is sent again by them until it is taken.
+        self.proposals.retain(|one| {
+            use brasspond_jobs::Command;
+            !matches!(one.command, Command::List(_))
+        });
+        for edge in &mut self.edges {
+            edge.to_leader.clear();
+            edge.to_edge.clear();
+            edge.given_up_at = None;
+        }
+        self.term += 1;
+        self.holder = format!("storage-{next}");
+        self.elected_at = self.now + pause_ms;
+    }
+
+    fn edge_ends(&mut self, number: usize) {
+        let edge = &mut self.edges[number];
+        edge.held.clear();
+        edge.to_edge.clear();
+        edge.newest_term = 0;
+        self.link_breaks(number, 300, false);
+        for replica in &mut self.replicas {
+            replica.streams.retain(|stream| stream.edge != number);
+        }
+    }
+
+    fn link_breaks(&mut self, number: usize, for_ms: u64, late: bool) {
+        if !self.edges[number].linked {
+            return;
+        }
+        if late {
+            self.report_progress(number);
+        }
+        let edge = &mut self.edges[number];
+        edge.linked = false;
+        edge.back_at = self.now + for_ms;
+        edge.given_up_at = Some(self.now + LINK_RETURN);
+        edge.to_edge.clear();
+        if late {
+            // What the old link carries arrives after the new link's first words.
+            for message in &mut edge.to_leader {
+                message.0 = edge.back_at + 60;
+            }
+        } else {
+            edge.to_leader.clear();
+        }
+    }
+
+    fn edge_drains(&mut self, number: usize) {
+        if !self.edges[number].linked {
+            return;
+        }
+        self.edges[number].draining = true;
+        self.tell_draining(number);
+        let held: Vec<_> = self.edges[number].held.keys().copied().collect();
+        for attempt in held {
+            self.end_run(number, attempt, RunEnd::Cancelled);
+        }
+    }
+
+    pub(super) fn replace_replica(&mut self, number: usize) {
+        self.break_streams(number);
+        self.incarnations += 1;
+        let version = if self.random.random_bool(0.5) {
+            self.version
+        } else {
+            self.replicas[number].version
+        };
+        let mut fresh = Replica::new(number, self.incarnations, SLOTS, version);
+        fresh.checks_count = self.replicas[number].checks_count;
+        self.replicas[number] = fresh;
+        self.view_changed();
+    }
+
+    fn break_streams(&mut self, number: usize) {
+        for stream in std::mem::take(&mut self.replicas[number].streams) {
+            self.end_run(stream.edge, stream.attempt, RunEnd::Broken);
+        }
+    }
+}
--- /dev/null
+++ b/crates/dispatch/tests/model/mod.rs
@@ -0,0 +1,301 @@
+//! A leader's dispatcher before simulated edges and replicas, with a log whose
+//! entries commit later, or not at all when the leader falls.
+
+mod carry;
+mod edge;
+mod fault;
+mod oracle;
+mod replica;
+mod time;
+
+pub use fault::{Fault, Mutation};
+
+use crate::support;
+use brasspond_dispatch::{Dispatcher, Event, OrderLeases, Settings};
+use brasspond_fleet::FleetView;
+use brasspond_jobs::{Command, JobTable, Submission};
+use edge::Edge;
+use oracle::{ItemPlan, Oracle};
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use replica::Replica;
+use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::sync::Arc;
+
+/// Length of one step of simulated time, in ms.
+const STEP_MS: u64 = 10;
+/// Lease of an order with its margin, in ms.
+const LEASE_WITH_MARGIN: u64 = 3_200;
+/// Places on each replica.
+const SLOTS: usize = 4;
+/// Lag of the view behind the truth, in ms.
+const VIEW_LAG: u64 = 300;
+/// Longest that a healed world may need to finish all jobs, in ms.
+const FINISH_MS: u64 = 60_000;
+/// Attempts a route allows.
+const MAX_ATTEMPTS: u32 = 3;
+const REPLICAS: usize = 4;
+const EDGES: usize = 3;
+
+/// An entry of the log that is not committed yet.
+struct Proposal {
+    commits_at: u64,
+    command: Command,
+}
+
+/// Something that reaches the leader from a task of its own.
+struct Answer {
+    at: u64,
+    event: Event,
+}
+
+pub struct World {
+    now: u64,
+    random: ChaCha8Rng,
+    mutation: Option<Mutation>,
+    single_version: bool,
+    table: JobTable,
+    dispatcher: Option<Dispatcher>,
+    term: u64,
+    holder: String,
+    elected_at: u64,
+    leases: HashMap<String, (String, u64)>,
+    proposals: VecDeque<Proposal>,
+    answers: Vec<Answer>,
+    replicas: Vec<Replica>,
+    incarnations: u64,
+    edges: Vec<Edge>,
+    view: FleetView,
+    view_at: Option<u64>,
+    version: u64,
+    oracle: Oracle,
+    submitted: Vec<Submission>,
+    ended_at: BTreeMap<String, u64>,
+    ticked_at: u64,
+    reported_at: u64,
+}
+
+impl World {
+    pub fn new(seed: u64, single_version: bool, mutation: Option<Mutation>) -> Self {
+        let replicas = (0..REPLICAS).map(|number| Replica::new(number, 0, SLOTS, 1));
+        let mut world = Self {
+            now: 1_000,
+            random: ChaCha8Rng::seed_from_u64(seed),
+            mutation,
+            single_version,
+            table: JobTable::default(),
+            dispatcher: None,
+            term: 1,
+            holder: "storage-0".to_string(),
+            elected_at: 1_000,
+            leases: HashMap::new(),
+            proposals: VecDeque::new(),
+            answers: Vec::new(),
+            replicas: replicas.collect(),
+            incarnations: 0,
+            edges: (0..EDGES).map(Edge::new).collect(),
+            view: support::view(0, SLOTS as u32),
+            view_at: None,
+            version: 1,
+            oracle: Oracle {
+                named: 1,
+                max_attempts: MAX_ATTEMPTS,
+                ..Oracle::default()
+            },
+            submitted: Vec::new(),
+            ended_at: BTreeMap::new(),
+            ticked_at: 0,
+            reported_at: 0,
+        };
+        let configuration = Arc::make_mut(world.view.configuration.as_mut().expect("one"));
+        configuration.routes[0].single_version = single_version;
+        configuration.routes[0].max_attempts = MAX_ATTEMPTS;
+        configuration.routes[0].max_queue_ms = 0;
+        for replica in &mut world.replicas {
+            replica.checks_count = mutation != Some(Mutation::CountIgnored);
+        }
+        world.renew_view();
+        world
+    }
+
+    pub fn run(&mut self, ms: u64) {
+        let until = self.now + ms;
+        while self.now < until {
+            self.now += STEP_MS;
+            self.step();
+        }
+    }
+
+    /// A trainer hands in a step; items of the step before that were not done
+    /// come again under their names.
+    pub fn submit(&mut self, items: usize) {
+        let lag = self.random.random_range(0..2);
+        let min_version = self.version.saturating_sub(lag).max(1);
+        let again = self.undone_of_last_ended();
+        self.submit_items(items, min_version, again);
+    }
+
+    fn submit_items(&mut self, items: usize, min_version: u64, again: Vec<String>) {
+        let number = self.submitted.len();
+        let id = format!("job-{number}");
+        let mut submission = support::submission(&id, &vec![1; items], min_version);
+        for (item, carried) in submission.items.iter_mut().zip(again) {
+            item.id = carried;
+        }
+        for item in &mut submission.items {
+            item.expected_tokens = self.random.random_range(1..50);
+            let is_long = self.random.random_bool(0.08);
+            let longest = if is_long { 250 } else { 40 };
+            let plan = ItemPlan {
+                length: self.random.random_range(1..longest),
+                failures: u32::from(self.random.random_bool(0.05)),
+                impossible: self.random.random_bool(0.03),
+            };
+            self.oracle.plans.entry(item.id.clone()).or_insert(plan);
+        }
+        self.submitted.push(submission.clone());
+        self.propose(Command::Accept(submission));
+    }
+
+    /// Items of the newest ended job that have no result.
+    fn undone_of_last_ended(&self) -> Vec<String> {
+        let ended = self.submitted.iter().rev();
+        let ended = ended.filter_map(|one| Some((one, self.table.job(&one.id)?)));
+        let newest = ended.into_iter().find(|(_, job)| job.ended);
+        let Some((submission, job)) = newest else {
+            return Vec::new();
+        };
+        let undone = submission.items.iter().zip(&job.listed);
+        let undone = undone.filter(|(_, listed)| !**listed);
+        undone.map(|(item, _)| item.id.clone()).collect()
+    }
+
+    /// The trainer ends its newest job that is still open.
+    pub fn end_job(&mut self) {
+        let open = self.submitted.iter().rev().find(|one| {
+            let job = self.table.job(&one.id);
+            job.is_some_and(|job| !job.ended)
+        });
+        if let Some(open) = open {
+            let job = open.id.clone();
+            self.propose(Command::End { job });
+        }
+    }
+
+    pub fn name_version(&mut self) {
+        self.version += 1;
+        self.oracle.named = self.version;
+        self.view_changed();
+    }
+
+    fn propose(&mut self, command: Command) {
+        let earliest = self.proposals.back().map_or(0, |last| last.commits_at);
+        let commits_at = earliest.max(self.now + self.random.random_range(3..40));
+        self.proposals.push_back(Proposal {
+            commits_at,
+            command,
+        });
+    }
+
+    fn view_changed(&mut self) {
+        self.view_at.get_or_insert(self.now + VIEW_LAG);
+    }
+
+    /// The view as the platform would tell it now.
+    fn renew_view(&mut self) {
+        let replicas = self.replicas.iter().map(|replica| {
+            let mut info = support::replica(replica.number, SLOTS as u32);
+            info.id.clone_from(&replica.id);
+            info.draining = replica.draining;
+            info.models[0].version = replica.version;
+            (info.id.clone(), info)
+        });
+        self.view.replicas = Arc::new(replicas.collect());
+        self.view.replicas_revision += 1;
+        let versions = BTreeMap::from([("model".to_string(), self.version)]);
+        self.view.versions = Arc::new(versions);
+        self.view.versions_revision += 1;
+    }
+
+    /// All that troubles ends; every open job must then be finished, no run be
+    /// left over, and every place be free.
+    pub fn finish(&mut self) {
+        self.heal();
+        let until = self.now + FINISH_MS;
+        while self.now < until && !self.is_finished() {
+            self.run(500);
+        }
+        assert!(self.is_finished(), "jobs are left: {}", self.unfinished());
+        self.run(3_000);
+        let counts = self.dispatcher.as_ref().expect("a leader").counts();
+        assert_eq!(counts, (0, 0), "runs are left over");
+        self.check_places();
+        self.oracle.check_table(&self.table, &self.submitted);
+    }
+
+    /// A job as large as all replicas fills all of them.
+    fn check_places(&mut self) {
+        let places = REPLICAS * SLOTS;
+        self.submit_items(places, 1, Vec::new());
+        let submission = self.submitted.last().expect("one").clone();
+        for item in &submission.items {
+            let plan = ItemPlan {
+                length: 200,
+                failures: 0,
+                impossible: false,
+            };
+            self.oracle.plans.insert(item.id.clone(), plan);
+        }
+        self.run(1_500);
+        let counts = self.dispatcher.as_ref().expect("a leader").counts();
+        assert_eq!(counts, (places, 0), "places are lost");
+    }
+
+    fn is_finished(&self) -> bool {
+        self.dispatcher.is_some()
+            && self.submitted.iter().all(|one| {
+                let job = self.table.job(&one.id);
+                job.is_some_and(brasspond_jobs::Job::is_finished)
+            })
+    }
+
+    fn unfinished(&self) -> String {
+        let jobs = self.submitted.iter().filter_map(|one| {
+            let job = self.table.job(&one.id)?;
+            let left = job.items.len() - job.results.len();
+            (!job.is_finished()).then(|| format!("{}: {left}", one.id))
+        });
+        jobs.collect::<Vec<_>>().join(", ")
+    }
+
+    /// Begins a leader; the first respects nothing, later ones all leases.
+    fn elect(&mut self) {
+        let others = self
+            .leases
+            .iter()
+            .filter(|(_, (holder, _))| *holder != self.holder);
+        let until = others.map(|(replica, (_, at))| (replica.clone(), at + LEASE_WITH_MARGIN));
+        let mut leases = OrderLeases {
+            all_until: 0,
+            until: until.collect(),
+        };
+        if self.mutation == Some(Mutation::LeaseIgnored) {
+            leases = OrderLeases::default();
+        }
+        let dispatcher = Dispatcher::new(
+            self.term,
+            Settings::default(),
+            &self.table,
+            self.view.clone(),
+            leases,
+            self.now,
+        );
+        self.dispatcher = Some(dispatcher);
+        for number in 0..self.edges.len() {
+            self.edges[number].newest_term = self.term;
+            if self.edges[number].linked {
+                self.tell_runs(number);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/dispatch/tests/model/replica.rs
@@ -0,0 +1,98 @@
+//! A replica as the model has it: streams of numbered events, loads of weights
+//! counted by sequence, orders that are carried out late.
+
+use brasspond_cluster_protocol::AttemptId;
+use brasspond_dispatch::OrderAnswer;
+
+/// Time a load takes, in ms.
+const LOAD_MS: u64 = 900;
+
+/// An order as it reaches a replica.
+#[derive(Clone, Debug)]
+pub struct ArrivedOrder {
+    pub version: u64,
+    pub expected_count: u64,
+}
+
+/// A stream that a replica makes for an edge.
+#[derive(Clone, Debug)]
+pub struct Stream {
+    pub edge: usize,
+    pub attempt: AttemptId,
+    pub next_at: u64,
+    /// The replica has read the request.
+    pub is_taken: bool,
+}
+
+#[derive(Clone, Debug)]
+pub struct Replica {
+    pub id: String,
+    pub number: usize,
+    pub slots: usize,
+    pub version: u64,
+    pub sequence: u64,
+    pub event_ms: u64,
+    pub draining: bool,
+    /// Silent: nothing is answered and no event is made.
+    pub dark_until: u64,
+    pub loading: Option<(u64, u64)>,
+    pub streams: Vec<Stream>,
+    /// Orders taken but carried out later.
+    pub late: Vec<(u64, ArrivedOrder)>,
+    /// Share of orders, in 256ths, that are left unanswered and done late.
+    pub late_orders: u8,
+    /// Whether the expected count is looked at; a built-in fault turns it off.
+    pub checks_count: bool,
+}
+
+impl Replica {
+    pub fn new(number: usize, incarnation: u64, slots: usize, version: u64) -> Self {
+        Self {
+            id: format!("replica-{number}-{incarnation}"),
+            number,
+            slots,
+            version,
+            sequence: 0,
+            event_ms: 30 + 10 * (number as u64 % 2),
+            draining: false,
+            dark_until: 0,
+            loading: None,
+            streams: Vec::new(),
+            late: Vec::new(),
+            late_orders: 0,
+            checks_count: true,
+        }
+    }
+
+    pub fn is_dark(&self, now: u64) -> bool {
+        now < self.dark_until
+    }
+
+    /// Takes an order; the answer it gives.
+    pub fn order(&mut self, order: &ArrivedOrder, now: u64) -> OrderAnswer {
+        if self.loading.is_some() || (self.checks_count && order.expected_count != self.sequence) {
+            return OrderAnswer::Conflict;
+        }
+        if self.version == order.version {
+            return OrderAnswer::Holds;
+        }
+        self.sequence += 1;
+        self.loading = Some((now + LOAD_MS, order.version));
+        OrderAnswer::Taken
+    }
+
+    /// Lets time pass: late orders and the end of a load.
+    pub fn tick(&mut self, now: u64) {
+        if let Some((until, version)) = self.loading
+            && until <= now
+        {
+            self.loading = None;
+            self.version = version;
+        }
+        let due = self.late.iter().position(|(at, _)| *at <= now);
+        if let Some(place) = due {
+            let (_, order) = self.late.remove(place);
+            self.order(&order, now);
+        }
+    }
+}
--- /dev/null
+++ b/crates/dispatch/tests/model/time.rs
@@ -0,0 +1,363 @@
+//! What time brings: commits, messages, events of streams, answers.
+
+use super::edge::{Held, ToEdge, ToLeader};
+use super::oracle::event_data;
+use super::replica::Stream;
+use super::{Mutation, STEP_MS, World};
+use brasspond_cluster_protocol::{AttemptId, RunEnd, RunSpec, StreamEvent};
+use brasspond_dispatch::Event;
+use brasspond_jobs::Command;
+
+/// Pause between two reports of an edge, in ms.
+const REPORT_MS: u64 = 250;
+/// Pause between two ticks of a leader, in ms.
+const TICK_MS: u64 = 100;
+/// Longest that an edge waits for a replica's first word, in ms.
+const HEAD_MS: u64 = 3_000;
+/// A job's end must have stopped its runs by then, in ms.
+const CANCEL_MS: u64 = 3_000;
+
+impl World {
+    pub(super) fn step(&mut self) {
+        self.commit_due();
+        if self.dispatcher.is_none() && self.now >= self.elected_at {
+            self.elect();
+        }
+        self.renew_view_if_due();
+        self.tend_links();
+        self.deliver();
+        for replica in &mut self.replicas {
+            replica.tick(self.now);
+        }
+        self.make_events();
+        self.give_up_silent();
+        if self.now >= self.reported_at + REPORT_MS {
+            self.reported_at = self.now;
+            for number in 0..self.edges.len() {
+                self.report_progress(number);
+            }
+        }
+        self.take_answers();
+        if self.now >= self.ticked_at + TICK_MS {
+            self.ticked_at = self.now;
+            self.dispatch(Event::Tick);
+        }
+        self.check_ended();
+    }
+
+    pub(super) fn commit_due(&mut self) {
+        while let Some(first) = self.proposals.front() {
+            let needs_leader = !matches!(first.command, Command::List(_));
+            if first.commits_at > self.now || (needs_leader && self.dispatcher.is_none()) {
+                return;
+            }
+            let proposal = self.proposals.pop_front().expect("seen");
+            let command = proposal.command;
+            self.table.apply(command.clone());
+            match command {
+                Command::Accept(submission) => self.dispatch(Event::JobAccepted(submission.id)),
+                Command::End { job } => {
+                    self.ended_at.insert(job.clone(), self.now);
+                    self.dispatch(Event::JobEnded(job));
+                }
+                Command::List(listings) => {
+                    for listing in listings {
+                        self.dispatch(Event::Listed {
+                            job: listing.job,
+                            item: listing.item,
+                        });
+                    }
+                }
+                _ => {}
+            }
+        }
+    }
+
+    fn renew_view_if_due(&mut self) {
+        if self.view_at.is_some_and(|at| at <= self.now) {
+            self.view_at = None;
+            self.renew_view();
+            self.dispatch(Event::View(self.view.clone()));
+        }
+    }
+
+    fn tend_links(&mut self) {
+        for number in 0..self.edges.len() {
+            let edge = &mut self.edges[number];
+            if edge.given_up_at.is_some_and(|at| at <= self.now) {
+                edge.given_up_at = None;
+                let machine = edge.machine.clone();
+                self.dispatch(Event::EdgeDown(machine));
+            }
+            let edge = &mut self.edges[number];
+            if !edge.linked && edge.back_at <= self.now && self.dispatcher.is_some() {
+                edge.linked = true;
+                edge.newest_term = self.term;
+                edge.given_up_at = None;
+                self.tell_runs(number);
+            }
+        }
+    }
+
+    /// A message from an edge, in order with those before it on this link.
+    fn to_leader(&mut self, number: usize, message: ToLeader) {
+        let edge = &mut self.edges[number];
+        if edge.linked {
+            edge.to_leader.push_back((self.now + STEP_MS, message));
+        }
+    }
+
+    pub(super) fn tell_runs(&mut self, number: usize) {
+        let reports = self.edges[number].reports();
+        let edge = &mut self.edges[number];
+        edge.to_leader
+            .push_front((self.now, ToLeader::Runs(reports)));
+    }
+
+    pub(super) fn tell_draining(&mut self, number: usize) {
+        self.to_leader(number, ToLeader::Draining);
+    }
+
+    /// An edge tells what its runs made since the last time.
+    pub(super) fn report_progress(&mut self, number: usize) {
+        if !self.edges[number].linked {
+            return;
+        }
+        let mut news = Vec::new();
+        for (attempt, held) in &mut self.edges[number].held {
+            if held.end.is_none() && held.told < held.events.len() {
+                news.push(ToLeader::Progress(*attempt, held.untold()));
+            }
+        }
+        for message in news {
+            self.to_leader(number, message);
+        }
+    }
+
+    pub(super) fn end_run(&mut self, number: usize, attempt: AttemptId, end: RunEnd) {
+        let Some(held) = self.edges[number].held.get_mut(&attempt) else {
+            return;
+        };
+        if held.end.is_some() {
+            return;
+        }
+        held.end = Some(end);
+        let events = held.untold();
+        for replica in &mut self.replicas {
+            replica.streams.retain(|stream| stream.attempt != attempt);
+        }
+        self.to_leader(number, ToLeader::Ended(attempt, events, end));
+    }
+
+    fn deliver(&mut self) {
+        for number in 0..self.edges.len() {
+            while let Some((_, message)) = take_due(&mut self.edges[number].to_leader, self.now) {
+                self.on_leader_message(number, message);
+            }
+            while let Some((_, message)) = take_due(&mut self.edges[number].to_edge, self.now) {
+                self.on_edge_message(number, message);
+            }
+        }
+    }
+
+    fn on_leader_message(&mut self, number: usize, message: ToLeader) {
+        let machine = self.edges[number].machine.clone();
+        let event = match message {
+            ToLeader::Runs(runs) => Event::EdgeUp {
+                machine: machine.clone(),
+                zone: "zone".to_string(),
+                runs,
+            },
+            ToLeader::Progress(attempt, events) => Event::Progress { attempt, events },
+            ToLeader::Ended(attempt, events, end) => Event::Ended {
+                machine: machine.clone(),
+                attempt,
+                events,
+                end,
+            },
+            ToLeader::Draining => Event::EdgeDraining(machine.clone()),
+        };
+        let tells_runs = matches!(event, Event::EdgeUp { .. });
+        self.dispatch(event);
+        if tells_runs && self.edges[number].draining {
+            self.dispatch(Event::EdgeDraining(machine));
+        }
+    }
+
+    fn on_edge_message(&mut self, number: usize, message: ToEdge) {
+        match message {
+            ToEdge::Run(spec) => self.start_run(number, *spec),
+            ToEdge::Cancel(term, attempt) => {
+                let obeys = self.mutation != Some(Mutation::CancelIgnored);
+                if term >= self.edges[number].newest_term && obeys {
+                    self.end_run(number, attempt, RunEnd::Cancelled);
+                }
+            }
+            ToEdge::Recorded(attempt) => {
+                self.edges[number].held.remove(&attempt);
+                for replica in &mut self.replicas {
+                    replica.streams.retain(|stream| stream.attempt != attempt);
+                }
+            }
+        }
+    }
+
+    fn start_run(&mut self, number: usize, spec: RunSpec) {
+        let edge = &mut self.edges[number];
+        if spec.attempt.term < edge.newest_term || edge.held.contains_key(&spec.attempt) {
+            return;
+        }
+        let attempt = spec.attempt;
+        let held = Held {
+            told: spec.events.len(),
+            events: spec.events.clone(),
+            spec: spec.clone(),
+            end: None,
+            head_until: self.now + HEAD_MS,
+        };
+        edge.held.insert(attempt, held);
+        if edge.draining {
+            return self.end_run(number, attempt, RunEnd::Cancelled);
+        }
+        let replica = self.replicas.iter_mut().find(|one| one.id == spec.replica);
+        match replica {
+            Some(replica) => replica.streams.push(Stream {
+                edge: number,
+                attempt,
+                next_at: self.now + STEP_MS,
+                is_taken: false,
+            }),
+            None => {
+                let end = RunEnd::NotRun {
+                    other_instance: true,
+                };
+                self.end_run(number, attempt, end);
+            }
+        }
+    }
+
+    /// A replica reads a request: it refuses it, or begins its stream.
+    fn take_stream(&mut self, replica: usize, edge: usize, attempt: AttemptId) {
+        let Some(held) = self.edges[edge].held.get_mut(&attempt) else {
+            return;
+        };
+        held.head_until = u64::MAX;
+        let spec = held.spec.clone();
+        if let Some(end) = self.refusal(replica, &spec) {
+            return self.end_run(edge, attempt, end);
+        }
+        let mut streams = self.replicas[replica].streams.iter_mut();
+        if let Some(stream) = streams.find(|stream| stream.attempt == attempt) {
+            stream.is_taken = true;
+        }
+    }
+
+    /// How the replica ends a run at once, if it does.
+    fn refusal(&mut self, replica: usize, spec: &RunSpec) -> Option<RunEnd> {
+        let replica = &self.replicas[replica];
+        if replica.streams.len() >= 2 * replica.slots {
+            return Some(RunEnd::NotRun {
+                other_instance: false,
+            });
+        }
+        let plan = &self.oracle.plans[&spec.item_id];
+        if plan.impossible {
+            return Some(RunEnd::Impossible);
+        }
+        let failed = self
+            .oracle
+            .failures
+            .entry(spec.item_id.clone())
+            .or_default();
+        if *failed < plan.failures {
+            *failed += 1;
+            return Some(RunEnd::Failed);
+        }
+        (replica.version < spec.min_version).then_some(RunEnd::TooOld)
+    }
+
+    fn make_events(&mut self) {
+        for number in 0..self.replicas.len() {
+            let replica = &mut self.replicas[number];
+            if replica.is_dark(self.now) || replica.loading.is_some() {
+                continue;
+            }
+            let (version, event_ms) = (replica.version, replica.event_ms);
+            let mut due = Vec::new();
+            for stream in &mut replica.streams {
+                if stream.next_at <= self.now {
+                    stream.next_at = self.now + event_ms;
+                    due.push(stream.clone());
+                }
+            }
+            for stream in due {
+                if stream.is_taken {
+                    self.make_event(stream.edge, stream.attempt, version);
+                } else {
+                    self.take_stream(number, stream.edge, stream.attempt);
+                }
+            }
+        }
+    }
+
+    fn make_event(&mut self, edge: usize, attempt: AttemptId, version: u64) {
+        let Some(held) = self.edges[edge].held.get_mut(&attempt) else {
+            return;
+        };
+        let item = held.spec.item_id.clone();
+        let id = held.events.len() as u64 + 1;
+        let length = self.oracle.plans[&item].length;
+        if id > length {
+            return self.end_run(edge, attempt, RunEnd::Whole);
+        }
+        let first = held.events.first().map(|first| first.version);
+        if held.spec.single_version && first.is_some_and(|first| first != version) {
+            return self.end_run(edge, attempt, RunEnd::Mixed);
+        }
+        self.oracle.event_made(&item, id, version);
+        let skips = self.mutation == Some(Mutation::EventSkipped) && id == 7;
+        let told = match self.mutation {
+            Some(Mutation::VersionMislabelled) => self.version,
+            _ => version,
+        };
+        held.events.push(StreamEvent {
+            id,
+            data: event_data(&item, if skips { id + 1 } else { id }).into(),
+            version: told,
+        });
+        if id == length {
+            self.end_run(edge, attempt, RunEnd::Whole);
+        }
+    }
+
+    /// Edges give up on replicas that never say a word.
+    fn give_up_silent(&mut self) {
+        for number in 0..self.edges.len() {
+            let held = self.edges[number].held.iter();
+            let silent = held.filter(|(_, held)| held.end.is_none() && held.head_until <= self.now);
+            let silent: Vec<AttemptId> = silent.map(|(attempt, _)| *attempt).collect();
+            for attempt in silent {
+                self.end_run(number, attempt, RunEnd::Broken);
+            }
+        }
+    }
+
+    /// Ended jobs run nowhere that can be reached.
+    fn check_ended(&self) {
+        for edge in self.edges.iter().filter(|edge| edge.linked) {
+            for held in edge.held.values().filter(|held| held.end.is_none()) {
+                let ended = self.ended_at.get(&held.spec.job);
+                let is_late = ended.is_some_and(|at| self.now > at + CANCEL_MS);
+                let is_led = self.now > self.elected_at + CANCEL_MS;
+                let is_back = self.now > edge.back_at + CANCEL_MS;
+                let still_runs = is_late && is_led && is_back;
+                assert!(!still_runs, "{} runs after its end", held.spec.job);
+            }
+        }
+    }
+}
+
+fn take_due<T>(queue: &mut std::collections::VecDeque<(u64, T)>, now: u64) -> Option<(u64, T)> {
+    let is_due = queue.front().is_some_and(|(at, _)| *at <= now);
+    if is_due { queue.pop_front() } else { None }
+}
--- a/crates/dispatch/tests/support/mod.rs
+++ b/crates/dispatch/tests/support/mod.rs
@@ -1,95 +1,12 @@
-//! A dispatcher with its table, driven by hand.
+//! Views and jobs for tests.
 
-use brasspond_cluster_protocol::{RunReport, RunSpec, StreamEvent};
-use brasspond_dispatch::{Action, Dispatcher, Event, OrderLeases, Settings};
 use brasspond_fleet::{
     Configuration, FleetView, Limits, ReplicaInfo, Route, RouteKind, ServedModel, Service, Target,
 };
-use brasspond_jobs::{Command, Item, JobTable, Submission};
+use brasspond_jobs::{Item, Submission};
 use bytes::Bytes;
-use std::collections::BTreeMap;
 use std::sync::Arc;
 
-pub struct Fixture {
-    pub table: JobTable,
-    dispatcher: Dispatcher,
-    view: FleetView,
-    now: u64,
-    term: u64,
-}
-
-impl Fixture {
-    /// A leader past the time in which edges tell of their runs.
-    pub fn new(view: FleetView, leases: OrderLeases) -> Self {
-        Self::with_table(JobTable::default(), view, leases, 1)
-    }
-
-    fn with_table(table: JobTable, view: FleetView, leases: OrderLeases, term: u64) -> Self {
-        let settings = Settings {
-            adopt_ms: if term == 1 { 0 } else { 300 },
-            ..Settings::default()
-        };
-        let dispatcher = Dispatcher::new(term, settings, &table, view.clone(), leases, 0);
-        Self {
-            table,
-            dispatcher,
-            view,
-            now: 0,
-            term,
-        }
-    }
-
-    pub fn next_leader(self) -> Self {
-        let leases = OrderLeases::default();
-        Self::with_table(self.table, self.view, leases, self.term + 1)
-    }
-
-    pub fn advance(&mut self, ms: u64) {
-        self.now += ms;
-    }
-
-    pub fn handle(&mut self, event: Event) -> Vec<Action> {
-        self.dispatcher.handle(event, &self.table, self.now)
-    }
-
-    pub fn edge(&mut self, machine: &str) -> Vec<Action> {
-        self.edge_with(machine, Vec::new())
-    }
-
-    pub fn edge_with(&mut self, machine: &str, runs: Vec<RunReport>) -> Vec<Action> {
-        self.handle(Event::EdgeUp {
-            machine: machine.to_string(),
-            zone: "zone".to_string(),
-            runs,
-        })
-    }
-
-    pub fn accept(&mut self, submission: Submission) -> Vec<Action> {
-        let id = submission.id.clone();
-        self.table.apply(Command::Accept(submission));
-        self.handle(Event::JobAccepted(id))
-    }
-
-    pub fn end(&mut self, id: &str) -> Vec<Action> {
-        let job = id.to_string();
-        self.table.apply(Command::End { job: job.clone() });
-        self.handle(Event::JobEnded(job))
-    }
-
-    pub fn name_version(&mut self, version: u64) -> Vec<Action> {
-        self.view.versions = Arc::new(BTreeMap::from([("model".to_string(), version)]));
-        self.view.versions_revision += 1;
-        self.handle(Event::View(self.view.clone()))
-    }
-
-    pub fn set_version(&mut self, replica: &str, version: u64) {
-        let replicas = Arc::make_mut(&mut self.view.replicas);
-        replicas.get_mut(replica).expect("there").models[0].version = version;
-        self.view.replicas_revision += 1;
-        self.handle(Event::View(self.view.clone()));
-    }
-}
-
 pub fn view(replicas: usize, slots: u32) -> FleetView {
     let route = Route {
         name: "steps".to_string(),
@@ -130,7 +47,7 @@
     }
 }
 
-fn replica(number: usize, slots: u32) -> ReplicaInfo {
+pub fn replica(number: usize, slots: u32) -> ReplicaInfo {
     ReplicaInfo {
         id: format!("replica-{number}"),
         service: "engines".to_string(),
@@ -171,19 +88,3 @@
         items: items.collect(),
     }
 }
-
-pub fn event(id: u64, data: &str, version: u64) -> StreamEvent {
-    StreamEvent {
-        id,
-        data: Bytes::from(data.to_string()),
-        version,
-    }
-}
-
-pub fn runs(actions: &[Action]) -> Vec<RunSpec> {
-    let runs = actions.iter().filter_map(|action| match action {
-        Action::Run { spec, .. } => Some((**spec).clone()),
-        _ => None,
-    });
-    runs.collect()
-}
