--- a/crates/dispatch/tests/model/carry.rs
+++ b/crates/dispatch/tests/model/carry.rs
@@ -26,13 +26,13 @@
             Action::Run { machine, spec } => {
                 let ended = self.ended_at.contains_key(&spec.job);
                 assert!(!ended, "{} has ended and runs again", spec.job);
-                self.to_edge(&machine, ToEdge::Run(spec));
+                self.tell_edge(&machine, ToEdge::Run(spec));
             }
             Action::Cancel { machine, attempt } => {
-                self.to_edge(&machine, ToEdge::Cancel(self.term, attempt));
+                self.tell_edge(&machine, ToEdge::Cancel(self.term, attempt));
             }
             Action::Recorded { machine, attempt } => {
-                self.to_edge(&machine, ToEdge::Recorded(attempt));
+                self.tell_edge(&machine, ToEdge::Recorded(attempt));
             }
             Action::List(listing) => {
                 self.oracle
@@ -49,7 +49,7 @@
         }
     }
 
-    fn to_edge(&mut self, machine: &str, message: ToEdge) {
+    fn tell_edge(&mut self, machine: &str, message: ToEdge) {
         let edge = self.edges.iter_mut().find(|edge| edge.machine == machine);
         let edge = edge.expect("a known edge");
         if edge.linked {
--- a/crates/dispatch/tests/model/time.rs
+++ b/crates/dispatch/tests/model/time.rs
@@ -100,7 +100,7 @@
     }
 
     /// A message from an edge, in order with those before it on this link.
-    fn to_leader(&mut self, number: usize, message: ToLeader) {
+    fn tell_leader(&mut self, number: usize, message: ToLeader) {
         let edge = &mut self.edges[number];
         if edge.linked {
             edge.to_leader.push_back((self.now + STEP_MS, message));
@@ -115,7 +115,7 @@
     }
 
     pub(super) fn tell_draining(&mut self, number: usize) {
-        self.to_leader(number, ToLeader::Draining);
+        self.tell_leader(number, ToLeader::Draining);
     }
 
     /// An edge tells what its runs made since the last time.
@@ -130,7 +130,7 @@
             }
         }
         for message in news {
-            self.to_leader(number, message);
+            self.tell_leader(number, message);
         }
     }
 
@@ -146,7 +146,7 @@
         for replica in &mut self.replicas {
             replica.streams.retain(|stream| stream.attempt != attempt);
         }
-        self.to_leader(number, ToLeader::Ended(attempt, events, end));
+        self.tell_leader(number, ToLeader::Ended(attempt, events, end));
     }
 
     fn deliver(&mut self) {
