Loads by share, moves only where a replica fits, pace by the edge's clock

The leader's log of 20 s: 1,561 runs moved from slow replicas (room was counted on replicas that could not take them, so each began again where it was); 200 to 300 items waited while 60 of 384 places ran (two replicas loaded at a time, as on a fleet of nine). Ruled out: processor (leader 4.8% of a core), the store (calls answered), too few places (544 items each 4 s need a third of them). Change: a fifth of the replicas loads at a time, two at least; a run is moved only to a replica that would take it; a replica's speed is told by the edge's clock from event to event, not counted while it loads; a run is given up after 0.5 s of silence (0.8 before) if its edge spoke since, else after 1 s and without blaming the replica; a leader that stood still moves nothing; runs go to edges that keep a connection to the replica.

--- a/crates/cluster-protocol/src/lib.rs
+++ b/crates/cluster-protocol/src/lib.rs
@@ -8,7 +8,7 @@
 mod run;
 
 pub use frame::{FrameBuffer, FrameError, LONGEST_FRAME, encode};
-pub use run::{AttemptId, RunEnd, RunReport, RunSpec, StreamEvent};
+pub use run::{AttemptId, Pace, RunEnd, RunReport, RunSpec, StreamEvent};
 
 use brasspond_consensus::{Member, MemberId};
 use brasspond_fleet::{FleetView, ViewDelta};
@@ -164,6 +164,8 @@
         attempt: AttemptId,
         /// New events.
         events: Vec<StreamEvent>,
+        /// How fast they came; none if too few did.
+        pace: Option<Pace>,
     },
     /// Edge to leader: a run ended; the events not told yet come with it.
     Ended {
--- a/crates/cluster-protocol/src/run.rs
+++ b/crates/cluster-protocol/src/run.rs
@@ -30,6 +30,15 @@
     pub version: u64,
 }
 
+/// How fast a run's events came to its edge, by the edge's clock.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Pace {
+    /// Events that came, counted from the one that began the span.
+    pub events: u32,
+    /// Time they took, in ms.
+    pub span_ms: u32,
+}
+
 /// What an edge needs to run an item.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct RunSpec {
--- a/crates/cluster/src/edge/runs.rs
+++ b/crates/cluster/src/edge/runs.rs
@@ -3,14 +3,16 @@
 use super::process::Edge;
 use super::stream::{EventReader, StreamEnd};
 use crate::upstream::UpstreamError;
-use brasspond_cluster_protocol::{AttemptId, Message, RunEnd, RunReport, RunSpec, StreamEvent};
+use brasspond_cluster_protocol::{
+    AttemptId, Message, Pace, RunEnd, RunReport, RunSpec, StreamEvent,
+};
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::{Method, Request, StatusCode};
 use std::cell::RefCell;
 use std::collections::HashMap;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use tokio::task::AbortHandle;
 
 /// Time for a replica to begin to answer.
@@ -23,6 +25,35 @@
     events: Vec<StreamEvent>,
     /// How many of them the leader knows.
     told: usize,
+    pace: PaceMeter,
+}
+
+/// Measures how fast events come, from one report to the next.
+#[derive(Debug, Default)]
+struct PaceMeter {
+    /// The event that began the span; it does not count itself.
+    since: Option<Instant>,
+    newest: Option<Instant>,
+    events: u32,
+}
+
+impl PaceMeter {
+    fn event_came(&mut self, now: Instant) {
+        match self.since {
+            Some(_) => self.events += 1,
+            None => self.since = Some(now),
+        }
+        self.newest = Some(now);
+    }
+
+    /// The pace since the last time; the newest event begins the next span.
+    fn take(&mut self) -> Option<Pace> {
+        let span = self.newest?.duration_since(self.since?);
+        let events = std::mem::take(&mut self.events);
+        self.since = self.newest;
+        let span_ms = u32::try_from(span.as_millis()).unwrap_or(u32::MAX);
+        (events > 0).then_some(Pace { events, span_ms })
+    }
 }
 
 struct Held {
@@ -55,6 +86,7 @@
         let progress = Rc::new(RefCell::new(Progress {
             told: spec.events.len(),
             events: spec.events.clone(),
+            pace: PaceMeter::default(),
         }));
         let attempt = spec.attempt;
         let (job, item, replica) = (spec.job.clone(), spec.item, spec.replica.clone());
@@ -132,9 +164,11 @@
             }
             let events = take_untold(&held.progress);
             if !events.is_empty() {
+                let pace = held.progress.borrow_mut().pace.take();
                 leader.writer.send(&Message::Progress {
                     attempt: *attempt,
                     events,
+                    pace,
                 });
             }
         }
@@ -241,6 +275,7 @@
                     return RunEnd::Mixed;
                 }
                 progress.events.push(event);
+                progress.pace.event_came(Instant::now());
             }
             Err(StreamEnd::Whole) => {
                 edge.pool.give_back(connection);
--- a/crates/cluster/src/storage/leading.rs
+++ b/crates/cluster/src/storage/leading.rs
@@ -321,9 +321,16 @@
                     self.dispatch(Event::EdgeDraining(machine));
                 }
             }
-            Message::Progress { attempt, events } => {
-                self.dispatch(Event::Progress { attempt, events });
-            }
+            Message::Progress {
+                attempt,
+                events,
+                pace,
+            } => self.dispatch(Event::Progress {
+                attempt,
+                events,
+                pace,
+            }),
+            Message::Beat => leading.dispatcher.edge_heard(&machine, self.clock.now()),
             Message::Ended {
                 attempt,
                 events,
--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -4,10 +4,10 @@
 use crate::orders::{OrderAnswer, Orders, ReplicaReport};
 use crate::replicas::Replicas;
 use crate::runs::Runs;
-use brasspond_cluster_protocol::{AttemptId, RunEnd, RunReport, RunSpec, StreamEvent};
+use brasspond_cluster_protocol::{AttemptId, Pace, RunEnd, RunReport, RunSpec, StreamEvent};
 use brasspond_fleet::FleetView;
 use brasspond_jobs::{JobTable, Listing};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
 
 /// Milliseconds of a steady clock.
@@ -16,8 +16,11 @@
 /// Periods and limits.
 #[derive(Clone, Copy, Debug)]
 pub struct Settings {
-    /// Replicas that load weights at a time.
+    /// Replicas that load weights at a time, at the least.
     pub loads_at_once: usize,
+    /// Share of all replicas with weights that load at a time, 0 to 1, where
+    /// that is more.
+    pub loading_share: f64,
     /// Share of a model's replicas that take each new version while nothing
     /// waits, 0 to 1; the others skip it while they still serve.
     pub fresh_share: f64,
@@ -35,9 +38,10 @@
     fn default() -> Self {
         Self {
             loads_at_once: 2,
+            loading_share: 0.2,
             fresh_share: 0.5,
             adopt_ms: 300,
-            stall_ms: 800,
+            stall_ms: 500,
             slow_factor: 1.8,
             load_ms: 900,
         }
@@ -90,6 +94,8 @@
         attempt: AttemptId,
         /// New events.
         events: Vec<StreamEvent>,
+        /// How fast they came; none if too few did.
+        pace: Option<Pace>,
     },
     /// A run ended.
     Ended {
@@ -177,8 +183,14 @@
     pub zone: String,
     pub draining: bool,
     pub running: usize,
+    /// When it last said anything.
+    pub heard_at: Millis,
+    /// Connections at rest that it keeps, by replica, as far as known.
+    pub resting: HashMap<String, usize>,
 }
 
+/// Time without a tick after which this process stood still, in ms.
+const STANDSTILL: Millis = 350;
 /// Engines named in a line on the state.
 const MOST_LOGGED: usize = 24;
 
@@ -207,6 +219,8 @@
     pub(crate) settings: Settings,
     pub(crate) term: u64,
     pub(crate) began: Millis,
+    /// When time last passed.
+    ticked_at: Millis,
     pub(crate) view: FleetView,
     pub(crate) edges: BTreeMap<String, Edge>,
     pub(crate) jobs: JobRuns,
@@ -230,6 +244,7 @@
             settings,
             term,
             began: now,
+            ticked_at: now,
             view: FleetView::default(),
             edges: BTreeMap::new(),
             jobs: JobRuns::default(),
@@ -269,7 +284,11 @@
                 }
             }
             Event::EdgeDown(machine) => self.edge_down(&machine, now),
-            Event::Progress { attempt, events } => self.on_progress(attempt, events, now),
+            Event::Progress {
+                attempt,
+                events,
+                pace,
+            } => self.on_progress(attempt, events, pace, now),
             Event::Ended {
                 machine,
                 attempt,
@@ -340,6 +359,8 @@
             zone,
             draining: false,
             running: 0,
+            heard_at: now,
+            resting: HashMap::new(),
         };
         self.abandon_untold(&machine, &runs, now);
         self.edges.insert(machine.clone(), edge);
@@ -353,7 +374,31 @@
         }
     }
 
+    /// An edge gave a sign of life.
+    pub fn edge_heard(&mut self, machine: &str, now: Millis) {
+        if let Some(edge) = self.edges.get_mut(machine) {
+            edge.heard_at = now;
+        }
+    }
+
+    /// Time in which this process stood still tells nothing of edges and runs.
+    fn pass_over_standstill(&mut self, now: Millis) {
+        let gap = now.saturating_sub(self.ticked_at);
+        self.ticked_at = now;
+        if gap < STANDSTILL {
+            return;
+        }
+        log::warn!("event=stood_still gap_ms={gap}");
+        for run in self.runs.by_id.values_mut() {
+            run.heard_at = (run.heard_at + gap).min(now);
+        }
+        for edge in self.edges.values_mut() {
+            edge.heard_at = (edge.heard_at + gap).min(now);
+        }
+    }
+
     fn tick(&mut self, now: Millis) {
+        self.pass_over_standstill(now);
         self.replicas.renew_typical();
         self.move_from_slow_replicas(now);
         self.move_to_faster_replicas(now);
--- a/crates/dispatch/src/moves.rs
+++ b/crates/dispatch/src/moves.rs
@@ -4,7 +4,8 @@
 //! which takes milliseconds.
 
 use crate::dispatcher::{Dispatcher, Millis};
-use crate::runs::exact_version;
+use crate::replicas::Need;
+use crate::runs::{Run, exact_version};
 use brasspond_cluster_protocol::AttemptId;
 use std::collections::BTreeMap;
 
@@ -18,11 +19,13 @@
 /// Runs moved to faster replicas at a time.
 const FASTER_AT_ONCE: usize = 8;
 
+/// An edge tells of all its runs within this time, in ms.
+const SAME_REPORT: Millis = 50;
+
 /// Free places on a replica.
-struct FastRoom {
-    service: String,
-    model: String,
-    version: u64,
+struct Room {
+    replica: String,
+    /// Milliseconds an event takes there.
     event_ms: f64,
     free: usize,
 }
@@ -77,62 +80,70 @@
             .sum()
     }
 
-    /// A run that tells nothing goes on at another replica.
+    /// A run that tells nothing goes on at another replica. Its replica is to
+    /// blame if the edge spoke since; a silent edge tells nothing of replicas.
     pub(crate) fn move_stalled(&mut self, now: Millis) {
         let stall = self.settings.stall_ms;
-        let silent = self.runs.by_id.iter().filter(|(_, run)| {
+        let mut stalled = Vec::new();
+        for (attempt, run) in &self.runs.by_id {
+            let edge = self.edges.get(&run.machine);
+            let edge_spoke = edge.is_some_and(|edge| edge.heard_at > run.heard_at + SAME_REPORT);
             let loads = self.orders.is_busy(&run.replica);
-            let patience = if loads { 4 * stall } else { stall };
-            !run.cancelled && now >= run.heard_at + patience
-        });
-        let stalled: Vec<(AttemptId, String)> = silent
-            .map(|(attempt, run)| (*attempt, run.replica.clone()))
-            .collect();
-        for (attempt, replica) in stalled {
-            self.replicas.note_fault(&replica, now);
+            let patience = match (loads, edge_spoke) {
+                (true, _) => 4 * stall,
+                (false, true) => stall,
+                (false, false) => 2 * stall,
+            };
+            if !run.cancelled && now >= run.heard_at + patience {
+                stalled.push((*attempt, run.replica.clone(), edge_spoke));
+            }
+        }
+        for (attempt, replica, edge_spoke) in stalled {
+            if edge_spoke {
+                self.replicas.note_fault(&replica, now);
+            }
             self.move_run(attempt, "stalled", now);
         }
     }
 
-    /// Runs on a replica that has become slow go on elsewhere while others have
-    /// room.
+    /// Runs on a replica that has become slow go on elsewhere while others that
+    /// fit have room.
     pub(crate) fn move_from_slow_replicas(&mut self, now: Millis) {
-        let mut free: BTreeMap<String, usize> = BTreeMap::new();
-        let mut slow: Vec<String> = Vec::new();
-        for (id, replica) in &self.replicas.by_id {
-            let typical = self.replicas.typical_event_ms(&replica.service);
-            let is_slow = match (replica.event_ms, typical) {
-                (Some(own), Some(typical)) => own > typical * self.settings.slow_factor,
-                _ => false,
-            };
-            if is_slow {
-                slow.push(id.clone());
-            } else if !replica.draining && !self.orders.is_busy(id) {
-                let room = replica.slots.saturating_sub(replica.running);
-                *free.entry(replica.service.clone()).or_default() += room;
-            }
+        let slow = self.slow_replicas();
+        if slow.is_empty() {
+            return;
         }
-        for id in slow {
-            if self.orders.is_busy(&id) {
-                continue;
-            }
-            let Some(service) = self.replicas.by_id.get(&id).map(|one| one.service.clone()) else {
+        let mut rooms = self.rooms(now);
+        let mut moving = Vec::new();
+        for (attempt, run) in &self.runs.by_id {
+            let Some(own_ms) = slow.get(&run.replica) else {
                 continue;
             };
-            let on_it =
-                self.runs.by_id.iter().filter(|(_, run)| {
-                    run.replica == id && run.made >= MOVE_EVENTS && !run.cancelled
-                });
-            let moving: Vec<AttemptId> = on_it.map(|(attempt, _)| *attempt).collect();
-            for attempt in moving {
-                let room = free.entry(service.clone()).or_default();
-                if *room == 0 {
-                    break;
-                }
-                *room -= 1;
-                self.move_run(attempt, "replica_slow", now);
+            let may_move = run.made >= MOVE_EVENTS && !run.cancelled;
+            if may_move && self.take_room(&mut rooms, run, *own_ms) {
+                moving.push(*attempt);
             }
         }
+        for attempt in moving {
+            self.move_run(attempt, "replica_slow", now);
+        }
+    }
+
+    /// Replicas much slower than most of their service, with the time an event
+    /// takes there.
+    fn slow_replicas(&self) -> BTreeMap<String, f64> {
+        let factor = self.settings.slow_factor;
+        let mut slow = BTreeMap::new();
+        for (id, replica) in &self.replicas.by_id {
+            let typical = self.replicas.typical_event_ms(&replica.service);
+            if let (Some(own), Some(typical)) = (replica.event_ms, typical)
+                && own > typical * factor
+                && !self.orders.is_busy(id)
+            {
+                slow.insert(id.clone(), own);
+            }
+        }
+        slow
     }
 
     /// Once nothing waits, a step ends with its longest runs: those on slower
@@ -140,34 +151,17 @@
     /// reading the text so far, which takes milliseconds; staying costs the
     /// difference in speed for all the events to come.
     pub(crate) fn move_to_faster_replicas(&mut self, now: Millis) {
-        let mut room = self.fast_rooms(now);
+        let mut rooms = self.rooms(now);
         let mut moving = Vec::new();
         for (attempt, run) in &self.runs.by_id {
             if run.cancelled || run.made < FASTER_EVENTS || moving.len() >= FASTER_AT_ONCE {
                 continue;
             }
-            let Some(job) = self.jobs.jobs.get(&run.job) else {
-                continue;
-            };
             let own = self.replicas.by_id.get(&run.replica);
-            let Some((own, service)) = own.and_then(|one| Some((one.event_ms?, &one.service)))
-            else {
+            let Some(own_ms) = own.and_then(|one| one.event_ms) else {
                 continue;
             };
-            if self.jobs.has_waiting(&job.model) {
-                continue;
-            }
-            let exact = exact_version(job, &run.events);
-            let faster = room.iter_mut().find(|place| {
-                place.free > 0
-                    && exact.is_none_or(|exact| place.version == exact)
-                    && place.service == *service
-                    && place.model == job.model
-                    && place.version >= job.min_version
-                    && own > place.event_ms * FASTER_FACTOR
-            });
-            if let Some(place) = faster {
-                place.free -= 1;
+            if self.take_room(&mut rooms, run, own_ms) {
                 moving.push(*attempt);
             }
         }
@@ -176,28 +170,72 @@
         }
     }
 
-    /// Free places on replicas of known speed, the fastest first.
-    fn fast_rooms(&self, now: Millis) -> Vec<FastRoom> {
+    /// Takes a place for a run on a replica that is faster than its own and may
+    /// go on with its text; none while items of its model wait for places.
+    fn take_room(&self, rooms: &mut [Room], run: &Run, own_ms: f64) -> bool {
+        let Some(job) = self.jobs.jobs.get(&run.job) else {
+            return false;
+        };
+        let Some(route) = &job.route else {
+            return false;
+        };
+        let need = Need {
+            service: &route.service,
+            model: &job.model,
+            min_version: job.min_version,
+            exact: exact_version(job, &run.events),
+        };
+        if !rooms
+            .first()
+            .is_some_and(|best| best.is_faster_than(own_ms))
+            || self.jobs.has_waiting(&job.model)
+        {
+            return false;
+        }
+        let mut faster = rooms.iter_mut();
+        let faster = faster.find(|room| {
+            room.free > 0 && room.is_faster_than(own_ms) && self.fits(&room.replica, &need)
+        });
+        let Some(room) = faster else {
+            return false;
+        };
+        room.free -= 1;
+        true
+    }
+
+    /// Whether a replica would take a run at this moment.
+    fn fits(&self, replica: &str, need: &Need<'_>) -> bool {
+        let known = self.replicas.by_id.get(replica);
+        let first = self.orders.serves_first.get(replica);
+        known.is_some_and(|known| known.service == need.service && known.has_version(need))
+            && first.is_none_or(|model| model == need.model)
+    }
+
+    /// Free places on replicas, the fastest first.
+    fn rooms(&self, now: Millis) -> Vec<Room> {
         let mut rooms = Vec::new();
         for (id, replica) in &self.replicas.by_id {
-            let Some(event_ms) = replica.event_ms else {
-                continue;
-            };
-            let Some(model) = self.orders.serves_first.get(id) else {
+            let typical = self.replicas.typical_event_ms(&replica.service);
+            let Some(event_ms) = replica.event_ms.or(typical) else {
                 continue;
             };
-            if replica.draining || replica.paused_until > now || self.orders.is_busy(id) {
-                continue;
+            let free = replica.slots.saturating_sub(replica.running);
+            let takes_runs = !replica.draining && replica.paused_until <= now;
+            if takes_runs && free > 0 && !self.orders.is_busy(id) {
+                rooms.push(Room {
+                    replica: id.clone(),
+                    event_ms,
+                    free,
+                });
             }
-            rooms.push(FastRoom {
-                service: replica.service.clone(),
-                model: model.clone(),
-                version: replica.versions.get(model).copied().unwrap_or(0),
-                event_ms,
-                free: replica.slots.saturating_sub(replica.running),
-            });
         }
         rooms.sort_by(|a, b| a.event_ms.total_cmp(&b.event_ms));
         rooms
     }
 }
+
+impl Room {
+    fn is_faster_than(&self, own_ms: f64) -> bool {
+        own_ms > self.event_ms * FASTER_FACTOR
+    }
+}
--- a/crates/dispatch/src/orders.rs
+++ b/crates/dispatch/src/orders.rs
@@ -190,7 +190,7 @@
     pub(crate) fn plan_orders(&mut self, now: Millis) {
         self.drop_orders_of_gone();
         self.ask_after_loads(now);
-        while self.orders.loads.len() < self.settings.loads_at_once {
+        while self.orders.loads.len() < self.most_loads() {
             let Some(due) = self.next_load(now) else {
                 return;
             };
@@ -198,6 +198,14 @@
         }
     }
 
+    /// Replicas that may load at a time: more of them in a larger fleet, or a
+    /// version would be out of date before all that need it have it.
+    fn most_loads(&self) -> usize {
+        let replicas = self.orders.serves_first.len() as f64;
+        let share = (replicas * self.settings.loading_share) as usize;
+        share.max(self.settings.loads_at_once)
+    }
+
     fn drop_orders_of_gone(&mut self) {
         let replicas = &self.replicas.by_id;
         let is_live = |id: &String| replicas.get(id).is_some_and(|replica| !replica.draining);
@@ -359,7 +367,7 @@
         if version >= load.version && !report.busy {
             let model = load.model.clone();
             self.orders.loads.remove(id);
-            self.replicas.set_version(id, &model, version);
+            self.replicas.set_version(id, &model, version, now);
             log::info!("event=version_loaded replica={id} model={model} version={version}");
             return;
         }
@@ -394,7 +402,7 @@
             OrderAnswer::Holds => {
                 let (model, version) = (load.model.clone(), load.version);
                 self.orders.loads.remove(id);
-                self.replicas.set_version(id, &model, version);
+                self.replicas.set_version(id, &model, version, now);
             }
             OrderAnswer::Unknown | OrderAnswer::Conflict => {
                 self.orders.sequences.remove(id);
--- a/crates/dispatch/src/replicas.rs
+++ b/crates/dispatch/src/replicas.rs
@@ -11,6 +11,8 @@
 const LONGEST_PAUSE: Millis = 2_000;
 /// Weight of a new speed against what was known.
 const SPEED_WEIGHT: f64 = 0.3;
+/// Time after a load in which runs still tell of the pause it made, in ms.
+const AFTER_LOAD: Millis = 400;
 /// A full replica counts as this much slower than an empty one.
 const LOAD_COST: f64 = 0.3;
 /// A replica that serves another model first counts as this much slower.
@@ -30,6 +32,8 @@
     pub event_ms: Option<f64>,
     pub faults: u32,
     pub paused_until: Millis,
+    /// Paces told earlier say nothing: it loaded.
+    pub paced_from: Millis,
 }
 
 /// All replicas by identity.
@@ -70,6 +74,7 @@
                 event_ms: None,
                 faults: 0,
                 paused_until: 0,
+                paced_from: 0,
             });
             replica.draining = info.draining;
             replica.slots = info.slots as usize;
@@ -131,8 +136,11 @@
         self.typical = medians.collect();
     }
 
-    pub fn note_speed(&mut self, id: &str, event_ms: f64) {
+    pub fn note_speed(&mut self, id: &str, event_ms: f64, now: Millis) {
         if let Some(replica) = self.by_id.get_mut(id) {
+            if now < replica.paced_from {
+                return;
+            }
             let known = replica.event_ms.unwrap_or(event_ms);
             replica.event_ms = Some(known + SPEED_WEIGHT * (event_ms - known));
             replica.faults = 0;
@@ -147,15 +155,17 @@
         }
     }
 
-    pub fn set_version(&mut self, id: &str, model: &str, version: u64) {
+    /// A replica holds a version; its runs stood still while it loaded.
+    pub fn set_version(&mut self, id: &str, model: &str, version: u64, now: Millis) {
         if let Some(replica) = self.by_id.get_mut(id) {
+            replica.paced_from = now + AFTER_LOAD;
             replica.versions.insert(model.to_string(), version);
         }
     }
 }
 
 impl Replica {
-    fn has_version(&self, need: &Need<'_>) -> bool {
+    pub fn has_version(&self, need: &Need<'_>) -> bool {
         if need.model.is_empty() || (need.min_version == 0 && need.exact.is_none()) {
             return true;
         }
--- a/crates/dispatch/src/runs.rs
+++ b/crates/dispatch/src/runs.rs
@@ -1,14 +1,16 @@
 //! Runs: begun, told of, ended, moved.
 
-use crate::dispatcher::{Action, Dispatcher, Millis};
+use crate::dispatcher::{Action, Dispatcher, Edge, Millis};
 use crate::jobs::{JobRun, State, outcome_of};
 use crate::replicas::Need;
-use brasspond_cluster_protocol::{AttemptId, RunEnd, RunReport, RunSpec, StreamEvent};
+use brasspond_cluster_protocol::{AttemptId, Pace, RunEnd, RunReport, RunSpec, StreamEvent};
 use brasspond_jobs::{JobTable, Listing, Outcome};
-use std::collections::HashMap;
+use std::collections::BTreeMap;
 
-/// Events of a run from which its replica's speed is told.
-const SPEED_EVENTS: u64 = 6;
+/// Events from which a replica's speed is told.
+const PACE_EVENTS: u32 = 2;
+/// Opening a connection is worth avoiding as much as so many runs on an edge.
+const NEW_CONNECTION: usize = 6;
 
 /// A run under way.
 #[derive(Clone, Debug)]
@@ -22,8 +24,6 @@
     pub events: Vec<StreamEvent>,
     /// When it began, or was last heard of.
     pub heard_at: Millis,
-    /// Time and number of the first events told, for its speed.
-    pub first: Option<(Millis, u64)>,
     pub made: u64,
     /// It is being stopped.
     pub cancelled: bool,
@@ -54,10 +54,27 @@
 /// All runs.
 #[derive(Debug, Default)]
 pub(crate) struct Runs {
-    pub by_id: HashMap<AttemptId, Run>,
+    pub by_id: BTreeMap<AttemptId, Run>,
     number: u64,
 }
 
+impl Edge {
+    /// Whether a connection to a replica is at rest here.
+    fn rests_to(&self, replica: &str) -> bool {
+        self.resting
+            .get(replica)
+            .is_some_and(|resting| *resting > 0)
+    }
+
+    /// A run begins, on a connection at rest if there is one.
+    fn begin_run(&mut self, replica: &str) {
+        self.running += 1;
+        if let Some(resting) = self.resting.get_mut(replica) {
+            *resting = resting.saturating_sub(1);
+        }
+    }
+}
+
 impl Runs {
     pub fn len(&self) -> usize {
         self.by_id.len()
@@ -135,7 +152,7 @@
         };
         known.running += 1;
         if let Some(edge) = self.edges.get_mut(&machine) {
-            edge.running += 1;
+            edge.begin_run(&replica);
         }
         let spec = RunSpec {
             attempt,
@@ -173,7 +190,6 @@
             replica,
             events,
             heard_at: now,
-            first: None,
             made: 0,
             cancelled: false,
         };
@@ -185,14 +201,20 @@
         true
     }
 
-    /// The edge with the fewest runs, one in the replica's zone before others.
+    /// The edge with the fewest runs; one in the replica's zone, and one with a
+    /// connection to it at rest, before others.
     fn choose_edge(&self, replica: &str) -> Option<String> {
         const ELSEWHERE: usize = 40;
         let zone = &self.replicas.by_id.get(replica)?.zone;
         let taking = self.edges.iter().filter(|(_, edge)| !edge.draining);
-        let cost = |edge: &crate::dispatcher::Edge| {
+        let cost = |edge: &Edge| {
             let distance = if edge.zone == *zone { 0 } else { ELSEWHERE };
-            edge.running + distance
+            let opens = if edge.rests_to(replica) {
+                0
+            } else {
+                NEW_CONNECTION
+            };
+            edge.running + distance + opens
         };
         let best = taking.min_by_key(|(_, edge)| cost(edge));
         best.map(|(machine, _)| machine.clone())
@@ -202,31 +224,36 @@
         &mut self,
         attempt: AttemptId,
         events: Vec<StreamEvent>,
+        pace: Option<Pace>,
         now: Millis,
     ) {
         if !self.take_events(attempt, events, now) {
             self.move_run(attempt, "events_missing", now);
+            return;
+        }
+        let replica = self.runs.by_id.get(&attempt).map(|run| &run.replica);
+        if let (Some(replica), Some(pace)) = (replica.cloned(), pace)
+            && pace.events >= PACE_EVENTS
+            && !self.orders.is_busy(&replica)
+        {
+            let event_ms = f64::from(pace.span_ms) / f64::from(pace.events);
+            self.replicas.note_speed(&replica, event_ms, now);
         }
     }
 
-    /// Adds events of a run to those known and learns its replica's speed; says
-    /// whether none is missing between them.
+    /// Adds events of a run to those known; says whether none is missing between
+    /// them.
     fn take_events(&mut self, attempt: AttemptId, events: Vec<StreamEvent>, now: Millis) -> bool {
         let Some(run) = self.runs.by_id.get_mut(&attempt) else {
             return true;
         };
         run.heard_at = now;
+        if let Some(edge) = self.edges.get_mut(&run.machine) {
+            edge.heard_at = now;
+        }
         let known = run.events.len();
         let is_complete = extend_in_order(&mut run.events, events);
         run.made += (run.events.len() - known) as u64;
-        let made = run.made;
-        let (since, before) = *run.first.get_or_insert((now, made));
-        let counted = made - before;
-        if counted >= SPEED_EVENTS {
-            let event_ms = (now - since) as f64 / counted as f64;
-            let replica = run.replica.clone();
-            self.replicas.note_speed(&replica, event_ms);
-        }
         is_complete
     }
 
@@ -245,6 +272,11 @@
             return;
         };
         self.judge_replica(&run.replica, end, now);
+        if end == RunEnd::Whole
+            && let Some(edge) = self.edges.get_mut(machine)
+        {
+            *edge.resting.entry(run.replica.clone()).or_default() += 1;
+        }
         log::info!(
             "event=run_ended job={} item={} attempt={attempt} replica={} end={} events={}",
             run.job,
@@ -431,7 +463,6 @@
             replica: report.replica,
             events: report.events,
             heard_at: now,
-            first: None,
             made: 0,
             cancelled: false,
         };
--- a/crates/dispatch/tests/dispatcher.rs
+++ b/crates/dispatch/tests/dispatcher.rs
@@ -3,7 +3,7 @@
 mod fixture;
 mod support;
 
-use brasspond_cluster_protocol::{RunEnd, RunReport};
+use brasspond_cluster_protocol::{Pace, RunEnd, RunReport, RunSpec};
 use brasspond_dispatch::{Action, Event, OrderAnswer, OrderLeases, ReplicaReport};
 use brasspond_jobs::Outcome;
 use fixture::{Fixture, event, runs};
@@ -134,6 +134,7 @@
     fixture.handle(Event::Progress {
         attempt: run.attempt,
         events: vec![event(1, "a", 1), event(2, "b", 1)],
+        pace: None,
     });
     let actions = fixture.handle(Event::EdgeDown("edge-1".to_string()));
     let again = runs(&actions)[0].clone();
@@ -154,14 +155,28 @@
     assert_eq!(runs(&actions).len(), 1);
 }
 
+/// Lets time pass in ticks, while the edge gives signs of life if it `speaks`;
+/// returns what is done.
+fn wait(fixture: &mut Fixture, ms: u64, speaks: bool) -> Vec<Action> {
+    let mut actions = Vec::new();
+    for _ in 0..ms / 100 {
+        fixture.advance(100);
+        if speaks {
+            fixture.edge_heard("edge-1");
+        }
+        actions.extend(fixture.handle(Event::Tick));
+    }
+    actions
+}
+
 #[rstest]
 fn a_silent_run_is_moved() {
     let mut fixture = Fixture::new(view(2, 1), OrderLeases::default());
     fixture.edge("edge-1");
     let actions = fixture.accept(submission("job", &[1], 0));
     let first = runs(&actions)[0].clone();
-    fixture.advance(1_000);
-    let actions = fixture.handle(Event::Tick);
+    assert!(runs(&wait(&mut fixture, 400, true)).is_empty());
+    let actions = wait(&mut fixture, 100, true);
     assert!(actions.contains(&Action::Cancel {
         machine: "edge-1".to_string(),
         attempt: first.attempt,
@@ -339,16 +354,20 @@
     fixture.edge("edge-1");
     let started = runs(&fixture.accept(submission("job", &[2, 1], 0)));
     assert_ne!(started[0].replica, started[1].replica);
-    let mut next = [1, 1];
+    let mut next = [1_u64, 1];
     for _ in 0..8 {
         fixture.advance(100);
-        for (number, events) in [(0, 2), (1, 3)] {
+        for (number, events_told) in [(0, 2), (1, 3)] {
             let first = next[number];
-            next[number] += events;
+            next[number] += u64::from(events_told);
             let events = (first..next[number]).map(|id| event(id, "x", 1));
             fixture.handle(Event::Progress {
                 attempt: started[number].attempt,
                 events: events.collect(),
+                pace: Some(Pace {
+                    events: events_told,
+                    span_ms: 100,
+                }),
             });
         }
     }
@@ -424,6 +443,7 @@
         fixture.handle(Event::Progress {
             attempt,
             events: told.clone(),
+            pace: None,
         });
     }
     let actions = fixture.handle(Event::Ended {
@@ -484,3 +504,112 @@
     let actions = fixture.accept(submission("second", &[1], 0));
     assert_eq!(runs(&actions).len(), 1, "the only place is free");
 }
+
+fn progress(fixture: &mut Fixture, run: &RunSpec, ids: std::ops::Range<u64>, event_ms: u32) {
+    let events: Vec<_> = ids.map(|id| event(id, "x", 1)).collect();
+    let told = u32::try_from(events.len()).expect("few");
+    fixture.handle(Event::Progress {
+        attempt: run.attempt,
+        events,
+        pace: Some(Pace {
+            events: told,
+            span_ms: told * event_ms,
+        }),
+    });
+}
+
+/// Grown deployment, quiet-1: 1,561 runs moved from slow replicas in 20 s. Room
+/// was counted on replicas that could not take them, so each began again on the
+/// same replica and was moved again.
+#[rstest]
+fn a_run_on_a_slow_replica_stays_where_no_other_fits() {
+    let mut fixture = Fixture::new(view(4, 1), OrderLeases::default());
+    fixture.edge("edge-1");
+    fixture.set_version("replica-0", 2);
+    let others = runs(&fixture.accept(submission("other", &[9, 8, 7, 6], 0)));
+    let slow = others.iter().find(|run| run.replica == "replica-0");
+    let slow = slow.expect("runs there").clone();
+    for run in &others {
+        let event_ms = if run.replica == "replica-0" { 200 } else { 30 };
+        progress(&mut fixture, run, 1..6, event_ms);
+    }
+    for run in others.iter().filter(|run| run.attempt != slow.attempt) {
+        fixture.handle(Event::Ended {
+            machine: "edge-1".to_string(),
+            attempt: run.attempt,
+            events: Vec::new(),
+            end: RunEnd::Whole,
+        });
+    }
+    fixture.end("other");
+    fixture.handle(Event::Ended {
+        machine: "edge-1".to_string(),
+        attempt: slow.attempt,
+        events: Vec::new(),
+        end: RunEnd::Cancelled,
+    });
+    let run = runs(&fixture.accept(submission("strict", &[5], 2)))[0].clone();
+    assert_eq!(run.replica, "replica-0", "no other has the version");
+    progress(&mut fixture, &run, 1..6, 200);
+    let actions = fixture.handle(Event::Tick);
+    assert!(
+        runs(&actions).is_empty(),
+        "moved to where it was: {actions:?}"
+    );
+}
+
+/// An edge that stands still says nothing of its runs: the replicas are well.
+#[rstest]
+#[case::edge_spoke_since(true, "replica-1")]
+#[case::edge_silent(false, "replica-0")]
+fn a_silent_edge_is_no_fault_of_its_replicas(#[case] speaks: bool, #[case] next: &str) {
+    let mut fixture = Fixture::new(view(2, 1), OrderLeases::default());
+    fixture.edge("edge-1");
+    let run = runs(&fixture.accept(submission("job", &[1], 0)))[0].clone();
+    assert_eq!(run.replica, "replica-0");
+    let moved = runs(&wait(&mut fixture, 1_000, speaks));
+    assert_eq!(moved[0].replica, next, "a faulty replica rests");
+}
+
+/// A leader that stood still itself has heard nothing; its runs are not moved.
+#[rstest]
+fn standing_still_moves_no_runs() {
+    let mut fixture = Fixture::new(view(2, 1), OrderLeases::default());
+    fixture.edge("edge-1");
+    fixture.accept(submission("job", &[1], 0));
+    fixture.advance(100);
+    fixture.handle(Event::Tick);
+    fixture.advance(5_000);
+    assert!(runs(&fixture.handle(Event::Tick)).is_empty());
+}
+
+/// Grown deployment, quiet-1: two of 48 replicas loaded at a time, and a version
+/// was out of date before those that needed it had it.
+#[rstest]
+#[case::few(9, 2)]
+#[case::many(40, 8)]
+fn a_fifth_of_the_replicas_loads_at_a_time(#[case] replicas: usize, #[case] loads: usize) {
+    let mut fixture = Fixture::new(view(replicas, 1), OrderLeases::default());
+    fixture.edge("edge-1");
+    assert_eq!(asked(&fixture.name_version(3)).len(), loads);
+}
+
+#[rstest]
+fn an_edge_with_a_connection_at_rest_runs_the_next_item_there() {
+    let mut fixture = Fixture::new(view(1, 1), OrderLeases::default());
+    fixture.edge("edge-2");
+    let first = runs(&fixture.accept(submission("first", &[1], 0)))[0].clone();
+    fixture.edge("edge-1");
+    fixture.handle(Event::Ended {
+        machine: "edge-2".to_string(),
+        attempt: first.attempt,
+        events: vec![event(1, "a", 1)],
+        end: RunEnd::Whole,
+    });
+    let actions = fixture.accept(submission("second", &[1], 0));
+    let machine = actions.iter().find_map(|action| match action {
+        Action::Run { machine, .. } => Some(machine.as_str()),
+        _ => None,
+    });
+    assert_eq!(machine, Some("edge-2"));
+}
--- a/crates/dispatch/tests/model/edge.rs
+++ b/crates/dispatch/tests/model/edge.rs
@@ -1,6 +1,6 @@
 //! An edge as the model has it: runs it holds, and its link to the leader.
 
-use brasspond_cluster_protocol::{AttemptId, RunEnd, RunReport, RunSpec, StreamEvent};
+use brasspond_cluster_protocol::{AttemptId, Pace, RunEnd, RunReport, RunSpec, StreamEvent};
 use std::collections::{BTreeMap, VecDeque};
 
 /// A run on an edge.
@@ -10,11 +10,34 @@
     pub events: Vec<StreamEvent>,
     pub told: usize,
     pub end: Option<RunEnd>,
+    /// When the event came from which a pace is counted, and the newest.
+    pub paced: Option<(u64, u64)>,
     /// Last instant at which a silent replica is waited for.
     pub head_until: u64,
 }
 
 impl Held {
+    pub fn event_came(&mut self, now: u64) {
+        let since = self.paced.map_or(now, |(since, _)| since);
+        self.paced = Some((since, now));
+    }
+
+    fn pace(&mut self, events: usize) -> Option<Pace> {
+        let (since, newest) = self.paced?;
+        self.paced = Some((newest, newest));
+        Some(Pace {
+            events: u32::try_from(events).expect("few"),
+            span_ms: u32::try_from(newest - since).expect("short"),
+        })
+    }
+
+    /// What a report tells of this run.
+    pub fn progress(&mut self, attempt: AttemptId) -> ToLeader {
+        let events = self.untold();
+        let pace = self.pace(events.len());
+        ToLeader::Progress(attempt, events, pace)
+    }
+
     pub fn untold(&mut self) -> Vec<StreamEvent> {
         let events = self.events[self.told..].to_vec();
         self.told = self.events.len();
@@ -26,7 +49,7 @@
 #[derive(Clone, Debug)]
 pub enum ToLeader {
     Runs(Vec<RunReport>),
-    Progress(AttemptId, Vec<StreamEvent>),
+    Progress(AttemptId, Vec<StreamEvent>, Option<Pace>),
     Ended(AttemptId, Vec<StreamEvent>, RunEnd),
     Draining,
 }
--- a/crates/dispatch/tests/model/mod.rs
+++ b/crates/dispatch/tests/model/mod.rs
@@ -32,6 +32,8 @@
 const VIEW_LAG: u64 = 300;
 /// Longest that a healed world may need to finish all jobs, in ms.
 const FINISH_MS: u64 = 60_000;
+/// Orders are carried out at the latest after this time, in ms.
+const LATEST_ORDER: u64 = 13_000;
 /// Attempts a route allows.
 const MAX_ATTEMPTS: u32 = 3;
 const REPLICAS: usize = 4;
@@ -226,7 +228,8 @@
             self.run(500);
         }
         assert!(self.is_finished(), "jobs are left: {}", self.unfinished());
-        self.run(3_000);
+        // Orders left unanswered before may still be carried out.
+        self.run(LATEST_ORDER);
         let counts = self.dispatcher.as_ref().expect("a leader").counts();
         assert_eq!(counts, (0, 0), "runs are left over");
         self.check_places();
--- a/crates/dispatch/tests/model/time.rs
+++ b/crates/dispatch/tests/model/time.rs
@@ -126,7 +126,7 @@
         let mut news = Vec::new();
         for (attempt, held) in &mut self.edges[number].held {
             if held.end.is_none() && held.told < held.events.len() {
-                news.push(ToLeader::Progress(*attempt, held.untold()));
+                news.push(held.progress(*attempt));
             }
         }
         for message in news {
@@ -168,7 +168,11 @@
                 zone: "zone".to_string(),
                 runs,
             },
-            ToLeader::Progress(attempt, events) => Event::Progress { attempt, events },
+            ToLeader::Progress(attempt, events, pace) => Event::Progress {
+                attempt,
+                events,
+                pace,
+            },
             ToLeader::Ended(attempt, events, end) => Event::Ended {
                 machine: machine.clone(),
                 attempt,
@@ -213,6 +217,7 @@
             events: spec.events.clone(),
             spec: spec.clone(),
             end: None,
+            paced: None,
             head_until: self.now + HEAD_MS,
         };
         edge.held.insert(attempt, held);
@@ -325,6 +330,7 @@
             data: event_data(&item, if skips { id + 1 } else { id }).into(),
             version: told,
         });
+        held.event_came(self.now);
         if id == length {
             self.end_run(edge, attempt, RunEnd::Whole);
         }
