--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -1,12 +1,13 @@
 //! The dispatcher: its state, events and actions.
 
+use crate::demand::Demand;
 use crate::jobs::JobRuns;
 use crate::orders::{OrderAnswer, Orders, ReplicaReport};
 use crate::replicas::Replicas;
 use crate::runs::Runs;
 use brasspond_cluster_protocol::{AttemptId, Pace, RunEnd, RunReport, RunSpec, StreamEvent};
 use brasspond_fleet::FleetView;
-use brasspond_jobs::{JobTable, Listing};
+use brasspond_jobs::{Job, JobTable, Listing};
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
 
@@ -227,6 +228,7 @@
     pub(crate) runs: Runs,
     pub(crate) replicas: Replicas,
     pub(crate) orders: Orders,
+    demand: Demand,
     pub(crate) actions: Vec<Action>,
 }
 
@@ -251,8 +253,12 @@
             runs: Runs::default(),
             replicas: Replicas::default(),
             orders: Orders::new(leases),
+            demand: Demand::default(),
             actions: Vec::new(),
         };
+        for (_, job) in table.jobs() {
+            dispatcher.note_demand(job, now);
+        }
         dispatcher.take_view(view, now);
         for (id, job) in table.jobs() {
             let view = &dispatcher.view;
@@ -337,16 +343,23 @@
         if configuration_changed {
             self.jobs.resolve_routes(&self.view);
         }
-        self.orders.assign(&self.view);
+        self.orders.assign(&self.view, &self.demand);
     }
 
     fn open_job(&mut self, id: &str, table: &JobTable, now: Millis) {
         if let Some(job) = table.job(id) {
             let listings = self.jobs.open(id, job, table, &self.view, now);
             self.actions.extend(listings.into_iter().map(Action::List));
+            self.note_demand(job, now);
+            self.orders.assign(&self.view, &self.demand);
         }
     }
 
+    fn note_demand(&mut self, job: &Job, now: Millis) {
+        let tokens = job.items.iter().map(|item| item.expected_tokens).sum();
+        self.demand.note(&job.model, tokens, now);
+    }
+
     fn edge_up(
         &mut self,
         machine: String,
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -6,6 +6,7 @@
 //! and from what the edges tell it of their runs.
 #![forbid(unsafe_code)]
 
+mod demand;
 mod dispatcher;
 mod jobs;
 mod moves;
--- a/crates/dispatch/src/moves.rs
+++ b/crates/dispatch/src/moves.rs
@@ -19,6 +19,8 @@
 /// Runs moved to faster replicas at a time.
 const FASTER_AT_ONCE: usize = 8;
 
+/// Time for an edge to tell the last events of a run that is handed over, in ms.
+const HAND_OVER: Millis = 300;
 /// An edge tells of all its runs within this time, in ms.
 const SAME_REPORT: Millis = 50;
 
@@ -31,8 +33,37 @@
 }
 
 impl Dispatcher {
-    /// Stops a run at its edge; its item goes on elsewhere at once.
+    /// Stops a run at its edge and waits for its last events, so that its item
+    /// goes on elsewhere without making any of them again.
+    fn hand_over(&mut self, attempt: AttemptId, reason: &str, now: Millis) {
+        self.log_move(attempt, reason, now);
+        self.cancel(attempt);
+        if let Some(run) = self.runs.by_id.get_mut(&attempt) {
+            run.handed_over_at = Some(now);
+        }
+    }
+
+    /// Runs whose edge does not tell their last events go on from what is known.
+    fn abandon_late_handovers(&mut self, now: Millis) {
+        let late = self.runs.by_id.iter().filter(|(_, run)| {
+            let since = run.handed_over_at;
+            since.is_some_and(|since| now >= since + HAND_OVER)
+        });
+        let late: Vec<AttemptId> = late.map(|(attempt, _)| *attempt).collect();
+        for attempt in late {
+            self.abandon_run(attempt, now);
+        }
+    }
+
+    /// Stops a run at its edge; its item goes on elsewhere at once, from what is
+    /// known of it.
     pub(crate) fn move_run(&mut self, attempt: AttemptId, reason: &str, now: Millis) {
+        self.log_move(attempt, reason, now);
+        self.cancel(attempt);
+        self.abandon_run(attempt, now);
+    }
+
+    fn log_move(&self, attempt: AttemptId, reason: &str, now: Millis) {
         if let Some(run) = self.runs.by_id.get(&attempt) {
             log::info!(
                 "event=run_moved job={} item={} attempt={attempt} replica={} reason={reason} events={} silent_ms={}",
@@ -43,8 +74,6 @@
                 now - run.heard_at
             );
         }
-        self.cancel(attempt);
-        self.abandon_run(attempt, now);
     }
 
     /// Runs on a replica about to load go on elsewhere, as far as there is room.
@@ -61,7 +90,7 @@
                 return;
             }
             room -= 1;
-            self.move_run(attempt, "replica_loads", now);
+            self.hand_over(attempt, "replica_loads", now);
         }
     }
 
@@ -83,6 +112,7 @@
     /// A run that tells nothing goes on at another replica. Its replica is to
     /// blame if the edge spoke since; a silent edge tells nothing of replicas.
     pub(crate) fn move_stalled(&mut self, now: Millis) {
+        self.abandon_late_handovers(now);
         let stall = self.settings.stall_ms;
         let mut stalled = Vec::new();
         for (attempt, run) in &self.runs.by_id {
@@ -125,7 +155,7 @@
             }
         }
         for attempt in moving {
-            self.move_run(attempt, "replica_slow", now);
+            self.hand_over(attempt, "replica_slow", now);
         }
     }
 
@@ -166,7 +196,7 @@
             }
         }
         for attempt in moving {
-            self.move_run(attempt, "faster_replica", now);
+            self.hand_over(attempt, "faster_replica", now);
         }
     }
 
--- a/crates/dispatch/src/orders.rs
+++ b/crates/dispatch/src/orders.rs
@@ -6,6 +6,7 @@
 //! load at once, and the others only while no item waits for a place; runs on
 //! a replica about to load go on elsewhere.
 
+use crate::demand::Demand;
 use crate::dispatcher::{Action, Dispatcher, Millis, OrderLeases};
 use brasspond_fleet::FleetView;
 use std::collections::{BTreeMap, HashMap};
@@ -99,9 +100,8 @@
 
     /// Whether a replica is about to load, or loads, a version of a model.
     pub fn is_loading(&self, replica: &str, model: &str) -> bool {
-        self.loads
-            .get(replica)
-            .is_some_and(|load| load.model == model && load.stage != Stage::Asking)
+        let load = self.loads.get(replica);
+        load.is_some_and(|load| load.model == model)
     }
 
     /// Whether a replica loads anything at all.
@@ -109,9 +109,9 @@
         self.loads.contains_key(replica)
     }
 
-    /// Divides the replicas of each service among its models, changing as few
-    /// as possible.
-    pub fn assign(&mut self, view: &FleetView) {
+    /// Divides the replicas of each service among its models by demand, changing
+    /// as few as possible.
+    pub fn assign(&mut self, view: &FleetView, demand: &Demand) {
         self.serves_first.retain(|id, _| {
             view.replicas
                 .get(id)
@@ -129,13 +129,13 @@
             let mut counts = self.counts(&service.models);
             for replica in &ready {
                 if !self.serves_first.contains_key(&replica.id) {
-                    let least = least_served(&counts);
-                    counts[least] += 1;
-                    let model = service.models[least].clone();
+                    let needy = demand.neediest(&service.models, &counts, ready.len());
+                    counts[needy] += 1;
+                    let model = service.models[needy].clone();
                     self.serves_first.insert(replica.id.clone(), model);
                 }
             }
-            self.level(&service.models, counts);
+            self.level(&service.models, counts, demand, view);
         }
     }
 
@@ -150,30 +150,35 @@
         counts
     }
 
-    /// Moves replicas until no model has two more than another.
-    fn level(&mut self, models: &[String], mut counts: Vec<usize>) {
-        loop {
-            let least = least_served(&counts);
-            let most = (0..counts.len()).max_by_key(|number| counts[*number]);
-            let Some(most) = most.filter(|most| counts[*most] > counts[least] + 1) else {
+    /// Moves replicas until each model has about its part; first those that
+    /// hold the newest weights of the model they move to.
+    fn level(
+        &mut self,
+        models: &[String],
+        mut counts: Vec<usize>,
+        demand: &Demand,
+        view: &FleetView,
+    ) {
+        while let Some((from, to)) = demand.shift(models, &counts) {
+            let version = |id: &str| view.replicas.get(id)?.version_of(&models[to]);
+            let leaving = self.serves_first.iter();
+            let leaving = leaving.filter(|(_, model)| **model == models[from]);
+            let freshest = leaving.max_by_key(|(id, _)| version(id)).map(|(id, _)| id);
+            let Some(id) = freshest.cloned() else {
                 return;
             };
-            let mut firsts = self.serves_first.values_mut();
-            match firsts.find(|model| **model == models[most]) {
-                Some(model) => *model = models[least].clone(),
-                None => return,
-            }
-            counts[most] -= 1;
-            counts[least] += 1;
+            log::info!(
+                "event=replica_reassigned replica={id} from={} to={}",
+                models[from],
+                models[to]
+            );
+            self.serves_first.insert(id, models[to].clone());
+            counts[from] -= 1;
+            counts[to] += 1;
         }
     }
 }
 
-fn least_served(counts: &[usize]) -> usize {
-    let least = (0..counts.len()).min_by_key(|number| counts[*number]);
-    least.unwrap_or(0)
-}
-
 /// A load that is due; the lesser goes first.
 #[derive(Debug, PartialEq, Eq, PartialOrd, Ord)]
 struct DueLoad {
--- a/crates/dispatch/src/runs.rs
+++ b/crates/dispatch/src/runs.rs
@@ -27,6 +27,8 @@
     pub made: u64,
     /// It is being stopped.
     pub cancelled: bool,
+    /// Since when it is being handed over to another replica.
+    pub handed_over_at: Option<Millis>,
 }
 
 /// The version that must go on with what was made, where one must make all.
@@ -192,6 +194,7 @@
             heard_at: now,
             made: 0,
             cancelled: false,
+            handed_over_at: None,
         };
         self.runs.by_id.insert(attempt, run);
         self.actions.push(Action::Run {
@@ -465,6 +468,7 @@
             heard_at: now,
             made: 0,
             cancelled: false,
+            handed_over_at: None,
         };
         self.runs.by_id.insert(attempt, run);
         if let Some(end) = report.end {
@@ -479,6 +483,13 @@
             run.heard_at = now;
             run.events = report.events;
             run.machine = machine.to_string();
+            if run.cancelled {
+                // The cancellation may have been lost with the old link.
+                self.actions.push(Action::Cancel {
+                    machine: machine.to_string(),
+                    attempt,
+                });
+            }
         }
         if let Some(edge) = self.edges.get_mut(machine) {
             edge.running += 1;
--- a/crates/dispatch/tests/dispatcher.rs
+++ b/crates/dispatch/tests/dispatcher.rs
@@ -372,11 +372,22 @@
         }
     }
     let actions = fixture.handle(Event::Tick);
+    assert!(actions.contains(&Action::Cancel {
+        machine: "edge-1".to_string(),
+        attempt: started[0].attempt,
+    }));
+    assert!(runs(&actions).is_empty(), "its last events are waited for");
+    let actions = fixture.handle(Event::Ended {
+        machine: "edge-1".to_string(),
+        attempt: started[0].attempt,
+        events: vec![event(17, "x", 1)],
+        end: RunEnd::Cancelled,
+    });
     let moved = runs(&actions);
     assert_eq!(moved.len(), 1);
     assert_eq!(moved[0].item, started[0].item);
     assert_eq!(moved[0].replica, started[1].replica, "the faster one");
-    assert_eq!(moved[0].events.len(), 16, "goes on after its last event");
+    assert_eq!(moved[0].events.len(), 17, "goes on after its last event");
 }
 
 /// Routes whose samples must be of one version: what was made goes on only
@@ -613,3 +624,68 @@
     });
     assert_eq!(machine, Some("edge-2"));
 }
+
+/// llyfr-rollout, quiet-1: runs were moved off a replica about to load, and begun
+/// on it again while its state was being asked for.
+#[rstest]
+fn nothing_begins_on_a_replica_about_to_load() {
+    let mut fixture = Fixture::new(view(1, 3), OrderLeases::default());
+    fixture.edge("edge-1");
+    assert_eq!(asked(&fixture.name_version(2)), ["replica-0"]);
+    let actions = fixture.accept(submission("job", &[1], 0));
+    assert!(runs(&actions).is_empty(), "{actions:?}");
+}
+
+/// An edge that does not tell a run's last events holds it up only for a while.
+#[rstest]
+fn a_run_that_is_not_handed_over_goes_on_from_what_is_known() {
+    let mut fixture = Fixture::new(view(2, 1), OrderLeases::default());
+    fixture.edge("edge-1");
+    let started = runs(&fixture.accept(submission("job", &[2, 1], 0)));
+    progress(&mut fixture, &started[0], 1..12, 200);
+    progress(&mut fixture, &started[1], 1..12, 30);
+    fixture.handle(Event::Ended {
+        machine: "edge-1".to_string(),
+        attempt: started[1].attempt,
+        events: Vec::new(),
+        end: RunEnd::Whole,
+    });
+    assert!(runs(&wait(&mut fixture, 300, true)).is_empty(), "waits");
+    let moved = runs(&wait(&mut fixture, 100, true));
+    assert_eq!(moved.len(), 1);
+    assert_eq!(moved[0].replica, started[1].replica, "the faster one");
+    assert_eq!(moved[0].events.len(), 11);
+}
+
+/// The model with longer answers needs more places for as many items.
+#[rstest]
+fn replicas_are_divided_by_what_models_are_asked_for() {
+    let mut fleet = view(9, 4);
+    let configuration = fleet.configuration.as_mut().expect("there");
+    let service = &mut std::sync::Arc::make_mut(configuration).services[0];
+    service.models.push("other".to_string());
+    let mut fixture = Fixture::new(fleet, OrderLeases::default());
+    fixture.edge("edge-1");
+    let mut short = submission("short", &[10; 6], 0);
+    short.model = "other".to_string();
+    fixture.accept(short);
+    fixture.accept(submission("long", &[20; 6], 0));
+    // Two more versions: all replicas of the model must load.
+    let first = asked(&fixture.name_version(3));
+    let mut loading: std::collections::BTreeSet<String> = first.into_iter().collect();
+    for _ in 0..40 {
+        fixture.advance(100);
+        for replica in loading.clone() {
+            let actions = fixture.handle(Event::Report {
+                replica,
+                report: Some(ReplicaReport {
+                    versions: vec![("model".to_string(), 3)],
+                    busy: false,
+                    sequence: 1,
+                }),
+            });
+            loading.extend(asked(&actions));
+        }
+    }
+    assert_eq!(loading.len(), 6, "two thirds of nine");
+}
