Edges tell a leader what the store does not

Cause: the store may refuse single machines while it serves the others. Ruled out: the edges' own watches, which saw everything in time. A leader whose own calls fail has them watch versions and retirements too. An edge begins no run on a replica that it knows to be leaving. Eight edges watch by themselves in large fleets, not sixteen. The stand-in's test fails on the code before (no replica was ordered). A leader met by silence still needs about 2.4 s to notice it.

--- a/crates/brasspond/tests/cluster.rs
+++ b/crates/brasspond/tests/cluster.rs
@@ -278,3 +278,27 @@
         back.elapsed()
     );
 }
+
+/// The store refuses the storage machines and serves the edges: what is written
+/// meanwhile reaches the leader through them (llyfr-rollout, own day "nodes":
+/// DRAIN 2, and a step lost).
+#[rstest]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_leader_that_the_store_refuses_learns_from_edges() {
+    let cluster = Cluster::start().await;
+    let leader = &cluster.storage[cluster.leader()];
+    cluster.store.refuses_storage.store(true, Ordering::Relaxed);
+    leader.await_line("event=store_lost").await;
+    let begun = std::time::Instant::now();
+    cluster.store.put(
+        "versions",
+        "model",
+        serde_json::json!({"model_id": "model", "version": 2}),
+    );
+    while cluster.replicas.iter().all(|replica| replica.version() < 2) {
+        let elapsed = begun.elapsed();
+        assert!(elapsed < Duration::from_secs(6), "no replica was ordered");
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+    leader.await_line("event=view_from_edge").await;
+}
--- a/crates/brasspond/tests/platform_standin/mod.rs
+++ b/crates/brasspond/tests/platform_standin/mod.rs
@@ -67,10 +67,19 @@
     objects: Mutex<Objects>,
     /// Answers 503 to everything.
     pub down: AtomicBool,
+    /// Answers 503 to storage processes, and serves all others.
+    pub refuses_storage: AtomicBool,
     /// Takes calls and never answers them, also not once it is back.
     pub silent: AtomicBool,
 }
 
+/// Where the store is called.
+#[derive(Clone, Copy, Debug)]
+pub struct StoreAddresses {
+    pub edges: SocketAddr,
+    pub storage: SocketAddr,
+}
+
 /// Longer than any test.
 const NEVER: Duration = Duration::from_secs(600);
 
@@ -82,12 +91,18 @@
 }
 
 impl Store {
-    pub async fn start() -> (Arc<Self>, SocketAddr) {
-        let listener = TcpListener::bind("127.0.0.1:0").await.expect("port");
-        let address = listener.local_addr().expect("address");
+    /// Also gives where edges and where storage processes call it.
+    pub async fn start() -> (Arc<Self>, StoreAddresses) {
+        let for_edges = TcpListener::bind("127.0.0.1:0").await.expect("port");
+        let for_storage = TcpListener::bind("127.0.0.1:0").await.expect("port");
+        let addresses = StoreAddresses {
+            edges: for_edges.local_addr().expect("address"),
+            storage: for_storage.local_addr().expect("address"),
+        };
         let store = Arc::new(Self::default());
-        tokio::spawn(serve(listener, Arc::clone(&store), store_call));
-        (store, address)
+        tokio::spawn(serve(for_edges, Arc::clone(&store), store_call));
+        tokio::spawn(serve(for_storage, Arc::clone(&store), storage_call));
+        (store, addresses)
     }
 
     /// Writes an object as an operator or a replica does.
@@ -149,6 +164,13 @@
     }
 }
 
+async fn storage_call(store: Arc<Store>, request: Request<Incoming>) -> Response<Body> {
+    if store.refuses_storage.load(Ordering::Relaxed) {
+        return answer(503, "");
+    }
+    store_call(store, request).await
+}
+
 async fn store_call(store: Arc<Store>, request: Request<Incoming>) -> Response<Body> {
     if store.down.load(Ordering::Relaxed) {
         return answer(503, "");
--- a/crates/brasspond/tests/platform_standin/processes.rs
+++ b/crates/brasspond/tests/platform_standin/processes.rs
@@ -1,6 +1,6 @@
 //! A cluster of real processes on loopback addresses, one address a machine.
 
-use super::{Replica, Store};
+use super::{Replica, Store, StoreAddresses};
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
@@ -46,7 +46,7 @@
     pub edges: Vec<Machine>,
     pub storage: Vec<Machine>,
     ports: u16,
-    store_address: SocketAddr,
+    store_addresses: StoreAddresses,
     folder: TempDir,
 }
 
@@ -54,7 +54,7 @@
     /// Three storage machines, two edges, two engines, a plain service.
     pub async fn start() -> Self {
         let folder = tempfile::tempdir().expect("folder");
-        let (store, store_address) = Store::start().await;
+        let (store, store_addresses) = Store::start().await;
         let mut replicas = Vec::new();
         for number in 0..2 {
             let id = format!("engine-{number}");
@@ -74,7 +74,7 @@
                 role,
                 number,
                 ports,
-                store_address,
+                store_addresses,
             )
         };
         let storage: Vec<Machine> = (1..=3).map(|number| machine("storage", number)).collect();
@@ -86,7 +86,7 @@
             edges,
             storage,
             ports,
-            store_address,
+            store_addresses,
             folder,
         };
         for machine in cluster.storage.iter_mut().chain(&mut cluster.edges) {
@@ -101,7 +101,7 @@
     pub fn add_storage(&mut self) {
         const NUMBER: u8 = 6;
         let root = self.folder.path().to_path_buf();
-        let mut machine = Machine::new(root, "storage", NUMBER, self.ports, self.store_address);
+        let mut machine = Machine::new(root, "storage", NUMBER, self.ports, self.store_addresses);
         machine.start();
         self.storage.push(machine);
     }
@@ -149,7 +149,18 @@
 }
 
 impl Machine {
-    fn new(root: PathBuf, role: &'static str, number: u8, ports: u16, store: SocketAddr) -> Self {
+    fn new(
+        root: PathBuf,
+        role: &'static str,
+        number: u8,
+        ports: u16,
+        stores: StoreAddresses,
+    ) -> Self {
+        let store = if role == "edge" {
+            stores.edges
+        } else {
+            stores.storage
+        };
         let name = format!("{role}-{number}");
         let folder = root.join(&name);
         std::fs::create_dir_all(&folder).expect("folder");
--- a/crates/cluster-protocol/src/lib.rs
+++ b/crates/cluster-protocol/src/lib.rs
@@ -92,6 +92,18 @@
     Unknown,
 }
 
+/// What an edge is to watch at the source of the view by itself.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Watch {
+    /// Nothing: the leader tells.
+    #[default]
+    Nothing,
+    /// Configuration and replicas.
+    Fleet,
+    /// All that the leader acts on: its own calls to the source fail.
+    Everything,
+}
+
 /// A message between two processes.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub enum Message {
@@ -126,10 +138,11 @@
         term: u64,
         /// Members of the log.
         members: Vec<Member>,
-        /// Whether the receiver is to watch the view's source by itself too.
-        watch: bool,
+        /// What the receiver is to watch at the view's source by itself.
+        watch: Watch,
     },
-    /// The sender's newest view of the fleet.
+    /// The sender's newest view of the fleet. From an edge: its leader lacks
+    /// something of it.
     View(FleetView),
     /// What changed in the sender's view.
     ViewChanged(ViewDelta),
--- a/crates/cluster/src/edge/cluster.rs
+++ b/crates/cluster/src/edge/cluster.rs
@@ -2,7 +2,7 @@
 
 use super::process::Edge;
 use crate::link::{LinkEvent, LinkId, LinkNumbers, Writer, dial};
-use brasspond_cluster_protocol::{Answer, Message, Peer, Question, RunSpec};
+use brasspond_cluster_protocol::{Answer, Message, Peer, Question, RunSpec, Watch};
 use brasspond_consensus::Member;
 use brasspond_fleet::{FleetView, ViewDelta};
 use std::collections::HashMap;
@@ -70,8 +70,8 @@
     next_number: u64,
     newest_term: u64,
     beat_at: u64,
-    /// The leader wants this edge to watch the view's source by itself.
-    watches: bool,
+    /// What the leader wants this edge to watch at the view's source.
+    watch: Watch,
     view_asked_at: u64,
     /// A whole view is to be asked for, a little later.
     view_wanted: Option<LinkId>,
@@ -93,7 +93,7 @@
             next_number: 0,
             newest_term: 0,
             beat_at: 0,
-            watches: false,
+            watch: Watch::Nothing,
             view_asked_at: 0,
             view_wanted: None,
             alone_since: None,
@@ -195,7 +195,7 @@
                 members,
                 watch,
             } => {
-                self.watches = watch;
+                self.watch = watch;
                 self.on_leading(link, term, members, now)
             }
             Message::View(view) => vec![Happening::View(view)],
@@ -300,17 +300,21 @@
         Some(receiver)
     }
 
-    /// Whether to watch the view's source: where the leader wants it, or where
-    /// no leader tells of changes.
-    pub fn should_watch(&mut self, now: u64) -> bool {
+    /// What to watch at the view's source: what the leader wants, or the fleet
+    /// where no leader tells of changes.
+    pub fn wanted_watch(&mut self, now: u64) -> Watch {
         if self.leader.borrow().is_some() {
             self.alone_since = None;
-            return self.watches;
+            return self.watch;
         }
         let since = *self.alone_since.get_or_insert(now);
         let has_view = self.newest_term > 0;
         let patience = if has_view { ALONE_TIME } else { ALONE_AT_START };
-        self.watches || now >= since + patience
+        let is_alone = now >= since + patience;
+        match self.watch {
+            Watch::Nothing if is_alone => Watch::Fleet,
+            wanted => wanted,
+        }
     }
 
     /// Asks for a whole view.
@@ -335,9 +339,13 @@
 pub(super) fn act(edge: &Rc<Edge>, happening: Happening) {
     match happening {
         Happening::NewLeader(term) => edge.tell_runs(term),
-        Happening::View(view) => edge.take_view(&view),
+        Happening::View(view) => {
+            edge.leader_view.replace(Some(view.clone()));
+            edge.take_view(&view);
+        }
         Happening::ViewChanged(delta, link) => {
-            if edge.take_delta(&delta).is_err() {
+            let is_told = edge.note_told(&delta);
+            if edge.take_delta(&delta).is_err() || !is_told {
                 let now = edge.clock.now();
                 edge.cluster.borrow_mut().need_view(link, now);
             }
--- a/crates/cluster/src/edge/process.rs
+++ b/crates/cluster/src/edge/process.rs
@@ -10,7 +10,7 @@
 use crate::settings::EdgeSettings;
 use crate::storage::ProcessError;
 use crate::upstream::Pool;
-use brasspond_cluster_protocol::Peer;
+use brasspond_cluster_protocol::{Message, Peer, Watch};
 use brasspond_fleet::{FleetView, OtherBase, ViewDelta};
 use brasspond_telemetry::{EdgeMetrics, LogRing};
 use std::cell::{Cell, RefCell};
@@ -37,6 +37,10 @@
     pub clock: Clock,
     pub outside: Outside,
     pub view: RefCell<FleetView>,
+    /// The view as the leader told it; none before it told a whole one.
+    pub leader_view: RefCell<Option<FleetView>>,
+    /// The leader lacked something of the view at the last look.
+    leader_lacks: Cell<bool>,
     pub cluster: RefCell<Cluster>,
     pub balance: RefCell<Balance>,
     pub pool: Pool,
@@ -86,6 +90,8 @@
         clock: Clock::default(),
         outside,
         view: RefCell::new(FleetView::default()),
+        leader_view: RefCell::new(None),
+        leader_lacks: Cell::new(false),
         cluster: RefCell::new(cluster),
         pool: Pool::default(),
         runs: RefCell::new(Runs::default()),
@@ -178,13 +184,54 @@
         Ok(())
     }
 
+    /// Notes what the leader told; says whether the view it tells from is known.
+    pub(super) fn note_told(&self, delta: &ViewDelta) -> bool {
+        let mut told = self.leader_view.borrow_mut();
+        match told.as_mut() {
+            Some(view) => view.apply(delta).is_ok(),
+            None => false,
+        }
+    }
+
+    /// Tells the leader the view if it lacked something of it at two looks in a
+    /// row: its own calls to the source may fail while this edge's do not.
+    fn tell_what_leader_lacks(&self) {
+        let view = self.view.borrow();
+        let told = self.leader_view.borrow();
+        let lacks = told.as_ref().is_some_and(|told| view.has_news_for(told));
+        let lacked = self.leader_lacks.replace(lacks);
+        if lacks
+            && lacked
+            && let Some(leader) = self.cluster.borrow().leader()
+        {
+            log::info!(
+                "event=leader_told configuration={} replicas_revision={} versions_revision={}",
+                view.configuration_revision,
+                view.replicas_revision,
+                view.versions_revision
+            );
+            leader.writer.send(&Message::View(view.clone()));
+        }
+    }
+
+    /// Whether a replica is known to take no new work.
+    pub(super) fn is_leaving(&self, replica: &str) -> bool {
+        let view = self.view.borrow();
+        let known = view.replicas.get(replica);
+        known.is_some_and(|known| known.draining)
+    }
+
     /// Watches the view's source as long as that is wanted.
     fn set_interest(&self, now: u64) {
-        let watches = self.cluster.borrow_mut().should_watch(now);
-        let wanted = Interest {
-            configuration: watches,
-            replicas: watches,
-            ..Interest::NONE
+        let watch = self.cluster.borrow_mut().wanted_watch(now);
+        let wanted = match watch {
+            Watch::Nothing => Interest::NONE,
+            Watch::Fleet => Interest {
+                configuration: true,
+                replicas: true,
+                ..Interest::NONE
+            },
+            Watch::Everything => Interest::ALL,
         };
         self.outside.interest.send_if_modified(|interest| {
             let changes = *interest != wanted;
@@ -212,6 +259,7 @@
         let now = self.clock.now();
         self.cluster.borrow_mut().tick(now);
         self.set_interest(now);
+        self.tell_what_leader_lacks();
         self.report_progress();
         self.pool.close_old();
     }
--- a/crates/cluster/src/edge/runs.rs
+++ b/crates/cluster/src/edge/runs.rs
@@ -90,6 +90,7 @@
         }));
         let attempt = spec.attempt;
         let (job, item, replica) = (spec.job.clone(), spec.item, spec.replica.clone());
+        let is_leaving = self.is_leaving(&replica);
         let edge = Rc::clone(self);
         let shared = Rc::clone(&progress);
         let task = tokio::task::spawn_local(async move {
@@ -111,6 +112,12 @@
         self.runs.borrow_mut().held.insert(attempt, held);
         if self.draining.get() {
             self.end_run(attempt, RunEnd::Cancelled);
+        } else if is_leaving {
+            // The leader does not know it yet.
+            let end = RunEnd::NotRun {
+                other_instance: false,
+            };
+            self.end_run(attempt, end);
         }
     }
 
--- a/crates/cluster/src/storage/leading.rs
+++ b/crates/cluster/src/storage/leading.rs
@@ -330,6 +330,7 @@
                 events,
                 pace,
             }),
+            Message::View(view) => self.take_edge_view(&machine, &view),
             Message::Beat => leading.dispatcher.edge_heard(&machine, self.clock.now()),
             Message::Ended {
                 attempt,
--- a/crates/cluster/src/storage/process.rs
+++ b/crates/cluster/src/storage/process.rs
@@ -86,6 +86,8 @@
     pub consensus: Consensus,
     pub table: JobTable,
     pub view: FleetView,
+    /// Whether the view's source answers this process.
+    pub source_answers: bool,
     pub links: HashMap<LinkId, LinkState>,
     pub group: Group,
     pub asks: Asks,
@@ -144,6 +146,7 @@
             Some(event) = local_events.recv() => storage.on_local(event),
             Ok(()) = observed.changed() => {
                 let seen = observed.borrow_and_update().clone();
+                storage.source_answers = seen.reachable;
                 storage.on_observed(&seen.view);
             }
             _ = terminate.recv() => storage.begin_stop(),
@@ -199,6 +202,7 @@
             consensus,
             table,
             view: FleetView::default(),
+            source_answers: true,
             links: HashMap::new(),
             group: Group::default(),
             asks: Asks::default(),
--- a/crates/cluster/src/storage/spread.rs
+++ b/crates/cluster/src/storage/spread.rs
@@ -1,15 +1,16 @@
 //! What the leader tells the edges: that it leads, and what changes in its view.
 
 use super::process::Storage;
-use brasspond_cluster_protocol::{Message, Peer, encode};
+use brasspond_cluster_protocol::{Message, Peer, Watch, encode};
 use brasspond_dispatch::Event;
+use brasspond_fleet::FleetView;
 
 /// Pause between two signs of life to edges, in ms.
 const LEADING_PAUSE: u64 = 500;
 /// Pause between two changes of the view sent to edges, in ms.
 const VIEW_PAUSE: u64 = 100;
 /// Edges that watch the view's source by themselves; the others are told.
-const WATCHING_EDGES: usize = 16;
+const WATCHING_EDGES: usize = 8;
 
 impl Storage {
     /// Tells every edge who leads, at once and then from time to time.
@@ -34,8 +35,13 @@
             })
         };
         // One frame for those that watch by themselves, one for the others.
-        let watching = leading_frame(true);
-        let told = leading_frame(false);
+        let own = if self.source_answers {
+            Watch::Fleet
+        } else {
+            Watch::Everything
+        };
+        let watching = leading_frame(own);
+        let told = leading_frame(Watch::Nothing);
         let mut links: Vec<_> = self.links.iter_mut().collect();
         links.sort_by_key(|(link, _)| **link);
         let edges = links
@@ -98,6 +104,20 @@
         self.has_untold_edges = lacks_view;
     }
 
+    /// An edge knows something that this leader does not.
+    pub(super) fn take_edge_view(&mut self, machine: &str, view: &FleetView) {
+        if self.view.merge(view) {
+            log::info!(
+                "event=view_from_edge machine={machine} configuration={} replicas_revision={} versions_revision={} source_answers={}",
+                self.view.configuration_revision,
+                self.view.replicas_revision,
+                self.view.versions_revision,
+                self.source_answers
+            );
+            self.view_changed();
+        }
+    }
+
     /// The view changed: the dispatcher and the edges learn of it.
     pub(super) fn view_changed(&mut self) {
         let Some(leading) = &mut self.leading else {
--- a/crates/fleet/src/delta.rs
+++ b/crates/fleet/src/delta.rs
@@ -61,6 +61,19 @@
         delta
     }
 
+    /// Whether anything here is newer than in `other` and says something else.
+    /// Revisions alone rise without a change.
+    pub fn has_news_for(&self, other: &Self) -> bool {
+        let replicas =
+            self.replicas_revision > other.replicas_revision && self.replicas != other.replicas;
+        let versions =
+            self.versions_revision > other.versions_revision && self.versions != other.versions;
+        let retirements = self.retirements_revision > other.retirements_revision
+            && self.retirements != other.retirements;
+        let configuration = self.configuration_revision > other.configuration_revision;
+        configuration || replicas || versions || retirements
+    }
+
     /// Takes a difference; returns whether anything changed.
     ///
     /// # Errors
--- a/crates/fleet/tests/delta.rs
+++ b/crates/fleet/tests/delta.rs
@@ -92,3 +92,26 @@
     assert_eq!(newest.apply(&delta), Ok(false));
     assert_eq!(newest.configuration_revision, 2);
 }
+
+/// Revisions rise with every change anywhere; only what says something else is
+/// news.
+#[rstest]
+#[case::same_but_newer(1, 5, 4, false)]
+#[case::changed_and_newer(2, 5, 4, true)]
+#[case::changed_but_older(2, 4, 5, false)]
+fn only_newer_and_other_parts_are_news(
+    #[case] number: u64,
+    #[case] own: u64,
+    #[case] others: u64,
+    #[case] is_news: bool,
+) {
+    let view = |number: u64, revision: u64| {
+        let one = replica(number, 1);
+        FleetView {
+            replicas: Arc::new([(one.id.clone(), one)].into()),
+            replicas_revision: revision,
+            ..FleetView::default()
+        }
+    };
+    assert_eq!(view(number, own).has_news_for(&view(1, others)), is_news);
+}
