A dead voter takes no retiring machine's place

One storage machine was to be emptied, another was gone for good and its successor had just been made a voter. The leader counted the dead voter as one of the three that stay, let the retiring one go and reported it empty: two copies were left of three voters, and the next lost disk was the end of the group. Change: a dead voter is taken out first where there are more voters than wanted, and a retiring one goes only once enough live ones stay.

--- a/crates/cluster/src/storage/plan.rs
+++ b/crates/cluster/src/storage/plan.rs
@@ -53,8 +53,8 @@
 /// Invariants: one member changes at a time; a voter is never taken out while
 /// that would leave fewer live voters than a quorum of the rest; a member
 /// becomes a voter only once it has nearly all of the log; a machine that is to
-/// be emptied keeps its vote until another has taken its place, since fewer
-/// voters than the target do not bear the losses that were declared.
+/// be emptied keeps its vote until another live one has taken its place, since
+/// fewer live voters than the target do not bear the losses that were declared.
 pub fn next_step(situation: &Situation<'_>) -> Step {
     if let Some(step) = drop_lost_disk(situation) {
         return step;
@@ -108,12 +108,27 @@
 }
 
 fn remove_voter(situation: &Situation<'_>) -> Step {
+    let dead = situation
+        .voters
+        .iter()
+        .find(|voter| is_dead(situation, voter.id));
+    if situation.voters.len() > situation.target
+        && let Some(dead) = dead
+    {
+        return without(situation, dead.id).unwrap_or(Step::Stay);
+    }
     let retiring = situation
         .voters
         .iter()
         .find(|voter| situation.retiring.contains(&voter.machine));
     if let Some(retiring) = retiring {
-        let others = situation.voters.len() - 1;
+        // A dead voter is no copy: without it the losses that were declared
+        // could already be used up.
+        let others = situation
+            .voters
+            .iter()
+            .filter(|voter| voter.id != retiring.id && !is_dead(situation, voter.id));
+        let others = others.count();
         if others >= situation.target {
             if retiring.id == situation.own && others > 0 {
                 return Step::HandOver;
@@ -123,16 +138,12 @@
         return Step::Stay;
     }
     if situation.voters.len() > situation.target {
-        let dead = situation
-            .voters
-            .iter()
-            .find(|voter| is_dead(situation, voter.id));
         let last = situation
             .voters
             .iter()
             .rev()
             .find(|voter| voter.id != situation.own);
-        if let Some(voter) = dead.or(last) {
+        if let Some(voter) = last {
             return without(situation, voter.id).unwrap_or(Step::Stay);
         }
     }
