--- a/crates/cluster/src/storage/process.rs
+++ b/crates/cluster/src/storage/process.rs
@@ -30,6 +30,8 @@
 const BATCH: usize = 256;
 /// Pause between two looks at what time brings, in ms.
 const TICK: u64 = 100;
+/// Pause between two counts of all jobs for metrics, in ms.
+const COUNT_PAUSE: u64 = 500;
 /// Bytes of log kept in memory for followers that are a little behind.
 const LOG_MEMORY: usize = 256 * 1024;
 /// Bytes of entries read from disk for one message.
@@ -101,6 +103,8 @@
     pub metrics: Rc<StorageMetrics>,
     /// For whoever asks for metrics; renewed from time to time.
     pub state: Rc<Cell<StorageState>>,
+    /// When the jobs were last counted for `state`.
+    counted_at: u64,
     disk: RecordLog,
     stopping: Option<u64>,
 }
@@ -214,6 +218,7 @@
             numbers: Rc::new(LinkNumbers::default()),
             metrics: Rc::new(StorageMetrics::default()),
             state: Rc::default(),
+            counted_at: 0,
             disk,
             stopping: None,
         })
@@ -349,7 +354,7 @@
         }
         self.consensus.compact(LOG_MEMORY);
         if self.settings.process.metrics_address.is_some() {
-            self.note_state();
+            self.note_state(now);
         }
         if self.disk.bytes() > LONGEST_FILE {
             self.begin_file_anew()?;
@@ -425,18 +430,20 @@
     }
 
     /// Renews what metrics tell of this process.
-    fn note_state(&self) {
-        let load = self.dispatch_load();
+    fn note_state(&mut self, now: u64) {
+        let mut state = self.state.get();
+        if now >= self.counted_at + COUNT_PAUSE {
+            self.counted_at = now;
+            state.jobs = self.table.jobs().count();
+            (state.running, state.waiting) = self.dispatch_load();
+        }
         self.state.set(StorageState {
             term: self.consensus.term(),
             committed: self.consensus.commit_index(),
             file_bytes: self.disk.bytes(),
             voters: self.consensus.members().len(),
             leads: self.leading.is_some(),
-            jobs: self.table.jobs().count(),
-            running: load.0,
-            waiting: load.1,
-            log_lines_dropped: 0,
+            ..state
         });
     }
 
