--- a/crates/cluster/src/storage/spread.rs
+++ b/crates/cluster/src/storage/spread.rs
@@ -9,8 +9,11 @@
 const LEADING_PAUSE: u64 = 500;
 /// Pause between two changes of the view sent to edges, in ms.
 const VIEW_PAUSE: u64 = 100;
-/// Edges that watch the view's source by themselves; the others are told.
-const WATCHING_EDGES: usize = 8;
+/// Edges that watch the view's source by themselves; the others are told. They
+/// tell the leader what it lacks, so a few are enough.
+const WATCHING_EDGES: usize = 3;
+/// Edges that watch while the source does not answer the leader.
+const WATCHING_FOR_LEADER: usize = 16;
 
 impl Storage {
     /// Tells every edge who leads, at once and then from time to time.
@@ -35,10 +38,10 @@
             })
         };
         // One frame for those that watch by themselves, one for the others.
-        let own = if self.source_answers {
-            Watch::Fleet
+        let (own, watching_edges) = if self.source_answers {
+            (Watch::Fleet, WATCHING_EDGES)
         } else {
-            Watch::Everything
+            (Watch::Everything, WATCHING_FOR_LEADER)
         };
         let watching = leading_frame(own);
         let told = leading_frame(Watch::Nothing);
@@ -53,7 +56,7 @@
             if !is_due && !is_new {
                 continue;
             }
-            let watches = number < WATCHING_EDGES;
+            let watches = number < watching_edges;
             let frame = if watches { &watching } else { &told };
             state.writer.send_frame(frame.clone());
             if is_new {
