Runs' takeover and the leader's orders in files of their own

Change: takeover.rs holds what happens to runs when edges come, return or are lost; ordering.rs holds asking, announcing and giving orders.

--- a/crates/cluster/src/storage/leading.rs
+++ b/crates/cluster/src/storage/leading.rs
@@ -1,22 +1,14 @@
 //! What a storage process does while it leads: runs jobs, orders replicas,
 //! tells edges.
 
-use super::asks::READ_LEASE;
-use super::process::{Local, Storage};
+use super::process::Storage;
 use crate::link::LinkId;
 use crate::outside::{Interest, VersionOrder};
-use crate::upstream::call_once;
 use brasspond_cluster_protocol::{Message, Peer};
-use brasspond_dispatch::{Action, Dispatcher, Event, OrderAnswer, Settings};
+use brasspond_dispatch::{Action, Dispatcher, Event, Settings};
 use brasspond_fleet::FleetView;
 use brasspond_jobs::{Command, Listing};
-use bytes::Bytes;
-use http_body_util::Full;
-use hyper::{Method, Request};
 use std::collections::HashMap;
-use std::net::SocketAddr;
-use std::rc::Rc;
-use std::time::Duration;
 
 /// Pause between two looks at runs, in ms.
 const DISPATCH_TICK: u64 = 100;
@@ -24,12 +16,8 @@
 const EDGE_SILENT: u64 = 1_600;
 /// An edge whose link broke may come back within this time, in ms.
 const EDGE_RETURN: u64 = 400;
-/// Time for a replica to answer a report or an order.
-const REPLICA_ANSWER: Duration = Duration::from_millis(400);
 /// Slack on a lease, in ms.
 const LEASE_MARGIN: u64 = 200;
-/// An order announced longer ago than this is not given any more, in ms.
-const ANNOUNCED_FOR: u64 = 400;
 /// Term of the leader of a group just made: nobody gave orders before.
 const FIRST_LEADER_TERM: u64 = 2;
 /// Pause between two copies of the view into the log, in ms, at the least.
@@ -62,7 +50,7 @@
     job_ages: HashMap<String, u64>,
     /// Orders announced in the log, by the index of their entry, with the time
     /// of the announcement.
-    announced: HashMap<u64, (VersionOrder, u64)>,
+    pub(super) announced: HashMap<u64, (VersionOrder, u64)>,
 }
 
 impl Storage {
@@ -214,84 +202,6 @@
         }
     }
 
-    fn ask_report(&mut self, replica: String, address: SocketAddr) {
-        let dialect = Rc::clone(&self.outside.dialect);
-        let local = self.local.clone();
-        let term = self.consensus.term();
-        tokio::task::spawn_local(async move {
-            let request = Request::builder()
-                .method(Method::GET)
-                .uri(dialect.report_path())
-                .header(hyper::header::HOST, address.to_string())
-                .header(&dialect.names().expect_instance, &replica)
-                .body(Full::new(Bytes::new()));
-            let report = match request {
-                Ok(request) => call_once(address, request, REPLICA_ANSWER).await.ok(),
-                Err(_) => None,
-            };
-            let report = report
-                .filter(|(status, _, _)| status.is_success())
-                .and_then(|(_, _, body)| dialect.report(&body));
-            let event = Event::Report { replica, report };
-            let _ = local.send(Local::Dispatch(term, event)).await;
-        });
-    }
-
-    /// Announces an order in the log; it is given once a quorum knows of it.
-    fn announce_order(&mut self, order: VersionOrder) {
-        let now = self.clock.now();
-        let command = Command::Intend {
-            replica: order.replica.clone(),
-            holder: self.own.machine.clone(),
-        };
-        let index = command
-            .encode()
-            .ok()
-            .and_then(|bytes| self.consensus.propose(bytes));
-        if let (Some(index), Some(leading)) = (index, &mut self.leading) {
-            leading.announced.insert(index, (order, now));
-        }
-    }
-
-    pub(super) fn intent_applied(&mut self, index: u64) {
-        let announced = self
-            .leading
-            .as_mut()
-            .and_then(|one| one.announced.remove(&index));
-        if let Some((order, since)) = announced {
-            self.give_order(order, since);
-        }
-    }
-
-    /// Sends an order, if this process surely leads at this moment and announced
-    /// it just now.
-    fn give_order(&mut self, order: VersionOrder, announced_at: u64) {
-        let now = self.clock.now();
-        let surely_leads = self.consensus.has_quorum_contact(READ_LEASE, now)
-            && now < announced_at + ANNOUNCED_FOR;
-        let dialect = Rc::clone(&self.outside.dialect);
-        let local = self.local.clone();
-        let term = self.consensus.term();
-        log::info!(
-            "event=order_given replica={} model={} version={} fence={} expected_count={} sent={surely_leads}",
-            order.replica,
-            order.model,
-            order.version,
-            order.fence,
-            order.expected_count
-        );
-        tokio::task::spawn_local(async move {
-            let answer = if surely_leads {
-                send_order(&*dialect, &order).await
-            } else {
-                OrderAnswer::NotSent
-            };
-            let replica = order.replica;
-            let event = Event::Ordered { replica, answer };
-            let _ = local.send(Local::Dispatch(term, event)).await;
-        });
-    }
-
     pub(super) fn on_edge_message(&mut self, link: LinkId, message: Message) {
         let peer = self.links.get(&link).and_then(|state| state.peer.clone());
         let Some(Peer::Edge { machine, zone, .. }) = peer else {
@@ -489,25 +399,6 @@
     }
 }
 
-async fn send_order(dialect: &dyn crate::outside::Dialect, order: &VersionOrder) -> OrderAnswer {
-    let (path, body) = dialect.order(order);
-    let request = Request::builder()
-        .method(Method::POST)
-        .uri(path)
-        .header(hyper::header::HOST, order.address.to_string())
-        .header(hyper::header::CONTENT_TYPE, "application/json")
-        .header(&dialect.names().expect_instance, &order.replica)
-        .body(Full::new(body));
-    let Ok(request) = request else {
-        return OrderAnswer::NotSent;
-    };
-    match call_once(order.address, request, REPLICA_ANSWER).await {
-        Ok((status, _, _)) => dialect.order_answer(status),
-        Err(crate::upstream::UpstreamError::NotSent) => OrderAnswer::NotSent,
-        Err(crate::upstream::UpstreamError::Broken) => OrderAnswer::Unknown,
-    }
-}
-
 fn view_revision(view: &FleetView) -> u64 {
     view.configuration_revision
         .max(view.replicas_revision)
--- a/crates/cluster/src/storage/mod.rs
+++ b/crates/cluster/src/storage/mod.rs
@@ -5,6 +5,7 @@
 mod group;
 mod leading;
 mod order_log;
+mod ordering;
 pub mod plan;
 mod process;
 mod spread;
--- /dev/null
+++ b/crates/cluster/src/storage/ordering.rs
@@ -0,0 +1,118 @@
+//! Orders to replicas: asked for, announced in the log, given.
+
+use super::asks::READ_LEASE;
+use super::process::{Local, Storage};
+use crate::outside::{Dialect, VersionOrder};
+use crate::upstream::{UpstreamError, call_once};
+use brasspond_dispatch::{Event, OrderAnswer};
+use brasspond_jobs::Command;
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::{Method, Request};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+/// Time for a replica to answer a report or an order.
+const REPLICA_ANSWER: Duration = Duration::from_millis(400);
+/// An order announced longer ago than this is not given any more, in ms.
+const ANNOUNCED_FOR: u64 = 400;
+
+impl Storage {
+    pub(super) fn ask_report(&mut self, replica: String, address: SocketAddr) {
+        let dialect = Rc::clone(&self.outside.dialect);
+        let local = self.local.clone();
+        let term = self.consensus.term();
+        tokio::task::spawn_local(async move {
+            let request = Request::builder()
+                .method(Method::GET)
+                .uri(dialect.report_path())
+                .header(hyper::header::HOST, address.to_string())
+                .header(&dialect.names().expect_instance, &replica)
+                .body(Full::new(Bytes::new()));
+            let report = match request {
+                Ok(request) => call_once(address, request, REPLICA_ANSWER).await.ok(),
+                Err(_) => None,
+            };
+            let report = report
+                .filter(|(status, _, _)| status.is_success())
+                .and_then(|(_, _, body)| dialect.report(&body));
+            let event = Event::Report { replica, report };
+            let _ = local.send(Local::Dispatch(term, event)).await;
+        });
+    }
+
+    /// Announces an order in the log; it is given once a quorum knows of it.
+    pub(super) fn announce_order(&mut self, order: VersionOrder) {
+        let now = self.clock.now();
+        let command = Command::Intend {
+            replica: order.replica.clone(),
+            holder: self.own.machine.clone(),
+        };
+        let index = command
+            .encode()
+            .ok()
+            .and_then(|bytes| self.consensus.propose(bytes));
+        if let (Some(index), Some(leading)) = (index, &mut self.leading) {
+            leading.announced.insert(index, (order, now));
+        }
+    }
+
+    pub(super) fn intent_applied(&mut self, index: u64) {
+        let announced = self
+            .leading
+            .as_mut()
+            .and_then(|one| one.announced.remove(&index));
+        if let Some((order, since)) = announced {
+            self.give_order(order, since);
+        }
+    }
+
+    /// Sends an order, if this process surely leads at this moment and announced
+    /// it just now.
+    fn give_order(&mut self, order: VersionOrder, announced_at: u64) {
+        let now = self.clock.now();
+        let surely_leads = self.consensus.has_quorum_contact(READ_LEASE, now)
+            && now < announced_at + ANNOUNCED_FOR;
+        let dialect = Rc::clone(&self.outside.dialect);
+        let local = self.local.clone();
+        let term = self.consensus.term();
+        log::info!(
+            "event=order_given replica={} model={} version={} fence={} expected_count={} sent={surely_leads}",
+            order.replica,
+            order.model,
+            order.version,
+            order.fence,
+            order.expected_count
+        );
+        tokio::task::spawn_local(async move {
+            let answer = if surely_leads {
+                send_order(&*dialect, &order).await
+            } else {
+                OrderAnswer::NotSent
+            };
+            let replica = order.replica;
+            let event = Event::Ordered { replica, answer };
+            let _ = local.send(Local::Dispatch(term, event)).await;
+        });
+    }
+}
+
+async fn send_order(dialect: &dyn Dialect, order: &VersionOrder) -> OrderAnswer {
+    let (path, body) = dialect.order(order);
+    let request = Request::builder()
+        .method(Method::POST)
+        .uri(path)
+        .header(hyper::header::HOST, order.address.to_string())
+        .header(hyper::header::CONTENT_TYPE, "application/json")
+        .header(&dialect.names().expect_instance, &order.replica)
+        .body(Full::new(body));
+    let Ok(request) = request else {
+        return OrderAnswer::NotSent;
+    };
+    match call_once(order.address, request, REPLICA_ANSWER).await {
+        Ok((status, _, _)) => dialect.order_answer(status),
+        Err(UpstreamError::NotSent) => OrderAnswer::NotSent,
+        Err(UpstreamError::Broken) => OrderAnswer::Unknown,
+    }
+}
--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -283,7 +283,7 @@
                 machine,
                 zone,
                 runs,
-            } => self.edge_up(machine, zone, runs, table, now),
+            } => self.edge_up(machine, zone, runs, now),
             Event::EdgeDraining(machine) => {
                 if let Some(edge) = self.edges.get_mut(&machine) {
                     edge.draining = true;
@@ -360,14 +360,7 @@
         self.demand.note(&job.model, tokens, now);
     }
 
-    fn edge_up(
-        &mut self,
-        machine: String,
-        zone: String,
-        runs: Vec<RunReport>,
-        table: &JobTable,
-        now: Millis,
-    ) {
+    fn edge_up(&mut self, machine: String, zone: String, runs: Vec<RunReport>, now: Millis) {
         let edge = Edge {
             zone,
             draining: false,
@@ -378,7 +371,7 @@
         self.abandon_untold(&machine, &runs, now);
         self.edges.insert(machine.clone(), edge);
         for report in runs {
-            self.adopt(&machine, report, table, now);
+            self.adopt(&machine, report, now);
         }
         let held = self.runs.by_id.values();
         let running = held.filter(|run| run.machine == machine).count();
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -13,6 +13,7 @@
 mod orders;
 mod replicas;
 mod runs;
+mod takeover;
 
 pub use dispatcher::{Action, Dispatcher, Event, Load, Millis, OrderLeases, Settings};
 pub use orders::{OrderAnswer, ReplicaReport};
--- a/crates/dispatch/src/runs.rs
+++ b/crates/dispatch/src/runs.rs
@@ -3,7 +3,7 @@
 use crate::dispatcher::{Action, Dispatcher, Edge, Millis};
 use crate::jobs::{JobRun, State, outcome_of};
 use crate::replicas::Need;
-use brasspond_cluster_protocol::{AttemptId, Pace, RunEnd, RunReport, RunSpec, StreamEvent};
+use brasspond_cluster_protocol::{AttemptId, Pace, RunEnd, RunSpec, StreamEvent};
 use brasspond_jobs::{JobTable, Listing, Outcome};
 use std::collections::BTreeMap;
 
@@ -330,7 +330,7 @@
         }));
     }
 
-    fn recorded(&mut self, machine: &str, attempt: AttemptId) {
+    pub(crate) fn recorded(&mut self, machine: &str, attempt: AttemptId) {
         self.actions.push(Action::Recorded {
             machine: machine.to_string(),
             attempt,
@@ -351,7 +351,7 @@
     }
 
     /// Takes a run out and frees its place.
-    fn remove_run(&mut self, attempt: AttemptId) -> Option<Run> {
+    pub(crate) fn remove_run(&mut self, attempt: AttemptId) -> Option<Run> {
         let run = self.runs.by_id.remove(&attempt)?;
         if let Some(replica) = self.replicas.by_id.get_mut(&run.replica) {
             replica.running = replica.running.saturating_sub(1);
@@ -414,118 +414,6 @@
         }
     }
 
-    /// A new leader takes over a run that an edge holds.
-    pub(crate) fn adopt(
-        &mut self,
-        machine: &str,
-        report: RunReport,
-        _table: &JobTable,
-        now: Millis,
-    ) {
-        let attempt = report.attempt;
-        let state = self.jobs.jobs.get(&report.job).and_then(|job| {
-            let item = job.items.get(report.item as usize)?;
-            Some(item.state.clone())
-        });
-        let is_whole = report.end == Some(RunEnd::Whole);
-        match state {
-            Some(State::Waiting) => self.jobs.take_waiting(&report.job, report.item),
-            Some(State::Running(other)) if is_whole && other != attempt => self.cancel(other),
-            Some(State::Running(other)) if other == attempt => {
-                self.refresh(machine, report, now);
-                return;
-            }
-            _ => {
-                // Its cancellation may have been lost with the old link.
-                self.remove_run(attempt);
-                self.actions.push(Action::Cancel {
-                    machine: machine.to_string(),
-                    attempt,
-                });
-                self.recorded(machine, attempt);
-                return;
-            }
-        }
-        let mut item_id = String::new();
-        if let Some(job) = self.jobs.jobs.get_mut(&report.job) {
-            let item = &mut job.items[report.item as usize];
-            item.state = State::Running(attempt);
-            item_id = item.id.clone();
-        }
-        if let Some(replica) = self.replicas.by_id.get_mut(&report.replica) {
-            replica.running += 1;
-        }
-        if let Some(edge) = self.edges.get_mut(machine) {
-            edge.running += 1;
-        }
-        let run = Run {
-            machine: machine.to_string(),
-            job: report.job,
-            item: report.item,
-            item_id,
-            replica: report.replica,
-            events: report.events,
-            heard_at: now,
-            made: 0,
-            cancelled: false,
-            handed_over_at: None,
-        };
-        self.runs.by_id.insert(attempt, run);
-        if let Some(end) = report.end {
-            self.on_ended(machine, attempt, Vec::new(), end, now);
-        }
-    }
-
-    /// An edge that came back tells of a run that was never given up.
-    fn refresh(&mut self, machine: &str, report: RunReport, now: Millis) {
-        let attempt = report.attempt;
-        if let Some(run) = self.runs.by_id.get_mut(&attempt) {
-            run.heard_at = now;
-            run.events = report.events;
-            run.machine = machine.to_string();
-            if run.cancelled {
-                // The cancellation may have been lost with the old link.
-                self.actions.push(Action::Cancel {
-                    machine: machine.to_string(),
-                    attempt,
-                });
-            }
-        }
-        if let Some(edge) = self.edges.get_mut(machine) {
-            edge.running += 1;
-        }
-        if let Some(end) = report.end {
-            self.on_ended(machine, attempt, Vec::new(), end, now);
-        }
-    }
-
-    /// Runs that an edge which came back does not hold: it never got them, or
-    /// its process ended meanwhile.
-    pub(crate) fn abandon_untold(&mut self, machine: &str, told: &[RunReport], now: Millis) {
-        let is_told = |attempt: &AttemptId| told.iter().any(|one| one.attempt == *attempt);
-        let held = self.runs.by_id.iter();
-        let untold = held.filter(|(id, run)| run.machine == machine && !is_told(id));
-        let untold: Vec<AttemptId> = untold.map(|(attempt, _)| *attempt).collect();
-        for attempt in untold {
-            self.abandon_run(attempt, now);
-        }
-    }
-
-    /// All runs of an edge that is out of reach go on elsewhere, from what it
-    /// told of them.
-    pub(crate) fn edge_down(&mut self, machine: &str, now: Millis) {
-        if self.edges.remove(machine).is_none() {
-            return;
-        }
-        let held = self.runs.by_id.iter();
-        let held = held.filter(|(_, run)| run.machine == machine);
-        let lost: Vec<AttemptId> = held.map(|(attempt, _)| *attempt).collect();
-        log::warn!("event=edge_lost machine={machine} runs={}", lost.len());
-        for attempt in lost {
-            self.abandon_run(attempt, now);
-        }
-    }
-
     /// Gives up a run without waiting for its end; its item waits again.
     pub(crate) fn abandon_run(&mut self, attempt: AttemptId, _now: Millis) {
         let Some(run) = self.remove_run(attempt) else {
