--- /dev/null
+++ b/crates/limits/tests/limits.rs
@@ -0,0 +1,80 @@
+//! What the limits promise under overload.
+
+use brasspond_limits::{Backoff, ConcurrencyLimit, RetryBudget};
+use brasspond_types::Timestamp;
+use proptest::prelude::*;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+use rstest::rstest;
+use std::time::Duration;
+
+proptest! {
+    /// Whatever happens, the limit stays between its bounds.
+    #[test]
+    fn a_limit_stays_between_its_bounds(events in proptest::collection::vec(any::<bool>(), 0..200)) {
+        let mut limit = ConcurrencyLimit::new(8, 2, 32);
+        for is_overload in events {
+            if is_overload {
+                limit.overloaded();
+            } else {
+                limit.succeeded(limit.current());
+            }
+            prop_assert!((2..=32).contains(&limit.current()));
+        }
+    }
+
+    /// Retries never exceed what was saved, the share of requests and the rate.
+    #[test]
+    fn a_budget_bounds_retries(requests in 0_u32..2_000, seconds in 0_u64..60) {
+        let mut budget = RetryBudget::new(0.1, 1.0, Duration::from_secs(10));
+        let saved = 10.0 + 0.1 * 100.0;
+        for _ in 0..requests {
+            budget.deposit();
+        }
+        let now = Timestamp::from_millis(seconds * 1_000);
+        let retries = (0..10_000).take_while(|_| budget.withdraw(now)).count();
+        prop_assert!(retries as f64 <= saved, "{retries} at one instant");
+    }
+
+    /// A wait is never longer than the cap, and never nothing.
+    #[test]
+    fn a_wait_has_a_cap(failures in any::<u32>(), seed in any::<u64>()) {
+        let backoff = Backoff {
+            base: Duration::from_millis(10),
+            cap: Duration::from_millis(500),
+        };
+        let wait = backoff.delay(failures, &mut ChaCha8Rng::seed_from_u64(seed));
+        prop_assert!(wait >= Duration::from_millis(1) && wait <= backoff.cap);
+    }
+}
+
+/// An idle back end is not flooded later: unused room does not grow.
+#[rstest]
+#[case::unused(1, 8)]
+#[case::used(8, 9)]
+fn a_limit_grows_only_while_it_is_used(#[case] in_flight: u32, #[case] after: u32) {
+    let mut limit = ConcurrencyLimit::new(8, 1, 100);
+    limit.succeeded(in_flight);
+    assert_eq!(limit.current(), after);
+}
+
+#[rstest]
+fn a_limit_follows_what_the_back_end_reports() {
+    let mut limit = ConcurrencyLimit::new(40, 1, 64);
+    limit.set_highest(16);
+    assert_eq!(limit.current(), 16);
+}
+
+#[rstest]
+fn a_spent_budget_fills_with_requests_and_time() {
+    let mut budget = RetryBudget::new(0.5, 2.0, Duration::from_secs(1));
+    while budget.withdraw(Timestamp::ZERO) {}
+    budget.deposit();
+    budget.deposit();
+    assert!(
+        budget.withdraw(Timestamp::ZERO),
+        "two requests pay one retry"
+    );
+    assert!(!budget.withdraw(Timestamp::ZERO));
+    assert!(budget.withdraw(Timestamp::from_millis(600)), "so does time");
+}
