--- a/crates/routing/tests/owners.rs
+++ b/crates/routing/tests/owners.rs
@@ -8,11 +8,11 @@
 
 fn member(number: usize) -> Member {
     Member {
-        name: NodeName::new(&format!("node-{number}")),
+        name: NodeName::new(format!("node-{number}")),
         address: "127.0.0.1:1".parse().expect("address"),
         locality: Locality {
             region: RegionName::new("region"),
-            zone: ZoneName::new(&format!("zone-{}", number % 3)),
+            zone: ZoneName::new(format!("zone-{}", number % 3)),
         },
         instance: Instance::default(),
         incarnation: 0,
