After all processes ended a leader is found early, if every voter agrees

Ruled out: a shorter silence for all; a leader's reads are answered for 550 ms after its last contact, so an election within that time could let an old answer through. Change: a member that just started asks every 60 to 180 ms, for the length of one election, whether it could win, and stands only if every voter agrees that is not known to have lost its disk; a living leader never agrees.

--- a/crates/consensus/src/election.rs
+++ b/crates/consensus/src/election.rs
@@ -8,7 +8,56 @@
 /// Longest extra wait, in ms, of a member that saw its leader's process end.
 const QUICK_ELECTION_SPREAD: Millis = 120;
 
+/// Shortest pause before a member just started asks all others, in ms: links
+/// are being made.
+const EARLY_PAUSE: Millis = 60;
+
+/// How a member stands for election.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Ballot {
+    /// Only asks whether it could win.
+    pub probe: bool,
+    /// At the wish of the leader before.
+    pub transfer: bool,
+    /// Wins only if every voter agrees.
+    pub unanimous: bool,
+}
+
+impl Ballot {
+    /// Asks whether it could win.
+    pub const PROBE: Self = Self {
+        probe: true,
+        transfer: false,
+        unanimous: false,
+    };
+}
+
 impl Consensus {
+    /// When to ask early next.
+    pub(crate) fn next_early(&mut self, now: Millis) -> Millis {
+        now + rand::Rng::random_range(&mut self.random, EARLY_PAUSE..3 * EARLY_PAUSE)
+    }
+
+    /// After all processes ended at once nobody can lead, and waiting for a
+    /// silence is waiting for nothing. A member that just started asks whether
+    /// every voter agrees, again and again for the length of an election.
+    pub(crate) fn stand_early(&mut self, now: Millis) {
+        let is_over = now >= self.early_until || self.leader_heard_at.is_some();
+        if is_over {
+            self.early_at = None;
+            return;
+        }
+        self.early_at = Some(self.next_early(now));
+        let is_standing = matches!(self.role, Role::Candidate { probe: false, .. });
+        if !is_standing {
+            let ballot = Ballot {
+                unanimous: true,
+                ..Ballot::PROBE
+            };
+            self.stand(ballot, now);
+        }
+    }
+
     /// Tells that the leader's process is known to have ended: the member stands
     /// soon, without waiting for a whole silence.
     pub fn leader_ended(&mut self, leader: MemberId, now: Millis) {
@@ -76,7 +125,12 @@
         self.follow(message.term(), None);
     }
 
-    pub(crate) fn stand(&mut self, probe: bool, transfer: bool, now: Millis) {
+    pub(crate) fn stand(&mut self, ballot: Ballot, now: Millis) {
+        let Ballot {
+            probe,
+            transfer,
+            unanimous,
+        } = ballot;
         if !self.is_voter() {
             return;
         }
@@ -92,6 +146,7 @@
             votes: BTreeSet::from([self.id]),
             probe,
             transfer,
+            unanimous,
         };
         let message = Message::Vote {
             term,
@@ -160,6 +215,7 @@
             votes,
             probe,
             transfer,
+            unanimous,
         } = &self.role
         else {
             return;
@@ -167,11 +223,21 @@
         let (probe, transfer) = (*probe, *transfer);
         let voters = self.members.iter();
         let yes = voters.filter(|member| votes.contains(&member.id)).count();
-        if yes < self.election_quorum() {
+        let silent = self.members.iter().filter(|member| {
+            let is_lost = self.lost.contains(&member.id);
+            !votes.contains(&member.id) && !is_lost
+        });
+        let is_agreed = !*unanimous || silent.count() == 0;
+        if yes < self.election_quorum() || !is_agreed {
             return;
         }
         if probe {
-            self.stand(false, transfer, now);
+            let ballot = Ballot {
+                probe: false,
+                transfer,
+                unanimous: false,
+            };
+            self.stand(ballot, now);
         } else {
             self.begin_to_lead(now);
         }
@@ -194,7 +260,12 @@
 
     pub(crate) fn on_transfer(&mut self, term: u64, now: Millis) {
         if term == self.term() && !self.is_leader() {
-            self.stand(false, true, now);
+            let ballot = Ballot {
+                probe: false,
+                transfer: true,
+                unanimous: false,
+            };
+            self.stand(ballot, now);
         }
     }
 
--- a/crates/consensus/src/node.rs
+++ b/crates/consensus/src/node.rs
@@ -1,5 +1,6 @@
 //! One member: its state, and what it wants done.
 
+use crate::election::Ballot;
 use crate::log::Log;
 use crate::message::{Entry, HardState, Member, MemberId, Message, Payload, Snapshot};
 use crate::replication::Progress;
@@ -90,6 +91,9 @@
         probe: bool,
         /// At the wish of the leader before.
         transfer: bool,
+        /// Wins only if every voter agrees: it may be sooner than a leader's
+        /// lease ends, and a living leader never agrees.
+        unanimous: bool,
     },
     /// Leads.
     Leader {
@@ -118,6 +122,10 @@
     pub(crate) persisted: u64,
     pub(crate) role: Role,
     pub(crate) election_at: Millis,
+    /// When this member, just started, next asks whether all voters just
+    /// started; none once it has heard of a leader, or long enough.
+    pub(crate) early_at: Option<Millis>,
+    pub(crate) early_until: Millis,
     pub(crate) heartbeat_at: Millis,
     pub(crate) leader_heard_at: Option<Millis>,
     pub(crate) random: ChaCha8Rng,
@@ -146,6 +154,8 @@
             persisted: index,
             role: Role::Follower { leader: None },
             election_at: 0,
+            early_at: None,
+            early_until: now + timing.election,
             heartbeat_at: 0,
             leader_heard_at: None,
             random: ChaCha8Rng::seed_from_u64(seed ^ id),
@@ -156,6 +166,7 @@
         }
         member.persisted = member.log.last_index();
         member.reset_election(now);
+        member.early_at = Some(member.next_early(now));
         member
     }
 
@@ -305,7 +316,9 @@
             self.lead(now);
         } else if now >= self.election_at {
             self.reset_election(now);
-            self.stand(true, false, now);
+            self.stand(Ballot::PROBE, now);
+        } else if self.early_at.is_some_and(|at| now >= at) {
+            self.stand_early(now);
         }
     }
 
@@ -314,7 +327,8 @@
         if self.is_leader() {
             self.heartbeat_at
         } else {
-            self.election_at
+            let early = self.early_at.unwrap_or(self.election_at);
+            self.election_at.min(early)
         }
     }
 
