Loads have a cap; edges tell a leader only what it should have told long ago

Ruled out: the processor alone (52.7% of a storage machine at most). Change: ten replicas load at a time at the most; an edge tells its leader only if what it knew three looks ago was not told since.

--- a/crates/cluster/src/edge/process.rs
+++ b/crates/cluster/src/edge/process.rs
@@ -28,6 +28,8 @@
 const FIRST_TICK: Duration = Duration::from_millis(110);
 /// Time from the order to stop during which new connections still come.
 const REMOVAL_TIME: Duration = Duration::from_millis(2_600);
+/// Looks after which a leader should have told what an edge knows.
+const LOOKS: u32 = 3;
 /// Time kept free at the end of the grace period.
 const STOP_MARGIN: Duration = Duration::from_millis(500);
 
@@ -39,8 +41,10 @@
     pub view: RefCell<FleetView>,
     /// The view as the leader told it; none before it told a whole one.
     pub leader_view: RefCell<Option<FleetView>>,
-    /// The leader lacked something of the view at the last look.
-    leader_lacks: Cell<bool>,
+    /// The view some looks ago: by now the leader should have told all of it.
+    seen_view: RefCell<FleetView>,
+    /// Looks since then.
+    looks: Cell<u32>,
     pub cluster: RefCell<Cluster>,
     pub balance: RefCell<Balance>,
     pub pool: Pool,
@@ -91,7 +95,8 @@
         outside,
         view: RefCell::new(FleetView::default()),
         leader_view: RefCell::new(None),
-        leader_lacks: Cell::new(false),
+        seen_view: RefCell::new(FleetView::default()),
+        looks: Cell::new(0),
         cluster: RefCell::new(cluster),
         pool: Pool::default(),
         runs: RefCell::new(Runs::default()),
@@ -193,17 +198,20 @@
         }
     }
 
-    /// Tells the leader the view if it lacked something of it at two looks in a
-    /// row: its own calls to the source may fail while this edge's do not.
+    /// Tells the leader the view if it has not told what this edge knew some
+    /// looks ago: its own calls to the source may fail while this edge's do not.
+    /// (In a large fleet something has always changed since the last look.)
     fn tell_what_leader_lacks(&self) {
+        self.looks.set(self.looks.get() + 1);
+        if self.looks.get() < LOOKS {
+            return;
+        }
+        self.looks.set(0);
         let view = self.view.borrow();
+        let seen = self.seen_view.replace(view.clone());
         let told = self.leader_view.borrow();
-        let lacks = told.as_ref().is_some_and(|told| view.has_news_for(told));
-        let lacked = self.leader_lacks.replace(lacks);
-        if lacks
-            && lacked
-            && let Some(leader) = self.cluster.borrow().leader()
-        {
+        let lacks = told.as_ref().is_some_and(|told| seen.has_news_for(told));
+        if lacks && let Some(leader) = self.cluster.borrow().leader() {
             log::info!(
                 "event=leader_told configuration={} replicas_revision={} versions_revision={}",
                 view.configuration_revision,
--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -25,6 +25,9 @@
     /// Share of a model's replicas that take each new version while nothing
     /// waits, 0 to 1; the others skip it while they still serve.
     pub fresh_share: f64,
+    /// Replicas that load at a time at the most: each load changes the view of
+    /// every edge.
+    pub most_loads: usize,
     /// Time for edges to tell a new leader of their runs, in ms.
     pub adopt_ms: Millis,
     /// Silence of a run after which another replica goes on with it, in ms.
@@ -40,6 +43,7 @@
         Self {
             loads_at_once: 2,
             loading_share: 0.2,
+            most_loads: 10,
             fresh_share: 0.5,
             adopt_ms: 300,
             stall_ms: 500,
--- a/crates/dispatch/src/orders.rs
+++ b/crates/dispatch/src/orders.rs
@@ -208,6 +208,7 @@
     fn most_loads(&self) -> usize {
         let replicas = self.orders.serves_first.len() as f64;
         let share = (replicas * self.settings.loading_share) as usize;
+        let share = share.min(self.settings.most_loads);
         share.max(self.settings.loads_at_once)
     }
 
