--- a/crates/brasspond/tests/cluster.rs
+++ b/crates/brasspond/tests/cluster.rs
@@ -3,7 +3,9 @@
 mod platform_standin;
 
 use nix::sys::signal::Signal;
-use platform_standin::processes::{Cluster, call, configuration, job, results, text};
+use platform_standin::processes::{
+    Cluster, call, configuration, job, read_results, results, scored_job, text,
+};
 use platform_standin::{EVENTS, event_data};
 use rstest::rstest;
 use std::collections::BTreeSet;
@@ -99,6 +101,85 @@
     );
 }
 
+/// Each score is the answer to the item's own call, made once its text was whole.
+#[rstest]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_result_is_listed_with_the_score_of_its_own_call() {
+    const ITEMS: usize = 12;
+    let cluster = Cluster::start().await;
+    let front = cluster.edges[0].front;
+    let response = call(front, "POST", "/jobs/x", "job-4", scored_job(ITEMS)).await;
+    assert_eq!(response.expect("answered").status(), 202);
+    let results = read_results(front, "job-4", ITEMS).await;
+    for result in &results {
+        let id = result["id"].as_str().expect("an id");
+        let number = id.strip_prefix("item-").expect("a number");
+        assert_eq!(result["score"], format!("stamp.score-{number}"));
+        assert_eq!(result["text"], whole_text(id));
+    }
+    let other_edge = cluster.edges[1].front;
+    assert_eq!(read_results(other_edge, "job-4", ITEMS).await, results);
+}
+
+#[rstest]
+#[tokio::test(flavor = "multi_thread")]
+async fn an_item_whose_scoring_always_fails_is_given_up() {
+    const ITEMS: usize = 2;
+    let cluster = Cluster::start().await;
+    cluster.plain.fails.store(true, Ordering::Relaxed);
+    let front = cluster.edges[0].front;
+    let response = call(front, "POST", "/jobs/x", "job-5", scored_job(ITEMS)).await;
+    assert_eq!(response.expect("answered").status(), 202);
+    for result in read_results(front, "job-5", ITEMS).await {
+        assert_eq!(result["state"], "terminated");
+        assert_eq!(result.get("score"), None);
+    }
+    assert_eq!(cluster.plain.runs_of("score-0"), 3, "as its route allows");
+}
+
+/// All processes end while texts wait for their scores: none is made again.
+#[rstest]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_text_that_waits_for_its_score_outlives_all_processes() {
+    const ITEMS: usize = 6;
+    let mut cluster = Cluster::start().await;
+    cluster.plain.silent.store(true, Ordering::Relaxed);
+    let front = cluster.edges[0].front;
+    let response = call(front, "POST", "/jobs/x", "job-6", scored_job(ITEMS)).await;
+    assert_eq!(response.expect("answered").status(), 202);
+    let runs = |cluster: &Cluster| -> Vec<u32> {
+        let ids = (0..ITEMS).map(|number| format!("item-{number}"));
+        let runs_of = |id: String| cluster.replicas.iter().map(|one| one.runs_of(&id)).sum();
+        ids.map(runs_of).collect()
+    };
+    let whole = |cluster: &Cluster| -> usize {
+        let replicas = cluster.replicas.iter();
+        replicas
+            .map(|one| one.whole.lock().expect("lock").len())
+            .sum()
+    };
+    while whole(&cluster) < ITEMS {
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    // The last text reaches the log.
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    let before = runs(&cluster);
+    for machine in cluster.storage.iter_mut().chain(&mut cluster.edges) {
+        machine.kill();
+    }
+    cluster.plain.silent.store(false, Ordering::Relaxed);
+    for machine in cluster.storage.iter_mut().chain(&mut cluster.edges) {
+        machine.start();
+    }
+    let results = read_results(cluster.edges[1].front, "job-6", ITEMS).await;
+    for result in results {
+        assert_eq!(result["state"], "completed");
+        let score = result["score"].as_str().expect("a score");
+        assert!(score.starts_with("stamp.score-"), "{score}");
+    }
+    assert_eq!(runs(&cluster), before, "no text was made again");
+}
+
 /// An edge told to stop ended with streams under way: it counted a request only
 /// until the head of its answer was returned.
 #[rstest]
--- a/crates/brasspond/tests/platform_standin/mod.rs
+++ b/crates/brasspond/tests/platform_standin/mod.rs
@@ -14,7 +14,7 @@
 use hyper::{Method, Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
 use serde_json::{Value, json};
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::convert::Infallible;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
@@ -262,6 +262,12 @@
     pub runs: Mutex<HashMap<String, u32>>,
     /// Breaks off plain answers after their head.
     pub breaks: AtomicBool,
+    /// Answers plain requests with 500.
+    pub fails: AtomicBool,
+    /// Takes plain requests and never answers them.
+    pub silent: AtomicBool,
+    /// Identities of streams that came to their end.
+    pub whole: Mutex<BTreeSet<String>>,
     version: AtomicU64,
     sequence: AtomicU64,
 }
@@ -279,6 +285,9 @@
             id: id.to_string(),
             runs: Mutex::default(),
             breaks: AtomicBool::new(false),
+            fails: AtomicBool::new(false),
+            silent: AtomicBool::new(false),
+            whole: Mutex::default(),
             version: AtomicU64::new(1),
             sequence: AtomicU64::new(0),
         });
@@ -343,9 +352,13 @@
         .or_default() += 1;
     let path = head.uri.path();
     let is_stream = path.starts_with("/jobs/") || path.starts_with("/streams/");
+    if !is_stream && replica.silent.load(Ordering::Relaxed) {
+        tokio::time::sleep(NEVER).await;
+    }
+    let is_failed = !is_stream && replica.fails.load(Ordering::Relaxed);
     let body = if is_stream {
         let after: u64 = header("last-event-id").parse().unwrap_or(0);
-        stream(&id, after)
+        stream(Arc::clone(&replica), &id, after)
     } else if replica.breaks.load(Ordering::Relaxed) {
         let cut = futures::stream::iter([Err(std::io::Error::other("broken on purpose"))]);
         BodyExt::boxed(StreamBody::new(
@@ -355,21 +368,25 @@
         whole(body)
     };
     let response = Response::builder()
-        .status(200)
+        .status(if is_failed { 500 } else { 200 })
         .header("x-brasspond-request-id", &id)
-        .header("x-brasspond-server-stamp", "stamp")
+        .header("x-brasspond-server-stamp", format!("stamp.{id}"))
         .header("x-brasspond-weight-versions", replica.version().to_string());
     response.body(body).expect("response")
 }
 
-fn stream(id: &str, after: u64) -> Body {
+fn stream(replica: Arc<Replica>, id: &str, after: u64) -> Body {
     let id = id.to_string();
     let events = futures::stream::unfold(after + 1, move |number| {
         let id = id.clone();
+        let replica = Arc::clone(&replica);
         async move {
             if number > EVENTS {
                 return None;
             }
+            if number == EVENTS {
+                replica.whole.lock().expect("lock").insert(id.clone());
+            }
             tokio::time::sleep(EVENT_TIME).await;
             let text = format!("id: {number}\ndata: {}\n\n", event_data(&id, number));
             Some((Ok(Frame::data(Bytes::from(text))), number + 1))
--- a/crates/brasspond/tests/platform_standin/processes.rs
+++ b/crates/brasspond/tests/platform_standin/processes.rs
@@ -359,10 +359,38 @@
         .to_string()
 }
 
-/// Reads all results of a job at an edge, from the first, until all are there.
+/// A job whose items are scored by the plain service.
+pub fn scored_job(items: usize) -> String {
+    let mut job: Value = serde_json::from_str(&job(items)).expect("a job");
+    let requests = job["requests"].as_array_mut().expect("items");
+    for (number, item) in requests.iter_mut().enumerate() {
+        item["scoring_fn"] = json!({
+            "id": format!("score-{number}"),
+            "host": HOST,
+            "path": format!("/reads/score/{number}"),
+            "body": "AAEC",
+        });
+    }
+    job.to_string()
+}
+
+/// Reads all texts of a job at an edge, from the first, until all are there.
 pub async fn results(edge: SocketAddr, job: &str, items: usize) -> Vec<(String, String)> {
+    let results = read_results(edge, job, items).await;
+    let text = |result: &Value, name: &str| result[name].as_str().expect("text").to_string();
+    for result in &results {
+        assert_eq!(result["state"], "completed");
+    }
+    let texts = results.iter();
+    texts
+        .map(|one| (text(one, "id"), text(one, "text")))
+        .collect()
+}
+
+/// Reads all results of a job at an edge, from the first, until all are there.
+pub async fn read_results(edge: SocketAddr, job: &str, items: usize) -> Vec<Value> {
     let deadline = Instant::now() + PATIENCE;
-    let mut results: Vec<(String, String)> = Vec::new();
+    let mut results: Vec<Value> = Vec::new();
     while results.len() < items {
         assert!(
             Instant::now() < deadline,
@@ -380,11 +408,8 @@
             continue;
         }
         let page: Value = serde_json::from_str(&text(response).await.expect("page")).expect("page");
-        for result in page["results"].as_array().expect("results") {
-            let field = |name: &str| result[name].as_str().expect("text").to_string();
-            assert_eq!(field("state"), "completed");
-            results.push((field("id"), field("text")));
-        }
+        let page = page["results"].as_array().expect("results");
+        results.extend(page.iter().cloned());
         tokio::time::sleep(Duration::from_millis(50)).await;
     }
     results
--- a/crates/cluster-protocol/src/lib.rs
+++ b/crates/cluster-protocol/src/lib.rs
@@ -8,7 +8,7 @@
 mod run;
 
 pub use frame::{FrameBuffer, FrameError, LONGEST_FRAME, encode};
-pub use run::{AttemptId, Pace, RunEnd, RunReport, RunSpec, StreamEvent};
+pub use run::{AttemptId, Pace, RunEnd, RunReport, RunSpec, ScoringEnd, ScoringSpec, StreamEvent};
 
 use brasspond_consensus::{Member, MemberId};
 use brasspond_fleet::{FleetView, ViewDelta};
@@ -150,6 +150,8 @@
     NeedView,
     /// Leader to edge: run an item.
     Run(Box<RunSpec>),
+    /// Leader to edge: score a text that the log holds.
+    Score(Box<ScoringSpec>),
     /// Leader to edge: stop a run.
     Cancel {
         /// Term of the leader.
@@ -157,7 +159,8 @@
         /// The run.
         attempt: AttemptId,
     },
-    /// Leader to edge: the end of this run is kept, forget it.
+    /// Leader to edge: the end of this run or scoring is kept, or no longer
+    /// wanted: forget it.
     Recorded {
         /// The run.
         attempt: AttemptId,
@@ -189,6 +192,13 @@
         /// How it ended.
         end: RunEnd,
     },
+    /// Edge to leader: the scoring of a text ended.
+    Scored {
+        /// The run that made the text, or the order to score it.
+        attempt: AttemptId,
+        /// How it ended.
+        end: ScoringEnd,
+    },
     /// The sender takes no new work.
     Draining,
     /// Nothing; shows that the sender lives.
--- a/crates/cluster-protocol/src/run.rs
+++ b/crates/cluster-protocol/src/run.rs
@@ -1,5 +1,6 @@
 //! Runs of items on replicas.
 
+use brasspond_jobs::ScoringCall;
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
@@ -68,6 +69,43 @@
     pub single_version: bool,
     /// Events that earlier runs made; the run goes on after them.
     pub events: Vec<StreamEvent>,
+    /// The call that the edge makes once the text is whole.
+    pub scoring: Option<ScoringCall>,
+}
+
+/// What an edge needs to score a text that the log holds.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ScoringSpec {
+    /// Numbered like a run.
+    pub attempt: AttemptId,
+    /// Its job, for logs.
+    pub job: String,
+    /// Identity of the item, for logs.
+    pub item_id: String,
+    /// The call.
+    pub call: ScoringCall,
+}
+
+/// How the scoring of a text ended.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum ScoringEnd {
+    /// The signature of a whole answer that succeeded.
+    Scored(String),
+    /// It failed (500) as often as its route allows.
+    Failed,
+    /// No replica answered in the time for it.
+    Unanswered,
+}
+
+impl ScoringEnd {
+    /// Name for logs and metrics.
+    pub fn name(&self) -> &'static str {
+        match self {
+            Self::Scored(_) => "scored",
+            Self::Failed => "failed",
+            Self::Unanswered => "unanswered",
+        }
+    }
 }
 
 /// How a run ended.
@@ -128,4 +166,6 @@
     pub events: Vec<StreamEvent>,
     /// How it ended, if it has.
     pub end: Option<RunEnd>,
+    /// How the scoring of its whole text ended, if it has.
+    pub scoring: Option<ScoringEnd>,
 }
--- a/crates/cluster/src/edge/balance.rs
+++ b/crates/cluster/src/edge/balance.rs
@@ -15,6 +15,8 @@
 const FIRST_PAUSE: Duration = Duration::from_millis(200);
 /// Longest pause.
 const LONGEST_PAUSE: Duration = Duration::from_secs(3);
+/// Share of a replica's slots in use from which work of no hurry waits.
+const BUSY_SHARE: f64 = 0.67;
 /// Reported load older than this says nothing.
 const LOAD_LIFE: Duration = Duration::from_millis(500);
 
@@ -34,6 +36,14 @@
     others: (u32, Instant),
 }
 
+impl Known {
+    /// Requests there, of this edge and of others as far as told lately.
+    fn there(&self, now: Instant) -> u32 {
+        let is_fresh = now.duration_since(self.others.1) < LOAD_LIFE;
+        self.in_flight + if is_fresh { self.others.0 } else { 0 }
+    }
+}
+
 /// All replicas by identity.
 pub(super) struct Balance {
     zone: String,
@@ -93,16 +103,24 @@
         best.map(|(_, _, id)| id.clone())
     }
 
+    /// Whether a replica of a service has room for work of no hurry.
+    pub fn has_room(&self, service: &str) -> bool {
+        let now = Instant::now();
+        self.replicas.values().any(|known| {
+            let is_paused = known.paused_until.is_some_and(|until| until > now);
+            let busy = f64::from(known.slots.max(1)) * BUSY_SHARE;
+            known.service == service
+                && !known.draining
+                && !is_paused
+                && f64::from(known.there(now)) < busy
+        })
+    }
+
     /// Expected time to an answer, in ms: the replica's own time, once for each
     /// round of requests before this one.
     fn cost(&self, known: &Known, now: Instant) -> f64 {
         let own = known.answer_ms.unwrap_or(UNKNOWN_MS);
-        let others = if now.duration_since(known.others.1) < LOAD_LIFE {
-            known.others.0
-        } else {
-            0
-        };
-        let there = f64::from(known.in_flight + others);
+        let there = f64::from(known.there(now));
         let rounds = 1.0 + there / f64::from(known.slots.max(1));
         let distance = if known.zone == self.zone {
             0.0
--- a/crates/cluster/src/edge/cluster.rs
+++ b/crates/cluster/src/edge/cluster.rs
@@ -2,7 +2,9 @@
 
 use super::process::Edge;
 use crate::link::{LinkEvent, LinkId, LinkNumbers, Writer, dial};
-use brasspond_cluster_protocol::{Answer, Message, Peer, Question, RunSpec, Watch};
+use brasspond_cluster_protocol::{
+    Answer, AttemptId, Message, Peer, Question, RunSpec, ScoringSpec, Watch,
+};
 use brasspond_consensus::Member;
 use brasspond_fleet::{FleetView, ViewDelta};
 use std::collections::HashMap;
@@ -53,8 +55,9 @@
     View(FleetView),
     ViewChanged(ViewDelta, LinkId),
     Run(Box<RunSpec>),
-    Cancel(u64, brasspond_cluster_protocol::AttemptId),
-    Recorded(brasspond_cluster_protocol::AttemptId),
+    Score(Box<ScoringSpec>),
+    Cancel(u64, AttemptId),
+    Recorded(AttemptId),
 }
 
 /// Storage processes, links, questions under way.
@@ -201,6 +204,7 @@
             Message::View(view) => vec![Happening::View(view)],
             Message::ViewChanged(delta) => vec![Happening::ViewChanged(delta, link)],
             Message::Run(spec) => vec![Happening::Run(spec)],
+            Message::Score(spec) => vec![Happening::Score(spec)],
             Message::Cancel { term, attempt } => vec![Happening::Cancel(term, attempt)],
             Message::Recorded { attempt } => vec![Happening::Recorded(attempt)],
             Message::Reply { number, answer } => {
@@ -351,6 +355,7 @@
             }
         }
         Happening::Run(spec) => edge.start_run(*spec),
+        Happening::Score(spec) => edge.order_scoring(*spec),
         Happening::Cancel(term, attempt) => edge.cancel_run(term, attempt),
         Happening::Recorded(attempt) => edge.forget_run(attempt),
     }
--- a/crates/cluster/src/edge/forward.rs
+++ b/crates/cluster/src/edge/forward.rs
@@ -71,34 +71,48 @@
     counted: Counted,
 ) -> Response<Body> {
     let names = edge.outside.dialect.names();
-    let count = COUNT.with(|count| {
-        count.set(count.get() + 1);
-        count.get()
-    });
-    let Some(target) = choose_target(&route.targets, count) else {
+    let held = header_number(&head.headers, &names.deadline_ms).unwrap_or(route.timeout_ms);
+    let held = held.min(route.timeout_ms.max(1));
+    let deadline = arrived + Duration::from_millis(held);
+    let Some(request) = Forwarded::new(edge, route, head, body, deadline) else {
         log::info!(
             "event=request_failed route={} reason=no_service",
             route.name
         );
         return unavailable(Duration::from_millis(300));
     };
-    let held = header_number(&head.headers, &names.deadline_ms).unwrap_or(route.timeout_ms);
-    let held = held.min(route.timeout_ms.max(1));
-    let id = header_text(&head.headers, &names.request_id);
-    let request = Forwarded {
-        edge: Rc::clone(edge),
-        route: route.clone(),
-        service: target.service.clone(),
-        deadline: arrived + Duration::from_millis(held),
-        head,
-        body,
-        id,
-        arrived,
-    };
     request.run(counted).await
 }
 
 impl Forwarded {
+    /// A request that is to be answered by `deadline`. None: its route leads to no
+    /// service.
+    pub(super) fn new(
+        edge: &Rc<Edge>,
+        route: &Route,
+        head: Parts,
+        body: Bytes,
+        deadline: Instant,
+    ) -> Option<Self> {
+        let count = COUNT.with(|count| {
+            count.set(count.get() + 1);
+            count.get()
+        });
+        let target = choose_target(&route.targets, count)?;
+        let names = edge.outside.dialect.names();
+        let id = header_text(&head.headers, &names.request_id);
+        Some(Self {
+            edge: Rc::clone(edge),
+            route: route.clone(),
+            service: target.service.clone(),
+            deadline,
+            head,
+            body,
+            id,
+            arrived: Instant::now(),
+        })
+    }
+
     async fn run(self, counted: Counted) -> Response<Body> {
         let mut tried: Vec<String> = Vec::new();
         let mut may_have_run = false;
@@ -186,7 +200,12 @@
         balance.choose(&self.service, tried, true)
     }
 
-    fn note_failure(&self, replica: &str, failed: &Failed) {
+    /// Whether its service has room for work of no hurry.
+    pub(super) fn has_room(&self) -> bool {
+        self.edge.balance.borrow().has_room(&self.service)
+    }
+
+    pub(super) fn note_failure(&self, replica: &str, failed: &Failed) {
         let is_fault = match failed {
             Failed::NotRun { is_full } => !is_full,
             Failed::MayHaveRun => true,
@@ -382,7 +401,7 @@
 }
 
 impl Failed {
-    fn name(&self) -> &'static str {
+    pub(super) fn name(&self) -> &'static str {
         match self {
             Self::NotRun { is_full: true } => "full",
             Self::NotRun { is_full: false } => "not_run",
@@ -453,7 +472,7 @@
     }
 }
 
-fn header_text(headers: &HeaderMap, name: &HeaderName) -> String {
+pub(super) fn header_text(headers: &HeaderMap, name: &HeaderName) -> String {
     let value = headers.get(name).and_then(|value| value.to_str().ok());
     value.unwrap_or_default().to_string()
 }
--- a/crates/cluster/src/edge/mod.rs
+++ b/crates/cluster/src/edge/mod.rs
@@ -8,6 +8,7 @@
 mod process;
 mod ready;
 mod runs;
+mod scoring;
 mod stream;
 
 pub use process::run;
--- a/crates/cluster/src/edge/process.rs
+++ b/crates/cluster/src/edge/process.rs
@@ -3,6 +3,7 @@
 use super::balance::Balance;
 use super::cluster::Cluster;
 use super::runs::{RunNews, Runs};
+use super::scoring::Scorings;
 use super::{front, ready};
 use crate::clock::Clock;
 use crate::link::{LinkEvent, LinkNumbers, accept_links};
@@ -49,6 +50,7 @@
     pub balance: RefCell<Balance>,
     pub pool: Pool,
     pub runs: RefCell<Runs>,
+    pub scorings: RefCell<Scorings>,
     pub run_news: mpsc::Sender<RunNews>,
     pub draining: Cell<bool>,
     pub metrics: EdgeMetrics,
@@ -100,6 +102,7 @@
         cluster: RefCell::new(cluster),
         pool: Pool::default(),
         runs: RefCell::new(Runs::default()),
+        scorings: RefCell::new(Scorings::default()),
         run_news,
         draining: Cell::new(false),
         metrics: EdgeMetrics::default(),
@@ -278,6 +281,7 @@
         }
         log::info!("event=stopping role=edge requests={}", self.requests.get());
         self.hand_over_runs();
+        self.hand_over_scorings();
     }
 
     async fn drained(&self) {
--- a/crates/cluster/src/edge/runs.rs
+++ b/crates/cluster/src/edge/runs.rs
@@ -1,10 +1,11 @@
 //! Runs of items on this edge.
 
 use super::process::Edge;
+use super::scoring::score;
 use super::stream::{EventReader, StreamEnd};
 use crate::upstream::UpstreamError;
 use brasspond_cluster_protocol::{
-    AttemptId, Message, Pace, RunEnd, RunReport, RunSpec, StreamEvent,
+    AttemptId, Message, Pace, RunEnd, RunReport, RunSpec, ScoringEnd, StreamEvent,
 };
 use bytes::Bytes;
 use http_body_util::Full;
@@ -63,12 +64,17 @@
     progress: Rc<RefCell<Progress>>,
     task: AbortHandle,
     end: Option<RunEnd>,
+    /// Whether its whole text is to be scored, and how that ended.
+    is_scored: bool,
+    scoring: Option<ScoringEnd>,
 }
 
-/// A run has ended.
-pub(super) struct RunNews {
-    attempt: AttemptId,
-    end: RunEnd,
+/// What a run's task tells.
+pub(super) enum RunNews {
+    /// It has ended.
+    Ended(AttemptId, RunEnd),
+    /// Its text is scored, or could not be.
+    Scored(AttemptId, ScoringEnd),
 }
 
 /// All runs that this edge holds.
@@ -77,6 +83,13 @@
     held: HashMap<AttemptId, Held>,
 }
 
+impl Runs {
+    fn is_being_scored(&self, attempt: AttemptId) -> bool {
+        let held = self.held.get(&attempt);
+        held.is_some_and(|one| one.end == Some(RunEnd::Whole) && one.is_scored)
+    }
+}
+
 impl Edge {
     pub(super) fn start_run(self: &Rc<Self>, spec: RunSpec) {
         let is_old = spec.attempt.term < self.cluster.borrow().newest_term();
@@ -91,15 +104,18 @@
         let attempt = spec.attempt;
         let (job, item, replica) = (spec.job.clone(), spec.item, spec.replica.clone());
         let is_leaving = self.is_leaving(&replica);
+        let is_scored = spec.scoring.is_some();
         let edge = Rc::clone(self);
         let shared = Rc::clone(&progress);
         let task = tokio::task::spawn_local(async move {
             let end = run_item(&edge, &spec, &shared).await;
-            let news = RunNews {
-                attempt: spec.attempt,
-                end,
-            };
-            let _ = edge.run_news.send(news).await;
+            let _ = edge.run_news.send(RunNews::Ended(attempt, end)).await;
+            if end == RunEnd::Whole
+                && let Some(call) = &spec.scoring
+            {
+                let end = score(&edge, call, &spec.item_id).await;
+                let _ = edge.run_news.send(RunNews::Scored(attempt, end)).await;
+            }
         });
         let held = Held {
             job,
@@ -108,6 +124,8 @@
             progress,
             task: task.abort_handle(),
             end: None,
+            is_scored,
+            scoring: None,
         };
         self.runs.borrow_mut().held.insert(attempt, held);
         if self.draining.get() {
@@ -132,10 +150,27 @@
         if let Some(held) = held {
             held.task.abort();
         }
+        self.forget_scoring(attempt);
     }
 
     pub(super) fn on_run_news(&self, news: RunNews) {
-        self.end_run(news.attempt, news.end);
+        match news {
+            RunNews::Ended(attempt, end) => self.end_run(attempt, end),
+            RunNews::Scored(attempt, end) => self.end_scoring(attempt, end),
+        }
+    }
+
+    /// Notes how the scoring of a run's text ended and tells the leader, once.
+    fn end_scoring(&self, attempt: AttemptId, end: ScoringEnd) {
+        let mut runs = self.runs.borrow_mut();
+        let Some(held) = runs.held.get_mut(&attempt) else {
+            return;
+        };
+        if held.scoring.is_none() {
+            held.scoring = Some(end.clone());
+            held.task.abort();
+            self.tell_scored(attempt, end);
+        }
     }
 
     /// Notes how a run ended and tells the leader, once.
@@ -149,7 +184,10 @@
         }
         held.end = Some(end);
         self.metrics.run(end.name());
-        held.task.abort();
+        // The task of a whole run ends by itself, perhaps after scoring its text.
+        if end != RunEnd::Whole {
+            held.task.abort();
+        }
         let events = take_untold(&held.progress);
         if let Some(leader) = self.cluster.borrow().leader() {
             leader.writer.send(&Message::Ended {
@@ -197,6 +235,7 @@
                 replica: held.replica.clone(),
                 events: progress.events.clone(),
                 end: held.end,
+                scoring: held.scoring.clone(),
             });
         }
         leader.writer.send(&Message::Runs {
@@ -214,6 +253,9 @@
         let held: Vec<AttemptId> = self.runs.borrow().held.keys().copied().collect();
         for attempt in held {
             self.end_run(attempt, RunEnd::Cancelled);
+            if self.runs.borrow().is_being_scored(attempt) {
+                self.end_scoring(attempt, ScoringEnd::Unanswered);
+            }
         }
     }
 }
--- /dev/null
+++ b/crates/cluster/src/edge/scoring.rs
@@ -0,0 +1,192 @@
+//! Calls that score whole texts.
+//!
+//! A scoring call is a plain request of the cluster's own: the route, the
+//! replicas' health, load and limits are those of callers' requests, and callers
+//! go before it where the service is busy.
+
+use super::forward::{Attempt, Failed, Forwarded, header_text};
+use super::process::Edge;
+use brasspond_cluster_protocol::{AttemptId, Message, ScoringEnd, ScoringSpec};
+use brasspond_jobs::ScoringCall;
+use hyper::http::request::Parts;
+use hyper::{Method, Request, StatusCode};
+use std::collections::HashMap;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+use tokio::task::AbortHandle;
+
+/// Time for a text's score; after it the leader orders another edge.
+const SCORING_TIME: Duration = Duration::from_millis(1_000);
+/// First pause after a failure; it doubles with each more.
+const FIRST_PAUSE: Duration = Duration::from_millis(10);
+/// Longest pause between two attempts.
+const LONGEST_PAUSE: Duration = Duration::from_millis(160);
+/// Longest time to wait for callers of a busy service.
+const YIELD_TIME: Duration = Duration::from_millis(100);
+/// Pause between two looks at a busy service.
+const YIELD_PAUSE: Duration = Duration::from_millis(10);
+
+/// Scorings that the leader ordered of texts made elsewhere.
+pub(super) type Scorings = HashMap<AttemptId, AbortHandle>;
+
+impl Edge {
+    /// Scores a text made elsewhere.
+    pub(super) fn order_scoring(self: &Rc<Self>, spec: ScoringSpec) {
+        let attempt = spec.attempt;
+        let is_old = attempt.term < self.cluster.borrow().newest_term();
+        if is_old || self.scorings.borrow().contains_key(&attempt) {
+            return;
+        }
+        let edge = Rc::clone(self);
+        let task = tokio::task::spawn_local(async move {
+            let end = if edge.draining.get() {
+                ScoringEnd::Unanswered
+            } else {
+                score(&edge, &spec.call, &spec.item_id).await
+            };
+            edge.scorings.borrow_mut().remove(&attempt);
+            edge.tell_scored(attempt, end);
+        });
+        let task = task.abort_handle();
+        self.scorings.borrow_mut().insert(attempt, task);
+    }
+
+    /// Ends a scoring that is not wanted any more.
+    pub(super) fn forget_scoring(&self, attempt: AttemptId) {
+        let task = self.scorings.borrow_mut().remove(&attempt);
+        if let Some(task) = task {
+            task.abort();
+        }
+    }
+
+    /// Hands ordered scorings back, so that other edges go on with them.
+    pub(super) fn hand_over_scorings(&self) {
+        let scorings = std::mem::take(&mut *self.scorings.borrow_mut());
+        for (attempt, task) in scorings {
+            task.abort();
+            self.tell_scored(attempt, ScoringEnd::Unanswered);
+        }
+    }
+
+    pub(super) fn tell_scored(&self, attempt: AttemptId, end: ScoringEnd) {
+        if let Some(leader) = self.cluster.borrow().leader() {
+            leader.writer.send(&Message::Scored { attempt, end });
+        }
+    }
+}
+
+/// Makes a scoring call until a replica answers, it has failed as often as its
+/// route allows, or its time is up.
+pub(super) async fn score(edge: &Rc<Edge>, call: &ScoringCall, item_id: &str) -> ScoringEnd {
+    let begun = Instant::now();
+    let deadline = begun + SCORING_TIME;
+    let mut scorer = Scorer {
+        edge,
+        call,
+        deadline,
+        tried: Vec::new(),
+        failures: 0,
+    };
+    let mut pause = FIRST_PAUSE;
+    let end = loop {
+        if let Some(end) = scorer.attempt().await {
+            break end;
+        }
+        if Instant::now() + pause >= deadline {
+            break ScoringEnd::Unanswered;
+        }
+        tokio::time::sleep(pause).await;
+        pause = (pause * 2).min(LONGEST_PAUSE);
+    };
+    let elapsed = begun.elapsed();
+    edge.metrics.scoring(end.name(), elapsed.as_secs_f64());
+    log::info!(
+        "event=scored item={item_id} request={} end={} attempts={} failures={} elapsed_ms={}",
+        call.id,
+        end.name(),
+        scorer.tried.len() + usize::from(matches!(end, ScoringEnd::Scored(_))),
+        scorer.failures,
+        elapsed.as_millis()
+    );
+    end
+}
+
+/// One scoring call and what became of it so far.
+struct Scorer<'a> {
+    edge: &'a Rc<Edge>,
+    call: &'a ScoringCall,
+    deadline: Instant,
+    tried: Vec<String>,
+    /// Answers of 500.
+    failures: u32,
+}
+
+impl Scorer<'_> {
+    /// One attempt; none: another is to follow.
+    async fn attempt(&mut self) -> Option<ScoringEnd> {
+        let request = self.request()?;
+        self.let_callers_pass(&request).await;
+        let replica = request.choose(&self.tried)?;
+        let failed = match request.attempt(&replica, None, false).await {
+            Ok(Attempt::Whole(status, headers, _)) if status.is_success() => {
+                let signature = &self.edge.outside.dialect.names().signature;
+                let score = header_text(&headers, signature);
+                return Some(ScoringEnd::Scored(score));
+            }
+            Ok(Attempt::Whole(status, ..) | Attempt::Stream(status, ..)) => {
+                self.log(&replica, status.as_str());
+                self.tried.push(replica);
+                return None;
+            }
+            Err(failed) => failed,
+        };
+        self.log(&replica, failed.name());
+        request.note_failure(&replica, &failed);
+        self.tried.push(replica);
+        if let Failed::Answered(answer) = failed
+            && answer.0 == StatusCode::INTERNAL_SERVER_ERROR
+        {
+            self.failures += 1;
+        }
+        (self.failures >= request.route.max_attempts).then_some(ScoringEnd::Failed)
+    }
+
+    /// The request by the newest configuration's route; none: there is none.
+    fn request(&self) -> Option<Forwarded> {
+        let configuration = self.edge.view.borrow().configuration.clone()?;
+        let route = configuration.route(&self.call.host, &self.call.path)?;
+        let head = self.head()?;
+        let body = self.call.body.clone();
+        Forwarded::new(self.edge, route, head, body, self.deadline)
+    }
+
+    fn head(&self) -> Option<Parts> {
+        let names = self.edge.outside.dialect.names();
+        let request = Request::builder()
+            .method(Method::POST)
+            .uri(&self.call.path)
+            .header(hyper::header::HOST, &self.call.host)
+            .header(&names.request_id, &self.call.id)
+            .body(());
+        Some(request.ok()?.into_parts().0)
+    }
+
+    /// Waits a little while no replica of the service has room to spare.
+    async fn let_callers_pass(&self, request: &Forwarded) {
+        let until = Instant::now() + YIELD_TIME;
+        while !request.has_room() && Instant::now() < until {
+            tokio::time::sleep(YIELD_PAUSE).await;
+        }
+    }
+
+    fn log(&self, replica: &str, outcome: &str) {
+        log::info!(
+            "event=attempt_failed request={} attempt={} replica={replica} outcome={outcome} left_ms={}",
+            self.call.id,
+            self.tried.len() + 1,
+            self.deadline
+                .saturating_duration_since(Instant::now())
+                .as_millis()
+        );
+    }
+}
--- a/crates/cluster/src/storage/applying.rs
+++ b/crates/cluster/src/storage/applying.rs
@@ -89,10 +89,14 @@
                 let items = listings.iter().map(|one| (one.job.clone(), one.item));
                 Self::Listed(items.collect())
             }
+            Command::Score(scores) => {
+                let items = scores.iter().map(|one| (one.job.clone(), one.item));
+                Self::Listed(items.collect())
+            }
             Command::End { job } => Self::Ended(job.clone()),
             Command::Forget { jobs } => Self::Forgotten(jobs.clone()),
             Command::Remember { .. } => Self::Remembered,
-            Command::Intend { .. } => Self::Nothing,
+            Command::Draft(_) | Command::Intend { .. } => Self::Nothing,
         }
     }
 }
--- a/crates/cluster/src/storage/leading.rs
+++ b/crates/cluster/src/storage/leading.rs
@@ -7,7 +7,7 @@
 use brasspond_cluster_protocol::{Message, Peer};
 use brasspond_dispatch::{Action, Dispatcher, Event, Settings};
 use brasspond_fleet::FleetView;
-use brasspond_jobs::{Command, Listing};
+use brasspond_jobs::{Command, Draft, Listing, Outcome, Score};
 use std::collections::HashMap;
 
 /// Pause between two looks at runs, in ms.
@@ -46,13 +46,27 @@
     edges: HashMap<String, LinkId>,
     /// Edges whose link broke, and when.
     lost: HashMap<String, u64>,
-    listings: Vec<Listing>,
+    results: Results,
     job_ages: HashMap<String, u64>,
     /// Orders announced in the log, by the index of their entry, with the time
     /// of the announcement.
     pub(super) announced: HashMap<u64, (VersionOrder, u64)>,
 }
 
+/// What the dispatcher wants kept, collected between two syncs.
+#[derive(Default)]
+struct Results {
+    drafts: Vec<Draft>,
+    scores: Vec<Score>,
+    listings: Vec<Listing>,
+}
+
+impl Results {
+    fn is_empty(&self) -> bool {
+        self.drafts.is_empty() && self.scores.is_empty() && self.listings.is_empty()
+    }
+}
+
 impl Storage {
     /// Begins or ends to lead, and does what a leader does.
     pub(super) fn lead(&mut self, now: u64) {
@@ -91,11 +105,12 @@
         }
         leading.logged_at = now;
         log::info!(
-            "event=dispatch_state term={} edges={} running={} waiting={} orders={} replicas={} configuration={} replicas_revision={} versions_revision={}",
+            "event=dispatch_state term={} edges={} running={} waiting={} scoring={} orders={} replicas={} configuration={} replicas_revision={} versions_revision={}",
             leading.term,
             leading.edges.len(),
             load.running,
             load.waiting,
+            load.scoring,
             load.orders,
             load.replicas,
             self.view.configuration_revision,
@@ -137,7 +152,7 @@
             logged_at: 0,
             edges: HashMap::new(),
             lost: HashMap::new(),
-            listings: Vec::new(),
+            results: Results::default(),
             job_ages: HashMap::new(),
             announced: HashMap::new(),
         });
@@ -166,9 +181,22 @@
             Action::Recorded { machine, attempt } => {
                 self.send_to_edge(&machine, &Message::Recorded { attempt });
             }
+            Action::Score { machine, spec } => {
+                self.send_to_edge(&machine, &Message::Score(spec));
+            }
             Action::List(listing) => {
                 if let Some(leading) = &mut self.leading {
-                    leading.listings.push(listing);
+                    leading.results.listings.push(listing);
+                }
+            }
+            Action::Keep(draft) => {
+                if let Some(leading) = &mut self.leading {
+                    leading.results.drafts.push(draft);
+                }
+            }
+            Action::ListScored(score) => {
+                if let Some(leading) = &mut self.leading {
+                    leading.results.scores.push(score);
                 }
             }
             Action::AskReport { replica, address } => self.ask_report(replica, address),
@@ -255,6 +283,14 @@
                     end,
                 });
             }
+            Message::Scored { attempt, end } => {
+                self.metrics.scoring_ended(end.name());
+                self.dispatch(Event::Scored {
+                    machine,
+                    attempt,
+                    end,
+                });
+            }
             Message::Draining => {
                 log::info!("event=edge_draining machine={machine}");
                 self.dispatch(Event::EdgeDraining(machine));
@@ -327,7 +363,7 @@
     pub(super) fn has_proposals(&self) -> bool {
         self.leading
             .as_ref()
-            .is_some_and(|one| !one.listings.is_empty())
+            .is_some_and(|one| !one.results.is_empty())
     }
 
     /// Puts the results collected since the last sync into the log.
@@ -335,18 +371,15 @@
         let Some(leading) = &mut self.leading else {
             return;
         };
-        let listings = std::mem::take(&mut leading.listings);
-        let mut batch = Vec::new();
-        let mut bytes = 0;
-        for listing in listings {
-            bytes += text_bytes(&listing);
-            batch.push(listing);
-            if bytes >= LISTING_BYTES {
-                self.propose(&Command::List(std::mem::take(&mut batch)));
-                bytes = 0;
-            }
+        let results = std::mem::take(&mut leading.results);
+        // A score follows its draft.
+        for batch in batches(results.drafts, |draft| draft.text.len()) {
+            self.propose(&Command::Draft(batch));
         }
-        if !batch.is_empty() {
+        if !results.scores.is_empty() {
+            self.propose(&Command::Score(results.scores));
+        }
+        for batch in batches(results.listings, text_bytes) {
             self.propose(&Command::List(batch));
         }
     }
@@ -407,7 +440,26 @@
 
 fn text_bytes(listing: &Listing) -> usize {
     match &listing.outcome {
-        brasspond_jobs::Outcome::Completed { text, .. } => text.len(),
-        brasspond_jobs::Outcome::Terminated => 0,
+        Outcome::Completed { text, .. } => text.len(),
+        Outcome::Terminated => 0,
+    }
+}
+
+/// Divides results into entries of the log.
+fn batches<T>(results: Vec<T>, bytes_of: impl Fn(&T) -> usize) -> Vec<Vec<T>> {
+    let mut batches = Vec::new();
+    let mut batch = Vec::new();
+    let mut bytes = 0;
+    for result in results {
+        bytes += bytes_of(&result);
+        batch.push(result);
+        if bytes >= LISTING_BYTES {
+            batches.push(std::mem::take(&mut batch));
+            bytes = 0;
+        }
+    }
+    if !batch.is_empty() {
+        batches.push(batch);
     }
+    batches
 }
--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -5,9 +5,12 @@
 use crate::orders::{OrderAnswer, Orders, ReplicaReport};
 use crate::replicas::Replicas;
 use crate::runs::Runs;
-use brasspond_cluster_protocol::{AttemptId, Pace, RunEnd, RunReport, RunSpec, StreamEvent};
+use crate::scoring::Scorings;
+use brasspond_cluster_protocol::{
+    AttemptId, Pace, RunEnd, RunReport, RunSpec, ScoringEnd, ScoringSpec, StreamEvent,
+};
 use brasspond_fleet::FleetView;
-use brasspond_jobs::{Job, JobTable, Listing};
+use brasspond_jobs::{Draft, Job, JobTable, Listing, Score};
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
 
@@ -113,6 +116,15 @@
         /// How.
         end: RunEnd,
     },
+    /// The scoring of a text ended.
+    Scored {
+        /// Machine of the edge that tells it.
+        machine: String,
+        /// The run that made the text, or the order to score it.
+        attempt: AttemptId,
+        /// How.
+        end: ScoringEnd,
+    },
     /// Answer to [`Action::AskReport`]; none: no answer.
     Report {
         /// Identity of the replica.
@@ -155,8 +167,19 @@
         /// The run.
         attempt: AttemptId,
     },
+    /// Have an edge score a text that is kept.
+    Score {
+        /// Machine of the edge.
+        machine: String,
+        /// What to score.
+        spec: Box<ScoringSpec>,
+    },
     /// Put an item at the next position of its job.
     List(Listing),
+    /// Keep a whole text that waits for its score.
+    Keep(Draft),
+    /// Put a kept text with its score at the next position of its job.
+    ListScored(Score),
     /// Ask a replica for its state.
     AskReport {
         /// Identity of the replica.
@@ -206,6 +229,8 @@
     pub running: usize,
     /// Items that wait.
     pub waiting: usize,
+    /// Whole texts that wait for their scores.
+    pub scoring: usize,
     /// Orders under way.
     pub orders: usize,
     /// Engines with their newest version, a star while they load, and runs.
@@ -215,7 +240,7 @@
 impl Load {
     /// Whether there is nothing to do.
     pub fn is_idle(&self) -> bool {
-        self.running + self.waiting + self.orders == 0
+        self.running + self.waiting + self.scoring + self.orders == 0
     }
 }
 
@@ -230,6 +255,7 @@
     pub(crate) edges: BTreeMap<String, Edge>,
     pub(crate) jobs: JobRuns,
     pub(crate) runs: Runs,
+    pub(crate) scorings: Scorings,
     pub(crate) replicas: Replicas,
     pub(crate) orders: Orders,
     demand: Demand,
@@ -258,6 +284,7 @@
             edges: BTreeMap::new(),
             jobs: JobRuns::default(),
             runs: Runs::default(),
+            scorings: Scorings::default(),
             replicas: Replicas::default(),
             orders: Orders::new(leases),
             demand: Demand::default(),
@@ -270,9 +297,8 @@
         dispatcher.take_view(view, now);
         for (id, job) in table.jobs() {
             let view = &dispatcher.view;
-            let listings = dispatcher.jobs.open(id, job, table, view, now);
-            let listings = listings.into_iter().map(Action::List);
-            dispatcher.actions.extend(listings);
+            let kept = dispatcher.jobs.open(id, job, table, view, now);
+            dispatcher.actions.extend(kept);
         }
         dispatcher
     }
@@ -280,7 +306,10 @@
     /// Takes an event; returns what is to be done.
     pub fn handle(&mut self, event: Event, table: &JobTable, now: Millis) -> Vec<Action> {
         // Orders are planned when something they depend on may have changed.
-        let plans_orders = !matches!(event, Event::Progress { .. } | Event::Ended { .. });
+        let plans_orders = !matches!(
+            event,
+            Event::Progress { .. } | Event::Ended { .. } | Event::Scored { .. }
+        );
         match event {
             Event::View(view) => self.take_view(view, now),
             Event::JobAccepted(id) => self.open_job(&id, table, now),
@@ -309,6 +338,11 @@
                 events,
                 end,
             } => self.on_ended(&machine, attempt, events, end, now),
+            Event::Scored {
+                machine,
+                attempt,
+                end,
+            } => self.on_scored(&machine, attempt, end, now),
             Event::Report { replica, report } => self.on_report(&replica, report, now),
             Event::Ordered { replica, answer } => self.on_ordered(&replica, answer, now),
             Event::Tick => self.tick(now),
@@ -317,6 +351,7 @@
             self.plan_orders(now);
         }
         self.start_runs(table, now);
+        self.start_scorings(table, now);
         std::mem::take(&mut self.actions)
     }
 
@@ -339,6 +374,7 @@
         Load {
             running: self.runs.len(),
             waiting: self.jobs.waiting(),
+            scoring: self.scorings.len(),
             orders: self.orders.under_way(),
             replicas,
         }
@@ -356,8 +392,8 @@
 
     fn open_job(&mut self, id: &str, table: &JobTable, now: Millis) {
         if let Some(job) = table.job(id) {
-            let listings = self.jobs.open(id, job, table, &self.view, now);
-            self.actions.extend(listings.into_iter().map(Action::List));
+            let kept = self.jobs.open(id, job, table, &self.view, now);
+            self.actions.extend(kept);
             self.note_demand(job, now);
             self.demand_changed = true;
         }
@@ -377,6 +413,7 @@
             resting: HashMap::new(),
         };
         self.abandon_untold(&machine, &runs, now);
+        self.forget_untold_scorings(&machine, &runs, now);
         self.edges.insert(machine.clone(), edge);
         for report in runs {
             self.adopt(&machine, report, now);
@@ -420,6 +457,7 @@
         self.move_from_slow_replicas(now);
         self.move_to_faster_replicas(now);
         self.move_stalled(now);
+        self.forget_late_scorings(now);
         self.give_up_overdue(now);
     }
 }
--- a/crates/dispatch/src/jobs.rs
+++ b/crates/dispatch/src/jobs.rs
@@ -1,9 +1,9 @@
 //! Items that wait, run and are done, by job.
 
-use crate::dispatcher::Millis;
+use crate::dispatcher::{Action, Millis};
 use brasspond_cluster_protocol::{AttemptId, StreamEvent};
 use brasspond_fleet::{FleetView, Route};
-use brasspond_jobs::{Job, JobTable, Listing, Outcome};
+use brasspond_jobs::{Draft, Item, Job, JobTable, Listing, Outcome};
 use bytes::{Bytes, BytesMut};
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 
@@ -17,6 +17,8 @@
 pub(crate) enum State {
     Waiting,
     Running(AttemptId),
+    /// Its text is kept; this run or order scores it, if one does.
+    Scoring(Option<AttemptId>),
     /// Its end is proposed to the log by this run, if by one.
     Ending(Option<AttemptId>),
     Listed,
@@ -32,6 +34,8 @@
     pub events: Vec<StreamEvent>,
     /// Runs that the replica failed.
     pub failures: u32,
+    /// Its text is listed only with a score.
+    pub is_scored: bool,
 }
 
 /// Where a job's items may go.
@@ -64,6 +68,19 @@
     events: Vec<StreamEvent>,
 }
 
+impl ItemRun {
+    fn new(item: &Item) -> Self {
+        Self {
+            id: item.id.clone(),
+            state: State::Waiting,
+            expected_tokens: item.expected_tokens.max(UNKNOWN_LENGTH),
+            events: Vec::new(),
+            failures: 0,
+            is_scored: item.scoring.is_some(),
+        }
+    }
+}
+
 impl JobRun {
     /// Whether one version must make the whole text of an item.
     pub fn is_single_version(&self) -> bool {
@@ -80,12 +97,16 @@
     /// Jobs by age, so that the oldest is served first.
     pub order: Vec<String>,
     kept: HashMap<String, Kept>,
-    /// Where an item's whole text stands: job and position.
-    completed: HashMap<String, (String, usize)>,
+    /// Where an item's whole text stands: job and index.
+    completed: HashMap<String, (String, u32)>,
+    /// Items whose texts wait for an order to score them, and from when it may be
+    /// given.
+    unscored: BTreeMap<(String, u32), Millis>,
 }
 
 impl JobRuns {
-    /// Opens a job; returns items that are done already, by an earlier job.
+    /// Opens a job; returns what is to be kept of items whose text an earlier job
+    /// brought.
     pub fn open(
         &mut self,
         id: &str,
@@ -93,7 +114,7 @@
         table: &JobTable,
         view: &FleetView,
         now: Millis,
-    ) -> Vec<Listing> {
+    ) -> Vec<Action> {
         self.index_completed(id, job);
         if job.is_finished() || self.jobs.contains_key(id) {
             return Vec::new();
@@ -108,26 +129,24 @@
             items: Vec::with_capacity(job.items.len()),
             waiting: BTreeSet::new(),
         };
-        let mut listings = Vec::new();
+        let mut kept = Vec::new();
         for (index, item) in job.items.iter().enumerate() {
             let number = index as u32;
-            let mut item_run = ItemRun {
-                id: item.id.clone(),
-                state: State::Waiting,
-                expected_tokens: item.expected_tokens.max(UNKNOWN_LENGTH),
-                events: Vec::new(),
-                failures: 0,
-            };
+            let mut item_run = ItemRun::new(item);
             if job.listed[index] {
                 item_run.state = State::Listed;
-            } else if let Some(outcome) = self.reuse(&item.id, job, run.is_single_version(), table)
-            {
-                item_run.state = State::Ending(None);
-                listings.push(Listing {
-                    job: id.to_string(),
-                    item: number,
-                    outcome,
-                });
+            } else if job.drafts.contains_key(&number) {
+                item_run.state = State::Scoring(None);
+                self.unscored.insert((id.to_string(), number), now);
+            } else if let Some(draft) = self.reuse(id, number, job, &run, table) {
+                if item_run.is_scored {
+                    item_run.state = State::Scoring(None);
+                    self.unscored.insert((id.to_string(), number), now);
+                    kept.push(Action::Keep(draft));
+                } else {
+                    item_run.state = State::Ending(None);
+                    kept.push(Action::List(without_score(draft)));
+                }
             } else {
                 item_run.events = self.partial(&item.id, job.min_version);
                 run.waiting
@@ -137,7 +156,35 @@
         }
         self.jobs.insert(id.to_string(), run);
         self.order.push(id.to_string());
-        listings
+        kept
+    }
+
+    /// A whole text of an item is kept, or about to be.
+    pub fn note_text(&mut self, job: &str, item: u32, item_id: &str) {
+        let place = (job.to_string(), item);
+        self.completed.insert(item_id.to_string(), place);
+    }
+
+    /// A text waits for an order to score it, given at `from` or later.
+    pub fn wait_for_score(&mut self, job: &str, item: u32, from: Millis) {
+        let run = self.jobs.get_mut(job);
+        if let Some(item_run) = run.and_then(|run| run.items.get_mut(item as usize)) {
+            item_run.state = State::Scoring(None);
+            self.unscored.insert((job.to_string(), item), from);
+        }
+    }
+
+    /// Takes the texts that may be ordered to be scored by now.
+    pub fn take_unscored(&mut self, now: Millis) -> Vec<(String, u32)> {
+        if self.unscored.is_empty() {
+            return Vec::new();
+        }
+        let due = self.unscored.iter().filter(|(_, from)| **from <= now);
+        let due: Vec<_> = due.map(|(place, _)| place.clone()).collect();
+        for place in &due {
+            self.unscored.remove(place);
+        }
+        due
     }
 
     /// Looks up every job's route in the newest configuration.
@@ -202,11 +249,11 @@
     /// Notes that an item is listed.
     pub fn listed(&mut self, id: &str, item: u32, table: &JobTable) -> Option<State> {
         if let Some(job) = table.job(id)
-            && let Some(position) = job.results.iter().rposition(|(listed, _)| *listed == item)
+            && job.text(item).is_some()
         {
-            let item_id = job.items[item as usize].id.clone();
-            self.completed.insert(item_id, (id.to_string(), position));
+            self.note_text(id, item, &job.items[item as usize].id);
         }
+        self.unscored.remove(&(id.to_string(), item));
         let run = self.jobs.get_mut(id)?;
         let item_run = run.items.get_mut(item as usize)?;
         let before = std::mem::replace(&mut item_run.state, State::Listed);
@@ -223,6 +270,7 @@
     /// Drops a finished job from those under way.
     pub fn close(&mut self, id: &str) -> Option<JobRun> {
         self.order.retain(|other| other != id);
+        self.unscored.retain(|(job, _), _| job != id);
         self.jobs.remove(id)
     }
 
@@ -233,31 +281,35 @@
     }
 
     fn index_completed(&mut self, id: &str, job: &Job) {
-        for (position, (item, outcome)) in job.results.iter().enumerate() {
-            if matches!(outcome, Outcome::Completed { .. }) {
-                let item_id = job.items[*item as usize].id.clone();
-                self.completed.insert(item_id, (id.to_string(), position));
+        let listed = job.results.iter().map(|(item, _)| *item);
+        for item in listed.chain(job.drafts.keys().copied()) {
+            if job.text(item).is_some() {
+                self.note_text(id, item, &job.items[item as usize].id);
             }
         }
     }
 
-    /// The whole text of an item out of an earlier job, if its versions fit.
+    /// The whole text of an item out of an earlier job, if its versions fit. Its
+    /// score stays behind: the call that scores it is made anew.
     fn reuse(
         &self,
-        item_id: &str,
+        id: &str,
+        item: u32,
         job: &Job,
-        single_version: bool,
+        run: &JobRun,
         table: &JobTable,
-    ) -> Option<Outcome> {
-        let (earlier, position) = self.completed.get(item_id)?;
+    ) -> Option<Draft> {
+        let (earlier, index) = self.completed.get(&job.items[item as usize].id)?;
         let earlier = table.job(earlier)?;
-        let (_, outcome) = earlier.results.get(*position)?;
-        let Outcome::Completed { versions, .. } = outcome else {
-            return None;
-        };
+        let (text, versions) = earlier.text(*index)?;
         let fits = versions.iter().all(|version| *version >= job.min_version);
-        let fits = fits && !(single_version && versions.len() > 1);
-        (fits && earlier.model == job.model).then(|| outcome.clone())
+        let fits = fits && !(run.is_single_version() && versions.len() > 1);
+        (fits && earlier.model == job.model).then(|| Draft {
+            job: id.to_string(),
+            item,
+            text: text.clone(),
+            versions: versions.to_vec(),
+        })
     }
 
     fn partial(&mut self, item_id: &str, min_version: u64) -> Vec<StreamEvent> {
@@ -287,8 +339,21 @@
     })
 }
 
-/// The outcome of a whole stream: its text and the versions that made it.
-pub(crate) fn outcome_of(events: &[StreamEvent]) -> Outcome {
+/// The listing of a text that has no scoring call.
+pub(crate) fn without_score(draft: Draft) -> Listing {
+    Listing {
+        job: draft.job,
+        item: draft.item,
+        outcome: Outcome::Completed {
+            text: draft.text,
+            versions: draft.versions,
+            score: None,
+        },
+    }
+}
+
+/// The whole text of a stream and the versions that made it.
+pub(crate) fn draft_of(job: &str, item: u32, events: &[StreamEvent]) -> Draft {
     let mut text = BytesMut::new();
     let mut versions = BTreeSet::new();
     for (number, event) in events.iter().enumerate() {
@@ -298,7 +363,9 @@
         text.extend_from_slice(&event.data);
         versions.insert(event.version);
     }
-    Outcome::Completed {
+    Draft {
+        job: job.to_string(),
+        item,
         text: Bytes::from(text),
         versions: versions.into_iter().collect(),
     }
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -13,6 +13,7 @@
 mod orders;
 mod replicas;
 mod runs;
+mod scoring;
 mod takeover;
 
 pub use dispatcher::{Action, Dispatcher, Event, Load, Millis, OrderLeases, Settings};
--- a/crates/dispatch/src/runs.rs
+++ b/crates/dispatch/src/runs.rs
@@ -1,7 +1,7 @@
 //! Runs: begun, told of, ended, moved.
 
 use crate::dispatcher::{Action, Dispatcher, Edge, Millis};
-use crate::jobs::{JobRun, State, outcome_of};
+use crate::jobs::{JobRun, State, draft_of, without_score};
 use crate::replicas::Need;
 use brasspond_cluster_protocol::{AttemptId, Pace, RunEnd, RunSpec, StreamEvent};
 use brasspond_jobs::{JobTable, Listing, Outcome};
@@ -81,6 +81,15 @@
     pub fn len(&self) -> usize {
         self.by_id.len()
     }
+
+    /// The identity of the next run or scoring of a leader.
+    pub fn next_id(&mut self, term: u64) -> AttemptId {
+        self.number += 1;
+        AttemptId {
+            term,
+            number: self.number,
+        }
+    }
 }
 
 impl Dispatcher {
@@ -134,11 +143,7 @@
         let Some(stored) = table.job(id).and_then(|job| job.items.get(item as usize)) else {
             return false;
         };
-        self.runs.number += 1;
-        let attempt = AttemptId {
-            term: self.term,
-            number: self.runs.number,
-        };
+        let attempt = self.runs.next_id(self.term);
         let Some(job) = self.jobs.jobs.get_mut(id) else {
             return false;
         };
@@ -170,6 +175,7 @@
             min_version: job.min_version,
             single_version,
             events: events.clone(),
+            scoring: stored.scoring.clone(),
         };
         log::info!(
             "event=run_started job={id} item={} attempt={} replica={replica} edge={machine} events={} waited_ms={} expected_tokens={} version={} min_version={} runs_there={} event_ms={:.1} replicas_revision={}",
@@ -305,14 +311,19 @@
         let is_failed = matches!(end, RunEnd::Failed);
         item.failures += u32::from(is_failed);
         let gives_up = end == RunEnd::Impossible || item.failures >= max_attempts;
+        if end == RunEnd::Whole && item.is_scored {
+            self.begin_scoring(attempt, machine, run, now);
+            return;
+        }
         if end == RunEnd::Whole {
             item.state = State::Ending(Some(attempt));
-            self.list(&run.job, run.item, outcome_of(&run.events));
+            let draft = draft_of(&run.job, run.item, &run.events);
+            self.actions.push(Action::List(without_score(draft)));
             return;
         }
         if gives_up {
             item.state = State::Ending(Some(attempt));
-            self.list(&run.job, run.item, Outcome::Terminated);
+            self.terminate(&run.job, run.item);
             return;
         }
         if end != RunEnd::Mixed {
@@ -322,11 +333,12 @@
         self.recorded(machine, attempt);
     }
 
-    fn list(&mut self, job: &str, item: u32, outcome: Outcome) {
+    /// Gives an item up for good.
+    pub(crate) fn terminate(&mut self, job: &str, item: u32) {
         self.actions.push(Action::List(Listing {
             job: job.to_string(),
             item,
-            outcome,
+            outcome: Outcome::Terminated,
         }));
     }
 
@@ -371,6 +383,7 @@
         match before {
             Some(State::Ending(Some(attempt))) => self.tell_recorded(attempt),
             Some(State::Running(attempt)) => self.cancel(attempt),
+            Some(State::Scoring(Some(attempt))) => self.forget_scoring(attempt),
             _ => {}
         }
     }
@@ -406,10 +419,11 @@
             return;
         };
         for item in job.items {
-            if let State::Running(attempt) = item.state {
-                self.cancel(attempt);
-            } else if item.state == State::Waiting {
-                self.jobs.keep(item.id, item.events);
+            match item.state {
+                State::Running(attempt) => self.cancel(attempt),
+                State::Waiting => self.jobs.keep(item.id, item.events),
+                State::Scoring(Some(attempt)) => self.forget_scoring(attempt),
+                State::Scoring(None) | State::Ending(_) | State::Listed => {}
             }
         }
     }
@@ -442,9 +456,15 @@
             for (_, item) in &job.waiting {
                 overdue.push((id.clone(), *item));
             }
+            for (index, item) in job.items.iter().enumerate() {
+                if matches!(item.state, State::Scoring(_)) {
+                    overdue.push((id.clone(), index as u32));
+                }
+            }
         }
         for (id, item) in overdue {
             self.jobs.take_waiting(&id, item);
+            self.stop_scoring(&id, item);
             if let Some(job) = self.jobs.jobs.get_mut(&id) {
                 log::info!(
                     "event=item_given_up job={id} item={} waited_ms={}",
@@ -453,7 +473,7 @@
                 );
                 job.items[item as usize].state = State::Ending(None);
             }
-            self.list(&id, item, Outcome::Terminated);
+            self.terminate(&id, item);
         }
     }
 }
--- /dev/null
+++ b/crates/dispatch/src/scoring.rs
@@ -0,0 +1,227 @@
+//! Whole texts that wait for their scores.
+//!
+//! The edge that ran an item makes its scoring call as soon as the text is whole;
+//! meanwhile the text goes into the log. Where that edge is lost, or its call
+//! finds no answer, another edge is ordered to score the text that the log holds.
+//! A score counts only from the edge that is expected to tell it, so a text has
+//! one; and every call to be counted was made after the text was whole.
+
+use crate::dispatcher::{Action, Dispatcher, Millis};
+use crate::jobs::{State, draft_of};
+use crate::runs::Run;
+use brasspond_cluster_protocol::{AttemptId, RunReport, ScoringEnd, ScoringSpec};
+use brasspond_jobs::{JobTable, Score};
+use std::collections::BTreeMap;
+
+/// Time for an edge to tell a score before another edge is ordered, in ms. Longer
+/// than an edge tries.
+const PATIENCE: Millis = 1_200;
+/// Pause before a text that found no answer is scored again, in ms.
+const PAUSE: Millis = 150;
+
+/// A scoring under way.
+#[derive(Clone, Debug)]
+struct Scoring {
+    machine: String,
+    job: String,
+    item: u32,
+    since: Millis,
+}
+
+/// All scorings under way, by the run that made the text or the order to score it.
+#[derive(Debug, Default)]
+pub(crate) struct Scorings {
+    by_id: BTreeMap<AttemptId, Scoring>,
+}
+
+impl Scorings {
+    pub fn len(&self) -> usize {
+        self.by_id.len()
+    }
+}
+
+impl Dispatcher {
+    /// A text is whole: it is kept, and its edge scores it.
+    pub(crate) fn begin_scoring(
+        &mut self,
+        attempt: AttemptId,
+        machine: &str,
+        run: Run,
+        now: Millis,
+    ) {
+        let draft = draft_of(&run.job, run.item, &run.events);
+        self.actions.push(Action::Keep(draft));
+        self.jobs.note_text(&run.job, run.item, &run.item_id);
+        self.set_state(&run.job, run.item, State::Scoring(Some(attempt)));
+        let scoring = Scoring {
+            machine: machine.to_string(),
+            job: run.job,
+            item: run.item,
+            since: now,
+        };
+        self.scorings.by_id.insert(attempt, scoring);
+    }
+
+    pub(crate) fn on_scored(
+        &mut self,
+        machine: &str,
+        attempt: AttemptId,
+        end: ScoringEnd,
+        now: Millis,
+    ) {
+        let Some(scoring) = self.scorings.by_id.remove(&attempt) else {
+            self.recorded(machine, attempt);
+            return;
+        };
+        log::info!(
+            "event=scoring_ended job={} item={} attempt={attempt} edge={machine} end={} elapsed_ms={}",
+            scoring.job,
+            self.item_id(&scoring),
+            end.name(),
+            now - scoring.since
+        );
+        match end {
+            ScoringEnd::Scored(score) => {
+                self.set_state(&scoring.job, scoring.item, State::Ending(Some(attempt)));
+                self.actions.push(Action::ListScored(Score {
+                    job: scoring.job,
+                    item: scoring.item,
+                    score,
+                }));
+            }
+            ScoringEnd::Failed => {
+                self.set_state(&scoring.job, scoring.item, State::Ending(Some(attempt)));
+                self.terminate(&scoring.job, scoring.item);
+            }
+            ScoringEnd::Unanswered => {
+                self.recorded(machine, attempt);
+                let from = now + PAUSE;
+                self.jobs.wait_for_score(&scoring.job, scoring.item, from);
+            }
+        }
+    }
+
+    /// Orders edges to score the texts that no edge scores.
+    pub(crate) fn start_scorings(&mut self, table: &JobTable, now: Millis) {
+        if now < self.began + self.settings.adopt_ms {
+            return;
+        }
+        for (job, item) in self.jobs.take_unscored(now) {
+            if !self.start_scoring(&job, item, table, now) {
+                self.jobs.wait_for_score(&job, item, now + PAUSE);
+            }
+        }
+    }
+
+    /// Whether an edge was ordered.
+    fn start_scoring(&mut self, id: &str, item: u32, table: &JobTable, now: Millis) -> bool {
+        let stored = table.job(id).and_then(|job| job.items.get(item as usize));
+        let Some((stored, call)) = stored.and_then(|one| Some((one, one.scoring.as_ref()?))) else {
+            return false;
+        };
+        let taking = self.edges.iter().filter(|(_, edge)| !edge.draining);
+        let Some((machine, _)) = taking.min_by_key(|(_, edge)| edge.running) else {
+            return false;
+        };
+        let machine = machine.clone();
+        let attempt = self.runs.next_id(self.term);
+        log::info!(
+            "event=scoring_ordered job={id} item={} attempt={attempt} edge={machine} request={}",
+            stored.id,
+            call.id
+        );
+        let spec = ScoringSpec {
+            attempt,
+            job: id.to_string(),
+            item_id: stored.id.clone(),
+            call: call.clone(),
+        };
+        self.set_state(id, item, State::Scoring(Some(attempt)));
+        let scoring = Scoring {
+            machine: machine.clone(),
+            job: id.to_string(),
+            item,
+            since: now,
+        };
+        self.scorings.by_id.insert(attempt, scoring);
+        self.actions.push(Action::Score {
+            machine,
+            spec: Box::new(spec),
+        });
+        true
+    }
+
+    /// An edge that came back tells of a scoring that was never given up.
+    pub(crate) fn refresh_scoring(
+        &mut self,
+        machine: &str,
+        attempt: AttemptId,
+        end: Option<ScoringEnd>,
+        now: Millis,
+    ) {
+        if let Some(end) = end {
+            self.on_scored(machine, attempt, end, now);
+        }
+    }
+
+    /// Scorings that an edge which came back, or is out of reach, does not tell
+    /// of: other edges are ordered.
+    pub(crate) fn forget_untold_scorings(
+        &mut self,
+        machine: &str,
+        told: &[RunReport],
+        now: Millis,
+    ) {
+        let is_told = |attempt: &AttemptId| told.iter().any(|one| one.attempt == *attempt);
+        let held = self.scorings.by_id.iter();
+        let untold = held.filter(|(id, one)| one.machine == machine && !is_told(id));
+        let untold: Vec<AttemptId> = untold.map(|(attempt, _)| *attempt).collect();
+        for attempt in untold {
+            self.repeat_scoring(attempt, now);
+        }
+    }
+
+    /// Scorings that take too long are ordered from another edge.
+    pub(crate) fn forget_late_scorings(&mut self, now: Millis) {
+        let held = self.scorings.by_id.iter();
+        let late = held.filter(|(_, one)| now >= one.since + PATIENCE);
+        let late: Vec<AttemptId> = late.map(|(attempt, _)| *attempt).collect();
+        for attempt in late {
+            self.repeat_scoring(attempt, now);
+        }
+    }
+
+    fn repeat_scoring(&mut self, attempt: AttemptId, now: Millis) {
+        let Some(scoring) = self.scorings.by_id.get(&attempt).cloned() else {
+            return;
+        };
+        self.forget_scoring(attempt);
+        self.jobs.wait_for_score(&scoring.job, scoring.item, now);
+    }
+
+    /// Has an edge stop to score a text.
+    pub(crate) fn forget_scoring(&mut self, attempt: AttemptId) {
+        if let Some(scoring) = self.scorings.by_id.remove(&attempt) {
+            self.recorded(&scoring.machine, attempt);
+        }
+    }
+
+    /// Has nobody score an item's text any more.
+    pub(crate) fn stop_scoring(&mut self, job: &str, item: u32) {
+        let state = self.jobs.jobs.get(job).map(|job| &job.items[item as usize]);
+        if let Some(State::Scoring(Some(attempt))) = state.map(|item| &item.state) {
+            self.forget_scoring(*attempt);
+        }
+    }
+
+    fn set_state(&mut self, job: &str, item: u32, state: State) {
+        if let Some(job) = self.jobs.jobs.get_mut(job) {
+            job.items[item as usize].state = state;
+        }
+    }
+
+    fn item_id(&self, scoring: &Scoring) -> &str {
+        let job = self.jobs.jobs.get(&scoring.job);
+        job.map_or("", |job| job.items[scoring.item as usize].id.as_str())
+    }
+}
--- a/crates/dispatch/src/takeover.rs
+++ b/crates/dispatch/src/takeover.rs
@@ -3,7 +3,7 @@
 use crate::dispatcher::{Action, Dispatcher, Millis};
 use crate::jobs::State;
 use crate::runs::Run;
-use brasspond_cluster_protocol::{AttemptId, RunEnd, RunReport};
+use brasspond_cluster_protocol::{AttemptId, RunEnd, RunReport, ScoringEnd};
 
 impl Dispatcher {
     /// A new leader takes over a run that an edge holds.
@@ -21,6 +21,10 @@
                 self.refresh(machine, report, now);
                 return;
             }
+            Some(State::Scoring(Some(other))) if other == attempt => {
+                self.refresh_scoring(machine, attempt, report.scoring, now);
+                return;
+            }
             _ => {
                 // Its cancellation may have been lost with the old link.
                 self.remove_run(attempt);
@@ -57,9 +61,24 @@
             handed_over_at: None,
         };
         self.runs.by_id.insert(attempt, run);
-        if let Some(end) = report.end {
+        self.take_end(machine, attempt, report.end, report.scoring, now);
+    }
+
+    /// What an edge tells of a run that has ended, and of its scoring.
+    fn take_end(
+        &mut self,
+        machine: &str,
+        attempt: AttemptId,
+        end: Option<RunEnd>,
+        scoring: Option<ScoringEnd>,
+        now: Millis,
+    ) {
+        if let Some(end) = end {
             self.on_ended(machine, attempt, Vec::new(), end, now);
         }
+        if let Some(scoring) = scoring {
+            self.on_scored(machine, attempt, scoring, now);
+        }
     }
 
     /// An edge that came back tells of a run that was never given up.
@@ -80,9 +99,7 @@
         if let Some(edge) = self.edges.get_mut(machine) {
             edge.running += 1;
         }
-        if let Some(end) = report.end {
-            self.on_ended(machine, attempt, Vec::new(), end, now);
-        }
+        self.take_end(machine, attempt, report.end, report.scoring, now);
     }
 
     /// Runs that an edge which came back does not hold: it never got them, or
@@ -110,5 +127,6 @@
         for attempt in lost {
             self.abandon_run(attempt, now);
         }
+        self.forget_untold_scorings(machine, &[], now);
     }
 }
--- a/crates/dispatch/tests/dispatcher.rs
+++ b/crates/dispatch/tests/dispatcher.rs
@@ -45,6 +45,7 @@
     let expected = Outcome::Completed {
         text: "a\nb".into(),
         versions: vec![3, 4],
+        score: None,
     };
     assert_eq!(listed, Some(expected));
 }
@@ -115,6 +116,7 @@
         replica: held.replica.clone(),
         events: vec![event(1, "a", 1)],
         end: None,
+        scoring: None,
     };
     after.edge_with("edge-1", vec![report]);
     after.advance(400);
@@ -466,6 +468,7 @@
     let expected = Outcome::Completed {
         text: "a\nb\nc".into(),
         versions: vec![1],
+        score: None,
     };
     let is_listed =
         |action: &Action| matches!(action, Action::List(one) if one.outcome == expected);
@@ -510,6 +513,7 @@
         replica: run.replica,
         events: Vec::new(),
         end: None,
+        scoring: None,
     };
     fixture.edge_with("edge-1", vec![report]);
     let actions = fixture.accept(submission("second", &[1], 0));
--- a/crates/dispatch/tests/fuzzing.rs
+++ b/crates/dispatch/tests/fuzzing.rs
@@ -105,6 +105,11 @@
 #[case::a_version_mislabelled(Mutation::VersionMislabelled)]
 #[case::an_event_skipped(Mutation::EventSkipped)]
 #[case::a_cancel_ignored(Mutation::CancelIgnored)]
+#[case::a_text_scored_early(Mutation::ScoredEarly)]
+#[case::a_score_of_another_item(Mutation::ScoreOfAnother)]
+#[case::a_text_listed_unscored(Mutation::ListedUnscored)]
+#[case::a_score_redrawn(Mutation::ScoreRedrawn)]
+#[case::a_draft_lost(Mutation::DraftLost)]
 fn a_built_in_fault_is_caught(#[case] mutation: Mutation) {
     const SEEDS: u64 = 40;
     let late = |next| Fault::LeaderFalls {
--- a/crates/dispatch/tests/model/carry.rs
+++ b/crates/dispatch/tests/model/carry.rs
@@ -3,9 +3,9 @@
 use super::edge::ToEdge;
 use super::oracle::GivenOrder;
 use super::replica::ArrivedOrder;
-use super::{Answer, STEP_MS, World};
+use super::{Answer, Mutation, STEP_MS, World};
 use brasspond_dispatch::{Action, Event, OrderAnswer, ReplicaReport};
-use brasspond_jobs::Command;
+use brasspond_jobs::{Command, Draft, Listing, Outcome};
 use rand::Rng;
 
 /// Time after which an unanswered call is given up, in ms.
@@ -26,6 +26,9 @@
             Action::Run { machine, spec } => {
                 let ended = self.ended_at.contains_key(&spec.job);
                 assert!(!ended, "{} has ended and runs again", spec.job);
+                let job = self.table.job(&spec.job).expect("a job that runs is known");
+                let is_made = job.drafts.contains_key(&spec.item);
+                assert!(!is_made, "{} is whole and made again", spec.item_id);
                 self.tell_edge(&machine, ToEdge::Run(spec));
             }
             Action::Cancel { machine, attempt } => {
@@ -39,6 +42,20 @@
                     .check_listing(&listing, &self.table, self.single_version);
                 self.propose(Command::List(vec![listing]));
             }
+            Action::Keep(draft) => {
+                self.oracle
+                    .check_draft(&draft, &self.table, self.single_version);
+                self.propose(self.kept(draft));
+            }
+            Action::ListScored(score) => {
+                self.oracle.check_score(&score, &self.table);
+                self.propose(Command::Score(vec![score]));
+            }
+            Action::Score { machine, spec } => {
+                let ended = self.ended_at.contains_key(&spec.job);
+                assert!(!ended, "{} has ended and is scored", spec.job);
+                self.tell_edge(&machine, ToEdge::Score(spec));
+            }
             Action::AskReport { replica, .. } => self.report(&replica),
             Action::Order {
                 replica,
@@ -49,6 +66,23 @@
         }
     }
 
+    /// The entry that keeps a draft, or one that lists it at once where that fault
+    /// is built in.
+    fn kept(&self, draft: Draft) -> Command {
+        if self.mutation != Some(Mutation::ListedUnscored) {
+            return Command::Draft(vec![draft]);
+        }
+        Command::List(vec![Listing {
+            job: draft.job,
+            item: draft.item,
+            outcome: Outcome::Completed {
+                text: draft.text,
+                versions: draft.versions,
+                score: None,
+            },
+        }])
+    }
+
     fn tell_edge(&mut self, machine: &str, message: ToEdge) {
         let edge = self.edges.iter_mut().find(|edge| edge.machine == machine);
         let edge = edge.expect("a known edge");
--- a/crates/dispatch/tests/model/edge.rs
+++ b/crates/dispatch/tests/model/edge.rs
@@ -1,6 +1,9 @@
 //! An edge as the model has it: runs it holds, and its link to the leader.
 
-use brasspond_cluster_protocol::{AttemptId, Pace, RunEnd, RunReport, RunSpec, StreamEvent};
+use brasspond_cluster_protocol::{
+    AttemptId, Pace, RunEnd, RunReport, RunSpec, ScoringEnd, ScoringSpec, StreamEvent,
+};
+use brasspond_jobs::ScoringCall;
 use std::collections::{BTreeMap, VecDeque};
 
 /// A run on an edge.
@@ -10,6 +13,7 @@
     pub events: Vec<StreamEvent>,
     pub told: usize,
     pub end: Option<RunEnd>,
+    pub scoring: Option<ScoringEnd>,
     /// When the event came from which a pace is counted, and the newest.
     pub paced: Option<(u64, u64)>,
     /// Last instant at which a silent replica is waited for.
@@ -45,12 +49,22 @@
     }
 }
 
+/// A scoring call on its way.
+#[derive(Clone, Debug)]
+pub struct Calling {
+    pub attempt: AttemptId,
+    pub item_id: String,
+    pub call: ScoringCall,
+    pub ends_at: u64,
+}
+
 /// From an edge to the leader.
 #[derive(Clone, Debug)]
 pub enum ToLeader {
     Runs(Vec<RunReport>),
     Progress(AttemptId, Vec<StreamEvent>, Option<Pace>),
     Ended(AttemptId, Vec<StreamEvent>, RunEnd),
+    Scored(AttemptId, ScoringEnd),
     Draining,
 }
 
@@ -58,6 +72,7 @@
 #[derive(Clone, Debug)]
 pub enum ToEdge {
     Run(Box<RunSpec>),
+    Score(Box<ScoringSpec>),
     Cancel(u64, AttemptId),
     Recorded(AttemptId),
 }
@@ -66,6 +81,7 @@
 pub struct Edge {
     pub machine: String,
     pub held: BTreeMap<AttemptId, Held>,
+    pub calling: Vec<Calling>,
     pub newest_term: u64,
     pub draining: bool,
     /// Whether the leader hears it; else when it comes back.
@@ -96,6 +112,7 @@
                 replica: held.spec.replica.clone(),
                 events: held.events.clone(),
                 end: held.end,
+                scoring: held.scoring.clone(),
             }
         });
         reports.collect()
--- a/crates/dispatch/tests/model/fault.rs
+++ b/crates/dispatch/tests/model/fault.rs
@@ -2,7 +2,8 @@
 
 use super::replica::Replica;
 use super::{SLOTS, World};
-use brasspond_cluster_protocol::RunEnd;
+use brasspond_cluster_protocol::{RunEnd, ScoringEnd};
+use brasspond_jobs::{Command, JobTable};
 use rand::Rng;
 
 /// Something that happens to the world.
@@ -58,6 +59,16 @@
     EventSkipped,
     /// Edges never stop a run that they are told to stop.
     CancelIgnored,
+    /// Edges score a text before its last event is made.
+    ScoredEarly,
+    /// Edges make the scoring call of another item.
+    ScoreOfAnother,
+    /// A text is listed while its score is still to come.
+    ListedUnscored,
+    /// A score changes when the log is read again.
+    ScoreRedrawn,
+    /// Texts that wait for their scores are lost with the leader.
+    DraftLost,
 }
 
 /// Time after which a link that stays broken is given up by the leader, in ms.
@@ -119,10 +130,8 @@
             self.commit_due();
         }
         // What callers handed in is sent again by them until it is taken.
-        self.proposals.retain(|one| {
-            use brasspond_jobs::Command;
-            !matches!(one.command, Command::List(_))
-        });
+        self.proposals.retain(|one| one.is_callers());
+        self.read_log_again();
         for edge in &mut self.edges {
             edge.to_leader.clear();
             edge.to_edge.clear();
@@ -133,9 +142,33 @@
         self.elected_at = self.now + pause_ms;
     }
 
+    /// The next leader's table comes out of the log.
+    fn read_log_again(&mut self) {
+        let mut table = JobTable::default();
+        for command in self.log.clone() {
+            table.apply(self.as_read_again(command));
+        }
+        if self.mutation.is_none() {
+            assert_eq!(table, self.table, "the log makes another table");
+        }
+        self.table = table;
+    }
+
+    fn as_read_again(&self, mut command: Command) -> Command {
+        match (&mut command, self.mutation) {
+            (Command::Score(scores), Some(Mutation::ScoreRedrawn)) => {
+                scores.iter_mut().for_each(|one| one.score.push('+'));
+            }
+            (Command::Draft(drafts), Some(Mutation::DraftLost)) => drafts.clear(),
+            _ => {}
+        }
+        command
+    }
+
     fn edge_ends(&mut self, number: usize) {
         let edge = &mut self.edges[number];
         edge.held.clear();
+        edge.calling.clear();
         edge.to_edge.clear();
         edge.newest_term = 0;
         self.link_breaks(number, 300, false);
@@ -176,6 +209,9 @@
         for attempt in held {
             self.end_run(number, attempt, RunEnd::Cancelled);
         }
+        for calling in std::mem::take(&mut self.edges[number].calling) {
+            self.tell_scored(number, calling.attempt, ScoringEnd::Unanswered);
+        }
     }
 
     pub(super) fn replace_replica(&mut self, number: usize) {
--- a/crates/dispatch/tests/model/mod.rs
+++ b/crates/dispatch/tests/model/mod.rs
@@ -13,7 +13,7 @@
 use crate::support;
 use brasspond_dispatch::{Dispatcher, Event, OrderLeases, Settings};
 use brasspond_fleet::FleetView;
-use brasspond_jobs::{Command, JobTable, Submission};
+use brasspond_jobs::{Command, JobTable, ScoringCall, Submission};
 use edge::Edge;
 use oracle::{ItemPlan, Oracle};
 use rand::{Rng, SeedableRng};
@@ -45,6 +45,13 @@
     command: Command,
 }
 
+impl Proposal {
+    /// Whether a caller asked for it, and would again.
+    fn is_callers(&self) -> bool {
+        matches!(self.command, Command::Accept(_) | Command::End { .. })
+    }
+}
+
 /// Something that reaches the leader from a task of its own.
 struct Answer {
     at: u64,
@@ -57,6 +64,8 @@
     mutation: Option<Mutation>,
     single_version: bool,
     table: JobTable,
+    /// All committed entries.
+    log: Vec<Command>,
     dispatcher: Option<Dispatcher>,
     term: u64,
     holder: String,
@@ -86,6 +95,7 @@
             mutation,
             single_version,
             table: JobTable::default(),
+            log: Vec::new(),
             dispatcher: None,
             term: 1,
             holder: "storage-0".to_string(),
@@ -99,11 +109,7 @@
             view: support::view(0, SLOTS as u32),
             view_at: None,
             version: 1,
-            oracle: Oracle {
-                named: 1,
-                max_attempts: MAX_ATTEMPTS,
-                ..Oracle::default()
-            },
+            oracle: Oracle::new(1, MAX_ATTEMPTS),
             submitted: Vec::new(),
             ended_at: BTreeMap::new(),
             ticked_at: 0,
@@ -146,12 +152,15 @@
         }
         for item in &mut submission.items {
             item.expected_tokens = self.random.random_range(1..50);
+            let is_scored = self.random.random_bool(0.6);
+            item.scoring = is_scored.then(|| scoring_call(&id, &item.id));
             let is_long = self.random.random_bool(0.08);
             let longest = if is_long { 250 } else { 40 };
             let plan = ItemPlan {
                 length: self.random.random_range(1..longest),
                 failures: u32::from(self.random.random_bool(0.05)),
                 impossible: self.random.random_bool(0.03),
+                score_fails: self.random.random_bool(0.03),
             };
             self.oracle.plans.entry(item.id.clone()).or_insert(plan);
         }
@@ -251,6 +260,7 @@
                 length: 200,
                 failures: 0,
                 impossible: false,
+                score_fails: false,
             };
             self.oracle.plans.insert(item.id.clone(), plan);
         }
@@ -315,3 +325,13 @@
         }
     }
 }
+
+/// The call that scores an item in one of its jobs.
+fn scoring_call(job: &str, item: &str) -> ScoringCall {
+    ScoringCall {
+        id: format!("score-{job}-{item}"),
+        host: "host.example".to_string(),
+        path: "/score/x".to_string(),
+        body: bytes::Bytes::from_static(b"grade this"),
+    }
+}
--- a/crates/dispatch/tests/model/oracle.rs
+++ b/crates/dispatch/tests/model/oracle.rs
@@ -1,6 +1,6 @@
 //! What must hold of every result and every order, whatever happens.
 
-use brasspond_jobs::{JobTable, Listing, Outcome, Submission};
+use brasspond_jobs::{Draft, Item, Job, JobTable, Listing, Outcome, Score, Submission};
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 
 /// Lease of an order, in ms.
@@ -13,6 +13,22 @@
     /// Runs that fail before one succeeds.
     pub failures: u32,
     pub impossible: bool,
+    /// Its scoring call always fails.
+    pub score_fails: bool,
+}
+
+/// An answer to a scoring call.
+#[derive(Clone, Debug)]
+struct Signed {
+    call: String,
+    at: u64,
+}
+
+/// A run that made a whole text.
+#[derive(Clone, Debug)]
+struct WholeRun {
+    at: u64,
+    versions: Vec<u64>,
 }
 
 /// An order as it left for a replica.
@@ -35,6 +51,16 @@
     pub named: u64,
     pub max_attempts: u32,
     pub orders: BTreeMap<String, Vec<GivenOrder>>,
+    /// Answers to scoring calls, by their signature.
+    signed: HashMap<String, Signed>,
+    /// Runs that made the whole text of an item.
+    whole: HashMap<String, Vec<WholeRun>>,
+    /// Items whose scoring call failed as often as its route allows.
+    pub score_failed: BTreeSet<String>,
+    /// Drafts put forward, by job and item.
+    drafts: HashMap<(String, u32), Draft>,
+    /// Results as they were first read, by job and item.
+    read: HashMap<(String, u32), Outcome>,
 }
 
 /// The data of an item's event.
@@ -43,40 +69,126 @@
 }
 
 impl Oracle {
+    pub fn new(named: u64, max_attempts: u32) -> Self {
+        Self {
+            named,
+            max_attempts,
+            ..Self::default()
+        }
+    }
+
     /// An event was made by a replica under a version.
     pub fn event_made(&mut self, item: &str, number: u64, version: u64) {
         let key = (item.to_string(), number);
         self.made.entry(key).or_default().insert(version);
     }
 
+    /// A run made its last event.
+    pub fn text_made(&mut self, item: &str, versions: Vec<u64>, at: u64) {
+        let run = WholeRun { at, versions };
+        self.whole.entry(item.to_string()).or_default().push(run);
+    }
+
+    /// A replica answers a scoring call; its signature.
+    pub fn sign(&mut self, call: &str, at: u64) -> String {
+        let signature = format!("{call}.{}", self.signed.len());
+        let call = call.to_string();
+        self.signed.insert(signature.clone(), Signed { call, at });
+        signature
+    }
+
     /// A result was put forward: it must be whole and true.
     pub fn check_listing(&self, listing: &Listing, table: &JobTable, single_version: bool) {
         let job = table.job(&listing.job).expect("a listed job is known");
-        let item = &job.items[listing.item as usize].id;
-        let plan = &self.plans[item];
+        let item = &job.items[listing.item as usize];
         match &listing.outcome {
-            Outcome::Completed { text, versions } => {
-                let lines = (1..=plan.length).map(|number| event_data(item, number));
-                let whole = lines.collect::<Vec<_>>().join("\n");
-                let text = std::str::from_utf8(text).expect("text");
-                let lines = text.lines().count();
-                assert!(
-                    text == whole,
-                    "{item}: {lines} lines of {}, or others",
-                    plan.length
-                );
-                self.check_versions(item, plan.length, versions, job.min_version);
-                assert!(!single_version || versions.len() == 1, "{item} is mixed");
-                assert!(!plan.impossible, "{item} can never be done");
+            Outcome::Completed {
+                text,
+                versions,
+                score,
+            } => {
+                assert!(item.scoring.is_none(), "{} is listed unscored", item.id);
+                assert_eq!(*score, None, "{} has a score that nobody made", item.id);
+                self.check_text(job, item, text, versions, single_version);
             }
             Outcome::Terminated => {
-                let failed = self.failures.get(item).copied().unwrap_or(0);
-                let may_give_up = plan.impossible || failed >= self.max_attempts || job.ended;
-                assert!(may_give_up, "{item} was given up after {failed} failures");
+                let plan = &self.plans[&item.id];
+                let failed = self.failures.get(&item.id).copied().unwrap_or(0);
+                let may_give_up = plan.impossible
+                    || failed >= self.max_attempts
+                    || job.ended
+                    || self.score_failed.contains(&item.id);
+                assert!(may_give_up, "{} was given up after {failed}", item.id);
             }
         }
     }
 
+    /// A text that waits for its score was put forward: the same holds of it.
+    pub fn check_draft(&mut self, draft: &Draft, table: &JobTable, single_version: bool) {
+        let job = table.job(&draft.job).expect("a job with a draft is known");
+        let item = &job.items[draft.item as usize];
+        assert!(item.scoring.is_some(), "{} has no scoring call", item.id);
+        self.check_text(job, item, &draft.text, &draft.versions, single_version);
+        let place = (draft.job.clone(), draft.item);
+        self.drafts.insert(place, draft.clone());
+    }
+
+    /// A score was put forward: an answer to the item's own call, which was made
+    /// after the last event of the text.
+    pub fn check_score(&self, score: &Score, table: &JobTable) {
+        let job = table.job(&score.job).expect("a scored job is known");
+        let item = &job.items[score.item as usize];
+        let signed = &self.signed[&score.score];
+        let kept = job.drafts.get(&score.item).map(|(_, versions)| versions);
+        let proposed = self.drafts.get(&(score.job.clone(), score.item));
+        let versions = kept.or(proposed.map(|draft| &draft.versions));
+        let versions = versions.expect("a score follows its draft");
+        let runs = &self.whole[&item.id];
+        let in_time = runs
+            .iter()
+            .any(|run| run.at <= signed.at && run.versions == *versions);
+        assert!(in_time, "{} was scored before its end", item.id);
+        if let Some(call) = &item.scoring {
+            assert_eq!(call.id, signed.call, "{} has another's score", item.id);
+        }
+    }
+
+    /// Results that stand in the table keep what was first read of them.
+    pub fn check_results(&mut self, table: &JobTable, job_id: &str) {
+        let Some(job) = table.job(job_id) else {
+            return;
+        };
+        for (item, outcome) in &job.results {
+            let place = (job_id.to_string(), *item);
+            let known = self.read.entry(place).or_insert_with(|| outcome.clone());
+            assert_eq!(known, outcome, "a result changed");
+        }
+    }
+
+    fn check_text(
+        &self,
+        job: &Job,
+        item: &Item,
+        text: &[u8],
+        versions: &[u64],
+        single_version: bool,
+    ) {
+        let item = &item.id;
+        let plan = &self.plans[item];
+        let lines = (1..=plan.length).map(|number| event_data(item, number));
+        let whole = lines.collect::<Vec<_>>().join("\n");
+        let text = std::str::from_utf8(text).expect("text");
+        let lines = text.lines().count();
+        assert!(
+            text == whole,
+            "{item}: {lines} lines of {}, or others",
+            plan.length
+        );
+        self.check_versions(item, plan.length, versions, job.min_version);
+        assert!(!single_version || versions.len() == 1, "{item} is mixed");
+        assert!(!plan.impossible, "{item} can never be done");
+    }
+
     /// The versions named are those that made its events, and none is too old.
     fn check_versions(&self, item: &str, length: u64, versions: &[u64], min_version: u64) {
         let mut possible = BTreeSet::new();
@@ -124,6 +236,12 @@
                 assert!(seen.insert(*item), "{item} stands twice");
             }
             assert_eq!(job.items.len(), submission.items.len());
+            for (item, outcome) in &job.results {
+                let is_scored = submission.items[*item as usize].scoring.is_some();
+                if let Outcome::Completed { score, .. } = outcome {
+                    assert_eq!(score.is_some(), is_scored, "{item} lacks a score, or not");
+                }
+            }
         }
     }
 }
--- a/crates/dispatch/tests/model/time.rs
+++ b/crates/dispatch/tests/model/time.rs
@@ -1,12 +1,13 @@
 //! What time brings: commits, messages, events of streams, answers.
 
-use super::edge::{Held, ToEdge, ToLeader};
+use super::edge::{Calling, Held, ToEdge, ToLeader};
 use super::oracle::event_data;
 use super::replica::Stream;
 use super::{Mutation, STEP_MS, World};
-use brasspond_cluster_protocol::{AttemptId, RunEnd, RunSpec, StreamEvent};
+use brasspond_cluster_protocol::{AttemptId, RunEnd, RunSpec, ScoringEnd, StreamEvent};
 use brasspond_dispatch::Event;
-use brasspond_jobs::Command;
+use brasspond_jobs::{Command, ScoringCall};
+use rand::Rng;
 
 /// Pause between two reports of an edge, in ms.
 const REPORT_MS: u64 = 250;
@@ -30,6 +31,7 @@
             replica.tick(self.now);
         }
         self.make_events();
+        self.answer_scorings();
         self.give_up_silent();
         if self.now >= self.reported_at + REPORT_MS {
             self.reported_at = self.now;
@@ -47,13 +49,14 @@
 
     pub(super) fn commit_due(&mut self) {
         while let Some(first) = self.proposals.front() {
-            let needs_leader = !matches!(first.command, Command::List(_));
+            let needs_leader = first.is_callers();
             if first.commits_at > self.now || (needs_leader && self.dispatcher.is_none()) {
                 return;
             }
             let proposal = self.proposals.pop_front().expect("seen");
             let command = proposal.command;
             self.table.apply(command.clone());
+            self.log.push(command.clone());
             match command {
                 Command::Accept(submission) => self.dispatch(Event::JobAccepted(submission.id)),
                 Command::End { job } => {
@@ -63,9 +66,19 @@
                 Command::List(listings) => {
                     for listing in listings {
                         self.dispatch(Event::Listed {
-                            job: listing.job,
+                            job: listing.job.clone(),
                             item: listing.item,
                         });
+                        self.oracle.check_results(&self.table, &listing.job);
+                    }
+                }
+                Command::Score(scores) => {
+                    for score in scores {
+                        self.dispatch(Event::Listed {
+                            job: score.job.clone(),
+                            item: score.item,
+                        });
+                        self.oracle.check_results(&self.table, &score.job);
                     }
                 }
                 _ => {}
@@ -146,7 +159,73 @@
         for replica in &mut self.replicas {
             replica.streams.retain(|stream| stream.attempt != attempt);
         }
+        let text = held.events.clone();
+        let (item, call) = (held.spec.item_id.clone(), held.spec.scoring.clone());
         self.tell_leader(number, ToLeader::Ended(attempt, events, end));
+        if end == RunEnd::Whole {
+            let versions: std::collections::BTreeSet<u64> =
+                text.iter().map(|event| event.version).collect();
+            let versions = versions.into_iter().collect();
+            self.oracle.text_made(&item, versions, self.now);
+            if let Some(call) = call {
+                self.call(number, attempt, &item, call);
+            }
+        }
+    }
+
+    /// An edge makes a scoring call.
+    fn call(&mut self, number: usize, attempt: AttemptId, item_id: &str, call: ScoringCall) {
+        if self.edges[number].draining {
+            return self.tell_scored(number, attempt, ScoringEnd::Unanswered);
+        }
+        let takes = self.random.random_range(2..90);
+        self.edges[number].calling.push(Calling {
+            attempt,
+            item_id: item_id.to_string(),
+            call,
+            ends_at: self.now + takes,
+        });
+    }
+
+    /// Replicas answer scoring calls, or do not.
+    fn answer_scorings(&mut self) {
+        for number in 0..self.edges.len() {
+            let now = self.now;
+            let calling = std::mem::take(&mut self.edges[number].calling);
+            let (due, open): (Vec<_>, Vec<_>) =
+                calling.into_iter().partition(|one| one.ends_at <= now);
+            self.edges[number].calling = open;
+            for calling in due {
+                let end = self.answer_scoring(&calling);
+                self.tell_scored(number, calling.attempt, end);
+            }
+        }
+    }
+
+    fn answer_scoring(&mut self, calling: &Calling) -> ScoringEnd {
+        if self.random.random_bool(0.1) {
+            return ScoringEnd::Unanswered;
+        }
+        if self.oracle.plans[&calling.item_id].score_fails {
+            self.oracle.score_failed.insert(calling.item_id.clone());
+            return ScoringEnd::Failed;
+        }
+        let made_at = match self.mutation {
+            Some(Mutation::ScoredEarly) => self.now.saturating_sub(500),
+            _ => self.now,
+        };
+        let call = match self.mutation {
+            Some(Mutation::ScoreOfAnother) => "score-of-another",
+            _ => calling.call.id.as_str(),
+        };
+        ScoringEnd::Scored(self.oracle.sign(call, made_at))
+    }
+
+    pub(super) fn tell_scored(&mut self, number: usize, attempt: AttemptId, end: ScoringEnd) {
+        if let Some(held) = self.edges[number].held.get_mut(&attempt) {
+            held.scoring = Some(end.clone());
+        }
+        self.tell_leader(number, ToLeader::Scored(attempt, end));
     }
 
     fn deliver(&mut self) {
@@ -179,6 +258,11 @@
                 events,
                 end,
             },
+            ToLeader::Scored(attempt, end) => Event::Scored {
+                machine: machine.clone(),
+                attempt,
+                end,
+            },
             ToLeader::Draining => Event::EdgeDraining(machine.clone()),
         };
         let tells_runs = matches!(event, Event::EdgeUp { .. });
@@ -191,6 +275,7 @@
     fn on_edge_message(&mut self, number: usize, message: ToEdge) {
         match message {
             ToEdge::Run(spec) => self.start_run(number, *spec),
+            ToEdge::Score(spec) => self.call(number, spec.attempt, &spec.item_id, spec.call),
             ToEdge::Cancel(term, attempt) => {
                 let obeys = self.mutation != Some(Mutation::CancelIgnored);
                 if term >= self.edges[number].newest_term && obeys {
@@ -198,7 +283,9 @@
                 }
             }
             ToEdge::Recorded(attempt) => {
-                self.edges[number].held.remove(&attempt);
+                let edge = &mut self.edges[number];
+                edge.held.remove(&attempt);
+                edge.calling.retain(|one| one.attempt != attempt);
                 for replica in &mut self.replicas {
                     replica.streams.retain(|stream| stream.attempt != attempt);
                 }
@@ -217,6 +304,7 @@
             events: spec.events.clone(),
             spec: spec.clone(),
             end: None,
+            scoring: None,
             paced: None,
             head_until: self.now + HEAD_MS,
         };
--- /dev/null
+++ b/crates/dispatch/tests/scoring.rs
@@ -0,0 +1,244 @@
+//! Whole texts and the calls that score them.
+
+mod fixture;
+mod support;
+
+use brasspond_cluster_protocol::{AttemptId, RunEnd, RunReport, RunSpec, ScoringEnd, ScoringSpec};
+use brasspond_dispatch::{Action, Event, OrderLeases};
+use brasspond_jobs::{Command, Outcome, ScoringCall, Submission};
+use fixture::{Fixture, event, runs};
+use rstest::rstest;
+use support::{submission, view};
+
+fn scored_submission(id: &str, items: usize) -> Submission {
+    let mut submission = submission(id, &vec![1; items], 0);
+    for (number, item) in submission.items.iter_mut().enumerate() {
+        item.scoring = Some(ScoringCall {
+            id: format!("score-{id}-{number}"),
+            host: "host.example".to_string(),
+            path: "/score/x".to_string(),
+            body: "grade".into(),
+        });
+    }
+    submission
+}
+
+fn fixture() -> Fixture {
+    Fixture::new(view(1, 4), OrderLeases::default())
+}
+
+fn end_whole(fixture: &mut Fixture, machine: &str, run: &RunSpec) -> Vec<Action> {
+    fixture.handle(Event::Ended {
+        machine: machine.to_string(),
+        attempt: run.attempt,
+        events: vec![event(1, "a", 1), event(2, "b", 1)],
+        end: RunEnd::Whole,
+    })
+}
+
+fn scored(
+    fixture: &mut Fixture,
+    machine: &str,
+    attempt: AttemptId,
+    end: ScoringEnd,
+) -> Vec<Action> {
+    fixture.handle(Event::Scored {
+        machine: machine.to_string(),
+        attempt,
+        end,
+    })
+}
+
+fn good() -> ScoringEnd {
+    ScoringEnd::Scored("good".to_string())
+}
+
+fn kept(actions: &[Action]) -> usize {
+    let kept = actions.iter();
+    kept.filter(|action| matches!(action, Action::Keep(_)))
+        .count()
+}
+
+fn ordered(actions: &[Action]) -> Vec<(String, ScoringSpec)> {
+    let orders = actions.iter().filter_map(|action| match action {
+        Action::Score { machine, spec } => Some((machine.clone(), (**spec).clone())),
+        _ => None,
+    });
+    orders.collect()
+}
+
+fn listed_scores(actions: &[Action]) -> Vec<String> {
+    let scores = actions.iter().filter_map(|action| match action {
+        Action::ListScored(score) => Some(score.score.clone()),
+        _ => None,
+    });
+    scores.collect()
+}
+
+fn lists(actions: &[Action]) -> Vec<Outcome> {
+    let lists = actions.iter().filter_map(|action| match action {
+        Action::List(listing) => Some(listing.outcome.clone()),
+        _ => None,
+    });
+    lists.collect()
+}
+
+/// Commits what a dispatcher wants kept.
+fn commit(fixture: &mut Fixture, actions: &[Action]) {
+    for action in actions {
+        if let Action::Keep(draft) = action {
+            fixture.table.apply(Command::Draft(vec![draft.clone()]));
+        }
+    }
+}
+
+#[rstest]
+fn a_whole_text_is_kept_at_once_and_listed_with_its_score() {
+    let mut fixture = fixture();
+    fixture.edge("edge-1");
+    let run = runs(&fixture.accept(scored_submission("job", 1))).remove(0);
+    assert!(run.scoring.is_some(), "the edge is told what to call");
+    let actions = end_whole(&mut fixture, "edge-1", &run);
+    assert_eq!((kept(&actions), lists(&actions)), (1, vec![]));
+    let actions = scored(&mut fixture, "edge-1", run.attempt, good());
+    assert_eq!(listed_scores(&actions), ["good"]);
+    let again = scored(&mut fixture, "edge-1", run.attempt, good());
+    assert_eq!(listed_scores(&again), [""; 0], "one score is listed");
+}
+
+#[rstest]
+fn a_text_whose_scoring_fails_is_given_up() {
+    let mut fixture = fixture();
+    fixture.edge("edge-1");
+    let run = runs(&fixture.accept(scored_submission("job", 1))).remove(0);
+    end_whole(&mut fixture, "edge-1", &run);
+    let actions = scored(&mut fixture, "edge-1", run.attempt, ScoringEnd::Failed);
+    assert_eq!(lists(&actions), [Outcome::Terminated]);
+}
+
+#[rstest]
+fn a_text_that_finds_no_score_is_scored_by_another_edge_and_not_made_again() {
+    let mut fixture = fixture();
+    fixture.edge("edge-1");
+    let run = runs(&fixture.accept(scored_submission("job", 1))).remove(0);
+    end_whole(&mut fixture, "edge-1", &run);
+    let actions = scored(&mut fixture, "edge-1", run.attempt, ScoringEnd::Unanswered);
+    assert_eq!(ordered(&actions).len(), 0, "a pause first");
+    fixture.advance(200);
+    let actions = fixture.handle(Event::Tick);
+    let orders = ordered(&actions);
+    assert_eq!((orders.len(), runs(&actions).len()), (1, 0));
+    let (machine, spec) = &orders[0];
+    assert_eq!(spec.call.id, "score-job-0");
+    let actions = scored(&mut fixture, machine, spec.attempt, good());
+    assert_eq!(listed_scores(&actions), ["good"]);
+}
+
+#[rstest]
+#[case::lost(true)]
+#[case::silent(false)]
+fn an_edge_that_never_tells_a_score_is_replaced(#[case] is_lost: bool) {
+    let mut fixture = fixture();
+    fixture.edge("edge-1");
+    let run = runs(&fixture.accept(scored_submission("job", 1))).remove(0);
+    end_whole(&mut fixture, "edge-1", &run);
+    fixture.edge("edge-2");
+    let actions = if is_lost {
+        fixture.handle(Event::EdgeDown("edge-1".to_string()))
+    } else {
+        fixture.advance(1_300);
+        fixture.handle(Event::Tick)
+    };
+    let orders = ordered(&actions);
+    assert_eq!((orders.len(), runs(&actions).len()), (1, 0));
+    // Its own score may still come: only the one expected is listed.
+    let late = scored(&mut fixture, "edge-1", run.attempt, good());
+    assert_eq!(listed_scores(&late), [""; 0]);
+    let actions = scored(&mut fixture, &orders[0].0, orders[0].1.attempt, good());
+    assert_eq!(listed_scores(&actions), ["good"]);
+}
+
+#[rstest]
+fn a_new_leader_has_kept_texts_scored_and_not_made_again() {
+    let mut before = fixture();
+    before.edge("edge-1");
+    let run = runs(&before.accept(scored_submission("job", 1))).remove(0);
+    let actions = end_whole(&mut before, "edge-1", &run);
+    commit(&mut before, &actions);
+    let mut after = before.next_leader();
+    after.edge("edge-2");
+    after.advance(400);
+    let actions = after.handle(Event::Tick);
+    let orders = ordered(&actions);
+    assert_eq!((orders.len(), runs(&actions).len()), (1, 0));
+    let actions = scored(&mut after, "edge-2", orders[0].1.attempt, good());
+    assert_eq!(listed_scores(&actions), ["good"]);
+}
+
+#[rstest]
+fn a_new_leader_takes_over_a_text_that_is_not_kept_yet() {
+    let mut before = fixture();
+    before.edge("edge-1");
+    let run = runs(&before.accept(scored_submission("job", 1))).remove(0);
+    end_whole(&mut before, "edge-1", &run);
+    let mut after = before.next_leader();
+    let report = RunReport {
+        attempt: run.attempt,
+        job: run.job.clone(),
+        item: run.item,
+        replica: run.replica.clone(),
+        events: vec![event(1, "a", 1), event(2, "b", 1)],
+        end: Some(RunEnd::Whole),
+        scoring: Some(good()),
+    };
+    let actions = after.edge_with("edge-1", vec![report]);
+    assert_eq!((kept(&actions), listed_scores(&actions).len()), (1, 1));
+}
+
+#[rstest]
+fn nothing_of_an_ended_job_is_scored() {
+    let mut fixture = fixture();
+    fixture.edge("edge-1");
+    let started = runs(&fixture.accept(scored_submission("job", 2)));
+    let actions = end_whole(&mut fixture, "edge-1", &started[0]);
+    commit(&mut fixture, &actions);
+    let actions = fixture.end("job");
+    let forgotten = Action::Recorded {
+        machine: "edge-1".to_string(),
+        attempt: started[0].attempt,
+    };
+    assert!(actions.contains(&forgotten), "{actions:?}");
+    fixture.advance(1_500);
+    assert_eq!(ordered(&fixture.handle(Event::Tick)), []);
+}
+
+#[rstest]
+fn a_text_that_an_earlier_job_kept_is_scored_by_the_call_of_the_later() {
+    let mut fixture = fixture();
+    fixture.edge("edge-1");
+    let run = runs(&fixture.accept(scored_submission("first", 1))).remove(0);
+    let actions = end_whole(&mut fixture, "edge-1", &run);
+    commit(&mut fixture, &actions);
+    fixture.end("first");
+    let mut later = scored_submission("second", 1);
+    later.items[0].id.clone_from(&run.item_id);
+    let actions = fixture.accept(later);
+    assert_eq!((kept(&actions), runs(&actions).len()), (1, 0));
+    let orders = ordered(&actions);
+    assert_eq!(orders[0].1.call.id, "score-second-0");
+    let actions = scored(&mut fixture, "edge-1", orders[0].1.attempt, good());
+    assert_eq!(listed_scores(&actions), ["good"]);
+}
+
+#[rstest]
+fn a_text_that_is_never_scored_is_given_up_when_its_route_allows() {
+    let mut fixture = fixture();
+    fixture.edge("edge-1");
+    let run = runs(&fixture.accept(scored_submission("job", 1))).remove(0);
+    end_whole(&mut fixture, "edge-1", &run);
+    fixture.handle(Event::EdgeDown("edge-1".to_string()));
+    fixture.advance(39_000);
+    assert_eq!(lists(&fixture.handle(Event::Tick)), []);
+    fixture.advance(2_000);
+    assert_eq!(lists(&fixture.handle(Event::Tick)), [Outcome::Terminated]);
+}
--- a/crates/dispatch/tests/support/mod.rs
+++ b/crates/dispatch/tests/support/mod.rs
@@ -76,6 +76,7 @@
         expected_tokens: *tokens,
         group: format!("group-{number}"),
         model: "model".to_string(),
+        scoring: None,
     });
     Submission {
         id: id.to_string(),
--- a/crates/jobs/src/command.rs
+++ b/crates/jobs/src/command.rs
@@ -4,6 +4,20 @@
 use displaydoc::Display;
 use serde::{Deserialize, Serialize};
 
+/// A call that grades an item's whole text, made by the route of its host and
+/// path. It may be repeated.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ScoringCall {
+    /// Identity, chosen by the caller.
+    pub id: String,
+    /// Host asked for.
+    pub host: String,
+    /// Path asked for.
+    pub path: String,
+    /// Body handed to the scoring service.
+    pub body: Bytes,
+}
+
 /// One request of a job, run later.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Item {
@@ -23,6 +37,8 @@
     pub group: String,
     /// Model asked for; empty where the service has none.
     pub model: String,
+    /// The call that grades its text; without one the text is listed as it is.
+    pub scoring: Option<ScoringCall>,
 }
 
 /// A job as a caller hands it in.
@@ -55,11 +71,38 @@
         text: Bytes,
         /// Versions of the weights that made an event, ascending.
         versions: Vec<u64>,
+        /// What its scoring call said; none where the item has no such call.
+        score: Option<String>,
     },
     /// Given up.
     Terminated,
 }
 
+/// The whole text of an item that waits for its score. Kept before it is scored,
+/// so that no loss of a process has the text made again.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Draft {
+    /// The job.
+    pub job: String,
+    /// Index of the item in its job.
+    pub item: u32,
+    /// Data of all events in order, separated by line feeds.
+    pub text: Bytes,
+    /// Versions of the weights that made an event, ascending.
+    pub versions: Vec<u64>,
+}
+
+/// The score of an item's draft, which takes the next position of its job.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Score {
+    /// The job.
+    pub job: String,
+    /// Index of the item in its job.
+    pub item: u32,
+    /// Signature of the scoring service's answer.
+    pub score: String,
+}
+
 /// An item to be put at the next position of its job.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Listing {
@@ -78,6 +121,12 @@
     Accept(Submission),
     /// Puts items at the next positions; items already listed stay.
     List(Vec<Listing>),
+    /// Keeps whole texts that wait for their scores; the first draft of an item
+    /// stays.
+    Draft(Vec<Draft>),
+    /// Puts drafts with their scores at the next positions; items without a
+    /// draft, or already listed, stay.
+    Score(Vec<Score>),
     /// Ends a job.
     End {
         /// The job.
--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -3,11 +3,14 @@
 //! [`JobTable::apply`] is deterministic: every member that applies the same
 //! commands in the same order holds the same table. Invariants: a result keeps
 //! its position and content; an item stands at one position at most; a job
-//! accepted twice is one job.
+//! accepted twice is one job; a score is listed with the draft that the log held
+//! before it.
 #![forbid(unsafe_code)]
 
 mod command;
 mod table;
 
-pub use command::{Command, CommandError, Item, Listing, Outcome, Submission};
+pub use command::{
+    Command, CommandError, Draft, Item, Listing, Outcome, Score, ScoringCall, Submission,
+};
 pub use table::{Accepted, BodyError, Job, JobTable, Page, Positioned};
--- a/crates/jobs/src/table.rs
+++ b/crates/jobs/src/table.rs
@@ -1,6 +1,6 @@
 //! The table of jobs.
 
-use crate::command::{Command, CommandError, Item, Listing, Outcome, Submission};
+use crate::command::{Command, CommandError, Draft, Item, Listing, Outcome, Score, Submission};
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
@@ -26,6 +26,9 @@
     pub results: Vec<(u32, Outcome)>,
     /// For each item, whether it is listed.
     pub listed: Vec<bool>,
+    /// Texts and versions of items that wait for their scores, by index. Those of
+    /// an ended job stay for a job that brings the item again.
+    pub drafts: BTreeMap<u32, (Bytes, Vec<u64>)>,
     /// Whether its caller ended it.
     pub ended: bool,
 }
@@ -35,6 +38,18 @@
     pub fn is_finished(&self) -> bool {
         self.ended || self.results.len() == self.items.len()
     }
+
+    /// The whole text of an item with the versions that made it, scored or not.
+    pub fn text(&self, item: u32) -> Option<(&Bytes, &[u64])> {
+        if let Some((text, versions)) = self.drafts.get(&item) {
+            return Some((text, versions));
+        }
+        let mut results = self.results.iter();
+        match results.find(|(listed, _)| *listed == item) {
+            Some((_, Outcome::Completed { text, versions, .. })) => Some((text, versions)),
+            _ => None,
+        }
+    }
 }
 
 /// Whether a job was new.
@@ -88,6 +103,8 @@
         match command {
             Command::Accept(submission) => return Some(self.accept(submission)),
             Command::List(listings) => listings.into_iter().for_each(|one| self.list(one)),
+            Command::Draft(drafts) => drafts.into_iter().for_each(|one| self.draft(one)),
+            Command::Score(scores) => scores.into_iter().for_each(|one| self.score(one)),
             Command::End { job } => self.end(&job),
             Command::Forget { jobs } => {
                 self.jobs.retain(|id, _| !jobs.contains(id));
@@ -187,6 +204,7 @@
             listed: vec![false; submission.items.len()],
             items: submission.items,
             results: Vec::new(),
+            drafts: BTreeMap::new(),
             ended: false,
         };
         self.jobs.insert(submission.id, job);
@@ -202,10 +220,37 @@
             Some(listed) if !*listed => *listed = true,
             _ => return,
         }
+        job.drafts.remove(&listing.item);
         drop_content(&mut job.items[index]);
         job.results.push((listing.item, listing.outcome));
     }
 
+    fn draft(&mut self, draft: Draft) {
+        let Some(job) = self.jobs.get_mut(&draft.job) else {
+            return;
+        };
+        if job.listed.get(draft.item as usize) == Some(&false) {
+            let content = (draft.text, draft.versions);
+            job.drafts.entry(draft.item).or_insert(content);
+        }
+    }
+
+    fn score(&mut self, score: Score) {
+        let job = self.jobs.get_mut(&score.job);
+        let Some((text, versions)) = job.and_then(|job| job.drafts.remove(&score.item)) else {
+            return;
+        };
+        self.list(Listing {
+            job: score.job,
+            item: score.item,
+            outcome: Outcome::Completed {
+                text,
+                versions,
+                score: Some(score.score),
+            },
+        });
+    }
+
     fn end(&mut self, id: &str) {
         if let Some(job) = self.jobs.get_mut(id) {
             job.ended = true;
@@ -224,6 +269,7 @@
 fn drop_content(item: &mut Item) {
     item.body = Bytes::new();
     item.headers = Vec::new();
+    item.scoring = None;
 }
 
 fn text_length(outcome: &Outcome) -> usize {
--- a/crates/jobs/tests/table.rs
+++ b/crates/jobs/tests/table.rs
@@ -1,6 +1,9 @@
 //! The job table: positions never change, an item has one of them.
 
-use brasspond_jobs::{Accepted, BodyError, Command, Item, JobTable, Listing, Outcome, Submission};
+use brasspond_jobs::{
+    Accepted, BodyError, Command, Draft, Item, JobTable, Listing, Outcome, Score, ScoringCall,
+    Submission,
+};
 use bytes::Bytes;
 use proptest::prelude::*;
 use rstest::rstest;
@@ -28,9 +31,32 @@
         expected_tokens: 5,
         group: "group".to_string(),
         model: "model".to_string(),
+        scoring: Some(ScoringCall {
+            id: format!("score-{number}"),
+            host: "host.example".to_string(),
+            path: "/score/x".to_string(),
+            body: Bytes::from_static(b"grade"),
+        }),
     }
 }
 
+fn draft(job: &str, item: u32, text: &str) -> Command {
+    Command::Draft(vec![Draft {
+        job: job.to_string(),
+        item,
+        text: Bytes::from(text.to_string()),
+        versions: vec![1],
+    }])
+}
+
+fn score(job: &str, item: u32, score: &str) -> Command {
+    Command::Score(vec![Score {
+        job: job.to_string(),
+        item,
+        score: score.to_string(),
+    }])
+}
+
 fn listing(job: &str, item: u32, text: &str) -> Listing {
     Listing {
         job: job.to_string(),
@@ -38,6 +64,7 @@
         outcome: Outcome::Completed {
             text: Bytes::from(text.to_string()),
             versions: vec![1],
+            score: None,
         },
     }
 }
@@ -104,6 +131,48 @@
     assert_eq!((page.results.len(), page.next), (0, 3));
 }
 
+#[rstest]
+fn a_draft_is_listed_with_the_first_score_after_it() {
+    let mut table = JobTable::default();
+    table.apply(Command::Accept(submission("job", 3)));
+    table.apply(score("job", 1, "before its draft"));
+    table.apply(draft("job", 1, "first"));
+    table.apply(draft("job", 1, "second"));
+    assert_eq!(table.page("job", 0, 100).expect("job").results, []);
+    let has_body = table.body("job", "item-1").is_ok();
+    assert!(has_body, "not listed yet");
+    table.apply(score("job", 1, "good"));
+    table.apply(score("job", 1, "better"));
+    table.apply(draft("job", 1, "third"));
+    let page = table.page("job", 0, 100).expect("job");
+    let outcomes: Vec<Outcome> = page.results.into_iter().map(|one| one.outcome).collect();
+    let expected = Outcome::Completed {
+        text: "first".into(),
+        versions: vec![1],
+        score: Some("good".to_string()),
+    };
+    assert_eq!(outcomes, [expected]);
+    let drafts = &table.job("job").expect("job").drafts;
+    assert!(drafts.is_empty(), "nothing is kept twice");
+}
+
+#[rstest]
+fn a_draft_of_an_item_given_up_is_dropped() {
+    let mut table = JobTable::default();
+    table.apply(Command::Accept(submission("job", 1)));
+    table.apply(draft("job", 0, "text"));
+    let given_up = Listing {
+        job: "job".to_string(),
+        item: 0,
+        outcome: Outcome::Terminated,
+    };
+    table.apply(Command::List(vec![given_up]));
+    table.apply(score("job", 0, "late"));
+    let page = table.page("job", 0, 100).expect("job");
+    assert_eq!(page.results[0].outcome, Outcome::Terminated);
+    assert_eq!(page.results.len(), 1);
+}
+
 #[rstest]
 fn an_older_configuration_is_not_remembered() {
     let mut table = JobTable::default();
@@ -123,6 +192,8 @@
             .prop_map(|id| Command::Accept(submission(id, 4))),
         (job.clone(), 0_u32..6, "[a-z]{1,3}")
             .prop_map(|(id, item, text)| Command::List(vec![listing(id, item, &text)])),
+        (job.clone(), 0_u32..6, "[a-z]{1,3}").prop_map(|(id, item, text)| draft(id, item, &text)),
+        (job.clone(), 0_u32..6, "[a-z]{1,3}").prop_map(|(id, item, text)| score(id, item, &text)),
         job.prop_map(|id| Command::End {
             job: id.to_string()
         }),
--- a/crates/telemetry/src/metrics.rs
+++ b/crates/telemetry/src/metrics.rs
@@ -27,6 +27,8 @@
     job_calls: Counters,
     job_call_seconds: Histograms,
     runs: Counters,
+    scorings: Counters,
+    scoring_seconds: Histogram,
     store_reachable: Gauge,
     log_lines_dropped: Gauge,
 }
@@ -41,6 +43,8 @@
         let job_calls = Counters::default();
         let job_call_seconds = Histograms::new_with_constructor(latency);
         let runs = Counters::default();
+        let scorings = Counters::default();
+        let scoring_seconds = latency();
         let store_reachable = Gauge::default();
         let log_lines_dropped = Gauge::default();
         registry.register(
@@ -74,6 +78,16 @@
             job_call_seconds.clone(),
         );
         registry.register("runs", "Runs of items by how they ended", runs.clone());
+        registry.register(
+            "scorings",
+            "Scorings of texts by how they ended",
+            scorings.clone(),
+        );
+        registry.register(
+            "scoring_seconds",
+            "Time from a whole text to its score",
+            scoring_seconds.clone(),
+        );
         registry.register(
             "store_reachable",
             "1 while the platform's store answers",
@@ -93,6 +107,8 @@
             job_calls,
             job_call_seconds,
             runs,
+            scorings,
+            scoring_seconds,
             store_reachable,
             log_lines_dropped,
         }
@@ -134,6 +150,13 @@
         self.runs.get_or_create(&labels).inc();
     }
 
+    /// The scoring of a text ended.
+    pub fn scoring(&self, end: &str, seconds: f64) {
+        let labels = vec![("end", end.to_string())];
+        self.scorings.get_or_create(&labels).inc();
+        self.scoring_seconds.observe(seconds);
+    }
+
     /// Whether the platform's store answers.
     pub fn store_reachable(&self, reachable: bool) {
         self.store_reachable.set(i64::from(reachable));
@@ -154,6 +177,7 @@
     commit_seconds: Histogram,
     orders: Counters,
     runs_ended: Counters,
+    scorings_ended: Counters,
     leaderships: Counter,
     term: Gauge,
     committed: Gauge,
@@ -197,6 +221,7 @@
         let commit_seconds = latency();
         let orders = Counters::default();
         let runs_ended = Counters::default();
+        let scorings_ended = Counters::default();
         let leaderships = Counter::default();
         registry.register("questions", "Questions of edges by kind", questions.clone());
         registry.register(
@@ -211,6 +236,11 @@
         );
         registry.register("orders", "Orders to replicas by answer", orders.clone());
         registry.register("runs_ended", "Runs by how they ended", runs_ended.clone());
+        registry.register(
+            "scorings_ended",
+            "Scorings by how they ended",
+            scorings_ended.clone(),
+        );
         registry.register(
             "leaderships",
             "Times this process began to lead",
@@ -237,6 +267,7 @@
             commit_seconds,
             orders,
             runs_ended,
+            scorings_ended,
             leaderships,
         }
     }
@@ -271,6 +302,12 @@
         self.runs_ended.get_or_create(&labels).inc();
     }
 
+    /// An edge told how a scoring ended.
+    pub fn scoring_ended(&self, end: &str) {
+        let labels = vec![("end", end.to_string())];
+        self.scorings_ended.get_or_create(&labels).inc();
+    }
+
     /// This process began to lead.
     pub fn leadership(&self) {
         self.leaderships.inc();
