Results are read at a member of the log in the reader's zone

Ruled out: a cache of results at every edge (nine copies, each fetched once across zones, and memory is priced); one edge a zone that fetches for the others (edges do not know one another). Change: edges ask a voter or standby in their own zone; it answers what it has applied while it lacks nothing that was acknowledged 400 ms ago: the leader tells with each append up to which index all that was acknowledged lies, and only while a quorum has just answered it. Where it may not answer, the leader is asked. Standbys stand in zones without a voter first. Positions never change, so a prefix is never wrong.

--- a/crates/cluster-protocol/src/lib.rs
+++ b/crates/cluster-protocol/src/lib.rs
@@ -138,6 +138,8 @@
         term: u64,
         /// Members of the log.
         members: Vec<Member>,
+        /// Others that are sent the log and may answer reads.
+        standbys: Vec<Member>,
         /// What the receiver is to watch at the view's source by itself.
         watch: Watch,
     },
--- a/crates/cluster/src/edge/cluster.rs
+++ b/crates/cluster/src/edge/cluster.rs
@@ -20,6 +20,10 @@
 const LEADER_SILENT: u64 = 1_300;
 /// Time for an answer before the question is asked again.
 const ANSWER_TIME: Duration = Duration::from_millis(1_200);
+/// Time for the storage process near by to answer a read, beside its wait.
+const READER_TIME: Duration = Duration::from_millis(300);
+/// Time in which it is not asked again after it did not answer, in ms.
+const READER_PAUSE: u64 = 2_000;
 /// Pause before a question that found no leader is asked again.
 const ASK_PAUSE: Duration = Duration::from_millis(60);
 /// Pause between two searches for storage processes; it grows.
@@ -43,6 +47,12 @@
     heard_at: u64,
 }
 
+/// A storage process that may answer reads of results.
+struct Reader {
+    link: LinkId,
+    writer: Writer,
+}
+
 struct LinkState {
     writer: Writer,
     peer: Option<Peer>,
@@ -80,10 +90,21 @@
     view_wanted: Option<LinkId>,
     /// Since when no leader is known.
     alone_since: Option<u64>,
+    /// Zone of this edge's machine.
+    zone: String,
+    /// The storage process at which results are read, and the one that links were
+    /// last chosen by.
+    reader: Option<SocketAddr>,
+    dialed_reader: Option<SocketAddr>,
 }
 
 impl Cluster {
-    pub fn new(hello: Peer, events: mpsc::Sender<LinkEvent>, numbers: Rc<LinkNumbers>) -> Self {
+    pub fn new(
+        hello: Peer,
+        zone: String,
+        events: mpsc::Sender<LinkEvent>,
+        numbers: Rc<LinkNumbers>,
+    ) -> Self {
         Self {
             hello,
             events,
@@ -100,6 +121,9 @@
             view_asked_at: 0,
             view_wanted: None,
             alone_since: None,
+            zone,
+            reader: None,
+            dialed_reader: None,
         }
     }
 
@@ -112,13 +136,42 @@
         self.leader.subscribe()
     }
 
-    /// Connects to these storage processes and to no others.
+    /// Chooses the storage process at which this edge reads results: one in its
+    /// zone, so that texts do not cross zones for each reader.
+    fn choose_reader(&mut self, members: &[Member], standbys: &[Member]) {
+        let mut near = members.iter().chain(standbys);
+        let near = near.find(|member| member.zone == self.zone);
+        self.reader = near.map(|member| member.address);
+    }
+
+    /// Where results are read, if not at the leader.
+    fn reader(&self) -> Option<Reader> {
+        let address = self.reader?;
+        let mut links = self.links.iter();
+        let (link, state) = links.find(|(_, state)| state.address == address)?;
+        let is_leader = self.leader().is_some_and(|leader| leader.link == *link);
+        (!is_leader).then(|| Reader {
+            link: *link,
+            writer: state.writer.clone(),
+        })
+    }
+
+    /// Connects to these storage processes and to the reader, and to no others.
     pub fn set_members(&mut self, members: Vec<Member>) {
-        if members.is_empty() || members == self.members {
+        if let Some(reader) = self.reader {
+            self.dial_to(reader);
+        }
+        if members.is_empty() || (members == self.members && self.reader == self.dialed_reader) {
             return;
         }
+        self.dialed_reader = self.reader;
+        let reader = self.reader;
+        let stays = |address: &SocketAddr| {
+            let is_member = members.iter().any(|member| member.address == *address);
+            is_member || reader == Some(*address)
+        };
         self.dialers.retain(|address, task| {
-            let stays = members.iter().any(|member| member.address == *address);
+            let stays = stays(address);
             if !stays {
                 task.abort();
             }
@@ -127,7 +180,7 @@
         let links = &self.links;
         let kept: Vec<LinkId> = links
             .iter()
-            .filter(|(_, state)| members.iter().any(|one| one.address == state.address))
+            .filter(|(_, state)| stays(&state.address))
             .map(|(link, _)| *link)
             .collect();
         self.links.retain(|link, _| kept.contains(link));
@@ -196,10 +249,11 @@
             Message::Leading {
                 term,
                 members,
+                standbys,
                 watch,
             } => {
                 self.watch = watch;
-                self.on_leading(link, term, members, now)
+                self.on_leading(link, term, members, standbys, now)
             }
             Message::View(view) => vec![Happening::View(view)],
             Message::ViewChanged(delta) => vec![Happening::ViewChanged(delta, link)],
@@ -232,6 +286,7 @@
         link: LinkId,
         term: u64,
         members: Vec<Member>,
+        standbys: Vec<Member>,
         now: u64,
     ) -> Vec<Happening> {
         if term < self.newest_term {
@@ -258,6 +313,7 @@
                 false
             });
         }
+        self.choose_reader(&members, &standbys);
         self.set_members(members);
         if is_new {
             vec![Happening::NewLeader(term)]
@@ -292,15 +348,20 @@
         }
     }
 
-    fn ask(&mut self, leader: &Leader, question: Question) -> Option<oneshot::Receiver<Answer>> {
+    fn ask(
+        &mut self,
+        link: LinkId,
+        writer: &Writer,
+        question: Question,
+    ) -> Option<oneshot::Receiver<Answer>> {
         self.next_number += 1;
         let number = self.next_number;
         let (sender, receiver) = oneshot::channel();
         let message = Message::Ask { number, question };
-        if !leader.writer.send(&message) {
+        if !writer.send(&message) {
             return None;
         }
-        self.asked.insert(number, (leader.link, sender));
+        self.asked.insert(number, (link, sender));
         Some(receiver)
     }
 
@@ -371,6 +432,41 @@
 }
 
 impl Edge {
+    /// Asks for results, near by if that may answer, else the leader.
+    pub(super) async fn ask_results(
+        &self,
+        question: Question,
+        wait: Duration,
+        deadline: Instant,
+    ) -> Result<Answer, AskError> {
+        if let Some(answer) = self.ask_reader(&question, wait).await {
+            return Ok(answer);
+        }
+        self.ask(question, wait, deadline).await
+    }
+
+    /// The answer of the storage process near by; none: the leader must be asked.
+    async fn ask_reader(&self, question: &Question, wait: Duration) -> Option<Answer> {
+        let now = self.clock.now();
+        if now < self.reader_paused_until.get() {
+            return None;
+        }
+        let asked = {
+            let mut cluster = self.cluster.borrow_mut();
+            let reader = cluster.reader()?;
+            cluster.ask(reader.link, &reader.writer, question.clone())?
+        };
+        match tokio::time::timeout(wait + READER_TIME, asked).await {
+            Ok(Ok(answer @ Answer::Page(Some(_)))) => Some(answer),
+            Ok(Ok(_)) => None,
+            Ok(Err(_)) | Err(_) => {
+                self.reader_paused_until
+                    .set(self.clock.now() + READER_PAUSE);
+                None
+            }
+        }
+    }
+
     /// Asks the leader, and again while there is time: every question may be
     /// asked twice.
     pub(super) async fn ask(
@@ -391,7 +487,10 @@
                 let _ = tokio::time::timeout(left, leaders.changed()).await;
                 continue;
             };
-            let asked = self.cluster.borrow_mut().ask(&leader, question.clone());
+            let asked =
+                self.cluster
+                    .borrow_mut()
+                    .ask(leader.link, &leader.writer, question.clone());
             let answer = match asked {
                 Some(receiver) => {
                     let limit = left.min(ANSWER_TIME + wait);
--- a/crates/cluster/src/edge/front.rs
+++ b/crates/cluster/src/edge/front.rs
@@ -257,7 +257,7 @@
         wait_ms: wait,
     };
     match edge
-        .ask(question, Duration::from_millis(wait), deadline)
+        .ask_results(question, Duration::from_millis(wait), deadline)
         .await
     {
         Ok(Answer::Page(Some(page))) => json(edge.outside.dialect.page(&page)),
--- a/crates/cluster/src/edge/process.rs
+++ b/crates/cluster/src/edge/process.rs
@@ -47,6 +47,8 @@
     /// Looks since then.
     looks: Cell<u32>,
     pub cluster: RefCell<Cluster>,
+    /// Until when results are read at the leader only, in ms.
+    pub reader_paused_until: Cell<u64>,
     pub balance: RefCell<Balance>,
     pub pool: Pool,
     pub runs: RefCell<Runs>,
@@ -84,7 +86,8 @@
         zone: settings.process.zone.clone(),
         incarnation: rand::random(),
     };
-    let cluster = Cluster::new(hello, events.clone(), Rc::clone(&numbers));
+    let zone = settings.process.zone.clone();
+    let cluster = Cluster::new(hello, zone, events.clone(), Rc::clone(&numbers));
     log::info!(
         "event=started role=edge machine={} front={}",
         settings.process.machine,
@@ -100,6 +103,7 @@
         seen_view: RefCell::new(FleetView::default()),
         looks: Cell::new(0),
         cluster: RefCell::new(cluster),
+        reader_paused_until: Cell::new(0),
         pool: Pool::default(),
         runs: RefCell::new(Runs::default()),
         scorings: RefCell::new(Scorings::default()),
--- a/crates/cluster/src/storage/asks.rs
+++ b/crates/cluster/src/storage/asks.rs
@@ -3,13 +3,15 @@
 use super::process::Storage;
 use crate::link::LinkId;
 use brasspond_cluster_protocol::{Answer, Message, Question};
+use brasspond_consensus::READ_LEASE;
 use brasspond_jobs::Command;
 use std::collections::BTreeMap;
 
 /// Text of results in one answer, in bytes.
 const PAGE_BYTES: usize = 700 * 1024;
-/// A leader answers reads only if a quorum answered it within this time, in ms.
-pub(super) const READ_LEASE: u64 = 550;
+/// A follower answers reads of results for so long after it had applied all that
+/// was acknowledged, in ms.
+const FOLLOWER_AGE: u64 = 400;
 
 /// Who asked.
 #[derive(Clone, Copy, Debug)]
@@ -63,6 +65,12 @@
             self.answer(asker, Answer::Members(members));
             return;
         }
+        if let Question::Results { job, .. } = &question
+            && self.may_read(job)
+        {
+            self.wait_for_results(asker, question);
+            return;
+        }
         if !self.may_answer() {
             let leader = self.consensus.leader().filter(|id| *id != self.own.id);
             self.answer(asker, Answer::NotLeader(leader));
@@ -93,24 +101,37 @@
                 let body = self.table.body(&job, &item);
                 self.answer(asker, Answer::Body(body));
             }
-            Question::Results {
+            Question::Results { .. } => self.wait_for_results(asker, question),
+            Question::Members => {}
+        }
+    }
+
+    fn wait_for_results(&mut self, asker: Asker, question: Question) {
+        if let Question::Results {
+            job,
+            since,
+            wait_ms,
+        } = question
+        {
+            let until = self.clock.now() + wait_ms;
+            self.asks.waiting.push(Waiting {
+                asker,
                 job,
                 since,
-                wait_ms,
-            } => {
-                let until = self.clock.now() + wait_ms;
-                let waiting = Waiting {
-                    asker,
-                    job,
-                    since,
-                    until,
-                };
-                self.asks.waiting.push(waiting);
-            }
-            Question::Members => {}
+                until,
+            });
         }
     }
 
+    /// Whether this follower may answer reads of a job's results: positions never
+    /// change, and it lacks nothing that was acknowledged some time ago.
+    fn may_read(&self, job: &str) -> bool {
+        let now = self.clock.now();
+        self.leading.is_none()
+            && self.consensus.is_current(FOLLOWER_AGE, now)
+            && self.table.job(job).is_some()
+    }
+
     /// Whether this process leads and knows all that was acknowledged.
     fn may_answer(&self) -> bool {
         let now = self.clock.now();
@@ -143,10 +164,10 @@
             self.answer(asker, Answer::Done);
         }
         if self.leading.is_none() {
-            self.answer_all_unknown();
-            return;
+            self.answer_proposed_unknown();
+            self.refuse_waiting();
         }
-        if self.asks.waiting.is_empty() || !self.may_answer() {
+        if self.asks.waiting.is_empty() || (self.leading.is_some() && !self.may_answer()) {
             return;
         }
         for waiting in std::mem::take(&mut self.asks.waiting) {
@@ -163,13 +184,21 @@
         }
     }
 
-    fn answer_all_unknown(&mut self) {
+    fn answer_proposed_unknown(&mut self) {
         let proposed = std::mem::take(&mut self.asks.proposed);
         for asker in proposed.into_values().flatten() {
             self.answer(asker, Answer::Unknown);
         }
+    }
+
+    /// Sends those on that wait at a follower which may not answer them any more.
+    fn refuse_waiting(&mut self) {
         for waiting in std::mem::take(&mut self.asks.waiting) {
-            self.answer(waiting.asker, Answer::NotLeader(None));
+            if self.may_read(&waiting.job) {
+                self.asks.waiting.push(waiting);
+            } else {
+                self.answer(waiting.asker, Answer::NotLeader(None));
+            }
         }
     }
 
--- a/crates/cluster/src/storage/group.rs
+++ b/crates/cluster/src/storage/group.rs
@@ -261,10 +261,13 @@
         waiting.retain(|peer| !voters.iter().any(|voter| voter.id == peer.id));
         let is_returned = |peer: &Member| voters.iter().any(|voter| voter.machine == peer.machine);
         let is_learner = |peer: &Member| self.consensus.progress_of(peer.id).is_some();
+        let is_zone_held = |peer: &Member| voters.iter().any(|voter| voter.zone == peer.zone);
         waiting.sort_by_key(|peer| {
             (
                 !is_returned(peer),
                 retiring.contains(&peer.machine),
+                // Edges of a zone read results at a member there.
+                is_zone_held(peer),
                 !is_learner(peer),
                 peer.id,
             )
--- a/crates/cluster/src/storage/ordering.rs
+++ b/crates/cluster/src/storage/ordering.rs
@@ -1,9 +1,9 @@
 //! Orders to replicas: asked for, announced in the log, given.
 
-use super::asks::READ_LEASE;
 use super::process::{Local, Storage};
 use crate::outside::{Dialect, VersionOrder};
 use crate::upstream::{UpstreamError, call_once};
+use brasspond_consensus::READ_LEASE;
 use brasspond_dispatch::{Event, OrderAnswer};
 use brasspond_jobs::Command;
 use bytes::Bytes;
--- a/crates/cluster/src/storage/spread.rs
+++ b/crates/cluster/src/storage/spread.rs
@@ -2,6 +2,7 @@
 
 use super::process::Storage;
 use brasspond_cluster_protocol::{Message, Peer, Watch, encode};
+use brasspond_consensus::Member;
 use brasspond_dispatch::Event;
 use brasspond_fleet::FleetView;
 
@@ -30,10 +31,12 @@
         }
         let term = leading.term;
         let members = self.consensus.members().to_vec();
+        let standbys: Vec<Member> = self.consensus.learners().cloned().collect();
         let leading_frame = |watch| {
             encode(&Message::Leading {
                 term,
                 members: members.clone(),
+                standbys: standbys.clone(),
                 watch,
             })
         };
--- a/crates/consensus/src/lib.rs
+++ b/crates/consensus/src/lib.rs
@@ -12,6 +12,7 @@
 //! section 4.1); a candidate first asks whether it could win (section 9.6).
 #![forbid(unsafe_code)]
 
+mod currency;
 mod election;
 mod log;
 mod membership;
@@ -23,3 +24,4 @@
 pub use membership::MembershipError;
 pub use message::{Entry, HardState, Member, MemberId, Message, Payload, Snapshot};
 pub use node::{Consensus, Millis, Persisted, Ready, Role, Timing};
+pub use replication::READ_LEASE;
--- a/crates/consensus/src/message.rs
+++ b/crates/consensus/src/message.rs
@@ -101,6 +101,9 @@
         entries: Vec<Entry>,
         /// All up to here are committed.
         commit: u64,
+        /// All that was ever acknowledged lies at or before this index; none
+        /// where the leader is not sure that it still leads.
+        read_index: Option<u64>,
     },
     /// Answer to [`Message::Append`] and [`Message::Install`].
     AppendReply {
--- a/crates/consensus/src/node.rs
+++ b/crates/consensus/src/node.rs
@@ -1,5 +1,6 @@
 //! One member: its state, and what it wants done.
 
+use crate::currency::Currency;
 use crate::election::Ballot;
 use crate::log::Log;
 use crate::message::{Entry, HardState, Member, MemberId, Message, Payload, Snapshot};
@@ -128,6 +129,7 @@
     pub(crate) early_until: Millis,
     pub(crate) heartbeat_at: Millis,
     pub(crate) leader_heard_at: Option<Millis>,
+    pub(crate) currency: Currency,
     pub(crate) random: ChaCha8Rng,
     pub(crate) ready: Ready,
 }
@@ -158,6 +160,7 @@
             early_until: now + timing.election,
             heartbeat_at: 0,
             leader_heard_at: None,
+            currency: Currency::default(),
             random: ChaCha8Rng::seed_from_u64(seed ^ id),
             ready: Ready::default(),
         };
@@ -241,6 +244,12 @@
         &self.members
     }
 
+    /// Members that this leader sends the log without a vote.
+    pub fn learners(&self) -> impl Iterator<Item = &Member> {
+        let is_leader = self.is_leader();
+        self.learners.values().filter(move |_| is_leader)
+    }
+
     /// Whether this member votes.
     pub fn is_voter(&self) -> bool {
         self.members.iter().any(|member| member.id == self.id)
@@ -357,12 +366,14 @@
                 previous_term,
                 entries,
                 commit,
+                read_index,
             } => self.on_append(
                 from,
                 term,
                 (previous_index, previous_term),
                 entries,
                 commit,
+                read_index,
                 now,
             ),
             Message::AppendReply {
@@ -397,9 +408,16 @@
             entries.push(entry.clone());
             self.applied += 1;
         }
+        self.currency.applied(self.applied);
         entries
     }
 
+    /// Whether this follower has applied all that was acknowledged up to `window`
+    /// ms ago. Call after [`Consensus::take_committed`], with its entries applied.
+    pub fn is_current(&self, window: Millis, now: Millis) -> bool {
+        self.currency.is_current(window, now)
+    }
+
     /// Entries after the last applied one, for a file begun anew.
     pub fn unapplied(&self) -> Vec<Entry> {
         self.log.slice(self.applied + 1, usize::MAX)
--- a/crates/consensus/src/replication.rs
+++ b/crates/consensus/src/replication.rs
@@ -4,6 +4,9 @@
 use crate::message::{Entry, MemberId, Message, Snapshot};
 use crate::node::{Consensus, Millis, Role};
 
+/// A leader is sure that it leads while a quorum answered it within this time, in
+/// ms. Shorter than the shortest silence after which another may lead.
+pub const READ_LEASE: Millis = 550;
 /// Bytes of entries in one message.
 const APPEND_BYTES: usize = 512 * 1024;
 
@@ -85,7 +88,7 @@
         }
         for (member, is_waiting) in due {
             if is_waiting {
-                self.send_heartbeat(member);
+                self.send_heartbeat(member, now);
             } else {
                 self.send_append(member, now);
             }
@@ -93,7 +96,7 @@
         self.advance_commit();
     }
 
-    fn send_heartbeat(&mut self, member: MemberId) {
+    fn send_heartbeat(&mut self, member: MemberId, now: Millis) {
         let Some(peer) = self.progress_of(member) else {
             return;
         };
@@ -107,10 +110,17 @@
             previous_term,
             entries: Vec::new(),
             commit: self.commit.min(previous_index),
+            read_index: self.read_index(now),
         };
         self.send(member, message);
     }
 
+    /// What a follower must have applied to answer reads, for a short while.
+    fn read_index(&self, now: Millis) -> Option<u64> {
+        self.has_quorum_contact(READ_LEASE, now)
+            .then_some(self.commit)
+    }
+
     fn send_append(&mut self, member: MemberId, now: Millis) {
         let Some(next) = self.progress_of(member).map(|peer| peer.next) else {
             return;
@@ -123,6 +133,7 @@
                 previous_term,
                 entries: self.log.slice(next, APPEND_BYTES),
                 commit: self.commit,
+                read_index: self.read_index(now),
             },
             None => {
                 self.want_history(member, next, now);
@@ -176,6 +187,7 @@
             previous_term,
             entries,
             commit: self.commit,
+            read_index: self.read_index(now),
         };
         self.await_reply(member, last_index, now);
         self.send(member, message);
@@ -200,11 +212,13 @@
         previous: (u64, u64),
         entries: Vec<Entry>,
         commit: u64,
+        read_index: Option<u64>,
         now: Millis,
     ) {
         if !self.accepts_leader(from, term, now) {
             return;
         }
+        self.currency.told(read_index, now);
         let (previous_index, previous_term) = previous;
         let matched = match self.log.term_at(previous_index) {
             Some(known) => known == previous_term,
