Entries of the log and messages are packed; one report of all runs; who is told that a result stands

Ruled out: a compressor in C (a compiler's flags and a package more on the build machines); packing appends whole (the same entries once for each member). Change: crates/compression (flate2, fastest level): an entry is packed once when proposed; other messages of 256 bytes and more as frames. Reports of all runs of an edge go in one frame. Only the edge that told an end hears that it is recorded.

--- a/crates/cluster-protocol/src/frame.rs
+++ b/crates/cluster-protocol/src/frame.rs
@@ -1,6 +1,9 @@
-//! Frames on a connection.
+//! Frames on a connection: a length of 4 bytes, big endian, then the message,
+//! packed. Entries of the log are packed by themselves, once for all members, so
+//! the messages that carry them stay as they are.
 
 use crate::Message;
+use brasspond_compression::{PLAIN, UnpackError, pack, unpack};
 use bytes::{Buf, Bytes, BytesMut};
 use displaydoc::Display;
 
@@ -13,6 +16,8 @@
 pub enum FrameError {
     /// a frame of {0} bytes is longer than allowed
     TooLong(usize),
+    /// the content cannot be unpacked: {0}
+    Unpack(UnpackError),
     /// the content cannot be decoded: {0}
     Decode(rmp_serde::decode::Error),
 }
@@ -22,10 +27,18 @@
 /// Encodes a message as a frame.
 pub fn encode(message: &Message) -> Bytes {
     let mut frame = vec![0; LENGTH_BYTES];
+    frame.push(PLAIN);
     // Every message type can be encoded; writing to a vector does not fail.
     if rmp_serde::encode::write(&mut frame, message).is_err() {
         return Bytes::new();
     }
+    if !matches!(message, Message::Consensus { .. }) {
+        let packed = pack(&frame[LENGTH_BYTES + 1..]);
+        if packed[0] != PLAIN {
+            frame.truncate(LENGTH_BYTES);
+            frame.extend_from_slice(&packed);
+        }
+    }
     let length = u32::try_from(frame.len() - LENGTH_BYTES).unwrap_or(u32::MAX);
     frame[..LENGTH_BYTES].copy_from_slice(&length.to_be_bytes());
     frame.into()
@@ -56,7 +69,8 @@
             return Ok(None);
         }
         self.bytes.advance(LENGTH_BYTES);
-        let frame = self.bytes.split_to(length);
+        let frame = self.bytes.split_to(length).freeze();
+        let frame = unpack(frame, LONGEST_FRAME).map_err(FrameError::Unpack)?;
         let message = rmp_serde::from_slice(&frame).map_err(FrameError::Decode)?;
         Ok(Some(message))
     }
--- a/crates/cluster-protocol/src/lib.rs
+++ b/crates/cluster-protocol/src/lib.rs
@@ -8,7 +8,9 @@
 mod run;
 
 pub use frame::{FrameBuffer, FrameError, LONGEST_FRAME, encode};
-pub use run::{AttemptId, Pace, RunEnd, RunReport, RunSpec, ScoringEnd, ScoringSpec, StreamEvent};
+pub use run::{
+    AttemptId, Pace, RunEnd, RunProgress, RunReport, RunSpec, ScoringEnd, ScoringSpec, StreamEvent,
+};
 
 use brasspond_consensus::{Member, MemberId};
 use brasspond_fleet::{FleetView, ViewDelta};
@@ -176,15 +178,8 @@
         /// Takes no new ones: the edge is about to stop.
         draining: bool,
     },
-    /// Edge to leader: events since the last message about this run.
-    Progress {
-        /// The run.
-        attempt: AttemptId,
-        /// New events.
-        events: Vec<StreamEvent>,
-        /// How fast they came; none if too few did.
-        pace: Option<Pace>,
-    },
+    /// Edge to leader: what its runs made since the last report.
+    Progress(Vec<RunProgress>),
     /// Edge to leader: a run ended; the events not told yet come with it.
     Ended {
         /// The run.
--- a/crates/cluster-protocol/src/run.rs
+++ b/crates/cluster-protocol/src/run.rs
@@ -151,6 +151,17 @@
     }
 }
 
+/// What a run made since the last report.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RunProgress {
+    /// The run.
+    pub attempt: AttemptId,
+    /// New events.
+    pub events: Vec<StreamEvent>,
+    /// How fast they came; none if too few did.
+    pub pace: Option<Pace>,
+}
+
 /// A run as an edge tells a new leader of it.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct RunReport {
--- a/crates/cluster/src/edge/runs.rs
+++ b/crates/cluster/src/edge/runs.rs
@@ -5,7 +5,7 @@
 use super::stream::{EventReader, StreamEnd};
 use crate::upstream::UpstreamError;
 use brasspond_cluster_protocol::{
-    AttemptId, Message, Pace, RunEnd, RunReport, RunSpec, ScoringEnd, StreamEvent,
+    AttemptId, Message, Pace, RunEnd, RunProgress, RunReport, RunSpec, ScoringEnd, StreamEvent,
 };
 use bytes::Bytes;
 use http_body_util::Full;
@@ -203,20 +203,23 @@
         let Some(leader) = self.cluster.borrow().leader() else {
             return;
         };
+        let mut reports = Vec::new();
         for (attempt, held) in &self.runs.borrow().held {
             if held.end.is_some() {
                 continue;
             }
             let events = take_untold(&held.progress);
             if !events.is_empty() {
-                let pace = held.progress.borrow_mut().pace.take();
-                leader.writer.send(&Message::Progress {
+                reports.push(RunProgress {
                     attempt: *attempt,
                     events,
-                    pace,
+                    pace: held.progress.borrow_mut().pace.take(),
                 });
             }
         }
+        if !reports.is_empty() {
+            leader.writer.send(&Message::Progress(reports));
+        }
     }
 
     /// Tells a new leader of all runs.
--- a/crates/cluster/src/storage/leading.rs
+++ b/crates/cluster/src/storage/leading.rs
@@ -259,15 +259,15 @@
                     self.dispatch(Event::EdgeDraining(machine));
                 }
             }
-            Message::Progress {
-                attempt,
-                events,
-                pace,
-            } => self.dispatch(Event::Progress {
-                attempt,
-                events,
-                pace,
-            }),
+            Message::Progress(reports) => {
+                for report in reports {
+                    self.dispatch(Event::Progress {
+                        attempt: report.attempt,
+                        events: report.events,
+                        pace: report.pace,
+                    });
+                }
+            }
             Message::View(view) => self.take_edge_view(&machine, &view),
             Message::Beat => leading.dispatcher.edge_heard(&machine, self.clock.now()),
             Message::Ended {
--- /dev/null
+++ b/crates/compression/src/lib.rs
@@ -0,0 +1,88 @@
+//! Bytes made smaller before they cross zones or reach a disk.
+//!
+//! A packed run of bytes begins with a tag: [`PLAIN`] before the bytes as they
+//! are, [`DEFLATED`] before a raw DEFLATE stream (RFC 1951). What is short, or does
+//! not become smaller, stays plain. The fastest level is used: bytes between zones
+//! are dear, but so is processor time.
+#![forbid(unsafe_code)]
+
+use bytes::{Buf, Bytes};
+use displaydoc::Display;
+use flate2::Compression;
+use flate2::read::DeflateDecoder;
+use flate2::write::DeflateEncoder;
+use std::io::{Read, Write};
+
+/// Tag of bytes as they are.
+pub const PLAIN: u8 = 0;
+/// Tag of a DEFLATE stream.
+pub const DEFLATED: u8 = 1;
+
+/// Shorter runs of bytes stay as they are.
+const SHORTEST: usize = 256;
+
+/// Why packed bytes cannot be read.
+#[derive(Debug, Display)]
+pub enum UnpackError {
+    /// there is no tag
+    Empty,
+    /// the tag {0} is unknown
+    Tag(u8),
+    /// the stream is broken: {0}
+    Stream(std::io::Error),
+    /// the content is longer than {0} bytes
+    TooLong(usize),
+}
+
+impl std::error::Error for UnpackError {}
+
+/// Packs bytes. Deterministic.
+pub fn pack(bytes: &[u8]) -> Bytes {
+    if bytes.len() >= SHORTEST
+        && let Some(smaller) = deflate(bytes)
+    {
+        return smaller;
+    }
+    let mut plain = Vec::with_capacity(bytes.len() + 1);
+    plain.push(PLAIN);
+    plain.extend_from_slice(bytes);
+    plain.into()
+}
+
+/// The tagged stream, if it is smaller than the bytes.
+fn deflate(bytes: &[u8]) -> Option<Bytes> {
+    let mut packed = Vec::with_capacity(bytes.len() / 2);
+    packed.push(DEFLATED);
+    let mut encoder = DeflateEncoder::new(packed, Compression::fast());
+    encoder.write_all(bytes).ok()?;
+    let packed = encoder.finish().ok()?;
+    (packed.len() <= bytes.len()).then(|| packed.into())
+}
+
+/// Unpacks bytes of at most `longest` bytes; plain ones share their memory.
+///
+/// # Errors
+/// See [`UnpackError`].
+pub fn unpack(mut packed: Bytes, longest: usize) -> Result<Bytes, UnpackError> {
+    if packed.is_empty() {
+        return Err(UnpackError::Empty);
+    }
+    match packed.get_u8() {
+        PLAIN if packed.len() > longest => Err(UnpackError::TooLong(longest)),
+        PLAIN => Ok(packed),
+        DEFLATED => inflate(&packed, longest),
+        other => Err(UnpackError::Tag(other)),
+    }
+}
+
+fn inflate(packed: &[u8], longest: usize) -> Result<Bytes, UnpackError> {
+    let mut bytes = Vec::with_capacity(packed.len() * 2);
+    let one_more = longest as u64 + 1;
+    let mut decoder = DeflateDecoder::new(packed).take(one_more);
+    let read = decoder.read_to_end(&mut bytes);
+    read.map_err(UnpackError::Stream)?;
+    if bytes.len() > longest {
+        return Err(UnpackError::TooLong(longest));
+    }
+    Ok(bytes.into())
+}
--- /dev/null
+++ b/crates/compression/tests/pack.rs
@@ -0,0 +1,45 @@
+//! What is packed comes back; what is broken is told.
+
+use brasspond_compression::{DEFLATED, PLAIN, UnpackError, pack, unpack};
+use bytes::Bytes;
+use proptest::prelude::*;
+use rstest::rstest;
+
+const LONGEST: usize = 1024 * 1024;
+
+proptest! {
+    #[test]
+    fn what_is_packed_comes_back(bytes in proptest::collection::vec(any::<u8>(), 0..4_000)) {
+        let unpacked = unpack(pack(&bytes), LONGEST).expect("unpacks");
+        prop_assert_eq!(unpacked.as_ref(), bytes.as_slice());
+    }
+
+    #[test]
+    fn no_bytes_make_it_panic(bytes in proptest::collection::vec(any::<u8>(), 0..600)) {
+        let _ = unpack(Bytes::from(bytes), LONGEST);
+    }
+
+    #[test]
+    fn words_become_smaller(text in "[a-z]{2000,3000}") {
+        let packed = pack(text.as_bytes());
+        prop_assert!(packed.len() * 10 < text.len() * 7, "{} of {}", packed.len(), text.len());
+    }
+}
+
+#[rstest]
+fn short_bytes_stay_plain() {
+    assert_eq!(pack(b"short").as_ref(), b"\0short");
+    assert_eq!(pack(b"").as_ref(), [PLAIN]);
+}
+
+#[rstest]
+fn broken_bytes_are_told() {
+    let broken = |bytes: &'static [u8]| unpack(Bytes::from_static(bytes), LONGEST);
+    assert!(matches!(broken(b""), Err(UnpackError::Empty)));
+    assert!(matches!(broken(b"\x09x"), Err(UnpackError::Tag(9))));
+    let cut = pack(&[b'a'; 1_000]).slice(..6);
+    assert_eq!(cut[0], DEFLATED);
+    assert!(matches!(unpack(cut, LONGEST), Err(UnpackError::Stream(_))));
+    let long = pack(&[b'a'; 1_000]);
+    assert!(matches!(unpack(long, 999), Err(UnpackError::TooLong(999))));
+}
--- a/crates/dispatch/src/jobs.rs
+++ b/crates/dispatch/src/jobs.rs
@@ -19,8 +19,8 @@
     Running(AttemptId),
     /// Its text is kept; this run or order scores it, if one does.
     Scoring(Option<AttemptId>),
-    /// Its end is proposed to the log by this run, if by one.
-    Ending(Option<AttemptId>),
+    /// Its end is proposed to the log by this run of that machine, if by one.
+    Ending(Option<(AttemptId, String)>),
     Listed,
 }
 
--- a/crates/dispatch/src/runs.rs
+++ b/crates/dispatch/src/runs.rs
@@ -316,13 +316,13 @@
             return;
         }
         if end == RunEnd::Whole {
-            item.state = State::Ending(Some(attempt));
+            item.state = State::Ending(Some((attempt, machine.to_string())));
             let draft = draft_of(&run.job, run.item, &run.events);
             self.actions.push(Action::List(without_score(draft)));
             return;
         }
         if gives_up {
-            item.state = State::Ending(Some(attempt));
+            item.state = State::Ending(Some((attempt, machine.to_string())));
             self.terminate(&run.job, run.item);
             return;
         }
@@ -381,29 +381,13 @@
     pub(crate) fn on_listed(&mut self, job: &str, item: u32, table: &JobTable) {
         let before = self.jobs.listed(job, item, table);
         match before {
-            Some(State::Ending(Some(attempt))) => self.tell_recorded(attempt),
+            Some(State::Ending(Some((attempt, machine)))) => self.recorded(&machine, attempt),
             Some(State::Running(attempt)) => self.cancel(attempt),
             Some(State::Scoring(Some(attempt))) => self.forget_scoring(attempt),
             _ => {}
         }
     }
 
-    fn tell_recorded(&mut self, attempt: AttemptId) {
-        // The edge that held it may have changed hands; all forget it.
-        let machines: Vec<String> = self.edges.keys().cloned().collect();
-        match self.runs.by_id.get(&attempt) {
-            Some(run) => {
-                let machine = run.machine.clone();
-                self.recorded(&machine, attempt);
-            }
-            None => {
-                for machine in machines {
-                    self.recorded(&machine, attempt);
-                }
-            }
-        }
-    }
-
     pub(crate) fn cancel(&mut self, attempt: AttemptId) {
         if let Some(run) = self.runs.by_id.get_mut(&attempt)
             && !run.cancelled
--- a/crates/dispatch/src/scoring.rs
+++ b/crates/dispatch/src/scoring.rs
@@ -82,7 +82,11 @@
         );
         match end {
             ScoringEnd::Scored(score) => {
-                self.set_state(&scoring.job, scoring.item, State::Ending(Some(attempt)));
+                self.set_state(
+                    &scoring.job,
+                    scoring.item,
+                    State::Ending(Some((attempt, machine.to_string()))),
+                );
                 self.actions.push(Action::ListScored(Score {
                     job: scoring.job,
                     item: scoring.item,
@@ -90,7 +94,11 @@
                 }));
             }
             ScoringEnd::Failed => {
-                self.set_state(&scoring.job, scoring.item, State::Ending(Some(attempt)));
+                self.set_state(
+                    &scoring.job,
+                    scoring.item,
+                    State::Ending(Some((attempt, machine.to_string()))),
+                );
                 self.terminate(&scoring.job, scoring.item);
             }
             ScoringEnd::Unanswered => {
--- a/crates/jobs/src/command.rs
+++ b/crates/jobs/src/command.rs
@@ -1,5 +1,6 @@
 //! Commands of the log.
 
+use brasspond_compression::{pack, unpack};
 use bytes::Bytes;
 use displaydoc::Display;
 use serde::{Deserialize, Serialize};
@@ -155,6 +156,9 @@
     },
 }
 
+/// Longest command, in bytes.
+const LONGEST_COMMAND: usize = 256 * 1024 * 1024;
+
 /// A command or table cannot be read or written: {0}
 #[derive(Debug, Display)]
 pub struct CommandError(pub String);
@@ -162,20 +166,22 @@
 impl std::error::Error for CommandError {}
 
 impl Command {
-    /// Encodes the command for the log.
+    /// Encodes the command for the log, packed: each entry crosses to every member.
     ///
     /// # Errors
     /// The encoder refuses it.
     pub fn encode(&self) -> Result<Bytes, CommandError> {
         let bytes = rmp_serde::to_vec(self).map_err(|error| CommandError(error.to_string()))?;
-        Ok(bytes.into())
+        Ok(pack(&bytes))
     }
 
     /// Decodes a command of the log.
     ///
     /// # Errors
     /// The bytes are no command.
-    pub fn decode(bytes: &[u8]) -> Result<Self, CommandError> {
-        rmp_serde::from_slice(bytes).map_err(|error| CommandError(error.to_string()))
+    pub fn decode(bytes: &Bytes) -> Result<Self, CommandError> {
+        let bytes = unpack(bytes.clone(), LONGEST_COMMAND);
+        let bytes = bytes.map_err(|error| CommandError(error.to_string()))?;
+        rmp_serde::from_slice(&bytes).map_err(|error| CommandError(error.to_string()))
     }
 }
