Parts of long texts are kept in the log while they are made

Ruled out: scoring (20 to 50 ms an item), places (all items begin within 2 to 3 s), election and start (runs begin 0.1 s after the processes do). Change: every 500 ms the leader puts what runs made since (8 events or more) into the log; a whole text then brings only its rest, so no byte crosses twice. A new leader goes on after what is kept, also for an item that a later job brings again; a run taken over from an edge counts as kept as far as it is the same.

--- a/crates/cluster/src/storage/applying.rs
+++ b/crates/cluster/src/storage/applying.rs
@@ -89,6 +89,10 @@
                 let items = listings.iter().map(|one| (one.job.clone(), one.item));
                 Self::Listed(items.collect())
             }
+            Command::Finish(drafts) => {
+                let items = drafts.iter().map(|one| (one.job.clone(), one.item));
+                Self::Listed(items.collect())
+            }
             Command::Score(scores) => {
                 let items = scores.iter().map(|one| (one.job.clone(), one.item));
                 Self::Listed(items.collect())
@@ -96,7 +100,7 @@
             Command::End { job } => Self::Ended(job.clone()),
             Command::Forget { jobs } => Self::Forgotten(jobs.clone()),
             Command::Remember { .. } => Self::Remembered,
-            Command::Draft(_) | Command::Intend { .. } => Self::Nothing,
+            Command::Extend(_) | Command::Draft(_) | Command::Intend { .. } => Self::Nothing,
         }
     }
 }
--- a/crates/cluster/src/storage/leading.rs
+++ b/crates/cluster/src/storage/leading.rs
@@ -7,7 +7,7 @@
 use brasspond_cluster_protocol::{Message, Peer};
 use brasspond_dispatch::{Action, Dispatcher, Event, Settings};
 use brasspond_fleet::FleetView;
-use brasspond_jobs::{Command, Draft, Listing, Outcome, Score};
+use brasspond_jobs::{Command, Draft, Listing, Outcome, Piece, Score};
 use std::collections::HashMap;
 
 /// Pause between two looks at runs, in ms.
@@ -56,14 +56,20 @@
 /// What the dispatcher wants kept, collected between two syncs.
 #[derive(Default)]
 struct Results {
+    pieces: Vec<Piece>,
     drafts: Vec<Draft>,
+    finished: Vec<Draft>,
     scores: Vec<Score>,
     listings: Vec<Listing>,
 }
 
 impl Results {
     fn is_empty(&self) -> bool {
-        self.drafts.is_empty() && self.scores.is_empty() && self.listings.is_empty()
+        self.pieces.is_empty()
+            && self.drafts.is_empty()
+            && self.finished.is_empty()
+            && self.scores.is_empty()
+            && self.listings.is_empty()
     }
 }
 
@@ -189,6 +195,16 @@
                     leading.results.listings.push(listing);
                 }
             }
+            Action::Extend(piece) => {
+                if let Some(leading) = &mut self.leading {
+                    leading.results.pieces.push(piece);
+                }
+            }
+            Action::Finish(draft) => {
+                if let Some(leading) = &mut self.leading {
+                    leading.results.finished.push(draft);
+                }
+            }
             Action::Keep(draft) => {
                 if let Some(leading) = &mut self.leading {
                     leading.results.drafts.push(draft);
@@ -372,7 +388,13 @@
             return;
         };
         let results = std::mem::take(&mut leading.results);
-        // A score follows its draft.
+        // A whole text follows its pieces, a score its draft.
+        for batch in batches(results.pieces, piece_bytes) {
+            self.propose(&Command::Extend(batch));
+        }
+        for batch in batches(results.finished, |draft| draft.text.len()) {
+            self.propose(&Command::Finish(batch));
+        }
         for batch in batches(results.drafts, |draft| draft.text.len()) {
             self.propose(&Command::Draft(batch));
         }
@@ -445,6 +467,10 @@
     }
 }
 
+fn piece_bytes(piece: &Piece) -> usize {
+    piece.parts.iter().map(|part| part.data.len()).sum()
+}
+
 /// Divides results into entries of the log.
 fn batches<T>(results: Vec<T>, bytes_of: impl Fn(&T) -> usize) -> Vec<Vec<T>> {
     let mut batches = Vec::new();
--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -10,7 +10,7 @@
     AttemptId, Pace, RunEnd, RunReport, RunSpec, ScoringEnd, ScoringSpec, StreamEvent,
 };
 use brasspond_fleet::FleetView;
-use brasspond_jobs::{Draft, Job, JobTable, Listing, Score};
+use brasspond_jobs::{Draft, Job, JobTable, Listing, Piece, Score};
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
 
@@ -39,6 +39,8 @@
     pub slow_factor: f64,
     /// Time a change of version takes at least, in ms.
     pub load_ms: Millis,
+    /// Pause between two times at which parts of texts are kept, in ms.
+    pub keep_ms: Millis,
 }
 
 impl Default for Settings {
@@ -52,6 +54,7 @@
             stall_ms: 500,
             slow_factor: 1.8,
             load_ms: 900,
+            keep_ms: 500,
         }
     }
 }
@@ -176,8 +179,12 @@
     },
     /// Put an item at the next position of its job.
     List(Listing),
+    /// Keep parts of a text that is being made.
+    Extend(Piece),
     /// Keep a whole text that waits for its score.
     Keep(Draft),
+    /// Put a whole text that needs no score at the next position of its job.
+    Finish(Draft),
     /// Put a kept text with its score at the next position of its job.
     ListScored(Score),
     /// Ask a replica for its state.
@@ -251,6 +258,8 @@
     pub(crate) began: Millis,
     /// When time last passed.
     ticked_at: Millis,
+    /// When parts of texts were last kept.
+    pub(crate) kept_at: Millis,
     pub(crate) view: FleetView,
     pub(crate) edges: BTreeMap<String, Edge>,
     pub(crate) jobs: JobRuns,
@@ -280,6 +289,7 @@
             term,
             began: now,
             ticked_at: now,
+            kept_at: now,
             view: FleetView::default(),
             edges: BTreeMap::new(),
             jobs: JobRuns::default(),
@@ -458,6 +468,7 @@
         self.move_to_faster_replicas(now);
         self.move_stalled(now);
         self.forget_late_scorings(now);
+        self.keep_parts(now);
         self.give_up_overdue(now);
     }
 }
--- a/crates/dispatch/src/jobs.rs
+++ b/crates/dispatch/src/jobs.rs
@@ -3,7 +3,7 @@
 use crate::dispatcher::{Action, Millis};
 use brasspond_cluster_protocol::{AttemptId, StreamEvent};
 use brasspond_fleet::{FleetView, Route};
-use brasspond_jobs::{Draft, Item, Job, JobTable, Listing, Outcome};
+use brasspond_jobs::{Draft, Item, Job, JobTable, Part};
 use bytes::{Bytes, BytesMut};
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 
@@ -32,6 +32,8 @@
     pub expected_tokens: u64,
     /// Events that ended runs made and told.
     pub events: Vec<StreamEvent>,
+    /// How many of them the log keeps.
+    pub kept: usize,
     /// Runs that the replica failed.
     pub failures: u32,
     /// Its text is listed only with a score.
@@ -75,6 +77,7 @@
             state: State::Waiting,
             expected_tokens: item.expected_tokens.max(UNKNOWN_LENGTH),
             events: Vec::new(),
+            kept: 0,
             failures: 0,
             is_scored: item.scoring.is_some(),
         }
@@ -99,6 +102,8 @@
     kept: HashMap<String, Kept>,
     /// Where an item's whole text stands: job and index.
     completed: HashMap<String, (String, u32)>,
+    /// Where a text that was being made stands in the table: job and index.
+    begun: HashMap<String, (String, u32)>,
     /// Items whose texts wait for an order to score them, and from when it may be
     /// given.
     unscored: BTreeMap<(String, u32), Millis>,
@@ -145,10 +150,16 @@
                     kept.push(Action::Keep(draft));
                 } else {
                     item_run.state = State::Ending(None);
-                    kept.push(Action::List(without_score(draft)));
+                    kept.push(Action::Finish(draft));
                 }
             } else {
-                item_run.events = self.partial(&item.id, job.min_version);
+                match job.parts.get(&number) {
+                    Some(parts) => {
+                        item_run.events = events_of(parts);
+                        item_run.kept = parts.len();
+                    }
+                    None => item_run.events = self.partial(&item.id, job.min_version, table),
+                }
                 run.waiting
                     .insert((std::cmp::Reverse(item_run.expected_tokens), number));
             }
@@ -278,6 +289,7 @@
     pub fn forget(&mut self, id: &str) {
         self.close(id);
         self.completed.retain(|_, (job, _)| job != id);
+        self.begun.retain(|_, (job, _)| job != id);
     }
 
     fn index_completed(&mut self, id: &str, job: &Job) {
@@ -287,6 +299,11 @@
                 self.note_text(id, item, &job.items[item as usize].id);
             }
         }
+        for item in job.parts.keys() {
+            let place = (id.to_string(), *item);
+            let item_id = job.items[*item as usize].id.clone();
+            self.begun.insert(item_id, place);
+        }
     }
 
     /// The whole text of an item out of an earlier job, if its versions fit. Its
@@ -307,17 +324,27 @@
         (fits && earlier.model == job.model).then(|| Draft {
             job: id.to_string(),
             item,
+            after: 0,
             text: text.clone(),
             versions: versions.to_vec(),
         })
     }
 
-    fn partial(&mut self, item_id: &str, min_version: u64) -> Vec<StreamEvent> {
-        let Some(kept) = self.kept.remove(item_id) else {
-            return Vec::new();
+    /// What an ended job made of an item, if its versions fit: out of memory, or
+    /// out of the table where an earlier leader saw it made.
+    fn partial(&mut self, item_id: &str, min_version: u64, table: &JobTable) -> Vec<StreamEvent> {
+        let events = match self.kept.remove(item_id) {
+            Some(kept) => kept.events,
+            None => self.begun_events(item_id, table).unwrap_or_default(),
         };
-        let fits = kept.events.iter().all(|event| event.version >= min_version);
-        if fits { kept.events } else { Vec::new() }
+        let fits = events.iter().all(|event| event.version >= min_version);
+        if fits { events } else { Vec::new() }
+    }
+
+    fn begun_events(&self, item_id: &str, table: &JobTable) -> Option<Vec<StreamEvent>> {
+        let (job, item) = self.begun.get(item_id)?;
+        let parts = table.job(job)?.parts.get(item)?;
+        Some(events_of(parts))
     }
 }
 
@@ -339,24 +366,25 @@
     })
 }
 
-/// The listing of a text that has no scoring call.
-pub(crate) fn without_score(draft: Draft) -> Listing {
-    Listing {
-        job: draft.job,
-        item: draft.item,
-        outcome: Outcome::Completed {
-            text: draft.text,
-            versions: draft.versions,
-            score: None,
-        },
-    }
+/// The events that parts of a text were.
+fn events_of(parts: &[Part]) -> Vec<StreamEvent> {
+    let numbered = (1..).zip(parts);
+    let events = numbered.map(|(id, part)| StreamEvent {
+        id,
+        data: part.data.clone(),
+        version: part.version,
+    });
+    events.collect()
 }
 
-/// The whole text of a stream and the versions that made it.
-pub(crate) fn draft_of(job: &str, item: u32, events: &[StreamEvent]) -> Draft {
+/// The end of a whole stream of which `kept` events are kept: its text, and the
+/// versions that made it.
+pub(crate) fn draft_of(job: &str, item: u32, events: &[StreamEvent], kept: usize) -> Draft {
     let mut text = BytesMut::new();
     let mut versions = BTreeSet::new();
-    for (number, event) in events.iter().enumerate() {
+    // The last event is always among the rest, which is never empty then.
+    let kept = kept.min(events.len().saturating_sub(1));
+    for (number, event) in events[kept..].iter().enumerate() {
         if number > 0 {
             text.extend_from_slice(b"\n");
         }
@@ -366,6 +394,7 @@
     Draft {
         job: job.to_string(),
         item,
+        after: kept as u64,
         text: Bytes::from(text),
         versions: versions.into_iter().collect(),
     }
--- a/crates/dispatch/src/runs.rs
+++ b/crates/dispatch/src/runs.rs
@@ -1,14 +1,16 @@
 //! Runs: begun, told of, ended, moved.
 
 use crate::dispatcher::{Action, Dispatcher, Edge, Millis};
-use crate::jobs::{JobRun, State, draft_of, without_score};
+use crate::jobs::{JobRun, State, draft_of};
 use crate::replicas::Need;
 use brasspond_cluster_protocol::{AttemptId, Pace, RunEnd, RunSpec, StreamEvent};
-use brasspond_jobs::{JobTable, Listing, Outcome};
+use brasspond_jobs::{JobTable, Listing, Outcome, Part, Piece};
 use std::collections::BTreeMap;
 
 /// Events from which a replica's speed is told.
 const PACE_EVENTS: u32 = 2;
+/// Events of a run that are worth an entry of the log.
+const KEPT_EVENTS: usize = 8;
 /// Opening a connection is worth avoiding as much as so many runs on an edge.
 const NEW_CONNECTION: usize = 6;
 
@@ -22,6 +24,8 @@
     pub replica: String,
     /// All events so far, those of earlier runs included.
     pub events: Vec<StreamEvent>,
+    /// How many of them the log keeps, or is about to.
+    pub kept: usize,
     /// When it began, or was last heard of.
     pub heard_at: Millis,
     pub made: u64,
@@ -151,8 +155,10 @@
         let item_run = &mut job.items[item as usize];
         item_run.state = State::Running(attempt);
         let mut events = std::mem::take(&mut item_run.events);
+        let mut kept = std::mem::take(&mut item_run.kept);
         if begins_anew {
             events.clear();
+            kept = 0;
         }
         let Some(known) = self.replicas.by_id.get_mut(&replica) else {
             return false;
@@ -197,6 +203,7 @@
             item_id: stored.id.clone(),
             replica,
             events,
+            kept,
             heard_at: now,
             made: 0,
             cancelled: false,
@@ -317,8 +324,8 @@
         }
         if end == RunEnd::Whole {
             item.state = State::Ending(Some((attempt, machine.to_string())));
-            let draft = draft_of(&run.job, run.item, &run.events);
-            self.actions.push(Action::List(without_score(draft)));
+            let draft = draft_of(&run.job, run.item, &run.events, run.kept);
+            self.actions.push(Action::Finish(draft));
             return;
         }
         if gives_up {
@@ -328,6 +335,7 @@
         }
         if end != RunEnd::Mixed {
             item.events = run.events;
+            item.kept = run.kept;
         }
         self.jobs.wait(&run.job, run.item);
         self.recorded(machine, attempt);
@@ -423,10 +431,37 @@
         let item = &mut job.items[run.item as usize];
         if item.state == State::Running(attempt) {
             item.events = run.events;
+            item.kept = run.kept;
             self.jobs.wait(&run.job, run.item);
         }
     }
 
+    /// Keeps from time to time what runs have made: texts of some length are worth
+    /// more than the bytes, and none of these is sent again with the whole text.
+    pub(crate) fn keep_parts(&mut self, now: Millis) {
+        if now < self.kept_at + self.settings.keep_ms {
+            return;
+        }
+        self.kept_at = now;
+        for run in self.runs.by_id.values_mut() {
+            let untold = run.events.len().saturating_sub(run.kept);
+            if run.cancelled || untold < KEPT_EVENTS || !self.jobs.jobs.contains_key(&run.job) {
+                continue;
+            }
+            let parts = run.events[run.kept..].iter().map(|event| Part {
+                data: event.data.clone(),
+                version: event.version,
+            });
+            self.actions.push(Action::Extend(Piece {
+                job: run.job.clone(),
+                item: run.item,
+                after: run.kept as u64,
+                parts: parts.collect(),
+            }));
+            run.kept = run.events.len();
+        }
+    }
+
     /// Items that waited longer than their route allows are given up.
     pub(crate) fn give_up_overdue(&mut self, now: Millis) {
         let mut overdue = Vec::new();
--- a/crates/dispatch/src/scoring.rs
+++ b/crates/dispatch/src/scoring.rs
@@ -49,7 +49,7 @@
         run: Run,
         now: Millis,
     ) {
-        let draft = draft_of(&run.job, run.item, &run.events);
+        let draft = draft_of(&run.job, run.item, &run.events, run.kept);
         self.actions.push(Action::Keep(draft));
         self.jobs.note_text(&run.job, run.item, &run.item_id);
         self.set_state(&run.job, run.item, State::Scoring(Some(attempt)));
--- a/crates/dispatch/src/takeover.rs
+++ b/crates/dispatch/src/takeover.rs
@@ -3,7 +3,13 @@
 use crate::dispatcher::{Action, Dispatcher, Millis};
 use crate::jobs::State;
 use crate::runs::Run;
-use brasspond_cluster_protocol::{AttemptId, RunEnd, RunReport, ScoringEnd};
+use brasspond_cluster_protocol::{AttemptId, RunEnd, RunReport, ScoringEnd, StreamEvent};
+
+/// How many events two streams begin with alike.
+fn common_prefix(one: &[StreamEvent], other: &[StreamEvent]) -> usize {
+    let pairs = one.iter().zip(other);
+    pairs.take_while(|(one, other)| one == other).count()
+}
 
 impl Dispatcher {
     /// A new leader takes over a run that an edge holds.
@@ -37,10 +43,13 @@
             }
         }
         let mut item_id = String::new();
+        let mut kept = 0;
         if let Some(job) = self.jobs.jobs.get_mut(&report.job) {
             let item = &mut job.items[report.item as usize];
             item.state = State::Running(attempt);
             item_id = item.id.clone();
+            // What the log keeps may be of an earlier run.
+            kept = common_prefix(&item.events[..item.kept], &report.events);
         }
         if let Some(replica) = self.replicas.by_id.get_mut(&report.replica) {
             replica.running += 1;
@@ -55,6 +64,7 @@
             item_id,
             replica: report.replica,
             events: report.events,
+            kept,
             heard_at: now,
             made: 0,
             cancelled: false,
@@ -86,6 +96,7 @@
         let attempt = report.attempt;
         if let Some(run) = self.runs.by_id.get_mut(&attempt) {
             run.heard_at = now;
+            run.kept = common_prefix(&run.events[..run.kept], &report.events);
             run.events = report.events;
             run.machine = machine.to_string();
             if run.cancelled {
--- a/crates/dispatch/tests/fuzzing.rs
+++ b/crates/dispatch/tests/fuzzing.rs
@@ -110,6 +110,7 @@
 #[case::a_text_listed_unscored(Mutation::ListedUnscored)]
 #[case::a_score_redrawn(Mutation::ScoreRedrawn)]
 #[case::a_draft_lost(Mutation::DraftLost)]
+#[case::a_piece_misplaced(Mutation::PieceMisplaced)]
 fn a_built_in_fault_is_caught(#[case] mutation: Mutation) {
     const SEEDS: u64 = 40;
     let late = |next| Fault::LeaderFalls {
--- a/crates/dispatch/tests/model/fault.rs
+++ b/crates/dispatch/tests/model/fault.rs
@@ -69,6 +69,8 @@
     ScoreRedrawn,
     /// Texts that wait for their scores are lost with the leader.
     DraftLost,
+    /// Parts of a text are kept at another place than they belong.
+    PieceMisplaced,
 }
 
 /// Time after which a link that stays broken is given up by the leader, in ms.
--- a/crates/dispatch/tests/model/mod.rs
+++ b/crates/dispatch/tests/model/mod.rs
@@ -153,7 +153,16 @@
         for item in &mut submission.items {
             item.expected_tokens = self.random.random_range(1..50);
             let is_scored = self.random.random_bool(0.6);
+            let is_scored = self
+                .oracle
+                .scored
+                .entry(item.id.clone())
+                .or_insert(is_scored);
             item.scoring = is_scored.then(|| scoring_call(&id, &item.id));
+            if let Some(call) = &item.scoring {
+                let calls = self.oracle.calls.entry(item.id.clone()).or_default();
+                calls.insert(call.id.clone());
+            }
             let is_long = self.random.random_bool(0.08);
             let longest = if is_long { 250 } else { 40 };
             let plan = ItemPlan {
--- a/crates/jobs/src/command.rs
+++ b/crates/jobs/src/command.rs
@@ -79,17 +79,42 @@
     Terminated,
 }
 
-/// The whole text of an item that waits for its score. Kept before it is scored,
-/// so that no loss of a process has the text made again.
+/// A part of a text that one event brought.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Part {
+    /// Data of the event.
+    pub data: Bytes,
+    /// Version of the weights that made it.
+    pub version: u64,
+}
+
+/// Parts of an item's text, kept while it is made: the loss of all processes
+/// costs little of a long text.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Piece {
+    /// The job.
+    pub job: String,
+    /// Index of the item in its job.
+    pub item: u32,
+    /// Parts kept before that stay; later ones give way.
+    pub after: u64,
+    /// Parts that follow.
+    pub parts: Vec<Part>,
+}
+
+/// The end of an item's text, which makes it whole. Kept before the text is
+/// scored, so that no loss of a process has it made again.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Draft {
     /// The job.
     pub job: String,
     /// Index of the item in its job.
     pub item: u32,
-    /// Data of all events in order, separated by line feeds.
+    /// Parts kept before that begin the text.
+    pub after: u64,
+    /// Data of the events after them in order, separated by line feeds.
     pub text: Bytes,
-    /// Versions of the weights that made an event, ascending.
+    /// Versions of the weights that made one of these events, ascending.
     pub versions: Vec<u64>,
 }
 
@@ -122,9 +147,13 @@
     Accept(Submission),
     /// Puts items at the next positions; items already listed stay.
     List(Vec<Listing>),
+    /// Keeps parts of texts that are being made.
+    Extend(Vec<Piece>),
     /// Keeps whole texts that wait for their scores; the first draft of an item
     /// stays.
     Draft(Vec<Draft>),
+    /// Puts whole texts that need no score at the next positions.
+    Finish(Vec<Draft>),
     /// Puts drafts with their scores at the next positions; items without a
     /// draft, or already listed, stay.
     Score(Vec<Score>),
--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -11,6 +11,7 @@
 mod table;
 
 pub use command::{
-    Command, CommandError, Draft, Item, Listing, Outcome, Score, ScoringCall, Submission,
+    Command, CommandError, Draft, Item, Listing, Outcome, Part, Piece, Score, ScoringCall,
+    Submission,
 };
 pub use table::{Accepted, BodyError, Job, JobTable, Page, Positioned};
--- a/crates/jobs/src/table.rs
+++ b/crates/jobs/src/table.rs
@@ -1,9 +1,11 @@
 //! The table of jobs.
 
-use crate::command::{Command, CommandError, Draft, Item, Listing, Outcome, Score, Submission};
-use bytes::Bytes;
+use crate::command::{
+    Command, CommandError, Draft, Item, Listing, Outcome, Part, Piece, Score, Submission,
+};
+use bytes::{Bytes, BytesMut};
 use serde::{Deserialize, Serialize};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 /// A job and its results so far.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -26,8 +28,10 @@
     pub results: Vec<(u32, Outcome)>,
     /// For each item, whether it is listed.
     pub listed: Vec<bool>,
-    /// Texts and versions of items that wait for their scores, by index. Those of
-    /// an ended job stay for a job that brings the item again.
+    /// Texts that are being made, by index. Those of an ended job stay for a job
+    /// that brings the item again; so do drafts.
+    pub parts: BTreeMap<u32, Vec<Part>>,
+    /// Texts and versions of items that wait for their scores, by index.
     pub drafts: BTreeMap<u32, (Bytes, Vec<u64>)>,
     /// Whether its caller ended it.
     pub ended: bool,
@@ -103,6 +107,8 @@
         match command {
             Command::Accept(submission) => return Some(self.accept(submission)),
             Command::List(listings) => listings.into_iter().for_each(|one| self.list(one)),
+            Command::Extend(pieces) => pieces.into_iter().for_each(|one| self.extend(one)),
+            Command::Finish(drafts) => drafts.into_iter().for_each(|one| self.finish(one)),
             Command::Draft(drafts) => drafts.into_iter().for_each(|one| self.draft(one)),
             Command::Score(scores) => scores.into_iter().for_each(|one| self.score(one)),
             Command::End { job } => self.end(&job),
@@ -204,6 +210,7 @@
             listed: vec![false; submission.items.len()],
             items: submission.items,
             results: Vec::new(),
+            parts: BTreeMap::new(),
             drafts: BTreeMap::new(),
             ended: false,
         };
@@ -220,18 +227,70 @@
             Some(listed) if !*listed => *listed = true,
             _ => return,
         }
+        job.parts.remove(&listing.item);
         job.drafts.remove(&listing.item);
         drop_content(&mut job.items[index]);
         job.results.push((listing.item, listing.outcome));
     }
 
-    fn draft(&mut self, draft: Draft) {
-        let Some(job) = self.jobs.get_mut(&draft.job) else {
+    fn extend(&mut self, piece: Piece) {
+        let Some(job) = self.jobs.get_mut(&piece.job) else {
             return;
         };
-        if job.listed.get(draft.item as usize) == Some(&false) {
-            let content = (draft.text, draft.versions);
-            job.drafts.entry(draft.item).or_insert(content);
+        let is_open = job.listed.get(piece.item as usize) == Some(&false);
+        if !is_open || job.drafts.contains_key(&piece.item) {
+            return;
+        }
+        let parts = job.parts.entry(piece.item).or_default();
+        if let Some(after) = position(piece.after, parts) {
+            parts.truncate(after);
+            parts.extend(piece.parts);
+        }
+    }
+
+    /// The whole text that a draft ends, with all its versions; none where it does
+    /// not fit what is kept.
+    fn join(&self, draft: &Draft) -> Option<(Bytes, Vec<u64>)> {
+        let job = self.jobs.get(&draft.job)?;
+        let is_open = job.listed.get(draft.item as usize) == Some(&false);
+        if !is_open || job.drafts.contains_key(&draft.item) {
+            return None;
+        }
+        let parts = job.parts.get(&draft.item).map_or(&[][..], Vec::as_slice);
+        let first = &parts[..position(draft.after, parts)?];
+        if first.is_empty() {
+            return Some((draft.text.clone(), draft.versions.clone()));
+        }
+        let mut text = BytesMut::new();
+        let mut versions: BTreeSet<u64> = draft.versions.iter().copied().collect();
+        for part in first {
+            text.extend_from_slice(&part.data);
+            text.extend_from_slice(b"\n");
+            versions.insert(part.version);
+        }
+        text.extend_from_slice(&draft.text);
+        Some((text.freeze(), versions.into_iter().collect()))
+    }
+
+    fn draft(&mut self, draft: Draft) {
+        let joined = self.join(&draft);
+        if let (Some(content), Some(job)) = (joined, self.jobs.get_mut(&draft.job)) {
+            job.parts.remove(&draft.item);
+            job.drafts.insert(draft.item, content);
+        }
+    }
+
+    fn finish(&mut self, draft: Draft) {
+        if let Some((text, versions)) = self.join(&draft) {
+            self.list(Listing {
+                job: draft.job,
+                item: draft.item,
+                outcome: Outcome::Completed {
+                    text,
+                    versions,
+                    score: None,
+                },
+            });
         }
     }
 
@@ -266,6 +325,12 @@
     }
 }
 
+/// Where so many parts end; none if fewer are kept.
+fn position(after: u64, parts: &[Part]) -> Option<usize> {
+    let after = usize::try_from(after).ok()?;
+    (after <= parts.len()).then_some(after)
+}
+
 fn drop_content(item: &mut Item) {
     item.body = Bytes::new();
     item.headers = Vec::new();
