--- a/crates/bench/benches/path.rs
+++ b/crates/bench/benches/path.rs
@@ -85,7 +85,6 @@
         swap_policy: SwapPolicy::MidStream,
         limits: GroupLimits::default(),
         trainer: "t".to_owned(),
-        scoring_service: None,
     };
     let caller = CallerSpec {
         token_digest: blake3::hash(TOKEN.as_bytes()).to_hex().to_string(),
--- a/crates/brasspond/src/main.rs
+++ b/crates/brasspond/src/main.rs
@@ -2,7 +2,6 @@
 //! operator installs one file (`docs/design/0001-architecture.md`).
 #![forbid(unsafe_code)]
 
-mod capacity;
 mod check;
 mod client;
 mod demo;
@@ -48,7 +47,6 @@
         Command::Demo(options) => demo::run(&options),
         Command::Fuzz(options) => fuzz::run(&options),
         Command::Experiment(options) => experiment::run(&options),
-        Command::Capacity(options) => capacity::run(&options),
         Command::Digest => digest::run(),
     };
     outcome.into()
--- a/crates/brasspond/src/options.rs
+++ b/crates/brasspond/src/options.rs
@@ -313,29 +313,6 @@
     pub(crate) files: Vec<PathBuf>,
 }
 
-/// Cost of control by the size of the fleet.
-#[derive(Clone, Debug, Bpaf)]
-pub(crate) struct CapacityOptions {
-    /// Number of nodes; may be given several times
-    #[bpaf(argument("NODES"), many)]
-    pub(crate) size: Vec<usize>,
-    /// Simulated seconds measured at each size
-    #[bpaf(argument("N"), fallback(20))]
-    pub(crate) seconds: u64,
-    /// Requests a second for each node
-    #[bpaf(argument("N"), fallback(36.0))]
-    pub(crate) requests: f64,
-    /// Changes of configuration for the promises; 0 leaves the promises out
-    #[bpaf(argument("N"), fallback(100))]
-    pub(crate) changes: usize,
-    /// Simulated seconds of calm for the promises
-    #[bpaf(argument("N"), fallback(3600))]
-    pub(crate) calm: u64,
-    /// File to write the report to, as JSON
-    #[bpaf(argument("FILE"), optional)]
-    pub(crate) report: Option<PathBuf>,
-}
-
 /// What to do.
 #[derive(Clone, Debug, Bpaf)]
 pub(crate) enum Command {
@@ -404,11 +381,6 @@
     /// Example: brasspond experiment scenarios/cardiff.toml --out out
     #[bpaf(command)]
     Experiment(#[bpaf(external(experiment_options))] ExperimentOptions),
-    /// Measure the cost of control on hollow fleets of several sizes
-    ///
-    /// Example: brasspond capacity --size 49 --size 98 --size 195 --size 390
-    #[bpaf(command)]
-    Capacity(#[bpaf(external(capacity_options))] CapacityOptions),
     /// Print the digest of a token read from standard input
     ///
     /// Example: brasspond digest < operator.token
--- a/crates/consensus/src/node.rs
+++ b/crates/consensus/src/node.rs
@@ -4,7 +4,7 @@
 use crate::election::Ballot;
 use crate::log::Log;
 use crate::message::{Entry, HardState, Member, MemberId, Message, Payload, Snapshot};
-use crate::replication::Progress;
+use crate::replication::{Appended, Progress};
 use bytes::Bytes;
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -367,15 +367,15 @@
                 entries,
                 commit,
                 read_index,
-            } => self.on_append(
-                from,
-                term,
-                (previous_index, previous_term),
-                entries,
-                commit,
-                read_index,
-                now,
-            ),
+            } => {
+                let appended = Appended {
+                    previous: (previous_index, previous_term),
+                    entries,
+                    commit,
+                    read_index,
+                };
+                self.on_append(from, term, appended, now);
+            }
             Message::AppendReply {
                 term,
                 matched,
--- a/crates/consensus/src/replication.rs
+++ b/crates/consensus/src/replication.rs
@@ -33,6 +33,15 @@
     last_index: u64,
 }
 
+/// What a leader sends a follower; see [`Message::Append`].
+pub(crate) struct Appended {
+    /// Index and term of the entry before the first.
+    pub previous: (u64, u64),
+    pub entries: Vec<Entry>,
+    pub commit: u64,
+    pub read_index: Option<u64>,
+}
+
 impl Progress {
     pub(crate) fn new(next: u64, now: Millis) -> Self {
         Self {
@@ -205,21 +214,17 @@
         self.send(member, Message::Install { term, snapshot });
     }
 
-    pub(crate) fn on_append(
-        &mut self,
-        from: MemberId,
-        term: u64,
-        previous: (u64, u64),
-        entries: Vec<Entry>,
-        commit: u64,
-        read_index: Option<u64>,
-        now: Millis,
-    ) {
+    pub(crate) fn on_append(&mut self, from: MemberId, term: u64, appended: Appended, now: Millis) {
         if !self.accepts_leader(from, term, now) {
             return;
         }
+        let Appended {
+            previous: (previous_index, previous_term),
+            entries,
+            commit,
+            read_index,
+        } = appended;
         self.currency.told(read_index, now);
-        let (previous_index, previous_term) = previous;
         let matched = match self.log.term_at(previous_index) {
             Some(known) => known == previous_term,
             // What lies before the compacted prefix is committed, so it matches.
--- a/crates/control/src/steps.rs
+++ b/crates/control/src/steps.rs
@@ -439,7 +439,6 @@
             text: generated.text,
             finish_reason: reason,
             log_probabilities: generated.log_probabilities,
-            grade: None,
         };
         if entry.step.finish(Arc::new(sample)) {
             entry.copies.add_results(&[id.slot], None);
--- a/crates/demo/src/cluster.rs
+++ b/crates/demo/src/cluster.rs
@@ -58,7 +58,6 @@
             swap_policy: SwapPolicy::MidStream,
             limits: GroupLimits::default(),
             trainer,
-            scoring_service: None,
         };
         objects.push(object(group.name, Spec::ResearchGroup(spec)));
         let model = ModelSpec {
--- a/crates/resource/src/manifest.rs
+++ b/crates/resource/src/manifest.rs
@@ -46,7 +46,6 @@
     Field::optional("swapPolicy", FieldKind::Choice(&["mid-stream", "drain"])),
     Field::optional("limits", FieldKind::Table(GROUP_LIMIT_FIELDS)),
     Field::required("trainer", FieldKind::Name),
-    Field::optional("scoringService", FieldKind::Name),
 ];
 
 const MODEL_FIELDS: &[Field] = &[
--- a/crates/resource/src/spec.rs
+++ b/crates/resource/src/spec.rs
@@ -58,9 +58,6 @@
     pub limits: GroupLimits,
     /// Caller that may open steps for the group.
     pub trainer: String,
-    /// Service that grades finished samples, if any.
-    #[serde(default)]
-    pub scoring_service: Option<String>,
 }
 
 /// A model or adapter.
--- a/crates/simulation/src/world/build.rs
+++ b/crates/simulation/src/world/build.rs
@@ -28,7 +28,6 @@
                     ..GroupLimits::default()
                 },
                 trainer: format!("{}-trainer", group.name),
-                scoring_service: None,
             };
             objects.push(named(&group.name, Spec::ResearchGroup(spec)));
             let model = ModelSpec {
--- a/crates/telemetry/src/explain.rs
+++ b/crates/telemetry/src/explain.rs
@@ -234,6 +234,17 @@
     for (end, count) in counts(&ended, "end") {
         parts.push(format!("{count} ended {end}"));
     }
+    let scorings = events(lines, "scoring_ended");
+    for (end, count) in counts(&scorings, "end") {
+        parts.push(format!("{count} scorings ended {end}"));
+    }
+    if let Some(last) = scorings.last() {
+        parts.push(format!("the last took {} ms", last.field("elapsed_ms")));
+    }
+    let ordered = events(lines, "scoring_ordered").len();
+    if ordered > 0 {
+        parts.push(format!("{ordered} ordered from other edges"));
+    }
     if !events(lines, "item_given_up").is_empty() {
         parts.push(String::from(
             "given up: waited longer than its route allows",
--- a/crates/telemetry/tests/explain.rs
+++ b/crates/telemetry/tests/explain.rs
@@ -14,6 +14,11 @@
 2026-01-01T00:00:02.1Z [INFO] event=run_started job=j item=a attempt=2.1 replica=i-3 waited_ms=40
 2026-01-01T00:00:03.5Z [INFO] event=run_moved job=j item=a attempt=2.1 replica=i-3 reason=stalled events=4
 2026-01-01T00:00:04Z [INFO] event=run_ended job=j item=a attempt=2.2 replica=i-4 end=whole events=9
+2026-01-01T00:00:05Z [INFO] event=run_started job=k item=b attempt=2.3 replica=i-3 waited_ms=0
+2026-01-01T00:00:06Z [INFO] event=run_ended job=k item=b attempt=2.3 replica=i-3 end=whole events=5
+2026-01-01T00:00:07Z [INFO] event=scoring_ended job=k item=b attempt=2.3 edge=e-1 end=unanswered elapsed_ms=1004
+2026-01-01T00:00:07.2Z [INFO] event=scoring_ordered job=k item=b attempt=2.4 edge=e-2 request=r9
+2026-01-01T00:00:07.3Z [INFO] event=scoring_ended job=k item=b attempt=2.4 edge=e-2 end=scored elapsed_ms=28
 ";
 
 fn story(id: &str) -> Vec<String> {
@@ -32,6 +37,10 @@
     "a",
     "waited 40 ms for a place, 1 runs; 1 moved (stalled); 1 ended whole"
 )]
+#[case::item_that_waited_for_its_score(
+    "b",
+    "waited 0 ms for a place, 1 runs; 1 ended whole; 1 scorings ended scored; 1 scorings ended unanswered; the last took 28 ms; 1 ordered from other edges"
+)]
 #[case::job(
     "j",
     "1 runs ended whole; 1 runs moved (stalled); last start 40 ms after the job was known to the leader"
--- a/crates/types/src/sample.rs
+++ b/crates/types/src/sample.rs
@@ -108,9 +108,6 @@
     /// Natural log-probability of each token, where the engine gives them.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub log_probabilities: Vec<f32>,
-    /// Grade of the scoring service, where one is configured.
-    #[serde(default, skip_serializing_if = "Option::is_none")]
-    pub grade: Option<f64>,
 }
 
 impl Sample {
