Requests turned away at once are logged by their identity; questions in a file of their own

Ruled out: kills in mid-request (the client had the 503's whole body). Change: these lines carry request=. Tests: a_request_turned_away_at_once_is_logged_by_its_identity (fails on the code before: no such field).

--- a/crates/brasspond/tests/cluster.rs
+++ b/crates/brasspond/tests/cluster.rs
@@ -334,6 +334,20 @@
     }
 }
 
+/// A request turned away before any route is known has a line with its identity too
+/// (adrese-riga, agac-visor: requests sent 0.1 s after all processes ended had none).
+#[rstest]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_request_turned_away_at_once_is_logged_by_its_identity() {
+    let cluster = Cluster::start().await;
+    let front = cluster.edges[0].front;
+    let response = call(front, "POST", "/nowhere/x", "request-9", "x").await;
+    assert_eq!(response.expect("answered").status(), 404);
+    cluster.edges[0]
+        .await_line("event=request_failed request=request-9")
+        .await;
+}
+
 #[rstest]
 #[tokio::test(flavor = "multi_thread")]
 async fn metrics_are_served_and_can_be_read() {
--- /dev/null
+++ b/crates/cluster/src/edge/asking.rs
@@ -0,0 +1,146 @@
+//! Questions to storage processes: to the leader, or to a member near by, and the
+//! search for any of them.
+
+use super::process::Edge;
+use brasspond_cluster_protocol::{Answer, Question};
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+/// Time for an answer before the question is asked again.
+const ANSWER_TIME: Duration = Duration::from_millis(1_200);
+/// Time for the storage process near by to answer a read, beside its wait.
+const READER_TIME: Duration = Duration::from_millis(300);
+/// Time in which it is not asked again after it did not answer, in ms.
+const READER_PAUSE: u64 = 2_000;
+/// Pause before a question that found no leader is asked again.
+const ASK_PAUSE: Duration = Duration::from_millis(60);
+/// Pause between two searches for storage processes; it grows.
+const SEARCH_PAUSE: Duration = Duration::from_millis(500);
+/// Longest pause between two searches.
+const LONGEST_SEARCH_PAUSE: Duration = Duration::from_secs(2);
+
+/// Why a question has no answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum AskError {
+    /// No leader took it: nothing was done.
+    NotAsked,
+    /// A leader may have done it.
+    Unknown,
+}
+
+impl Edge {
+    /// Asks for results, near by if that may answer, else the leader.
+    pub(super) async fn ask_results(
+        &self,
+        question: Question,
+        wait: Duration,
+        deadline: Instant,
+    ) -> Result<Answer, AskError> {
+        if let Some(answer) = self.ask_reader(&question, wait).await {
+            return Ok(answer);
+        }
+        self.ask(question, wait, deadline).await
+    }
+
+    /// The answer of the storage process near by; none: the leader must be asked.
+    async fn ask_reader(&self, question: &Question, wait: Duration) -> Option<Answer> {
+        let now = self.clock.now();
+        if now < self.reader_paused_until.get() {
+            return None;
+        }
+        let asked = {
+            let mut cluster = self.cluster.borrow_mut();
+            let reader = cluster.reader()?;
+            cluster.ask(reader.link, &reader.writer, question.clone())?
+        };
+        match tokio::time::timeout(wait + READER_TIME, asked).await {
+            Ok(Ok(answer @ Answer::Page(Some(_)))) => Some(answer),
+            Ok(Ok(_)) => None,
+            Ok(Err(_)) | Err(_) => {
+                self.reader_paused_until
+                    .set(self.clock.now() + READER_PAUSE);
+                None
+            }
+        }
+    }
+
+    /// Asks the leader, and again while there is time: every question may be
+    /// asked twice.
+    pub(super) async fn ask(
+        &self,
+        question: Question,
+        wait: Duration,
+        deadline: Instant,
+    ) -> Result<Answer, AskError> {
+        let mut leaders = self.cluster.borrow().watch_leader();
+        let mut failure = AskError::NotAsked;
+        loop {
+            let left = deadline.saturating_duration_since(Instant::now());
+            if left.is_zero() {
+                return Err(failure);
+            }
+            let leader = leaders.borrow_and_update().clone();
+            let Some(leader) = leader else {
+                let _ = tokio::time::timeout(left, leaders.changed()).await;
+                continue;
+            };
+            let asked =
+                self.cluster
+                    .borrow_mut()
+                    .ask(leader.link, &leader.writer, question.clone());
+            let answer = match asked {
+                Some(receiver) => {
+                    let limit = left.min(ANSWER_TIME + wait);
+                    tokio::time::timeout(limit, receiver).await
+                }
+                None => Ok(Ok(Answer::NotLeader(None))),
+            };
+            match answer {
+                Ok(Ok(Answer::NotLeader(_))) => {}
+                Ok(Ok(Answer::Unknown)) | Ok(Err(_)) | Err(_) => failure = AskError::Unknown,
+                Ok(Ok(answer)) => return Ok(answer),
+            }
+            let pause = ASK_PAUSE.min(left);
+            let _ = tokio::time::timeout(pause, leaders.changed()).await;
+        }
+    }
+}
+
+/// Looks for storage processes until some are known: in the group's record,
+/// then with the seeds.
+pub(super) async fn find_members(edge: Rc<Edge>) {
+    let mut pause = SEARCH_PAUSE;
+    loop {
+        if edge.cluster.borrow().leader().is_some() {
+            pause = SEARCH_PAUSE;
+        } else {
+            if let Ok(Some(record)) = edge.outside.registry.read().await {
+                let mut cluster = edge.cluster.borrow_mut();
+                for member in &record.members {
+                    cluster.dial_to(member.address);
+                }
+            }
+            ask_seeds(&edge).await;
+        }
+        tokio::time::sleep(pause).await;
+        pause = (pause + SEARCH_PAUSE / 2).min(LONGEST_SEARCH_PAUSE);
+    }
+}
+
+async fn ask_seeds(edge: &Rc<Edge>) {
+    for seed in &edge.settings.process.seeds {
+        if *seed == edge.settings.process.cluster_address {
+            continue;
+        }
+        if let Some(members) = crate::link::ask_members(*seed).await {
+            let known = edge.cluster.borrow().known_peers();
+            let mut cluster = edge.cluster.borrow_mut();
+            for member in members {
+                if !known.contains(&member.address) {
+                    cluster.dial_to(member.address);
+                }
+            }
+            return;
+        }
+    }
+}
--- a/crates/cluster/src/edge/forward.rs
+++ b/crates/cluster/src/edge/forward.rs
@@ -69,9 +69,10 @@
     let held = header_number(&head.headers, &names.deadline_ms).unwrap_or(route.timeout_ms);
     let held = held.min(route.timeout_ms.max(1));
     let deadline = arrived + Duration::from_millis(held);
+    let id = header_text(&head.headers, &names.request_id);
     let Some(request) = Forwarded::new(edge, route, head, body, deadline) else {
         log::info!(
-            "event=request_failed route={} reason=no_service",
+            "event=request_failed request={id} route={} reason=no_service",
             route.name
         );
         return unavailable(Duration::from_millis(300));
--- a/crates/cluster/src/edge/front.rs
+++ b/crates/cluster/src/edge/front.rs
@@ -1,7 +1,7 @@
 //! What callers connect to.
 
-use super::cluster::AskError;
-use super::forward::{forward, give_up};
+use super::asking::AskError;
+use super::forward::{forward, give_up, header_text};
 use super::process::Edge;
 use crate::outside::Call;
 use brasspond_cluster_protocol::{Answer, Question};
@@ -172,7 +172,8 @@
     let arrived = Instant::now();
     let Some(configuration) = edge.view.borrow().configuration.clone() else {
         log::info!(
-            "event=request_failed path={} reason=no_configuration",
+            "event=request_failed request={} path={} reason=no_configuration",
+            request_id(edge, &head),
             head.uri.path()
         );
         return unavailable(Duration::from_millis(300));
@@ -180,7 +181,8 @@
     let host = host_of(&head);
     let Some(route) = configuration.route(&host, head.uri.path()) else {
         log::info!(
-            "event=request_failed host={host} path={} reason=no_route configuration={}",
+            "event=request_failed request={} host={host} path={} reason=no_route configuration={}",
+            request_id(edge, &head),
             head.uri.path(),
             configuration.version
         );
@@ -288,6 +290,12 @@
     }
 }
 
+/// Identity of a request, for logs.
+fn request_id(edge: &Edge, head: &hyper::http::request::Parts) -> String {
+    let names = edge.outside.dialect.names();
+    header_text(&head.headers, &names.request_id)
+}
+
 fn host_of(head: &hyper::http::request::Parts) -> String {
     let header = head.headers.get(hyper::header::HOST);
     let host = header.and_then(|host| host.to_str().ok());
--- a/crates/cluster/src/edge/mod.rs
+++ b/crates/cluster/src/edge/mod.rs
@@ -1,5 +1,6 @@
 //! An edge: serves callers, forwards their requests, takes jobs, runs items.
 
+mod asking;
 mod balance;
 mod cluster;
 mod forward;
--- a/crates/cluster/src/edge/process.rs
+++ b/crates/cluster/src/edge/process.rs
@@ -120,7 +120,7 @@
     tokio::task::spawn_local(accept_links(cluster_listener, numbers, events));
     tokio::task::spawn_local(ready::serve(Rc::clone(&edge), ready_listener));
     tokio::task::spawn_local(front::serve(Rc::clone(&edge), front_listener));
-    tokio::task::spawn_local(super::cluster::find_members(Rc::clone(&edge)));
+    tokio::task::spawn_local(super::asking::find_members(Rc::clone(&edge)));
     serve_metrics(&edge, log_ring);
     let mut observed = edge.outside.observed.clone();
     edge.set_interest(edge.clock.now());
