A run taken over counts alone; a result that does not fit the log is made anew

Ruled out: the log and the table (a piece after 80 of 11 parts is void, as it should be). Change: the item forgets its own events when a run is taken over; a listing that the table did not take has the item made from its first event, with a line (event=result_void). Tests: regressions::case_5 (fails on the code before), after_a_mixed_run_that_was_taken_over_nothing_counts_as_kept, a_void_result_is_made_anew.

--- a/crates/dispatch/src/runs.rs
+++ b/crates/dispatch/src/runs.rs
@@ -387,6 +387,11 @@
     }
 
     pub(crate) fn on_listed(&mut self, job: &str, item: u32, table: &JobTable) {
+        let stored = table.job(job);
+        if stored.is_some_and(|stored| !stored.listed[item as usize] && !stored.ended) {
+            self.begin_anew(job, item);
+            return;
+        }
         let before = self.jobs.listed(job, item, table);
         match before {
             Some(State::Ending(Some((attempt, machine)))) => self.recorded(&machine, attempt),
@@ -396,6 +401,24 @@
         }
     }
 
+    /// What was to be listed did not fit what the log keeps: the item's text is made
+    /// from the first event.
+    fn begin_anew(&mut self, job: &str, item: u32) {
+        let run = self.jobs.jobs.get_mut(job);
+        let Some(item_run) = run.and_then(|run| run.items.get_mut(item as usize)) else {
+            return;
+        };
+        if let State::Ending(told) = item_run.state.clone() {
+            log::warn!("event=result_void job={job} item={}", item_run.id);
+            item_run.events = Vec::new();
+            item_run.kept = 0;
+            self.jobs.wait(job, item);
+            if let Some((attempt, machine)) = told {
+                self.recorded(&machine, attempt);
+            }
+        }
+    }
+
     pub(crate) fn cancel(&mut self, attempt: AttemptId) {
         if let Some(run) = self.runs.by_id.get_mut(&attempt)
             && !run.cancelled
--- a/crates/dispatch/src/takeover.rs
+++ b/crates/dispatch/src/takeover.rs
@@ -50,6 +50,9 @@
             item_id = item.id.clone();
             // What the log keeps may be of an earlier run.
             kept = common_prefix(&item.events[..item.kept], &report.events);
+            // From here on the run's own events count.
+            item.events = Vec::new();
+            item.kept = 0;
         }
         if let Some(replica) = self.replicas.by_id.get_mut(&report.replica) {
             replica.running += 1;
--- a/crates/dispatch/tests/fuzzing.rs
+++ b/crates/dispatch/tests/fuzzing.rs
@@ -81,28 +81,39 @@
 /// Seeds that once failed, with the cause.
 #[rstest]
 // Events of an old link were taken twice.
-#[case(0, vec![(Fault::LinkBreaks { edge: 0, for_ms: 20, late: true }, 10)])]
+#[case(0, false, vec![(Fault::LinkBreaks { edge: 0, for_ms: 20, late: true }, 10)])]
 // Items of a job that allows only the newest version waited for a load that
 // waits until nothing does.
-#[case(11_866_567_340_398_592_494, vec![
+#[case(11_866_567_340_398_592_494, false, vec![
     (Fault::EdgeEnds(0), 1_085),
     (Fault::Version, 124),
     (Fault::Submit(28), 1_485),
 ])]
 // A cancellation was lost with the link: the run's place was never free again.
-#[case(5_569_123_444_148_058_654, vec![
+#[case(5_569_123_444_148_058_654, false, vec![
     (Fault::LinkBreaks { edge: 2, for_ms: 211, late: false }, 10),
     (Fault::End, 10),
 ])]
 // The model sent a run on a new link before its edge had told of those it held,
 // which no leader does.
-#[case(15_702_645_483_952_888_106, vec![
+#[case(15_702_645_483_952_888_106, false, vec![
     (Fault::ReplicaEnds(1), 941),
     (Fault::LinkBreaks { edge: 2, for_ms: 71, late: false }, 61),
     (Fault::End, 10),
 ])]
-fn regressions(#[case] seed: u64, #[case] strikes: Vec<Strike>) {
-    play(seed, false, &strikes);
+// A run taken over was mixed, and its item went on after parts that the log no
+// longer kept: its end was void, and nobody noticed.
+#[case(4_010_305_910_569_207_699, true, vec![
+    (Fault::Version, 551),
+    (Fault::ReplicaDrains(2), 1_471),
+    (Fault::OrdersLate(3, 160), 231),
+    (Fault::Version, 571),
+    (Fault::EdgeDrains(1), 101),
+    (Fault::EdgeEnds(0), 741),
+    (Fault::LeaderFalls { next: 1, pause_ms: 20, proposals_kept: false }, 10),
+])]
+fn regressions(#[case] seed: u64, #[case] single: bool, #[case] strikes: Vec<Strike>) {
+    play(seed, single, &strikes);
 }
 
 /// Each check fails when the fault it is there for is built in.
--- a/crates/dispatch/tests/parts.rs
+++ b/crates/dispatch/tests/parts.rs
@@ -145,3 +145,48 @@
     let run = runs(&after.accept(later)).remove(0);
     assert_eq!(run.events, events(1..=12));
 }
+
+/// Found by fuzzing, seed 4010305910569207699.
+#[rstest]
+fn after_a_mixed_run_that_was_taken_over_nothing_counts_as_kept() {
+    let (mut before, attempt) = running();
+    progress(&mut before, attempt, events(1..=12));
+    keep(&mut before);
+    let mut after = before.next_leader();
+    let held: Vec<StreamEvent> = (1..=9).map(|id| event(id, "other", 2)).collect();
+    let report = RunReport {
+        attempt,
+        job: "job".to_string(),
+        item: 0,
+        replica: "replica-0".to_string(),
+        events: held,
+        end: Some(RunEnd::Mixed),
+        scoring: None,
+    };
+    after.edge_with("edge-1", vec![report]);
+    after.advance(400);
+    let run = runs(&after.handle(Event::Tick)).remove(0);
+    assert_eq!(run.events, []);
+}
+
+/// A result that does not fit what the log keeps is made again, not lost.
+#[rstest]
+fn a_void_result_is_made_anew() {
+    let (mut fixture, attempt) = running();
+    progress(&mut fixture, attempt, events(1..=9));
+    keep(&mut fixture);
+    let actions = fixture.handle(Event::Ended {
+        machine: "edge-1".to_string(),
+        attempt,
+        events: events(10..=11),
+        end: RunEnd::Whole,
+    });
+    let mut draft = finished(&actions).remove(0);
+    draft.after = 30;
+    fixture.table.apply(Command::Finish(vec![draft]));
+    let actions = fixture.handle(Event::Listed {
+        job: "job".to_string(),
+        item: 0,
+    });
+    assert_eq!(runs(&actions)[0].events, []);
+}
