Tests: a store that refuses storage processes cuts their held watches too

Cause of the red test a_leader_that_the_store_refuses_learns_from_edges: the stand-in's store refused new calls only. A watch on versions that the leader held when the refusal began still brought it the version, if the first of its watches to end was another kind's; then no edge had anything to tell it, and the line that the test waits for was never said. Ruled out: another leader meanwhile (the test would then find that leader's line in another log, and the version would not reach the replicas through this one within its 6 s). Change: the stand-in answers a held watch of a storage process with 503 as soon as it refuses them, as the platform may. The test is stricter: nothing reaches the leader but through edges.

--- a/crates/brasspond/tests/platform_standin/mod.rs
+++ b/crates/brasspond/tests/platform_standin/mod.rs
@@ -165,10 +165,22 @@
 }
 
 async fn storage_call(store: Arc<Store>, request: Request<Incoming>) -> Response<Body> {
-    if store.refuses_storage.load(Ordering::Relaxed) {
-        return answer(503, "");
+    let refusal = Arc::clone(&store);
+    // A watch that is held when the refusal begins is cut: its answer would tell
+    // storage processes what the store keeps from them.
+    tokio::select! {
+        biased;
+        () = refused(&refusal) => answer(503, ""),
+        response = store_call(store, request) => response,
+    }
+}
+
+/// Waits until the store refuses storage processes.
+async fn refused(store: &Store) {
+    const LOOK_PAUSE: Duration = Duration::from_millis(5);
+    while !store.refuses_storage.load(Ordering::Relaxed) {
+        tokio::time::sleep(LOOK_PAUSE).await;
     }
-    store_call(store, request).await
 }
 
 async fn store_call(store: Arc<Store>, request: Request<Incoming>) -> Response<Body> {
