Slow replicas are measured; loads at a time are learned; few calls to the store

The cap stood for what each load costs every edge. - 45 storage processes read the group's record every 400 ms; every edge read it, and the source of the view, at the first start; watches were held for 1.7 s whatever the bounds. Changes: - PaceMeter counts on until two events came. - LoadLimit: as many load at a time as loads take about the least time seen; doubling at first, less by a quarter once loads take long, no growth for 10 s after that. The time of a load is learned too (it was a setting). Loads go first to the model that lacks most places; a replica with runs loads only if they have room elsewhere or none serves the step. - Edges are sent what they act on; other changes of the view (weights) each two seconds. - RecordSearch: nobody outside the group reads the record while the leader tells that it leads; processes that miss it read spread over four seconds, then more and more seldom. At the first start edges ask their seeds; hold and pause of watches follow from the bounds. Ruled out: places (33% used), speed under load (78 ms an event at 1 to 5 runs, 81 at 6).

--- a/crates/cluster-protocol/src/lib.rs
+++ b/crates/cluster-protocol/src/lib.rs
@@ -134,7 +134,8 @@
         /// Answer.
         answer: Answer,
     },
-    /// The sender leads in this term; sent at once to all edges, and repeated.
+    /// The sender leads in this term; sent at once to all edges, and repeated. To
+    /// storage processes once in a term, and when the members change.
     Leading {
         /// Term.
         term: u64,
@@ -198,6 +199,7 @@
     },
     /// The sender takes no new work.
     Draining,
-    /// Nothing; shows that the sender lives.
+    /// Nothing; shows that the sender lives. From the leader to a storage process:
+    /// that it still leads.
     Beat,
 }
--- a/crates/cluster-protocol/src/run.rs
+++ b/crates/cluster-protocol/src/run.rs
@@ -40,6 +40,16 @@
     pub span_ms: u32,
 }
 
+impl Pace {
+    /// Events that tell a pace: a single gap may be one that reading a prompt made.
+    pub const LEAST_EVENTS: u32 = 2;
+
+    /// Time of an event, in ms.
+    pub fn event_ms(self) -> f64 {
+        f64::from(self.span_ms) / f64::from(self.events.max(1))
+    }
+}
+
 /// What an edge needs to run an item.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct RunSpec {
--- a/crates/cluster/src/edge/asking.rs
+++ b/crates/cluster/src/edge/asking.rs
@@ -18,6 +18,9 @@
 const SEARCH_PAUSE: Duration = Duration::from_millis(500);
 /// Longest pause between two searches.
 const LONGEST_SEARCH_PAUSE: Duration = Duration::from_secs(2);
+/// Searches with the seeds alone where the whole system starts for the first time:
+/// only the seeds themselves read the group's record then, not every edge of a fleet.
+const SEED_SEARCHES: u32 = 4;
 
 /// Why a question has no answer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -109,17 +112,19 @@
 /// Looks for storage processes until some are known: in the group's record,
 /// then with the seeds.
 pub(super) async fn find_members(edge: Rc<Edge>) {
+    let process = &edge.settings.process;
+    let is_seed = process.seeds.contains(&process.cluster_address);
+    let asks_seeds_first = process.first_start && !is_seed;
+    let mut seed_searches = if asks_seeds_first { SEED_SEARCHES } else { 0 };
     let mut pause = SEARCH_PAUSE;
     loop {
         if edge.cluster.borrow().leader().is_some() {
             pause = SEARCH_PAUSE;
         } else {
-            if let Ok(Some(record)) = edge.outside.registry.read().await {
-                let mut cluster = edge.cluster.borrow_mut();
-                for member in &record.members {
-                    cluster.dial_to(member.address);
-                }
+            if seed_searches == 0 {
+                read_record(&edge).await;
             }
+            seed_searches = seed_searches.saturating_sub(1);
             ask_seeds(&edge).await;
         }
         tokio::time::sleep(pause).await;
@@ -127,6 +132,21 @@
     }
 }
 
+/// Connects to the members that the group's record names.
+async fn read_record(edge: &Rc<Edge>) {
+    match edge.outside.registry.read().await {
+        Ok(Some(record)) => {
+            let mut cluster = edge.cluster.borrow_mut();
+            for member in &record.members {
+                cluster.dial_to(member.address);
+            }
+        }
+        // Not made yet: the search goes on.
+        Ok(None) => {}
+        Err(error) => log::info!("event=record_unread error={error:?}"),
+    }
+}
+
 async fn ask_seeds(edge: &Rc<Edge>) {
     for seed in &edge.settings.process.seeds {
         if *seed == edge.settings.process.cluster_address {
--- a/crates/cluster/src/edge/cluster.rs
+++ b/crates/cluster/src/edge/cluster.rs
@@ -22,6 +22,10 @@
 /// Time after its start in which a leader may tell an edge the view, before it
 /// watches by itself, in ms.
 const ALONE_AT_START: u64 = 100;
+/// The same where the whole system starts for the first time, in ms: the first
+/// leader takes a second to be found, and callers come seconds later. Else every
+/// edge of a fleet would read the whole source at once.
+const ALONE_AT_FIRST_START: u64 = 3_000;
 /// Time without a leader after which an edge watches by itself, in ms.
 const ALONE_TIME: u64 = 1_000;
 
@@ -77,6 +81,8 @@
     view_wanted: Option<LinkId>,
     /// Since when no leader is known.
     alone_since: Option<u64>,
+    /// Time after its start in which this edge does not watch by itself, in ms.
+    start_patience: u64,
     /// Zone of this edge's machine.
     zone: String,
     /// The storage process at which results are read, and the one that links were
@@ -89,9 +95,15 @@
     pub fn new(
         hello: Peer,
         zone: String,
+        first_start: bool,
         events: mpsc::Sender<LinkEvent>,
         numbers: Rc<LinkNumbers>,
     ) -> Self {
+        let start_patience = if first_start {
+            ALONE_AT_FIRST_START
+        } else {
+            ALONE_AT_START
+        };
         Self {
             hello,
             events,
@@ -108,6 +120,7 @@
             view_asked_at: 0,
             view_wanted: None,
             alone_since: None,
+            start_patience,
             zone,
             reader: None,
             dialed_reader: None,
@@ -361,7 +374,11 @@
         }
         let since = *self.alone_since.get_or_insert(now);
         let has_view = self.newest_term > 0;
-        let patience = if has_view { ALONE_TIME } else { ALONE_AT_START };
+        let patience = if has_view {
+            ALONE_TIME
+        } else {
+            self.start_patience
+        };
         let is_alone = now >= since + patience;
         match self.watch {
             Watch::Nothing if is_alone => Watch::Fleet,
--- a/crates/cluster/src/edge/mod.rs
+++ b/crates/cluster/src/edge/mod.rs
@@ -5,6 +5,7 @@
 mod cluster;
 mod forward;
 mod front;
+mod pace;
 mod passing;
 mod process;
 mod ready;
--- /dev/null
+++ b/crates/cluster/src/edge/pace.rs
@@ -0,0 +1,44 @@
+//! How fast a run's events come, measured from one report to the next.
+
+use brasspond_cluster_protocol::Pace;
+use std::time::Instant;
+
+/// Collects the times of events until enough of them tell a pace.
+#[derive(Debug, Default)]
+pub(super) struct PaceMeter {
+    /// The event that began the span; it does not count itself.
+    since: Option<Instant>,
+    newest: Option<Instant>,
+    events: u32,
+}
+
+impl PaceMeter {
+    /// An event came.
+    pub fn event_came(&mut self, now: Instant) {
+        match self.since {
+            Some(_) => self.events += 1,
+            None => self.since = Some(now),
+        }
+        self.newest = Some(now);
+    }
+
+    /// The pace since it was last told; the newest event begins the next span.
+    ///
+    /// None while fewer than [`Pace::LEAST_EVENTS`] came: they count on, so that a
+    /// replica whose events take longer than the pause between two reports is
+    /// measured too.
+    pub fn take(&mut self) -> Option<Pace> {
+        let span = self.newest?.duration_since(self.since?);
+        if self.events < Pace::LEAST_EVENTS {
+            return None;
+        }
+        let events = std::mem::take(&mut self.events);
+        self.since = self.newest;
+        let span_ms = u32::try_from(span.as_millis()).unwrap_or(u32::MAX);
+        Some(Pace { events, span_ms })
+    }
+}
+
+#[cfg(test)]
+#[path = "../../tests/unit/pace.rs"]
+mod tests;
--- a/crates/cluster/src/edge/process.rs
+++ b/crates/cluster/src/edge/process.rs
@@ -30,8 +30,9 @@
 const FIRST_TICK: Duration = Duration::from_millis(110);
 /// Time from the order to stop during which new connections still come.
 const REMOVAL_TIME: Duration = Duration::from_millis(2_600);
-/// Looks after which a leader should have told what an edge knows.
-const LOOKS: u32 = 3;
+/// Time for the leader to take an answer of the view's source and tell it on, beside
+/// the pause of the source.
+const TELLING_TIME: Duration = Duration::from_millis(300);
 /// Time kept free at the end of the grace period.
 const STOP_MARGIN: Duration = Duration::from_millis(500);
 
@@ -90,7 +91,14 @@
         incarnation: rand::random(),
     };
     let zone = settings.process.zone.clone();
-    let cluster = Cluster::new(hello, zone, events.clone(), Rc::clone(&numbers));
+    let first_start = settings.process.first_start;
+    let cluster = Cluster::new(
+        hello,
+        zone,
+        first_start,
+        events.clone(),
+        Rc::clone(&numbers),
+    );
     log::info!(
         "event=started role=edge machine={} front={}",
         settings.process.machine,
@@ -214,7 +222,7 @@
     /// (In a large fleet something has always changed since the last look.)
     fn tell_what_leader_lacks(&self) {
         self.looks.set(self.looks.get() + 1);
-        if self.looks.get() < LOOKS {
+        if self.looks.get() < self.looks_to_be_told() {
             return;
         }
         self.looks.set(0);
@@ -233,6 +241,12 @@
         }
     }
 
+    /// Looks after which the leader should have told what this edge knows.
+    fn looks_to_be_told(&self) -> u32 {
+        let time = self.settings.process.source_pause + TELLING_TIME;
+        time.as_millis().div_ceil(TICK.as_millis()) as u32
+    }
+
     /// Whether a replica is known to take no new work.
     pub(super) fn is_leaving(&self, replica: &str) -> bool {
         let view = self.view.borrow();
--- a/crates/cluster/src/edge/runs.rs
+++ b/crates/cluster/src/edge/runs.rs
@@ -1,11 +1,12 @@
 //! Runs of items on this edge.
 
+use super::pace::PaceMeter;
 use super::process::Edge;
 use super::scoring::score;
 use super::stream::{EventReader, StreamEnd};
 use crate::upstream::UpstreamError;
 use brasspond_cluster_protocol::{
-    AttemptId, Message, Pace, RunEnd, RunProgress, RunReport, RunSpec, ScoringEnd, StreamEvent,
+    AttemptId, Message, RunEnd, RunProgress, RunReport, RunSpec, ScoringEnd, StreamEvent,
 };
 use bytes::Bytes;
 use http_body_util::Full;
@@ -29,34 +30,6 @@
     pace: PaceMeter,
 }
 
-/// Measures how fast events come, from one report to the next.
-#[derive(Debug, Default)]
-struct PaceMeter {
-    /// The event that began the span; it does not count itself.
-    since: Option<Instant>,
-    newest: Option<Instant>,
-    events: u32,
-}
-
-impl PaceMeter {
-    fn event_came(&mut self, now: Instant) {
-        match self.since {
-            Some(_) => self.events += 1,
-            None => self.since = Some(now),
-        }
-        self.newest = Some(now);
-    }
-
-    /// The pace since the last time; the newest event begins the next span.
-    fn take(&mut self) -> Option<Pace> {
-        let span = self.newest?.duration_since(self.since?);
-        let events = std::mem::take(&mut self.events);
-        self.since = self.newest;
-        let span_ms = u32::try_from(span.as_millis()).unwrap_or(u32::MAX);
-        (events > 0).then_some(Pace { events, span_ms })
-    }
-}
-
 struct Held {
     job: String,
     item: u32,
--- a/crates/cluster/src/settings.rs
+++ b/crates/cluster/src/settings.rs
@@ -15,8 +15,13 @@
     pub cluster_address: SocketAddr,
     /// Processes that may know the others.
     pub seeds: Vec<SocketAddr>,
+    /// Whether the whole system starts for the first time.
+    pub first_start: bool,
     /// Machines with a disk whose loss at one time must be borne.
     pub tolerated_losses: usize,
+    /// Pause of the view's source between two answers on replicas: what it tells is
+    /// so old at the most while it answers.
+    pub source_pause: Duration,
     /// Where metrics are served; none: nowhere.
     pub metrics_address: Option<SocketAddr>,
 }
@@ -41,8 +46,6 @@
     pub process: ProcessSettings,
     /// Folder on the disk.
     pub folder: PathBuf,
-    /// Whether the whole system starts for the first time.
-    pub first_start: bool,
     /// Time for which a holder of replicas' orders keeps its place, in ms.
     pub lease_ms: u64,
     /// Time after its submission until which a job may be asked for, in ms.
--- a/crates/cluster/src/storage/group.rs
+++ b/crates/cluster/src/storage/group.rs
@@ -2,9 +2,10 @@
 
 use super::plan::{Candidate, Situation, Step, next_step};
 use super::process::{Local, Storage};
+use super::search::{RecordSearch, SIGN_PAUSE};
 use crate::link::{LinkId, dial};
 use crate::outside::GroupRecord;
-use brasspond_cluster_protocol::Peer;
+use brasspond_cluster_protocol::{Message, Peer, Watch};
 use brasspond_consensus::{Member, MemberId};
 use std::collections::{BTreeSet, HashMap};
 use std::net::SocketAddr;
@@ -19,7 +20,6 @@
 const REGISTRY_RETRY: u64 = 700;
 
 /// What is known of other storage processes.
-#[derive(Default)]
 pub(super) struct Group {
     /// The newest link to each member.
     link_by_member: HashMap<MemberId, LinkId>,
@@ -27,6 +27,10 @@
     peers: HashMap<MemberId, Member>,
     heard_at: HashMap<MemberId, u64>,
     dialers: HashMap<SocketAddr, AbortHandle>,
+    /// When a process outside the group looks for it.
+    search: RecordSearch,
+    /// When the leader last gave signs of life to processes outside.
+    signed_at: u64,
     registry_at: u64,
     registry_busy: bool,
     /// Members as the record names them, as far as known.
@@ -35,6 +39,26 @@
 }
 
 impl Group {
+    pub fn new(search: RecordSearch) -> Self {
+        Self {
+            link_by_member: HashMap::new(),
+            peers: HashMap::new(),
+            heard_at: HashMap::new(),
+            dialers: HashMap::new(),
+            search,
+            signed_at: 0,
+            registry_at: 0,
+            registry_busy: false,
+            recorded: None,
+            reported: HashMap::new(),
+        }
+    }
+
+    /// The leader told that the group is led.
+    pub fn led(&mut self, now: u64) {
+        self.search.led(now);
+    }
+
     pub fn link_of(&self, member: MemberId) -> Option<LinkId> {
         self.link_by_member.get(&member).copied()
     }
@@ -122,7 +146,41 @@
         self.group.dialers.insert(address, task.abort_handle());
     }
 
+    /// Tells processes outside the group that it is led: at once who its members
+    /// are, to each that comes and to all when they change, then signs of life. They
+    /// need not look for the group meanwhile.
+    pub(super) fn tell_outside(&mut self, term: u64, now: u64) {
+        let is_due = now >= self.group.signed_at + SIGN_PAUSE;
+        if is_due {
+            self.group.signed_at = now;
+        }
+        let members = self.consensus.members();
+        let leading = Message::Leading {
+            term,
+            members: members.to_vec(),
+            standbys: Vec::new(),
+            watch: Watch::Nothing,
+        };
+        for (id, link) in &self.group.link_by_member {
+            let hears_log = self.consensus.progress_of(*id).is_some();
+            let Some(state) = self.links.get_mut(link) else {
+                continue;
+            };
+            if state.told_term != term {
+                state.told_term = term;
+                state.writer.send(&leading);
+            } else if is_due && !hears_log {
+                state.writer.send(&Message::Beat);
+            }
+        }
+    }
+
     pub(super) fn members_applied(&mut self, members: &[Member]) {
+        for link in self.group.link_by_member.values() {
+            if let Some(state) = self.links.get_mut(link) {
+                state.told_term = 0;
+            }
+        }
         let names: Vec<&str> = members.iter().map(|one| one.machine.as_str()).collect();
         log::info!("event=members_changed members={}", names.join(","));
         self.learn_members(members);
@@ -134,10 +192,13 @@
         if !is_outside || self.group.registry_busy || now < self.group.registry_at {
             return;
         }
-        let hears_leader = self.consensus.leader().is_some();
-        if hears_leader {
+        if self.consensus.leader().is_some() {
+            self.group.led(now);
+        }
+        if !self.group.search.is_due(now) {
             return;
         }
+        self.group.search.searched(now);
         self.group.registry_busy = true;
         let registry = Rc::clone(&self.outside.registry);
         let local = self.local.clone();
@@ -193,7 +254,7 @@
                     self.learn_members(&record.members);
                 }
             }
-            None if self.settings.first_start && self.consensus.last_index() == 0 => {
+            None if self.settings.process.first_start && self.consensus.last_index() == 0 => {
                 self.create_record();
             }
             None => {}
--- a/crates/cluster/src/storage/leading.rs
+++ b/crates/cluster/src/storage/leading.rs
@@ -39,6 +39,8 @@
     /// The view as it was last sent to all edges.
     pub sent_view: FleetView,
     pub view_sent_at: u64,
+    /// When it was last compared with what was sent.
+    pub view_looked_at: u64,
     pub view_is_new: bool,
     logged_at: u64,
     /// Links of edges that take runs, by machine.
@@ -89,6 +91,7 @@
         self.tell_edges(now);
         self.spread_view(now);
         if self.is_tick_due(now) {
+            self.tell_outside(self.consensus.term(), now);
             self.tend_members(now);
             self.tend_records(now);
             self.check_edges(now);
@@ -152,6 +155,7 @@
             remember_at: 0,
             sent_view: FleetView::default(),
             view_sent_at: 0,
+            view_looked_at: 0,
             view_is_new: true,
             logged_at: 0,
             edges: HashMap::new(),
--- a/crates/cluster/src/storage/mod.rs
+++ b/crates/cluster/src/storage/mod.rs
@@ -8,6 +8,7 @@
 mod ordering;
 pub mod plan;
 mod process;
+pub mod search;
 mod spread;
 
 pub use process::{ProcessError, run};
--- a/crates/cluster/src/storage/process.rs
+++ b/crates/cluster/src/storage/process.rs
@@ -4,6 +4,7 @@
 use super::group::Group;
 use super::leading::Leading;
 use super::order_log::{OrderLog, last_holder};
+use super::search::RecordSearch;
 use crate::clock::Clock;
 use crate::link::{LinkEvent, LinkId, LinkNumbers, Writer, accept_links};
 use crate::outside::{Interest, Outside};
@@ -208,6 +209,7 @@
         }
         let (events, _) = mpsc::channel(1);
         let (local, _) = mpsc::channel(1);
+        let search = RecordSearch::new(settings.process.first_start, rand::random(), now);
         Ok(Self {
             settings,
             own,
@@ -218,7 +220,7 @@
             view: FleetView::default(),
             source_answers: true,
             links: HashMap::new(),
-            group: Group::default(),
+            group: Group::new(search),
             asks: Asks::default(),
             leading: None,
             has_untold_edges: false,
@@ -296,11 +298,20 @@
                 }
             }
             Message::Ask { number, question } => self.on_question(link, number, question),
-            Message::Leading { members, .. } => self.learn_members(&members),
+            Message::Leading { members, .. } => {
+                self.group.led(now);
+                self.learn_members(&members);
+            }
+            Message::Beat if self.is_storage_link(link) => self.group.led(now),
             other => self.on_edge_message(link, other),
         }
     }
 
+    fn is_storage_link(&self, link: LinkId) -> bool {
+        let state = self.links.get(&link);
+        state.is_some_and(|state| matches!(state.peer, Some(Peer::Storage(_))))
+    }
+
     fn on_refused(&mut self, address: std::net::SocketAddr, now: u64) {
         let leader = self.consensus.leader();
         let members = self.consensus.members();
--- a/crates/cluster/src/storage/spread.rs
+++ b/crates/cluster/src/storage/spread.rs
@@ -10,6 +10,9 @@
 const LEADING_PAUSE: u64 = 500;
 /// Pause between two changes of the view sent to edges, in ms.
 const VIEW_PAUSE: u64 = 100;
+/// Pause between two changes of the view that edges do not act on, in ms: each load
+/// of weights is one.
+const IDLE_VIEW_PAUSE: u64 = 2_000;
 /// Edges that watch the view's source by themselves; the others are told. They
 /// tell the leader what it lacks, so a few are enough.
 const WATCHING_EDGES: usize = 3;
@@ -75,12 +78,16 @@
         let Some(leading) = &mut self.leading else {
             return;
         };
-        let is_due = leading.view_is_new && now >= leading.view_sent_at + VIEW_PAUSE;
-        if !is_due && !self.has_untold_edges {
+        let is_look = leading.view_is_new && now >= leading.view_looked_at + VIEW_PAUSE;
+        if !is_look && !self.has_untold_edges {
             return;
         }
         let mut delta = None;
-        if is_due {
+        if is_look {
+            leading.view_looked_at = now;
+        }
+        let is_idle = now >= leading.view_sent_at + IDLE_VIEW_PAUSE;
+        if is_look && (is_idle || !self.view.is_alike_for_edges(&leading.sent_view)) {
             let changed = self.view.delta_from(&leading.sent_view);
             delta = Some(encode(&Message::ViewChanged(changed)));
             leading.sent_view = self.view.clone();
--- /dev/null
+++ b/crates/cluster/tests/search.rs
@@ -0,0 +1,66 @@
+//! How often the processes of a fleet read the group's record.
+
+use brasspond_cluster::storage::search::{RecordSearch, SIGN_PAUSE};
+use rstest::rstest;
+
+/// Pause between two looks of a process, in ms.
+const LOOK: u64 = 100;
+
+/// Reads of each look from `from` to `to`, in ms.
+fn reads(searches: &mut [RecordSearch], from: u64, to: u64, is_led: bool) -> Vec<usize> {
+    let mut reads = Vec::new();
+    for now in (from..to).step_by(LOOK as usize) {
+        if is_led && now % SIGN_PAUSE == 0 {
+            searches.iter_mut().for_each(|search| search.led(now));
+        }
+        let due = searches.iter_mut().filter(|search| search.is_due(now));
+        let due = due.map(|search| search.searched(now));
+        reads.push(due.count());
+    }
+    reads
+}
+
+fn fleet(size: usize, first_start: bool) -> Vec<RecordSearch> {
+    let place = |number: usize| number as f64 / size as f64;
+    let processes = (0..size).map(|number| RecordSearch::new(first_start, place(number), 0));
+    processes.collect()
+}
+
+/// Found on adrese-riga-large: 45 processes read the record every 400 ms, for as long
+/// as the system ran, 2,017 of its 2,630 calls of the first seconds.
+#[rstest]
+#[case::small(3)]
+#[case::today(45)]
+#[case::far_larger(400)]
+fn nobody_reads_while_the_group_is_led(#[case] size: usize) {
+    let mut searches = fleet(size, true);
+    let at_start: usize = reads(&mut searches, 0, 1_000, false).iter().sum();
+    assert!((size..=3 * size).contains(&at_start), "{at_start}");
+    let later: usize = reads(&mut searches, 1_000, 60_000, true).iter().sum();
+    assert_eq!(later, 0);
+}
+
+#[rstest]
+fn processes_that_miss_their_leader_read_soon_and_not_all_at_once() {
+    let mut searches = fleet(45, false);
+    reads(&mut searches, 0, 10_000, true);
+    let silent = reads(&mut searches, 10_000, 70_000, false);
+    let first = silent.iter().position(|reads| *reads > 0);
+    assert!(
+        first.is_some_and(|look| look <= 40),
+        "within 4 s: {first:?}"
+    );
+    assert!(silent.iter().all(|reads| *reads <= 6), "{silent:?}");
+    let last_minute: usize = silent[300..].iter().sum();
+    assert!(last_minute <= 30 * 6, "six calls a second: {last_minute}");
+}
+
+/// A machine back with an empty disk is to hold the log again within seconds.
+#[rstest]
+#[case(0.0)]
+#[case(1.0)]
+fn a_process_that_starts_again_reads_at_once(#[case] place: f64) {
+    let mut search = [RecordSearch::new(false, place, 0)];
+    let reads = reads(&mut search, 0, 300, false);
+    assert!(reads.iter().sum::<usize>() >= 1);
+}
--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -22,23 +22,20 @@
 pub struct Settings {
     /// Replicas that load weights at a time, at the least.
     pub loads_at_once: usize,
-    /// Share of all replicas with weights that load at a time, 0 to 1, where
-    /// that is more.
+    /// Share of all replicas with weights that may load at a time before anything
+    /// is known of how long loads take, 0 to 1, where that is more.
     pub loading_share: f64,
+    /// Replicas that may load at a time before anything is known, at the most.
+    pub first_loads: usize,
     /// Share of a model's replicas that take each new version while nothing
     /// waits, 0 to 1; the others skip it while they still serve.
     pub fresh_share: f64,
-    /// Replicas that load at a time at the most: each load changes the view of
-    /// every edge.
-    pub most_loads: usize,
     /// Time for edges to tell a new leader of their runs, in ms.
     pub adopt_ms: Millis,
     /// Silence of a run after which another replica goes on with it, in ms.
     pub stall_ms: Millis,
     /// A replica is slow when an event takes this many times the median.
     pub slow_factor: f64,
-    /// Time a change of version takes at least, in ms.
-    pub load_ms: Millis,
     /// Pause between two times at which parts of texts are kept, in ms.
     pub keep_ms: Millis,
 }
@@ -48,12 +45,11 @@
         Self {
             loads_at_once: 2,
             loading_share: 0.2,
-            most_loads: 10,
+            first_loads: 10,
             fresh_share: 0.5,
             adopt_ms: 300,
             stall_ms: 500,
             slow_factor: 1.8,
-            load_ms: 900,
             keep_ms: 500,
         }
     }
@@ -315,10 +311,17 @@
 
     /// Takes an event; returns what is to be done.
     pub fn handle(&mut self, event: Event, table: &JobTable, now: Millis) -> Vec<Action> {
-        // Orders are planned when something they depend on may have changed.
-        let plans_orders = !matches!(
+        // Orders are planned when what they depend on changes; the end of a run or an
+        // item is seen at the next tick, or a large fleet would be looked through for
+        // each.
+        let plans_orders = matches!(
             event,
-            Event::Progress { .. } | Event::Ended { .. } | Event::Scored { .. }
+            Event::View(_)
+                | Event::JobAccepted(_)
+                | Event::JobEnded(_)
+                | Event::Report { .. }
+                | Event::Ordered { .. }
+                | Event::Tick
         );
         match event {
             Event::View(view) => self.take_view(view, now),
--- a/crates/dispatch/src/jobs.rs
+++ b/crates/dispatch/src/jobs.rs
@@ -255,6 +255,12 @@
         jobs.any(|job| job.model == model && !job.waiting.is_empty())
     }
 
+    /// Items of a model that wait.
+    pub fn waiting_of(&self, model: &str) -> usize {
+        let of_model = self.jobs.values().filter(|job| job.model == model);
+        of_model.map(|job| job.waiting.len()).sum()
+    }
+
     /// The newest of the oldest versions that jobs of a model allow.
     pub fn newest_asked(&self, model: &str) -> u64 {
         let of_model = self.jobs.values().filter(|job| job.model == model);
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -9,6 +9,7 @@
 mod demand;
 mod dispatcher;
 mod jobs;
+mod loads;
 mod moves;
 mod orders;
 mod replicas;
--- a/crates/dispatch/src/orders.rs
+++ b/crates/dispatch/src/orders.rs
@@ -8,7 +8,9 @@
 
 use crate::demand::Demand;
 use crate::dispatcher::{Action, Dispatcher, Millis, OrderLeases};
+use crate::loads::LoadLimit;
 use brasspond_fleet::FleetView;
+use std::cmp::Reverse;
 use std::collections::{BTreeMap, HashMap};
 
 /// Pause between questions to a replica that loads, in ms.
@@ -67,13 +69,16 @@
     version: u64,
     stage: Stage,
     since: Millis,
+    /// When the replica took the order, where it said so.
+    taken_at: Option<Millis>,
     ask_at: Option<Millis>,
 }
 
 /// Orders under way, and which model each replica serves first.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(crate) struct Orders {
     loads: BTreeMap<String, Load>,
+    limit: LoadLimit,
     sequences: HashMap<String, u64>,
     pub serves_first: BTreeMap<String, String>,
     not_before: HashMap<String, Millis>,
@@ -84,8 +89,12 @@
     /// Orders of a new holder, which respects the leases of those before.
     pub fn new(leases: OrderLeases) -> Self {
         Self {
+            loads: BTreeMap::new(),
+            limit: LoadLimit::new(),
+            sequences: HashMap::new(),
+            serves_first: BTreeMap::new(),
+            not_before: HashMap::new(),
             leases,
-            ..Self::default()
         }
     }
 
@@ -184,12 +193,32 @@
 struct DueLoad {
     /// It can still serve the newest step.
     is_fit: bool,
+    /// Items of the model that no place is in sight for.
+    shortage: Reverse<i64>,
     running: usize,
     replica: String,
     model: String,
     version: u64,
 }
 
+/// What a model needs of its replicas.
+struct ModelNeed<'a> {
+    model: &'a str,
+    /// The newest version.
+    target: u64,
+    /// The oldest version that serves every job under way.
+    oldest_fit: u64,
+    /// More replicas are to load the newest, though they still serve.
+    wants_more: bool,
+    /// Items that wait, less the places on replicas that serve them now or after
+    /// the load that is under way.
+    shortage: i64,
+    /// Free places on replicas that are not loading.
+    free: usize,
+    /// Some replica serves, or will after the load that is under way.
+    has_server: bool,
+}
+
 impl Dispatcher {
     /// Begins loads that are due and asks after those under way.
     pub(crate) fn plan_orders(&mut self, now: Millis) {
@@ -203,13 +232,13 @@
         }
     }
 
-    /// Replicas that may load at a time: more of them in a larger fleet, or a
-    /// version would be out of date before all that need it have it.
-    fn most_loads(&self) -> usize {
-        let replicas = self.orders.serves_first.len() as f64;
-        let share = (replicas * self.settings.loading_share) as usize;
-        let share = share.min(self.settings.most_loads);
-        share.max(self.settings.loads_at_once)
+    /// Replicas that may load at a time.
+    fn most_loads(&mut self) -> usize {
+        let replicas = self.orders.serves_first.len();
+        let share = (replicas as f64 * self.settings.loading_share) as usize;
+        let first = share.min(self.settings.first_loads);
+        let least = self.settings.loads_at_once;
+        self.orders.limit.limit(first.max(least)).max(least)
     }
 
     fn drop_orders_of_gone(&mut self) {
@@ -220,35 +249,90 @@
         self.orders.sequences.retain(|id, _| is_live(id));
     }
 
-    /// The replica to load next: first those too old for the newest step, then,
-    /// while nothing waits, the others; the idlest first.
+    /// The replica to load next: first those too old for the newest step, of the
+    /// model that lacks most places; then, while nothing waits, the others; the
+    /// idlest first.
     fn next_load(&self, now: Millis) -> Option<DueLoad> {
+        let needs = self.model_needs();
+        let lasting = self.runs.lasting();
         let mut due = Vec::new();
-        for (model, target) in self.view.versions.iter() {
-            let is_calm = !self.jobs.has_waiting(model);
-            let wants_more = is_calm && self.wants_fresh(model, *target);
-            let oldest_fit = self.oldest_fit(model, *target);
-            for (id, first) in &self.orders.serves_first {
-                let Some(replica) = self.replicas.by_id.get(id) else {
-                    continue;
-                };
-                let version = replica.versions.get(model).copied().unwrap_or(0);
-                let is_fit = version >= oldest_fit;
-                let is_due = first == model && version < *target && (wants_more || !is_fit);
-                if is_due && self.may_load(id, now) {
-                    due.push(DueLoad {
-                        is_fit,
-                        running: replica.running,
-                        replica: id.clone(),
-                        model: model.clone(),
-                        version: *target,
-                    });
-                }
+        for (id, first) in &self.orders.serves_first {
+            let need = needs.iter().find(|need| need.model == first);
+            let (Some(need), Some(replica)) = (need, self.replicas.by_id.get(id)) else {
+                continue;
+            };
+            let version = replica.versions.get(first).copied().unwrap_or(0);
+            let is_fit = version >= need.oldest_fit;
+            let is_due = version < need.target && (need.wants_more || !is_fit);
+            let runs = lasting.get(id.as_str()).copied().unwrap_or(0);
+            if is_due && self.may_load(id, now) && self.may_pause_runs(id, runs, need) {
+                due.push(DueLoad {
+                    is_fit,
+                    shortage: Reverse(need.shortage),
+                    running: replica.running,
+                    replica: id.clone(),
+                    model: first.clone(),
+                    version: need.target,
+                });
             }
         }
         due.into_iter().min()
     }
 
+    /// What each model with a named version needs.
+    fn model_needs(&self) -> Vec<ModelNeed<'_>> {
+        let needs = self.view.versions.iter().map(|(model, target)| {
+            let waiting = self.jobs.waiting_of(model);
+            let mut need = ModelNeed {
+                model,
+                target: *target,
+                oldest_fit: self.oldest_fit(model, *target),
+                wants_more: waiting == 0 && self.wants_fresh(model, *target),
+                shortage: waiting as i64,
+                free: 0,
+                has_server: false,
+            };
+            self.count_places(&mut need);
+            need
+        });
+        needs.collect()
+    }
+
+    /// Counts the places that a model has, or will have after loads under way.
+    fn count_places(&self, need: &mut ModelNeed<'_>) {
+        for (id, first) in &self.orders.serves_first {
+            let Some(replica) = self.replicas.by_id.get(id) else {
+                continue;
+            };
+            if first != need.model {
+                continue;
+            }
+            let free = replica.slots.saturating_sub(replica.running);
+            let version = replica.versions.get(first).copied().unwrap_or(0);
+            let is_loading = self.orders.is_busy(id);
+            if is_loading || version >= need.oldest_fit {
+                need.shortage -= free as i64;
+                need.has_server = true;
+            }
+            if !is_loading {
+                need.free += free;
+            }
+        }
+    }
+
+    /// Whether a replica may load though it runs items. They stand still for the
+    /// length of a load unless they go on elsewhere, and runs that are still under
+    /// way when the next step comes are the long ones that end their step: they
+    /// are not held up while another replica serves that step.
+    fn may_pause_runs(&self, id: &str, runs: usize, need: &ModelNeed<'_>) -> bool {
+        if runs == 0 || !need.has_server || self.runs_finish_first(id) {
+            return true;
+        }
+        let own = self.replicas.by_id.get(id);
+        let own_free = own.map_or(0, |one| one.slots.saturating_sub(one.running));
+        need.free.saturating_sub(own_free) >= runs
+    }
+
     /// The oldest version that serves every job under way: the one before the
     /// newest, or a newer one where a job allows nothing older.
     fn oldest_fit(&self, model: &str, target: u64) -> u64 {
@@ -291,6 +375,7 @@
             version,
             stage,
             since: now,
+            taken_at: None,
             ask_at: None,
         };
         self.orders.loads.insert(replica.clone(), load);
@@ -372,9 +457,14 @@
         let version = version.map_or(0, |(_, version)| *version);
         if version >= load.version && !report.busy {
             let model = load.model.clone();
+            let took = load.taken_at.map(|taken_at| now - taken_at);
+            self.learn_from_load(id, took, now);
             self.orders.loads.remove(id);
             self.replicas.set_version(id, &model, version, now);
-            log::info!("event=version_loaded replica={id} model={model} version={version}");
+            let took = took.unwrap_or(0);
+            log::info!(
+                "event=version_loaded replica={id} model={model} version={version} took_ms={took}"
+            );
             return;
         }
         if report.busy && now < load.since + LONGEST_LOAD {
@@ -391,8 +481,21 @@
         }
     }
 
+    /// Learns from the time of a load, where it is known and holds no runs' time.
+    fn learn_from_load(&mut self, id: &str, took: Option<Millis>, now: Millis) {
+        let Some(took) = took else {
+            return;
+        };
+        if self.runs_finish_first(id) {
+            return;
+        }
+        let under_way = self.orders.loads.len();
+        let least = self.settings.loads_at_once;
+        self.orders.limit.finished(took, under_way, least, now);
+    }
+
     pub(crate) fn on_ordered(&mut self, id: &str, answer: OrderAnswer, now: Millis) {
-        let load_ms = self.settings.load_ms;
+        let ask_after = self.orders.limit.ask_after();
         log::info!("event=order_answered replica={id} answer={answer:?}");
         let Some(load) = self.orders.loads.get_mut(id) else {
             return;
@@ -401,7 +504,8 @@
             OrderAnswer::Taken => {
                 load.stage = Stage::Loading;
                 load.since = now;
-                load.ask_at = Some(now + load_ms);
+                load.taken_at = Some(now);
+                load.ask_at = Some(now + ask_after);
                 let sequence = self.orders.sequences.entry(id.to_string()).or_default();
                 *sequence += 1;
             }
--- a/crates/dispatch/src/runs.rs
+++ b/crates/dispatch/src/runs.rs
@@ -5,10 +5,8 @@
 use crate::replicas::Need;
 use brasspond_cluster_protocol::{AttemptId, Pace, RunEnd, RunSpec, StreamEvent};
 use brasspond_jobs::{JobTable, Listing, Outcome, Part, Piece};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, HashMap};
 
-/// Events from which a replica's speed is told.
-const PACE_EVENTS: u32 = 2;
 /// Events of a run that are worth an entry of the log.
 const KEPT_EVENTS: usize = 8;
 /// Opening a connection is worth avoiding as much as so many runs on an edge.
@@ -86,6 +84,15 @@
         self.by_id.len()
     }
 
+    /// How many runs that are not being stopped each replica has.
+    pub fn lasting(&self) -> HashMap<&str, usize> {
+        let mut lasting = HashMap::new();
+        for run in self.by_id.values().filter(|run| !run.cancelled) {
+            *lasting.entry(run.replica.as_str()).or_default() += 1;
+        }
+        lasting
+    }
+
     /// The identity of the next run or scoring of a leader.
     pub fn next_id(&mut self, term: u64) -> AttemptId {
         self.number += 1;
@@ -249,11 +256,10 @@
         }
         let replica = self.runs.by_id.get(&attempt).map(|run| &run.replica);
         if let (Some(replica), Some(pace)) = (replica.cloned(), pace)
-            && pace.events >= PACE_EVENTS
+            && pace.events >= Pace::LEAST_EVENTS
             && !self.orders.is_busy(&replica)
         {
-            let event_ms = f64::from(pace.span_ms) / f64::from(pace.events);
-            self.replicas.note_speed(&replica, event_ms, now);
+            self.replicas.note_speed(&replica, pace.event_ms(), now);
         }
     }
 
--- a/crates/fleet/src/delta.rs
+++ b/crates/fleet/src/delta.rs
@@ -61,11 +61,28 @@
         delta
     }
 
+    /// Whether the replicas here and in `other` take work alike.
+    fn takes_work_like(&self, other: &Self) -> bool {
+        if Arc::ptr_eq(&self.replicas, &other.replicas) {
+            return true;
+        }
+        let mut pairs = self.replicas.iter().zip(other.replicas.iter());
+        self.replicas.len() == other.replicas.len()
+            && pairs.all(|(one, other)| one.0 == other.0 && one.1.takes_work_like(other.1))
+    }
+
+    /// Whether nothing of `older` has changed that edges act on: versions are the
+    /// leader's concern alone.
+    pub fn is_alike_for_edges(&self, older: &Self) -> bool {
+        self.configuration_revision == older.configuration_revision && self.takes_work_like(older)
+    }
+
     /// Whether anything here is newer than in `other` and says something else.
-    /// Revisions alone rise without a change.
+    /// Revisions alone rise without a change, and which weights replicas hold their
+    /// loader knows.
     pub fn has_news_for(&self, other: &Self) -> bool {
         let replicas =
-            self.replicas_revision > other.replicas_revision && self.replicas != other.replicas;
+            self.replicas_revision > other.replicas_revision && !self.takes_work_like(other);
         let versions =
             self.versions_revision > other.versions_revision && self.versions != other.versions;
         let retirements = self.retirements_revision > other.retirements_revision
--- a/crates/fleet/src/view.rs
+++ b/crates/fleet/src/view.rs
@@ -37,6 +37,16 @@
 }
 
 impl ReplicaInfo {
+    /// Whether another entry of this replica says the same of where work may go:
+    /// all but the weights it holds, which change with every load.
+    pub fn takes_work_like(&self, other: &Self) -> bool {
+        self.service == other.service
+            && self.address == other.address
+            && self.zone == other.zone
+            && self.slots == other.slots
+            && self.draining == other.draining
+    }
+
     /// Version of a model that this replica holds.
     pub fn version_of(&self, model: &str) -> Option<u64> {
         let served = self.models.iter().find(|served| served.name == model)?;
--- a/crates/fleet/tests/delta.rs
+++ b/crates/fleet/tests/delta.rs
@@ -1,6 +1,6 @@
 //! A difference gives the newer view, or says that it cannot.
 
-use brasspond_fleet::{Configuration, FleetView, OtherBase, ReplicaInfo};
+use brasspond_fleet::{Configuration, FleetView, OtherBase, ReplicaInfo, ServedModel};
 use proptest::prelude::*;
 use rstest::rstest;
 use std::sync::Arc;
@@ -115,3 +115,30 @@
     };
     assert_eq!(view(number, own).has_news_for(&view(1, others)), is_news);
 }
+
+/// Loads of weights change entries of replicas all the time; edges act on none of it.
+#[rstest]
+#[case::other_weights(2, false, true)]
+#[case::leaving(1, true, false)]
+fn edges_act_on_leaving_and_not_on_weights(
+    #[case] version: u64,
+    #[case] draining: bool,
+    #[case] is_alike: bool,
+) {
+    let view = |version: u64, draining: bool, revision: u64| {
+        let mut one = replica(1, revision);
+        one.draining = draining;
+        one.models = vec![ServedModel {
+            name: "model".to_string(),
+            version,
+        }];
+        FleetView {
+            replicas: Arc::new([(one.id.clone(), one)].into()),
+            replicas_revision: revision,
+            ..FleetView::default()
+        }
+    };
+    let (older, newer) = (view(1, false, 4), view(version, draining, 5));
+    assert_eq!(newer.is_alike_for_edges(&older), is_alike);
+    assert_eq!(newer.has_news_for(&older), !is_alike);
+}
