A long log is applied in slices; texts of ended jobs lie on the disk; kept connections for reports

Changes: entries are applied in slices of at most 30 ms, with heartbeats and compaction between; the newest remembered view is decoded once; texts of whole groups of ended jobs are written to a file a job, not synced (the log has them), and read back for pages; the file of the log is begun anew only at twice its size after the last time; reports go over connections at rest (orders do not: whether they were done must be known). Ruled out: the election's own time (0.35 s), the edges' links (all up within 0.1 s).

--- a/crates/cluster/src/storage/applying.rs
+++ b/crates/cluster/src/storage/applying.rs
@@ -23,6 +23,7 @@
             self.order_log.intended(replica, holder, now);
             self.intent_applied(entry.index);
         }
+        self.remove_texts(&command);
         let told = Told::of(&command);
         let accepted = self.table.apply(command);
         let waits = self.asks.committed(entry.index, self.clock.now());
@@ -47,6 +48,7 @@
             }
             Told::Ended(job) => {
                 log::info!("event=job_ended job={job}");
+                self.ended_jobs.push(job.clone());
                 self.dispatch(Event::JobEnded(job));
             }
             Told::Forgotten(jobs) => {
@@ -54,12 +56,15 @@
                     self.dispatch(Event::JobForgotten(job));
                 }
             }
-            Told::Remembered => self.take_remembered(),
+            // Decoding a view is dear: only the newest is, once all is applied.
+            Told::Remembered => self.has_new_remembered = true,
             Told::Nothing => {}
         }
     }
 
+    /// Takes the newest view that the log keeps.
     pub(super) fn take_remembered(&mut self) {
+        self.has_new_remembered = false;
         let Some((_, bytes)) = self.table.remembered() else {
             return;
         };
--- a/crates/cluster/src/storage/asks.rs
+++ b/crates/cluster/src/storage/asks.rs
@@ -171,15 +171,15 @@
             return;
         }
         for waiting in std::mem::take(&mut self.asks.waiting) {
-            let page = self.table.page(&waiting.job, waiting.since, PAGE_BYTES);
-            let is_due = match &page {
-                None => true,
-                Some(page) => !page.results.is_empty() || now >= waiting.until,
-            };
-            if is_due {
-                self.answer(waiting.asker, Answer::Page(page));
-            } else {
-                self.asks.waiting.push(waiting);
+            let is_known = self.table.job(&waiting.job).is_some();
+            let page = self.read_page(&waiting.job, waiting.since, PAGE_BYTES);
+            match page {
+                Some(page) if page.results.is_empty() && now < waiting.until => {
+                    self.asks.waiting.push(waiting);
+                }
+                // Another member can read it.
+                None if is_known => self.answer(waiting.asker, Answer::Unknown),
+                page => self.answer(waiting.asker, Answer::Page(page)),
             }
         }
     }
--- a/crates/cluster/src/storage/mod.rs
+++ b/crates/cluster/src/storage/mod.rs
@@ -10,5 +10,6 @@
 mod process;
 pub mod search;
 mod spread;
+mod texts;
 
 pub use process::{ProcessError, run};
--- a/crates/cluster/src/storage/ordering.rs
+++ b/crates/cluster/src/storage/ordering.rs
@@ -2,7 +2,7 @@
 
 use super::process::{Local, Storage};
 use crate::outside::{Dialect, VersionOrder};
-use crate::upstream::{UpstreamError, call_once};
+use crate::upstream::{Pool, UpstreamError};
 use brasspond_consensus::READ_LEASE;
 use brasspond_dispatch::{Event, OrderAnswer};
 use brasspond_jobs::Command;
@@ -21,6 +21,7 @@
 impl Storage {
     pub(super) fn ask_report(&mut self, replica: String, address: SocketAddr) {
         let dialect = Rc::clone(&self.outside.dialect);
+        let pool = self.pool.clone();
         let local = self.local.clone();
         let term = self.consensus.term();
         tokio::task::spawn_local(async move {
@@ -31,7 +32,9 @@
                 .header(&dialect.names().expect_instance, &replica)
                 .body(Full::new(Bytes::new()));
             let report = match request {
-                Ok(request) => call_once(address, request, REPLICA_ANSWER).await.ok(),
+                // An answer too many on a kept connection is an older report, which only
+                // has the replica asked again.
+                Ok(request) => pool.call(address, request, REPLICA_ANSWER).await.ok(),
                 Err(_) => None,
             };
             let report = report
@@ -75,6 +78,7 @@
         let surely_leads = self.consensus.has_quorum_contact(READ_LEASE, now)
             && now < announced_at + ANNOUNCED_FOR;
         let dialect = Rc::clone(&self.outside.dialect);
+        let pool = self.pool.clone();
         let local = self.local.clone();
         let term = self.consensus.term();
         log::info!(
@@ -87,7 +91,7 @@
         );
         tokio::task::spawn_local(async move {
             let answer = if surely_leads {
-                send_order(&*dialect, &order).await
+                send_order(&pool, &*dialect, &order).await
             } else {
                 OrderAnswer::NotSent
             };
@@ -98,7 +102,8 @@
     }
 }
 
-async fn send_order(dialect: &dyn Dialect, order: &VersionOrder) -> OrderAnswer {
+/// Sends an order on a connection of its own: whether it was done must be known.
+async fn send_order(pool: &Pool, dialect: &dyn Dialect, order: &VersionOrder) -> OrderAnswer {
     let (path, body) = dialect.order(order);
     let request = Request::builder()
         .method(Method::POST)
@@ -110,7 +115,7 @@
     let Ok(request) = request else {
         return OrderAnswer::NotSent;
     };
-    match call_once(order.address, request, REPLICA_ANSWER).await {
+    match pool.call_anew(order.address, request, REPLICA_ANSWER).await {
         Ok((status, _, _)) => dialect.order_answer(status),
         Err(UpstreamError::NotSent) => OrderAnswer::NotSent,
         Err(UpstreamError::Broken) => OrderAnswer::Unknown,
--- a/crates/cluster/src/storage/process.rs
+++ b/crates/cluster/src/storage/process.rs
@@ -5,14 +5,16 @@
 use super::leading::Leading;
 use super::order_log::{OrderLog, last_holder};
 use super::search::RecordSearch;
+use super::texts::EndedJobs;
 use crate::clock::Clock;
 use crate::link::{LinkEvent, LinkId, LinkNumbers, Writer, accept_links};
 use crate::outside::{Interest, Outside};
 use crate::settings::StorageSettings;
+use crate::upstream::Pool;
 use brasspond_cluster_protocol::{Message, Peer};
 use brasspond_consensus::{Consensus, Member, MemberId, Persisted, Timing};
 use brasspond_dispatch::Event;
-use brasspond_durable::{RecordLog, RecordLogError};
+use brasspond_durable::{RecordLog, RecordLogError, TextFiles};
 use brasspond_fleet::FleetView;
 use brasspond_jobs::JobTable;
 use brasspond_telemetry::{LogRing, StorageMetrics, StorageState};
@@ -37,8 +39,13 @@
 const LOG_MEMORY: usize = 256 * 1024;
 /// Bytes of entries read from disk for one message.
 const HISTORY_BYTES: u64 = 512 * 1024;
-/// Bytes of the file after which it is begun anew with a snapshot.
+/// Bytes of the file after which it is begun anew with a snapshot, at the least.
 const LONGEST_FILE: u64 = 96 * 1024 * 1024;
+/// Bytes of commands applied before others are heard again: a few ms of work.
+const APPLIED_BYTES: usize = 128 * 1024;
+/// Time for which committed entries are applied before others are heard again. A
+/// member with a long log to apply is silent for no longer, far less than an election.
+const APPLYING_TIME: Duration = Duration::from_millis(30);
 
 /// Why a process cannot run.
 #[derive(Debug, Display)]
@@ -49,6 +56,8 @@
     Disk(RecordLogError),
     /// the log cannot be read: {0}
     Table(String),
+    /// texts of ended jobs cannot be kept or read: {0}
+    Texts(std::io::Error),
 }
 
 impl std::error::Error for ProcessError {}
@@ -98,6 +107,12 @@
     /// Some edge was not told who leads, or holds no view.
     pub has_untold_edges: bool,
     pub order_log: OrderLog,
+    /// Connections to replicas at rest.
+    pub pool: Pool,
+    pub text_files: TextFiles,
+    pub ended_jobs: EndedJobs,
+    /// The log keeps a view that this process has not taken yet.
+    pub has_new_remembered: bool,
     pub local: mpsc::Sender<Local>,
     pub events: mpsc::Sender<LinkEvent>,
     pub numbers: Rc<LinkNumbers>,
@@ -107,6 +122,10 @@
     /// When the jobs were last counted for `state`.
     counted_at: u64,
     disk: RecordLog,
+    /// Bytes of the file after which it is begun anew.
+    longest_file: u64,
+    /// When texts were last written to the disk.
+    put_away_at: u64,
     stopping: Option<u64>,
 }
 
@@ -196,6 +215,7 @@
             zone: settings.process.zone.clone(),
         };
         let now = clock.now();
+        let text_files = TextFiles::open(&settings.folder).map_err(ProcessError::Texts)?;
         let order_log = match &kept.snapshot {
             Some(_) => OrderLog::unknown(now),
             None => OrderLog::whole(),
@@ -209,6 +229,7 @@
         }
         let (events, _) = mpsc::channel(1);
         let (local, _) = mpsc::channel(1);
+        let ended_jobs = EndedJobs::of(&table);
         let search = RecordSearch::new(settings.process.first_start, rand::random(), now);
         Ok(Self {
             settings,
@@ -225,6 +246,10 @@
             leading: None,
             has_untold_edges: false,
             order_log,
+            pool: Pool::default(),
+            text_files,
+            ended_jobs,
+            has_new_remembered: false,
             local,
             events,
             numbers: Rc::new(LinkNumbers::default()),
@@ -232,6 +257,8 @@
             state: Rc::default(),
             counted_at: 0,
             disk,
+            longest_file: LONGEST_FILE,
+            put_away_at: 0,
             stopping: None,
         })
     }
@@ -249,6 +276,9 @@
         } else {
             3 * TICK
         };
+        if self.consensus.has_backlog() {
+            return now;
+        }
         self.consensus.next_tick().min(now + tick)
     }
 
@@ -334,6 +364,7 @@
     /// Lets time pass, then writes, sends and applies until nothing is left.
     fn settle(&mut self) -> Result<(), ProcessError> {
         let now = self.clock.now();
+        let begun = Instant::now();
         self.consensus.tick(now);
         self.lead(now);
         loop {
@@ -350,8 +381,9 @@
                 self.metrics.sync(begun.elapsed().as_secs_f64());
             }
             if let Some(snapshot) = &ready.snapshot {
-                self.table = JobTable::decode(&snapshot.state)
+                let table = JobTable::decode(&snapshot.state)
                     .map_err(|error| ProcessError::Table(error.to_string()))?;
+                self.replace_table(table)?;
                 self.order_log = OrderLog::unknown(now);
                 log::info!("event=snapshot_installed index={}", snapshot.index);
             }
@@ -363,21 +395,31 @@
             for (member, next) in ready.history_wanted {
                 self.send_history(member, next, now)?;
             }
-            let committed = self.consensus.take_committed();
+            let committed = self.consensus.take_committed(APPLIED_BYTES);
             let has_committed = !committed.is_empty();
             for entry in committed {
                 self.apply(entry)?;
             }
             self.answer_waiting(now);
-            if !must_sync && !has_messages && !has_committed && !self.has_proposals() {
+            let is_long = self.consensus.has_backlog() && begun.elapsed() >= APPLYING_TIME;
+            let is_done = !must_sync && !has_messages && !has_committed && !self.has_proposals();
+            if is_long || is_done {
                 break;
             }
         }
+        if self.has_new_remembered && !self.consensus.has_backlog() {
+            self.take_remembered();
+        }
+        if now >= self.put_away_at + TICK && !self.consensus.has_backlog() {
+            self.put_away_at = now;
+            self.put_texts_away();
+            self.pool.close_old();
+        }
         self.consensus.compact(LOG_MEMORY);
         if self.settings.process.metrics_address.is_some() {
             self.note_state(now);
         }
-        if self.disk.bytes() > LONGEST_FILE {
+        if self.disk.bytes() > self.longest_file {
             self.begin_file_anew()?;
         }
         Ok(())
@@ -395,9 +437,7 @@
                 .send_stored(member, previous_term, entries, now);
             return Ok(());
         }
-        let state = self.table.encode();
-        let state = state.map_err(|error| ProcessError::Table(error.to_string()))?;
-        let snapshot = self.consensus.snapshot(state);
+        let snapshot = self.consensus.snapshot(self.encode_table()?);
         log::info!(
             "event=snapshot_sent member={member:016x} index={} bytes={}",
             snapshot.index,
@@ -415,13 +455,14 @@
     }
 
     fn begin_file_anew(&mut self) -> Result<(), ProcessError> {
-        let state = self.table.encode();
-        let state = state.map_err(|error| ProcessError::Table(error.to_string()))?;
-        let snapshot = self.consensus.snapshot(state);
+        let snapshot = self.consensus.snapshot(self.encode_table()?);
         let entries = self.consensus.unapplied();
         self.disk
             .rewrite(self.consensus.hard_state(), snapshot, &entries)
-            .map_err(ProcessError::Disk)
+            .map_err(ProcessError::Disk)?;
+        // A snapshot of about that size would be begun anew at once, for ever.
+        self.longest_file = LONGEST_FILE.max(2 * self.disk.bytes());
+        Ok(())
     }
 
     pub(super) fn send_to_member(&mut self, to: MemberId, message: brasspond_consensus::Message) {
--- a/crates/cluster/src/upstream.rs
+++ b/crates/cluster/src/upstream.rs
@@ -25,6 +25,12 @@
 /// Connections at rest to one replica.
 const MOST_IDLE: usize = 24;
 
+/// Longest answer that is read whole, in bytes.
+const LONGEST_ANSWER: usize = 4 * 1024 * 1024;
+
+/// Status, headers and body of an answer.
+pub type Answer = (hyper::StatusCode, hyper::HeaderMap, Bytes);
+
 /// Why there is no answer.
 #[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
 pub enum UpstreamError {
@@ -92,6 +98,63 @@
         connect(address).await
     }
 
+    /// Makes a call that may be repeated, on a connection at rest if there is one,
+    /// and reads the whole answer.
+    ///
+    /// # Errors
+    /// See [`UpstreamError`].
+    pub async fn call(
+        &self,
+        address: SocketAddr,
+        request: Request<Full<Bytes>>,
+        limit: Duration,
+    ) -> Result<Answer, UpstreamError> {
+        if let Some(connection) = self.take_idle(address) {
+            let answer = self.exchange(connection, request.clone(), limit).await;
+            if answer.is_ok() {
+                return answer;
+            }
+            // The replica may have closed it meanwhile.
+        }
+        self.call_anew(address, request, limit).await
+    }
+
+    /// Makes a call on a new connection, which rests here afterwards, and reads the
+    /// whole answer.
+    ///
+    /// # Errors
+    /// See [`UpstreamError`].
+    pub async fn call_anew(
+        &self,
+        address: SocketAddr,
+        request: Request<Full<Bytes>>,
+        limit: Duration,
+    ) -> Result<Answer, UpstreamError> {
+        let connection = connect(address).await?;
+        self.exchange(connection, request, limit).await
+    }
+
+    async fn exchange(
+        &self,
+        mut connection: Connection,
+        request: Request<Full<Bytes>>,
+        limit: Duration,
+    ) -> Result<Answer, UpstreamError> {
+        let exchange = async {
+            let response = connection.send(request).await?;
+            let (head, body) = response.into_parts();
+            let body = Limited::new(body, LONGEST_ANSWER).collect().await;
+            let body = body.map_err(|_| UpstreamError::Broken)?;
+            Ok((head.status, head.headers, body.to_bytes()))
+        };
+        let answer = match tokio::time::timeout(limit, exchange).await {
+            Ok(answer) => answer?,
+            Err(_) => return Err(UpstreamError::Broken),
+        };
+        self.give_back(connection);
+        Ok(answer)
+    }
+
     fn take_idle(&self, address: SocketAddr) -> Option<Connection> {
         let mut idle = self.idle.borrow_mut();
         let resting = idle.get_mut(&address)?;
@@ -153,27 +216,3 @@
         reused: false,
     })
 }
-
-/// Makes one call on a connection of its own and reads the whole answer.
-///
-/// # Errors
-/// See [`UpstreamError`].
-pub async fn call_once(
-    address: SocketAddr,
-    request: Request<Full<Bytes>>,
-    limit: Duration,
-) -> Result<(hyper::StatusCode, hyper::HeaderMap, Bytes), UpstreamError> {
-    const LONGEST_ANSWER: usize = 4 * 1024 * 1024;
-    let mut connection = connect(address).await?;
-    let exchange = async {
-        let response = connection.send(request).await?;
-        let (head, body) = response.into_parts();
-        let body = Limited::new(body, LONGEST_ANSWER).collect().await;
-        let body = body.map_err(|_| UpstreamError::Broken)?;
-        Ok((head.status, head.headers, body.to_bytes()))
-    };
-    match tokio::time::timeout(limit, exchange).await {
-        Ok(result) => result,
-        Err(_) => Err(UpstreamError::Broken),
-    }
-}
--- a/crates/cluster/tests/support/mod.rs
+++ b/crates/cluster/tests/support/mod.rs
@@ -281,7 +281,7 @@
             machine.disk.entries.insert(entry.index, entry.clone());
         }
         process.persisted(process.last_index());
-        let committed = process.take_committed();
+        let committed = process.take_committed(usize::MAX);
         did |= !committed.is_empty();
         let id = machine.member.id;
         for entry in &committed {
--- a/crates/consensus/src/node.rs
+++ b/crates/consensus/src/node.rs
@@ -397,21 +397,23 @@
         std::mem::take(&mut self.ready)
     }
 
-    /// Entries that are committed and not yet applied.
-    pub fn take_committed(&mut self) -> Vec<Entry> {
+    /// Entries that are committed and not yet applied: about `limit` bytes of
+    /// commands, but at least one entry if there is one. A member that starts has its
+    /// whole log to apply and must go on answering others meanwhile.
+    pub fn take_committed(&mut self, limit: usize) -> Vec<Entry> {
         let last = self.commit.min(self.persisted);
-        let mut entries = Vec::new();
-        while self.applied < last {
-            let Some(entry) = self.log.get(self.applied + 1) else {
-                break;
-            };
-            entries.push(entry.clone());
-            self.applied += 1;
-        }
+        let mut entries = self.log.slice(self.applied + 1, limit);
+        entries.retain(|entry| entry.index <= last);
+        self.applied += entries.len() as u64;
         self.currency.applied(self.applied);
         entries
     }
 
+    /// Whether committed entries are left to apply.
+    pub fn has_backlog(&self) -> bool {
+        self.applied < self.commit.min(self.persisted)
+    }
+
     /// Whether this follower has applied all that was acknowledged up to `window`
     /// ms ago. Call after [`Consensus::take_committed`], with its entries applied.
     pub fn is_current(&self, window: Millis, now: Millis) -> bool {
--- a/crates/consensus/tests/currency.rs
+++ b/crates/consensus/tests/currency.rs
@@ -34,7 +34,7 @@
 fn take(follower: &mut Consensus, message: Message, now: u64) {
     follower.receive(LEADER, message, now);
     follower.persisted(follower.last_index());
-    follower.take_committed();
+    follower.take_committed(usize::MAX);
 }
 
 /// A follower that has heard from its leader for a while.
--- a/crates/durable/src/lib.rs
+++ b/crates/durable/src/lib.rs
@@ -8,8 +8,10 @@
 #![forbid(unsafe_code)]
 
 mod record_log;
+mod text_files;
 
 pub use record_log::{Opened, RecordLog, RecordLogError};
+pub use text_files::TextFiles;
 
 use brasspond_resource::Catalogue;
 use displaydoc::Display;
--- /dev/null
+++ b/crates/durable/tests/text_files.rs
@@ -0,0 +1,31 @@
+//! Files of texts.
+
+use brasspond_durable::TextFiles;
+use bytes::Bytes;
+use rstest::rstest;
+
+#[rstest]
+fn texts_are_read_by_their_places_until_they_are_removed() {
+    let folder = tempfile::tempdir().expect("folder");
+    let mut files = TextFiles::open(folder.path()).expect("opens");
+    let texts = [Bytes::from_static(b"one"), Bytes::from_static(b"three")];
+    let first = files.write(texts.iter()).expect("written");
+    let second = files.write(texts[..1].iter()).expect("written");
+    assert_ne!(first, second);
+    assert_eq!(files.read(first, 3, 5).expect("read"), texts[1]);
+    assert_eq!(files.read(second, 0, 3).expect("read"), texts[0]);
+    files.remove(first).expect("removed");
+    assert!(files.read(first, 0, 3).is_err());
+    assert!(files.read(second, 1, 3).is_err(), "the file is shorter");
+}
+
+/// Nothing in these files is needed after a start: the log has all texts.
+#[rstest]
+fn a_start_begins_with_no_files() {
+    let folder = tempfile::tempdir().expect("folder");
+    let mut files = TextFiles::open(folder.path()).expect("opens");
+    let text = [Bytes::from_static(b"text")];
+    let file = files.write(text.iter()).expect("written");
+    let files = TextFiles::open(folder.path()).expect("opens again");
+    assert!(files.read(file, 0, 4).is_err());
+}
--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -7,9 +7,11 @@
 //! before it.
 #![forbid(unsafe_code)]
 
+mod away;
 mod command;
 mod table;
 
+pub use away::{Away, Place};
 pub use command::{
     Command, CommandError, Draft, Item, Listing, Outcome, Part, Piece, Score, ScoringCall,
     Submission,
--- a/crates/jobs/src/table.rs
+++ b/crates/jobs/src/table.rs
@@ -1,5 +1,6 @@
 //! The table of jobs.
 
+use crate::away::Away;
 use crate::command::{
     Command, CommandError, Draft, Item, Listing, Outcome, Part, Piece, Score, Submission,
 };
@@ -35,6 +36,9 @@
     pub drafts: BTreeMap<u32, (Bytes, Vec<u64>)>,
     /// Whether its caller ended it.
     pub ended: bool,
+    /// Texts that lie outside the table; never part of a snapshot.
+    #[serde(skip)]
+    pub away: Option<Away>,
 }
 
 impl Job {
@@ -43,14 +47,21 @@
         self.ended || self.results.len() == self.items.len()
     }
 
-    /// The whole text of an item with the versions that made it, scored or not.
+    /// The whole text of an item with the versions that made it, scored or not; none
+    /// where it lies outside the table, as no later job brings the item again.
     pub fn text(&self, item: u32) -> Option<(&Bytes, &[u64])> {
         if let Some((text, versions)) = self.drafts.get(&item) {
             return Some((text, versions));
         }
-        let mut results = self.results.iter();
-        match results.find(|(listed, _)| *listed == item) {
-            Some((_, Outcome::Completed { text, versions, .. })) => Some((text, versions)),
+        let mut results = (0..).zip(&self.results);
+        let (position, (_, outcome)) = results.find(|(_, (listed, _))| *listed == item)?;
+        let is_away = |away: &Away| away.places.contains_key(&position);
+        match outcome {
+            Outcome::Completed { text, versions, .. }
+                if !self.away.as_ref().is_some_and(is_away) =>
+            {
+                Some((text, versions))
+            }
             _ => None,
         }
     }
@@ -129,6 +140,10 @@
         self.jobs.get(id)
     }
 
+    pub(crate) fn job_mut(&mut self, id: &str) -> Option<&mut Job> {
+        self.jobs.get_mut(id)
+    }
+
     /// All jobs by identity.
     pub fn jobs(&self) -> impl Iterator<Item = (&String, &Job)> {
         self.jobs.iter()
@@ -140,14 +155,17 @@
     }
 
     /// Results of a job from position `since` on: about `limit` bytes of text at
-    /// most, but at least one result if there is one. None: no such job.
+    /// most, but at least one result if there is one. Texts that lie outside the
+    /// table are empty; see [`Page::span`]. None: no such job.
     pub fn page(&self, id: &str, since: u64, limit: usize) -> Option<Page> {
         let job = self.jobs.get(id)?;
         let first = usize::try_from(since).unwrap_or(usize::MAX);
         let mut results = Vec::new();
         let mut bytes = 0;
-        for (item, outcome) in job.results.iter().skip(first) {
-            bytes += text_length(outcome);
+        let places = job.away.as_ref().map(|away| &away.places);
+        for (position, (item, outcome)) in (0..).zip(&job.results).skip(first) {
+            let place = places.and_then(|places| places.get(&position));
+            bytes += place.map_or_else(|| text_length(outcome), |place| place.length);
             if !results.is_empty() && bytes > limit {
                 break;
             }
@@ -179,7 +197,7 @@
         Ok(job.items[index].body.clone())
     }
 
-    /// Encodes the table for a snapshot.
+    /// Encodes the table for a snapshot; all texts must lie in it.
     ///
     /// # Errors
     /// The encoder refuses it.
@@ -213,6 +231,7 @@
             parts: BTreeMap::new(),
             drafts: BTreeMap::new(),
             ended: false,
+            away: None,
         };
         self.jobs.insert(submission.id, job);
         Accepted::New
--- /dev/null
+++ b/crates/jobs/tests/away.rs
@@ -0,0 +1,137 @@
+//! Texts of ended jobs that lie outside the table.
+
+use brasspond_jobs::{Command, Draft, Item, JobTable, Page, Submission};
+use bytes::Bytes;
+use rstest::rstest;
+
+/// Items of a group.
+const GROUP: usize = 4;
+/// Bytes of a text.
+const TEXT: usize = 5_000;
+
+fn submission(id: &str, items: usize) -> Submission {
+    let items = (0..items).map(|number| Item {
+        id: format!("{id}-{number}"),
+        path: "/jobs/run".to_string(),
+        headers: Vec::new(),
+        body: Bytes::from_static(b"body"),
+        tokens: 10,
+        expected_tokens: 5,
+        group: format!("{id}-group-{}", number / GROUP),
+        model: "model".to_string(),
+        scoring: None,
+    });
+    Submission {
+        id: id.to_string(),
+        host: "host.example".to_string(),
+        path: "/jobs/x".to_string(),
+        model: "model".to_string(),
+        step: 1,
+        min_version: 0,
+        desired: 1,
+        items: items.collect(),
+    }
+}
+
+/// Accepts a job, lists its first `listed` items and ends it.
+fn play(table: &mut JobTable, id: &str, items: usize, listed: u32) {
+    table.apply(Command::Accept(submission(id, items)));
+    let drafts = (0..listed).map(|item| Draft {
+        job: id.to_string(),
+        item,
+        after: 0,
+        text: Bytes::from(format!("{item}").repeat(TEXT)),
+        versions: vec![1],
+    });
+    table.apply(Command::Finish(drafts.collect()));
+    table.apply(Command::End {
+        job: id.to_string(),
+    });
+}
+
+/// Puts a job's texts away; returns the file's content.
+fn put_away(table: &mut JobTable, id: &str) -> Bytes {
+    let texts = table.spare_texts(id);
+    table.put_away(id, 7, &texts);
+    let content: Vec<u8> = texts.iter().flat_map(|(_, text)| text.to_vec()).collect();
+    content.into()
+}
+
+/// A page with its texts read out of the file.
+fn read(table: &JobTable, file: &Bytes, since: u64, limit: usize) -> Page {
+    let mut page = table.page("job", since, limit).expect("job");
+    let away = table.job("job").and_then(|job| job.away.as_ref());
+    let away = away.expect("some texts lie outside");
+    if let Some(span) = page.span(since, away) {
+        let begin = span.offset as usize;
+        let bytes = file.slice(begin..begin + span.length);
+        page.fill(since, away, span, &bytes);
+    }
+    page
+}
+
+#[rstest]
+#[case::from_the_first(0, usize::MAX)]
+#[case::a_small_page(0, 1)]
+#[case::from_the_middle(5, 12_000)]
+#[case::what_stayed(9, usize::MAX)]
+#[case::past_the_end(40, 100)]
+fn pages_are_the_same(#[case] since: u64, #[case] limit: usize) {
+    let mut table = JobTable::default();
+    play(&mut table, "job", 12, 10);
+    let before = table.page("job", since, limit).expect("job");
+    let file = put_away(&mut table, "job");
+    assert_eq!(read(&table, &file, since, limit), before);
+}
+
+/// A later job may bring items of a group that was not whole; their texts are used.
+#[rstest]
+fn texts_of_open_groups_stay() {
+    let mut table = JobTable::default();
+    play(&mut table, "job", 12, 10);
+    put_away(&mut table, "job");
+    let job = table.job("job").expect("job");
+    assert_eq!(job.text(7), None, "its group is whole");
+    assert!(job.text(8).is_some_and(|(text, _)| !text.is_empty()));
+    assert!(job.text(9).is_some_and(|(text, _)| !text.is_empty()));
+    assert!(table.spare_texts("job").is_empty(), "only once");
+}
+
+#[rstest]
+fn texts_of_open_jobs_stay() {
+    let mut table = JobTable::default();
+    table.apply(Command::Accept(submission("job", 4)));
+    assert!(table.spare_texts("job").is_empty());
+}
+
+#[rstest]
+fn a_table_with_all_texts_back_is_as_before() {
+    let mut table = JobTable::default();
+    play(&mut table, "job", 12, 10);
+    let before = table.encode().expect("encodes");
+    let file = put_away(&mut table, "job");
+    let away = table.job("job").and_then(|job| job.away.clone());
+    for (position, place) in away.expect("away").places {
+        let begin = place.offset as usize;
+        let text = file.slice(begin..begin + place.length);
+        table.restore("job", position, text);
+    }
+    assert_eq!(table.encode().expect("encodes"), before);
+}
+
+/// Found on adrese-riga-large: a storage process of 130 MB was ended for its memory,
+/// as it held 1.3 MB of texts a second for two minutes.
+#[rstest]
+fn ended_jobs_take_little_memory() {
+    const JOBS: usize = 40;
+    const ITEMS: usize = 24;
+    let mut table = JobTable::default();
+    for number in 0..JOBS {
+        let id = format!("job-{number}");
+        play(&mut table, &id, ITEMS, ITEMS as u32);
+        put_away(&mut table, &id);
+    }
+    let bytes = table.encode().expect("encodes").len();
+    let texts = JOBS * ITEMS * TEXT;
+    assert!(bytes < texts / 20, "{bytes} of {texts}");
+}
