Held reads wait for results that end together; whole views encoded once; fewer reads of the record

Causes: - The trainer of nearly each step ended it 0.5 to 0.9 s after its last text (7.1 to 7.3 s): its read was answered with the first of the texts that end together, and a reader comes back half a second later. Two such steps a chain keep 8 s, so each chain fell behind. - A new leader was short of processor for a second: every edge that came had the whole view (1,400 routes) encoded again; first runs after 0.4 s, orders after 1.0 s. - A new leader began with ten loads at a time; an edge that waited for a leader read the record again each 0.5 to 2 s though it was connected to the members. Changes: Gathering (sans-IO, its tests beside it): a held read is answered once no result came for 120 ms, at the latest 250 ms after the first, at once when nothing more will come or the reader does not wait. Whole views are kept as a frame until the view changes. Loads begin at a fifth of the fleet; the cap of ten is gone since loads no longer change the edges' view each (test: the large fleet's case is 40 now). 2.5 s between reads of a record found.

--- a/crates/cluster/src/edge/asking.rs
+++ b/crates/cluster/src/edge/asking.rs
@@ -18,6 +18,9 @@
 const SEARCH_PAUSE: Duration = Duration::from_millis(500);
 /// Longest pause between two searches.
 const LONGEST_SEARCH_PAUSE: Duration = Duration::from_secs(2);
+/// Pause after a search that found the group's record, whose members are then connected
+/// to: they are seldom others so soon.
+const FOUND_PAUSE: Duration = Duration::from_millis(2_500);
 /// Searches with the seeds alone where the whole system starts for the first time:
 /// only the seeds themselves read the group's record then, not every edge of a fleet.
 const SEED_SEARCHES: u32 = 4;
@@ -118,32 +121,37 @@
     let mut seed_searches = if asks_seeds_first { SEED_SEARCHES } else { 0 };
     let mut pause = SEARCH_PAUSE;
     loop {
+        let mut found = false;
         if edge.cluster.borrow().leader().is_some() {
             pause = SEARCH_PAUSE;
         } else {
             if seed_searches == 0 {
-                read_record(&edge).await;
+                found = read_record(&edge).await;
             }
             seed_searches = seed_searches.saturating_sub(1);
             ask_seeds(&edge).await;
         }
-        tokio::time::sleep(pause).await;
+        tokio::time::sleep(if found { FOUND_PAUSE } else { pause }).await;
         pause = (pause + SEARCH_PAUSE / 2).min(LONGEST_SEARCH_PAUSE);
     }
 }
 
-/// Connects to the members that the group's record names.
-async fn read_record(edge: &Rc<Edge>) {
+/// Connects to the members that the group's record names; says whether it does.
+async fn read_record(edge: &Rc<Edge>) -> bool {
     match edge.outside.registry.read().await {
         Ok(Some(record)) => {
             let mut cluster = edge.cluster.borrow_mut();
             for member in &record.members {
                 cluster.dial_to(member.address);
             }
+            true
         }
         // Not made yet: the search goes on.
-        Ok(None) => {}
-        Err(error) => log::info!("event=record_unread error={error:?}"),
+        Ok(None) => false,
+        Err(error) => {
+            log::info!("event=record_unread error={error:?}");
+            false
+        }
     }
 }
 
--- a/crates/cluster/src/storage/asks.rs
+++ b/crates/cluster/src/storage/asks.rs
@@ -1,5 +1,6 @@
 //! Questions of edges, and answers once they are true for good.
 
+use super::gathering::Gathering;
 use super::process::Storage;
 use crate::link::LinkId;
 use brasspond_cluster_protocol::{Answer, Message, Question};
@@ -28,7 +29,7 @@
     asker: Asker,
     job: String,
     since: u64,
-    until: u64,
+    gathering: Gathering,
 }
 
 /// Questions under way.
@@ -41,6 +42,12 @@
 }
 
 impl Asks {
+    /// When the next held read is to be answered, in ms; none if none is held.
+    pub fn next_due(&self) -> Option<u64> {
+        let due = self.waiting.iter().map(|one| one.gathering.due_at());
+        due.min()
+    }
+
     /// The entry at `index` is committed and applied; returns how long each that
     /// asked for it waited, in ms.
     pub fn committed(&mut self, index: u64, now: u64) -> Vec<u64> {
@@ -118,7 +125,7 @@
                 asker,
                 job,
                 since,
-                until,
+                gathering: Gathering::new(until),
             });
         }
     }
@@ -170,20 +177,33 @@
         if self.asks.waiting.is_empty() || (self.leading.is_some() && !self.may_answer()) {
             return;
         }
-        for waiting in std::mem::take(&mut self.asks.waiting) {
-            let is_known = self.table.job(&waiting.job).is_some();
-            let page = self.read_page(&waiting.job, waiting.since, PAGE_BYTES);
-            match page {
-                Some(page) if page.results.is_empty() && now < waiting.until => {
-                    self.asks.waiting.push(waiting);
-                }
-                // Another member can read it.
-                None if is_known => self.answer(waiting.asker, Answer::Unknown),
-                page => self.answer(waiting.asker, Answer::Page(page)),
+        for mut waiting in std::mem::take(&mut self.asks.waiting) {
+            let job = self.table.job(&waiting.job);
+            if let Some(job) = job {
+                let since = usize::try_from(waiting.since).unwrap_or(usize::MAX);
+                let results = job.results.len().saturating_sub(since);
+                waiting.gathering.note(results, job.is_finished(), now);
+            }
+            if job.is_some() && now < waiting.gathering.due_at() {
+                self.asks.waiting.push(waiting);
+            } else {
+                self.answer_read(waiting);
             }
         }
     }
 
+    fn answer_read(&mut self, waiting: Waiting) {
+        let is_known = self.table.job(&waiting.job).is_some();
+        let page = self.read_page(&waiting.job, waiting.since, PAGE_BYTES);
+        let answer = if is_known && page.is_none() {
+            // Its texts cannot be read here: another member can.
+            Answer::Unknown
+        } else {
+            Answer::Page(page)
+        };
+        self.answer(waiting.asker, answer);
+    }
+
     fn answer_proposed_unknown(&mut self) {
         let proposed = std::mem::take(&mut self.asks.proposed);
         for asker in proposed.into_values().flatten() {
--- a/crates/cluster/src/storage/leading.rs
+++ b/crates/cluster/src/storage/leading.rs
@@ -8,6 +8,7 @@
 use brasspond_dispatch::{Action, Dispatcher, Event, Settings};
 use brasspond_fleet::FleetView;
 use brasspond_jobs::{Command, Draft, Listing, Outcome, Piece, Score};
+use bytes::Bytes;
 use std::collections::HashMap;
 
 /// Pause between two looks at runs, in ms.
@@ -38,6 +39,9 @@
     remember_at: u64,
     /// The view as it was last sent to all edges.
     pub sent_view: FleetView,
+    /// That view as a frame, once an edge needed it: after a change of leader all do,
+    /// and with many routes it takes ms to make.
+    pub whole_view: Option<Bytes>,
     pub view_sent_at: u64,
     /// When it was last compared with what was sent.
     pub view_looked_at: u64,
@@ -154,6 +158,7 @@
             ticked_at: now,
             remember_at: 0,
             sent_view: FleetView::default(),
+            whole_view: None,
             view_sent_at: 0,
             view_looked_at: 0,
             view_is_new: true,
--- a/crates/cluster/src/storage/mod.rs
+++ b/crates/cluster/src/storage/mod.rs
@@ -2,6 +2,7 @@
 
 mod applying;
 mod asks;
+pub mod gathering;
 mod group;
 mod leading;
 mod order_log;
--- a/crates/cluster/src/storage/process.rs
+++ b/crates/cluster/src/storage/process.rs
@@ -279,7 +279,8 @@
         if self.consensus.has_backlog() {
             return now;
         }
-        self.consensus.next_tick().min(now + tick)
+        let due = self.asks.next_due().unwrap_or(u64::MAX);
+        self.consensus.next_tick().min(now + tick).min(due)
     }
 
     fn on_link(&mut self, event: LinkEvent) {
--- a/crates/cluster/src/storage/spread.rs
+++ b/crates/cluster/src/storage/spread.rs
@@ -91,12 +91,13 @@
             let changed = self.view.delta_from(&leading.sent_view);
             delta = Some(encode(&Message::ViewChanged(changed)));
             leading.sent_view = self.view.clone();
+            leading.whole_view = None;
             leading.view_sent_at = now;
             leading.view_is_new = false;
         }
         let term = leading.term;
         let sent_view = &leading.sent_view;
-        let mut whole = None;
+        let whole_view = &mut leading.whole_view;
         let mut lacks_view = false;
         for state in self.links.values_mut() {
             let is_edge = matches!(state.peer, Some(Peer::Edge { .. }));
@@ -106,7 +107,8 @@
             let frame = if state.has_view {
                 delta.clone()
             } else {
-                let whole = whole.get_or_insert_with(|| encode(&Message::View(sent_view.clone())));
+                let whole =
+                    whole_view.get_or_insert_with(|| encode(&Message::View(sent_view.clone())));
                 Some(whole.clone())
             };
             if let Some(frame) = frame {
--- a/crates/dispatch/src/orders.rs
+++ b/crates/dispatch/src/orders.rs
@@ -236,9 +236,8 @@
     fn most_loads(&mut self) -> usize {
         let replicas = self.orders.serves_first.len();
         let share = (replicas as f64 * self.settings.loading_share) as usize;
-        let first = share.min(self.settings.first_loads);
         let least = self.settings.loads_at_once;
-        self.orders.limit.limit(first.max(least)).max(least)
+        self.orders.limit.limit(share.max(least)).max(least)
     }
 
     fn drop_orders_of_gone(&mut self) {
