An edge without a leader says so soon, and is not ready when cut off

Steps whose texts were whole at 5.2 to 8.5 s were ended at 11 to 13.5 s. No log line told of these reads: the caller had left. Ruled out: runs on the cut edges (begun elsewhere within 2.4 s), the reading member. Change: reads and calls end with 503 and a time to come back once no leader was known for 0.4 s (reads, bodies) or 1.5 s (jobs handed in or ended); a read takes its hold and 1 s at the most. An edge that has heard neither a leader nor the view's source for 2 s is not ready.

--- a/crates/brasspond/tests/cluster.rs
+++ b/crates/brasspond/tests/cluster.rs
@@ -452,3 +452,42 @@
     }
     leader.await_line("event=view_from_edge").await;
 }
+
+/// adrese-riga-large scale-2: reads at edges that were cut off were held for longer than
+/// their callers wait, and a trainer that met two of them got its step seconds late.
+#[rstest]
+#[tokio::test(flavor = "multi_thread")]
+async fn an_edge_without_a_leader_says_so_soon() {
+    const SOON: Duration = Duration::from_millis(1_200);
+    let mut cluster = Cluster::start().await;
+    let edge = cluster.edges[0].front;
+    cluster
+        .storage
+        .iter_mut()
+        .for_each(|machine| machine.kill());
+    cluster.edges[0].await_line("event=leader_link_down").await;
+    let begun = std::time::Instant::now();
+    let answer = call(edge, "GET", "/-/lots/job-1", "reader", "").await;
+    assert_eq!(answer.expect("answered").status(), 503);
+    assert!(begun.elapsed() < SOON, "{:?}", begun.elapsed());
+}
+
+/// An edge that hears neither a leader nor the store is cut off: connections go to
+/// others. One that hears the store serves on.
+#[rstest]
+#[case::the_store_answers(false, 200)]
+#[case::nobody_answers(true, 503)]
+#[tokio::test(flavor = "multi_thread")]
+async fn an_edge_that_is_cut_off_is_not_ready(#[case] is_store_down: bool, #[case] status: u16) {
+    const NOTICED: Duration = Duration::from_secs(5);
+    let mut cluster = Cluster::start().await;
+    let ready = cluster.edges[0].ready;
+    cluster.store.down.store(is_store_down, Ordering::Relaxed);
+    cluster
+        .storage
+        .iter_mut()
+        .for_each(|machine| machine.kill());
+    tokio::time::sleep(NOTICED).await;
+    let answer = call(ready, "GET", "/-/readyz", "probe", "").await;
+    assert_eq!(answer.expect("answered").status(), status);
+}
--- a/crates/brasspond/tests/platform_standin/processes.rs
+++ b/crates/brasspond/tests/platform_standin/processes.rs
@@ -30,6 +30,7 @@
 pub struct Machine {
     pub name: String,
     pub front: SocketAddr,
+    pub ready: SocketAddr,
     pub metrics: SocketAddr,
     folder: PathBuf,
     settings: PathBuf,
@@ -189,6 +190,7 @@
         Self {
             name,
             front: format!("{ip}:{}", ports + 1).parse().expect("address"),
+            ready: format!("{ip}:{}", ports + 2).parse().expect("address"),
             metrics: format!("{ip}:{}", ports + 3).parse().expect("address"),
             folder,
             settings,
--- a/crates/cluster/src/edge/asking.rs
+++ b/crates/cluster/src/edge/asking.rs
@@ -41,11 +41,12 @@
         question: Question,
         wait: Duration,
         deadline: Instant,
+        patience: u64,
     ) -> Result<Answer, AskError> {
         if let Some(answer) = self.ask_reader(&question, wait).await {
             return Ok(answer);
         }
-        self.ask(question, wait, deadline).await
+        self.ask(question, wait, deadline, patience).await
     }
 
     /// The answer of the storage process near by; none: the leader must be asked.
@@ -71,12 +72,13 @@
     }
 
     /// Asks the leader, and again while there is time: every question may be
-    /// asked twice.
+    /// asked twice. Gives up once no leader was known for `patience` ms.
     pub(super) async fn ask(
         &self,
         question: Question,
         wait: Duration,
         deadline: Instant,
+        patience: u64,
     ) -> Result<Answer, AskError> {
         let mut leaders = self.cluster.borrow().watch_leader();
         let mut failure = AskError::NotAsked;
@@ -87,7 +89,13 @@
             }
             let leader = leaders.borrow_and_update().clone();
             let Some(leader) = leader else {
-                let _ = tokio::time::timeout(left, leaders.changed()).await;
+                let alone = self.cluster.borrow_mut().alone_for(self.clock.now());
+                let patience = Duration::from_millis(patience.saturating_sub(alone));
+                if patience.is_zero() {
+                    return Err(failure);
+                }
+                // A timeout is noticed by the next look at how long it has been.
+                let _ = tokio::time::timeout(left.min(patience), leaders.changed()).await;
                 continue;
             };
             let asked =
--- a/crates/cluster/src/edge/cluster.rs
+++ b/crates/cluster/src/edge/cluster.rs
@@ -372,20 +372,29 @@
             self.alone_since = None;
             return self.watch;
         }
-        let since = *self.alone_since.get_or_insert(now);
+        let alone = self.alone_for(now);
         let has_view = self.newest_term > 0;
         let patience = if has_view {
             ALONE_TIME
         } else {
             self.start_patience
         };
-        let is_alone = now >= since + patience;
+        let is_alone = alone >= patience;
         match self.watch {
             Watch::Nothing if is_alone => Watch::Fleet,
             wanted => wanted,
         }
     }
 
+    /// Time for which no leader has been known, in ms; 0 while one is.
+    pub fn alone_for(&mut self, now: u64) -> u64 {
+        if self.leader.borrow().is_some() {
+            self.alone_since = None;
+            return 0;
+        }
+        now - *self.alone_since.get_or_insert(now)
+    }
+
     /// Asks for a whole view.
     fn need_view(&mut self, link: LinkId, now: u64) {
         if now < self.view_asked_at + VIEW_ASK_PAUSE {
--- a/crates/cluster/src/edge/front.rs
+++ b/crates/cluster/src/edge/front.rs
@@ -23,10 +23,17 @@
 /// Body of an answer.
 pub(super) type Body = Pin<Box<dyn hyper::body::Body<Data = Bytes, Error = std::io::Error>>>;
 
-/// Longest time a job's call waits for a leader.
+/// Longest time of a call that hands a job in or ends it.
 const CALL_TIME: Duration = Duration::from_millis(4_000);
-/// Longest time a read of results waits for a leader.
-const READ_TIME: Duration = Duration::from_millis(1_800);
+/// Longest time of a read beyond its hold: callers wait 1.5 s beyond it, and one that
+/// leaves without an answer has lost that time.
+const READ_TIME: Duration = Duration::from_millis(1_000);
+/// Time without a leader after which a read is answered 503, in ms: the caller asks
+/// another edge. This one may be cut off.
+const READ_PATIENCE: u64 = 400;
+/// The same for calls that hand a job in or end it, in ms: longer than most elections,
+/// since what is sent again may be large.
+const CALL_PATIENCE: u64 = 1_500;
 /// Longest hold of a read of results, in ms.
 const LONGEST_WAIT: u64 = 1_000;
 /// Buffer of a connection, in bytes.
@@ -233,7 +240,9 @@
     };
     let deadline = arrived + CALL_TIME;
     let question = Question::Submit(submission);
-    let answer = edge.ask(question, Duration::ZERO, deadline).await;
+    let answer = edge
+        .ask(question, Duration::ZERO, deadline, CALL_PATIENCE)
+        .await;
     let (outcome, response) = match answer {
         Ok(Answer::Done) => ("taken", plain(StatusCode::ACCEPTED, Bytes::new())),
         Err(AskError::NotAsked) => ("no_leader", unavailable(Duration::from_millis(500))),
@@ -259,7 +268,12 @@
         wait_ms: wait,
     };
     match edge
-        .ask_results(question, Duration::from_millis(wait), deadline)
+        .ask_results(
+            question,
+            Duration::from_millis(wait),
+            deadline,
+            READ_PATIENCE,
+        )
         .await
     {
         Ok(Answer::Page(Some(page))) => json(edge.outside.dialect.page(&page)),
@@ -271,7 +285,8 @@
 async fn item_body(edge: &Rc<Edge>, job: String, item: String) -> Response<Body> {
     let deadline = Instant::now() + READ_TIME;
     let question = Question::Body { job, item };
-    match edge.ask(question, Duration::ZERO, deadline).await {
+    let answer = edge.ask(question, Duration::ZERO, deadline, READ_PATIENCE);
+    match answer.await {
         Ok(Answer::Body(Ok(body))) => plain(StatusCode::OK, body),
         Ok(Answer::Body(Err(_))) => plain(StatusCode::NOT_FOUND, Bytes::new()),
         _ => unavailable(Duration::from_millis(200)),
@@ -280,10 +295,9 @@
 
 async fn end(edge: &Rc<Edge>, job: String) -> Response<Body> {
     let deadline = Instant::now() + CALL_TIME;
-    match edge
-        .ask(Question::End { job }, Duration::ZERO, deadline)
-        .await
-    {
+    let question = Question::End { job };
+    let answer = edge.ask(question, Duration::ZERO, deadline, CALL_PATIENCE);
+    match answer.await {
         Ok(Answer::Done) => plain(StatusCode::OK, Bytes::new()),
         Ok(Answer::Page(None)) => plain(StatusCode::NOT_FOUND, Bytes::new()),
         _ => unavailable(Duration::from_millis(200)),
--- a/crates/cluster/src/edge/ready.rs
+++ b/crates/cluster/src/edge/ready.rs
@@ -11,6 +11,11 @@
 use std::rc::Rc;
 use tokio::net::TcpListener;
 
+/// Time without a leader after which an edge that does not hear the view's source
+/// either counts as cut off, in ms: longer than an election, and a second longer than
+/// an edge waits before it asks the source.
+const CUT_OFF_TIME: u64 = 2_000;
+
 /// Answers 200 while this edge takes new connections, else 503.
 pub(super) async fn serve(edge: Rc<Edge>, listener: TcpListener) {
     loop {
@@ -37,9 +42,18 @@
 }
 
 impl Edge {
-    /// Whether this edge can serve: it knows a configuration and is not about
-    /// to stop.
+    /// Whether this edge can serve: it knows a configuration, is not about to stop,
+    /// and is not cut off from all others.
     pub(super) fn is_ready(&self) -> bool {
-        !self.draining.get() && self.view.borrow().configuration.is_some()
+        let has_configuration = self.view.borrow().configuration.is_some();
+        !self.draining.get() && has_configuration && !self.is_cut_off()
+    }
+
+    /// Whether neither a leader nor the view's source is heard: without a leader an
+    /// edge asks the source by itself.
+    fn is_cut_off(&self) -> bool {
+        let alone = self.cluster.borrow_mut().alone_for(self.clock.now());
+        let source_answers = self.outside.observed.borrow().reachable;
+        alone >= CUT_OFF_TIME && !source_answers
     }
 }
