--- a/crates/jobs/src/away.rs
+++ b/crates/jobs/src/away.rs
@@ -103,7 +103,7 @@
     pub fn span(&self, since: u64, away: &Away) -> Option<Place> {
         let mut places = away.places.range(since..self.next).map(|(_, place)| place);
         let first = places.next()?;
-        let last = places.last().unwrap_or(first);
+        let last = places.next_back().unwrap_or(first);
         let end = last.offset + last.length as u64;
         Some(Place {
             offset: first.offset,
