The fleet is looked through once for all loads that are due, and more seldom when it is large

Change: due loads are found once a plan, by model, and taken from the model that lacks most places as loads are chosen; a plan is made at most once in a ms for each 64 replicas; at most 64 load at a time (each is four calls of the leader). Test: 2,000 replicas begin with 64.

--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -25,6 +25,9 @@
     /// Share of all replicas with weights that may load at a time before anything
     /// is known of how long loads take, 0 to 1, where that is more.
     pub loading_share: f64,
+    /// Replicas that load weights at a time, at the most: each load is four calls of
+    /// the leader, which has part of a core.
+    pub most_loads: usize,
     /// Share of a model's replicas that take each new version while nothing
     /// waits, 0 to 1; the others skip it while they still serve.
     pub fresh_share: f64,
@@ -43,6 +46,7 @@
         Self {
             loads_at_once: 2,
             loading_share: 0.2,
+            most_loads: 64,
             fresh_share: 0.5,
             adopt_ms: 300,
             stall_ms: 500,
--- a/crates/dispatch/src/orders.rs
+++ b/crates/dispatch/src/orders.rs
@@ -20,6 +20,10 @@
 const ORDER_LOST: Millis = 2_500;
 /// Longest time a replica may be at work on an order, its runs included, in ms.
 const LONGEST_LOAD: Millis = 20_000;
+/// Replicas that are looked through for a ms of pause before they are again, or a
+/// leader of thousands does nothing else (300 machines, 3,000 replicas: it stood still
+/// for seconds).
+const PLANNED_A_MS: u64 = 64;
 /// Pause before a replica is ordered again after that, in ms.
 const LEFT_ALONE: Millis = 500;
 
@@ -83,6 +87,8 @@
     pub serves_first: BTreeMap<String, String>,
     not_before: HashMap<String, Millis>,
     leases: OrderLeases,
+    /// When loads were last planned.
+    planned_at: Option<Millis>,
 }
 
 impl Orders {
@@ -95,6 +101,7 @@
             serves_first: BTreeMap::new(),
             not_before: HashMap::new(),
             leases,
+            planned_at: None,
         }
     }
 
@@ -188,17 +195,14 @@
     }
 }
 
-/// A load that is due; the lesser goes first.
+/// A load that is due; of one model the lesser goes first.
 #[derive(Debug, PartialEq, Eq, PartialOrd, Ord)]
 struct DueLoad {
     /// It can still serve the newest step.
     is_fit: bool,
-    /// Items of the model that no place is in sight for.
-    shortage: Reverse<i64>,
     running: usize,
     replica: String,
-    model: String,
-    version: u64,
+    slots: usize,
 }
 
 /// What a model needs of its replicas.
@@ -208,8 +212,8 @@
     target: u64,
     /// The oldest version that serves every job under way.
     oldest_fit: u64,
-    /// More replicas are to load the newest, though they still serve.
-    wants_more: bool,
+    /// So many more replicas are to load the newest, though they still serve.
+    wants_more: usize,
     /// Items that wait, less the places on replicas that serve them now or after
     /// the load that is under way.
     shortage: i64,
@@ -222,13 +226,20 @@
 impl Dispatcher {
     /// Begins loads that are due and asks after those under way.
     pub(crate) fn plan_orders(&mut self, now: Millis) {
+        let pause = self.orders.serves_first.len() as Millis / PLANNED_A_MS;
+        let planned_at = self.orders.planned_at;
+        if planned_at.is_some_and(|planned_at| now < planned_at + pause) {
+            return;
+        }
+        self.orders.planned_at = Some(now);
         self.drop_orders_of_gone();
         self.ask_after_loads(now);
-        while self.orders.loads.len() < self.most_loads() {
-            let Some(due) = self.next_load(now) else {
-                return;
-            };
-            self.begin_load(due.replica, due.model, due.version, now);
+        let room = self.most_loads().saturating_sub(self.orders.loads.len());
+        if room == 0 {
+            return;
+        }
+        for (replica, model, version) in self.next_loads(room, now) {
+            self.begin_load(replica, model, version, now);
         }
     }
 
@@ -237,7 +248,9 @@
         let replicas = self.orders.serves_first.len();
         let share = (replicas as f64 * self.settings.loading_share) as usize;
         let least = self.settings.loads_at_once;
-        self.orders.limit.limit(share.max(least)).max(least)
+        let most = self.settings.most_loads;
+        let limit = self.orders.limit.limit(share.min(most).max(least));
+        limit.clamp(least, most)
     }
 
     fn drop_orders_of_gone(&mut self) {
@@ -248,34 +261,61 @@
         self.orders.sequences.retain(|id, _| is_live(id));
     }
 
-    /// The replica to load next: first those too old for the newest step, of the
-    /// model that lacks most places; then, while nothing waits, the others; the
-    /// idlest first.
-    fn next_load(&self, now: Millis) -> Option<DueLoad> {
-        let needs = self.model_needs();
+    /// Up to `most` replicas to load next, with their model and version: first those
+    /// too old for the newest step, of the model that lacks most places; then, while
+    /// nothing waits, the others; the idlest first. The fleet is looked through once.
+    fn next_loads(&self, most: usize, now: Millis) -> Vec<(String, String, u64)> {
+        let mut needs = self.model_needs();
+        let mut due = self.due_loads(&needs, now);
+        let mut chosen = Vec::new();
+        while chosen.len() < most {
+            let heads = due.iter().enumerate();
+            let heads = heads.filter_map(|(model, due)| Some((model, due.last()?)));
+            let next = heads
+                .min_by_key(|(model, load)| (load.is_fit, Reverse(needs[*model].shortage), *model));
+            let Some((model, _)) = next else {
+                break;
+            };
+            let Some(load) = due[model].pop() else {
+                break;
+            };
+            let need = &mut needs[model];
+            need.shortage -= load.slots as i64;
+            chosen.push((load.replica, need.model.to_string(), need.target));
+        }
+        chosen
+    }
+
+    /// Loads that are due by the number of their model, the next of each last.
+    fn due_loads(&self, needs: &[ModelNeed<'_>], now: Millis) -> Vec<Vec<DueLoad>> {
         let lasting = self.runs.lasting();
-        let mut due = Vec::new();
+        let mut due: Vec<Vec<DueLoad>> = needs.iter().map(|_| Vec::new()).collect();
         for (id, first) in &self.orders.serves_first {
-            let need = needs.iter().find(|need| need.model == first);
-            let (Some(need), Some(replica)) = (need, self.replicas.by_id.get(id)) else {
+            let number = needs.iter().position(|need| need.model == first);
+            let (Some(number), Some(replica)) = (number, self.replicas.by_id.get(id)) else {
                 continue;
             };
+            let need = &needs[number];
             let version = replica.versions.get(first).copied().unwrap_or(0);
             let is_fit = version >= need.oldest_fit;
-            let is_due = version < need.target && (need.wants_more || !is_fit);
+            let is_due = version < need.target && (need.wants_more > 0 || !is_fit);
             let runs = lasting.get(id.as_str()).copied().unwrap_or(0);
             if is_due && self.may_load(id, now) && self.may_pause_runs(id, runs, need) {
-                due.push(DueLoad {
+                due[number].push(DueLoad {
                     is_fit,
-                    shortage: Reverse(need.shortage),
                     running: replica.running,
                     replica: id.clone(),
-                    model: first.clone(),
-                    version: need.target,
+                    slots: replica.slots,
                 });
             }
         }
-        due.into_iter().min()
+        for (loads, need) in due.iter_mut().zip(needs) {
+            loads.sort_unstable();
+            let unfit = loads.iter().filter(|load| !load.is_fit).count();
+            loads.truncate(unfit.max(need.wants_more));
+            loads.reverse();
+        }
+        due
     }
 
     /// What each model with a named version needs.
@@ -286,7 +326,11 @@
                 model,
                 target: *target,
                 oldest_fit: self.oldest_fit(model, *target),
-                wants_more: waiting == 0 && self.wants_fresh(model, *target),
+                wants_more: if waiting == 0 {
+                    self.fresh_wanted(model, *target)
+                } else {
+                    0
+                },
                 shortage: waiting as i64,
                 free: 0,
                 has_server: false,
@@ -339,8 +383,8 @@
         asked.max(target.saturating_sub(1)).min(target)
     }
 
-    /// Whether fewer replicas of a model than wanted have a version or load it.
-    fn wants_fresh(&self, model: &str, target: u64) -> bool {
+    /// How many more replicas of a model are to have a version than have or load it.
+    fn fresh_wanted(&self, model: &str, target: u64) -> usize {
         let of_model = self.orders.serves_first.iter();
         let of_model = of_model.filter(|(_, first)| *first == model);
         let mut fresh = 0;
@@ -354,7 +398,8 @@
                 loads.is_some_and(|load| load.model == model && load.version >= target);
             fresh += usize::from(is_loading || version.is_some_and(|known| known >= target));
         }
-        (fresh as f64) < f64::from(total) * self.settings.fresh_share
+        let wanted = (f64::from(total) * self.settings.fresh_share).ceil() as usize;
+        wanted.saturating_sub(fresh)
     }
 
     fn may_load(&self, id: &str, now: Millis) -> bool {
--- a/crates/dispatch/tests/dispatcher.rs
+++ b/crates/dispatch/tests/dispatcher.rs
@@ -607,6 +607,7 @@
 #[case::few(9, 2)]
 #[case::many(40, 8)]
 #[case::a_large_fleet(200, 40)]
+#[case::thousands(2_000, 64)]
 fn a_fifth_of_the_replicas_loads_at_a_time_at_first(#[case] replicas: usize, #[case] loads: usize) {
     let mut fixture = Fixture::new(view(replicas, 1), OrderLeases::default());
     fixture.edge("edge-1");
--- a/crates/dispatch/tests/support/mod.rs
+++ b/crates/dispatch/tests/support/mod.rs
@@ -51,7 +51,7 @@
     ReplicaInfo {
         id: format!("replica-{number}"),
         service: "engines".to_string(),
-        address: format!("10.0.1.{}:80", number + 1)
+        address: format!("10.0.{}.{}:80", 1 + number / 250, number % 250 + 1)
             .parse()
             .expect("address"),
         zone: "zone".to_string(),
