--- a/crates/cluster/src/link.rs
+++ b/crates/cluster/src/link.rs
@@ -259,26 +259,49 @@
     }
 }
 
-/// Writes queued frames, several at a time; ends when the queue is dropped.
+/// The large frame that was put aside, else the next of the queue.
+async fn next_frame(
+    large: &mut Option<Bytes>,
+    frames: &mut mpsc::Receiver<Bytes>,
+) -> Option<Bytes> {
+    match large.take() {
+        Some(frame) => Some(frame),
+        None => frames.recv().await,
+    }
+}
+
+/// Writes queued frames, several small ones at a time; ends when the queue is dropped.
+/// A large frame is written as it is: a whole view goes to hundreds of links at once,
+/// which share its memory.
 fn start_writer(mut writer: OwnedWriteHalf) -> Writer {
     const BATCH_BYTES: usize = 64 * 1024;
     let (queue, mut frames) = mpsc::channel::<Bytes>(WRITE_QUEUE);
     let waiting = Rc::new(Cell::new(0));
     let written = Rc::clone(&waiting);
     tokio::task::spawn_local(async move {
-        while let Some(frame) = frames.recv().await {
+        let mut large = None;
+        while let Some(frame) = next_frame(&mut large, &mut frames).await {
             let mut batch = Vec::new();
             let mut next = Some(frame);
             while let Some(frame) = next {
+                if frame.len() >= BATCH_BYTES {
+                    large = Some(frame);
+                    break;
+                }
                 batch.extend_from_slice(&frame);
                 next = (batch.len() < BATCH_BYTES)
                     .then(|| frames.try_recv().ok())
                     .flatten();
             }
-            if writer.write_all(&batch).await.is_err() {
+            let bytes = if batch.is_empty() {
+                large.take().unwrap_or_default()
+            } else {
+                batch.into()
+            };
+            if writer.write_all(&bytes).await.is_err() {
                 return;
             }
-            written.set(written.get() - batch.len());
+            written.set(written.get() - bytes.len());
         }
         let _ = writer.shutdown().await;
     });
