An edge refuses a run on a replica that is gone from its newer view

Change: a replica that is missing from a view newer than what the leader told counts as leaving. The run goes on elsewhere, as for one that drains.

--- a/crates/cluster/src/edge/process.rs
+++ b/crates/cluster/src/edge/process.rs
@@ -247,11 +247,16 @@
         time.as_millis().div_ceil(TICK.as_millis()) as u32
     }
 
-    /// Whether a replica is known to take no new work.
+    /// Whether a replica is known to take no new work: it says so, or is gone from a
+    /// view newer than the leader's. A leader that was just elected may know an old one.
     pub(super) fn is_leaving(&self, replica: &str) -> bool {
         let view = self.view.borrow();
-        let known = view.replicas.get(replica);
-        known.is_some_and(|known| known.draining)
+        let told = self.leader_view.borrow();
+        let told_revision = told.as_ref().map_or(0, |told| told.replicas_revision);
+        match view.replicas.get(replica) {
+            Some(known) => known.draining,
+            None => view.replicas_revision > told_revision,
+        }
     }
 
     /// Watches the view's source as long as that is wanted.
