--- a/crates/brasspond/tests/platform_standin/mod.rs
+++ b/crates/brasspond/tests/platform_standin/mod.rs
@@ -2,6 +2,7 @@
 //! as the adapter's pages describe them, over real sockets.
 #![allow(dead_code)]
 
+pub mod operations;
 pub mod processes;
 
 use bytes::Bytes;
@@ -9,6 +10,7 @@
 use http_body_util::combinators::BoxBody;
 use http_body_util::{BodyExt, Full, StreamBody};
 use hyper::body::{Frame, Incoming};
+use hyper::header::HeaderMap;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::{Method, Request, Response, StatusCode};
@@ -272,6 +274,8 @@
     pub id: String,
     /// Runs by the request's identity.
     pub runs: Mutex<HashMap<String, u32>>,
+    /// Headers of the last run of each request, by its identity.
+    pub heads: Mutex<HashMap<String, HeaderMap>>,
     /// Breaks off plain answers after their head.
     pub breaks: AtomicBool,
     /// Answers plain requests with 500.
@@ -296,6 +300,7 @@
         let replica = Arc::new(Self {
             id: id.to_string(),
             runs: Mutex::default(),
+            heads: Mutex::default(),
             breaks: AtomicBool::new(false),
             fails: AtomicBool::new(false),
             silent: AtomicBool::new(false),
@@ -362,6 +367,12 @@
         .expect("lock")
         .entry(id.clone())
         .or_default() += 1;
+    let headers = head.headers.clone();
+    replica
+        .heads
+        .lock()
+        .expect("lock")
+        .insert(id.clone(), headers);
     let path = head.uri.path();
     let is_stream = path.starts_with("/jobs/") || path.starts_with("/streams/");
     if !is_stream && replica.silent.load(Ordering::Relaxed) {
--- a/crates/brasspond/tests/platform_standin/processes.rs
+++ b/crates/brasspond/tests/platform_standin/processes.rs
@@ -1,5 +1,6 @@
 //! A cluster of real processes on loopback addresses, one address a machine.
 
+use super::operations::Operations;
 use super::{Replica, Store, StoreAddresses};
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
@@ -12,7 +13,7 @@
 use serde_json::{Value, json};
 use std::fs::File;
 use std::net::SocketAddr;
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU16, Ordering};
@@ -44,16 +45,23 @@
     pub store: Arc<Store>,
     pub replicas: Vec<Arc<Replica>>,
     pub plain: Arc<Replica>,
+    pub operations: Arc<Operations>,
     pub edges: Vec<Machine>,
     pub storage: Vec<Machine>,
     ports: u16,
     store_addresses: StoreAddresses,
+    operations_address: SocketAddr,
     folder: TempDir,
 }
 
 impl Cluster {
     /// Three storage machines, two edges, two engines, a plain service.
     pub async fn start() -> Self {
+        Self::start_with(configuration(1)).await
+    }
+
+    /// The same with another first configuration.
+    pub async fn start_with(first: Value) -> Self {
         let folder = tempfile::tempdir().expect("folder");
         let (store, store_addresses) = Store::start().await;
         let mut replicas = Vec::new();
@@ -65,7 +73,8 @@
         }
         let (plain, address) = Replica::start("plain-0").await;
         store.put("servers", "plain-0", server("plain", address));
-        store.put("config", "main", configuration(1));
+        store.put("config", "main", first);
+        let (operations, operations_address) = Operations::start().await;
         let ports = 21_000
             + (std::process::id() % 300) as u16 * 100
             + NEXT_PORTS.fetch_add(10, Ordering::Relaxed);
@@ -76,6 +85,7 @@
                 number,
                 ports,
                 store_addresses,
+                operations_address,
             )
         };
         let storage: Vec<Machine> = (1..=3).map(|number| machine("storage", number)).collect();
@@ -84,6 +94,8 @@
             store,
             replicas,
             plain,
+            operations,
+            operations_address,
             edges,
             storage,
             ports,
@@ -98,11 +110,23 @@
         cluster
     }
 
+    /// Folder of all machines: settings, logs, data.
+    pub fn folder(&self) -> &Path {
+        self.folder.path()
+    }
+
     /// Another storage machine, empty.
     pub fn add_storage(&mut self) {
         const NUMBER: u8 = 6;
         let root = self.folder.path().to_path_buf();
-        let mut machine = Machine::new(root, "storage", NUMBER, self.ports, self.store_addresses);
+        let mut machine = Machine::new(
+            root,
+            "storage",
+            NUMBER,
+            self.ports,
+            self.store_addresses,
+            self.operations_address,
+        );
         machine.start();
         self.storage.push(machine);
     }
@@ -156,6 +180,7 @@
         number: u8,
         ports: u16,
         stores: StoreAddresses,
+        operations: SocketAddr,
     ) -> Self {
         let store = if role == "edge" {
             stores.edges
@@ -182,8 +207,10 @@
             "bootstrap": true,
             "data_dir": if role == "storage" { json!(data) } else { Value::Null },
             "fault_tolerance": {"machines": 1},
-            "bounds": {"grace_s": 8, "lease_ms": 3000, "status_s": 120},
+            "bounds": {"grace_s": 8, "lease_ms": 3000, "status_s": 120,
+                       "window_s": 1, "usage_late_s": 10},
             "platform": {"address": store.to_string()},
+            "cloud": {"address": operations.to_string(), "duties": ["metering", "scaling"]},
         });
         // JSON is YAML.
         std::fs::write(&settings, text.to_string()).expect("settings");
@@ -336,11 +363,27 @@
     path: &str,
     id: &str,
     body: impl Into<Bytes>,
+) -> Option<Response<Incoming>> {
+    call_with(address, method, path, id, &[], body).await
+}
+
+/// Makes a call with headers of its own.
+pub async fn call_with(
+    address: SocketAddr,
+    method: &str,
+    path: &str,
+    id: &str,
+    headers: &[(&str, &str)],
+    body: impl Into<Bytes>,
 ) -> Option<Response<Incoming>> {
     let stream = TcpStream::connect(address).await.ok()?;
     let (mut sender, connection) = handshake(TokioIo::new(stream)).await.ok()?;
     tokio::spawn(connection);
-    let request = Request::builder()
+    let mut request = Request::builder();
+    for (name, value) in headers {
+        request = request.header(*name, *value);
+    }
+    let request = request
         .method(method)
         .uri(path)
         .header("host", HOST)
--- /dev/null
+++ b/crates/brasspond/tests/tenants.rs
@@ -0,0 +1,248 @@
+//! Tenants, their keys and their usage, by the real programs before a stand-in of the
+//! platform.
+
+mod platform_standin;
+
+use platform_standin::processes::{Cluster, call_with, configuration, job};
+use rstest::rstest;
+use serde_json::{Value, json};
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::path::Path;
+use std::sync::atomic::Ordering;
+use std::time::{Duration, Instant};
+
+const KEY_HEADER: &str = "x-brasspond-credential";
+const TENANT_HEADER: &str = "x-brasspond-tenant";
+/// Keys that stand nowhere else, to be searched for.
+const FIRST_KEY: &str = "first-tenants-own-key-7f3a91";
+const SECOND_KEY: &str = "first-tenants-other-key-02d9e6";
+const OTHER_KEY: &str = "second-tenants-own-key-c9f2a4";
+const PATIENCE: Duration = Duration::from_secs(30);
+
+/// A configuration with tenants, of which the first holds these keys.
+fn with_tenants(version: u64, first_keys: &[&str]) -> Value {
+    let mut configuration = configuration(version);
+    configuration["tenants"] = json!([
+        {"name": "first", "api_keys": first_keys, "priority": 1},
+        {"name": "second", "api_keys": [OTHER_KEY]},
+    ]);
+    configuration
+}
+
+async fn start() -> Cluster {
+    Cluster::start_with(with_tenants(1, &[FIRST_KEY, SECOND_KEY])).await
+}
+
+/// The status of a call with these headers.
+async fn status(
+    address: SocketAddr,
+    method: &str,
+    path: &str,
+    id: &str,
+    headers: &[(&str, &str)],
+    body: &str,
+) -> u16 {
+    let response = call_with(address, method, path, id, headers, body.to_string()).await;
+    response.expect("answered").status().as_u16()
+}
+
+#[rstest]
+#[case::none(&[], 401)]
+#[case::unknown(&[(KEY_HEADER, "a key of nobody")], 401)]
+#[case::two(&[(KEY_HEADER, FIRST_KEY), (KEY_HEADER, OTHER_KEY)], 401)]
+#[case::its_own(&[(KEY_HEADER, FIRST_KEY), (TENANT_HEADER, "second")], 200)]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_request_needs_a_key(#[case] headers: &[(&str, &str)], #[case] expected: u16) {
+    let cluster = start().await;
+    let front = cluster.edges[0].front;
+    let told = status(front, "POST", "/reads/x", "request-1", headers, "x").await;
+    assert_eq!(told, expected);
+    let heads = cluster.plain.heads.lock().expect("lock");
+    let Some(head) = heads.get("request-1") else {
+        assert_eq!(expected, 401, "not run");
+        return;
+    };
+    assert!(!head.contains_key(KEY_HEADER), "the key is not handed on");
+    assert_eq!(head[TENANT_HEADER], "first", "whatever the caller says");
+}
+
+#[rstest]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_job_is_its_tenants() {
+    const ITEMS: usize = 4;
+    let cluster = start().await;
+    let (front, other_edge) = (cluster.edges[0].front, cluster.edges[1].front);
+    let own = &[(KEY_HEADER, FIRST_KEY)][..];
+    let own_other_key = &[(KEY_HEADER, SECOND_KEY)][..];
+    let foreign = &[(KEY_HEADER, OTHER_KEY)][..];
+    let mut body: Value = serde_json::from_str(&job(ITEMS)).expect("a job");
+    body["requests"][0]["headers"][TENANT_HEADER] = json!("second");
+    body["requests"][0]["headers"][KEY_HEADER] = json!(OTHER_KEY);
+    let body = body.to_string();
+    assert_eq!(
+        status(front, "POST", "/jobs/x", "job-1", &[], &body).await,
+        401
+    );
+    assert_eq!(
+        status(front, "POST", "/jobs/x", "job-1", own, &body).await,
+        202
+    );
+    let results = "/-/lots/job-1?since_rev=0";
+    assert_eq!(
+        status(other_edge, "GET", results, "r", own_other_key, "").await,
+        200
+    );
+    assert_eq!(
+        status(other_edge, "GET", results, "r", foreign, "").await,
+        404
+    );
+    assert_eq!(status(other_edge, "GET", results, "r", &[], "").await, 401);
+    let item = "/-/items/job-1?id=item-3";
+    assert_eq!(status(front, "GET", item, "r", foreign, "").await, 404);
+    assert_eq!(
+        status(front, "DELETE", "/-/lots/job-1", "r", foreign, "").await,
+        404
+    );
+    assert_eq!(
+        status(front, "POST", "/jobs/x", "job-1", foreign, &body).await,
+        409
+    );
+    let deadline = Instant::now() + PATIENCE;
+    let ran = |cluster: &Cluster| -> Vec<String> {
+        let replicas = cluster.replicas.iter();
+        let heads = replicas.flat_map(|one| {
+            let heads = one.heads.lock().expect("lock");
+            heads.values().cloned().collect::<Vec<_>>()
+        });
+        let tenants = heads.map(|head| {
+            assert!(!head.contains_key(KEY_HEADER), "items carry no key");
+            head[TENANT_HEADER].to_str().expect("text").to_string()
+        });
+        tenants.collect()
+    };
+    while ran(&cluster).len() < ITEMS {
+        assert!(Instant::now() < deadline);
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+    assert!(ran(&cluster).iter().all(|tenant| tenant == "first"));
+    // A key that is taken away ends no job: the other one reads it on.
+    cluster
+        .store
+        .put("config", "main", with_tenants(2, &[SECOND_KEY]));
+    while status(front, "GET", results, "r", own, "").await != 401 {
+        assert!(Instant::now() < deadline, "the key is still taken");
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+    assert_eq!(
+        status(front, "GET", results, "r", own_other_key, "").await,
+        200
+    );
+    assert_eq!(
+        status(front, "DELETE", "/-/lots/job-1", "r", own_other_key, "").await,
+        200
+    );
+}
+
+/// Whether any file below a folder holds a text.
+fn is_in_files(folder: &Path, text: &str) -> bool {
+    let entries = std::fs::read_dir(folder).expect("folder");
+    entries.into_iter().any(|entry| {
+        let path = entry.expect("entry").path();
+        if path.is_dir() {
+            return is_in_files(&path, text);
+        }
+        let bytes = std::fs::read(&path).expect("readable");
+        bytes
+            .windows(text.len())
+            .any(|window| window == text.as_bytes())
+    })
+}
+
+/// No log line, and no file of a storage process, holds a key.
+#[rstest]
+#[tokio::test(flavor = "multi_thread")]
+async fn keys_are_kept_nowhere() {
+    let cluster = start().await;
+    let front = cluster.edges[0].front;
+    let own = &[(KEY_HEADER, FIRST_KEY)][..];
+    let foreign = &[(KEY_HEADER, "a key of nobody, 3e1b07")][..];
+    assert_eq!(
+        status(front, "POST", "/jobs/x", "job-1", own, &job(2)).await,
+        202
+    );
+    assert_eq!(
+        status(front, "POST", "/reads/x", "r-1", own, "x").await,
+        200
+    );
+    assert_eq!(
+        status(front, "POST", "/reads/x", "r-2", foreign, "x").await,
+        401
+    );
+    cluster.edges[0].await_line("event=request_denied").await;
+    // The leader copies the view into the log about once a second.
+    tokio::time::sleep(Duration::from_millis(1_500)).await;
+    for key in [FIRST_KEY, SECOND_KEY, OTHER_KEY, "a key of nobody, 3e1b07"] {
+        assert!(!is_in_files(cluster.folder(), key), "{key}");
+    }
+}
+
+fn usage_is(cluster: &Cluster, expected: &[(&str, u64)]) -> bool {
+    let expected: BTreeMap<String, u64> = expected
+        .iter()
+        .map(|(tenant, count)| (tenant.to_string(), *count))
+        .collect();
+    cluster.operations.usage() == expected
+}
+
+/// Reports say what ran, whatever becomes of calls, leader and an edge's process.
+#[rstest]
+#[tokio::test(flavor = "multi_thread")]
+async fn usage_is_reported_once_for_each_window() {
+    let mut cluster = start().await;
+    cluster.operations.refuses.store(2, Ordering::Relaxed);
+    let first = &[(KEY_HEADER, FIRST_KEY)][..];
+    let second = &[(KEY_HEADER, OTHER_KEY)][..];
+    let send = async |cluster: &Cluster, name: &str, requests: usize| {
+        for number in 0..requests {
+            let edge = cluster.edges[number % 2].front;
+            let id = format!("{name}-{number}");
+            let headers = if number % 3 == 0 { second } else { first };
+            assert_eq!(
+                status(edge, "POST", "/reads/x", &id, headers, "x").await,
+                200
+            );
+        }
+    };
+    send(&cluster, "before", 30).await;
+    cluster.operations.loses.store(1, Ordering::Relaxed);
+    while cluster.operations.calls_to("/usage").len() < 2 {
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+    // Edges tell within a quarter of a second, and the log keeps it soon after.
+    tokio::time::sleep(Duration::from_millis(900)).await;
+    let leader = cluster.leader();
+    cluster.storage[leader].kill();
+    cluster.edges[1].kill();
+    cluster.edges[1].start();
+    cluster.edges[1].await_line("event=leader_known").await;
+    cluster.edges[1]
+        .await_line("event=configuration_in_force")
+        .await;
+    send(&cluster, "after", 30).await;
+    let deadline = Instant::now() + PATIENCE;
+    while !usage_is(&cluster, &[("first", 40), ("second", 20)]) {
+        let usage = cluster.operations.usage();
+        assert!(Instant::now() < deadline, "{usage:?}");
+        tokio::time::sleep(Duration::from_millis(100)).await;
+    }
+    let calls = cluster.operations.calls_to("/usage");
+    let fences: Vec<u64> = calls.iter().map(|call| call.fence).collect();
+    assert!(fences.is_sorted(), "{fences:?}");
+    let mut holders: Vec<(u64, String)> = calls
+        .into_iter()
+        .map(|call| (call.fence, call.holder))
+        .collect();
+    holders.dedup();
+    assert_eq!(holders.len(), 2, "one holder of each fence: {holders:?}");
+}
--- a/crates/cluster-protocol/src/lib.rs
+++ b/crates/cluster-protocol/src/lib.rs
@@ -15,8 +15,10 @@
 use brasspond_consensus::{Member, MemberId};
 use brasspond_fleet::{FleetView, ViewDelta};
 use brasspond_jobs::{BodyError, Page, Submission};
+use brasspond_metering::{UsageReport, WallMillis, WindowNumber};
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
+use std::sync::Arc;
 
 /// What a process is.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -47,6 +49,8 @@
         since: u64,
         /// Longest time to hold the answer, in ms.
         wait_ms: u64,
+        /// Tenant that asks.
+        tenant: Option<Arc<str>>,
     },
     /// Body of an item.
     Body {
@@ -54,11 +58,15 @@
         job: String,
         /// Identity of the item.
         item: String,
+        /// Tenant that asks.
+        tenant: Option<Arc<str>>,
     },
     /// End a job.
     End {
         /// The job.
         job: String,
+        /// Tenant that asks.
+        tenant: Option<Arc<str>>,
     },
     /// Where the members of the log are.
     Members,
@@ -86,6 +94,8 @@
     Page(Option<Page>),
     /// Body of an item.
     Body(Result<Bytes, BodyError>),
+    /// The job's identity is another tenant's: nothing was done.
+    Taken,
     /// Members of the log, as far as known.
     Members(Vec<Member>),
     /// Nothing was done: this process does not lead; who may.
@@ -145,6 +155,10 @@
         standbys: Vec<Member>,
         /// What the receiver is to watch at the view's source by itself.
         watch: Watch,
+        /// True time, as far as the sender knows it.
+        time: Option<WallMillis>,
+        /// The newest usage window that is closed.
+        closed_window: Option<WindowNumber>,
     },
     /// The sender's newest view of the fleet. From an edge: its leader lacks
     /// something of it.
@@ -199,7 +213,12 @@
     },
     /// The sender takes no new work.
     Draining,
-    /// Nothing; shows that the sender lives. From the leader to a storage process:
-    /// that it still leads.
-    Beat,
+    /// What tenants used at the sending edge.
+    Usage(UsageReport),
+    /// Shows that the sender lives. From the leader to a storage process: that it
+    /// still leads.
+    Beat {
+        /// The sender's time of day.
+        wall: WallMillis,
+    },
 }
--- a/crates/cluster-protocol/src/run.rs
+++ b/crates/cluster-protocol/src/run.rs
@@ -4,6 +4,7 @@
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
+use std::sync::Arc;
 
 /// A run of an item on one replica: the leader's term and a number.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
@@ -81,6 +82,8 @@
     pub events: Vec<StreamEvent>,
     /// The call that the edge makes once the text is whole.
     pub scoring: Option<ScoringCall>,
+    /// Tenant that the item is run for.
+    pub tenant: Option<Arc<str>>,
 }
 
 /// What an edge needs to score a text that the log holds.
--- a/crates/cluster/src/edge/cluster.rs
+++ b/crates/cluster/src/edge/cluster.rs
@@ -7,6 +7,7 @@
 };
 use brasspond_consensus::Member;
 use brasspond_fleet::{FleetView, ViewDelta};
+use brasspond_metering::{WallMillis, WindowNumber};
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -53,6 +54,8 @@
 /// What a message asks the edge to do.
 pub(super) enum Happening {
     NewLeader(u64),
+    /// True time, and the newest usage window that is closed.
+    Time(Option<WallMillis>, Option<WindowNumber>),
     View(FleetView),
     ViewChanged(ViewDelta, LinkId),
     Run(Box<RunSpec>),
@@ -251,9 +254,16 @@
                 members,
                 standbys,
                 watch,
+                time,
+                closed_window,
             } => {
+                if term < self.newest_term {
+                    return Vec::new();
+                }
                 self.watch = watch;
-                self.on_leading(link, term, members, standbys, now)
+                let mut happenings = self.on_leading(link, term, members, standbys, now);
+                happenings.push(Happening::Time(time, closed_window));
+                happenings
             }
             Message::View(view) => vec![Happening::View(view)],
             Message::ViewChanged(delta) => vec![Happening::ViewChanged(delta, link)],
@@ -289,9 +299,6 @@
         standbys: Vec<Member>,
         now: u64,
     ) -> Vec<Happening> {
-        if term < self.newest_term {
-            return Vec::new();
-        }
         self.newest_term = term;
         let Some(writer) = self.links.get(&link).map(|state| state.writer.clone()) else {
             return Vec::new();
@@ -326,7 +333,8 @@
         self.newest_term
     }
 
-    pub fn tick(&mut self, now: u64) {
+    /// Lets time pass; `wall` is the machine's time of day.
+    pub fn tick(&mut self, wall: WallMillis, now: u64) {
         if let Some(link) = self.view_wanted {
             self.need_view(link, now);
         }
@@ -344,7 +352,7 @@
             && let Some(leader) = self.leader()
         {
             self.beat_at = now;
-            leader.writer.send(&Message::Beat);
+            leader.writer.send(&Message::Beat { wall });
         }
     }
 
@@ -416,7 +424,11 @@
 /// Does what a message of a storage process asks for.
 pub(super) fn act(edge: &Rc<Edge>, happening: Happening) {
     match happening {
-        Happening::NewLeader(term) => edge.tell_runs(term),
+        Happening::NewLeader(term) => {
+            edge.tell_runs(term);
+            edge.tell_all_usage();
+        }
+        Happening::Time(time, closed) => edge.take_time(time, closed),
         Happening::View(view) => {
             edge.leader_view.replace(Some(view.clone()));
             edge.take_view(&view);
--- a/crates/cluster/src/edge/forward.rs
+++ b/crates/cluster/src/edge/forward.rs
@@ -3,8 +3,9 @@
 use super::front::{Body, Counted, plain, unavailable, whole};
 use super::passing::{Upstream, pass_stream};
 use super::process::Edge;
+use super::usage::Metered;
 use crate::upstream::UpstreamError;
-use brasspond_fleet::{Route, RouteKind, choose_target};
+use brasspond_fleet::{Route, RouteKind, Tenant, choose_target};
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::header::{HeaderMap, HeaderName, HeaderValue};
@@ -12,6 +13,7 @@
 use hyper::{Request, Response, StatusCode};
 use std::cell::Cell;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 /// Longest answer kept in memory before it is passed on, in bytes.
@@ -53,24 +55,34 @@
     head: Parts,
     body: Bytes,
     service: String,
+    pub tenant: Option<Arc<Tenant>>,
+    /// A replica may have begun to run it: it counts as its tenant's use.
+    pub is_metered: Cell<bool>,
+}
+
+/// Where a request goes, and for whom it is made.
+pub(super) struct Admitted<'a> {
+    pub route: &'a Route,
+    pub tenant: Option<&'a Arc<Tenant>>,
 }
 
 /// Sends a request to replicas until one answers, as often as its kind and its
 /// route allow.
 pub(super) async fn forward(
     edge: &Rc<Edge>,
-    route: &Route,
+    admitted: Admitted<'_>,
     head: Parts,
     body: Bytes,
     arrived: Instant,
     counted: Counted,
 ) -> Response<Body> {
+    let route = admitted.route;
     let names = edge.outside.dialect.names();
     let held = header_number(&head.headers, &names.deadline_ms).unwrap_or(route.timeout_ms);
     let held = held.min(route.timeout_ms.max(1));
     let deadline = arrived + Duration::from_millis(held);
     let id = header_text(&head.headers, &names.request_id);
-    let Some(request) = Forwarded::new(edge, route, head, body, deadline) else {
+    let Some(request) = Forwarded::new(edge, admitted, head, body, deadline) else {
         log::info!(
             "event=request_failed request={id} route={} reason=no_service",
             route.name
@@ -102,11 +114,12 @@
     /// service.
     pub(super) fn new(
         edge: &Rc<Edge>,
-        route: &Route,
+        admitted: Admitted<'_>,
         head: Parts,
         body: Bytes,
         deadline: Instant,
     ) -> Option<Self> {
+        let route = admitted.route;
         let target = choose_target(&route.targets, edge.count_request(route))?;
         let names = edge.outside.dialect.names();
         let id = header_text(&head.headers, &names.request_id);
@@ -118,6 +131,8 @@
             head,
             body,
             id,
+            tenant: admitted.tenant.cloned(),
+            is_metered: Cell::new(false),
             arrived: Instant::now(),
         })
     }
@@ -193,6 +208,12 @@
         }
     }
 
+    /// Rank of the request: its tenant's, else its route's; 0 is the most urgent.
+    fn rank(&self) -> u32 {
+        let own = self.tenant.as_ref().and_then(|tenant| tenant.priority);
+        own.unwrap_or(self.route.priority)
+    }
+
     /// Time left for the request.
     pub(super) fn left(&self) -> Duration {
         self.deadline.saturating_duration_since(Instant::now())
@@ -319,13 +340,32 @@
             return Err(not_run);
         };
         sent.set(true);
-        let response = match connection.send(request).await {
-            Ok(response) => response,
-            Err(UpstreamError::NotSent) => return Err(not_run),
-            Err(UpstreamError::Broken) => return Err(Failed::MayHaveRun),
+        let mut metered = Metered::begin(self);
+        let answered = connection.send(request).await;
+        let answered = answered.map_err(|error| match error {
+            UpstreamError::NotSent => not_run,
+            UpstreamError::Broken => Failed::MayHaveRun,
+        });
+        let judged = answered.and_then(|response| {
+            let (head, body) = response.into_parts();
+            self.judge_head(replica, head.status, &head.headers)?;
+            Ok((head, body))
+        });
+        let (head, body) = match judged {
+            Ok(parts) => parts,
+            Err(failed) => {
+                if let (Failed::NotRun { .. }, Some(metered)) = (&failed, metered) {
+                    metered.did_not_run(self);
+                }
+                return Err(failed);
+            }
         };
-        let (head, body) = response.into_parts();
-        self.judge_head(replica, head.status, &head.headers)?;
+        if self.route.kind == RouteKind::Streaming
+            && let Some(metered) = &mut metered
+        {
+            metered.begins_now();
+        }
+        drop(metered);
         if head.status.is_success() && self.route.kind == RouteKind::Streaming {
             let upstream = Upstream {
                 body,
@@ -384,6 +424,12 @@
         let headers = request.headers_mut();
         headers.remove(hyper::header::CONTENT_LENGTH);
         headers.remove(hyper::header::EXPECT);
+        headers.remove(&names.credential);
+        headers.remove(&names.tenant);
+        if let Some(tenant) = &self.tenant {
+            let name = HeaderValue::from_str(&tenant.name).ok()?;
+            headers.insert(names.tenant.clone(), name);
+        }
         let left = u64::try_from(self.left().as_millis()).unwrap_or(u64::MAX);
         headers.insert(names.deadline_ms.clone(), HeaderValue::from(left.max(1)));
         let replica = HeaderValue::from_str(replica).ok()?;
@@ -392,7 +438,7 @@
             headers.insert(names.last_event_id.clone(), HeaderValue::from(after));
         }
         if self.route.kind == RouteKind::Streaming {
-            let urgency = self.route.priority.min(LEAST_URGENT);
+            let urgency = self.rank().min(LEAST_URGENT);
             headers.insert(names.priority.clone(), HeaderValue::from(urgency));
         }
         Some(request)
--- a/crates/cluster/src/edge/front.rs
+++ b/crates/cluster/src/edge/front.rs
@@ -1,10 +1,12 @@
 //! What callers connect to.
 
 use super::asking::AskError;
-use super::forward::{forward, give_up, header_text};
+use super::forward::{Admitted, forward, give_up, header_text};
 use super::process::Edge;
 use crate::outside::Call;
 use brasspond_cluster_protocol::{Answer, Question};
+use brasspond_fleet::Denial;
+use brasspond_jobs::Submission;
 use bytes::Bytes;
 use futures::future::Either;
 use http_body_util::{BodyExt, Full, Limited};
@@ -17,6 +19,7 @@
 use std::convert::Infallible;
 use std::pin::{Pin, pin};
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 use tokio::net::{TcpListener, TcpStream};
 
@@ -36,6 +39,9 @@
 const CALL_PATIENCE: u64 = 1_500;
 /// Longest hold of a read of results, in ms.
 const LONGEST_WAIT: u64 = 1_000;
+/// Pause before a caller comes again to an edge that knows no configuration yet, or may
+/// know an old one: about the time in which a leader tells an edge that just started.
+const NO_CONFIGURATION_PAUSE: Duration = Duration::from_millis(300);
 /// Buffer of a connection, in bytes.
 const BUFFER_BYTES: usize = 32 * 1024;
 
@@ -111,15 +117,12 @@
     let call = edge.outside.dialect.call(&head);
     let told = JobCall::of(&call);
     let mut response = match call {
-        Call::Results {
-            job,
-            since,
-            wait_ms,
-        } => results(edge, job, since, wait_ms).await,
-        Call::Body { job, item } => item_body(edge, job, item).await,
-        Call::End { job } => end(edge, job).await,
         Call::Unknown => plain(StatusCode::NOT_FOUND, Bytes::new()),
         Call::Request => service_request(edge, head, body, counted).await,
+        call => match admit_job_call(edge, &head) {
+            Ok(tenant) => job_call(edge, call, tenant).await,
+            Err(response) => *response,
+        },
     };
     if let Some(told) = told {
         told.log(edge, response.status(), begun);
@@ -133,6 +136,68 @@
     response
 }
 
+/// The tenant that makes a call about a job.
+fn admit_job_call(
+    edge: &Edge,
+    head: &hyper::http::request::Parts,
+) -> Result<Option<Arc<str>>, Box<Response<Body>>> {
+    let Some(index) = edge.index.borrow().clone() else {
+        return Err(Box::new(unavailable(NO_CONFIGURATION_PAUSE)));
+    };
+    let credential = edge.outside.dialect.credential(&head.headers);
+    let is_public = index.has_public_jobs(&host_of(head));
+    match index.admit(credential, is_public) {
+        Ok(tenant) => Ok(tenant.map(|tenant| Arc::clone(&tenant.name))),
+        Err(denial) => {
+            let version = index.configuration().version;
+            Err(Box::new(deny(edge, head, denial, version)))
+        }
+    }
+}
+
+/// Turns a call away for its key. An edge that may not know the newest configuration
+/// says 503 instead: the key may be a new one, and callers do not come again after 401.
+fn deny(
+    edge: &Edge,
+    head: &hyper::http::request::Parts,
+    denial: Denial,
+    configuration: u64,
+) -> Response<Body> {
+    let is_cut_off = edge.is_cut_off();
+    log::info!(
+        "event=request_denied request={} path={} reason={} configuration={configuration} cut_off={is_cut_off}",
+        request_id(edge, head),
+        head.uri.path(),
+        denial.name()
+    );
+    if is_cut_off && denial == Denial::KeyUnknown {
+        return unavailable(NO_CONFIGURATION_PAUSE);
+    }
+    plain(StatusCode::UNAUTHORIZED, Bytes::new())
+}
+
+async fn job_call(edge: &Rc<Edge>, call: Call, tenant: Option<Arc<str>>) -> Response<Body> {
+    match call {
+        Call::Results {
+            job,
+            since,
+            wait_ms,
+        } => {
+            let wait_ms = wait_ms.min(LONGEST_WAIT);
+            let question = Question::Results {
+                job,
+                since,
+                wait_ms,
+                tenant,
+            };
+            results(edge, question, wait_ms).await
+        }
+        Call::Body { job, item } => item_body(edge, Question::Body { job, item, tenant }).await,
+        Call::End { job } => end(edge, Question::End { job, tenant }).await,
+        Call::Unknown | Call::Request => plain(StatusCode::NOT_FOUND, Bytes::new()),
+    }
+}
+
 /// A call about a job, for log and metrics.
 struct JobCall {
     name: &'static str,
@@ -177,16 +242,17 @@
     counted: Counted,
 ) -> Response<Body> {
     let arrived = Instant::now();
-    let Some(configuration) = edge.view.borrow().configuration.clone() else {
+    let Some(index) = edge.index.borrow().clone() else {
         log::info!(
             "event=request_failed request={} path={} reason=no_configuration",
             request_id(edge, &head),
             head.uri.path()
         );
-        return unavailable(Duration::from_millis(300));
+        return unavailable(NO_CONFIGURATION_PAUSE);
     };
+    let configuration = index.configuration();
     let host = host_of(&head);
-    let Some(route) = configuration.route(&host, head.uri.path()) else {
+    let Some(route) = index.route(&host, head.uri.path()) else {
         log::info!(
             "event=request_failed request={} host={host} path={} reason=no_route configuration={}",
             request_id(edge, &head),
@@ -195,6 +261,11 @@
         );
         return plain(StatusCode::NOT_FOUND, Bytes::new());
     };
+    let credential = edge.outside.dialect.credential(&head.headers);
+    let tenant = match index.admit(credential, route.is_public) {
+        Ok(tenant) => tenant,
+        Err(denial) => return deny(edge, &head, denial, configuration.version),
+    };
     let body = match Limited::new(body, configuration.limits.body_bytes)
         .collect()
         .await
@@ -209,9 +280,11 @@
         if head.method != Method::POST {
             return plain(StatusCode::METHOD_NOT_ALLOWED, Bytes::new());
         }
-        return submit(edge, &head, &host, &body, arrived).await;
+        let tenant = tenant.map(|tenant| Arc::clone(&tenant.name));
+        return submit(edge, &head, &host, &body, tenant, arrived).await;
     }
-    forward(edge, route, head, body, arrived, counted).await
+    let admitted = Admitted { route, tenant };
+    forward(edge, admitted, head, body, arrived, counted).await
 }
 
 /// Takes a job: answers 202 once a quorum keeps it.
@@ -220,6 +293,7 @@
     head: &hyper::http::request::Parts,
     host: &str,
     body: &[u8],
+    tenant: Option<Arc<str>>,
     arrived: Instant,
 ) -> Response<Body> {
     let names = edge.outside.dialect.names();
@@ -232,7 +306,10 @@
         .dialect
         .submission(id, host, head.uri.path(), body);
     let submission = match parsed {
-        Ok(submission) => submission,
+        Ok(submission) => Submission {
+            tenant,
+            ..submission
+        },
         Err(problem) => {
             log::info!("event=job_refused job={id} problem=\"{problem}\"");
             return plain(StatusCode::BAD_REQUEST, Bytes::from(problem));
@@ -245,6 +322,7 @@
         .await;
     let (outcome, response) = match answer {
         Ok(Answer::Done) => ("taken", plain(StatusCode::ACCEPTED, Bytes::new())),
+        Ok(Answer::Taken) => ("other_tenant", plain(StatusCode::CONFLICT, Bytes::new())),
         Err(AskError::NotAsked) => ("no_leader", unavailable(Duration::from_millis(500))),
         Ok(_) | Err(AskError::Unknown) => ("unknown", give_up(StatusCode::GATEWAY_TIMEOUT)),
     };
@@ -259,32 +337,19 @@
     response
 }
 
-async fn results(edge: &Rc<Edge>, job: String, since: u64, wait_ms: u64) -> Response<Body> {
-    let wait = wait_ms.min(LONGEST_WAIT);
-    let deadline = Instant::now() + Duration::from_millis(wait) + READ_TIME;
-    let question = Question::Results {
-        job,
-        since,
-        wait_ms: wait,
-    };
-    match edge
-        .ask_results(
-            question,
-            Duration::from_millis(wait),
-            deadline,
-            READ_PATIENCE,
-        )
-        .await
-    {
+async fn results(edge: &Rc<Edge>, question: Question, wait_ms: u64) -> Response<Body> {
+    let wait = Duration::from_millis(wait_ms);
+    let deadline = Instant::now() + wait + READ_TIME;
+    let answer = edge.ask_results(question, wait, deadline, READ_PATIENCE);
+    match answer.await {
         Ok(Answer::Page(Some(page))) => json(edge.outside.dialect.page(&page)),
         Ok(Answer::Page(None)) => plain(StatusCode::NOT_FOUND, Bytes::new()),
         _ => unavailable(Duration::from_millis(200)),
     }
 }
 
-async fn item_body(edge: &Rc<Edge>, job: String, item: String) -> Response<Body> {
+async fn item_body(edge: &Rc<Edge>, question: Question) -> Response<Body> {
     let deadline = Instant::now() + READ_TIME;
-    let question = Question::Body { job, item };
     let answer = edge.ask(question, Duration::ZERO, deadline, READ_PATIENCE);
     match answer.await {
         Ok(Answer::Body(Ok(body))) => plain(StatusCode::OK, body),
@@ -293,9 +358,8 @@
     }
 }
 
-async fn end(edge: &Rc<Edge>, job: String) -> Response<Body> {
+async fn end(edge: &Rc<Edge>, question: Question) -> Response<Body> {
     let deadline = Instant::now() + CALL_TIME;
-    let question = Question::End { job };
     let answer = edge.ask(question, Duration::ZERO, deadline, CALL_PATIENCE);
     match answer.await {
         Ok(Answer::Done) => plain(StatusCode::OK, Bytes::new()),
--- a/crates/cluster/src/edge/mod.rs
+++ b/crates/cluster/src/edge/mod.rs
@@ -12,5 +12,6 @@
 mod runs;
 mod scoring;
 mod stream;
+mod usage;
 
 pub use process::run;
--- a/crates/cluster/src/edge/process.rs
+++ b/crates/cluster/src/edge/process.rs
@@ -12,11 +12,13 @@
 use crate::storage::ProcessError;
 use crate::upstream::Pool;
 use brasspond_cluster_protocol::{Message, Peer, Watch};
-use brasspond_fleet::{FleetView, OtherBase, ViewDelta};
+use brasspond_fleet::{ConfigurationIndex, FleetView, OtherBase, ViewDelta};
+use brasspond_metering::{ToldClock, UsageRecorder};
 use brasspond_telemetry::{EdgeMetrics, LogRing};
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 use tokio::net::TcpListener;
 use tokio::signal::unix::{SignalKind, signal};
@@ -42,6 +44,8 @@
     pub clock: Clock,
     pub outside: Outside,
     pub view: RefCell<FleetView>,
+    /// Look-ups in the view's configuration; none before one is known.
+    pub index: RefCell<Option<Rc<ConfigurationIndex>>>,
     /// The view as the leader told it; none before it told a whole one.
     pub leader_view: RefCell<Option<FleetView>>,
     /// The view some looks ago: by now the leader should have told all of it.
@@ -60,6 +64,9 @@
     pub run_news: mpsc::Sender<RunNews>,
     pub draining: Cell<bool>,
     pub metrics: EdgeMetrics,
+    /// What tenants used here; none where nobody asks for it.
+    pub usage: RefCell<Option<UsageRecorder>>,
+    pub told_clock: RefCell<ToldClock>,
     pub requests: Cell<usize>,
     /// Becomes true when connections are to end after their present request.
     pub closing: tokio::sync::watch::Sender<bool>,
@@ -104,12 +111,15 @@
         settings.process.machine,
         settings.front
     );
+    let metering = settings.process.metering;
+    let usage = metering.map(|metering| UsageRecorder::new(metering.windows));
     let edge = Rc::new(Edge {
         balance: RefCell::new(Balance::new(settings.process.zone.clone())),
         settings,
         clock: Clock::default(),
         outside,
         view: RefCell::new(FleetView::default()),
+        index: RefCell::new(None),
         leader_view: RefCell::new(None),
         seen_view: RefCell::new(FleetView::default()),
         looks: Cell::new(0),
@@ -122,6 +132,8 @@
         run_news,
         draining: Cell::new(false),
         metrics: EdgeMetrics::default(),
+        usage: RefCell::new(usage),
+        told_clock: RefCell::default(),
         requests: Cell::new(0),
         closing: tokio::sync::watch::Sender::new(false),
     });
@@ -181,6 +193,7 @@
     while edge.requests.get() > 0 && tokio::time::Instant::now() < deadline {
         tokio::time::sleep(Duration::from_millis(50)).await;
     }
+    edge.report_usage();
     // Answers are written by the connections' own tasks; let them finish.
     tokio::time::sleep(Duration::from_millis(100)).await;
     edge.requests.set(usize::MAX);
@@ -278,8 +291,28 @@
         });
     }
 
+    /// Looks through a configuration that is new.
+    fn renew_index(&self) {
+        let Some(configuration) = self.view.borrow().configuration.clone() else {
+            return;
+        };
+        let index = self.index.borrow().clone();
+        if index.is_none_or(|index| !Arc::ptr_eq(index.configuration(), &configuration)) {
+            log::info!(
+                "event=configuration_in_force version={} revision={} routes={} tenants={}",
+                configuration.version,
+                self.view.borrow().configuration_revision,
+                configuration.routes.len(),
+                configuration.tenants.len()
+            );
+            let index = ConfigurationIndex::new(configuration);
+            self.index.replace(Some(Rc::new(index)));
+        }
+    }
+
     fn view_taken(&self, changed: bool) {
         if changed {
+            self.renew_index();
             let view = self.view.borrow();
             let was_ready = self.balance.borrow_mut().take_view(&view);
             let ready = view.replicas.values().filter(|one| !one.draining).count();
@@ -295,10 +328,11 @@
 
     fn tick(self: &Rc<Self>) {
         let now = self.clock.now();
-        self.cluster.borrow_mut().tick(now);
+        self.cluster.borrow_mut().tick(self.clock.wall(), now);
         self.set_interest(now);
         self.tell_what_leader_lacks();
         self.report_progress();
+        self.report_usage();
         self.pool.close_old();
     }
 
--- a/crates/cluster/src/edge/ready.rs
+++ b/crates/cluster/src/edge/ready.rs
@@ -51,7 +51,7 @@
 
     /// Whether neither a leader nor the view's source is heard: without a leader an
     /// edge asks the source by itself.
-    fn is_cut_off(&self) -> bool {
+    pub(super) fn is_cut_off(&self) -> bool {
         let alone = self.cluster.borrow_mut().alone_for(self.clock.now());
         let source_answers = self.outside.observed.borrow().reachable;
         alone >= CUT_OFF_TIME && !source_answers
--- a/crates/cluster/src/edge/runs.rs
+++ b/crates/cluster/src/edge/runs.rs
@@ -320,7 +320,14 @@
         .header(&names.request_id, &spec.item_id)
         .header(&names.expect_instance, &spec.replica);
     for (name, value) in &spec.headers {
-        builder = builder.header(name, value);
+        let is_ours = names.credential.as_str().eq_ignore_ascii_case(name)
+            || names.tenant.as_str().eq_ignore_ascii_case(name);
+        if !is_ours {
+            builder = builder.header(name, value);
+        }
+    }
+    if let Some(tenant) = &spec.tenant {
+        builder = builder.header(&names.tenant, &**tenant);
     }
     if let Some(last) = spec.events.last() {
         builder = builder.header(&names.last_event_id, last.id);
--- a/crates/cluster/src/edge/scoring.rs
+++ b/crates/cluster/src/edge/scoring.rs
@@ -4,7 +4,7 @@
 //! replicas' health, load and limits are those of callers' requests, and callers
 //! go before it where the service is busy.
 
-use super::forward::{Attempt, Failed, Forwarded, header_text};
+use super::forward::{Admitted, Attempt, Failed, Forwarded, header_text};
 use super::process::Edge;
 use brasspond_cluster_protocol::{AttemptId, Message, ScoringEnd, ScoringSpec};
 use brasspond_jobs::ScoringCall;
@@ -157,7 +157,12 @@
         let route = configuration.route(&self.call.host, &self.call.path)?;
         let head = self.head()?;
         let body = self.call.body.clone();
-        Forwarded::new(self.edge, route, head, body, self.deadline)
+        // The cluster's own call: no tenant makes it.
+        let admitted = Admitted {
+            route,
+            tenant: None,
+        };
+        Forwarded::new(self.edge, admitted, head, body, self.deadline)
     }
 
     fn head(&self) -> Option<Parts> {
--- /dev/null
+++ b/crates/cluster/src/edge/usage.rs
@@ -0,0 +1,101 @@
+//! Requests of tenants that replicas began to run, counted and told to the leader.
+//!
+//! A request counts once, in the window in which it was sent to the replica that may
+//! have begun it (streams: in which their first event came). One that certainly did
+//! not run counts nowhere.
+
+use super::forward::Forwarded;
+use super::process::Edge;
+use brasspond_cluster_protocol::Message;
+use brasspond_metering::{WallMillis, WindowNumber};
+use std::rc::Rc;
+use std::sync::Arc;
+
+impl Edge {
+    /// True time, as far as a leader told it.
+    pub(super) fn true_time(&self) -> WallMillis {
+        let clock = self.told_clock.borrow();
+        clock.time(self.clock.wall(), self.clock.now())
+    }
+
+    /// Takes what the leader tells of time and of closed windows.
+    pub(super) fn take_time(&self, time: Option<WallMillis>, closed: Option<WindowNumber>) {
+        if let Some(time) = time {
+            self.told_clock.borrow_mut().note(time, self.clock.now());
+        }
+        if let Some(closed) = closed
+            && let Some(usage) = &mut *self.usage.borrow_mut()
+        {
+            usage.closed(closed);
+        }
+    }
+
+    /// Tells the leader what it does not know yet.
+    pub(super) fn report_usage(&self) {
+        let Some(leader) = self.cluster.borrow().leader() else {
+            return;
+        };
+        let time = self.true_time();
+        let mut usage = self.usage.borrow_mut();
+        if let Some(report) = usage.as_mut().and_then(|usage| usage.report(time)) {
+            leader.writer.send(&Message::Usage(report));
+        }
+    }
+
+    /// A new leader is told everything.
+    pub(super) fn tell_all_usage(&self) {
+        if let Some(usage) = &mut *self.usage.borrow_mut() {
+            usage.tell_all();
+        }
+    }
+}
+
+/// A tenant's request at a replica, until it is known whether it ran. One that is
+/// dropped before counts as run.
+pub(super) struct Metered {
+    edge: Rc<Edge>,
+    tenant: Option<Arc<str>>,
+    window: WindowNumber,
+}
+
+impl Metered {
+    /// A request is sent; none where nothing is to be counted, or it counts already.
+    pub fn begin(request: &Forwarded) -> Option<Self> {
+        if request.is_metered.get() {
+            return None;
+        }
+        let tenant = Arc::clone(&request.tenant.as_ref()?.name);
+        let edge = &request.edge;
+        let time = edge.true_time();
+        let window = edge.usage.borrow_mut().as_mut()?.sent(time);
+        request.is_metered.set(true);
+        Some(Self {
+            edge: Rc::clone(edge),
+            tenant: Some(tenant),
+            window,
+        })
+    }
+
+    /// The replica did not run it: it may count at another.
+    pub fn did_not_run(mut self, request: &Forwarded) {
+        self.tenant = None;
+        request.is_metered.set(false);
+    }
+
+    /// It begins to run only now.
+    pub fn begins_now(&mut self) {
+        let time = self.edge.true_time();
+        if let Some(usage) = &mut *self.edge.usage.borrow_mut() {
+            usage.settled(self.window, None);
+            self.window = usage.sent(time);
+        }
+    }
+}
+
+impl Drop for Metered {
+    fn drop(&mut self) {
+        if let Some(usage) = &mut *self.edge.usage.borrow_mut() {
+            usage.settled(self.window, self.tenant.as_ref());
+        }
+    }
+}
--- a/crates/cluster/src/outside.rs
+++ b/crates/cluster/src/outside.rs
@@ -5,14 +5,16 @@
 
 use brasspond_consensus::Member;
 use brasspond_dispatch::{OrderAnswer, ReplicaReport};
-use brasspond_fleet::FleetView;
+use brasspond_fleet::{Credential, FleetView};
 use brasspond_jobs::{Page, Submission};
+use brasspond_metering::{Counts, WindowNumber};
 use bytes::Bytes;
 use displaydoc::Display;
 use futures::future::LocalBoxFuture;
-use hyper::header::HeaderName;
+use hyper::header::{HeaderMap, HeaderName};
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::sync::Arc;
 use tokio::sync::watch;
 
 /// Parts of the fleet's view that a process needs from its source.
@@ -90,6 +92,58 @@
     ) -> LocalBoxFuture<'_, Result<(), RegistryError>>;
 }
 
+/// Who makes a call that one holder at a time may make.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Holder {
+    /// Name of its machine.
+    pub machine: String,
+    /// Rises with every holder.
+    pub fence: u64,
+}
+
+/// An order of replicas.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ReplicaOrder {
+    /// The service.
+    pub service: Arc<str>,
+    /// Where they are to run.
+    pub zone: Arc<str>,
+    /// They may be taken away at short notice.
+    pub is_spot: bool,
+    /// How many of this kind there are to be.
+    pub count: u32,
+}
+
+/// What came of such a call.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum OperationsAnswer {
+    /// It is done.
+    Done,
+    /// A newer holder made one, or what was ordered is not to be had.
+    Conflict,
+    /// Nothing was done.
+    Refused,
+    /// It may have been done, or be done at any time.
+    Unknown,
+}
+
+/// Calls to the platform that one holder at a time makes.
+pub trait Operations {
+    /// Reports what tenants used in a window.
+    fn report_usage(
+        &self,
+        holder: Holder,
+        window: WindowNumber,
+        counts: Counts,
+    ) -> LocalBoxFuture<'_, OperationsAnswer>;
+    /// Orders how many replicas of a kind a service has in a zone.
+    fn order_replicas(
+        &self,
+        holder: Holder,
+        order: ReplicaOrder,
+    ) -> LocalBoxFuture<'_, OperationsAnswer>;
+}
+
 /// Names of the headers that the product reads or sets.
 #[derive(Clone, Debug)]
 pub struct Names {
@@ -113,6 +167,10 @@
     pub last_event_id: HeaderName,
     /// Rank at a replica, 0 to 9; 0 is the most urgent.
     pub priority: HeaderName,
+    /// A caller's API key; never handed on, never logged.
+    pub credential: HeaderName,
+    /// Name of the tenant that a request is made for; set by an edge alone.
+    pub tenant: HeaderName,
 }
 
 /// A call as a caller makes it.
@@ -149,6 +207,8 @@
 pub trait Dialect {
     /// Names of headers.
     fn names(&self) -> &Names;
+    /// The API keys that came with a call.
+    fn credential(&self, headers: &HeaderMap) -> Credential;
     /// What a caller asks for.
     fn call(&self, head: &hyper::http::request::Parts) -> Call;
     /// Reads a job out of the body of a call.
@@ -204,6 +264,8 @@
     pub dialect: Rc<dyn Dialect>,
     /// Where records are written.
     pub registry: Rc<dyn Registry>,
+    /// Where usage is reported and replicas are ordered; none where nobody asks.
+    pub operations: Option<Rc<dyn Operations>>,
     /// The view of the fleet, as its source tells it.
     pub observed: watch::Receiver<Observed>,
     /// Which parts are wanted from the source.
--- a/crates/cluster/src/settings.rs
+++ b/crates/cluster/src/settings.rs
@@ -1,5 +1,6 @@
 //! Settings of a process, already checked.
 
+use brasspond_metering::MeterSettings;
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::time::Duration;
@@ -22,6 +23,8 @@
     /// Pause of the view's source between two answers on replicas: what it tells is
     /// so old at the most while it answers.
     pub source_pause: Duration,
+    /// How tenants' usage is reported; none: nobody asks for it.
+    pub metering: Option<MeterSettings>,
     /// Where metrics are served; none: nowhere.
     pub metrics_address: Option<SocketAddr>,
 }
--- a/crates/cluster/src/storage/applying.rs
+++ b/crates/cluster/src/storage/applying.rs
@@ -18,9 +18,9 @@
             }
             Payload::Nothing => return Ok(()),
         };
-        if let Command::Intend { replica, holder } = &command {
+        if let Command::Intend { subject, holder } = &command {
             let now = self.clock.now();
-            self.order_log.intended(replica, holder, now);
+            self.order_log.intended(subject, holder, now);
             self.intent_applied(entry.index);
         }
         self.remove_texts(&command);
@@ -105,7 +105,9 @@
             Command::End { job } => Self::Ended(job.clone()),
             Command::Forget { jobs } => Self::Forgotten(jobs.clone()),
             Command::Remember { .. } => Self::Remembered,
-            Command::Extend(_) | Command::Draft(_) | Command::Intend { .. } => Self::Nothing,
+            Command::Extend(_) | Command::Draft(_) | Command::Intend { .. } | Command::Usage(_) => {
+                Self::Nothing
+            }
         }
     }
 }
--- a/crates/cluster/src/storage/asks.rs
+++ b/crates/cluster/src/storage/asks.rs
@@ -5,8 +5,9 @@
 use crate::link::LinkId;
 use brasspond_cluster_protocol::{Answer, Message, Question};
 use brasspond_consensus::READ_LEASE;
-use brasspond_jobs::Command;
+use brasspond_jobs::{BodyError, Command, Job};
 use std::collections::BTreeMap;
+use std::sync::Arc;
 
 /// Text of results in one answer, in bytes.
 const PAGE_BYTES: usize = 700 * 1024;
@@ -29,6 +30,7 @@
     asker: Asker,
     job: String,
     since: u64,
+    tenant: Option<Arc<str>>,
     gathering: Gathering,
 }
 
@@ -72,8 +74,8 @@
             self.answer(asker, Answer::Members(members));
             return;
         }
-        if let Question::Results { job, .. } = &question
-            && self.may_read(job)
+        if let Question::Results { job, tenant, .. } = &question
+            && self.may_read(job, tenant.as_deref())
         {
             self.wait_for_results(asker, question);
             return;
@@ -93,19 +95,24 @@
                     submission.step,
                     submission.min_version
                 );
-                if self.table.job(&submission.id).is_some() {
-                    self.answer(asker, Answer::Done);
-                } else {
-                    self.propose_for(asker, &Command::Accept(submission));
+                match self.table.job(&submission.id) {
+                    Some(known) if known.is_open_to(submission.tenant.as_deref()) => {
+                        self.answer(asker, Answer::Done);
+                    }
+                    Some(_) => self.answer(asker, Answer::Taken),
+                    None => self.propose_for(asker, &Command::Accept(submission)),
                 }
             }
-            Question::End { job } => match self.table.job(&job) {
+            Question::End { job, tenant } => match self.job_of(&job, tenant.as_deref()) {
                 None => self.answer(asker, Answer::Page(None)),
                 Some(known) if known.ended => self.answer(asker, Answer::Done),
                 Some(_) => self.propose_for(asker, &Command::End { job }),
             },
-            Question::Body { job, item } => {
-                let body = self.table.body(&job, &item);
+            Question::Body { job, item, tenant } => {
+                let body = match self.job_of(&job, tenant.as_deref()) {
+                    Some(_) => self.table.body(&job, &item),
+                    None => Err(BodyError::NoJob),
+                };
                 self.answer(asker, Answer::Body(body));
             }
             Question::Results { .. } => self.wait_for_results(asker, question),
@@ -118,6 +125,7 @@
             job,
             since,
             wait_ms,
+            tenant,
         } = question
         {
             let until = self.clock.now() + wait_ms;
@@ -125,6 +133,7 @@
                 asker,
                 job,
                 since,
+                tenant,
                 gathering: Gathering::new(until),
             });
         }
@@ -132,11 +141,17 @@
 
     /// Whether this follower may answer reads of a job's results: positions never
     /// change, and it lacks nothing that was acknowledged some time ago.
-    fn may_read(&self, job: &str) -> bool {
+    fn may_read(&self, job: &str, tenant: Option<&str>) -> bool {
         let now = self.clock.now();
         self.leading.is_none()
             && self.consensus.is_current(FOLLOWER_AGE, now)
-            && self.table.job(job).is_some()
+            && self.job_of(job, tenant).is_some()
+    }
+
+    /// A job that is open to callers of a tenant.
+    fn job_of(&self, job: &str, tenant: Option<&str>) -> Option<&Job> {
+        let known = self.table.job(job)?;
+        known.is_open_to(tenant).then_some(known)
     }
 
     /// Whether this process leads and knows all that was acknowledged.
@@ -178,7 +193,7 @@
             return;
         }
         for mut waiting in std::mem::take(&mut self.asks.waiting) {
-            let job = self.table.job(&waiting.job);
+            let job = self.job_of(&waiting.job, waiting.tenant.as_deref());
             if let Some(job) = job {
                 let since = usize::try_from(waiting.since).unwrap_or(usize::MAX);
                 let results = job.results.len().saturating_sub(since);
@@ -193,8 +208,13 @@
     }
 
     fn answer_read(&mut self, waiting: Waiting) {
-        let is_known = self.table.job(&waiting.job).is_some();
-        let page = self.read_page(&waiting.job, waiting.since, PAGE_BYTES);
+        let is_known = self.job_of(&waiting.job, waiting.tenant.as_deref());
+        let is_known = is_known.is_some();
+        let page = if is_known {
+            self.read_page(&waiting.job, waiting.since, PAGE_BYTES)
+        } else {
+            None
+        };
         let answer = if is_known && page.is_none() {
             // Its texts cannot be read here: another member can.
             Answer::Unknown
@@ -214,7 +234,7 @@
     /// Sends those on that wait at a follower which may not answer them any more.
     fn refuse_waiting(&mut self) {
         for waiting in std::mem::take(&mut self.asks.waiting) {
-            if self.may_read(&waiting.job) {
+            if self.may_read(&waiting.job, waiting.tenant.as_deref()) {
                 self.asks.waiting.push(waiting);
             } else {
                 self.answer(waiting.asker, Answer::NotLeader(None));
--- a/crates/cluster/src/storage/group.rs
+++ b/crates/cluster/src/storage/group.rs
@@ -160,6 +160,8 @@
             members: members.to_vec(),
             standbys: Vec::new(),
             watch: Watch::Nothing,
+            time: None,
+            closed_window: None,
         };
         for (id, link) in &self.group.link_by_member {
             let hears_log = self.consensus.progress_of(*id).is_some();
@@ -170,7 +172,8 @@
                 state.told_term = term;
                 state.writer.send(&leading);
             } else if is_due && !hears_log {
-                state.writer.send(&Message::Beat);
+                let wall = self.clock.wall();
+                state.writer.send(&Message::Beat { wall });
             }
         }
     }
@@ -219,6 +222,11 @@
                     self.dispatch(event);
                 }
             }
+            Local::UsageSent(term, window, answer) => {
+                if self.consensus.term() == term {
+                    self.usage_sent(window, answer, now);
+                }
+            }
             Local::Record(record) => {
                 self.registry_done(now + REGISTRY_PAUSE);
                 self.on_record(record, now);
--- a/crates/cluster/src/storage/leading.rs
+++ b/crates/cluster/src/storage/leading.rs
@@ -1,13 +1,15 @@
 //! What a storage process does while it leads: runs jobs, orders replicas,
 //! tells edges.
 
+use super::ordering::Announced;
 use super::process::Storage;
 use crate::link::LinkId;
 use crate::outside::{Interest, VersionOrder};
 use brasspond_cluster_protocol::{Message, Peer};
-use brasspond_dispatch::{Action, Dispatcher, Event, Settings};
+use brasspond_dispatch::{Action, Dispatcher, Event, OrderLeases, Settings};
 use brasspond_fleet::FleetView;
 use brasspond_jobs::{Command, Draft, Listing, Outcome, Piece, Score};
+use brasspond_metering::{EdgeLife, FleetClock, Metering};
 use bytes::Bytes;
 use std::collections::HashMap;
 
@@ -55,7 +57,13 @@
     job_ages: HashMap<String, u64>,
     /// Orders announced in the log, by the index of their entry, with the time
     /// of the announcement.
-    pub(super) announced: HashMap<u64, (VersionOrder, u64)>,
+    pub(super) announced: HashMap<u64, (Announced, u64)>,
+    /// True time, out of all machines' times of day.
+    pub clock: FleetClock,
+    /// None where nobody asks for usage.
+    pub metering: Option<Metering>,
+    /// Until when orders must wait for another holder's lease.
+    pub leases: OrderLeases,
 }
 
 /// What the dispatcher wants kept, collected between two syncs.
@@ -100,6 +108,7 @@
             self.tend_records(now);
             self.check_edges(now);
             self.dispatch(Event::Tick);
+            self.tend_usage(now);
             self.remember_view(now);
             self.forget_jobs(now);
             self.log_state(now);
@@ -147,7 +156,8 @@
         let leases = self.order_log.leases(&self.own.machine, lease_ms);
         let settings = Settings::default();
         let view = self.view.clone();
-        let dispatcher = Dispatcher::new(term, settings, &self.table, view, leases, now);
+        let metering = self.settings.process.metering;
+        let dispatcher = Dispatcher::new(term, settings, &self.table, view, leases.clone(), now);
         self.metrics.leadership();
         self.has_untold_edges = true;
         self.outside.interest.send_replace(Interest::ALL);
@@ -168,6 +178,9 @@
             results: Results::default(),
             job_ages: HashMap::new(),
             announced: HashMap::new(),
+            clock: FleetClock::default(),
+            metering: metering.map(|metering| Metering::new(metering, now)),
+            leases,
         });
         self.tell_edges(now);
     }
@@ -241,7 +254,7 @@
                     replica,
                     address,
                 };
-                self.announce_order(order);
+                self.announce(Announced::Version(order));
             }
         }
     }
@@ -255,7 +268,12 @@
 
     pub(super) fn on_edge_message(&mut self, link: LinkId, message: Message) {
         let peer = self.links.get(&link).and_then(|state| state.peer.clone());
-        let Some(Peer::Edge { machine, zone, .. }) = peer else {
+        let Some(Peer::Edge {
+            machine,
+            zone,
+            incarnation,
+        }) = peer
+        else {
             return;
         };
         let Some(leading) = &mut self.leading else {
@@ -292,7 +310,23 @@
                 }
             }
             Message::View(view) => self.take_edge_view(&machine, &view),
-            Message::Beat => leading.dispatcher.edge_heard(&machine, self.clock.now()),
+            Message::Beat { wall } => {
+                let now = self.clock.now();
+                leading.dispatcher.edge_heard(&machine, now);
+                leading.clock.note(&machine, wall, now);
+                if let Some(metering) = &mut leading.metering {
+                    metering.heard(&machine, now);
+                }
+            }
+            Message::Usage(report) => {
+                let life = EdgeLife {
+                    machine,
+                    incarnation,
+                };
+                if let Some(metering) = &mut leading.metering {
+                    metering.reported(life, report, self.clock.now());
+                }
+            }
             Message::Ended {
                 attempt,
                 events,
@@ -328,6 +362,9 @@
         };
         if leading.edges.get(&machine) == Some(&link) {
             leading.edges.remove(&machine);
+            if let Some(metering) = &mut leading.metering {
+                metering.edge_gone(&machine);
+            }
             leading.lost.insert(machine, now);
         }
     }
@@ -413,7 +450,7 @@
         }
     }
 
-    fn propose(&mut self, command: &Command) {
+    pub(super) fn propose(&mut self, command: &Command) {
         if let Ok(bytes) = command.encode() {
             self.consensus.propose(bytes);
         }
--- a/crates/cluster/src/storage/mod.rs
+++ b/crates/cluster/src/storage/mod.rs
@@ -12,5 +12,6 @@
 pub mod search;
 mod spread;
 mod texts;
+mod usage;
 
 pub use process::{ProcessError, run};
--- a/crates/cluster/src/storage/order_log.rs
+++ b/crates/cluster/src/storage/order_log.rs
@@ -1,17 +1,17 @@
-//! Who ordered which replica last, by this process's own steady clock.
+//! Who gave the last order on each subject, by this process's own steady clock.
 //!
 //! Every order is announced in the log before it is given, so a new leader knows
-//! which replicas another holder may have ordered lately, and leaves just those
-//! alone for the length of a lease. What is read out of the log counts as done
+//! on which subjects (a replica, usage, the replicas of a zone) another holder may have
+//! given orders lately, and leaves just those alone for the length of a lease. What is read out of the log counts as done
 //! now. Where the log begins with a snapshot, announcements may have been passed
-//! over: then any replica may have been ordered just now.
+//! over: then an order on any subject may have been given just now.
 
 use brasspond_consensus::{Entry, Payload};
 use brasspond_dispatch::OrderLeases;
 use brasspond_jobs::Command;
 use std::collections::HashMap;
 
-/// The last announced order to a replica.
+/// The last announced order on a subject.
 #[derive(Clone, Debug)]
 struct Last {
     holder: String,
@@ -41,15 +41,15 @@
         }
     }
 
-    pub fn intended(&mut self, replica: &str, holder: &str, now: u64) {
+    pub fn intended(&mut self, subject: &str, holder: &str, now: u64) {
         let last = Last {
             holder: holder.to_string(),
             applied_at: now,
         };
-        self.last.insert(replica.to_string(), last);
+        self.last.insert(subject.to_string(), last);
     }
 
-    /// Until when this holder must leave replicas alone.
+    /// Until when this holder must leave subjects alone.
     pub fn leases(&self, holder: &str, lease_ms: u64) -> OrderLeases {
         let others = self.last.iter().filter(|(_, last)| last.holder != holder);
         let until = others.map(|(id, last)| (id.clone(), last.applied_at + lease_ms));
--- a/crates/cluster/src/storage/ordering.rs
+++ b/crates/cluster/src/storage/ordering.rs
@@ -6,6 +6,7 @@
 use brasspond_consensus::READ_LEASE;
 use brasspond_dispatch::{Event, OrderAnswer};
 use brasspond_jobs::Command;
+use brasspond_metering::{Counts, WindowNumber};
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::{Method, Request};
@@ -18,6 +19,27 @@
 /// An order announced longer ago than this is not given any more, in ms.
 const ANNOUNCED_FOR: u64 = 400;
 
+/// Subject of usage reports in the log; no replica has such a name.
+pub(super) const USAGE_SUBJECT: &str = "/usage";
+
+/// An order that is announced in the log before it is given.
+pub(super) enum Announced {
+    /// To a replica, to load a version.
+    Version(VersionOrder),
+    /// The report of a usage window.
+    Usage(WindowNumber, Counts),
+}
+
+impl Announced {
+    /// What one holder at a time gives orders on.
+    fn subject(&self) -> &str {
+        match self {
+            Self::Version(order) => &order.replica,
+            Self::Usage(..) => USAGE_SUBJECT,
+        }
+    }
+}
+
 impl Storage {
     pub(super) fn ask_report(&mut self, replica: String, address: SocketAddr) {
         let dialect = Rc::clone(&self.outside.dialect);
@@ -46,10 +68,10 @@
     }
 
     /// Announces an order in the log; it is given once a quorum knows of it.
-    pub(super) fn announce_order(&mut self, order: VersionOrder) {
+    pub(super) fn announce(&mut self, order: Announced) {
         let now = self.clock.now();
         let command = Command::Intend {
-            replica: order.replica.clone(),
+            subject: order.subject().to_string(),
             holder: self.own.machine.clone(),
         };
         let index = command
@@ -66,17 +88,24 @@
             .leading
             .as_mut()
             .and_then(|one| one.announced.remove(&index));
-        if let Some((order, since)) = announced {
-            self.give_order(order, since);
+        let Some((order, since)) = announced else {
+            return;
+        };
+        let may_give = self.may_give(since);
+        match order {
+            Announced::Version(order) => self.give_order(order, may_give),
+            Announced::Usage(window, counts) => self.send_usage(window, counts, may_give),
         }
     }
 
-    /// Sends an order, if this process surely leads at this moment and announced
-    /// it just now.
-    fn give_order(&mut self, order: VersionOrder, announced_at: u64) {
+    /// Whether this process surely leads at this moment and announced an order just now.
+    fn may_give(&self, announced_at: u64) -> bool {
         let now = self.clock.now();
-        let surely_leads = self.consensus.has_quorum_contact(READ_LEASE, now)
-            && now < announced_at + ANNOUNCED_FOR;
+        self.consensus.has_quorum_contact(READ_LEASE, now) && now < announced_at + ANNOUNCED_FOR
+    }
+
+    /// Sends an order, if this process surely leads.
+    fn give_order(&mut self, order: VersionOrder, surely_leads: bool) {
         let dialect = Rc::clone(&self.outside.dialect);
         let pool = self.pool.clone();
         let local = self.local.clone();
--- a/crates/cluster/src/storage/process.rs
+++ b/crates/cluster/src/storage/process.rs
@@ -8,7 +8,7 @@
 use super::texts::EndedJobs;
 use crate::clock::Clock;
 use crate::link::{LinkEvent, LinkId, LinkNumbers, Writer, accept_links};
-use crate::outside::{Interest, Outside};
+use crate::outside::{Interest, OperationsAnswer, Outside};
 use crate::settings::StorageSettings;
 use crate::upstream::Pool;
 use brasspond_cluster_protocol::{Message, Peer};
@@ -17,6 +17,7 @@
 use brasspond_durable::{RecordLog, RecordLogError, TextFiles};
 use brasspond_fleet::FleetView;
 use brasspond_jobs::JobTable;
+use brasspond_metering::WindowNumber;
 use brasspond_telemetry::{LogRing, StorageMetrics, StorageState};
 use displaydoc::Display;
 use std::cell::Cell;
@@ -66,6 +67,8 @@
 pub(super) enum Local {
     /// For the dispatcher of this term.
     Dispatch(u64, Event),
+    /// The report of a usage window was sent in this term.
+    UsageSent(u64, WindowNumber, OperationsAnswer),
     /// What the group's record says.
     Record(Option<crate::outside::GroupRecord>),
     /// The group's record was made.
@@ -333,7 +336,7 @@
                 self.group.led(now);
                 self.learn_members(&members);
             }
-            Message::Beat if self.is_storage_link(link) => self.group.led(now),
+            Message::Beat { .. } if self.is_storage_link(link) => self.group.led(now),
             other => self.on_edge_message(link, other),
         }
     }
--- a/crates/cluster/src/storage/spread.rs
+++ b/crates/cluster/src/storage/spread.rs
@@ -35,12 +35,16 @@
         let term = leading.term;
         let members = self.consensus.members().to_vec();
         let standbys: Vec<Member> = self.consensus.learners().cloned().collect();
+        let time = leading.clock.time(now);
+        let closed_window = self.table.usage().closed_through();
         let leading_frame = |watch| {
             encode(&Message::Leading {
                 term,
                 members: members.clone(),
                 standbys: standbys.clone(),
                 watch,
+                time,
+                closed_window,
             })
         };
         // One frame for those that watch by themselves, one for the others.
--- /dev/null
+++ b/crates/cluster/src/storage/usage.rs
@@ -0,0 +1,78 @@
+//! Usage of tenants at the leader: what metering decides is put into the log, announced
+//! and sent.
+
+use super::ordering::{Announced, USAGE_SUBJECT};
+use super::process::{Local, Storage};
+use crate::outside::{Holder, OperationsAnswer};
+use brasspond_jobs::Command;
+use brasspond_metering::{Counts, MeterAction, SendAnswer, WindowNumber};
+
+impl Storage {
+    /// Lets metering decide what is due.
+    pub(super) fn tend_usage(&mut self, now: u64) {
+        let wall = self.clock.wall();
+        let Some(leading) = &mut self.leading else {
+            return;
+        };
+        leading.clock.note(&self.own.machine, wall, now);
+        let time = leading.clock.time(now);
+        let Some(metering) = &mut leading.metering else {
+            return;
+        };
+        let is_leased = leading.leases.is_leased(USAGE_SUBJECT, now);
+        for action in metering.tick(time, self.table.usage(), now) {
+            match action {
+                MeterAction::Propose(command) => self.propose(&Command::Usage(command)),
+                MeterAction::Send(window, _) if is_leased => {
+                    self.usage_sent(window, OperationsAnswer::Refused, now);
+                }
+                MeterAction::Send(window, counts) => {
+                    self.announce(Announced::Usage(window, counts));
+                }
+            }
+        }
+    }
+
+    /// Sends the report of a window, if this process surely leads.
+    pub(super) fn send_usage(&mut self, window: WindowNumber, counts: Counts, surely_leads: bool) {
+        let term = self.consensus.term();
+        let begun = self.clock.now();
+        let Some(operations) = self.outside.operations.clone().filter(|_| surely_leads) else {
+            self.usage_sent(window, OperationsAnswer::Refused, begun);
+            return;
+        };
+        let holder = Holder {
+            machine: self.own.machine.clone(),
+            fence: term,
+        };
+        let local = self.local.clone();
+        let clock = self.clock;
+        tokio::task::spawn_local(async move {
+            let requests: u64 = counts.values().sum();
+            let answer = operations.report_usage(holder, window, counts).await;
+            log::info!(
+                "event=usage_sent window={window} requests={requests} fence={term} answer={answer:?} elapsed_ms={}",
+                clock.now() - begun
+            );
+            let _ = local.send(Local::UsageSent(term, window, answer)).await;
+        });
+    }
+
+    /// The platform answered, or did not.
+    pub(super) fn usage_sent(&mut self, window: WindowNumber, answer: OperationsAnswer, now: u64) {
+        let answer = match answer {
+            OperationsAnswer::Done => SendAnswer::Taken,
+            OperationsAnswer::Conflict => SendAnswer::Fenced,
+            OperationsAnswer::Refused | OperationsAnswer::Unknown => SendAnswer::Again,
+        };
+        let metering = self.leading.as_mut().and_then(|one| one.metering.as_mut());
+        let Some(metering) = metering else {
+            return;
+        };
+        for action in metering.answered(window, answer, now) {
+            if let MeterAction::Propose(command) = action {
+                self.propose(&Command::Usage(command));
+            }
+        }
+    }
+}
--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -59,12 +59,20 @@
 /// Until when another holder's lease may forbid orders.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct OrderLeases {
-    /// To any replica.
+    /// On any subject.
     pub all_until: Millis,
-    /// To single replicas, by identity.
+    /// On single subjects, by name; a replica's is its identity.
     pub until: BTreeMap<String, Millis>,
 }
 
+impl OrderLeases {
+    /// Whether another holder's lease forbids orders on a subject.
+    pub fn is_leased(&self, subject: &str, now: Millis) -> bool {
+        let own = self.until.get(subject).copied().unwrap_or(0);
+        now < own.max(self.all_until)
+    }
+}
+
 /// What the dispatcher learns.
 #[derive(Clone, Debug)]
 pub enum Event {
--- a/crates/dispatch/src/orders.rs
+++ b/crates/dispatch/src/orders.rs
@@ -106,8 +106,7 @@
     }
 
     fn is_leased(&self, replica: &str, now: Millis) -> bool {
-        let own = self.leases.until.get(replica).copied().unwrap_or(0);
-        now < own.max(self.leases.all_until)
+        self.leases.is_leased(replica, now)
     }
 
     pub fn under_way(&self) -> usize {
--- a/crates/dispatch/src/runs.rs
+++ b/crates/dispatch/src/runs.rs
@@ -189,6 +189,7 @@
             single_version,
             events: events.clone(),
             scoring: stored.scoring.clone(),
+            tenant: table.job(id).and_then(|job| job.tenant.clone()),
         };
         log::info!(
             "event=run_started job={id} item={} attempt={} replica={replica} edge={machine} events={} waited_ms={} expected_tokens={} version={} min_version={} runs_there={} event_ms={:.1} replicas_revision={}",
--- a/crates/dispatch/tests/support/mod.rs
+++ b/crates/dispatch/tests/support/mod.rs
@@ -25,6 +25,7 @@
         single_version: false,
         max_queue_ms: 40_000,
         due_ms: 7_500,
+        is_public: false,
     };
     let service = Service {
         name: "engines".to_string(),
@@ -39,6 +40,7 @@
             routes: vec![route],
             services: vec![service],
             limits: Limits::default(),
+            tenants: Vec::new(),
         })),
         configuration_revision: 1,
         replicas: Arc::new(replicas.map(|one| (one.id.clone(), one)).collect()),
@@ -87,5 +89,6 @@
         min_version,
         desired: 1,
         items: items.collect(),
+        tenant: None,
     }
 }
--- a/crates/fleet/src/configuration.rs
+++ b/crates/fleet/src/configuration.rs
@@ -1,6 +1,8 @@
 //! Routes, services and limits.
 
+use crate::tenant::Tenant;
 use serde::{Deserialize, Serialize};
+use std::sync::Arc;
 
 /// How requests of a route may be treated.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -62,6 +64,9 @@
     pub max_queue_ms: u64,
     /// Time by which a job's results are due, in ms.
     pub due_ms: u64,
+    /// Callers need no key.
+    #[serde(default)]
+    pub is_public: bool,
 }
 
 /// A service: replicas that answer alike.
@@ -112,13 +117,16 @@
     pub services: Vec<Service>,
     /// Bounds on callers.
     pub limits: Limits,
+    /// Who may call; where there are none, no call needs a key.
+    #[serde(default)]
+    pub tenants: Vec<Arc<Tenant>>,
 }
 
 impl Configuration {
     /// The route of a request: of those for its host, the one with the longest
     /// prefix that begins its path.
     pub fn route(&self, host: &str, path: &str) -> Option<&Route> {
-        let host = host.split(':').next().unwrap_or(host);
+        let host = host_name(host);
         let fitting = self.routes.iter().filter(|route| {
             route.host.eq_ignore_ascii_case(host) && path.starts_with(&route.prefix)
         });
@@ -131,6 +139,11 @@
     }
 }
 
+/// A host as asked for, without its port.
+pub(crate) fn host_name(host: &str) -> &str {
+    host.split(':').next().unwrap_or(host)
+}
+
 /// The target for the `count`-th request of a route. Over any run of requests each
 /// target's share is near its weight's: the multiples of the golden ratio's
 /// fraction spread evenly over the line on which the weights lie.
--- /dev/null
+++ b/crates/fleet/src/index.rs
@@ -0,0 +1,102 @@
+//! Look-ups in a configuration, made once for each: a request costs a hash of its
+//! host and one of its key, however many routes and keys there are.
+
+use crate::configuration::{Configuration, Route, host_name};
+use crate::tenant::{Credential, Denial, KeyDigest, Tenant};
+use std::collections::HashMap;
+use std::sync::Arc;
+
+/// A configuration and its look-ups.
+#[derive(Debug)]
+pub struct ConfigurationIndex {
+    configuration: Arc<Configuration>,
+    /// Routes of a host in lower case, those with the longest prefix first.
+    routes: HashMap<String, Vec<usize>>,
+    /// Who holds a key, by its digest.
+    holders: HashMap<KeyDigest, usize>,
+}
+
+impl ConfigurationIndex {
+    /// Looks through the whole configuration once.
+    pub fn new(configuration: Arc<Configuration>) -> Self {
+        let mut routes: HashMap<String, Vec<usize>> = HashMap::new();
+        for (number, route) in configuration.routes.iter().enumerate() {
+            let host = route.host.to_ascii_lowercase();
+            routes.entry(host).or_default().push(number);
+        }
+        for numbers in routes.values_mut() {
+            // Stable: of two routes with one prefix the later wins, as in a walk.
+            numbers.reverse();
+            numbers.sort_by_key(|number| {
+                std::cmp::Reverse(configuration.routes[*number].prefix.len())
+            });
+        }
+        let mut holders = HashMap::new();
+        for (number, tenant) in configuration.tenants.iter().enumerate() {
+            holders.extend(tenant.keys.iter().map(|key| (*key, number)));
+        }
+        Self {
+            configuration,
+            routes,
+            holders,
+        }
+    }
+
+    /// The configuration itself.
+    pub fn configuration(&self) -> &Arc<Configuration> {
+        &self.configuration
+    }
+
+    /// The route of a request, as [`Configuration::route`] finds it.
+    pub fn route(&self, host: &str, path: &str) -> Option<&Route> {
+        let numbers = self.of_host(host)?;
+        let routes = numbers
+            .iter()
+            .map(|number| &self.configuration.routes[*number]);
+        routes
+            .into_iter()
+            .find(|route| path.starts_with(&route.prefix))
+    }
+
+    /// Whether some route of a host takes jobs without a key.
+    pub fn has_public_jobs(&self, host: &str) -> bool {
+        let numbers = self.of_host(host).into_iter().flatten();
+        let mut routes = numbers.map(|number| &self.configuration.routes[*number]);
+        routes.any(|route| route.is_public && route.kind.is_job())
+    }
+
+    /// The tenant that a call is made for; none where it needs no key and brings none
+    /// that is known.
+    ///
+    /// # Errors
+    /// The call may not be made with what it brought.
+    pub fn admit(
+        &self,
+        credential: Credential,
+        is_public: bool,
+    ) -> Result<Option<&Arc<Tenant>>, Denial> {
+        let needs_key = !is_public && !self.configuration.tenants.is_empty();
+        match credential {
+            Credential::Key(key) => match self.holder(&key) {
+                None if needs_key => Err(Denial::KeyUnknown),
+                holder => Ok(holder),
+            },
+            Credential::Missing if needs_key => Err(Denial::KeyMissing),
+            Credential::Several if needs_key => Err(Denial::SeveralKeys),
+            Credential::Missing | Credential::Several => Ok(None),
+        }
+    }
+
+    fn holder(&self, key: &KeyDigest) -> Option<&Arc<Tenant>> {
+        let number = self.holders.get(key)?;
+        self.configuration.tenants.get(*number)
+    }
+
+    fn of_host(&self, host: &str) -> Option<&Vec<usize>> {
+        let host = host_name(host);
+        match self.routes.get(host) {
+            None => self.routes.get(&host.to_ascii_lowercase()),
+            known => known,
+        }
+    }
+}
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -6,8 +6,12 @@
 
 mod configuration;
 mod delta;
+mod index;
+mod tenant;
 mod view;
 
 pub use configuration::{Configuration, Limits, Route, RouteKind, Service, Target, choose_target};
 pub use delta::{OtherBase, ViewDelta};
+pub use index::ConfigurationIndex;
+pub use tenant::{Credential, Denial, KeyDigest, Tenant};
 pub use view::{FleetView, ReplicaInfo, Retirement, ServedModel};
--- a/crates/jobs/src/command.rs
+++ b/crates/jobs/src/command.rs
@@ -1,9 +1,11 @@
 //! Commands of the log.
 
 use brasspond_compression::{pack, unpack};
+use brasspond_metering::UsageCommand;
 use bytes::Bytes;
 use displaydoc::Display;
 use serde::{Deserialize, Serialize};
+use std::sync::Arc;
 
 /// A call that grades an item's whole text, made by the route of its host and
 /// path. It may be repeated.
@@ -61,6 +63,9 @@
     pub desired: u64,
     /// The requests.
     pub items: Vec<Item>,
+    /// Tenant that handed it in; none where callers need no key.
+    #[serde(default)]
+    pub tenant: Option<Arc<str>>,
 }
 
 /// How an item ended.
@@ -167,11 +172,11 @@
         /// The jobs.
         jobs: Vec<String>,
     },
-    /// Tells that a holder is about to order a replica: no other may within its
-    /// lease. Changes nothing in the table.
+    /// Tells that a holder is about to give an order: no other may give one on the
+    /// same subject within its lease. Changes nothing in the table.
     Intend {
-        /// Identity of the replica.
-        replica: String,
+        /// The subject: the identity of a replica, or a name that no replica has.
+        subject: String,
         /// Machine of the holder.
         holder: String,
     },
@@ -183,6 +188,8 @@
         /// The configuration, encoded.
         configuration: Bytes,
     },
+    /// Of tenants' usage.
+    Usage(UsageCommand),
 }
 
 /// Longest command, in bytes.
--- a/crates/jobs/src/table.rs
+++ b/crates/jobs/src/table.rs
@@ -4,9 +4,11 @@
 use crate::command::{
     Command, CommandError, Draft, Item, Listing, Outcome, Part, Piece, Score, Submission,
 };
+use brasspond_metering::UsageLedger;
 use bytes::{Bytes, BytesMut};
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
 
 /// A job and its results so far.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -36,12 +38,21 @@
     pub drafts: BTreeMap<u32, (Bytes, Vec<u64>)>,
     /// Whether its caller ended it.
     pub ended: bool,
+    /// Tenant that handed it in; none where callers need no key.
+    #[serde(default)]
+    pub tenant: Option<Arc<str>>,
     /// Texts that lie outside the table; never part of a snapshot.
     #[serde(skip)]
     pub away: Option<Away>,
 }
 
 impl Job {
+    /// Whether callers of a tenant may read and end it. To all others it is as a job
+    /// that is unknown.
+    pub fn is_open_to(&self, tenant: Option<&str>) -> bool {
+        self.tenant.is_none() || self.tenant.as_deref() == tenant
+    }
+
     /// Whether nothing is left to run.
     pub fn is_finished(&self) -> bool {
         self.ended || self.results.len() == self.items.len()
@@ -110,6 +121,8 @@
 pub struct JobTable {
     jobs: BTreeMap<String, Job>,
     remembered: Option<(u64, Bytes)>,
+    #[serde(default)]
+    usage: UsageLedger,
 }
 
 impl JobTable {
@@ -127,6 +140,7 @@
                 self.jobs.retain(|id, _| !jobs.contains(id));
             }
             Command::Intend { .. } => {}
+            Command::Usage(command) => self.usage.apply(command),
             Command::Remember {
                 revision,
                 configuration,
@@ -149,6 +163,11 @@
         self.jobs.iter()
     }
 
+    /// Usage of tenants.
+    pub fn usage(&self) -> &UsageLedger {
+        &self.usage
+    }
+
     /// The configuration remembered, with its revision.
     pub fn remembered(&self) -> Option<&(u64, Bytes)> {
         self.remembered.as_ref()
@@ -231,6 +250,7 @@
             parts: BTreeMap::new(),
             drafts: BTreeMap::new(),
             ended: false,
+            tenant: submission.tenant,
             away: None,
         };
         self.jobs.insert(submission.id, job);
--- a/crates/jobs/tests/away.rs
+++ b/crates/jobs/tests/away.rs
@@ -30,6 +30,7 @@
         min_version: 0,
         desired: 1,
         items: items.collect(),
+        tenant: None,
     }
 }
 
--- a/crates/jobs/tests/table.rs
+++ b/crates/jobs/tests/table.rs
@@ -18,6 +18,7 @@
         min_version: 0,
         desired: 1,
         items: (0..items).map(item).collect(),
+        tenant: None,
     }
 }
 
--- /dev/null
+++ b/crates/metering/src/lib.rs
@@ -0,0 +1,33 @@
+//! Usage of tenants: requests that began to run, counted in windows of true time.
+//!
+//! ```text
+//! edge: UsageRecorder ──UsageReport──▶ leader: Metering ──UsageCommand──▶ log: UsageLedger
+//!                                         │ Send{window, counts}, after the log has it
+//!                                         ▼
+//!                                      platform
+//! ```
+//!
+//! Edges tell what they counted in a window so far, never what was added, so that a
+//! report told twice counts once. What a window's report says is fixed by the log
+//! before it is sent: whoever leads sends the same. Windows are of true time, which
+//! [`FleetClock`] takes from many machines, since the clocks of some may jump.
+//!
+//! Nothing here does I/O: `(state, event, now) -> actions`.
+#![forbid(unsafe_code)]
+
+mod clock;
+mod ledger;
+mod metering;
+mod recorder;
+mod window;
+
+pub use clock::{FleetClock, ToldClock};
+pub use ledger::{EdgeLife, UsageCommand, UsageLedger};
+pub use metering::{MeterAction, MeterSettings, Metering, SendAnswer};
+pub use recorder::{UsageRecorder, UsageReport};
+pub use window::{Counts, WindowNumber, Windows};
+
+/// Milliseconds of a steady clock.
+pub type Millis = u64;
+/// Milliseconds of true time since the start of 1970.
+pub type WallMillis = u64;
--- /dev/null
+++ b/crates/metering/tests/clock.rs
@@ -0,0 +1,51 @@
+//! True time out of clocks that jump.
+
+use brasspond_metering::{FleetClock, ToldClock};
+use rstest::rstest;
+
+/// True time at the start of the leader's steady clock.
+const START: u64 = 1_784_502_920_000;
+const DELAY: u64 = 3;
+
+/// 28% of the clocks jump by 2.4 s, the leader's among them, ahead or back.
+#[rstest]
+#[case::ahead(2_400)]
+#[case::back(-2_400)]
+fn a_third_of_the_clocks_may_jump(#[case] jump: i64) {
+    const MACHINES: u64 = 10;
+    let mut clock = FleetClock::default();
+    for round in 0..40_u64 {
+        let now = 500 * round;
+        for machine in 0..MACHINES {
+            let jumps = machine < 3 && (10..22).contains(&round);
+            let own = if jumps { jump } else { 0 };
+            let drift = machine as i64 - 4;
+            let wall = (START + now) as i64 + own + drift - DELAY as i64;
+            clock.note(&format!("machine-{machine}"), wall as u64, now);
+        }
+        let told = clock.time(now).expect("ten machines");
+        let error = told.abs_diff(START + now);
+        assert!(error <= 8, "{error} ms in round {round}");
+    }
+}
+
+#[rstest]
+fn two_machines_tell_no_time() {
+    let mut clock = FleetClock::default();
+    clock.note("one", START, 0);
+    clock.note("two", START, 0);
+    assert_eq!(clock.time(0), None);
+    clock.note("three", START, 0);
+    assert_eq!(clock.time(100), Some(START + 100));
+    assert_eq!(clock.time(10_000), None, "all were told long ago");
+}
+
+/// What comes late says little: the sample with the least delay counts.
+#[rstest]
+fn a_late_word_moves_no_clock() {
+    let mut told = ToldClock::default();
+    assert_eq!(told.time(7, 0), 7, "its own before any was told");
+    told.note(START, 10);
+    told.note(START + 500, 1_400);
+    assert_eq!(told.time(7, 1_500), START + 1_490);
+}
