Spot replicas are ordered by the peak of demand; runs leave replicas given notice

Ruled out: places at edges (68 edges, none full), the store (views 0.7 s old). Change: crates/autoscaling, pure: spot replicas beside the ordinary ones until the places of both hold the most work of the last 30 s, spread evenly over zones; orders are announced in the log under a subject of their own, as orders of versions are. Replicas' notice is read; their runs go on elsewhere where there is room, by one predicate of fitting with the moves to faster replicas.

--- /dev/null
+++ b/crates/autoscaling/tests/autoscaler.rs
@@ -0,0 +1,218 @@
+//! The autoscaler against a small model of a platform that boots replicas, takes them
+//! away, and has none left for a while.
+
+use brasspond_autoscaling::{Autoscaler, ScaleAnswer, ScaleOrder};
+use brasspond_fleet::{Configuration, FleetView, ReplicaInfo, Scaling, Service};
+use proptest::prelude::*;
+use rstest::rstest;
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+const BOOT_MS: u64 = 4_000;
+const MOST: u32 = 30;
+const SLOTS: u32 = 8;
+const ZONES: [&str; 3] = ["a", "b", "c"];
+const PAUSE: u64 = 500;
+
+struct Platform {
+    ordinary: u32,
+    spot_price: Option<f64>,
+    /// Spot replicas that serve, by zone.
+    spot: BTreeMap<String, u32>,
+    /// Orders that take effect later.
+    booting: Vec<(u64, String, u32)>,
+    /// Zones in which none are to be had until a time.
+    dry_until: BTreeMap<String, u64>,
+    orders: Vec<(u64, ScaleOrder)>,
+    revision: u64,
+}
+
+impl Platform {
+    fn new(ordinary: u32, spot_price: Option<f64>) -> Self {
+        Self {
+            ordinary,
+            spot_price,
+            spot: BTreeMap::new(),
+            booting: Vec::new(),
+            dry_until: BTreeMap::new(),
+            orders: Vec::new(),
+            revision: 0,
+        }
+    }
+
+    fn view(&mut self) -> FleetView {
+        self.revision += 1;
+        let zone_prices = [("a", 1.0), ("b", 0.8), ("c", 1.25)];
+        let service = Service {
+            name: "engines".to_string(),
+            max_connections: 100,
+            engine_slots: SLOTS,
+            models: vec!["model".to_string()],
+            scaling: Some(Scaling {
+                min: 1,
+                max: MOST,
+                boot_ms: BOOT_MS,
+                spot_price: self.spot_price,
+                zone_prices: zone_prices.map(|(zone, price)| (zone.into(), price)).into(),
+            }),
+        };
+        let mut replicas = BTreeMap::new();
+        for zone in ZONES {
+            let spot = self.spot.get(zone).copied().unwrap_or(0);
+            let kinds = (0..self.ordinary).map(|number| (number, false));
+            for (number, is_spot) in kinds.chain((0..spot).map(|number| (number, true))) {
+                let id = format!("{zone}-{is_spot}-{number}");
+                replicas.insert(id.clone(), replica(id, zone, is_spot));
+            }
+        }
+        FleetView {
+            configuration: Some(Arc::new(Configuration {
+                version: 1,
+                services: vec![service],
+                ..Configuration::default()
+            })),
+            configuration_revision: 1,
+            replicas: Arc::new(replicas),
+            replicas_revision: self.revision,
+            ..FleetView::default()
+        }
+    }
+
+    fn order(&mut self, order: &ScaleOrder, now: u64) -> ScaleAnswer {
+        let zone = order.zone.to_string();
+        let is_dry = self.dry_until.get(&zone).is_some_and(|until| now < *until);
+        self.orders.push((now, order.clone()));
+        if is_dry {
+            return ScaleAnswer::NoneLeft;
+        }
+        self.booting.push((now + BOOT_MS, zone, order.count));
+        ScaleAnswer::Taken
+    }
+
+    fn boot(&mut self, now: u64) {
+        let (due, later) = std::mem::take(&mut self.booting)
+            .into_iter()
+            .partition(|(at, ..)| *at <= now);
+        self.booting = later;
+        let due: Vec<(u64, String, u32)> = due;
+        for (_, zone, count) in due {
+            self.spot.insert(zone, count);
+        }
+    }
+}
+
+fn replica(id: String, zone: &str, is_spot: bool) -> ReplicaInfo {
+    ReplicaInfo {
+        id,
+        service: "engines".to_string(),
+        address: "10.0.0.1:80".parse().expect("address"),
+        zone: zone.to_string(),
+        slots: SLOTS,
+        draining: false,
+        models: Vec::new(),
+        revision: 1,
+        is_spot,
+        leaves_ms: None,
+    }
+}
+
+/// Plays so long; the load at a time is `load(now)`.
+fn play(
+    scaler: &mut Autoscaler,
+    platform: &mut Platform,
+    span: std::ops::Range<u64>,
+    load: impl Fn(u64) -> usize,
+) {
+    let mut now = span.start;
+    while now < span.end {
+        platform.boot(now);
+        scaler.note_load("engines", load(now), now);
+        let view = platform.view();
+        for order in scaler.plan(&view, now) {
+            let answer = platform.order(&order, now);
+            scaler.answered(&order, answer, now);
+        }
+        now += PAUSE;
+    }
+}
+
+fn spot(platform: &Platform) -> Vec<u32> {
+    ZONES
+        .iter()
+        .map(|zone| platform.spot.get(*zone).copied().unwrap_or(0))
+        .collect()
+}
+
+/// Work in waves has one number of replicas, that of its crests, ordered once.
+#[rstest]
+#[case::as_many_as_allowed(700, vec![15, 15, 15], 3)]
+#[case::a_few(400, vec![6, 6, 6], 3)]
+#[case::none(100, vec![0, 0, 0], 3)]
+fn replicas_follow_the_peak(#[case] crest: usize, #[case] expected: Vec<u32>, #[case] most: usize) {
+    let mut scaler = Autoscaler::default();
+    let mut platform = Platform::new(15, Some(0.2));
+    let waves = |now: u64| {
+        if now % 4_000 < 2_000 {
+            crest
+        } else {
+            crest / 10
+        }
+    };
+    play(&mut scaler, &mut platform, 0..120_000, waves);
+    let total: u32 = spot(&platform).iter().sum();
+    let expected_total: u32 = expected.iter().sum();
+    assert!(total.abs_diff(expected_total) <= 2, "{:?}", spot(&platform));
+    assert!(platform.orders.len() <= most, "{:?}", platform.orders);
+}
+
+#[rstest]
+fn before_any_load_as_many_spot_replicas_as_ordinary_ones() {
+    let mut scaler = Autoscaler::default();
+    let mut platform = Platform::new(4, Some(0.2));
+    play(&mut scaler, &mut platform, 0..10_000, |_| 0);
+    assert_eq!(spot(&platform), [4, 4, 4]);
+}
+
+#[rstest]
+fn nothing_is_ordered_where_there_are_no_spot_replicas() {
+    let mut scaler = Autoscaler::default();
+    let mut platform = Platform::new(4, None);
+    play(&mut scaler, &mut platform, 0..60_000, |_| 900);
+    assert_eq!(platform.orders, Vec::new());
+}
+
+/// All of a zone are taken away, and none are to be had there for ten seconds: they are
+/// asked for now and then, and come back.
+#[rstest]
+fn replicas_that_were_taken_away_come_back() {
+    let mut scaler = Autoscaler::default();
+    let mut platform = Platform::new(15, Some(0.2));
+    play(&mut scaler, &mut platform, 0..20_000, |_| 700);
+    let before = platform.orders.len();
+    platform.spot.insert("b".to_string(), 0);
+    platform.dry_until.insert("b".to_string(), 30_000);
+    play(&mut scaler, &mut platform, 20_000..30_000, |_| 700);
+    let meanwhile = platform.orders.len() - before;
+    assert!((1..=3).contains(&meanwhile), "{:?}", platform.orders);
+    play(&mut scaler, &mut platform, 30_000..45_000, |_| 700);
+    assert_eq!(spot(&platform), [15, 15, 15]);
+}
+
+proptest! {
+    /// No order exceeds a zone's limit, whatever was there before.
+    #[test]
+    fn orders_keep_to_the_limits(
+        ordinary in 0_u32..40,
+        loads in proptest::collection::vec(0_usize..5_000, 1..20),
+    ) {
+        let mut scaler = Autoscaler::default();
+        let mut platform = Platform::new(ordinary, Some(0.2));
+        for (number, load) in loads.iter().enumerate() {
+            let begin = number as u64 * 7_000;
+            play(&mut scaler, &mut platform, begin..begin + 7_000, |_| *load);
+        }
+        for (_, order) in &platform.orders {
+            prop_assert!(order.count + ordinary <= MOST.max(ordinary), "{:?}", order);
+        }
+    }
+}
--- /dev/null
+++ b/crates/brasspond/tests/scaling.rs
@@ -0,0 +1,55 @@
+//! Orders of replicas, by the real programs before a stand-in of the platform.
+
+mod platform_standin;
+
+use platform_standin::processes::{Cluster, configuration};
+use rstest::rstest;
+use serde_json::{Value, json};
+use std::sync::atomic::Ordering;
+use std::time::{Duration, Instant};
+
+const PATIENCE: Duration = Duration::from_secs(30);
+const LEASE: Duration = Duration::from_millis(3_000);
+
+/// A configuration whose engines may be ordered: two ordinary ones run in one zone.
+fn with_scaling() -> Value {
+    let mut configuration = configuration(1);
+    configuration["services"][0]["scaling"] = json!({
+        "min": 1, "max": 5, "boot_s": 0.5, "spot_price": 0.2, "zone_prices": {"zone-0": 1.0},
+    });
+    configuration
+}
+
+async fn await_calls(cluster: &Cluster, count: usize) {
+    let deadline = Instant::now() + PATIENCE;
+    while cluster.operations.calls_to("/scale").len() < count {
+        assert!(Instant::now() < deadline, "{count} calls");
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+}
+
+/// Spot replicas are ordered under the leader's term, again after a refusal; another
+/// leader waits for the lease of the one before.
+#[rstest]
+#[tokio::test(flavor = "multi_thread")]
+async fn one_holder_at_a_time_orders_replicas() {
+    let mut cluster = Cluster::start_with(with_scaling()).await;
+    await_calls(&cluster, 1).await;
+    let first = cluster.operations.calls_to("/scale")[0].clone();
+    assert_eq!(first.body["zone"], "zone-0");
+    assert_eq!(first.body["desired"], 2, "as many as ordinary ones");
+    assert_eq!(first.body["allow_spot"], true);
+    cluster.operations.refuses.store(1, Ordering::Relaxed);
+    // None of the replicas ordered comes, so they are ordered again.
+    await_calls(&cluster, 2).await;
+    let killed = Instant::now();
+    let leader = cluster.leader();
+    cluster.storage[leader].kill();
+    let before = cluster.operations.calls_to("/scale").len();
+    await_calls(&cluster, before + 1).await;
+    assert!(killed.elapsed() >= LEASE, "{:?}", killed.elapsed());
+    let calls = cluster.operations.calls_to("/scale");
+    let last = calls.last().expect("calls");
+    assert!(last.fence > first.fence, "{calls:?}");
+    assert_ne!(last.holder, first.holder);
+}
--- a/crates/cluster/src/outside.rs
+++ b/crates/cluster/src/outside.rs
@@ -3,6 +3,7 @@
 //! An adapter implements these traits for a platform. It translates and decides
 //! nothing.
 
+use brasspond_autoscaling::ScaleOrder;
 use brasspond_consensus::Member;
 use brasspond_dispatch::{OrderAnswer, ReplicaReport};
 use brasspond_fleet::{Credential, FleetView};
@@ -14,7 +15,6 @@
 use hyper::header::{HeaderMap, HeaderName};
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::sync::Arc;
 use tokio::sync::watch;
 
 /// Parts of the fleet's view that a process needs from its source.
@@ -101,19 +101,6 @@
     pub fence: u64,
 }
 
-/// An order of replicas.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct ReplicaOrder {
-    /// The service.
-    pub service: Arc<str>,
-    /// Where they are to run.
-    pub zone: Arc<str>,
-    /// They may be taken away at short notice.
-    pub is_spot: bool,
-    /// How many of this kind there are to be.
-    pub count: u32,
-}
-
 /// What came of such a call.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum OperationsAnswer {
@@ -140,7 +127,7 @@
     fn order_replicas(
         &self,
         holder: Holder,
-        order: ReplicaOrder,
+        order: ScaleOrder,
     ) -> LocalBoxFuture<'_, OperationsAnswer>;
 }
 
--- a/crates/cluster/src/settings.rs
+++ b/crates/cluster/src/settings.rs
@@ -47,6 +47,8 @@
 pub struct StorageSettings {
     /// Those of every process.
     pub process: ProcessSettings,
+    /// Whether numbers of replicas are ordered.
+    pub scales: bool,
     /// Folder on the disk.
     pub folder: PathBuf,
     /// Time for which a holder of replicas' orders keeps its place, in ms.
--- a/crates/cluster/src/storage/group.rs
+++ b/crates/cluster/src/storage/group.rs
@@ -227,6 +227,11 @@
                     self.usage_sent(window, answer, now);
                 }
             }
+            Local::ReplicasOrdered(term, order, answer) => {
+                if self.consensus.term() == term {
+                    self.replicas_ordered(&order, answer);
+                }
+            }
             Local::Record(record) => {
                 self.registry_done(now + REGISTRY_PAUSE);
                 self.on_record(record, now);
--- a/crates/cluster/src/storage/leading.rs
+++ b/crates/cluster/src/storage/leading.rs
@@ -5,6 +5,7 @@
 use super::process::Storage;
 use crate::link::LinkId;
 use crate::outside::{Interest, VersionOrder};
+use brasspond_autoscaling::Autoscaler;
 use brasspond_cluster_protocol::{Message, Peer};
 use brasspond_dispatch::{Action, Dispatcher, Event, OrderLeases, Settings};
 use brasspond_fleet::FleetView;
@@ -33,7 +34,7 @@
 
 /// State of a leader.
 pub(super) struct Leading {
-    dispatcher: Dispatcher,
+    pub dispatcher: Dispatcher,
     pub term: u64,
     pub told_at: u64,
     ticked_at: u64,
@@ -62,6 +63,9 @@
     pub clock: FleetClock,
     /// None where nobody asks for usage.
     pub metering: Option<Metering>,
+    pub autoscaler: Autoscaler,
+    /// When the autoscaler last looked at the fleet.
+    pub scaled_at: u64,
     /// Until when orders must wait for another holder's lease.
     pub leases: OrderLeases,
 }
@@ -109,6 +113,7 @@
             self.check_edges(now);
             self.dispatch(Event::Tick);
             self.tend_usage(now);
+            self.tend_replicas(now);
             self.remember_view(now);
             self.forget_jobs(now);
             self.log_state(now);
@@ -180,6 +185,8 @@
             announced: HashMap::new(),
             clock: FleetClock::default(),
             metering: metering.map(|metering| Metering::new(metering, now)),
+            autoscaler: Autoscaler::default(),
+            scaled_at: now,
             leases,
         });
         self.tell_edges(now);
--- a/crates/cluster/src/storage/mod.rs
+++ b/crates/cluster/src/storage/mod.rs
@@ -9,6 +9,7 @@
 mod ordering;
 pub mod plan;
 mod process;
+mod scaling;
 pub mod search;
 mod spread;
 mod texts;
--- a/crates/cluster/src/storage/ordering.rs
+++ b/crates/cluster/src/storage/ordering.rs
@@ -3,6 +3,7 @@
 use super::process::{Local, Storage};
 use crate::outside::{Dialect, VersionOrder};
 use crate::upstream::{Pool, UpstreamError};
+use brasspond_autoscaling::ScaleOrder;
 use brasspond_consensus::READ_LEASE;
 use brasspond_dispatch::{Event, OrderAnswer};
 use brasspond_jobs::Command;
@@ -28,6 +29,8 @@
     Version(VersionOrder),
     /// The report of a usage window.
     Usage(WindowNumber, Counts),
+    /// How many replicas a service is to have in a zone, with the subject's name.
+    Replicas(ScaleOrder, String),
 }
 
 impl Announced {
@@ -36,6 +39,7 @@
         match self {
             Self::Version(order) => &order.replica,
             Self::Usage(..) => USAGE_SUBJECT,
+            Self::Replicas(_, subject) => subject,
         }
     }
 }
@@ -95,6 +99,7 @@
         match order {
             Announced::Version(order) => self.give_order(order, may_give),
             Announced::Usage(window, counts) => self.send_usage(window, counts, may_give),
+            Announced::Replicas(order, _) => self.order_replicas(order, may_give),
         }
     }
 
--- a/crates/cluster/src/storage/process.rs
+++ b/crates/cluster/src/storage/process.rs
@@ -11,6 +11,7 @@
 use crate::outside::{Interest, OperationsAnswer, Outside};
 use crate::settings::StorageSettings;
 use crate::upstream::Pool;
+use brasspond_autoscaling::ScaleOrder;
 use brasspond_cluster_protocol::{Message, Peer};
 use brasspond_consensus::{Consensus, Member, MemberId, Persisted, Timing};
 use brasspond_dispatch::Event;
@@ -69,6 +70,8 @@
     Dispatch(u64, Event),
     /// The report of a usage window was sent in this term.
     UsageSent(u64, WindowNumber, OperationsAnswer),
+    /// Replicas were ordered in this term.
+    ReplicasOrdered(u64, ScaleOrder, OperationsAnswer),
     /// What the group's record says.
     Record(Option<crate::outside::GroupRecord>),
     /// The group's record was made.
--- /dev/null
+++ b/crates/cluster/src/storage/scaling.rs
@@ -0,0 +1,87 @@
+//! Orders of replicas at the leader: what the autoscaler decides is announced and sent.
+
+use super::ordering::Announced;
+use super::process::{Local, Storage};
+use crate::outside::{Holder, OperationsAnswer};
+use brasspond_autoscaling::{ScaleAnswer, ScaleOrder};
+
+/// Pause between two looks at how many replicas there are to be, in ms.
+const PLAN_PAUSE: u64 = 500;
+
+/// Subject of orders in the log; no replica has such a name.
+fn subject(order: &ScaleOrder) -> String {
+    format!("/replicas/{}/{}", order.service, order.zone)
+}
+
+impl Storage {
+    /// Lets the autoscaler decide what is due.
+    pub(super) fn tend_replicas(&mut self, now: u64) {
+        if self.outside.operations.is_none() || !self.settings.scales {
+            return;
+        }
+        let Some(leading) = &mut self.leading else {
+            return;
+        };
+        if now < leading.scaled_at + PLAN_PAUSE {
+            return;
+        }
+        leading.scaled_at = now;
+        for (service, requests) in leading.dispatcher.requests_by_service() {
+            leading.autoscaler.note_load(&service, requests, now);
+        }
+        let mut due = Vec::new();
+        for order in leading.autoscaler.plan(&self.view, now) {
+            let subject = subject(&order);
+            if leading.leases.is_leased(&subject, now) {
+                leading.autoscaler.answered(&order, ScaleAnswer::Again, now);
+            } else {
+                due.push(Announced::Replicas(order, subject));
+            }
+        }
+        for order in due {
+            self.announce(order);
+        }
+    }
+
+    /// Orders replicas, if this process surely leads.
+    pub(super) fn order_replicas(&mut self, order: ScaleOrder, surely_leads: bool) {
+        let term = self.consensus.term();
+        let begun = self.clock.now();
+        let Some(operations) = self.outside.operations.clone().filter(|_| surely_leads) else {
+            self.replicas_ordered(&order, OperationsAnswer::Refused);
+            return;
+        };
+        let holder = Holder {
+            machine: self.own.machine.clone(),
+            fence: term,
+        };
+        let local = self.local.clone();
+        let clock = self.clock;
+        tokio::task::spawn_local(async move {
+            let answer = operations.order_replicas(holder, order.clone()).await;
+            log::info!(
+                "event=replicas_ordered service={} zone={} spot={} count={} fence={term} answer={answer:?} elapsed_ms={}",
+                order.service,
+                order.zone,
+                order.is_spot,
+                order.count,
+                clock.now() - begun
+            );
+            let event = Local::ReplicasOrdered(term, order, answer);
+            let _ = local.send(event).await;
+        });
+    }
+
+    /// The platform answered, or did not.
+    pub(super) fn replicas_ordered(&mut self, order: &ScaleOrder, answer: OperationsAnswer) {
+        let now = self.clock.now();
+        let answer = match answer {
+            OperationsAnswer::Done => ScaleAnswer::Taken,
+            OperationsAnswer::Conflict => ScaleAnswer::NoneLeft,
+            OperationsAnswer::Refused | OperationsAnswer::Unknown => ScaleAnswer::Again,
+        };
+        if let Some(leading) = &mut self.leading {
+            leading.autoscaler.answered(order, answer, now);
+        }
+    }
+}
--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -382,6 +382,17 @@
         (self.runs.len(), self.jobs.waiting())
     }
 
+    /// Runs under way and items that wait, by service.
+    pub fn requests_by_service(&self) -> BTreeMap<String, usize> {
+        let mut requests = self.jobs.waiting_by_service();
+        for run in self.runs.by_id.values() {
+            if let Some(replica) = self.replicas.by_id.get(&run.replica) {
+                *requests.entry(replica.service.clone()).or_default() += 1;
+            }
+        }
+        requests
+    }
+
     /// What there is to do at present.
     pub fn load(&self) -> Load {
         let mut replicas = String::new();
@@ -476,6 +487,7 @@
             self.orders.assign(&self.view, &self.demand);
         }
         self.replicas.renew_typical();
+        self.move_from_leaving(now);
         self.move_from_slow_replicas(now);
         self.move_to_faster_replicas(now);
         self.move_stalled(now);
--- a/crates/dispatch/src/jobs.rs
+++ b/crates/dispatch/src/jobs.rs
@@ -261,6 +261,19 @@
         of_model.map(|job| job.waiting.len()).sum()
     }
 
+    /// Items that wait, by the service that runs them.
+    pub fn waiting_by_service(&self) -> BTreeMap<String, usize> {
+        let mut waiting = BTreeMap::new();
+        for job in self.jobs.values() {
+            let (Some(route), Some((_, item))) = (&job.route, job.waiting.first()) else {
+                continue;
+            };
+            let service = route.service(*item).to_string();
+            *waiting.entry(service).or_default() += job.waiting.len();
+        }
+        waiting
+    }
+
     /// The newest of the oldest versions that jobs of a model allow.
     pub fn newest_asked(&self, model: &str) -> u64 {
         let of_model = self.jobs.values().filter(|job| job.model == model);
--- a/crates/dispatch/src/moves.rs
+++ b/crates/dispatch/src/moves.rs
@@ -24,6 +24,10 @@
 /// An edge tells of all its runs within this time, in ms.
 const SAME_REPORT: Millis = 50;
 
+/// Time of an event where nothing is known of the service's replicas: no replica is
+/// moved to because it is faster.
+const UNKNOWN_EVENT_MS: f64 = f64::INFINITY;
+
 /// Free places on a replica.
 struct Room {
     replica: String,
@@ -94,6 +98,54 @@
         }
     }
 
+    /// Runs on a replica that was given notice go on elsewhere, as far as there is room:
+    /// it is gone before a long text ends.
+    pub(crate) fn move_from_leaving(&mut self, now: Millis) {
+        let replicas = &self.replicas.by_id;
+        let leaves = |id: &str| replicas.get(id).is_some_and(|one| one.leaves);
+        let on_them = self.runs.by_id.iter();
+        let on_them = on_them.filter(|(_, run)| !run.cancelled && leaves(&run.replica));
+        let moving: Vec<AttemptId> = on_them.map(|(attempt, _)| *attempt).collect();
+        if moving.is_empty() {
+            return;
+        }
+        let mut rooms = self.rooms(now);
+        for attempt in moving {
+            if self.take_any_room(&mut rooms, attempt) {
+                self.hand_over(attempt, "replica_leaves", now);
+            }
+        }
+    }
+
+    /// Takes a place for a run on any replica that may go on with its text.
+    fn take_any_room(&self, rooms: &mut [Room], attempt: AttemptId) -> bool {
+        let run = self.runs.by_id.get(&attempt);
+        let Some(need) = run.and_then(|run| self.need_of(run)) else {
+            return false;
+        };
+        let room = rooms
+            .iter_mut()
+            .find(|room| room.free > 0 && self.fits(&room.replica, &need));
+        let Some(room) = room else {
+            return false;
+        };
+        room.free -= 1;
+        true
+    }
+
+    /// What a run asks of a replica that goes on with its text; none where its job
+    /// leads nowhere at present.
+    fn need_of<'a>(&'a self, run: &Run) -> Option<Need<'a>> {
+        let job = self.jobs.jobs.get(&run.job)?;
+        let route = job.route.as_ref()?;
+        Some(Need {
+            service: route.service(run.item),
+            model: &job.model,
+            min_version: job.min_version,
+            exact: exact_version(job, &run.events),
+        })
+    }
+
     /// Free places on other replicas that serve the same model first.
     fn room_beside(&self, loading: &str, now: Millis) -> usize {
         let model = self.orders.serves_first.get(loading);
@@ -203,22 +255,13 @@
     /// Takes a place for a run on a replica that is faster than its own and may
     /// go on with its text; none while items of its model wait for places.
     fn take_room(&self, rooms: &mut [Room], run: &Run, own_ms: f64) -> bool {
-        let Some(job) = self.jobs.jobs.get(&run.job) else {
-            return false;
-        };
-        let Some(route) = &job.route else {
+        let Some(need) = self.need_of(run) else {
             return false;
         };
-        let need = Need {
-            service: route.service(run.item),
-            model: &job.model,
-            min_version: job.min_version,
-            exact: exact_version(job, &run.events),
-        };
         if !rooms
             .first()
             .is_some_and(|best| best.is_faster_than(own_ms))
-            || self.jobs.has_waiting(&job.model)
+            || self.jobs.has_waiting(need.model)
         {
             return false;
         }
@@ -246,9 +289,7 @@
         let mut rooms = Vec::new();
         for (id, replica) in &self.replicas.by_id {
             let typical = self.replicas.typical_event_ms(&replica.service);
-            let Some(event_ms) = replica.event_ms.or(typical) else {
-                continue;
-            };
+            let event_ms = replica.event_ms.or(typical).unwrap_or(UNKNOWN_EVENT_MS);
             let free = replica.slots.saturating_sub(replica.running);
             let takes_runs = !replica.draining && replica.paused_until <= now;
             if takes_runs && free > 0 && !self.orders.is_busy(id) {
--- a/crates/dispatch/src/replicas.rs
+++ b/crates/dispatch/src/replicas.rs
@@ -26,6 +26,8 @@
     pub zone: String,
     pub slots: usize,
     pub draining: bool,
+    /// It was given notice, and is gone soon.
+    pub leaves: bool,
     pub versions: HashMap<String, u64>,
     pub running: usize,
     /// Milliseconds an event takes; none before any was seen.
@@ -69,6 +71,7 @@
                 zone: info.zone.clone(),
                 slots: info.slots as usize,
                 draining: false,
+                leaves: false,
                 versions: HashMap::new(),
                 running: 0,
                 event_ms: None,
@@ -77,6 +80,7 @@
                 paced_from: 0,
             });
             replica.draining = info.draining;
+            replica.leaves = info.leaves_ms.is_some();
             replica.slots = info.slots as usize;
             for served in &info.models {
                 let known = replica.versions.entry(served.name.clone()).or_default();
--- a/crates/dispatch/tests/support/mod.rs
+++ b/crates/dispatch/tests/support/mod.rs
@@ -32,6 +32,7 @@
         max_connections: 100,
         engine_slots: slots,
         models: vec!["model".to_string()],
+        scaling: None,
     };
     let replicas = (0..replicas).map(|number| replica(number, slots));
     FleetView {
@@ -64,6 +65,8 @@
             version: 1,
         }],
         revision: 1,
+        is_spot: false,
+        leaves_ms: None,
     }
 }
 
--- a/crates/fleet/src/configuration.rs
+++ b/crates/fleet/src/configuration.rs
@@ -2,6 +2,7 @@
 
 use crate::tenant::Tenant;
 use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
 use std::sync::Arc;
 
 /// How requests of a route may be treated.
@@ -70,7 +71,7 @@
 }
 
 /// A service: replicas that answer alike.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Service {
     /// Name.
     pub name: String,
@@ -80,6 +81,24 @@
     pub engine_slots: u32,
     /// Models its engines hold.
     pub models: Vec<String>,
+    /// How its number of replicas may be ordered; none: it may not.
+    #[serde(default)]
+    pub scaling: Option<Scaling>,
+}
+
+/// Bounds and prices of a service's replicas.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Scaling {
+    /// Fewest replicas in a zone, of both kinds together.
+    pub min: u32,
+    /// Most replicas in a zone, of both kinds together.
+    pub max: u32,
+    /// Time from an order until a new replica serves, in ms.
+    pub boot_ms: u64,
+    /// Price of a spot replica, as a part of an ordinary one's; none: there are none.
+    pub spot_price: Option<f64>,
+    /// Price of a replica by zone, relative to one another.
+    pub zone_prices: BTreeMap<Arc<str>, f64>,
 }
 
 /// Bounds on what a caller may send.
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -10,7 +10,9 @@
 mod tenant;
 mod view;
 
-pub use configuration::{Configuration, Limits, Route, RouteKind, Service, Target, choose_target};
+pub use configuration::{
+    Configuration, Limits, Route, RouteKind, Scaling, Service, Target, choose_target,
+};
 pub use delta::{OtherBase, ViewDelta};
 pub use index::ConfigurationIndex;
 pub use tenant::{Credential, Denial, KeyDigest, Tenant};
--- a/crates/fleet/src/view.rs
+++ b/crates/fleet/src/view.rs
@@ -34,6 +34,13 @@
     pub models: Vec<ServedModel>,
     /// Revision of its entry.
     pub revision: u64,
+    /// It may be taken away at short notice.
+    #[serde(default)]
+    pub is_spot: bool,
+    /// Time from its notice until it is gone, in ms; none: it leaves once its work is
+    /// done, or not at all.
+    #[serde(default)]
+    pub leaves_ms: Option<u64>,
 }
 
 impl ReplicaInfo {
--- a/crates/fleet/tests/delta.rs
+++ b/crates/fleet/tests/delta.rs
@@ -15,6 +15,8 @@
         draining: revision.is_multiple_of(3),
         models: Vec::new(),
         revision,
+        is_spot: false,
+        leaves_ms: None,
     }
 }
 
