A trainer's read is held until its step is ready

(Read times of a step, trial: asked at 7.44 and 7.94 s, all there at 7.9, ended at 8.46.) Ruled out: commits (14 ms), places of reads (members near by answer in 1 ms). Change: jobs count their whole groups (and those of an earlier job that come again, for each of which the trainer waits); a held read is answered with the last group that the trainer waits for, at its hold's end, or when the step is due; where nobody trains, or a member did not see the job taken, as before.

--- a/crates/cluster/src/storage/applying.rs
+++ b/crates/cluster/src/storage/applying.rs
@@ -38,6 +38,10 @@
         match told {
             Told::Accepted(job) if accepted == Some(Accepted::New) => {
                 log::info!("event=job_accepted job={job}");
+                let now = self.clock.now();
+                if !self.consensus.has_backlog() {
+                    self.asks.job_taken(&job, now);
+                }
                 self.dispatch(Event::JobAccepted(job));
             }
             Told::Accepted(_) => {}
@@ -48,11 +52,13 @@
             }
             Told::Ended(job) => {
                 log::info!("event=job_ended job={job}");
+                self.asks.job_ended(&job);
                 self.ended_jobs.push(job.clone());
                 self.dispatch(Event::JobEnded(job));
             }
             Told::Forgotten(jobs) => {
                 for job in jobs {
+                    self.asks.job_ended(&job);
                     self.dispatch(Event::JobForgotten(job));
                 }
             }
--- a/crates/cluster/src/storage/asks.rs
+++ b/crates/cluster/src/storage/asks.rs
@@ -1,12 +1,12 @@
 //! Questions of edges, and answers once they are true for good.
 
-use super::gathering::Gathering;
+use super::gathering::{Gathering, Progress};
 use super::process::Storage;
 use crate::link::LinkId;
 use brasspond_cluster_protocol::{Answer, Message, Question};
 use brasspond_consensus::READ_LEASE;
 use brasspond_jobs::{BodyError, Command, Job};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, HashMap};
 use std::sync::Arc;
 
 /// Text of results in one answer, in bytes.
@@ -41,9 +41,22 @@
     proposed: BTreeMap<u64, Vec<Asker>>,
     done: Vec<Asker>,
     waiting: Vec<Waiting>,
+    /// When jobs were taken, by the own clock: of those taken while this process hears
+    /// the log as it grows.
+    taken: HashMap<String, u64>,
 }
 
 impl Asks {
+    /// A job was taken.
+    pub fn job_taken(&mut self, id: &str, now: u64) {
+        self.taken.insert(id.to_string(), now);
+    }
+
+    /// A job has ended, or nobody asks for it any more.
+    pub fn job_ended(&mut self, id: &str) {
+        self.taken.remove(id);
+    }
+
     /// When the next held read is to be answered, in ms; none if none is held.
     pub fn next_due(&self) -> Option<u64> {
         let due = self.waiting.iter().map(|one| one.gathering.due_at());
@@ -129,12 +142,13 @@
         } = question
         {
             let until = self.clock.now() + wait_ms;
+            let step_due = self.step_due(&job);
             self.asks.waiting.push(Waiting {
                 asker,
                 job,
                 since,
                 tenant,
-                gathering: Gathering::new(until),
+                gathering: Gathering::new(until, step_due),
             });
         }
     }
@@ -197,7 +211,12 @@
             if let Some(job) = job {
                 let since = usize::try_from(waiting.since).unwrap_or(usize::MAX);
                 let results = job.results.len().saturating_sub(since);
-                waiting.gathering.note(results, job.is_finished(), now);
+                let progress = Progress {
+                    results,
+                    is_complete: job.is_finished(),
+                    step: job.groups.step(),
+                };
+                waiting.gathering.note(progress, now);
             }
             if job.is_some() && now < waiting.gathering.due_at() {
                 self.asks.waiting.push(waiting);
@@ -207,6 +226,19 @@
         }
     }
 
+    /// When a job's results are due, in ms of this process's clock; 0 where that is not
+    /// known, as of jobs that were taken before this process ran.
+    fn step_due(&self, id: &str) -> u64 {
+        let taken_at = self.asks.taken.get(id);
+        let configuration = self.view.configuration.as_ref();
+        let (Some(taken_at), Some(configuration)) = (taken_at, configuration) else {
+            return 0;
+        };
+        let job = self.table.job(id);
+        let route = job.and_then(|job| configuration.route(&job.host, &job.path));
+        route.map_or(0, |route| taken_at + route.due_ms)
+    }
+
     fn answer_read(&mut self, waiting: Waiting) {
         let is_known = self.job_of(&waiting.job, waiting.tenant.as_deref());
         let is_known = is_known.is_some();
--- a/crates/cluster/tests/gathering.rs
+++ b/crates/cluster/tests/gathering.rs
@@ -1,15 +1,37 @@
 //! When held reads are answered.
 
-use brasspond_cluster::storage::gathering::Gathering;
+use brasspond_cluster::storage::gathering::{Gathering, Progress};
+use brasspond_jobs::StepState;
 use rstest::rstest;
 
 /// Plays results that come at these times; gives when the read is answered and how
 /// many it brings.
 fn answered(asked_at: u64, wait: u64, results: &[u64], items: usize) -> (u64, usize) {
-    let mut gathering = Gathering::new(asked_at + wait);
+    answered_step(asked_at, wait, results, items, 0, 0)
+}
+
+/// The same where a trainer waits for `desired` results of a step that is due at `due`.
+fn answered_step(
+    asked_at: u64,
+    wait: u64,
+    results: &[u64],
+    items: usize,
+    desired: usize,
+    due: u64,
+) -> (u64, usize) {
+    let mut gathering = Gathering::new(asked_at + wait, due);
     for now in asked_at.. {
         let there = results.iter().filter(|at| **at <= now).count();
-        gathering.note(there, there == items, now);
+        let progress = Progress {
+            results: there,
+            is_complete: there == items,
+            step: match desired {
+                0 => StepState::NoTrainer,
+                _ if there < desired => StepState::Awaited,
+                _ => StepState::Ready,
+            },
+        };
+        gathering.note(progress, now);
         if now >= gathering.due_at() {
             return (now, there);
         }
@@ -44,3 +66,25 @@
 ) {
     assert_eq!(answered(0, wait, results, items), answer);
 }
+
+/// A trainer goes on with the last group that it waits for: a read answered before has
+/// it come back later (llyfr-rollout-now-grown quiet-1: steps ended 0.5 s after their last
+/// text).
+#[rstest]
+#[case::the_last_one_comes(0, &[100, 300, 700], 3, 7_500, (700, 3))]
+#[case::it_does_not_come(0, &[100, 300], 3, 7_500, (1_000, 2))]
+#[case::it_was_there(0, &[0, 0, 0], 3, 7_500, (0, 3))]
+#[case::the_step_is_due(7_000, &[7_100, 7_300], 3, 7_500, (7_620, 2))]
+#[case::it_was_due_before(8_000, &[8_100], 3, 7_500, (8_220, 1))]
+fn a_read_waits_for_its_step(
+    #[case] asked_at: u64,
+    #[case] results: &[u64],
+    #[case] desired: usize,
+    #[case] due: u64,
+    #[case] answer: (u64, usize),
+) {
+    assert_eq!(
+        answered_step(asked_at, 1_000, results, 100, desired, due),
+        answer
+    );
+}
--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -9,6 +9,7 @@
 
 mod away;
 mod command;
+mod groups;
 mod table;
 
 pub use away::{Away, Place};
@@ -16,4 +17,5 @@
     Command, CommandError, Draft, Item, Listing, Outcome, Part, Piece, Score, ScoringCall,
     Submission,
 };
+pub use groups::{Groups, StepState};
 pub use table::{Accepted, BodyError, Job, JobTable, Page, Positioned};
--- a/crates/jobs/src/table.rs
+++ b/crates/jobs/src/table.rs
@@ -4,12 +4,16 @@
 use crate::command::{
     Command, CommandError, Draft, Item, Listing, Outcome, Part, Piece, Score, Submission,
 };
+use crate::groups::Groups;
 use brasspond_metering::UsageLedger;
 use bytes::{Bytes, BytesMut};
 use serde::{Deserialize, Serialize};
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, HashSet};
 use std::sync::Arc;
 
+/// Steps back to which groups that were not whole may come again.
+const CARRIED_STEPS: u64 = 4;
+
 /// A job and its results so far.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Job {
@@ -41,6 +45,9 @@
     /// Tenant that handed it in; none where callers need no key.
     #[serde(default)]
     pub tenant: Option<Arc<str>>,
+    /// Its groups, as far as they are listed.
+    #[serde(default)]
+    pub groups: Groups,
     /// Texts that lie outside the table; never part of a snapshot.
     #[serde(skip)]
     pub away: Option<Away>,
@@ -237,6 +244,7 @@
         if self.jobs.contains_key(&submission.id) {
             return Accepted::Known;
         }
+        let groups = Groups::new(&submission, &self.earlier_items(&submission));
         let job = Job {
             host: submission.host,
             path: submission.path,
@@ -251,12 +259,24 @@
             drafts: BTreeMap::new(),
             ended: false,
             tenant: submission.tenant,
+            groups,
             away: None,
         };
         self.jobs.insert(submission.id, job);
         Accepted::New
     }
 
+    /// Identities of items of the last jobs of a submission's model that ended.
+    fn earlier_items(&self, submission: &Submission) -> HashSet<&str> {
+        let first = submission.step.saturating_sub(CARRIED_STEPS);
+        let earlier = self
+            .jobs
+            .values()
+            .filter(|job| job.ended && job.model == submission.model && job.step >= first);
+        let items = earlier.flat_map(|job| &job.items);
+        items.map(|item| item.id.as_str()).collect()
+    }
+
     fn list(&mut self, listing: Listing) {
         let Some(job) = self.jobs.get_mut(&listing.job) else {
             return;
@@ -268,6 +288,7 @@
         }
         job.parts.remove(&listing.item);
         job.drafts.remove(&listing.item);
+        job.groups.listed(&job.items[index].group);
         drop_content(&mut job.items[index]);
         job.results.push((listing.item, listing.outcome));
     }
--- a/crates/jobs/tests/table.rs
+++ b/crates/jobs/tests/table.rs
@@ -2,7 +2,7 @@
 
 use brasspond_jobs::{
     Accepted, BodyError, Command, Draft, Item, JobTable, Listing, Outcome, Part, Piece, Score,
-    ScoringCall, Submission,
+    ScoringCall, StepState, Submission,
 };
 use bytes::Bytes;
 use proptest::prelude::*;
@@ -271,3 +271,48 @@
         }
     }
 }
+
+/// A step of two items a group: `listed` items are listed; of an earlier step the items
+/// of `carried` groups come again.
+#[rstest]
+#[case::nothing(&[], 0, StepState::Awaited)]
+#[case::no_whole_group(&[0, 2, 4, 6], 0, StepState::Awaited)]
+#[case::enough_whole_groups(&[0, 1, 4, 5], 0, StepState::Ready)]
+#[case::others_than_the_carried(&[2, 3, 4, 5], 1, StepState::Awaited)]
+#[case::the_carried_and_another(&[0, 1, 4, 5], 1, StepState::Ready)]
+fn a_step_is_ready_with_the_groups_its_trainer_waits_for(
+    #[case] listed: &[u32],
+    #[case] carried: usize,
+    #[case] expected: StepState,
+) {
+    const GROUPS: usize = 4;
+    let mut table = JobTable::default();
+    let mut step = |id: &str, first: usize, number: u64| {
+        let mut submission = submission(id, 2 * GROUPS);
+        submission.step = number;
+        submission.desired = 2;
+        for (index, item) in submission.items.iter_mut().enumerate() {
+            item.id = format!("item-{}", first + index);
+            item.group = format!("group-{}", (first + index) / 2);
+        }
+        table.apply(Command::Accept(submission));
+        if id == "earlier" {
+            table.apply(Command::End {
+                job: id.to_string(),
+            });
+        }
+    };
+    let items = 2 * GROUPS;
+    step("earlier", 0, 1);
+    // The last groups of the earlier step come first in the later one.
+    step("later", items - 2 * carried, 2);
+    for item in listed {
+        table.apply(Command::List(vec![listing("later", *item, "text")]));
+    }
+    let job = table.job("later").expect("known");
+    assert_eq!(job.groups.step(), expected);
+    // The state outlives a snapshot.
+    let encoded = table.encode().expect("encoded");
+    let decoded = JobTable::decode(&encoded).expect("decoded");
+    assert_eq!(decoded.job("later").expect("known").groups.step(), expected);
+}
