What a full replica costs is learned, not fixed at 0.3

Ruled out: noise of paces alone (a move to a faster replica needs 1.15 times). Change: paces are compared with each replica's own means, the slope is fitted over all of a service; a replica's pace is kept as that of an empty one, placements and moves add the company that a run will have.

--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -9,6 +9,7 @@
 mod demand;
 mod dispatcher;
 mod jobs;
+mod load_cost;
 mod loads;
 mod moves;
 mod orders;
--- a/crates/dispatch/src/moves.rs
+++ b/crates/dispatch/src/moves.rs
@@ -240,7 +240,8 @@
                 continue;
             }
             let own = self.replicas.by_id.get(&run.replica);
-            let Some(own_ms) = own.and_then(|one| one.event_ms) else {
+            let own = own.filter(|one| one.event_ms.is_some());
+            let Some(own_ms) = own.and_then(|one| self.replicas.pace_with(one, 0)) else {
                 continue;
             };
             if self.take_room(&mut rooms, run, own_ms) {
@@ -288,8 +289,8 @@
     fn rooms(&self, now: Millis) -> Vec<Room> {
         let mut rooms = Vec::new();
         for (id, replica) in &self.replicas.by_id {
-            let typical = self.replicas.typical_event_ms(&replica.service);
-            let event_ms = replica.event_ms.or(typical).unwrap_or(UNKNOWN_EVENT_MS);
+            let event_ms = self.replicas.pace_with(replica, 1);
+            let event_ms = event_ms.unwrap_or(UNKNOWN_EVENT_MS);
             let free = replica.slots.saturating_sub(replica.running);
             let takes_runs = !replica.draining && replica.paused_until <= now;
             if takes_runs && free > 0 && !self.orders.is_busy(id) {
--- a/crates/dispatch/src/replicas.rs
+++ b/crates/dispatch/src/replicas.rs
@@ -1,6 +1,7 @@
 //! What is known of each replica: its load, its speed, its faults.
 
 use crate::dispatcher::Millis;
+use crate::load_cost::{LoadCost, Means};
 use brasspond_fleet::FleetView;
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
@@ -13,8 +14,6 @@
 const SPEED_WEIGHT: f64 = 0.3;
 /// Time after a load in which runs still tell of the pause it made, in ms.
 const AFTER_LOAD: Millis = 400;
-/// A full replica counts as this much slower than an empty one.
-const LOAD_COST: f64 = 0.3;
 /// A replica that serves another model first counts as this much slower.
 const OTHER_MODEL_COST: f64 = 0.6;
 
@@ -30,8 +29,10 @@
     pub leaves: bool,
     pub versions: HashMap<String, u64>,
     pub running: usize,
-    /// Milliseconds an event takes; none before any was seen.
+    /// Milliseconds an event takes while nothing else runs; none before any was seen.
     pub event_ms: Option<f64>,
+    /// Its paces and fill lately.
+    means: Option<Means>,
     pub faults: u32,
     pub paused_until: Millis,
     /// Paces told earlier say nothing: it loaded.
@@ -44,6 +45,8 @@
     pub by_id: BTreeMap<String, Replica>,
     /// Median time of an event by service, as of the last tick.
     typical: HashMap<String, f64>,
+    /// What a full replica costs, by service.
+    load_costs: HashMap<String, LoadCost>,
 }
 
 /// What a run asks of a replica.
@@ -75,6 +78,7 @@
                 versions: HashMap::new(),
                 running: 0,
                 event_ms: None,
+                means: None,
                 faults: 0,
                 paused_until: 0,
                 paced_from: 0,
@@ -98,6 +102,7 @@
         now: Millis,
     ) -> Option<String> {
         let typical = self.typical_event_ms(need.service).unwrap_or(1.0);
+        let load_cost = self.load_cost(need.service);
         let fitting = self.by_id.iter().filter(|(id, replica)| {
             replica.service == need.service
                 && !replica.draining
@@ -108,8 +113,7 @@
         });
         let cost = |id: &str, replica: &Replica| {
             let speed = replica.event_ms.unwrap_or(typical);
-            let load = replica.running as f64 / replica.slots.max(1) as f64;
-            let mut cost = speed * (1.0 + LOAD_COST * load);
+            let mut cost = speed * load_cost.factor(replica.fill());
             if !serves_first(id) {
                 cost *= 1.0 + OTHER_MODEL_COST;
             }
@@ -120,6 +124,20 @@
         best.map(|(_, id)| id.clone())
     }
 
+    /// What a full replica of a service costs.
+    pub fn load_cost(&self, service: &str) -> LoadCost {
+        self.load_costs.get(service).copied().unwrap_or_default()
+    }
+
+    /// Time of an event on a replica with `more` runs than it has, in ms; none before
+    /// anything is known.
+    pub fn pace_with(&self, replica: &Replica, more: usize) -> Option<f64> {
+        let typical = self.typical_event_ms(&replica.service);
+        let event_ms = replica.event_ms.or(typical)?;
+        let fill = (replica.running + more) as f64 / replica.slots.max(1) as f64;
+        Some(event_ms * self.load_cost(&replica.service).factor(fill))
+    }
+
     /// Median time of an event over the replicas of a service, in ms.
     pub fn typical_event_ms(&self, service: &str) -> Option<f64> {
         self.typical.get(service).copied()
@@ -145,8 +163,15 @@
             if now < replica.paced_from {
                 return;
             }
-            let known = replica.event_ms.unwrap_or(event_ms);
-            replica.event_ms = Some(known + SPEED_WEIGHT * (event_ms - known));
+            let fill = replica.fill();
+            let load_cost = match self.load_costs.get_mut(&replica.service) {
+                Some(load_cost) => load_cost,
+                None => self.load_costs.entry(replica.service.clone()).or_default(),
+            };
+            load_cost.note(&mut replica.means, event_ms, fill);
+            let alone = event_ms / load_cost.factor(fill);
+            let known = replica.event_ms.unwrap_or(alone);
+            replica.event_ms = Some(known + SPEED_WEIGHT * (alone - known));
             replica.faults = 0;
         }
     }
@@ -169,6 +194,11 @@
 }
 
 impl Replica {
+    /// Part of its places that are taken, 0 to 1.
+    fn fill(&self) -> f64 {
+        self.running as f64 / self.slots.max(1) as f64
+    }
+
     pub fn has_version(&self, need: &Need<'_>) -> bool {
         if need.model.is_empty() || (need.min_version == 0 && need.exact.is_none()) {
             return true;
