Many items are placed by one look at the fleet; messages are packed without a new packer each

Change: queues of replicas by need, priced anew at the head, kept for a time that grows with the fleet, fed with replicas that get room; at most 512 starts at a time; replicas that may move between models are sorted once; needs of all models are counted in one pass over two ordered maps; free rooms are kept by model. Packing and unpacking reuse their state.

--- a/crates/cluster/src/storage/asks.rs
+++ b/crates/cluster/src/storage/asks.rs
@@ -141,14 +141,15 @@
             tenant,
         } = question
         {
-            let until = self.clock.now() + wait_ms;
+            let now = self.clock.now();
+            let until = now + wait_ms;
             let step_due = self.step_due(&job);
             self.asks.waiting.push(Waiting {
                 asker,
                 job,
                 since,
                 tenant,
-                gathering: Gathering::new(until, step_due),
+                gathering: Gathering::new(now, until, step_due),
             });
         }
     }
--- a/crates/cluster/src/storage/gathering.rs
+++ b/crates/cluster/src/storage/gathering.rs
@@ -28,6 +28,9 @@
     pub step: StepState,
 }
 
+/// Time from one read to the next of a reader that is answered at once, in ms.
+const READ_PERIOD: u64 = 500;
+
 /// Results that exist for a held read.
 #[derive(Clone, Copy, Debug)]
 struct Gathered {
@@ -41,19 +44,21 @@
 pub struct Gathering {
     /// When it is answered at the latest, in ms.
     until: u64,
-    /// When its step is due, in ms; 0 where that is not known.
-    step_due: u64,
+    /// Until when it is held where its step is waited for, in ms.
+    step_until: u64,
     /// A step was waited for when it was last looked at.
     waits: bool,
     gathered: Option<Gathered>,
 }
 
 impl Gathering {
-    /// A read that may be held until `until`, of a step that is due at `step_due`.
-    pub fn new(until: u64, step_due: u64) -> Self {
+    /// A read asked now that may be held until `until`, of a step that is due at
+    /// `step_due`, 0 where that is not known. Once the step is due each group counts
+    /// by itself: then it is held no longer than until its reader would come again.
+    pub fn new(now: u64, until: u64, step_due: u64) -> Self {
         Self {
             until,
-            step_due,
+            step_until: until.min(step_due.max(now + READ_PERIOD)),
             waits: false,
             gathered: None,
         }
@@ -61,7 +66,7 @@
 
     /// What there is for it now.
     pub fn note(&mut self, progress: Progress, now: u64) {
-        self.waits = progress.step == StepState::Awaited && now < self.step_due;
+        self.waits = progress.step == StepState::Awaited && now < self.step_until;
         if progress.results == 0 || self.waits {
             return;
         }
@@ -82,7 +87,7 @@
     /// When it is to be answered if nothing more comes, in ms.
     pub fn due_at(&self) -> u64 {
         if self.waits {
-            return self.step_due.min(self.until);
+            return self.step_until;
         }
         let Some(gathered) = self.gathered else {
             return self.until;
--- a/crates/compression/src/lib.rs
+++ b/crates/compression/src/lib.rs
@@ -8,10 +8,8 @@
 
 use bytes::{Buf, Bytes};
 use displaydoc::Display;
-use flate2::Compression;
-use flate2::read::DeflateDecoder;
-use flate2::write::DeflateEncoder;
-use std::io::{Read, Write};
+use flate2::{Compress, Compression, Decompress, FlushCompress, FlushDecompress, Status};
+use std::cell::RefCell;
 
 /// Tag of bytes as they are.
 pub const PLAIN: u8 = 0;
@@ -21,6 +19,16 @@
 /// Shorter runs of bytes stay as they are.
 const SHORTEST: usize = 256;
 
+/// Times by which content is longer than its stream, roughly.
+const EXPECTED_RATIO: usize = 2;
+
+thread_local! {
+    /// Kept between calls: making one costs far more than packing a message.
+    static COMPRESS: RefCell<Compress> =
+        RefCell::new(Compress::new(Compression::fast(), false));
+    static DECOMPRESS: RefCell<Decompress> = RefCell::new(Decompress::new(false));
+}
+
 /// Why packed bytes cannot be read.
 #[derive(Debug, Display)]
 pub enum UnpackError {
@@ -51,12 +59,14 @@
 
 /// The tagged stream, if it is smaller than the bytes.
 fn deflate(bytes: &[u8]) -> Option<Bytes> {
-    let mut packed = Vec::with_capacity(bytes.len() / 2);
+    let mut packed = Vec::with_capacity(bytes.len());
     packed.push(DEFLATED);
-    let mut encoder = DeflateEncoder::new(packed, Compression::fast());
-    encoder.write_all(bytes).ok()?;
-    let packed = encoder.finish().ok()?;
-    (packed.len() <= bytes.len()).then(|| packed.into())
+    let status = COMPRESS.with_borrow_mut(|compress| {
+        compress.reset();
+        compress.compress_vec(bytes, &mut packed, FlushCompress::Finish)
+    });
+    // What does not end within the capacity is not smaller.
+    matches!(status, Ok(Status::StreamEnd)).then(|| packed.into())
 }
 
 /// Unpacks bytes of at most `longest` bytes; plain ones share their memory.
@@ -76,13 +86,28 @@
 }
 
 fn inflate(packed: &[u8], longest: usize) -> Result<Bytes, UnpackError> {
-    let mut bytes = Vec::with_capacity(packed.len() * 2);
-    let one_more = longest as u64 + 1;
-    let mut decoder = DeflateDecoder::new(packed).take(one_more);
-    let read = decoder.read_to_end(&mut bytes);
-    read.map_err(UnpackError::Stream)?;
-    if bytes.len() > longest {
-        return Err(UnpackError::TooLong(longest));
-    }
+    let mut bytes = Vec::with_capacity(packed.len() * EXPECTED_RATIO);
+    DECOMPRESS.with_borrow_mut(|decompress| {
+        decompress.reset(false);
+        loop {
+            let read = decompress.total_in() as usize;
+            let status =
+                decompress.decompress_vec(&packed[read..], &mut bytes, FlushDecompress::None);
+            let status = status.map_err(|error| UnpackError::Stream(error.into()))?;
+            if bytes.len() > longest {
+                return Err(UnpackError::TooLong(longest));
+            }
+            if status == Status::StreamEnd {
+                return Ok(());
+            }
+            let is_stuck = bytes.len() < bytes.capacity();
+            if is_stuck && decompress.total_in() as usize == packed.len() {
+                return Err(UnpackError::Stream(
+                    std::io::ErrorKind::UnexpectedEof.into(),
+                ));
+            }
+            bytes.reserve(bytes.len().max(SHORTEST));
+        }
+    })?;
     Ok(bytes.into())
 }
--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -3,6 +3,7 @@
 use crate::demand::Demand;
 use crate::jobs::JobRuns;
 use crate::orders::{OrderAnswer, Orders, ReplicaReport};
+use crate::placement::Placement;
 use crate::replicas::Replicas;
 use crate::runs::Runs;
 use crate::scoring::Scorings;
@@ -272,6 +273,7 @@
     pub(crate) scorings: Scorings,
     pub(crate) replicas: Replicas,
     pub(crate) orders: Orders,
+    pub(crate) placement: Placement,
     demand: Demand,
     /// Replicas are to be divided anew at the next tick: jobs of several models
     /// often come together.
@@ -302,6 +304,7 @@
             scorings: Scorings::default(),
             replicas: Replicas::default(),
             orders: Orders::new(leases),
+            placement: Placement::default(),
             demand: Demand::default(),
             demand_changed: false,
             actions: Vec::new(),
@@ -421,6 +424,7 @@
             self.jobs.resolve_routes(&self.view);
         }
         self.orders.assign(&self.view, &self.demand);
+        self.placement.forget();
     }
 
     fn open_job(&mut self, id: &str, table: &JobTable, now: Millis) {
@@ -485,6 +489,7 @@
         self.pass_over_standstill(now);
         if std::mem::take(&mut self.demand_changed) {
             self.orders.assign(&self.view, &self.demand);
+            self.placement.forget();
         }
         self.replicas.renew_typical();
         self.move_from_leaving(now);
--- a/crates/dispatch/src/jobs.rs
+++ b/crates/dispatch/src/jobs.rs
@@ -255,6 +255,15 @@
         jobs.any(|job| job.model == model && !job.waiting.is_empty())
     }
 
+    /// Jobs of which items wait, the oldest first.
+    pub fn with_waiting(&self) -> Vec<String> {
+        let has_waiting = |id: &&String| {
+            let job = self.jobs.get(*id);
+            job.is_some_and(|job| !job.waiting.is_empty())
+        };
+        self.order.iter().filter(has_waiting).cloned().collect()
+    }
+
     /// Items of a model that wait.
     pub fn waiting_of(&self, model: &str) -> usize {
         let of_model = self.jobs.values().filter(|job| job.model == model);
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -13,6 +13,7 @@
 mod loads;
 mod moves;
 mod orders;
+mod placement;
 mod replicas;
 mod runs;
 mod scoring;
--- a/crates/dispatch/src/moves.rs
+++ b/crates/dispatch/src/moves.rs
@@ -4,10 +4,10 @@
 //! which takes milliseconds.
 
 use crate::dispatcher::{Dispatcher, Millis};
-use crate::replicas::Need;
+use crate::replicas::{Need, Replica};
 use crate::runs::{Run, exact_version};
 use brasspond_cluster_protocol::AttemptId;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, HashMap};
 
 /// Events of a run after which it is worth moving.
 const MOVE_EVENTS: u64 = 2;
@@ -29,13 +29,39 @@
 const UNKNOWN_EVENT_MS: f64 = f64::INFINITY;
 
 /// Free places on a replica.
-struct Room {
-    replica: String,
+struct Room<'a> {
+    replica: &'a Replica,
     /// Milliseconds an event takes there.
     event_ms: f64,
     free: usize,
 }
 
+/// Free places by the model that their replicas serve first, the fastest first.
+struct Rooms<'a> {
+    by_model: HashMap<Option<&'a str>, Vec<Room<'a>>>,
+}
+
+impl<'a> Rooms<'a> {
+    /// Takes a place on a replica that may go on with a run, on a faster one than the
+    /// run's own (in ms an event) where that is given.
+    fn take(&mut self, need: &Need<'a>, own_ms: Option<f64>) -> bool {
+        for first in [Some(need.model), None] {
+            for room in self.by_model.get_mut(&first).into_iter().flatten() {
+                if own_ms.is_some_and(|own_ms| own_ms <= room.event_ms * FASTER_FACTOR) {
+                    // All that follow are slower yet.
+                    break;
+                }
+                let fits = room.replica.service == need.service && room.replica.has_version(need);
+                if room.free > 0 && fits {
+                    room.free -= 1;
+                    return true;
+                }
+            }
+        }
+        false
+    }
+}
+
 impl Dispatcher {
     /// Stops a run at its edge and waits for its last events, so that its item
     /// goes on elsewhere without making any of them again.
@@ -110,27 +136,17 @@
             return;
         }
         let mut rooms = self.rooms(now);
+        let mut leaving = Vec::new();
         for attempt in moving {
-            if self.take_any_room(&mut rooms, attempt) {
-                self.hand_over(attempt, "replica_leaves", now);
+            let run = self.runs.by_id.get(&attempt);
+            let need = run.and_then(|run| self.need_of(run));
+            if need.is_some_and(|need| rooms.take(&need, None)) {
+                leaving.push(attempt);
             }
         }
-    }
-
-    /// Takes a place for a run on any replica that may go on with its text.
-    fn take_any_room(&self, rooms: &mut [Room], attempt: AttemptId) -> bool {
-        let run = self.runs.by_id.get(&attempt);
-        let Some(need) = run.and_then(|run| self.need_of(run)) else {
-            return false;
-        };
-        let room = rooms
-            .iter_mut()
-            .find(|room| room.free > 0 && self.fits(&room.replica, &need));
-        let Some(room) = room else {
-            return false;
-        };
-        room.free -= 1;
-        true
+        for attempt in leaving {
+            self.hand_over(attempt, "replica_leaves", now);
+        }
     }
 
     /// What a run asks of a replica that goes on with its text; none where its job
@@ -202,7 +218,7 @@
                 continue;
             };
             let may_move = run.made >= MOVE_EVENTS && !run.cancelled;
-            if may_move && self.take_room(&mut rooms, run, *own_ms) {
+            if may_move && self.take_faster(&mut rooms, run, *own_ms) {
                 moving.push(*attempt);
             }
         }
@@ -236,7 +252,10 @@
         let mut rooms = self.rooms(now);
         let mut moving = Vec::new();
         for (attempt, run) in &self.runs.by_id {
-            if run.cancelled || run.made < FASTER_EVENTS || moving.len() >= FASTER_AT_ONCE {
+            if moving.len() >= FASTER_AT_ONCE {
+                break;
+            }
+            if run.cancelled || run.made < FASTER_EVENTS {
                 continue;
             }
             let own = self.replicas.by_id.get(&run.replica);
@@ -244,7 +263,7 @@
             let Some(own_ms) = own.and_then(|one| self.replicas.pace_with(one, 0)) else {
                 continue;
             };
-            if self.take_room(&mut rooms, run, own_ms) {
+            if self.take_faster(&mut rooms, run, own_ms) {
                 moving.push(*attempt);
             }
         }
@@ -253,61 +272,38 @@
         }
     }
 
-    /// Takes a place for a run on a replica that is faster than its own and may
-    /// go on with its text; none while items of its model wait for places.
-    fn take_room(&self, rooms: &mut [Room], run: &Run, own_ms: f64) -> bool {
+    /// Takes a place for a run on a replica that is faster than its own; none while
+    /// items of its model wait for places.
+    fn take_faster<'a>(&'a self, rooms: &mut Rooms<'a>, run: &Run, own_ms: f64) -> bool {
         let Some(need) = self.need_of(run) else {
             return false;
         };
-        if !rooms
-            .first()
-            .is_some_and(|best| best.is_faster_than(own_ms))
-            || self.jobs.has_waiting(need.model)
-        {
-            return false;
-        }
-        let mut faster = rooms.iter_mut();
-        let faster = faster.find(|room| {
-            room.free > 0 && room.is_faster_than(own_ms) && self.fits(&room.replica, &need)
-        });
-        let Some(room) = faster else {
-            return false;
-        };
-        room.free -= 1;
-        true
+        !self.jobs.has_waiting(need.model) && rooms.take(&need, Some(own_ms))
     }
 
-    /// Whether a replica would take a run at this moment.
-    fn fits(&self, replica: &str, need: &Need<'_>) -> bool {
-        let known = self.replicas.by_id.get(replica);
-        let first = self.orders.serves_first.get(replica);
-        known.is_some_and(|known| known.service == need.service && known.has_version(need))
-            && first.is_none_or(|model| model == need.model)
-    }
-
-    /// Free places on replicas, the fastest first.
-    fn rooms(&self, now: Millis) -> Vec<Room> {
-        let mut rooms = Vec::new();
+    /// Free places on replicas that take runs.
+    fn rooms(&self, now: Millis) -> Rooms<'_> {
+        let mut by_model: HashMap<Option<&str>, Vec<Room<'_>>> = HashMap::new();
+        let mut serves_first = self.orders.serves_first.iter().peekable();
         for (id, replica) in &self.replicas.by_id {
-            let event_ms = self.replicas.pace_with(replica, 1);
-            let event_ms = event_ms.unwrap_or(UNKNOWN_EVENT_MS);
+            // Both maps are ordered by identity.
+            while serves_first.next_if(|(other, _)| *other < id).is_some() {}
+            let first = serves_first.next_if(|(other, _)| *other == id);
             let free = replica.slots.saturating_sub(replica.running);
             let takes_runs = !replica.draining && replica.paused_until <= now;
             if takes_runs && free > 0 && !self.orders.is_busy(id) {
-                rooms.push(Room {
-                    replica: id.clone(),
-                    event_ms,
+                let event_ms = self.replicas.pace_with(replica, 1);
+                let rooms = by_model.entry(first.map(|(_, model)| model.as_str()));
+                rooms.or_default().push(Room {
+                    replica,
+                    event_ms: event_ms.unwrap_or(UNKNOWN_EVENT_MS),
                     free,
                 });
             }
         }
-        rooms.sort_by(|a, b| a.event_ms.total_cmp(&b.event_ms));
-        rooms
-    }
-}
-
-impl Room {
-    fn is_faster_than(&self, own_ms: f64) -> bool {
-        own_ms > self.event_ms * FASTER_FACTOR
+        for rooms in by_model.values_mut() {
+            rooms.sort_by(|a, b| a.event_ms.total_cmp(&b.event_ms));
+        }
+        Rooms { by_model }
     }
 }
--- a/crates/dispatch/src/orders.rs
+++ b/crates/dispatch/src/orders.rs
@@ -9,6 +9,7 @@
 use crate::demand::Demand;
 use crate::dispatcher::{Action, Dispatcher, Millis, OrderLeases};
 use crate::loads::LoadLimit;
+use crate::replicas::Replica;
 use brasspond_fleet::FleetView;
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, HashMap};
@@ -174,14 +175,19 @@
         demand: &Demand,
         view: &FleetView,
     ) {
+        // Of each pair of models the replicas that may move, the freshest last.
+        let mut leaving: HashMap<(usize, usize), Vec<String>> = HashMap::new();
         while let Some((from, to)) = demand.shift(models, &counts) {
-            let version = |id: &str| view.replicas.get(id)?.version_of(&models[to]);
-            let leaving = self.serves_first.iter();
-            let leaving = leaving.filter(|(_, model)| **model == models[from]);
-            let freshest = leaving.max_by_key(|(id, _)| version(id)).map(|(id, _)| id);
-            let Some(id) = freshest.cloned() else {
+            let movable = leaving
+                .entry((from, to))
+                .or_insert_with(|| self.movable(&models[from], &models[to], view));
+            let Some(id) = movable.pop() else {
                 return;
             };
+            let still_serves = self.serves_first.get(&id) == Some(&models[from]);
+            if !still_serves {
+                continue;
+            }
             log::info!(
                 "event=replica_reassigned replica={id} from={} to={}",
                 models[from],
@@ -192,6 +198,16 @@
             counts[to] += 1;
         }
     }
+
+    /// Replicas that serve one model first, by the version that they hold of another.
+    fn movable(&self, from: &str, to: &str, view: &FleetView) -> Vec<String> {
+        let version = |id: &str| view.replicas.get(id)?.version_of(to);
+        let serving = self.serves_first.iter();
+        let serving = serving.filter(|(_, model)| *model == from);
+        let mut movable: Vec<_> = serving.map(|(id, _)| (version(id), id.clone())).collect();
+        movable.sort();
+        movable.into_iter().map(|(_, id)| id).collect()
+    }
 }
 
 /// A load that is due; of one model the lesser goes first.
@@ -222,6 +238,21 @@
     has_server: bool,
 }
 
+/// Replicas of a model, and those of them that have its newest version or load it.
+#[derive(Clone, Copy, Debug, Default)]
+struct Freshness {
+    replicas: usize,
+    fresh: usize,
+}
+
+impl Freshness {
+    /// How many more are to have it.
+    fn wanted(self, share: f64) -> usize {
+        let wanted = (self.replicas as f64 * share).ceil() as usize;
+        wanted.saturating_sub(self.fresh)
+    }
+}
+
 impl Dispatcher {
     /// Begins loads that are due and asks after those under way.
     pub(crate) fn plan_orders(&mut self, now: Millis) {
@@ -289,21 +320,20 @@
     fn due_loads(&self, needs: &[ModelNeed<'_>], now: Millis) -> Vec<Vec<DueLoad>> {
         let lasting = self.runs.lasting();
         let mut due: Vec<Vec<DueLoad>> = needs.iter().map(|_| Vec::new()).collect();
-        for (id, first) in &self.orders.serves_first {
-            let number = needs.iter().position(|need| need.model == first);
-            let (Some(number), Some(replica)) = (number, self.replicas.by_id.get(id)) else {
+        for (id, first, replica) in self.served() {
+            let Some(number) = needs.iter().position(|need| need.model == first) else {
                 continue;
             };
             let need = &needs[number];
             let version = replica.versions.get(first).copied().unwrap_or(0);
             let is_fit = version >= need.oldest_fit;
             let is_due = version < need.target && (need.wants_more > 0 || !is_fit);
-            let runs = lasting.get(id.as_str()).copied().unwrap_or(0);
+            let runs = lasting.get(id).copied().unwrap_or(0);
             if is_due && self.may_load(id, now) && self.may_pause_runs(id, runs, need) {
                 due[number].push(DueLoad {
                     is_fit,
                     running: replica.running,
-                    replica: id.clone(),
+                    replica: id.to_string(),
                     slots: replica.slots,
                 });
             }
@@ -317,49 +347,70 @@
         due
     }
 
-    /// What each model with a named version needs.
+    /// What each model with a named version needs: the fleet is looked through once.
     fn model_needs(&self) -> Vec<ModelNeed<'_>> {
-        let needs = self.view.versions.iter().map(|(model, target)| {
-            let waiting = self.jobs.waiting_of(model);
-            let mut need = ModelNeed {
-                model,
-                target: *target,
-                oldest_fit: self.oldest_fit(model, *target),
-                wants_more: if waiting == 0 {
-                    self.fresh_wanted(model, *target)
-                } else {
-                    0
-                },
-                shortage: waiting as i64,
-                free: 0,
-                has_server: false,
-            };
-            self.count_places(&mut need);
-            need
+        let needs = self.view.versions.iter().map(|(model, target)| ModelNeed {
+            model,
+            target: *target,
+            oldest_fit: self.oldest_fit(model, *target),
+            wants_more: 0,
+            shortage: self.jobs.waiting_of(model) as i64,
+            free: 0,
+            has_server: false,
         });
-        needs.collect()
-    }
-
-    /// Counts the places that a model has, or will have after loads under way.
-    fn count_places(&self, need: &mut ModelNeed<'_>) {
-        for (id, first) in &self.orders.serves_first {
-            let Some(replica) = self.replicas.by_id.get(id) else {
-                continue;
-            };
-            if first != need.model {
-                continue;
-            }
-            let free = replica.slots.saturating_sub(replica.running);
-            let version = replica.versions.get(first).copied().unwrap_or(0);
-            let is_loading = self.orders.is_busy(id);
-            if is_loading || version >= need.oldest_fit {
-                need.shortage -= free as i64;
-                need.has_server = true;
+        let mut needs: Vec<ModelNeed<'_>> = needs.collect();
+        let mut counts = vec![Freshness::default(); needs.len()];
+        for (id, first, replica) in self.served() {
+            let number = needs.iter().position(|need| need.model == first);
+            if let Some(number) = number {
+                self.count_replica(id, replica, &mut needs[number], &mut counts[number]);
             }
-            if !is_loading {
-                need.free += free;
+        }
+        for (need, count) in needs.iter_mut().zip(counts) {
+            if self.jobs.waiting_of(need.model) == 0 {
+                need.wants_more = count.wanted(self.settings.fresh_share);
             }
         }
+        needs
+    }
+
+    /// Replicas with the model that each serves first, by identity. Both maps are in
+    /// that order, so none is looked up.
+    fn served(&self) -> impl Iterator<Item = (&str, &str, &Replica)> {
+        let mut replicas = self.replicas.by_id.iter().peekable();
+        self.orders
+            .serves_first
+            .iter()
+            .filter_map(move |(id, first)| {
+                while replicas.next_if(|(other, _)| *other < id).is_some() {}
+                let (_, replica) = replicas.next_if(|(other, _)| *other == id)?;
+                Some((id.as_str(), first.as_str(), replica))
+            })
+    }
+
+    /// Counts the places that a model has on a replica, or will have after a load that
+    /// is under way.
+    fn count_replica(
+        &self,
+        id: &str,
+        replica: &Replica,
+        need: &mut ModelNeed<'_>,
+        count: &mut Freshness,
+    ) {
+        let free = replica.slots.saturating_sub(replica.running);
+        let version = replica.versions.get(need.model).copied().unwrap_or(0);
+        let load = self.orders.loads.get(id);
+        if load.is_some() || version >= need.oldest_fit {
+            need.shortage -= free as i64;
+            need.has_server = true;
+        }
+        if load.is_none() {
+            need.free += free;
+        }
+        let loads_newest =
+            load.is_some_and(|load| load.model == need.model && load.version >= need.target);
+        count.replicas += 1;
+        count.fresh += usize::from(loads_newest || version >= need.target);
     }
 
     /// Whether a replica may load though it runs items. They stand still for the
@@ -382,25 +433,6 @@
         asked.max(target.saturating_sub(1)).min(target)
     }
 
-    /// How many more replicas of a model are to have a version than have or load it.
-    fn fresh_wanted(&self, model: &str, target: u64) -> usize {
-        let of_model = self.orders.serves_first.iter();
-        let of_model = of_model.filter(|(_, first)| *first == model);
-        let mut fresh = 0;
-        let mut total = 0;
-        for (id, _) in of_model {
-            total += 1;
-            let replica = self.replicas.by_id.get(id);
-            let version = replica.and_then(|one| one.versions.get(model)).copied();
-            let loads = self.orders.loads.get(id);
-            let is_loading =
-                loads.is_some_and(|load| load.model == model && load.version >= target);
-            fresh += usize::from(is_loading || version.is_some_and(|known| known >= target));
-        }
-        let wanted = (f64::from(total) * self.settings.fresh_share).ceil() as usize;
-        wanted.saturating_sub(fresh)
-    }
-
     fn may_load(&self, id: &str, now: Millis) -> bool {
         let is_due = self.orders.not_before.get(id).is_none_or(|at| *at <= now);
         is_due && !self.orders.is_leased(id, now) && !self.orders.loads.contains_key(id)
@@ -504,6 +536,7 @@
             self.learn_from_load(id, took, now);
             self.orders.loads.remove(id);
             self.replicas.set_version(id, &model, version, now);
+            self.placement.freed(id);
             let took = took.unwrap_or(0);
             log::info!(
                 "event=version_loaded replica={id} model={model} version={version} took_ms={took}"
@@ -556,6 +589,7 @@
                 let (model, version) = (load.model.clone(), load.version);
                 self.orders.loads.remove(id);
                 self.replicas.set_version(id, &model, version, now);
+                self.placement.freed(id);
             }
             OrderAnswer::Unknown | OrderAnswer::Conflict => {
                 self.orders.sequences.remove(id);
@@ -570,6 +604,7 @@
 
     fn abandon_load(&mut self, id: &str, now: Millis) {
         self.orders.loads.remove(id);
+        self.placement.freed(id);
         self.orders.sequences.remove(id);
         let again = now + LEFT_ALONE;
         self.orders.not_before.insert(id.to_string(), again);
--- a/crates/dispatch/src/replicas.rs
+++ b/crates/dispatch/src/replicas.rs
@@ -14,8 +14,6 @@
 const SPEED_WEIGHT: f64 = 0.3;
 /// Time after a load in which runs still tell of the pause it made, in ms.
 const AFTER_LOAD: Millis = 400;
-/// A replica that serves another model first counts as this much slower.
-const OTHER_MODEL_COST: f64 = 0.6;
 
 /// A replica.
 #[derive(Clone, Debug)]
@@ -93,37 +91,6 @@
         }
     }
 
-    /// The replica on which a run is expected to end first.
-    pub fn choose(
-        &self,
-        need: &Need<'_>,
-        is_loading: impl Fn(&str) -> bool,
-        serves_first: impl Fn(&str) -> bool,
-        now: Millis,
-    ) -> Option<String> {
-        let typical = self.typical_event_ms(need.service).unwrap_or(1.0);
-        let load_cost = self.load_cost(need.service);
-        let fitting = self.by_id.iter().filter(|(id, replica)| {
-            replica.service == need.service
-                && !replica.draining
-                && replica.running < replica.slots
-                && replica.paused_until <= now
-                && replica.has_version(need)
-                && !is_loading(id)
-        });
-        let cost = |id: &str, replica: &Replica| {
-            let speed = replica.event_ms.unwrap_or(typical);
-            let mut cost = speed * load_cost.factor(replica.fill());
-            if !serves_first(id) {
-                cost *= 1.0 + OTHER_MODEL_COST;
-            }
-            cost
-        };
-        let costed = fitting.map(|(id, replica)| (cost(id, replica), id));
-        let best = costed.min_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(b.1)));
-        best.map(|(_, id)| id.clone())
-    }
-
     /// What a full replica of a service costs.
     pub fn load_cost(&self, service: &str) -> LoadCost {
         self.load_costs.get(service).copied().unwrap_or_default()
@@ -195,7 +162,7 @@
 
 impl Replica {
     /// Part of its places that are taken, 0 to 1.
-    fn fill(&self) -> f64 {
+    pub fn fill(&self) -> f64 {
         self.running as f64 / self.slots.max(1) as f64
     }
 
--- a/crates/dispatch/src/runs.rs
+++ b/crates/dispatch/src/runs.rs
@@ -2,11 +2,15 @@
 
 use crate::dispatcher::{Action, Dispatcher, Edge, Millis};
 use crate::jobs::{JobRun, State, draft_of};
+use crate::placement::Sight;
 use crate::replicas::Need;
 use brasspond_cluster_protocol::{AttemptId, Pace, RunEnd, RunSpec, StreamEvent};
 use brasspond_jobs::{JobTable, Listing, Outcome, Part, Piece};
 use std::collections::{BTreeMap, HashMap};
 
+/// Runs started at a time: a few ms of work, so that a leader with thousands of items
+/// to place is heard between them. The next event, ms later, goes on with the others.
+const MOST_STARTS: usize = 512;
 /// Events of a run that are worth an entry of the log.
 const KEPT_EVENTS: usize = 8;
 /// Opening a connection is worth avoiding as much as so many runs on an edge.
@@ -109,8 +113,21 @@
         if now < self.began + self.settings.adopt_ms {
             return;
         }
-        for id in self.jobs.order.clone() {
-            while self.start_one(&id, table, now) {}
+        let waiting = self.jobs.with_waiting();
+        if waiting.is_empty() {
+            return;
+        }
+        let sight = Sight {
+            replicas: &self.replicas,
+            orders: &self.orders,
+            now,
+        };
+        self.placement.refresh(sight);
+        let mut started = 0;
+        for id in waiting {
+            while started < MOST_STARTS && self.start_one(&id, table, now) {
+                started += 1;
+            }
         }
     }
 
@@ -128,20 +145,19 @@
             min_version: job.min_version,
             exact: exact_version(job, &job.items[item as usize].events),
         };
-        let orders = &self.orders;
-        let is_loading = |replica: &str| orders.is_loading(replica, &job.model);
-        let serves_first = |replica: &str| {
-            let first = orders.serves_first.get(replica);
-            first.is_none_or(|model| *model == job.model)
+        let sight = Sight {
+            replicas: &self.replicas,
+            orders: &self.orders,
+            now,
         };
-        let mut chosen = self.replicas.choose(&need, is_loading, serves_first, now);
+        let mut chosen = self.placement.choose(&need, sight);
         let mut begins_anew = false;
         if chosen.is_none() && need.exact.is_some() {
             let anew = Need {
                 exact: None,
                 ..need
             };
-            chosen = self.replicas.choose(&anew, is_loading, serves_first, now);
+            chosen = self.placement.choose(&anew, sight);
             begins_anew = true;
         }
         let Some(replica) = chosen else {
@@ -382,6 +398,7 @@
         let run = self.runs.by_id.remove(&attempt)?;
         if let Some(replica) = self.replicas.by_id.get_mut(&run.replica) {
             replica.running = replica.running.saturating_sub(1);
+            self.placement.freed(&run.replica);
         }
         if let Some(edge) = self.edges.get_mut(&run.machine) {
             edge.running = edge.running.saturating_sub(1);
