--- a/crates/dispatch/examples/fleet_cost.rs
+++ b/crates/dispatch/examples/fleet_cost.rs
@@ -186,15 +186,15 @@
     fn step(&mut self) {
         const STEP: u64 = 10;
         self.now += STEP;
-        if self.now % STEP_MS == 0 {
+        if self.now.is_multiple_of(STEP_MS) {
             self.submit();
         }
         self.end_runs();
-        if self.now % REPORT_MS == 0 {
+        if self.now.is_multiple_of(REPORT_MS) {
             self.report();
         }
         self.end_loads();
-        if self.now % TICK_MS == 0 {
+        if self.now.is_multiple_of(TICK_MS) {
             self.handle("tick", Event::Tick);
         }
     }
