Callers that are turned away are told when what they lacked is expected

Cause: five bare pauses of 150 to 500 ms, the same for all callers of a moment, whatever they lacked. Change: one module: a leader is expected after what is left of an election, a replica when its pause is over or one of its requests is answered, a configuration when a leader tells it; callers are spread over half of that time more, the urgent first; a read whose edge hears no member of the log is sent on to another edge after 200 ms as before. A test of the spread.

--- a/crates/cluster/src/edge/balance.rs
+++ b/crates/cluster/src/edge/balance.rs
@@ -103,6 +103,22 @@
         best.map(|(_, _, id)| id.clone())
     }
 
+    /// Time until a replica of a service takes a request: until the first pause is over, or
+    /// until one of its requests is answered. None: it has no replica.
+    pub fn next_room(&self, service: &str) -> Option<Duration> {
+        let now = Instant::now();
+        let replicas = self.replicas.values();
+        let replicas = replicas.filter(|known| known.service == service && !known.draining);
+        let room = replicas.map(|known| {
+            let paused = known
+                .paused_until
+                .map_or(Duration::ZERO, |until| until.saturating_duration_since(now));
+            let answer_ms = known.answer_ms.unwrap_or(UNKNOWN_MS);
+            paused.max(Duration::from_secs_f64(answer_ms / 1_000.0))
+        });
+        room.min()
+    }
+
     /// Whether a replica of a service has room for work of no hurry.
     pub fn has_room(&self, service: &str) -> bool {
         let now = Instant::now();
--- a/crates/cluster/src/edge/forward.rs
+++ b/crates/cluster/src/edge/forward.rs
@@ -1,8 +1,9 @@
 //! Forwarding of callers' requests to replicas.
 
-use super::front::{Body, Counted, plain, unavailable, whole};
+use super::front::{Body, Counted, plain, whole};
 use super::passing::{Upstream, pass_stream};
 use super::process::Edge;
+use super::retry::Lack;
 use super::usage::Metered;
 use crate::upstream::UpstreamError;
 use brasspond_fleet::{Route, RouteKind, Tenant, choose_target};
@@ -87,7 +88,7 @@
             "event=request_failed request={id} route={} reason=no_service",
             route.name
         );
-        return unavailable(Duration::from_millis(300));
+        return edge.turn_away(Lack::Configuration, route.priority);
     };
     request.run(counted).await
 }
@@ -282,7 +283,9 @@
         if may_have_run {
             return give_up(StatusCode::BAD_GATEWAY);
         }
-        unavailable(Duration::from_millis(150))
+        drop(view);
+        self.edge
+            .turn_away(Lack::Replica(&self.service), self.rank())
     }
 
     /// One attempt at a replica, after the event `after` of the stream if given.
--- a/crates/cluster/src/edge/front.rs
+++ b/crates/cluster/src/edge/front.rs
@@ -3,6 +3,7 @@
 use super::asking::AskError;
 use super::forward::{Admitted, forward, give_up, header_text};
 use super::process::Edge;
+use super::retry::Lack;
 use crate::outside::Call;
 use brasspond_cluster_protocol::{Answer, Question};
 use brasspond_fleet::Denial;
@@ -39,9 +40,6 @@
 const CALL_PATIENCE: u64 = 1_500;
 /// Longest hold of a read of results, in ms.
 const LONGEST_WAIT: u64 = 1_000;
-/// Pause before a caller comes again to an edge that knows no configuration yet, or may
-/// know an old one: about the time in which a leader tells an edge that just started.
-const NO_CONFIGURATION_PAUSE: Duration = Duration::from_millis(300);
 /// Buffer of a connection, in bytes.
 const BUFFER_BYTES: usize = 32 * 1024;
 
@@ -142,7 +140,7 @@
     head: &hyper::http::request::Parts,
 ) -> Result<Option<Arc<str>>, Box<Response<Body>>> {
     let Some(index) = edge.index.borrow().clone() else {
-        return Err(Box::new(unavailable(NO_CONFIGURATION_PAUSE)));
+        return Err(Box::new(edge.turn_away(Lack::Configuration, 0)));
     };
     let credential = edge.outside.dialect.credential(&head.headers);
     let is_public = index.has_public_jobs(&host_of(head));
@@ -171,7 +169,7 @@
         denial.name()
     );
     if is_cut_off && denial == Denial::KeyUnknown {
-        return unavailable(NO_CONFIGURATION_PAUSE);
+        return edge.turn_away(Lack::Configuration, 0);
     }
     plain(StatusCode::UNAUTHORIZED, Bytes::new())
 }
@@ -248,7 +246,7 @@
             request_id(edge, &head),
             head.uri.path()
         );
-        return unavailable(NO_CONFIGURATION_PAUSE);
+        return edge.turn_away(Lack::Configuration, 0);
     };
     let configuration = index.configuration();
     let host = host_of(&head);
@@ -323,7 +321,7 @@
     let (outcome, response) = match answer {
         Ok(Answer::Done) => ("taken", plain(StatusCode::ACCEPTED, Bytes::new())),
         Ok(Answer::Taken) => ("other_tenant", plain(StatusCode::CONFLICT, Bytes::new())),
-        Err(AskError::NotAsked) => ("no_leader", unavailable(Duration::from_millis(500))),
+        Err(AskError::NotAsked) => ("no_leader", edge.turn_away(Lack::Leader, 0)),
         Ok(_) | Err(AskError::Unknown) => ("unknown", give_up(StatusCode::GATEWAY_TIMEOUT)),
     };
     let elapsed = arrived.elapsed();
@@ -344,7 +342,7 @@
     match answer.await {
         Ok(Answer::Page(Some(page))) => json(edge.outside.dialect.page(&page)),
         Ok(Answer::Page(None)) => plain(StatusCode::NOT_FOUND, Bytes::new()),
-        _ => unavailable(Duration::from_millis(200)),
+        _ => edge.turn_away(Lack::Answer, 0),
     }
 }
 
@@ -354,7 +352,7 @@
     match answer.await {
         Ok(Answer::Body(Ok(body))) => plain(StatusCode::OK, body),
         Ok(Answer::Body(Err(_))) => plain(StatusCode::NOT_FOUND, Bytes::new()),
-        _ => unavailable(Duration::from_millis(200)),
+        _ => edge.turn_away(Lack::Answer, 0),
     }
 }
 
@@ -364,7 +362,7 @@
     match answer.await {
         Ok(Answer::Done) => plain(StatusCode::OK, Bytes::new()),
         Ok(Answer::Page(None)) => plain(StatusCode::NOT_FOUND, Bytes::new()),
-        _ => unavailable(Duration::from_millis(200)),
+        _ => edge.turn_away(Lack::Answer, 0),
     }
 }
 
--- a/crates/cluster/src/edge/mod.rs
+++ b/crates/cluster/src/edge/mod.rs
@@ -9,6 +9,7 @@
 mod passing;
 mod process;
 mod ready;
+mod retry;
 mod runs;
 mod scoring;
 mod stream;
--- /dev/null
+++ b/crates/cluster/src/edge/retry.rs
@@ -0,0 +1,74 @@
+//! When a caller that is turned away is told to come back.
+//!
+//! It is told when what it lacked is expected: a leader, a configuration, a replica that is
+//! not paused, a place on one. Callers that are turned away together come back spread
+//! over half of that time more, the urgent ones first.
+
+use super::balance::Balance;
+use super::front::unavailable;
+use super::process::Edge;
+use crate::edge::front::Body;
+use hyper::Response;
+use std::time::Duration;
+
+/// Time until an edge that knows no configuration, or perhaps an old one, is told one: a
+/// leader tells an edge that starts within about this.
+const CONFIGURATION_TIME: Duration = Duration::from_millis(300);
+/// Time from the loss of a leader until the next one answers: a silence of 0.6 to 0.8 s, an
+/// election, and the word to edges.
+const ELECTION_TIME: Duration = Duration::from_millis(1_200);
+/// Pause before a caller asks another edge, which may hear the log's members where this
+/// one is cut off.
+const OTHER_EDGE_TIME: Duration = Duration::from_millis(200);
+/// Time until a replica may come where a service has none: the view of replicas is so old.
+const NO_REPLICA_TIME: Duration = Duration::from_millis(500);
+/// Shortest pause: a round trip and the time of a plain answer.
+const SHORTEST: Duration = Duration::from_millis(100);
+/// Part of the pause over which callers that are turned away together are spread.
+const SPREAD: f64 = 0.5;
+/// Rank at which a caller waits for the whole spread.
+const LAST_RANK: u32 = 9;
+
+/// What a caller lacked.
+#[derive(Clone, Copy, Debug)]
+pub(super) enum Lack<'a> {
+    /// A configuration, or a new one.
+    Configuration,
+    /// A leader, for longer than an edge waits for one.
+    Leader,
+    /// An answer from the log's members that another edge may have.
+    Answer,
+    /// A replica of a service that takes the request.
+    Replica(&'a str),
+}
+
+impl Edge {
+    /// Turns a caller away that may come back: its request was not run and will not be.
+    pub(super) fn turn_away(&self, lack: Lack<'_>, rank: u32) -> Response<Body> {
+        let expected = match lack {
+            Lack::Configuration => CONFIGURATION_TIME,
+            Lack::Leader => {
+                let alone = self.cluster.borrow_mut().alone_for(self.clock.now());
+                ELECTION_TIME.saturating_sub(Duration::from_millis(alone))
+            }
+            Lack::Answer => OTHER_EDGE_TIME,
+            Lack::Replica(service) => expected_room(&self.balance.borrow(), service),
+        };
+        unavailable(spread(expected.max(SHORTEST), rank, rand::random()))
+    }
+}
+
+fn expected_room(balance: &Balance, service: &str) -> Duration {
+    balance.next_room(service).unwrap_or(NO_REPLICA_TIME)
+}
+
+/// A pause of at least `expected`; `draw` is drawn from 0 to 1.
+fn spread(expected: Duration, rank: u32, draw: f64) -> Duration {
+    let rank = f64::from(rank.min(LAST_RANK)) / f64::from(LAST_RANK);
+    // Half of the spread is the rank's, half is drawn.
+    expected.mul_f64(1.0 + SPREAD * (rank + draw) / 2.0)
+}
+
+#[cfg(test)]
+#[path = "../../tests/unit/retry.rs"]
+mod tests;
