Denials, usage reports and orders of replicas are counted and explained

Cause: on-call engineers had log lines of a denied call and of a usage window, but no metric of either and no cause from brasspond explain. Change: metrics brasspond_edge_denials_total{reason}, brasspond_storage_usage_reports_total and replica_orders_total{answer}; explain tells the cause of a denied request and the story of a usage window by its number.

--- a/crates/cluster/src/edge/front.rs
+++ b/crates/cluster/src/edge/front.rs
@@ -162,6 +162,7 @@
     configuration: u64,
 ) -> Response<Body> {
     let is_cut_off = edge.is_cut_off();
+    edge.metrics.denial(denial.name());
     log::info!(
         "event=request_denied request={} path={} reason={} configuration={configuration} cut_off={is_cut_off}",
         request_id(edge, head),
--- a/crates/cluster/src/outside.rs
+++ b/crates/cluster/src/outside.rs
@@ -114,6 +114,18 @@
     Unknown,
 }
 
+impl OperationsAnswer {
+    /// Name for metrics.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Done => "done",
+            Self::Conflict => "conflict",
+            Self::Refused => "refused",
+            Self::Unknown => "unknown",
+        }
+    }
+}
+
 /// Calls to the platform that one holder at a time makes.
 pub trait Operations {
     /// Reports what tenants used in a window.
--- a/crates/cluster/src/storage/group.rs
+++ b/crates/cluster/src/storage/group.rs
@@ -223,11 +223,13 @@
                 }
             }
             Local::UsageSent(term, window, answer) => {
+                self.metrics.usage_report(answer.name());
                 if self.consensus.term() == term {
                     self.usage_sent(window, answer, now);
                 }
             }
             Local::ReplicasOrdered(term, order, answer) => {
+                self.metrics.replica_order(answer.name());
                 if self.consensus.term() == term {
                     self.replicas_ordered(&order, answer);
                 }
--- a/crates/telemetry/src/explain.rs
+++ b/crates/telemetry/src/explain.rs
@@ -74,7 +74,7 @@
     }
 
     fn names(&self, id: &str) -> bool {
-        ["request", "item", "job"]
+        ["request", "item", "job", "window"]
             .iter()
             .any(|key| self.field(key) == id)
     }
@@ -186,6 +186,17 @@
     } else {
         format!("failed attempts: {}", failed.join(", "))
     };
+    if let Some(line) = lines.iter().find(|line| line.event() == "request_denied") {
+        return format!(
+            "turned away for its key: {} by configuration {}, cut off: {}",
+            line.field("reason"),
+            line.field("configuration"),
+            line.field("cut_off")
+        );
+    }
+    if let Some(line) = lines.iter().find(|line| line.event() == "usage_sent") {
+        return window_cause(lines, line);
+    }
     if let Some(line) = lines.iter().find(|line| line.event() == "stream_broken") {
         return format!(
             "stream broke off after event {}; {attempts}",
@@ -219,6 +230,24 @@
     }
 }
 
+/// What became of a usage window; `first` is the first time its report was sent.
+fn window_cause(lines: &[LogLine], first: &LogLine) -> String {
+    let sent = events(lines, "usage_sent");
+    let closed = events(lines, "usage_closed");
+    let late = closed.first().map_or("", |line| line.field("late_ms"));
+    let answers = counts(&sent, "answer");
+    let answers: Vec<String> = answers
+        .into_iter()
+        .map(|(answer, count)| format!("{count} {answer}"))
+        .collect();
+    format!(
+        "usage window of {} requests, closed {late} ms after its end, sent {} times: {}",
+        first.field("requests"),
+        sent.len(),
+        answers.join(", ")
+    )
+}
+
 fn item_cause(lines: &[LogLine]) -> String {
     let started: Vec<&LogLine> = events(lines, "run_started");
     let waited = started.first().map_or("", |line| line.field("waited_ms"));
--- a/crates/telemetry/src/metrics.rs
+++ b/crates/telemetry/src/metrics.rs
@@ -29,6 +29,7 @@
     runs: Counters,
     scorings: Counters,
     scoring_seconds: Histogram,
+    denials: Counters,
     store_reachable: Gauge,
     log_lines_dropped: Gauge,
 }
@@ -45,6 +46,7 @@
         let runs = Counters::default();
         let scorings = Counters::default();
         let scoring_seconds = latency();
+        let denials = Counters::default();
         let store_reachable = Gauge::default();
         let log_lines_dropped = Gauge::default();
         registry.register(
@@ -88,6 +90,11 @@
             "Time from a whole text to its score",
             scoring_seconds.clone(),
         );
+        registry.register(
+            "denials",
+            "Calls turned away for their API key, by reason",
+            denials.clone(),
+        );
         registry.register(
             "store_reachable",
             "1 while the platform's store answers",
@@ -109,6 +116,7 @@
             runs,
             scorings,
             scoring_seconds,
+            denials,
             store_reachable,
             log_lines_dropped,
         }
@@ -127,6 +135,12 @@
         self.request_seconds.get_or_create(&labels).observe(seconds);
     }
 
+    /// A call was turned away for its API key.
+    pub fn denial(&self, reason: &str) {
+        let labels = vec![("reason", reason.to_string())];
+        self.denials.get_or_create(&labels).inc();
+    }
+
     /// An attempt at a replica ended.
     pub fn attempt(&self, outcome: &str, seconds: f64) {
         let labels = vec![("outcome", outcome.to_string())];
@@ -178,6 +192,8 @@
     orders: Counters,
     runs_ended: Counters,
     scorings_ended: Counters,
+    usage_reports: Counters,
+    replica_orders: Counters,
     leaderships: Counter,
     term: Gauge,
     committed: Gauge,
@@ -222,6 +238,8 @@
         let orders = Counters::default();
         let runs_ended = Counters::default();
         let scorings_ended = Counters::default();
+        let usage_reports = Counters::default();
+        let replica_orders = Counters::default();
         let leaderships = Counter::default();
         registry.register("questions", "Questions of edges by kind", questions.clone());
         registry.register(
@@ -241,6 +259,16 @@
             "Scorings by how they ended",
             scorings_ended.clone(),
         );
+        registry.register(
+            "usage_reports",
+            "Usage reports sent, by answer",
+            usage_reports.clone(),
+        );
+        registry.register(
+            "replica_orders",
+            "Orders of replicas sent, by answer",
+            replica_orders.clone(),
+        );
         registry.register(
             "leaderships",
             "Times this process began to lead",
@@ -268,6 +296,8 @@
             orders,
             runs_ended,
             scorings_ended,
+            usage_reports,
+            replica_orders,
             leaderships,
         }
     }
@@ -308,6 +338,18 @@
         self.scorings_ended.get_or_create(&labels).inc();
     }
 
+    /// The platform answered a usage report, or did not.
+    pub fn usage_report(&self, answer: &str) {
+        let labels = vec![("answer", answer.to_string())];
+        self.usage_reports.get_or_create(&labels).inc();
+    }
+
+    /// The platform answered an order of replicas, or did not.
+    pub fn replica_order(&self, answer: &str) {
+        let labels = vec![("answer", answer.to_string())];
+        self.replica_orders.get_or_create(&labels).inc();
+    }
+
     /// This process began to lead.
     pub fn leadership(&self) {
         self.leaderships.inc();
--- a/crates/telemetry/tests/explain.rs
+++ b/crates/telemetry/tests/explain.rs
@@ -7,6 +7,7 @@
 2026-01-01T00:00:01.5Z [INFO] event=attempt_failed request=r1 route=x attempt=1 replica=i-1 outcome=full left_ms=900
 2026-01-01T00:00:01.55Z [INFO] event=request_failed request=r1 route=x attempts=1 may_have_run=false late=false ready_replicas=0
 2026-01-01T00:00:02Z [INFO] event=request_answered request=r2 route=x replica=i-2 attempt=1 status=200 elapsed_ms=31
+2026-01-01T00:00:02.5Z [INFO] event=request_denied request=r3 path=/x reason=key_unknown configuration=7 cut_off=false
 noise that is no event
 2026-01-01T00:00:03Z [INFO] event=leader_silent
 ";
@@ -19,6 +20,9 @@
 2026-01-01T00:00:07Z [INFO] event=scoring_ended job=k item=b attempt=2.3 edge=e-1 end=unanswered elapsed_ms=1004
 2026-01-01T00:00:07.2Z [INFO] event=scoring_ordered job=k item=b attempt=2.4 edge=e-2 request=r9
 2026-01-01T00:00:07.3Z [INFO] event=scoring_ended job=k item=b attempt=2.4 edge=e-2 end=scored elapsed_ms=28
+2026-01-01T00:00:08Z [INFO] event=usage_closed window=356900580 late_ms=501 edges=68
+2026-01-01T00:00:08.2Z [INFO] event=usage_sent window=356900580 requests=42 fence=2 answer=Unknown elapsed_ms=700
+2026-01-01T00:00:09Z [INFO] event=usage_sent window=356900580 requests=42 fence=2 answer=Done elapsed_ms=14
 ";
 
 fn story(id: &str) -> Vec<String> {
@@ -33,6 +37,14 @@
 #[rstest]
 #[case::refused("r1", "not run: no replica was ready; failed attempts: full at i-1")]
 #[case::answered("r2", "answered with 200 by i-2 after 31 ms; no attempt failed")]
+#[case::denied(
+    "r3",
+    "turned away for its key: key_unknown by configuration 7, cut off: false"
+)]
+#[case::usage_window(
+    "356900580",
+    "usage window of 42 requests, closed 501 ms after its end, sent 2 times: 1 Done, 1 Unknown"
+)]
 #[case::item(
     "a",
     "waited 40 ms for a place, 1 runs; 1 moved (stalled); 1 ended whole"
