A replica's notice has the product's own name

Cause: the test that the product does not know the platform's names failed on leaves_ms in crates/ (seen in a run of all tests; the rest passed). Change: notice_ms.

--- a/crates/autoscaling/tests/autoscaler.rs
+++ b/crates/autoscaling/tests/autoscaler.rs
@@ -112,7 +112,7 @@
         models: Vec::new(),
         revision: 1,
         is_spot,
-        leaves_ms: None,
+        notice_ms: None,
     }
 }
 
--- a/crates/dispatch/examples/fleet_cost.rs
+++ b/crates/dispatch/examples/fleet_cost.rs
@@ -120,7 +120,7 @@
             .collect(),
         revision: 1,
         is_spot: false,
-        leaves_ms: None,
+        notice_ms: None,
     }
 }
 
--- a/crates/dispatch/src/replicas.rs
+++ b/crates/dispatch/src/replicas.rs
@@ -82,7 +82,7 @@
                 paced_from: 0,
             });
             replica.draining = info.draining;
-            replica.leaves = info.leaves_ms.is_some();
+            replica.leaves = info.notice_ms.is_some();
             replica.slots = info.slots as usize;
             for served in &info.models {
                 let known = replica.versions.entry(served.name.clone()).or_default();
--- a/crates/dispatch/tests/support/mod.rs
+++ b/crates/dispatch/tests/support/mod.rs
@@ -66,7 +66,7 @@
         }],
         revision: 1,
         is_spot: false,
-        leaves_ms: None,
+        notice_ms: None,
     }
 }
 
--- a/crates/fleet/src/view.rs
+++ b/crates/fleet/src/view.rs
@@ -40,7 +40,7 @@
     /// Time from its notice until it is gone, in ms; none: it leaves once its work is
     /// done, or not at all.
     #[serde(default)]
-    pub leaves_ms: Option<u64>,
+    pub notice_ms: Option<u64>,
 }
 
 impl ReplicaInfo {
--- a/crates/fleet/tests/delta.rs
+++ b/crates/fleet/tests/delta.rs
@@ -16,7 +16,7 @@
         models: Vec::new(),
         revision,
         is_spot: false,
-        leaves_ms: None,
+        notice_ms: None,
     }
 }
 
