A busy process stops packing

Ruled out: placement (fleet_cost: 22% of a core at 3,000 replicas), texts themselves (4% copying). Change: a storage process measures the share of time in which its loop works; from 50% on it leaves log entries and frames plain, and tells edges to, until the share is below 20%.

--- a/crates/cluster-protocol/src/lib.rs
+++ b/crates/cluster-protocol/src/lib.rs
@@ -157,6 +157,8 @@
         watch: Watch,
         /// True time, as far as the sender knows it.
         time: Option<WallMillis>,
+        /// The sender lacks processor time: it is to be sent plain frames.
+        is_busy: bool,
         /// The newest usage window that is closed.
         closed_window: Option<WindowNumber>,
     },
--- a/crates/cluster/src/edge/cluster.rs
+++ b/crates/cluster/src/edge/cluster.rs
@@ -255,12 +255,14 @@
                 standbys,
                 watch,
                 time,
+                is_busy,
                 closed_window,
             } => {
                 if term < self.newest_term {
                     return Vec::new();
                 }
                 self.watch = watch;
+                brasspond_compression::pause_packing(is_busy);
                 let mut happenings = self.on_leading(link, term, members, standbys, now);
                 happenings.push(Happening::Time(time, closed_window));
                 happenings
--- a/crates/cluster/src/storage/group.rs
+++ b/crates/cluster/src/storage/group.rs
@@ -161,6 +161,7 @@
             standbys: Vec::new(),
             watch: Watch::Nothing,
             time: None,
+            is_busy: false,
             closed_window: None,
         };
         for (id, link) in &self.group.link_by_member {
--- a/crates/cluster/src/storage/mod.rs
+++ b/crates/cluster/src/storage/mod.rs
@@ -5,6 +5,7 @@
 pub mod gathering;
 mod group;
 mod leading;
+pub mod load;
 mod order_log;
 mod ordering;
 pub mod plan;
--- a/crates/cluster/src/storage/process.rs
+++ b/crates/cluster/src/storage/process.rs
@@ -3,6 +3,7 @@
 use super::asks::Asks;
 use super::group::Group;
 use super::leading::Leading;
+use super::load::LoopLoad;
 use super::order_log::{OrderLog, last_holder};
 use super::search::RecordSearch;
 use super::texts::EndedJobs;
@@ -125,6 +126,8 @@
     pub metrics: Rc<StorageMetrics>,
     /// For whoever asks for metrics; renewed from time to time.
     pub state: Rc<Cell<StorageState>>,
+    /// How busy this process is.
+    pub load: LoopLoad,
     /// When the jobs were last counted for `state`.
     counted_at: u64,
     disk: RecordLog,
@@ -183,6 +186,7 @@
             _ = hang_up.recv() => log::info!("event=reload role=storage"),
             () = tokio::time::sleep(Duration::from_millis(wake)) => {}
         }
+        let begun = Instant::now();
         for _ in 0..BATCH {
             match link_events.try_recv() {
                 Ok(event) => storage.on_link(event),
@@ -193,6 +197,7 @@
             storage.on_local(event);
         }
         storage.settle()?;
+        storage.note_work(begun.elapsed());
         if storage.may_stop() {
             log::info!("event=stopped role=storage machine={}", storage.own.machine);
             return Ok(());
@@ -261,6 +266,7 @@
             numbers: Rc::new(LinkNumbers::default()),
             metrics: Rc::new(StorageMetrics::default()),
             state: Rc::default(),
+            load: LoopLoad::default(),
             counted_at: 0,
             disk,
             longest_file: LONGEST_FILE,
@@ -368,6 +374,19 @@
         }
     }
 
+    /// Notes how long a turn of the loop took; a busy process stops packing.
+    fn note_work(&mut self, took: Duration) {
+        let now = self.clock.now();
+        if self.load.worked(took.as_micros() as u64, now) {
+            let is_busy = self.load.is_busy();
+            log::info!(
+                "event=load_changed busy={is_busy} leads={}",
+                self.leading.is_some()
+            );
+            brasspond_compression::pause_packing(is_busy);
+        }
+    }
+
     /// Lets time pass, then writes, sends and applies until nothing is left.
     fn settle(&mut self) -> Result<(), ProcessError> {
         let now = self.clock.now();
--- a/crates/cluster/src/storage/spread.rs
+++ b/crates/cluster/src/storage/spread.rs
@@ -37,6 +37,7 @@
         let standbys: Vec<Member> = self.consensus.learners().cloned().collect();
         let time = leading.clock.time(now);
         let closed_window = self.table.usage().closed_through();
+        let is_busy = self.load.is_busy();
         let leading_frame = |watch| {
             encode(&Message::Leading {
                 term,
@@ -44,6 +45,7 @@
                 standbys: standbys.clone(),
                 watch,
                 time,
+                is_busy,
                 closed_window,
             })
         };
--- /dev/null
+++ b/crates/cluster/tests/load.rs
@@ -0,0 +1,27 @@
+//! When a process counts as busy.
+
+use brasspond_cluster::storage::load::LoopLoad;
+use rstest::rstest;
+
+/// Plays seconds with these shares of work, in percent; gives when it was busy.
+fn busy_after(shares: &[u64]) -> Vec<bool> {
+    const TURN_MS: u64 = 10;
+    let mut load = LoopLoad::default();
+    let mut now = 0;
+    let seconds = shares.iter().map(|share| {
+        for _ in 0..100 {
+            now += TURN_MS;
+            load.worked(share * TURN_MS * 10, now);
+        }
+        load.is_busy()
+    });
+    seconds.collect()
+}
+
+#[rstest]
+#[case::calm(&[10, 40, 45], &[false, false, false])]
+#[case::busy(&[70, 95], &[true, true])]
+#[case::it_stays_so_for_a_while(&[70, 40, 25, 15], &[true, true, true, false])]
+fn a_process_is_busy_that_works_most_of_the_time(#[case] shares: &[u64], #[case] busy: &[bool]) {
+    assert_eq!(busy_after(shares), busy);
+}
--- a/crates/compression/src/lib.rs
+++ b/crates/compression/src/lib.rs
@@ -9,7 +9,7 @@
 use bytes::{Buf, Bytes};
 use displaydoc::Display;
 use flate2::{Compress, Compression, Decompress, FlushCompress, FlushDecompress, Status};
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 
 /// Tag of bytes as they are.
 pub const PLAIN: u8 = 0;
@@ -26,6 +26,7 @@
     /// Kept between calls: making one costs far more than packing a message.
     static COMPRESS: RefCell<Compress> =
         RefCell::new(Compress::new(Compression::fast(), false));
+    static IS_PAUSED: Cell<bool> = const { Cell::new(false) };
     static DECOMPRESS: RefCell<Decompress> = RefCell::new(Decompress::new(false));
 }
 
@@ -44,9 +45,16 @@
 
 impl std::error::Error for UnpackError {}
 
-/// Packs bytes. Deterministic.
+/// Has [`pack`] on this thread leave bytes plain, or make them smaller again: for a
+/// process that lacks processor time more than bytes.
+pub fn pause_packing(is_paused: bool) {
+    IS_PAUSED.set(is_paused);
+}
+
+/// Packs bytes, unless packing is paused. Deterministic but for that.
 pub fn pack(bytes: &[u8]) -> Bytes {
     if bytes.len() >= SHORTEST
+        && !IS_PAUSED.get()
         && let Some(smaller) = deflate(bytes)
     {
         return smaller;
--- a/crates/compression/tests/pack.rs
+++ b/crates/compression/tests/pack.rs
@@ -1,6 +1,6 @@
 //! What is packed comes back; what is broken is told.
 
-use brasspond_compression::{DEFLATED, PLAIN, UnpackError, pack, unpack};
+use brasspond_compression::{DEFLATED, PLAIN, UnpackError, pack, pause_packing, unpack};
 use bytes::Bytes;
 use proptest::prelude::*;
 use rstest::rstest;
@@ -43,3 +43,15 @@
     let long = pack(&[b'a'; 1_000]);
     assert!(matches!(unpack(long, 999), Err(UnpackError::TooLong(999))));
 }
+
+/// A process without time to spare sends plain bytes, which everyone reads.
+#[rstest]
+fn paused_packing_leaves_bytes_plain() {
+    let bytes = vec![7; 4_000];
+    pause_packing(true);
+    let plain = pack(&bytes);
+    pause_packing(false);
+    assert_eq!(plain.len(), bytes.len() + 1);
+    assert_eq!(unpack(plain, 4_000).expect("read"), bytes);
+    assert!(pack(&bytes).len() < 100);
+}
