Only edges that watch for the leader tell it what it lacks

Change: an edge tells what the leader lacks only where the leader has it watch (three edges, sixteen while the source refuses the leader), as the design of watches meant.

--- a/crates/cluster/src/edge/cluster.rs
+++ b/crates/cluster/src/edge/cluster.rs
@@ -396,6 +396,11 @@
         }
     }
 
+    /// Whether the leader has this edge watch the view's source for it.
+    pub fn watches_for_leader(&self) -> bool {
+        self.watch != Watch::Nothing && self.leader.borrow().is_some()
+    }
+
     /// Time for which no leader has been known, in ms; 0 while one is.
     pub fn alone_for(&mut self, now: u64) -> u64 {
         if self.leader.borrow().is_some() {
--- a/crates/cluster/src/edge/process.rs
+++ b/crates/cluster/src/edge/process.rs
@@ -232,8 +232,14 @@
 
     /// Tells the leader the view if it has not told what this edge knew some
     /// looks ago: its own calls to the source may fail while this edge's do not.
-    /// (In a large fleet something has always changed since the last look.)
+    /// (In a large fleet something has always changed since the last look.) Only edges
+    /// that the leader has watch for it do: where hundreds had no leader for a while, all
+    /// know something newer, and as many whole views of thousands of replicas at once are
+    /// more than a leader's memory holds.
     fn tell_what_leader_lacks(&self) {
+        if !self.cluster.borrow().watches_for_leader() {
+            return;
+        }
         self.looks.set(self.looks.get() + 1);
         if self.looks.get() < self.looks_to_be_told() {
             return;
