--- /dev/null
+++ b/crates/brasspond/tests/platform_standin/ending.rs
@@ -0,0 +1,86 @@
+//! Replicas whose process ends under one body, and is back a while later as another.
+
+use super::processes::server;
+use super::{Replica, Store, replica_call, serve_connection};
+use bytes::Bytes;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+use tokio::net::TcpListener;
+use tokio::task::JoinSet;
+
+/// Time from the end of a process until the next one listens.
+const BACK_AFTER: Duration = Duration::from_millis(700);
+
+/// One address, and all the replicas that listened at it one after the other.
+pub struct EndingReplica {
+    store: Arc<Store>,
+    service: &'static str,
+    name: String,
+    ends_under: Bytes,
+    lives: Mutex<Vec<Arc<Replica>>>,
+}
+
+impl EndingReplica {
+    /// Starts one whose process ends whenever it runs a request with this body.
+    pub async fn start(
+        store: &Arc<Store>,
+        service: &'static str,
+        name: &str,
+        ends_under: impl Into<Bytes>,
+    ) -> Arc<Self> {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("port");
+        let replica = Arc::new(Self {
+            store: Arc::clone(store),
+            service,
+            name: name.to_string(),
+            ends_under: ends_under.into(),
+            lives: Mutex::default(),
+        });
+        tokio::spawn(Arc::clone(&replica).live(listener));
+        replica
+    }
+
+    /// How many of its processes have ended.
+    pub fn ends(&self) -> usize {
+        self.lives.lock().expect("lock").len().saturating_sub(1)
+    }
+
+    /// Runs of all its lives by the requests' identities.
+    pub fn runs_of(&self, id: &str) -> u32 {
+        let lives = self.lives.lock().expect("lock");
+        lives.iter().map(|life| life.runs_of(id)).sum()
+    }
+
+    async fn live(self: Arc<Self>, mut listener: TcpListener) {
+        let address = listener.local_addr().expect("address");
+        loop {
+            self.live_once(&listener, address).await;
+            drop(listener);
+            tokio::time::sleep(BACK_AFTER).await;
+            listener = TcpListener::bind(address).await.expect("its own address");
+        }
+    }
+
+    /// Serves until a request ends it.
+    async fn live_once(&self, listener: &TcpListener, address: SocketAddr) {
+        let number = self.lives.lock().expect("lock").len();
+        let replica = Arc::new(Replica::new(&format!("{}-{number}", self.name)));
+        *replica.ends_under.lock().expect("lock") = Some(self.ends_under.clone());
+        self.lives.lock().expect("lock").push(Arc::clone(&replica));
+        let entry = server(self.service, address);
+        self.store.put("servers", &replica.id, entry);
+        let mut connections = JoinSet::new();
+        loop {
+            tokio::select! {
+                Ok((stream, _)) = listener.accept() => {
+                    let replica = Arc::clone(&replica);
+                    connections.spawn(serve_connection(stream, replica, replica_call));
+                }
+                () = replica.ended.notified() => break,
+            }
+        }
+        connections.shutdown().await;
+        self.store.remove("servers", &replica.id);
+    }
+}
--- a/crates/brasspond/tests/platform_standin/mod.rs
+++ b/crates/brasspond/tests/platform_standin/mod.rs
@@ -2,6 +2,7 @@
 //! as the adapter's pages describe them, over real sockets.
 #![allow(dead_code)]
 
+pub mod ending;
 pub mod operations;
 pub mod processes;
 
@@ -22,7 +23,8 @@
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
-use tokio::net::TcpListener;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::Notify;
 
 type Body = BoxBody<Bytes, std::io::Error>;
 
@@ -50,19 +52,27 @@
         let Ok((stream, _)) = listener.accept().await else {
             return;
         };
-        let state = Arc::clone(&state);
-        tokio::spawn(async move {
-            let service = service_fn(move |request| {
-                let answer = handle(Arc::clone(&state), request);
-                async move { Ok::<_, Infallible>(answer.await) }
-            });
-            let _ = http1::Builder::new()
-                .serve_connection(TokioIo::new(stream), service)
-                .await;
-        });
+        tokio::spawn(serve_connection(stream, Arc::clone(&state), handle));
     }
 }
 
+async fn serve_connection<S, F>(
+    stream: TcpStream,
+    state: Arc<S>,
+    handle: fn(Arc<S>, Request<Incoming>) -> F,
+) where
+    S: Send + Sync + 'static,
+    F: Future<Output = Response<Body>> + Send + 'static,
+{
+    let service = service_fn(move |request| {
+        let answer = handle(Arc::clone(&state), request);
+        async move { Ok::<_, Infallible>(answer.await) }
+    });
+    let _ = http1::Builder::new()
+        .serve_connection(TokioIo::new(stream), service)
+        .await;
+}
+
 /// The object store.
 #[derive(Default)]
 pub struct Store {
@@ -113,6 +123,19 @@
         objects.write(kind, name, Some(spec), None);
     }
 
+    /// Takes an object away, as a replica's entry goes once it has ended.
+    pub fn remove(&self, kind: &str, name: &str) {
+        let mut objects = self.objects.lock().expect("lock");
+        let key = (kind.to_string(), name.to_string());
+        if let Some(object) = objects.by_name.remove(&key) {
+            objects.revision += 1;
+            let revision = objects.revision;
+            objects
+                .changes
+                .push((revision, kind.to_string(), object, true));
+        }
+    }
+
     pub fn status(&self, kind: &str, name: &str) -> Value {
         let objects = self.objects.lock().expect("lock");
         let key = (kind.to_string(), name.to_string());
@@ -286,6 +309,10 @@
     pub withholds_end: AtomicBool,
     /// Identities of streams that came to their end.
     pub whole: Mutex<BTreeSet<String>>,
+    /// A body under which its process ends.
+    pub ends_under: Mutex<Option<Bytes>>,
+    /// Its process is to end.
+    ended: Notify,
     version: AtomicU64,
     sequence: AtomicU64,
 }
@@ -299,7 +326,13 @@
     pub async fn start(id: &str) -> (Arc<Self>, SocketAddr) {
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("port");
         let address = listener.local_addr().expect("address");
-        let replica = Arc::new(Self {
+        let replica = Arc::new(Self::new(id));
+        tokio::spawn(serve(listener, Arc::clone(&replica), replica_call));
+        (replica, address)
+    }
+
+    fn new(id: &str) -> Self {
+        Self {
             id: id.to_string(),
             runs: Mutex::default(),
             heads: Mutex::default(),
@@ -308,11 +341,11 @@
             silent: AtomicBool::new(false),
             withholds_end: AtomicBool::new(false),
             whole: Mutex::default(),
+            ends_under: Mutex::default(),
+            ended: Notify::new(),
             version: AtomicU64::new(1),
             sequence: AtomicU64::new(0),
-        });
-        tokio::spawn(serve(listener, Arc::clone(&replica), replica_call));
-        (replica, address)
+        }
     }
 
     pub fn version(&self) -> u64 {
@@ -376,6 +409,11 @@
         .lock()
         .expect("lock")
         .insert(id.clone(), headers);
+    let ends = replica.ends_under.lock().expect("lock").as_ref() == Some(&body);
+    if ends {
+        replica.ended.notify_one();
+        tokio::time::sleep(NEVER).await;
+    }
     let path = head.uri.path();
     let is_stream = path.starts_with("/jobs/") || path.starts_with("/streams/");
     if !is_stream && replica.silent.load(Ordering::Relaxed) {
--- a/crates/brasspond/tests/platform_standin/processes.rs
+++ b/crates/brasspond/tests/platform_standin/processes.rs
@@ -310,7 +310,8 @@
     }
 }
 
-fn server(service: &str, address: SocketAddr) -> Value {
+/// The entry of a replica of a service.
+pub fn server(service: &str, address: SocketAddr) -> Value {
     json!({
         "service": service,
         "address": address.to_string(),
