A content that ends replicas is held, at every edge and on every way to a replica

Cause: a request's break-off was held against its replica alone. Attempts were counted within one try of one identity at one edge, so that one content, coming again under new identities, ended every replica as soon as it was back. Class: harm done by a request is judged where it is seen, and known nowhere else. An edge whose connection broke looks whether the replica's address refuses new ones, and tells the leader what content ran, for how long. Ends that follow one another count, those of replicas that end together count once, an answer clears.

--- a/crates/cluster-protocol/src/lib.rs
+++ b/crates/cluster-protocol/src/lib.rs
@@ -16,6 +16,7 @@
 use brasspond_fleet::{FleetView, ViewDelta};
 use brasspond_jobs::{BodyError, Page, Submission};
 use brasspond_metering::{UsageReport, WallMillis, WindowNumber};
+use brasspond_quarantine::{EndReport, Fingerprint, Told};
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
 use std::sync::Arc;
@@ -217,6 +218,12 @@
     Draining,
     /// What tenants used at the sending edge.
     Usage(UsageReport),
+    /// Edge to leader: replicas ended while they ran requests.
+    ReplicasEnded(Vec<EndReport>),
+    /// Edge to leader: a replica answered a content under which others had ended.
+    ContentAnswered(Fingerprint),
+    /// Leader to edge: contents under which replicas ended.
+    Quarantine(Told),
     /// Shows that the sender lives. From the leader to a storage process: that it
     /// still leads.
     Beat {
--- a/crates/cluster-protocol/src/run.rs
+++ b/crates/cluster-protocol/src/run.rs
@@ -1,6 +1,7 @@
 //! Runs of items on replicas.
 
 use brasspond_jobs::ScoringCall;
+use brasspond_quarantine::{Content, Fingerprint};
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
@@ -86,6 +87,19 @@
     pub tenant: Option<Arc<str>>,
 }
 
+impl RunSpec {
+    /// What the item asks for.
+    pub fn content(&self) -> Fingerprint {
+        Fingerprint::of(&Content {
+            method: "POST",
+            host: &self.host,
+            path: &self.path,
+            tenant: self.tenant.as_deref(),
+            body: &self.body,
+        })
+    }
+}
+
 /// What an edge needs to score a text that the log holds.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ScoringSpec {
--- a/crates/cluster/src/edge/cluster.rs
+++ b/crates/cluster/src/edge/cluster.rs
@@ -8,6 +8,7 @@
 use brasspond_consensus::Member;
 use brasspond_fleet::{FleetView, ViewDelta};
 use brasspond_metering::{WallMillis, WindowNumber};
+use brasspond_quarantine::Told;
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -62,6 +63,7 @@
     Score(Box<ScoringSpec>),
     Cancel(u64, AttemptId),
     Recorded(AttemptId),
+    Quarantine(Told),
 }
 
 /// Storage processes, links, questions under way.
@@ -273,6 +275,7 @@
             Message::Score(spec) => vec![Happening::Score(spec)],
             Message::Cancel { term, attempt } => vec![Happening::Cancel(term, attempt)],
             Message::Recorded { attempt } => vec![Happening::Recorded(attempt)],
+            Message::Quarantine(told) => vec![Happening::Quarantine(told)],
             Message::Reply { number, answer } => {
                 if let Some((_, asker)) = self.asked.remove(&number) {
                     let _ = asker.send(answer);
@@ -434,7 +437,9 @@
         Happening::NewLeader(term) => {
             edge.tell_runs(term);
             edge.tell_all_usage();
+            edge.tell_all_ends();
         }
+        Happening::Quarantine(told) => edge.take_quarantine(told),
         Happening::Time(time, closed) => edge.take_time(time, closed),
         Happening::View(view) => {
             edge.leader_view.replace(Some(view.clone()));
--- a/crates/cluster/src/edge/ended.rs
+++ b/crates/cluster/src/edge/ended.rs
@@ -1,66 +1,162 @@
-//! Whether a replica whose connection broke off has ended.
+//! Replicas that ended while they ran a request, and contents that are held for it.
 //!
 //! A connection breaks for many reasons. Only where the replica's address refuses new
-//! ones right after has its process ended, and the requests that it ran may be why.
+//! ones right after has its process ended, and the request that it ran may be why. Nobody
+//! else can tell: a replica that ended says nothing, and the same content comes again under
+//! other identities, at other edges.
 
 use super::forward::{Failed, Forwarded, Lost};
 use super::process::Edge;
 use crate::upstream::{Look, look};
-use brasspond_quarantine::Fingerprint;
+use brasspond_cluster_protocol::{Message, RunSpec};
+use brasspond_quarantine::{EndReport, Fingerprint, Told};
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::Duration;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
 
 /// Pauses before an address is looked at: a process that ends closes its connections a
 /// moment before its listener, and none is back sooner than a second.
 const LOOK_PAUSES: [Duration; 2] = [Duration::from_millis(15), Duration::from_millis(200)];
 
 /// A request that a replica may have been running as its connection broke.
-pub(super) struct Break {
-    pub request: String,
-    pub content: Fingerprint,
-    pub replica: String,
-    pub address: SocketAddr,
+struct Break {
+    request: String,
+    content: Fingerprint,
+    replica: String,
+    address: SocketAddr,
+    begun: Instant,
+    broke: Instant,
 }
 
 impl Forwarded {
-    /// Looks whether a replica has ended, if its connection broke under this request.
-    pub(super) fn look_after_break(&self, replica: &str, failed: &Failed) {
-        if !matches!(failed, Failed::MayHaveRun(Lost::Broken)) {
-            return;
+    /// Looks whether a replica has ended, if its connection broke under this request, which
+    /// it was sent at `begun`.
+    pub(super) fn look_after_failure(&self, replica: &str, begun: Instant, failed: &Failed) {
+        if matches!(failed, Failed::MayHaveRun(Lost::Broken)) {
+            self.look_after_break(replica, begun);
         }
+    }
+
+    /// The same, where its connection certainly broke.
+    pub(super) fn look_after_break(&self, replica: &str, begun: Instant) {
         let Some(address) = self.edge.balance.borrow().address(replica) else {
             return;
         };
-        let broke = Break {
+        let broken = Break {
             request: self.id.clone(),
             content: self.content(),
             replica: replica.to_string(),
             address,
+            begun,
+            broke: Instant::now(),
         };
-        let edge = Rc::clone(&self.edge);
-        tokio::task::spawn_local(async move { edge.look_for_end(broke).await });
+        self.edge.spawn_look(broken);
+    }
+
+    /// Whether no replica is to run the request. Before this was asked, one content ended
+    /// 13 replicas within 40 s, three at a time as soon as they were back.
+    pub(super) fn is_held(&self) -> bool {
+        let quarantine = self.edge.quarantine.borrow();
+        !quarantine.is_idle() && quarantine.is_held(self.content())
+    }
+
+    /// A replica answered the request.
+    pub(super) fn note_answered(&self) {
+        let is_idle = self.edge.quarantine.borrow().is_idle();
+        if !is_idle {
+            self.edge.content_answered(self.content());
+        }
     }
 }
 
 impl Edge {
+    /// Looks whether a replica has ended whose connection broke under an item's run.
+    pub(super) fn look_after_run(self: &Rc<Self>, spec: &RunSpec, begun: Instant) {
+        self.spawn_look(Break {
+            request: spec.item_id.clone(),
+            content: spec.content(),
+            replica: spec.replica.clone(),
+            address: spec.address,
+            begun,
+            broke: Instant::now(),
+        });
+    }
+
+    /// A replica ran a content to an answer: it does not end replicas.
+    pub(super) fn content_answered(&self, content: Fingerprint) {
+        if !self.quarantine.borrow_mut().answered(content) {
+            return;
+        }
+        if let Some(leader) = self.cluster.borrow().leader() {
+            leader.writer.send(&Message::ContentAnswered(content));
+        }
+    }
+
+    fn spawn_look(self: &Rc<Self>, broken: Break) {
+        let edge = Rc::clone(self);
+        tokio::task::spawn_local(async move { edge.look_for_end(broken).await });
+    }
+
     /// Looks at a replica's address until it is known whether its process has ended.
-    async fn look_for_end(&self, broke: Break) {
+    async fn look_for_end(&self, broken: Break) {
         let mut seen = Look::Accepted;
         for pause in LOOK_PAUSES {
             tokio::time::sleep(pause).await;
-            seen = look(broke.address).await;
+            seen = look(broken.address).await;
             if seen != Look::Accepted {
                 break;
             }
         }
+        let ended = seen == Look::Refused;
         log::info!(
-            "event=replica_looked_at replica={} request={} content={} ended={} seen={}",
-            broke.replica,
-            broke.request,
-            broke.content,
-            seen == Look::Refused,
+            "event=replica_looked_at replica={} request={} content={} ended={ended} seen={}",
+            broken.replica,
+            broken.request,
+            broken.content,
             seen.name()
         );
+        if ended {
+            self.note_end(&broken);
+        }
+    }
+
+    fn note_end(&self, broken: &Break) {
+        let ran = broken.broke.duration_since(broken.begun);
+        let report = EndReport {
+            content: broken.content,
+            replica: Arc::from(broken.replica.as_str()),
+            ran_ms: ran.as_millis() as u64,
+            ago_ms: broken.broke.elapsed().as_millis() as u64,
+        };
+        let now = self.clock.now();
+        let is_new = self.quarantine.borrow_mut().note_end(report.clone(), now);
+        if is_new && let Some(leader) = self.cluster.borrow().leader() {
+            leader.writer.send(&Message::ReplicasEnded(vec![report]));
+        }
+    }
+
+    /// A new leader is told of all ends that this edge saw lately: the last one may have
+    /// been lost before the log had them.
+    pub(super) fn tell_all_ends(&self) {
+        let reports = self.quarantine.borrow().reports(self.clock.now());
+        if reports.is_empty() {
+            return;
+        }
+        if let Some(leader) = self.cluster.borrow().leader() {
+            leader.writer.send(&Message::ReplicasEnded(reports));
+        }
+    }
+
+    /// Takes what the leader tells of contents.
+    pub(super) fn take_quarantine(&self, told: Told) {
+        let (is_whole, changed) = (told.is_whole, told.cases.len());
+        let mut quarantine = self.quarantine.borrow_mut();
+        quarantine.take(told);
+        log::info!(
+            "event=quarantine_known whole={is_whole} changed={changed} held={}",
+            quarantine.held()
+        );
+        self.metrics.held_contents(quarantine.held());
     }
 }
--- a/crates/cluster/src/edge/forward.rs
+++ b/crates/cluster/src/edge/forward.rs
@@ -157,17 +157,24 @@
         let mut tried: Vec<String> = Vec::new();
         let mut may_have_run = false;
         let mut last_answer = None;
+        let mut is_held = false;
         for attempt in 1..=self.route.max_attempts.max(1) {
             let left = self.left();
             if left < LEAST_TIME {
                 break;
             }
+            is_held = self.is_held();
+            if is_held {
+                break;
+            }
             let Some(replica) = self.choose(&tried) else {
                 break;
             };
+            let begun = Instant::now();
             let is_last = attempt == self.route.max_attempts;
             let failed = match self.attempt(&replica, None, is_last).await {
                 Ok(Attempt::Whole(status, headers, body)) => {
+                    self.note_answered();
                     self.log_answer(&replica, attempt, status);
                     return response(status, &headers, whole(body));
                 }
@@ -189,7 +196,7 @@
             );
             may_have_run |= !matches!(failed, Failed::NotRun { .. });
             self.note_failure(&replica, &failed);
-            self.look_after_break(&replica, &failed);
+            self.look_after_failure(&replica, begun, &failed);
             if let Failed::Answered(answer) = failed {
                 last_answer = Some(answer);
             }
@@ -198,7 +205,7 @@
                 break;
             }
         }
-        self.refuse(may_have_run, last_answer, tried.len())
+        self.refuse(may_have_run, last_answer, tried.len(), is_held)
     }
 
     fn log_answer(&self, replica: &str, attempt: u32, status: StatusCode) {
@@ -286,11 +293,12 @@
         may_have_run: bool,
         last_answer: Option<Box<(StatusCode, HeaderMap, Bytes)>>,
         attempts: usize,
+        is_held: bool,
     ) -> Response<Body> {
         let view = self.edge.view.borrow();
         let ready = view.ready_replicas(&self.service).count();
         log::info!(
-            "event=request_failed request={} route={} service={} content={} attempts={attempts} may_have_run={may_have_run} late={} ready_replicas={ready} elapsed_ms={} configuration={} replicas_revision={}",
+            "event=request_failed request={} route={} service={} content={} attempts={attempts} held={is_held} may_have_run={may_have_run} late={} ready_replicas={ready} elapsed_ms={} configuration={} replicas_revision={}",
             self.id,
             self.route.name,
             self.service,
@@ -300,7 +308,11 @@
             view.configuration_revision,
             view.replicas_revision
         );
-        let outcome = if may_have_run { "failed" } else { "refused" };
+        let outcome = match (may_have_run, is_held) {
+            (true, _) => "failed",
+            (false, true) => "held",
+            (false, false) => "refused",
+        };
         let metrics = &self.edge.metrics;
         metrics.request(
             &self.route.name,
@@ -318,8 +330,12 @@
             return give_up(StatusCode::BAD_GATEWAY);
         }
         drop(view);
-        self.edge
-            .turn_away(Lack::Replica(&self.service), self.rank())
+        let lack = if is_held {
+            Lack::Release
+        } else {
+            Lack::Replica(&self.service)
+        };
+        self.edge.turn_away(lack, self.rank())
     }
 
     /// One attempt at a replica, after the event `after` of the stream if given.
@@ -369,6 +385,7 @@
         sent: &Cell<bool>,
         in_flight: InFlight,
     ) -> Result<Attempt, Failed> {
+        let begun = Instant::now();
         let not_run = Failed::NotRun { is_full: false };
         let Ok(mut connection) = self.edge.pool.take(address).await else {
             return Err(not_run);
@@ -409,6 +426,7 @@
                 connection,
                 _in_flight: in_flight,
                 replica: replica.to_string(),
+                begun,
             };
             return Ok(Attempt::Stream(head.status, head.headers, upstream));
         }
@@ -419,6 +437,7 @@
         self.edge.pool.give_back(connection);
         let body = body.to_bytes();
         if head.status.is_server_error() {
+            self.note_answered();
             let answer = Box::new((head.status, head.headers, body));
             return Err(Failed::Answered(answer));
         }
--- a/crates/cluster/src/edge/passing.rs
+++ b/crates/cluster/src/edge/passing.rs
@@ -20,6 +20,8 @@
     pub connection: Connection,
     pub _in_flight: InFlight,
     pub replica: String,
+    /// When the replica was sent the request.
+    pub begun: Instant,
 }
 
 /// What came of waiting for more.
@@ -80,6 +82,7 @@
                     return Some(Ok(events));
                 }
                 Arrived::End => {
+                    self.request.note_answered();
                     if let Some(upstream) = self.upstream.take() {
                         let pool = &self.request.edge.pool;
                         pool.give_back(upstream.connection);
@@ -131,10 +134,16 @@
         if let Some(broken) = self.upstream.take() {
             let mut balance = self.request.edge.balance.borrow_mut();
             balance.note_fault(&broken.replica);
+            drop(balance);
+            self.request.look_after_break(&broken.replica, broken.begun);
             self.tried.push(broken.replica.clone());
         }
         while self.request.is_repeatable() && self.attempts < self.request.route.max_attempts {
+            if self.request.is_held() {
+                break;
+            }
             self.attempts += 1;
+            let begun = Instant::now();
             let Some(replica) = self.request.choose(&self.tried) else {
                 return false;
             };
@@ -151,7 +160,11 @@
                     self.upstream = Some(upstream);
                     return true;
                 }
-                Ok(Attempt::Whole(..)) | Err(_) => self.tried.push(replica),
+                Ok(Attempt::Whole(..)) => self.tried.push(replica),
+                Err(failed) => {
+                    self.request.look_after_failure(&replica, begun, &failed);
+                    self.tried.push(replica);
+                }
             }
             if self.request.left() < Duration::from_millis(1) {
                 return false;
--- a/crates/cluster/src/edge/process.rs
+++ b/crates/cluster/src/edge/process.rs
@@ -14,6 +14,7 @@
 use brasspond_cluster_protocol::{Message, Peer, Watch};
 use brasspond_fleet::{ConfigurationIndex, FleetView, OtherBase, ViewDelta};
 use brasspond_metering::{ToldClock, UsageRecorder};
+use brasspond_quarantine::Recorder;
 use brasspond_telemetry::{EdgeMetrics, LogRing};
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
@@ -67,6 +68,8 @@
     /// What tenants used here; none where nobody asks for it.
     pub usage: RefCell<Option<UsageRecorder>>,
     pub told_clock: RefCell<ToldClock>,
+    /// Contents under which replicas ended.
+    pub quarantine: RefCell<Recorder>,
     pub requests: Cell<usize>,
     /// Becomes true when connections are to end after their present request.
     pub closing: tokio::sync::watch::Sender<bool>,
@@ -134,6 +137,7 @@
         metrics: EdgeMetrics::default(),
         usage: RefCell::new(usage),
         told_clock: RefCell::default(),
+        quarantine: RefCell::default(),
         requests: Cell::new(0),
         closing: tokio::sync::watch::Sender::new(false),
     });
@@ -339,6 +343,7 @@
         self.tell_what_leader_lacks();
         self.report_progress();
         self.report_usage();
+        self.quarantine.borrow_mut().tick(now);
         self.pool.close_old();
     }
 
--- a/crates/cluster/src/edge/retry.rs
+++ b/crates/cluster/src/edge/retry.rs
@@ -8,6 +8,7 @@
 use super::front::unavailable;
 use super::process::Edge;
 use crate::edge::front::Body;
+use brasspond_quarantine::FIRST_HOLD;
 use hyper::Response;
 use std::time::Duration;
 
@@ -22,6 +23,8 @@
 const OTHER_EDGE_TIME: Duration = Duration::from_millis(200);
 /// Time until a replica may come where a service has none: the view of replicas is so old.
 const NO_REPLICA_TIME: Duration = Duration::from_millis(500);
+/// Time until a content that ended replicas is tried again, at the soonest.
+const RELEASE_TIME: Duration = Duration::from_millis(FIRST_HOLD);
 /// Shortest pause: a round trip and the time of a plain answer.
 const SHORTEST: Duration = Duration::from_millis(100);
 /// Part of the pause over which callers that are turned away together are spread.
@@ -40,6 +43,8 @@
     Answer,
     /// A replica of a service that takes the request.
     Replica(&'a str),
+    /// The release of its content, under which replicas ended.
+    Release,
 }
 
 impl Edge {
@@ -52,6 +57,7 @@
                 ELECTION_TIME.saturating_sub(Duration::from_millis(alone))
             }
             Lack::Answer => OTHER_EDGE_TIME,
+            Lack::Release => RELEASE_TIME,
             Lack::Replica(service) => expected_room(&self.balance.borrow(), service),
         };
         unavailable(spread(expected.max(SHORTEST), rank, rand::random()))
--- a/crates/cluster/src/edge/runs.rs
+++ b/crates/cluster/src/edge/runs.rs
@@ -81,7 +81,15 @@
         let edge = Rc::clone(self);
         let shared = Rc::clone(&progress);
         let task = tokio::task::spawn_local(async move {
+            let begun = Instant::now();
             let end = run_item(&edge, &spec, &shared).await;
+            if end == RunEnd::Broken {
+                edge.look_after_run(&spec, begun);
+            }
+            if matches!(end, RunEnd::Whole | RunEnd::Failed) && !edge.quarantine.borrow().is_idle()
+            {
+                edge.content_answered(spec.content());
+            }
             let _ = edge.run_news.send(RunNews::Ended(attempt, end)).await;
             if end == RunEnd::Whole
                 && let Some(call) = &spec.scoring
--- a/crates/cluster/src/edge/scoring.rs
+++ b/crates/cluster/src/edge/scoring.rs
@@ -126,9 +126,14 @@
     async fn attempt(&mut self) -> Option<ScoringEnd> {
         let request = self.request()?;
         self.let_callers_pass(&request).await;
+        if request.is_held() {
+            return Some(ScoringEnd::Unanswered);
+        }
         let replica = request.choose(&self.tried)?;
+        let begun = Instant::now();
         let failed = match request.attempt(&replica, None, false).await {
             Ok(Attempt::Whole(status, headers, _)) if status.is_success() => {
+                request.note_answered();
                 let signature = &self.edge.outside.dialect.names().signature;
                 let score = header_text(&headers, signature);
                 return Some(ScoringEnd::Scored(score));
@@ -142,6 +147,7 @@
         };
         self.log(&replica, failed.name());
         request.note_failure(&replica, &failed);
+        request.look_after_failure(&replica, begun, &failed);
         self.tried.push(replica);
         if let Failed::Answered(answer) = failed
             && answer.0 == StatusCode::INTERNAL_SERVER_ERROR
--- a/crates/cluster/src/storage/applying.rs
+++ b/crates/cluster/src/storage/applying.rs
@@ -5,6 +5,7 @@
 use brasspond_dispatch::Event;
 use brasspond_fleet::FleetView;
 use brasspond_jobs::{Accepted, Command};
+use brasspond_quarantine::{Change, Fingerprint};
 
 impl Storage {
     pub(super) fn apply(&mut self, entry: Entry) -> Result<(), ProcessError> {
@@ -64,6 +65,7 @@
             }
             // Decoding a view is dear: only the newest is, once all is applied.
             Told::Remembered => self.has_new_remembered = true,
+            Told::Quarantined(contents) => self.quarantine_changed(contents),
             Told::Nothing => {}
         }
     }
@@ -89,6 +91,7 @@
     Ended(String),
     Forgotten(Vec<String>),
     Remembered,
+    Quarantined(Vec<Fingerprint>),
     Nothing,
 }
 
@@ -111,6 +114,9 @@
             Command::End { job } => Self::Ended(job.clone()),
             Command::Forget { jobs } => Self::Forgotten(jobs.clone()),
             Command::Remember { .. } => Self::Remembered,
+            Command::Quarantine(changes) => {
+                Self::Quarantined(changes.iter().map(Change::content).collect())
+            }
             Command::Extend(_) | Command::Draft(_) | Command::Intend { .. } | Command::Usage(_) => {
                 Self::Nothing
             }
--- a/crates/cluster/src/storage/leading.rs
+++ b/crates/cluster/src/storage/leading.rs
@@ -11,8 +11,9 @@
 use brasspond_fleet::FleetView;
 use brasspond_jobs::{Command, Draft, Listing, Outcome, Piece, Score};
 use brasspond_metering::{EdgeLife, FleetClock, Metering};
+use brasspond_quarantine::{Fingerprint, Keeper};
 use bytes::Bytes;
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 
 /// Pause between two looks at runs, in ms.
 const DISPATCH_TICK: u64 = 100;
@@ -63,6 +64,10 @@
     pub clock: FleetClock,
     /// None where nobody asks for usage.
     pub metering: Option<Metering>,
+    /// Decides which contents no replica is to run.
+    pub keeper: Keeper,
+    /// Contents that changed since edges were told.
+    pub untold_contents: BTreeSet<Fingerprint>,
     pub autoscaler: Autoscaler,
     /// When the autoscaler last looked at the fleet.
     pub scaled_at: u64,
@@ -106,6 +111,7 @@
         }
         self.tell_edges(now);
         self.spread_view(now);
+        self.spread_quarantine();
         if self.is_tick_due(now) {
             self.tell_outside(self.consensus.term(), now);
             self.tend_members(now);
@@ -113,6 +119,7 @@
             self.check_edges(now);
             self.dispatch(Event::Tick);
             self.tend_usage(now);
+            self.tend_quarantine(now);
             self.tend_replicas(now);
             self.remember_view(now);
             self.forget_jobs(now);
@@ -185,6 +192,8 @@
             announced: HashMap::new(),
             clock: FleetClock::default(),
             metering: metering.map(|metering| Metering::new(metering, now)),
+            keeper: Keeper::default(),
+            untold_contents: BTreeSet::new(),
             autoscaler: Autoscaler::default(),
             scaled_at: now,
             leases,
@@ -334,6 +343,8 @@
                     metering.reported(life, report, self.clock.now());
                 }
             }
+            Message::ReplicasEnded(reports) => self.replicas_ended(&machine, reports),
+            Message::ContentAnswered(content) => self.content_answered(&machine, content),
             Message::Ended {
                 attempt,
                 events,
--- a/crates/cluster/src/storage/mod.rs
+++ b/crates/cluster/src/storage/mod.rs
@@ -10,6 +10,7 @@
 mod ordering;
 pub mod plan;
 mod process;
+mod quarantine;
 mod scaling;
 pub mod search;
 mod spread;
--- a/crates/cluster/src/storage/process.rs
+++ b/crates/cluster/src/storage/process.rs
@@ -95,6 +95,8 @@
     pub told_term: u64,
     /// It holds the view that was last sent to all.
     pub has_view: bool,
+    /// It was told of all contents under which replicas ended.
+    pub has_quarantine: bool,
 }
 
 /// All of a storage process.
@@ -114,6 +116,8 @@
     pub leading: Option<Leading>,
     /// Some edge was not told who leads, or holds no view.
     pub has_untold_edges: bool,
+    /// Some edge was not told of all contents under which replicas ended.
+    pub lacks_quarantine: bool,
     pub order_log: OrderLog,
     /// Connections to replicas at rest.
     pub pool: Pool,
@@ -257,6 +261,7 @@
             asks: Asks::default(),
             leading: None,
             has_untold_edges: false,
+            lacks_quarantine: false,
             order_log,
             pool: Pool::default(),
             text_files,
@@ -311,6 +316,7 @@
                     heard_at: now,
                     told_term: 0,
                     has_view: false,
+                    has_quarantine: false,
                 };
                 self.links.insert(link, state);
                 if let Some(peer) = peer {
@@ -434,6 +440,7 @@
                 break;
             }
         }
+        self.spread_quarantine();
         if self.has_new_remembered && !self.consensus.has_backlog() {
             self.take_remembered();
         }
@@ -532,6 +539,7 @@
             file_bytes: self.disk.bytes(),
             voters: self.consensus.members().len(),
             leads: self.leading.is_some(),
+            held_contents: self.table.quarantine().held(),
             ..state
         });
     }
--- /dev/null
+++ b/crates/cluster/src/storage/quarantine.rs
@@ -0,0 +1,127 @@
+//! Contents under which replicas ended, at the leader: what counts goes into the log, what
+//! the log holds is told to edges.
+
+use super::process::Storage;
+use brasspond_cluster_protocol::{Message, Peer, encode};
+use brasspond_jobs::Command;
+use brasspond_quarantine::{Case, Change, EndReport, Fingerprint, Ledger, Told};
+
+impl Storage {
+    /// An edge saw replicas end.
+    pub(super) fn replicas_ended(&mut self, machine: &str, reports: Vec<EndReport>) {
+        let now = self.clock.now();
+        let Some(leading) = &mut self.leading else {
+            return;
+        };
+        let reported = reports.len();
+        let ledger = self.table.quarantine();
+        let changes = leading.keeper.reported(reports, ledger, now);
+        log::info!(
+            "event=ends_reported edge={machine} ends={reported} counted={}",
+            changes.len()
+        );
+        self.change_quarantine(changes);
+    }
+
+    /// A replica answered a content under which others had ended.
+    pub(super) fn content_answered(&mut self, machine: &str, content: Fingerprint) {
+        let Some(leading) = &mut self.leading else {
+            return;
+        };
+        let change = leading.keeper.answered(content, self.table.quarantine());
+        log::info!(
+            "event=content_answered edge={machine} content={content} was_known={}",
+            change.is_some()
+        );
+        self.change_quarantine(change.into_iter().collect());
+    }
+
+    /// Lets time pass.
+    pub(super) fn tend_quarantine(&mut self, now: u64) {
+        let Some(leading) = &mut self.leading else {
+            return;
+        };
+        let changes = leading.keeper.tick(self.table.quarantine(), now);
+        self.change_quarantine(changes);
+    }
+
+    fn change_quarantine(&mut self, changes: Vec<Change>) {
+        if !changes.is_empty() {
+            self.propose(&Command::Quarantine(changes));
+        }
+    }
+
+    /// The log changed what is known of contents.
+    pub(super) fn quarantine_changed(&mut self, contents: Vec<Fingerprint>) {
+        let Some(leading) = &mut self.leading else {
+            return;
+        };
+        for content in contents {
+            let case = self.table.quarantine().case(content);
+            log::info!(
+                "event=content_known content={content} ends={} held={}",
+                case.map_or(0, Case::ends),
+                case.is_some_and(Case::is_held)
+            );
+            leading.untold_contents.insert(content);
+        }
+    }
+
+    /// Tells edges what changed, and all to those that were told nothing yet. Goes out as
+    /// soon as the log has it: each further try costs a replica.
+    pub(super) fn spread_quarantine(&mut self) {
+        let Some(leading) = &mut self.leading else {
+            return;
+        };
+        if leading.untold_contents.is_empty() && !self.lacks_quarantine {
+            return;
+        }
+        let ledger = self.table.quarantine();
+        let changed = std::mem::take(&mut leading.untold_contents);
+        let changed = changed_cases(changed, ledger);
+        let has_changes = !changed.is_empty();
+        let changed = encode(&Message::Quarantine(Told {
+            is_whole: false,
+            cases: changed,
+        }));
+        let whole = encode(&Message::Quarantine(whole_list(ledger)));
+        let mut is_lacking = false;
+        for state in self.links.values_mut() {
+            let is_edge = matches!(state.peer, Some(Peer::Edge { .. }));
+            if !is_edge || state.told_term != leading.term {
+                continue;
+            }
+            if !state.has_quarantine {
+                state.has_quarantine = state.writer.send_frame(whole.clone());
+            } else if has_changes {
+                state.has_quarantine = state.writer.send_frame(changed.clone());
+            }
+            is_lacking |= !state.has_quarantine;
+        }
+        self.lacks_quarantine = is_lacking;
+    }
+}
+
+/// Cases that edges are told of: bystanders of a single end say nothing to them.
+fn changed_cases(
+    contents: impl IntoIterator<Item = Fingerprint>,
+    ledger: &Ledger,
+) -> Vec<(Fingerprint, Option<Case>)> {
+    let cases = contents.into_iter().map(|content| {
+        let case = ledger.case(content).cloned();
+        (content, case)
+    });
+    cases
+        .filter(|(_, case)| case.as_ref().is_none_or(Case::is_watched))
+        .collect()
+}
+
+fn whole_list(ledger: &Ledger) -> Told {
+    let watched = ledger.cases().filter(|(_, case)| case.is_watched());
+    Told {
+        is_whole: true,
+        cases: watched
+            .map(|(content, case)| (content, Some(case.clone())))
+            .collect(),
+    }
+}
--- a/crates/cluster/src/storage/spread.rs
+++ b/crates/cluster/src/storage/spread.rs
@@ -74,6 +74,8 @@
             if is_new {
                 state.told_term = term;
                 state.has_view = false;
+                state.has_quarantine = false;
+                self.lacks_quarantine = true;
             }
         }
     }
--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -371,7 +371,10 @@
             } => self.on_scored(&machine, attempt, end, now),
             Event::Report { replica, report } => self.on_report(&replica, report, now),
             Event::Ordered { replica, answer } => self.on_ordered(&replica, answer, now),
-            Event::Tick => self.tick(now),
+            Event::Tick => {
+                self.tick(now);
+                self.retry_withheld(table, now);
+            }
         }
         if plans_orders {
             self.plan_orders(now);
--- a/crates/dispatch/src/jobs.rs
+++ b/crates/dispatch/src/jobs.rs
@@ -16,6 +16,8 @@
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(crate) enum State {
     Waiting,
+    /// Its content ends replicas: it does not wait for one.
+    Withheld,
     Running(AttemptId),
     /// Its text is kept; this run or order scores it, if one does.
     Scoring(Option<AttemptId>),
@@ -38,6 +40,8 @@
     pub failures: u32,
     /// Its text is listed only with a score.
     pub is_scored: bool,
+    /// It is to be started once although its content is held.
+    pub is_retry: bool,
 }
 
 /// Where a job's items may go.
@@ -63,6 +67,8 @@
     pub items: Vec<ItemRun>,
     /// Waiting items, the longest expected first.
     pub waiting: BTreeSet<(std::cmp::Reverse<u64>, u32)>,
+    /// Items whose content ends replicas, with when one may be run again.
+    pub withheld: BTreeMap<u32, Millis>,
 }
 
 /// Text of an item that a later job may use.
@@ -89,6 +95,7 @@
             kept: 0,
             failures: 0,
             is_scored: item.scoring.is_some(),
+            is_retry: false,
         }
     }
 }
@@ -142,6 +149,7 @@
             route: find_route(view, &job.host, &job.path),
             items: Vec::with_capacity(job.items.len()),
             waiting: BTreeSet::new(),
+            withheld: BTreeMap::new(),
         };
         let mut kept = Vec::new();
         for (index, item) in job.items.iter().enumerate() {
@@ -229,6 +237,13 @@
         run.waiting.insert((key, item));
     }
 
+    /// The item of a job that is to be started next, if its route leads anywhere.
+    pub fn next_waiting(&self, id: &str) -> Option<u32> {
+        let job = self.jobs.get(id)?;
+        job.route.as_ref()?;
+        job.waiting.first().map(|(_, item)| *item)
+    }
+
     /// Takes an item out of those that wait.
     pub fn take_waiting(&mut self, job: &str, item: u32) {
         if let Some(run) = self.jobs.get_mut(job) {
@@ -306,6 +321,7 @@
         let item_run = run.items.get_mut(item as usize)?;
         let before = std::mem::replace(&mut item_run.state, State::Listed);
         item_run.events = Vec::new();
+        run.withheld.remove(&item);
         run.waiting
             .remove(&(std::cmp::Reverse(item_run.expected_tokens), item));
         let is_done = run.items.iter().all(|item| item.state == State::Listed);
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -18,6 +18,7 @@
 mod runs;
 mod scoring;
 mod takeover;
+mod withheld;
 
 pub use dispatcher::{Action, Dispatcher, Event, Load, Millis, OrderLeases, Settings};
 pub use orders::{OrderAnswer, ReplicaReport};
--- a/crates/dispatch/src/runs.rs
+++ b/crates/dispatch/src/runs.rs
@@ -132,13 +132,18 @@
     }
 
     fn start_one(&mut self, id: &str, table: &JobTable, now: Millis) -> bool {
+        let Some(item) = self.jobs.next_waiting(id) else {
+            return false;
+        };
+        if self.withhold(id, item, table, now) {
+            return true;
+        }
         let Some(job) = self.jobs.jobs.get(id) else {
             return false;
         };
-        let (Some(route), Some((_, item))) = (&job.route, job.waiting.first()) else {
+        let Some(route) = &job.route else {
             return false;
         };
-        let item = *item;
         let need = Need {
             service: route.service(item),
             model: &job.model,
@@ -460,7 +465,7 @@
         for item in job.items {
             match item.state {
                 State::Running(attempt) => self.cancel(attempt),
-                State::Waiting => self.jobs.keep(item.id, item.events),
+                State::Waiting | State::Withheld => self.jobs.keep(item.id, item.events),
                 State::Scoring(Some(attempt)) => self.forget_scoring(attempt),
                 State::Scoring(None) | State::Ending(_) | State::Listed => {}
             }
@@ -519,7 +524,8 @@
             if route.max_queue_ms == 0 || now < job.since + route.max_queue_ms {
                 continue;
             }
-            for (_, item) in &job.waiting {
+            let waiting = job.waiting.iter().map(|(_, item)| item);
+            for item in waiting.chain(job.withheld.keys()) {
                 overdue.push((id.clone(), *item));
             }
             for (index, item) in job.items.iter().enumerate() {
@@ -532,6 +538,7 @@
             self.jobs.take_waiting(&id, item);
             self.stop_scoring(&id, item);
             if let Some(job) = self.jobs.jobs.get_mut(&id) {
+                job.withheld.remove(&item);
                 log::info!(
                     "event=item_given_up job={id} item={} waited_ms={}",
                     job.items[item as usize].id,
--- a/crates/dispatch/src/scoring.rs
+++ b/crates/dispatch/src/scoring.rs
@@ -9,6 +9,7 @@
 use crate::dispatcher::{Action, Dispatcher, Millis};
 use crate::jobs::{State, draft_of};
 use crate::runs::Run;
+use crate::withheld::SCORING_PAUSE;
 use brasspond_cluster_protocol::{AttemptId, RunReport, ScoringEnd, ScoringSpec};
 use brasspond_jobs::{JobTable, Score};
 use std::collections::BTreeMap;
@@ -115,7 +116,9 @@
             return;
         }
         for (job, item) in self.jobs.take_unscored(now) {
-            if !self.start_scoring(&job, item, table, now) {
+            if self.is_scoring_held(&job, item, table) {
+                self.jobs.wait_for_score(&job, item, now + SCORING_PAUSE);
+            } else if !self.start_scoring(&job, item, table, now) {
                 self.jobs.wait_for_score(&job, item, now + PAUSE);
             }
         }
--- a/crates/jobs/src/command.rs
+++ b/crates/jobs/src/command.rs
@@ -2,6 +2,7 @@
 
 use brasspond_compression::{pack, unpack};
 use brasspond_metering::UsageCommand;
+use brasspond_quarantine::{Change, Content, Fingerprint};
 use bytes::Bytes;
 use displaydoc::Display;
 use serde::{Deserialize, Serialize};
@@ -21,6 +22,19 @@
     pub body: Bytes,
 }
 
+impl ScoringCall {
+    /// What it asks for: the cluster's own call, made for no tenant.
+    pub fn content(&self) -> Fingerprint {
+        Fingerprint::of(&Content {
+            method: "POST",
+            host: &self.host,
+            path: &self.path,
+            tenant: None,
+            body: &self.body,
+        })
+    }
+}
+
 /// One request of a job, run later.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Item {
@@ -44,6 +58,19 @@
     pub scoring: Option<ScoringCall>,
 }
 
+impl Item {
+    /// What it asks for, as part of a job of this host and tenant.
+    pub fn content(&self, host: &str, tenant: Option<&str>) -> Fingerprint {
+        Fingerprint::of(&Content {
+            method: "POST",
+            host,
+            path: &self.path,
+            tenant,
+            body: &self.body,
+        })
+    }
+}
+
 /// A job as a caller hands it in.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Submission {
@@ -190,6 +217,8 @@
     },
     /// Of tenants' usage.
     Usage(UsageCommand),
+    /// Of contents under which replicas ended.
+    Quarantine(Vec<Change>),
 }
 
 /// Longest command, in bytes.
--- a/crates/jobs/src/table.rs
+++ b/crates/jobs/src/table.rs
@@ -6,6 +6,7 @@
 };
 use crate::groups::Groups;
 use brasspond_metering::UsageLedger;
+use brasspond_quarantine::Ledger;
 use bytes::{Bytes, BytesMut};
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet, HashSet};
@@ -130,6 +131,8 @@
     remembered: Option<(u64, Bytes)>,
     #[serde(default)]
     usage: UsageLedger,
+    #[serde(default)]
+    quarantine: Ledger,
 }
 
 impl JobTable {
@@ -148,6 +151,11 @@
             }
             Command::Intend { .. } => {}
             Command::Usage(command) => self.usage.apply(command),
+            Command::Quarantine(changes) => {
+                changes
+                    .into_iter()
+                    .for_each(|change| self.quarantine.apply(change));
+            }
             Command::Remember {
                 revision,
                 configuration,
@@ -175,6 +183,11 @@
         &self.usage
     }
 
+    /// Contents under which replicas ended.
+    pub fn quarantine(&self) -> &Ledger {
+        &self.quarantine
+    }
+
     /// The configuration remembered, with its revision.
     pub fn remembered(&self) -> Option<&(u64, Bytes)> {
         self.remembered.as_ref()
--- a/crates/telemetry/src/metrics.rs
+++ b/crates/telemetry/src/metrics.rs
@@ -31,6 +31,7 @@
     scoring_seconds: Histogram,
     denials: Counters,
     store_reachable: Gauge,
+    held_contents: Gauge,
     log_lines_dropped: Gauge,
 }
 
@@ -48,6 +49,7 @@
         let scoring_seconds = latency();
         let denials = Counters::default();
         let store_reachable = Gauge::default();
+        let held_contents = Gauge::default();
         let log_lines_dropped = Gauge::default();
         registry.register(
             "requests",
@@ -100,6 +102,11 @@
             "1 while the platform's store answers",
             store_reachable.clone(),
         );
+        registry.register(
+            "held_contents",
+            "Contents that no replica is to run, as the leader told",
+            held_contents.clone(),
+        );
         registry.register(
             "log_lines_dropped",
             "Log lines dropped since the start",
@@ -118,6 +125,7 @@
             scoring_seconds,
             denials,
             store_reachable,
+            held_contents,
             log_lines_dropped,
         }
     }
@@ -141,6 +149,11 @@
         self.denials.get_or_create(&labels).inc();
     }
 
+    /// The leader told how many contents are held.
+    pub fn held_contents(&self, count: usize) {
+        self.held_contents.set(count as i64);
+    }
+
     /// An attempt at a replica ended.
     pub fn attempt(&self, outcome: &str, seconds: f64) {
         let labels = vec![("outcome", outcome.to_string())];
@@ -203,6 +216,7 @@
     jobs: Gauge,
     running: Gauge,
     waiting: Gauge,
+    held_contents: Gauge,
     log_lines_dropped: Gauge,
 }
 
@@ -225,6 +239,8 @@
     pub running: usize,
     /// Items that wait, if it leads.
     pub waiting: usize,
+    /// Contents that no replica is to run.
+    pub held_contents: usize,
     /// Log lines dropped since the start.
     pub log_lines_dropped: u64,
 }
@@ -288,6 +304,7 @@
             jobs: gauge("jobs", "Jobs in the table"),
             running: gauge("runs", "Runs under way, where it leads"),
             waiting: gauge("items_waiting", "Items that wait, where it leads"),
+            held_contents: gauge("held_contents", "Contents that no replica is to run"),
             log_lines_dropped: gauge("log_lines_dropped", "Log lines dropped since the start"),
             registry,
             questions,
@@ -365,6 +382,7 @@
         self.jobs.set(state.jobs as i64);
         self.running.set(state.running as i64);
         self.waiting.set(state.waiting as i64);
+        self.held_contents.set(state.held_contents as i64);
         self.log_lines_dropped.set(state.log_lines_dropped as i64);
         text(&self.registry)
     }
