A leader's contact counts from when what was answered was sent

Cause: a leader that stood still reads answers of long ago as it wakes, and took them for contact: for up to 550 ms it counted as surely leading while another led, and might have given orders. Votes read late did the same to a new leader. Ruled out: the election: no two leaders of one term were ever seen. The fuzzer of the group plays machines that are suspended, lets a process act before it reads what came meanwhile, and checks that no two processes surely lead at one moment. A leader whose clock leaves the suspended time out (built-in fault) is caught. Conclusion: mended for leaders; what a follower that wakes reads as current is open.

--- a/crates/cluster/tests/group.rs
+++ b/crates/cluster/tests/group.rs
@@ -112,6 +112,10 @@
     Mutation::KeptIdentity,
     vec![Fault::WipeBehindCut, Fault::WipeBehindCut]
 )]
+#[case::suspended_time_not_counted(
+    Mutation::SteadyClock,
+    vec![Fault::PauseLeader, Fault::PauseLeader]
+)]
 fn a_built_in_fault_is_caught(#[case] mutation: Mutation, #[case] faults: Vec<Fault>) {
     const SEEDS: u64 = 60;
     let caught = (0..SEEDS).any(|seed| {
--- a/crates/cluster/tests/support/mod.rs
+++ b/crates/cluster/tests/support/mod.rs
@@ -2,7 +2,7 @@
 
 use brasspond_cluster::storage::plan::{Candidate, Situation, Step, next_step};
 use brasspond_consensus::{
-    Consensus, Entry, HardState, Member, MemberId, Message, Payload, Persisted, Timing,
+    Consensus, Entry, HardState, Member, MemberId, Message, Payload, Persisted, READ_LEASE, Timing,
 };
 use bytes::Bytes;
 use rand::{Rng, SeedableRng};
@@ -18,9 +18,9 @@
     PowerLoss(usize),
     /// The disk is lost; the machine comes back empty.
     Wipe(usize),
-    /// The process stands still for a while.
+    /// The process stands still for a while, or its machine is suspended.
     Pause(usize),
-    /// The leader's process stands still for a while.
+    /// The same for the leader's.
     PauseLeader,
     /// No messages either way for a while.
     Cut(usize),
@@ -48,6 +48,8 @@
     ForgottenVotes,
     /// A machine that lost its disk comes back under its old identity.
     KeptIdentity,
+    /// A process whose machine was suspended does not count that time.
+    SteadyClock,
 }
 
 #[derive(Clone, Debug, Default)]
@@ -68,6 +70,8 @@
     paused_until: u64,
     cut_until: u64,
     mute_until: u64,
+    /// How far its clock is behind that of the others, in ms.
+    clock_lag: u64,
     gone: bool,
 }
 
@@ -140,6 +144,7 @@
             paused_until: 0,
             cut_until: 0,
             mute_until: 0,
+            clock_lag: 0,
             gone: false,
         });
         self.start(number);
@@ -166,6 +171,8 @@
         if let Some(snapshot) = &kept.snapshot {
             machine.applied = decode(&snapshot.state);
         }
+        // A process that starts has a clock of its own; its leases begin with it.
+        machine.clock_lag = 0;
         let process = Consensus::new(machine.member.id, kept, Timing::default(), seed, self.now);
         machine.process = Some(process);
     }
@@ -179,9 +186,32 @@
             for number in 0..self.machines.len() {
                 self.step(number);
             }
+            self.check_one_holder();
         }
     }
 
+    /// Time by a machine's own clock.
+    fn clock(&self, number: usize) -> u64 {
+        self.now - self.machines[number].clock_lag
+    }
+
+    /// At no moment do two processes count as surely leading: each may give orders then.
+    fn check_one_holder(&self) {
+        let holders = (0..self.machines.len()).filter(|number| {
+            let machine = &self.machines[*number];
+            let process = machine.process.as_ref();
+            let is_awake = machine.paused_until <= self.now;
+            let surely_leads = process.is_some_and(|one| {
+                one.is_leader() && one.has_quorum_contact(READ_LEASE, self.clock(*number))
+            });
+            is_awake && surely_leads && !machine.gone
+        });
+        let holders: Vec<&str> = holders
+            .map(|number| self.machines[number].name.as_str())
+            .collect();
+        assert!(holders.len() <= 1, "{holders:?} lead at once");
+    }
+
     fn restart_those_due(&mut self) {
         for number in 0..self.machines.len() {
             let machine = &self.machines[number];
@@ -209,14 +239,17 @@
                 continue;
             };
             if machine.paused_until > now {
+                // What came meanwhile is read after it woke; it may act before.
+                let read_after = self.random.random_range(0..30);
                 self.parcels.push(Parcel {
-                    at: machine.paused_until,
+                    at: machine.paused_until + read_after,
                     ..parcel
                 });
                 continue;
             }
+            let own_now = now - machine.clock_lag;
             if let Some(process) = &mut machine.process {
-                process.receive(parcel.from, parcel.message, now);
+                process.receive(parcel.from, parcel.message, own_now);
             }
         }
     }
@@ -234,8 +267,9 @@
         if self.machines[number].paused_until > now || self.machines[number].process.is_none() {
             return;
         }
+        let own_now = self.clock(number);
         if let Some(process) = &mut self.machines[number].process {
-            process.tick(now);
+            process.tick(own_now);
         }
         self.note_leader(number);
         self.tend_members(number);
@@ -260,7 +294,8 @@
 
     /// Writes, sends, applies; true if something was done.
     fn settle(&mut self, number: usize) -> bool {
-        let now = self.now;
+        let sent_at = self.now;
+        let now = self.clock(number);
         let machine = &mut self.machines[number];
         let process = machine.process.as_mut().expect("running");
         process.replicate(now);
@@ -308,7 +343,7 @@
         for (to, message) in ready.messages {
             let delay = self.random.random_range(1..8);
             self.parcels.push(Parcel {
-                at: now + delay,
+                at: sent_at + delay,
                 from: id,
                 to,
                 message,
@@ -348,11 +383,12 @@
     }
 
     fn tend_members(&mut self, number: usize) {
-        let now = self.now;
+        let world_now = self.now;
+        let now = self.clock(number);
         let peers: Vec<Member> = self
             .machines
             .iter()
-            .filter(|one| one.process.is_some() && one.cut_until <= now)
+            .filter(|one| one.process.is_some() && one.cut_until <= world_now)
             .map(|one| one.member.clone())
             .collect();
         let process = self.machines[number].process.as_mut().expect("running");
@@ -468,7 +504,7 @@
                 machine.disk.entries.split_off(&(kept + 1));
             }
             Some(Mutation::ForgottenVotes) => machine.disk.hard_state = HardState::default(),
-            Some(Mutation::KeptIdentity) | None => {}
+            Some(Mutation::KeptIdentity | Mutation::SteadyClock) | None => {}
         }
         machine.process = None;
         machine.down_until = until;
@@ -517,7 +553,11 @@
                 self.run(4_500);
             }
             Fault::Pause(_) | Fault::PauseLeader => {
-                self.machines[number].paused_until = now + 1_400;
+                const PAUSE: u64 = 1_400;
+                self.machines[number].paused_until = now + PAUSE;
+                if self.mutation == Some(Mutation::SteadyClock) {
+                    self.machines[number].clock_lag += PAUSE;
+                }
             }
             Fault::Cut(_) => self.machines[number].cut_until = now + 1_400,
             Fault::CutOneWay(_) => self.machines[number].mute_until = now + 1_400,
--- a/crates/consensus/src/election.rs
+++ b/crates/consensus/src/election.rs
@@ -152,6 +152,7 @@
             self.set_hard_state(term, Some(self.id));
         }
         self.leader_heard_at = None;
+        self.stood_at = now;
         self.role = Role::Candidate {
             votes: BTreeSet::from([self.id]),
             probe,
@@ -256,7 +257,9 @@
     fn begin_to_lead(&mut self, now: Millis) {
         let mut progress = BTreeMap::new();
         for voter in self.other_voters() {
-            progress.insert(voter, Progress::new(self.log.last_index() + 1, now));
+            // Votes may be read long after they were given.
+            let next = self.log.last_index() + 1;
+            progress.insert(voter, Progress::new(next, self.stood_at));
         }
         self.learners.clear();
         self.role = Role::Leader {
--- a/crates/consensus/src/message.rs
+++ b/crates/consensus/src/message.rs
@@ -104,6 +104,9 @@
         /// All that was ever acknowledged lies at or before this index; none
         /// where the leader is not sure that it still leads.
         read_index: Option<u64>,
+        /// When it was sent, by the leader's clock, in ms.
+        #[serde(default)]
+        sent_at: u64,
     },
     /// Answer to [`Message::Append`] and [`Message::Install`].
     AppendReply {
@@ -113,6 +116,9 @@
         matched: bool,
         /// With `matched`: the last index known equal. Else: where to go on.
         index: u64,
+        /// When what it answers was sent, by the leader's clock, in ms.
+        #[serde(default)]
+        sent_at: u64,
     },
     /// A snapshot in place of entries the leader no longer has.
     Install {
@@ -120,6 +126,9 @@
         term: u64,
         /// The snapshot.
         snapshot: Snapshot,
+        /// When it was sent, by the leader's clock, in ms.
+        #[serde(default)]
+        sent_at: u64,
     },
     /// The leader asks the receiver to stand for election at once.
     Transfer {
--- a/crates/consensus/src/node.rs
+++ b/crates/consensus/src/node.rs
@@ -4,7 +4,7 @@
 use crate::election::Ballot;
 use crate::log::Log;
 use crate::message::{Entry, HardState, Member, MemberId, Message, Payload, Snapshot};
-use crate::replication::{Appended, Progress};
+use crate::replication::{Appended, Progress, ReplyTimes};
 use bytes::Bytes;
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -129,6 +129,8 @@
     pub(crate) early_until: Millis,
     pub(crate) heartbeat_at: Millis,
     pub(crate) leader_heard_at: Option<Millis>,
+    /// When this member last asked for votes.
+    pub(crate) stood_at: Millis,
     pub(crate) currency: Currency,
     pub(crate) random: ChaCha8Rng,
     pub(crate) ready: Ready,
@@ -160,6 +162,7 @@
             early_until: now + timing.election,
             heartbeat_at: 0,
             leader_heard_at: None,
+            stood_at: now,
             currency: Currency::default(),
             random: ChaCha8Rng::seed_from_u64(seed ^ id),
             ready: Ready::default(),
@@ -367,12 +370,14 @@
                 entries,
                 commit,
                 read_index,
+                sent_at,
             } => {
                 let appended = Appended {
                     previous: (previous_index, previous_term),
                     entries,
                     commit,
                     read_index,
+                    sent_at,
                 };
                 self.on_append(from, term, appended, now);
             }
@@ -380,8 +385,16 @@
                 term,
                 matched,
                 index,
-            } => self.on_append_reply(from, term, matched, index, now),
-            Message::Install { term, snapshot } => self.on_install(from, term, snapshot, now),
+                sent_at,
+            } => {
+                let times = ReplyTimes { sent_at, now };
+                self.on_append_reply(from, term, matched, index, times);
+            }
+            Message::Install {
+                term,
+                snapshot,
+                sent_at,
+            } => self.on_install(from, term, snapshot, sent_at, now),
             Message::Transfer { term } => self.on_transfer(term, now),
         }
     }
--- a/crates/consensus/src/replication.rs
+++ b/crates/consensus/src/replication.rs
@@ -20,7 +20,9 @@
     pub next: u64,
     /// Last entry known to be the same there and synced.
     pub matched: u64,
-    /// When it last answered.
+    /// When the newest message that it answered was sent. Not when the answer was read: a
+    /// leader that stood still reads answers of long ago as it wakes, and two processes
+    /// counted as surely leading for up to 550 ms then.
     pub heard_at: Millis,
     /// The append that is not answered yet.
     pub(crate) awaiting: Option<Awaited>,
@@ -40,6 +42,14 @@
     pub entries: Vec<Entry>,
     pub commit: u64,
     pub read_index: Option<u64>,
+    pub sent_at: Millis,
+}
+
+/// When what a member answered was sent, and when the answer is read, in ms.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct ReplyTimes {
+    pub sent_at: Millis,
+    pub now: Millis,
 }
 
 impl Progress {
@@ -120,6 +130,7 @@
             entries: Vec::new(),
             commit: self.commit.min(previous_index),
             read_index: self.read_index(now),
+            sent_at: now,
         };
         self.send(member, message);
     }
@@ -143,6 +154,7 @@
                 entries: self.log.slice(next, APPEND_BYTES),
                 commit: self.commit,
                 read_index: self.read_index(now),
+                sent_at: now,
             },
             None => {
                 self.want_history(member, next, now);
@@ -197,6 +209,7 @@
             entries,
             commit: self.commit,
             read_index: self.read_index(now),
+            sent_at: now,
         };
         self.await_reply(member, last_index, now);
         self.send(member, message);
@@ -211,11 +224,17 @@
         }
         let again = now + SNAPSHOT_PAUSE;
         self.await_reply(member, snapshot.index, again);
-        self.send(member, Message::Install { term, snapshot });
+        let message = Message::Install {
+            term,
+            snapshot,
+            sent_at: now,
+        };
+        self.send(member, message);
     }
 
     pub(crate) fn on_append(&mut self, from: MemberId, term: u64, appended: Appended, now: Millis) {
-        if !self.accepts_leader(from, term, now) {
+        let sent_at = appended.sent_at;
+        if !self.accepts_leader(from, term, sent_at, now) {
             return;
         }
         let Appended {
@@ -223,6 +242,7 @@
             entries,
             commit,
             read_index,
+            sent_at: _,
         } = appended;
         self.currency.told(read_index, now);
         let matched = match self.log.term_at(previous_index) {
@@ -232,7 +252,7 @@
         };
         if !matched {
             let index = self.log.last_index().min(previous_index.saturating_sub(1));
-            self.reply(from, false, index.max(self.commit));
+            self.reply(from, false, index.max(self.commit), sent_at);
             return;
         }
         let last = previous_index + entries.len() as u64;
@@ -240,7 +260,7 @@
             self.take_entry(entry);
         }
         self.commit = self.commit.max(commit.min(last));
-        self.reply(from, true, last);
+        self.reply(from, true, last, sent_at);
     }
 
     fn take_entry(&mut self, entry: Entry) {
@@ -261,9 +281,10 @@
         from: MemberId,
         term: u64,
         snapshot: Snapshot,
+        sent_at: Millis,
         now: Millis,
     ) {
-        if !self.accepts_leader(from, term, now) {
+        if !self.accepts_leader(from, term, sent_at, now) {
             return;
         }
         let index = snapshot.index;
@@ -279,12 +300,12 @@
             self.ready.truncate_from = None;
             self.ready.snapshot = Some(snapshot);
         }
-        self.reply(from, true, index);
+        self.reply(from, true, index, sent_at);
     }
 
-    fn accepts_leader(&mut self, from: MemberId, term: u64, now: Millis) -> bool {
+    fn accepts_leader(&mut self, from: MemberId, term: u64, sent_at: Millis, now: Millis) -> bool {
         if term < self.term() {
-            self.reply(from, false, self.log.last_index());
+            self.reply(from, false, self.log.last_index(), sent_at);
             return false;
         }
         self.follow(term, Some(from));
@@ -293,7 +314,7 @@
         true
     }
 
-    fn reply(&mut self, to: MemberId, matched: bool, index: u64) {
+    fn reply(&mut self, to: MemberId, matched: bool, index: u64, sent_at: Millis) {
         let term = self.term();
         self.send(
             to,
@@ -301,6 +322,7 @@
                 term,
                 matched,
                 index,
+                sent_at,
             },
         );
     }
@@ -311,7 +333,7 @@
         term: u64,
         matched: bool,
         index: u64,
-        now: Millis,
+        times: ReplyTimes,
     ) {
         let last = self.log.last_index();
         if term != self.term() {
@@ -323,7 +345,7 @@
         let Some(peer) = progress.get_mut(&from) else {
             return;
         };
-        peer.heard_at = now;
+        peer.heard_at = peer.heard_at.max(times.sent_at.min(times.now));
         if matched {
             peer.matched = peer.matched.max(index);
             peer.next = peer.next.max(peer.matched + 1);
@@ -339,7 +361,7 @@
         let is_behind = peer.next <= last && peer.awaiting.is_none();
         self.advance_commit();
         if is_behind {
-            self.send_append(from, now);
+            self.send_append(from, times.now);
         }
     }
 
--- a/crates/consensus/tests/currency.rs
+++ b/crates/consensus/tests/currency.rs
@@ -28,6 +28,7 @@
         commit: previous + entries.len() as u64,
         entries,
         read_index,
+        sent_at: 0,
     }
 }
 
