Requests that no replica was offered, and contents that are held, are counted and explained

Cause: how long a request was kept that no replica was offered stood nowhere, and from a content's digest there was no way to its requests. Change: offers= and quarantined= in event=request_failed, the histogram brasspond_edge_unoffered_seconds, the outcome quarantined; `brasspond explain` takes a content, names the cause of a break-off, and shows standstills among the context. Figures: two more cases of the explain test.

--- a/crates/cluster/src/edge/forward.rs
+++ b/crates/cluster/src/edge/forward.rs
@@ -342,7 +342,7 @@
         let view = self.edge.view.borrow();
         let ready = view.ready_replicas(&self.service).count();
         log::info!(
-            "event=request_failed request={} route={} service={} content={} attempts={attempts} offers={offers} held={is_held} may_have_run={may_have_run} late={} ready_replicas={ready} elapsed_ms={} configuration={} replicas_revision={}",
+            "event=request_failed request={} route={} service={} content={} attempts={attempts} offers={offers} quarantined={is_held} may_have_run={may_have_run} late={} ready_replicas={ready} elapsed_ms={} configuration={} replicas_revision={}",
             self.id,
             self.route.name,
             self.service,
@@ -354,7 +354,7 @@
         );
         let outcome = match (may_have_run, is_held) {
             (true, _) => "failed",
-            (false, true) => "held",
+            (false, true) => "quarantined",
             (false, false) => "refused",
         };
         let metrics = &self.edge.metrics;
@@ -363,6 +363,9 @@
             outcome,
             self.arrived.elapsed().as_secs_f64(),
         );
+        if offers == 0 {
+            metrics.unoffered(self.arrived.elapsed().as_secs_f64());
+        }
         if let Some(answer) = last_answer {
             let (status, headers, body) = *answer;
             return response(status, &headers, whole(body));
--- a/crates/telemetry/src/explain.rs
+++ b/crates/telemetry/src/explain.rs
@@ -1,4 +1,4 @@
-//! The story of one request, item or job out of the logs of several processes.
+//! The story of one request, item, job or content out of the logs of several processes.
 //!
 //! Inputs are read as streams; kept are only the lines about the identity asked
 //! for and the events that may have touched it (changes of leader, lost
@@ -12,7 +12,7 @@
 /// Lines between two words of progress.
 const PROGRESS_LINES: u64 = 1_000_000;
 /// Events that may touch a request without naming it.
-const CONTEXT: [&str; 12] = [
+const CONTEXT: [&str; 13] = [
     "leadership_won",
     "leadership_lost",
     "leader_known",
@@ -25,6 +25,7 @@
     "store_regained",
     "configuration_known",
     "stopping",
+    "stood_still",
 ];
 
 /// When a line was written, as far as it can be compared with others.
@@ -74,7 +75,7 @@
     }
 
     fn names(&self, id: &str) -> bool {
-        ["request", "item", "job", "window"]
+        ["request", "item", "job", "window", "content"]
             .iter()
             .any(|key| self.field(key) == id)
     }
@@ -167,6 +168,12 @@
             job_cause(&self.lines)
         } else if self.lines.iter().any(|line| line.field("item") == self.id) {
             item_cause(&self.lines)
+        } else if self
+            .lines
+            .iter()
+            .any(|line| line.field("content") == self.id)
+        {
+            content_cause(&self.lines)
         } else {
             request_cause(&self.lines)
         };
@@ -179,7 +186,19 @@
     let failed: Vec<String> = lines
         .iter()
         .filter(|line| line.event() == "attempt_failed")
-        .map(|line| format!("{} at {}", line.field("outcome"), line.field("replica")))
+        .map(|line| {
+            let cause = line.field("cause");
+            let cause = if cause.is_empty() {
+                String::new()
+            } else {
+                format!(" ({cause})")
+            };
+            format!(
+                "{}{cause} at {}",
+                line.field("outcome"),
+                line.field("replica")
+            )
+        })
         .collect();
     let attempts = if failed.is_empty() {
         String::from("no attempt failed")
@@ -208,6 +227,12 @@
         if !reason.is_empty() {
             return format!("refused at once: {reason}");
         }
+        if line.field("quarantined") == "true" && line.field("may_have_run") == "false" {
+            return format!(
+                "not run: replicas ended under its content {}, which is held; {attempts}",
+                line.field("content")
+            );
+        }
         let what = match (line.field("may_have_run"), line.field("late")) {
             ("true", "true") => "ran out of time while a replica may have run it",
             ("true", _) => "a replica may have run it, and its answer was lost or spoiled",
@@ -230,6 +255,32 @@
     }
 }
 
+/// What became of a content, whichever requests asked for it.
+fn content_cause(lines: &[LogLine]) -> String {
+    let looks = events(lines, "replica_looked_at");
+    let ended: std::collections::BTreeSet<&str> = looks
+        .iter()
+        .filter(|line| line.field("ended") == "true")
+        .map(|line| line.field("replica"))
+        .collect();
+    let refused = events(lines, "request_failed");
+    let refused = refused
+        .iter()
+        .filter(|line| line.field("quarantined") == "true")
+        .count();
+    let withheld = events(lines, "item_withheld").len();
+    let known = events(lines, "content_known");
+    let standing = match known.last() {
+        Some(line) if line.field("held") == "true" => "held",
+        Some(_) => "not held",
+        None => "not known to a leader",
+    };
+    format!(
+        "{} replicas ended under it; {refused} requests turned away, {withheld} items withheld; {standing} in the end",
+        ended.len()
+    )
+}
+
 /// What became of a usage window; `first` is the first time its report was sent.
 fn window_cause(lines: &[LogLine], first: &LogLine) -> String {
     let sent = events(lines, "usage_sent");
--- a/crates/telemetry/src/metrics.rs
+++ b/crates/telemetry/src/metrics.rs
@@ -31,6 +31,7 @@
     scoring_seconds: Histogram,
     denials: Counters,
     store_reachable: Gauge,
+    unoffered_seconds: Histogram,
     held_contents: Gauge,
     log_lines_dropped: Gauge,
 }
@@ -49,6 +50,7 @@
         let scoring_seconds = latency();
         let denials = Counters::default();
         let store_reachable = Gauge::default();
+        let unoffered_seconds = latency();
         let held_contents = Gauge::default();
         let log_lines_dropped = Gauge::default();
         registry.register(
@@ -102,6 +104,11 @@
             "1 while the platform's store answers",
             store_reachable.clone(),
         );
+        registry.register(
+            "unoffered_seconds",
+            "Time for which requests were kept that no replica was offered",
+            unoffered_seconds.clone(),
+        );
         registry.register(
             "held_contents",
             "Contents that no replica is to run, as the leader told",
@@ -125,6 +132,7 @@
             scoring_seconds,
             denials,
             store_reachable,
+            unoffered_seconds,
             held_contents,
             log_lines_dropped,
         }
@@ -149,6 +157,11 @@
         self.denials.get_or_create(&labels).inc();
     }
 
+    /// A request ended that no replica was offered.
+    pub fn unoffered(&self, seconds: f64) {
+        self.unoffered_seconds.observe(seconds);
+    }
+
     /// The leader told how many contents are held.
     pub fn held_contents(&self, count: usize) {
         self.held_contents.set(count as i64);
--- a/crates/telemetry/tests/explain.rs
+++ b/crates/telemetry/tests/explain.rs
@@ -8,6 +8,9 @@
 2026-01-01T00:00:01.55Z [INFO] event=request_failed request=r1 route=x attempts=1 may_have_run=false late=false ready_replicas=0
 2026-01-01T00:00:02Z [INFO] event=request_answered request=r2 route=x replica=i-2 attempt=1 status=200 elapsed_ms=31
 2026-01-01T00:00:02.5Z [INFO] event=request_denied request=r3 path=/x reason=key_unknown configuration=7 cut_off=false
+2026-01-01T00:00:02.6Z [INFO] event=attempt_failed request=r4 route=x attempt=1 replica=i-5 outcome=may_have_run cause=broken content=0a1b left_ms=900
+2026-01-01T00:00:02.62Z [INFO] event=replica_looked_at replica=i-5 request=r4 content=0a1b ended=true seen=refused
+2026-01-01T00:00:02.64Z [INFO] event=request_failed request=r5 route=x content=0a1b attempts=1 offers=0 quarantined=true may_have_run=false late=false ready_replicas=3
 noise that is no event
 2026-01-01T00:00:03Z [INFO] event=leader_silent
 ";
@@ -20,6 +23,7 @@
 2026-01-01T00:00:07Z [INFO] event=scoring_ended job=k item=b attempt=2.3 edge=e-1 end=unanswered elapsed_ms=1004
 2026-01-01T00:00:07.2Z [INFO] event=scoring_ordered job=k item=b attempt=2.4 edge=e-2 request=r9
 2026-01-01T00:00:07.3Z [INFO] event=scoring_ended job=k item=b attempt=2.4 edge=e-2 end=scored elapsed_ms=28
+2026-01-01T00:00:02.63Z [INFO] event=content_known content=0a1b ends=3 held=true
 2026-01-01T00:00:08Z [INFO] event=usage_closed window=356900580 late_ms=501 edges=68
 2026-01-01T00:00:08.2Z [INFO] event=usage_sent window=356900580 requests=42 fence=2 answer=Unknown elapsed_ms=700
 2026-01-01T00:00:09Z [INFO] event=usage_sent window=356900580 requests=42 fence=2 answer=Done elapsed_ms=14
@@ -41,6 +45,14 @@
     "r3",
     "turned away for its key: key_unknown by configuration 7, cut off: false"
 )]
+#[case::quarantined(
+    "r5",
+    "not run: replicas ended under its content 0a1b, which is held; no attempt failed"
+)]
+#[case::content(
+    "0a1b",
+    "1 replicas ended under it; 1 requests turned away, 0 items withheld; held in the end"
+)]
 #[case::usage_window(
     "356900580",
     "usage window of 42 requests, closed 501 ms after its end, sent 2 times: 1 Done, 1 Unknown"
