One stand-in of the platform, a package that tests and the soak share

Cause: the stand-in lay among one package's tests, where a soak could not use it. Tests keep their assertions.

--- a/crates/brasspond/tests/callers.rs
+++ b/crates/brasspond/tests/callers.rs
@@ -1,11 +1,9 @@
 //! Callers that leave, edges without descriptors, replicas that take no connection or whose
 //! connections go silent: by the real programs.
 
-mod platform_standin;
-
-use platform_standin::Replica;
-use platform_standin::processes::{Cluster, call, configuration, server, text};
-use platform_standin::silent::SilencedReplica;
+use brasspond_platform_standin::Replica;
+use brasspond_platform_standin::processes::{Cluster, call, configuration, server, text};
+use brasspond_platform_standin::silent::SilencedReplica;
 use rstest::rstest;
 use std::net::SocketAddr;
 use std::sync::Arc;
--- a/crates/brasspond/tests/cluster.rs
+++ b/crates/brasspond/tests/cluster.rs
@@ -1,12 +1,10 @@
 //! The real programs as separate processes before a stand-in of the platform.
 
-mod platform_standin;
-
-use nix::sys::signal::Signal;
-use platform_standin::processes::{
+use brasspond_platform_standin::processes::{
     Cluster, call, configuration, job, read_results, results, scored_job, text,
 };
-use platform_standin::{EVENTS, event_data};
+use brasspond_platform_standin::{EVENTS, event_data};
+use nix::sys::signal::Signal;
 use rstest::rstest;
 use std::collections::BTreeSet;
 use std::sync::atomic::Ordering;
--- a/crates/brasspond/tests/quarantine.rs
+++ b/crates/brasspond/tests/quarantine.rs
@@ -14,11 +14,9 @@
 //! `cause=broken`, `event=replica_looked_at ... ended=true` follows for each, and between two
 //! rounds the same replicas answer all other contents.
 
-mod platform_standin;
-
+use brasspond_platform_standin::ending::EndingReplica;
+use brasspond_platform_standin::processes::{Cluster, call, job, results, text};
 use hyper::header::RETRY_AFTER;
-use platform_standin::ending::EndingReplica;
-use platform_standin::processes::{Cluster, call, job, results, text};
 use rstest::rstest;
 use serde_json::{Value, json};
 use std::net::SocketAddr;
--- a/crates/brasspond/tests/scaling.rs
+++ b/crates/brasspond/tests/scaling.rs
@@ -1,8 +1,6 @@
 //! Orders of replicas, by the real programs before a stand-in of the platform.
 
-mod platform_standin;
-
-use platform_standin::processes::{Cluster, configuration};
+use brasspond_platform_standin::processes::{Cluster, configuration};
 use rstest::rstest;
 use serde_json::{Value, json};
 use std::sync::atomic::Ordering;
--- a/crates/brasspond/tests/tenants.rs
+++ b/crates/brasspond/tests/tenants.rs
@@ -1,9 +1,7 @@
 //! Tenants, their keys and their usage, by the real programs before a stand-in of the
 //! platform.
 
-mod platform_standin;
-
-use platform_standin::processes::{Cluster, call_with, configuration, job};
+use brasspond_platform_standin::processes::{Cluster, call_with, configuration, job};
 use rstest::rstest;
 use serde_json::{Value, json};
 use std::collections::BTreeMap;
