What tasks tell their own process, and socket options, fail with a line

Ruled out: a return of the error: the senders have nobody to return it to. Change: LocalSender and tell_news in one place each, note_unset for options; all log.

--- a/crates/cluster/src/edge/runs.rs
+++ b/crates/cluster/src/edge/runs.rs
@@ -91,12 +91,12 @@
             {
                 edge.content_answered(spec.content());
             }
-            let _ = edge.run_news.send(RunNews::Ended(attempt, end)).await;
+            edge.tell_news(RunNews::Ended(attempt, end)).await;
             if end == RunEnd::Whole
                 && let Some(call) = &spec.scoring
             {
                 let end = score(&edge, call, &spec.item_id).await;
-                let _ = edge.run_news.send(RunNews::Scored(attempt, end)).await;
+                edge.tell_news(RunNews::Scored(attempt, end)).await;
             }
         });
         let held = Held {
@@ -121,6 +121,13 @@
         }
     }
 
+    /// Tells the event loop what became of a run; a loop that has ended hears nothing more.
+    async fn tell_news(&self, news: RunNews) {
+        if self.run_news.send(news).await.is_err() {
+            log::info!("event=run_news_lost reason=the_process_ends");
+        }
+    }
+
     pub(super) fn cancel_run(&self, term: u64, attempt: AttemptId) {
         if term >= self.cluster.borrow().newest_term() {
             self.end_run(attempt, RunEnd::Cancelled);
--- a/crates/cluster/src/link.rs
+++ b/crates/cluster/src/link.rs
@@ -106,14 +106,24 @@
 /// Sets what every connection of the system needs: no delay, and an end when
 /// the other machine is silent.
 pub fn prepare(stream: &TcpStream) {
-    let _ = stream.set_nodelay(true);
+    note_unset("nodelay", stream.set_nodelay(true));
     let socket = SockRef::from(stream);
-    let _ = socket.set_tcp_user_timeout(Some(USER_TIMEOUT));
+    note_unset(
+        "user_timeout",
+        socket.set_tcp_user_timeout(Some(USER_TIMEOUT)),
+    );
     let probes = TcpKeepalive::new()
         .with_time(PROBE_PAUSE)
         .with_interval(PROBE_PAUSE)
         .with_retries(2);
-    let _ = socket.set_tcp_keepalive(&probes);
+    note_unset("keepalive", socket.set_tcp_keepalive(&probes));
+}
+
+/// A connection without one of its options works, but its silence is noticed late.
+fn note_unset(option: &str, set: std::io::Result<()>) {
+    if let Err(error) = set {
+        log::warn!("event=socket_option_failed option={option} error=\"{error}\"");
+    }
 }
 
 /// Numbers links.
--- a/crates/cluster/src/storage/group.rs
+++ b/crates/cluster/src/storage/group.rs
@@ -211,7 +211,7 @@
                 Ok(record) => Local::Record(record),
                 Err(_) => Local::RegistryFailed,
             };
-            let _ = local.send(event).await;
+            local.send(event).await;
         });
     }
 
@@ -287,7 +287,7 @@
                 Ok(()) => Local::RecordMade,
                 Err(_) => Local::RegistryFailed,
             };
-            let _ = local.send(event).await;
+            local.send(event).await;
         });
     }
 
@@ -442,7 +442,7 @@
                 Ok(()) => Local::RetirementReported(machine, completed),
                 Err(_) => Local::RegistryFailed,
             };
-            let _ = local.send(event).await;
+            local.send(event).await;
         });
     }
 
@@ -455,7 +455,7 @@
                 Ok(()) => Local::RecordWritten(members),
                 Err(_) => Local::RegistryFailed,
             };
-            let _ = local.send(event).await;
+            local.send(event).await;
         });
     }
 }
--- a/crates/cluster/src/storage/ordering.rs
+++ b/crates/cluster/src/storage/ordering.rs
@@ -67,7 +67,7 @@
                 .filter(|(status, _, _)| status.is_success())
                 .and_then(|(_, _, body)| dialect.report(&body));
             let event = Event::Report { replica, report };
-            let _ = local.send(Local::Dispatch(term, event)).await;
+            local.send(Local::Dispatch(term, event)).await;
         });
     }
 
@@ -131,7 +131,7 @@
             };
             let replica = order.replica;
             let event = Event::Ordered { replica, answer };
-            let _ = local.send(Local::Dispatch(term, event)).await;
+            local.send(Local::Dispatch(term, event)).await;
         });
     }
 }
--- a/crates/cluster/src/storage/process.rs
+++ b/crates/cluster/src/storage/process.rs
@@ -86,6 +86,19 @@
     RegistryFailed,
 }
 
+/// By which tasks of this process tell what they found out.
+#[derive(Clone)]
+pub(super) struct LocalSender(mpsc::Sender<Local>);
+
+impl LocalSender {
+    /// Tells it, once there is room. A process whose loop has ended hears nothing more.
+    pub async fn send(&self, event: Local) {
+        if self.0.send(event).await.is_err() {
+            log::info!("event=local_event_lost reason=the_process_ends");
+        }
+    }
+}
+
 /// A link as this process sees it.
 pub(super) struct LinkState {
     pub writer: Writer,
@@ -125,7 +138,7 @@
     pub ended_jobs: EndedJobs,
     /// The log keeps a view that this process has not taken yet.
     pub has_new_remembered: bool,
-    pub local: mpsc::Sender<Local>,
+    pub local: LocalSender,
     pub events: mpsc::Sender<LinkEvent>,
     pub numbers: Rc<LinkNumbers>,
     pub metrics: Rc<StorageMetrics>,
@@ -164,7 +177,7 @@
     let mut observed = outside.observed.clone();
     let mut storage = Storage::new(settings, outside, opened.log, opened.id, opened.kept)?;
     storage.events = events;
-    storage.local = local;
+    storage.local = LocalSender(local);
     storage.numbers = numbers;
     log::info!(
         "event=started role=storage machine={} member={:016x} term={} last_index={}",
@@ -267,7 +280,7 @@
             text_files,
             ended_jobs,
             has_new_remembered: false,
-            local,
+            local: LocalSender(local),
             events,
             numbers: Rc::new(LinkNumbers::default()),
             metrics: Rc::new(StorageMetrics::default()),
--- a/crates/cluster/src/storage/scaling.rs
+++ b/crates/cluster/src/storage/scaling.rs
@@ -68,7 +68,7 @@
                 clock.now() - begun
             );
             let event = Local::ReplicasOrdered(term, order, answer);
-            let _ = local.send(event).await;
+            local.send(event).await;
         });
     }
 
--- a/crates/cluster/src/storage/usage.rs
+++ b/crates/cluster/src/storage/usage.rs
@@ -54,7 +54,7 @@
                 "event=usage_sent window={window} requests={requests} fence={term} answer={answer:?} elapsed_ms={}",
                 clock.now() - begun
             );
-            let _ = local.send(Local::UsageSent(term, window, answer)).await;
+            local.send(Local::UsageSent(term, window, answer)).await;
         });
     }
 
