An edge that finds a leader is not alone from that moment

Cause: the time without a leader ended at an edge's next look (250 ms). One that stood still before that look counted as alone since its start as it woke, and refused at once. Ruled out: the clock (it counts standstills as before), no configuration (it was in force). Change: the leader's word ends that time itself.

--- a/crates/cluster/src/edge/cluster.rs
+++ b/crates/cluster/src/edge/cluster.rs
@@ -308,6 +308,9 @@
         let Some(writer) = self.links.get(&link).map(|state| state.writer.clone()) else {
             return Vec::new();
         };
+        // At once, not at the next look: an edge that stood still within 250 ms of finding its
+        // first leader counted as alone since its start, and refused the first job in 1 of 6 runs.
+        self.alone_since = None;
         let known = self.leader();
         let is_new = known.is_none_or(|known| known.link != link || known.term != term);
         let leader = Leader {
@@ -458,3 +461,7 @@
         Happening::Recorded(attempt) => edge.forget_run(attempt),
     }
 }
+
+#[cfg(test)]
+#[path = "../../tests/unit/cluster.rs"]
+mod tests;
--- a/crates/cluster/src/link.rs
+++ b/crates/cluster/src/link.rs
@@ -77,6 +77,16 @@
 }
 
 impl Writer {
+    /// One that writes nowhere.
+    #[cfg(test)]
+    pub fn detached() -> Self {
+        let (queue, _) = mpsc::channel(1);
+        Self {
+            queue,
+            waiting: Rc::default(),
+        }
+    }
+
     /// Queues a message; false if the queue is full or the link is down.
     pub fn send(&self, message: &Message) -> bool {
         self.send_frame(encode(message))
