Sight: by whose word a scoring call begins, what edges were not sent, runs that nobody knows

Ruled out: nothing yet. Change: event=scoring_begun (leader_term, leader_heard_ms), event=edge_message_lost with a counter brasspond_storage_edge_messages_lost, event=run_unknown; what is stopped is a kind of message of its own.

--- a/crates/cluster-protocol/src/kind.rs
+++ b/crates/cluster-protocol/src/kind.rs
@@ -28,7 +28,9 @@
     Events,
     /// Usage of tenants.
     Usage,
-    /// Everything else: greetings, signs of life, held contents, what is stopped or recorded.
+    /// What an edge is to stop or to forget.
+    Stop,
+    /// Everything else: greetings, signs of life, held contents.
     Other,
 }
 
@@ -37,7 +39,7 @@
     pub const COUNT: usize = Self::ALL.len();
 
     /// All kinds, in the order of their numbers.
-    pub const ALL: [Self; 12] = [
+    pub const ALL: [Self; 13] = [
         Self::Log,
         Self::LogControl,
         Self::Question,
@@ -49,6 +51,7 @@
         Self::Order,
         Self::Events,
         Self::Usage,
+        Self::Stop,
         Self::Other,
     ];
 
@@ -70,9 +73,8 @@
             | Message::Ended { .. }
             | Message::Scored { .. } => Self::Events,
             Message::Usage(_) => Self::Usage,
+            Message::Cancel { .. } | Message::Recorded { .. } => Self::Stop,
             Message::Hello(_)
-            | Message::Cancel { .. }
-            | Message::Recorded { .. }
             | Message::Draining
             | Message::ReplicasEnded(_)
             | Message::ContentAnswered(_)
@@ -103,6 +105,7 @@
             Self::Order => "order",
             Self::Events => "events",
             Self::Usage => "usage",
+            Self::Stop => "stop",
             Self::Other => "other",
         }
     }
--- a/crates/cluster/src/edge/cluster.rs
+++ b/crates/cluster/src/edge/cluster.rs
@@ -137,6 +137,13 @@
         self.leader.borrow().clone()
     }
 
+    /// Term of the leader and the time since it was last heard, in ms.
+    pub(super) fn leader_heard(&self, now: u64) -> Option<(u64, u64)> {
+        let leader = self.leader.borrow();
+        let leader = leader.as_ref()?;
+        Some((leader.term, now.saturating_sub(leader.heard_at)))
+    }
+
     pub(super) fn watch_leader(&self) -> watch::Receiver<Option<Leader>> {
         self.leader.subscribe()
     }
--- a/crates/cluster/src/edge/scoring.rs
+++ b/crates/cluster/src/edge/scoring.rs
@@ -96,6 +96,24 @@
     })
 }
 
+/// Tells by whose word a call is begun, and how old that is: only a leader knows that the
+/// call's job has ended.
+fn log_begin(edge: &Edge, call: &ScoringCall, item_id: &str) {
+    let heard = edge.cluster.borrow().leader_heard(edge.clock.now());
+    let (term, heard_ms) = heard.unzip();
+    log::info!(
+        "event=scoring_begun item={item_id} request={} leader_term={} leader_heard_ms={}",
+        call.id,
+        text_of(term),
+        text_of(heard_ms)
+    );
+}
+
+/// A number for a line of the log; `none` where there is none.
+fn text_of(number: Option<u64>) -> String {
+    number.map_or_else(|| "none".to_string(), |number| number.to_string())
+}
+
 /// Makes a scoring call until a replica answers, it has failed as often as its
 /// route allows, or its time is up. The job's data may be in `regions`; the call's own
 /// route binds as well. `ran_out` calls for the text before it were given all their time:
@@ -110,6 +128,7 @@
     let begun = Moment::now();
     let time = time_of(edge, call);
     let deadline = begun + time;
+    log_begin(edge, call, item_id);
     let mut scorer = Scorer {
         edge,
         call,
--- a/crates/cluster/src/storage/leading.rs
+++ b/crates/cluster/src/storage/leading.rs
@@ -7,7 +7,7 @@
 use crate::link::LinkId;
 use crate::outside::{Interest, VersionOrder};
 use brasspond_autoscaling::Autoscaler;
-use brasspond_cluster_protocol::{Message, Peer};
+use brasspond_cluster_protocol::{Kind, Message, Peer};
 use brasspond_consensus::READ_LEASE;
 use brasspond_dispatch::{Action, Dispatcher, Event, OrderLeases, Settings};
 use brasspond_fleet::FleetView;
@@ -298,9 +298,17 @@
 
     fn send_to_edge(&mut self, machine: &str, message: &Message) {
         let link = self.leading.as_ref().and_then(|one| one.edges.get(machine));
-        if let Some(state) = link.and_then(|link| self.links.get(link)) {
-            state.writer.send(message);
-        }
+        let state = link.and_then(|link| self.links.get(link));
+        let reason = match state.map(|state| state.writer.send(message)) {
+            Some(true) => return,
+            Some(false) => "queue_full",
+            None => "no_link",
+        };
+        self.metrics.edge_message_lost(reason);
+        log::info!(
+            "event=edge_message_lost machine={machine} message={} reason={reason}",
+            Kind::of(message).name()
+        );
     }
 
     pub(super) fn on_edge_message(&mut self, link: LinkId, message: Message) {
--- a/crates/dispatch/src/runs.rs
+++ b/crates/dispatch/src/runs.rs
@@ -328,6 +328,7 @@
     /// them.
     fn take_events(&mut self, attempt: AttemptId, events: Vec<StreamEvent>, now: Millis) -> bool {
         let Some(run) = self.runs.by_id.get_mut(&attempt) else {
+            log::info!("event=run_unknown attempt={attempt}");
             return true;
         };
         run.heard_at = now;
--- a/crates/telemetry/src/metrics.rs
+++ b/crates/telemetry/src/metrics.rs
@@ -274,6 +274,7 @@
     orders: Counters,
     runs_ended: Counters,
     scorings_ended: Counters,
+    edge_messages_lost: Counters,
     usage_reports: Counters,
     replica_orders: Counters,
     leaderships: Counter,
@@ -332,6 +333,12 @@
         let orders = Counters::default();
         let runs_ended = Counters::default();
         let scorings_ended = Counters::default();
+        let edge_messages_lost = Counters::default();
+        registry.register(
+            "edge_messages_lost",
+            "Messages to edges that were not sent, by reason",
+            edge_messages_lost.clone(),
+        );
         let usage_reports = Counters::default();
         let replica_orders = Counters::default();
         let leaderships = Counter::default();
@@ -403,6 +410,7 @@
             orders,
             runs_ended,
             scorings_ended,
+            edge_messages_lost,
             usage_reports,
             replica_orders,
             leaderships,
@@ -457,6 +465,12 @@
         self.scorings_ended.get_or_create(&labels).inc();
     }
 
+    /// A message to an edge was not sent, and why.
+    pub fn edge_message_lost(&self, reason: &str) {
+        let labels = vec![("reason", reason.to_string())];
+        self.edge_messages_lost.get_or_create(&labels).inc();
+    }
+
     /// The platform answered a usage report, or did not.
     pub fn usage_report(&self, answer: &str) {
         let labels = vec![("answer", answer.to_string())];
