--- /dev/null
+++ b/crates/brasspond/tests/ended.rs
@@ -0,0 +1,114 @@
+//! What has ended begins nothing more: calls for scores after the end of their job.
+//!
+//! What users saw: a call that grades a text reached a replica seconds after its caller had
+//! ended the job and had been told so, and ran; twice for one text on one run, from two edges
+//! on another.
+//!
+//! The order of events: an edge is silent for a while (it stands still, or its link does) with
+//! orders to run items on their way to it; the leader gives it up, and these runs with it; the
+//! edge comes back, tells the runs that it holds, and only then reads the orders. It runs what
+//! nobody knows of. The job's caller ends it; no end of a run is sent for a run that is not
+//! known; seconds later the text is whole, and its edge makes the call at once.
+//!
+//! The cause: an order to run an item was leave to begin it, and whatever follows from it, for
+//! ever: whenever the order was read, and however long ago its leader last vouched for it.
+//!
+//! The evidence: in the logs of the first test, `event=run_started` for edges that are silent,
+//! `event=edge_lost`, `event=edge_up` with the older runs alone, then `event=run_unknown` of the
+//! newer ones at each report of that edge, past `event=job_ended`, until it logs
+//! `event=scoring_begun` with its leader heard 0.3 s ago: 14 to 19 calls of a job of 24 items,
+//! 6.7 s after its end (three runs of it).
+
+use brasspond_platform_standin::Replica;
+use brasspond_platform_standin::processes::{Cluster, Size, call, configuration, scored_job};
+use brasspond_platform_standin::{EVENTS, Store};
+use nix::sys::signal::Signal;
+use rstest::rstest;
+use std::sync::atomic::Ordering;
+use std::time::{Duration, Instant};
+
+/// Time of an event: a text takes 7.5 s, as the longest ones do where a step takes as long.
+const EVENT_MS: u64 = 250;
+/// Time after an acknowledged end from which nothing more may begin.
+const BOUND: Duration = Duration::from_millis(3_000);
+/// After this standstill the leader has given an edge up, which it does after 1.6 s.
+const STANDSTILL: Duration = Duration::from_millis(1_800);
+const ITEMS: usize = 24;
+
+async fn slow_cluster(edges: u8) -> Cluster {
+    let (store, addresses) = Store::start().await;
+    let size = Size { edges, storage: 3 };
+    let cluster = Cluster::start_sized(configuration(1), store, addresses, size).await;
+    for replica in &cluster.replicas {
+        replica.event_ms.store(EVENT_MS, Ordering::Relaxed);
+    }
+    cluster
+}
+
+async fn submit(cluster: &Cluster, job: &str) {
+    let front = cluster.edges[0].front;
+    let response = call(front, "POST", "/jobs/x", job, scored_job(ITEMS)).await;
+    assert_eq!(response.expect("answered").status(), 202);
+}
+
+/// Ends a job at an edge; gives the time at which that was acknowledged.
+async fn end(cluster: &Cluster, edge: usize, job: &str) -> Instant {
+    let path = format!("/-/lots/{job}");
+    let front = cluster.edges[edge].front;
+    let response = call(front, "DELETE", &path, "trainer", String::new()).await;
+    assert_eq!(response.expect("answered").status(), 200);
+    Instant::now()
+}
+
+/// Calls that the scoring service got so long after the job's end, in ms after it.
+fn late_calls(scoring: &Replica, ended: Instant) -> Vec<u128> {
+    let arrivals = scoring.arrivals().into_iter();
+    let late = arrivals.filter(|at| *at > ended + BOUND);
+    late.map(|at| at.duration_since(ended).as_millis())
+        .collect()
+}
+
+fn signal_edges(cluster: &Cluster, edges: std::ops::Range<usize>, signal: Signal) {
+    for edge in &cluster.edges[edges] {
+        edge.signal(signal);
+    }
+}
+
+/// Edges stand still, and hear the leader before they look at how long it was silent: it has
+/// given them up, and they do not know.
+#[rstest]
+#[tokio::test(flavor = "multi_thread")]
+async fn edges_that_the_leader_gave_up_make_no_calls_for_an_ended_job() {
+    const EDGES: u8 = 6;
+    let cluster = slow_cluster(EDGES).await;
+    submit(&cluster, "job-1").await;
+    let text_time = Duration::from_millis(EVENT_MS * EVENTS);
+    let whole_at = Instant::now() + text_time;
+    tokio::time::sleep(Duration::from_millis(700)).await;
+    signal_edges(&cluster, 0..EDGES.into(), Signal::SIGSTOP);
+    tokio::time::sleep(STANDSTILL).await;
+    signal_edges(&cluster, 0..EDGES.into(), Signal::SIGCONT);
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    let ended = end(&cluster, 0, "job-1").await;
+    assert!(ended + BOUND < whole_at, "the texts are whole too early");
+    tokio::time::sleep_until((ended + text_time + BOUND).into()).await;
+    assert_eq!(late_calls(&cluster.plain, ended), Vec::<u128>::new());
+}
+
+/// Edges are suspended while the job ends: when they wake their texts are whole, and the word
+/// of the leader that ordered them is seconds old.
+#[rstest]
+#[tokio::test(flavor = "multi_thread")]
+async fn edges_that_slept_through_a_jobs_end_make_no_calls_for_it() {
+    const EDGES: u8 = 4;
+    let cluster = slow_cluster(EDGES).await;
+    submit(&cluster, "job-2").await;
+    let text_time = Duration::from_millis(EVENT_MS * EVENTS);
+    tokio::time::sleep(text_time - Duration::from_millis(600)).await;
+    signal_edges(&cluster, 1..EDGES.into(), Signal::SIGSTOP);
+    let ended = end(&cluster, 0, "job-2").await;
+    tokio::time::sleep_until((ended + BOUND + Duration::from_millis(500)).into()).await;
+    signal_edges(&cluster, 1..EDGES.into(), Signal::SIGCONT);
+    tokio::time::sleep(BOUND).await;
+    assert_eq!(late_calls(&cluster.plain, ended), Vec::<u128>::new());
+}
