--- a/crates/brasspond/tests/ended.rs
+++ b/crates/brasspond/tests/ended.rs
@@ -74,6 +74,14 @@
     }
 }
 
+fn signal_storage(cluster: &Cluster, signal: Signal) {
+    let living = cluster
+        .storage
+        .iter()
+        .filter(|member| member.pid().is_some());
+    living.for_each(|member| member.signal(signal));
+}
+
 /// Edges stand still, and hear the leader before they look at how long it was silent: it has
 /// given them up, and they do not know.
 #[rstest]
@@ -95,20 +103,27 @@
     assert_eq!(late_calls(&cluster.plain, ended), Vec::<u128>::new());
 }
 
-/// Edges are suspended while the job ends: when they wake their texts are whole, and the word
-/// of the leader that ordered them is seconds old.
+/// Edges are suspended while their leader is lost and the job ends under the next: when they
+/// wake their texts are whole, and the word of the leader that ordered them is seconds old.
+/// Nobody can tell them so: the members of the log stand still at that moment.
 #[rstest]
 #[tokio::test(flavor = "multi_thread")]
 async fn edges_that_slept_through_a_jobs_end_make_no_calls_for_it() {
     const EDGES: u8 = 4;
-    let cluster = slow_cluster(EDGES).await;
+    let mut cluster = slow_cluster(EDGES).await;
     submit(&cluster, "job-2").await;
     let text_time = Duration::from_millis(EVENT_MS * EVENTS);
-    tokio::time::sleep(text_time - Duration::from_millis(600)).await;
+    tokio::time::sleep(text_time - 2 * STANDSTILL).await;
     signal_edges(&cluster, 1..EDGES.into(), Signal::SIGSTOP);
+    let leader = cluster.leader();
+    cluster.storage[leader].kill();
+    tokio::time::sleep(STANDSTILL).await;
     let ended = end(&cluster, 0, "job-2").await;
     tokio::time::sleep_until((ended + BOUND + Duration::from_millis(500)).into()).await;
+    signal_storage(&cluster, Signal::SIGSTOP);
     signal_edges(&cluster, 1..EDGES.into(), Signal::SIGCONT);
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    signal_storage(&cluster, Signal::SIGCONT);
     tokio::time::sleep(BOUND).await;
     assert_eq!(late_calls(&cluster.plain, ended), Vec::<u128>::new());
 }
