--- a/crates/brasspond/tests/ended.rs
+++ b/crates/brasspond/tests/ended.rs
@@ -127,3 +127,52 @@
     tokio::time::sleep(BOUND).await;
     assert_eq!(late_calls(&cluster.plain, ended), Vec::<u128>::new());
 }
+
+/// A cluster in which the first edge was ordered to score texts that another, lost edge made:
+/// calls are answered by broken connections, and tried again for the 10 s of their route.
+async fn cluster_with_ordered_scorings(job: &str) -> Cluster {
+    let (store, addresses) = Store::start().await;
+    let size = Size {
+        edges: 3,
+        storage: 3,
+    };
+    let mut cluster = Cluster::start_sized(configuration(1), store, addresses, size).await;
+    cluster.plain.breaks.store(true, Ordering::Relaxed);
+    submit(&cluster, job).await;
+    // All texts are whole.
+    tokio::time::sleep(Duration::from_millis(1_500)).await;
+    cluster.edges[1].kill();
+    let leader = &cluster.storage[cluster.leader()];
+    leader.await_line("event=scoring_ordered").await;
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    cluster
+}
+
+/// The leader that ordered scorings is lost; their job ends under the next, which has never heard
+/// of them: an edge's telling of its runs leaves them out, so that nothing on its link ends them
+/// before leave is renewed.
+#[rstest]
+#[tokio::test(flavor = "multi_thread")]
+async fn scorings_that_a_lost_leader_ordered_end_with_their_job() {
+    let mut cluster = cluster_with_ordered_scorings("job-3").await;
+    let leader = cluster.leader();
+    cluster.storage[leader].kill();
+    tokio::time::sleep(STANDSTILL).await;
+    let ended = end(&cluster, 0, "job-3").await;
+    tokio::time::sleep_until((ended + BOUND + STANDSTILL).into()).await;
+    assert_eq!(late_calls(&cluster.plain, ended), Vec::<u128>::new());
+}
+
+/// One leader throughout: it gives an edge up, and with it the scorings that it ordered there;
+/// what ends them is sent to no edge that is not registered. The edge comes back, and leave too.
+#[rstest]
+#[tokio::test(flavor = "multi_thread")]
+async fn scorings_ordered_from_an_edge_that_was_given_up_end_with_their_job() {
+    let cluster = cluster_with_ordered_scorings("job-4").await;
+    signal_edges(&cluster, 0..1, Signal::SIGSTOP);
+    tokio::time::sleep(STANDSTILL).await;
+    let ended = end(&cluster, 2, "job-4").await;
+    signal_edges(&cluster, 0..1, Signal::SIGCONT);
+    tokio::time::sleep_until((ended + BOUND + STANDSTILL).into()).await;
+    assert_eq!(late_calls(&cluster.plain, ended), Vec::<u128>::new());
+}
--- a/crates/dispatch/tests/scoring.rs
+++ b/crates/dispatch/tests/scoring.rs
@@ -321,3 +321,44 @@
     fixture.advance(2_000);
     assert_eq!(lists(&fixture.handle(Event::Tick)), [Outcome::Terminated]);
 }
+
+/// What an edge's old link delivers late, after its new link told that a text is whole, tells of
+/// a run that is known: its scoring goes on, and it is not told to forget a text that the log
+/// may not hold yet.
+#[rstest]
+#[case::being_scored(true)]
+#[case::being_listed(false)]
+fn late_progress_of_an_old_link_has_no_whole_text_forgotten(#[case] is_scored: bool) {
+    let mut fixture = fixture();
+    fixture.edge("edge-1");
+    let submission = if is_scored {
+        scored_submission("job", 1)
+    } else {
+        submission("job", &[1], 0)
+    };
+    let run = runs(&fixture.accept(submission)).remove(0);
+    let told = RunReport {
+        attempt: run.attempt,
+        job: "job".to_string(),
+        item: 0,
+        replica: run.replica.clone(),
+        events: vec![event(1, "a", 1), event(2, "b", 1)],
+        end: Some(RunEnd::Whole),
+        scoring: None,
+    };
+    fixture.edge_with("edge-1", vec![told]);
+    let actions = fixture.handle(Event::Progress {
+        machine: "edge-1".to_string(),
+        attempt: run.attempt,
+        events: vec![event(1, "a", 1)],
+        pace: None,
+    });
+    let forgotten = actions.iter().filter(|action| {
+        let attempt = match action {
+            Action::Recorded { attempt, .. } => attempt,
+            _ => return false,
+        };
+        *attempt == run.attempt
+    });
+    assert_eq!(forgotten.count(), 0, "{actions:?}");
+}
