A telling of runs ends ordered scorings; an unknown run is cancelled, not forgotten

Ruled out: telling ordered scorings too (a second kind of report for calls that may be repeated). Change: an edge drops ordered scorings as it tells its runs, and the leader orders them anew; an unknown run is answered with a cancellation alone, which leaves whole texts.

--- a/crates/cluster/src/edge/runs.rs
+++ b/crates/cluster/src/edge/runs.rs
@@ -256,6 +256,7 @@
         };
         let uptime = self.clock.now();
         let telling = self.cluster.borrow_mut().begin_telling(uptime);
+        self.drop_ordered_scorings();
         let mut reports = Vec::new();
         for (attempt, held) in &self.runs.borrow().held {
             let mut progress = held.progress.borrow_mut();
--- a/crates/cluster/src/edge/scoring.rs
+++ b/crates/cluster/src/edge/scoring.rs
@@ -70,6 +70,16 @@
         }
     }
 
+    /// Drops the scorings that were ordered before a telling of runs, which leaves them out: no
+    /// leader would end them with their job. Whoever takes the telling orders them again. Kept,
+    /// they made 107 calls past the end of a job of 24 items whose leader was lost.
+    pub(super) fn drop_ordered_scorings(&self) {
+        for (attempt, task) in self.scorings.borrow_mut().drain() {
+            log::info!("event=scoring_dropped attempt={attempt} reason=older_telling");
+            task.abort();
+        }
+    }
+
     /// Hands ordered scorings back, so that other edges go on with them.
     pub(super) fn hand_over_scorings(&self) {
         let scorings = std::mem::take(&mut *self.scorings.borrow_mut());
--- a/crates/dispatch/src/runs.rs
+++ b/crates/dispatch/src/runs.rs
@@ -336,14 +336,14 @@
 
     /// Ends a run that an edge holds and this leader does not know: it takes a place on a
     /// replica, and nothing else would ever end it. Its edge told of such runs four times a
-    /// second for the 7 s of a text, past the end of their job.
+    /// second for the 7 s of a text, past the end of their job. It is not told to forget it: a
+    /// text that is whole there may be on its way into the log, and a cancellation leaves it.
     fn end_unknown(&mut self, machine: &str, attempt: AttemptId) {
         log::info!("event=run_unknown attempt={attempt} edge={machine}");
         self.actions.push(Action::Cancel {
             machine: machine.to_string(),
             attempt,
         });
-        self.recorded(machine, attempt);
     }
 
     /// Adds events of a run to those known; says whether none is missing between
