The dispatcher's fuzzer plays edges that stand still, tellings and leave to begin calls

Red, for a real fault: scorings_read_before_a_telling_end_with_their_job (an order to score that is read before the telling is in no telling; job-1 is scored after its end).

--- a/crates/dispatch/tests/fuzzing.rs
+++ b/crates/dispatch/tests/fuzzing.rs
@@ -52,7 +52,12 @@
         edge.clone().prop_map(Fault::EdgeEnds),
         (edge.clone(), 20_u64..2_000, any::<bool>())
             .prop_map(|(edge, for_ms, late)| Fault::LinkBreaks { edge, for_ms, late }),
-        edge.prop_map(Fault::EdgeDrains),
+        edge.clone().prop_map(Fault::EdgeDrains),
+        (edge, 20_u64..7_000).prop_map(|(edge, for_ms)| Fault::EdgeStands {
+            edge,
+            for_ms,
+            reads_first: 0,
+        }),
         replica.clone().prop_map(Fault::ReplicaEnds),
         (replica.clone(), 200_u64..6_000).prop_map(|(one, ms)| Fault::ReplicaDark(one, ms)),
         (replica.clone(), 20_u64..200).prop_map(|(one, ms)| Fault::ReplicaSlow(one, ms)),
@@ -197,3 +202,44 @@
     assert!(caught(Some(mutation)), "{mutation:?} was never noticed");
     assert!(!caught(None));
 }
+
+/// Scorings are ordered from an edge that stands still; it is given up, their job ends, and it
+/// goes on long after that.
+fn played_past_an_end(seed: u64, reads_first: usize, mutation: Option<Mutation>) {
+    let stands = |edge| Fault::EdgeStands {
+        edge,
+        for_ms: 7_000,
+        reads_first,
+    };
+    let mut strikes = vec![(Fault::Submit(40), 1_200)];
+    // What a lost edge scored is ordered from others.
+    strikes.push((Fault::EdgeEnds(2), 390));
+    strikes.push((stands(0), 10));
+    strikes.push((stands(1), 2_000));
+    strikes.push((Fault::End, 1_000));
+    strikes.push((Fault::End, 9_000));
+    play_mutated(seed, false, &strikes, mutation);
+}
+
+/// Seeds of the plays past an end.
+const PLAYS_PAST_AN_END: std::ops::Range<u64> = 0..60;
+
+#[rstest]
+fn orders_of_an_older_telling_that_are_followed_are_noticed() {
+    let is_caught = |mutation| {
+        PLAYS_PAST_AN_END.into_iter().any(|seed| {
+            let play = || played_past_an_end(seed, 0, mutation);
+            std::panic::catch_unwind(play).is_err()
+        })
+    };
+    assert!(is_caught(Some(Mutation::TellingIgnored)));
+    assert!(!is_caught(None));
+}
+
+/// An order to score that was read before the edge heard that it was given up is in no telling.
+#[rstest]
+fn scorings_read_before_a_telling_end_with_their_job() {
+    for seed in PLAYS_PAST_AN_END {
+        played_past_an_end(seed, usize::MAX, None);
+    }
+}
--- a/crates/dispatch/tests/model/carry.rs
+++ b/crates/dispatch/tests/model/carry.rs
@@ -33,7 +33,7 @@
                 self.check_evacuated(&spec.replica);
                 self.check_edge(&machine, &spec.job);
                 self.check_replica(&spec.replica, &spec.job);
-                self.tell_edge(&machine, ToEdge::Run(spec));
+                self.tell_edge(&machine, ToEdge::Run(self.known_telling(&machine), spec));
             }
             Action::Cancel { machine, attempt } => {
                 self.tell_edge(&machine, ToEdge::Cancel(self.term, attempt));
@@ -61,7 +61,7 @@
                 assert!(!ended, "{} has ended and is scored", spec.job);
                 self.check_edge(&machine, &spec.job);
                 assert_eq!(&spec.regions, self.regions(), "{} is scored", spec.job);
-                self.tell_edge(&machine, ToEdge::Score(spec));
+                self.tell_edge(&machine, ToEdge::Score(self.known_telling(&machine), spec));
             }
             Action::AskReport { replica, .. } => {
                 self.check_evacuated(&replica);
@@ -89,7 +89,13 @@
         }
     }
 
-    fn tell_edge(&mut self, machine: &str, message: ToEdge) {
+    /// The telling of its runs by which the leader knows an edge.
+    fn known_telling(&self, machine: &str) -> u64 {
+        let edge = self.edges.iter().find(|edge| edge.machine == machine);
+        edge.expect("a known edge").known_telling
+    }
+
+    pub(super) fn tell_edge(&mut self, machine: &str, message: ToEdge) {
         let edge = self.edges.iter_mut().find(|edge| edge.machine == machine);
         let edge = edge.expect("a known edge");
         if edge.linked && edge.has_told {
--- a/crates/dispatch/tests/model/edge.rs
+++ b/crates/dispatch/tests/model/edge.rs
@@ -53,15 +53,20 @@
 #[derive(Clone, Debug)]
 pub struct Calling {
     pub attempt: AttemptId,
+    pub job: String,
     pub item_id: String,
     pub call: ScoringCall,
-    pub ends_at: u64,
+    /// Time that it takes, in ms.
+    pub takes: u64,
+    /// None: it waits for leave to begin.
+    pub ends_at: Option<u64>,
 }
 
 /// From an edge to the leader.
 #[derive(Clone, Debug)]
 pub enum ToLeader {
-    Runs(Vec<RunReport>),
+    /// The number of this telling, and all runs.
+    Runs(u64, Vec<RunReport>),
     Progress(AttemptId, Vec<StreamEvent>, Option<Pace>),
     Ended(AttemptId, Vec<StreamEvent>, RunEnd),
     Scored(AttemptId, ScoringEnd),
@@ -73,10 +78,13 @@
 /// From the leader to an edge.
 #[derive(Clone, Debug)]
 pub enum ToEdge {
-    Run(Box<RunSpec>),
-    Score(Box<ScoringSpec>),
+    /// The telling of runs that the leader goes by, and an order.
+    Run(u64, Box<RunSpec>),
+    Score(u64, Box<ScoringSpec>),
     Cancel(u64, AttemptId),
     Recorded(AttemptId),
+    /// Leave to begin calls until then.
+    Leave(u64),
 }
 
 #[derive(Debug, Default)]
@@ -92,6 +100,15 @@
     /// before.
     pub has_told: bool,
     pub back_at: u64,
+    /// Its newest telling of its runs, and the one that the leader goes by.
+    pub telling: u64,
+    pub known_telling: u64,
+    /// Until when calls may begin.
+    pub leave_until: u64,
+    /// When it began to stand still, and until when it does; none: it does not.
+    pub stands: Option<(u64, u64)>,
+    /// How many of the messages that waited it reads before it hears that it was given up.
+    pub reads_first: usize,
     /// When the leader gives it up, if it does not come back before.
     pub given_up_at: Option<u64>,
     /// What the leader tells it takes so many ms more.
--- a/crates/dispatch/tests/model/fault.rs
+++ b/crates/dispatch/tests/model/fault.rs
@@ -24,6 +24,13 @@
         for_ms: u64,
         late: bool,
     },
+    /// An edge stands still for so many ms, and messages wait for it; where it was given up it
+    /// reads so many of them before it tells its runs.
+    EdgeStands {
+        edge: usize,
+        for_ms: u64,
+        reads_first: usize,
+    },
     /// An edge hands its runs back and comes back after a while.
     EdgeDrains(usize),
     /// A replica ends; another begins at its address.
@@ -91,6 +98,8 @@
     LeaveIgnored,
     /// Edges tell of runs that they sent that they did not.
     SentToldUnsent,
+    /// Edges follow orders that were under way while they told their runs.
+    TellingIgnored,
 }
 
 /// Time after which a link that stays broken is given up by the leader, in ms.
@@ -106,6 +115,11 @@
             } => self.leader_falls(next, pause_ms, proposals_kept),
             Fault::EdgeEnds(edge) => self.edge_ends(edge),
             Fault::LinkBreaks { edge, for_ms, late } => self.link_breaks(edge, for_ms, late),
+            Fault::EdgeStands {
+                edge,
+                for_ms,
+                reads_first,
+            } => self.edge_stands(edge, for_ms, reads_first),
             Fault::EdgeDrains(edge) => self.edge_drains(edge),
             Fault::ReplicaEnds(number) => self.replace_replica(number),
             Fault::ReplicaDark(number, ms) => self.replicas[number].dark_until = self.now + ms,
@@ -166,6 +180,9 @@
         }
         for number in 0..self.edges.len() {
             self.edges[number].lag_ms = 0;
+            if let Some((_, until)) = &mut self.edges[number].stands {
+                *until = self.now;
+            }
             if self.edges[number].draining {
                 self.edges[number].draining = false;
                 self.edge_ends(number);
@@ -226,6 +243,8 @@
         edge.calling.clear();
         edge.to_edge.clear();
         edge.newest_term = 0;
+        edge.stands = None;
+        edge.leave_until = 0;
         self.link_breaks(number, 300, false);
         for replica in &mut self.replicas {
             replica.streams.retain(|stream| stream.edge != number);
@@ -255,8 +274,16 @@
         }
     }
 
+    fn edge_stands(&mut self, number: usize, for_ms: u64, reads_first: usize) {
+        let edge = &mut self.edges[number];
+        if edge.linked && edge.stands.is_none() {
+            edge.stands = Some((self.now, self.now + for_ms));
+            edge.reads_first = reads_first;
+        }
+    }
+
     fn edge_drains(&mut self, number: usize) {
-        if !self.edges[number].linked {
+        if !self.edges[number].linked || self.edges[number].stands.is_some() {
             return;
         }
         self.edges[number].draining = true;
--- a/crates/dispatch/tests/model/mod.rs
+++ b/crates/dispatch/tests/model/mod.rs
@@ -447,7 +447,7 @@
         self.dispatcher = Some(dispatcher);
         for number in 0..self.edges.len() {
             self.edges[number].newest_term = self.term;
-            if self.edges[number].linked {
+            if self.edges[number].linked && self.edges[number].stands.is_none() {
                 self.tell_runs(number);
             }
         }
--- a/crates/dispatch/tests/model/time.rs
+++ b/crates/dispatch/tests/model/time.rs
@@ -1,6 +1,6 @@
 //! What time brings: commits, messages, events of streams, answers.
 
-use super::edge::{Calling, Held, ToEdge, ToLeader};
+use super::edge::{Calling, Edge, Held, ToEdge, ToLeader};
 use super::oracle::event_data;
 use super::replica::Stream;
 use super::{EDGES, INSIDE, Mutation, STEP_MS, WARMING_MOST, World, region_of};
@@ -17,6 +17,11 @@
 const HEAD_MS: u64 = 3_000;
 /// A job's end must have stopped its runs by then, in ms.
 const CANCEL_MS: u64 = 3_000;
+/// Leave to begin calls, in ms, and the pause between two renewals.
+const LEAVE_MS: u64 = 2_000;
+const LEAVE_PAUSE: u64 = 500;
+/// An edge that is silent so long is given up, in ms.
+const EDGE_SILENT: u64 = 1_600;
 
 impl World {
     pub(super) fn step(&mut self) {
@@ -26,6 +31,12 @@
         }
         self.renew_view_if_due();
         self.tend_links();
+        self.tend_standing();
+        if self.now.is_multiple_of(LEAVE_PAUSE) {
+            for number in 0..self.edges.len() {
+                self.give_leave(number);
+            }
+        }
         self.deliver();
         for replica in &mut self.replicas {
             replica.tick(self.now);
@@ -125,7 +136,8 @@
                 self.dispatch(Event::EdgeDown(machine));
             }
             let edge = &mut self.edges[number];
-            if !edge.linked && edge.back_at <= self.now && self.dispatcher.is_some() {
+            let may_come = edge.stands.is_none() && self.dispatcher.is_some();
+            if !edge.linked && edge.back_at <= self.now && may_come {
                 edge.linked = true;
                 edge.newest_term = self.term;
                 edge.given_up_at = None;
@@ -134,6 +146,51 @@
         }
     }
 
+    /// Edges that stand still are given up after a while, and go on some time.
+    fn tend_standing(&mut self) {
+        for number in 0..self.edges.len() {
+            let edge = &mut self.edges[number];
+            let Some((since, until)) = edge.stands else {
+                continue;
+            };
+            if self.now >= since + EDGE_SILENT && edge.has_told {
+                edge.has_told = false;
+                let machine = edge.machine.clone();
+                self.dispatch(Event::EdgeDown(machine));
+            }
+            if self.now >= until {
+                self.wake(number);
+            }
+        }
+    }
+
+    /// An edge goes on. Where nothing is held of it any more it tells its runs as soon as it
+    /// hears so; orders that waited before that word are read before.
+    fn wake(&mut self, number: usize) {
+        let edge = &mut self.edges[number];
+        edge.stands = None;
+        edge.back_at = self.now;
+        if edge.has_told || !edge.linked || self.dispatcher.is_none() {
+            return;
+        }
+        edge.newest_term = self.term;
+        for _ in 0..edge.reads_first {
+            let Some((_, message)) = self.edges[number].to_edge.pop_front() else {
+                break;
+            };
+            self.on_edge_message(number, message);
+        }
+        self.tell_runs(number);
+    }
+
+    /// The leader gives an edge whose runs it knows leave to begin calls.
+    fn give_leave(&mut self, number: usize) {
+        if self.dispatcher.is_some() {
+            let machine = self.edges[number].machine.clone();
+            self.tell_edge(&machine, ToEdge::Leave(self.now + LEAVE_MS));
+        }
+    }
+
     /// A message from an edge, in order with those before it on this link.
     fn tell_leader(&mut self, number: usize, message: ToLeader) {
         let edge = &mut self.edges[number];
@@ -145,8 +202,9 @@
     pub(super) fn tell_runs(&mut self, number: usize) {
         let reports = self.edges[number].reports();
         let edge = &mut self.edges[number];
+        edge.telling += 1;
         edge.to_leader
-            .push_front((self.now, ToLeader::Runs(reports)));
+            .push_front((self.now, ToLeader::Runs(edge.telling, reports)));
     }
 
     /// The region that an edge tells of itself.
@@ -163,7 +221,7 @@
 
     /// An edge tells what its runs made since the last time.
     pub(super) fn report_progress(&mut self, number: usize) {
-        if !self.edges[number].linked {
+        if !self.edges[number].linked || self.edges[number].stands.is_some() {
             return;
         }
         let shown = self.now + self.edges[number].ahead;
@@ -192,7 +250,8 @@
             replica.streams.retain(|stream| stream.attempt != attempt);
         }
         let text = held.events.clone();
-        let (item, call) = (held.spec.item_id.clone(), held.spec.scoring.clone());
+        let (job, item) = (held.spec.job.clone(), held.spec.item_id.clone());
+        let call = held.spec.scoring.clone();
         self.tell_leader(number, ToLeader::Ended(attempt, events, end));
         if end == RunEnd::Whole {
             let versions: std::collections::BTreeSet<u64> =
@@ -200,32 +259,59 @@
             let versions = versions.into_iter().collect();
             self.oracle.text_made(&item, versions, self.now);
             if let Some(call) = call {
-                self.call(number, attempt, &item, call);
+                self.call(number, attempt, (job, item), call);
             }
         }
     }
 
-    /// An edge makes a scoring call.
-    fn call(&mut self, number: usize, attempt: AttemptId, item_id: &str, call: ScoringCall) {
+    /// An edge makes a scoring call for an item of a job, when it has leave.
+    fn call(
+        &mut self,
+        number: usize,
+        attempt: AttemptId,
+        (job, item_id): (String, String),
+        call: ScoringCall,
+    ) {
         if self.edges[number].draining {
             return self.tell_scored(number, attempt, ScoringEnd::Unanswered);
         }
         let takes = self.random.random_range(2..90);
         self.edges[number].calling.push(Calling {
             attempt,
-            item_id: item_id.to_string(),
+            job,
+            item_id,
             call,
-            ends_at: self.now + takes,
+            takes,
+            ends_at: None,
         });
     }
 
+    /// Edges begin the calls that they have leave for: none of a job that ended long ago.
+    fn begin_calls(&mut self, number: usize) {
+        let edge = &mut self.edges[number];
+        if self.now >= edge.leave_until {
+            return;
+        }
+        for calling in edge.calling.iter_mut().filter(|one| one.ends_at.is_none()) {
+            calling.ends_at = Some(self.now + calling.takes);
+            let ended = self.ended_at.get(&calling.job);
+            let is_late = ended.is_some_and(|at| self.now > at + CANCEL_MS);
+            assert!(!is_late, "{} is scored after its end", calling.job);
+        }
+    }
+
     /// Replicas answer scoring calls, or do not.
     fn answer_scorings(&mut self) {
         for number in 0..self.edges.len() {
+            if self.edges[number].stands.is_some() {
+                continue;
+            }
+            self.begin_calls(number);
             let now = self.now;
             let calling = std::mem::take(&mut self.edges[number].calling);
-            let (due, open): (Vec<_>, Vec<_>) =
-                calling.into_iter().partition(|one| one.ends_at <= now);
+            let (due, open): (Vec<_>, Vec<_>) = calling
+                .into_iter()
+                .partition(|one| one.ends_at.is_some_and(|at| at <= now));
             self.edges[number].calling = open;
             for calling in due {
                 let end = self.answer_scoring(&calling);
@@ -265,6 +351,9 @@
             while let Some((_, message)) = take_due(&mut self.edges[number].to_leader, self.now) {
                 self.on_leader_message(number, message);
             }
+            if self.edges[number].stands.is_some() {
+                continue;
+            }
             while let Some((_, message)) = take_due(&mut self.edges[number].to_edge, self.now) {
                 self.on_edge_message(number, message);
             }
@@ -273,11 +362,12 @@
 
     fn on_leader_message(&mut self, number: usize, message: ToLeader) {
         let machine = self.edges[number].machine.clone();
-        if matches!(message, ToLeader::Runs(_)) {
+        if let ToLeader::Runs(telling, _) = &message {
             self.edges[number].has_told = true;
+            self.edges[number].known_telling = *telling;
         }
         let event = match message {
-            ToLeader::Runs(runs) => Event::EdgeUp {
+            ToLeader::Runs(_, runs) => Event::EdgeUp {
                 machine: machine.clone(),
                 region: Some(self.told_region(number).into()),
                 zone: "zone".to_string(),
@@ -310,6 +400,9 @@
         };
         let tells_runs = matches!(event, Event::EdgeUp { .. });
         self.dispatch(event);
+        if tells_runs {
+            self.give_leave(number);
+        }
         if tells_runs && self.edges[number].draining {
             self.dispatch(Event::EdgeDraining(machine));
         }
@@ -317,8 +410,18 @@
 
     fn on_edge_message(&mut self, number: usize, message: ToEdge) {
         match message {
-            ToEdge::Run(spec) => self.start_run(number, *spec),
-            ToEdge::Score(spec) => self.call(number, spec.attempt, &spec.item_id, spec.call),
+            ToEdge::Run(telling, spec) if self.goes_by(number, telling) => {
+                self.start_run(number, *spec);
+            }
+            ToEdge::Score(telling, spec) if self.goes_by(number, telling) => {
+                let item = (spec.job, spec.item_id);
+                self.call(number, spec.attempt, item, spec.call);
+            }
+            ToEdge::Run(..) | ToEdge::Score(..) => {}
+            ToEdge::Leave(until) => {
+                let edge = &mut self.edges[number];
+                edge.leave_until = edge.leave_until.max(until);
+            }
             ToEdge::Cancel(term, attempt) => {
                 let obeys = self.mutation != Some(Mutation::CancelIgnored);
                 if term >= self.edges[number].newest_term && obeys {
@@ -336,6 +439,12 @@
         }
     }
 
+    /// Whether an order is of a leader that goes by an edge's newest telling of its runs.
+    fn goes_by(&self, number: usize, telling: u64) -> bool {
+        let ignores = self.mutation == Some(Mutation::TellingIgnored);
+        ignores || telling == self.edges[number].telling
+    }
+
     fn start_run(&mut self, number: usize, spec: RunSpec) {
         let edge = &mut self.edges[number];
         if spec.attempt.term < edge.newest_term || edge.held.contains_key(&spec.attempt) {
@@ -435,7 +544,8 @@
             let (version, event_ms) = (replica.version, replica.event_ms);
             let mut due = Vec::new();
             for stream in &mut replica.streams {
-                if stream.next_at <= self.now {
+                let stands = self.edges[stream.edge].stands.is_some();
+                if stream.next_at <= self.now && !stands {
                     stream.next_at = self.now + event_ms;
                     due.push(stream.clone());
                 }
@@ -484,6 +594,9 @@
     /// Edges give up on replicas that never say a word.
     fn give_up_silent(&mut self) {
         for number in 0..self.edges.len() {
+            if self.edges[number].stands.is_some() {
+                continue;
+            }
             let held = self.edges[number].held.iter();
             let silent = held.filter(|(_, held)| held.end.is_none() && held.head_until <= self.now);
             let silent: Vec<AttemptId> = silent.map(|(attempt, _)| *attempt).collect();
@@ -495,7 +608,8 @@
 
     /// Ended jobs run nowhere that can be reached.
     fn check_ended(&self) {
-        for edge in self.edges.iter().filter(|edge| edge.linked) {
+        let reached = |edge: &&Edge| edge.linked && edge.stands.is_none();
+        for edge in self.edges.iter().filter(reached) {
             for held in edge.held.values().filter(|held| held.end.is_none()) {
                 let ended = self.ended_at.get(&held.spec.job);
                 let is_late = ended.is_some_and(|at| self.now > at + CANCEL_MS);
