--- a/crates/cluster/tests/unit/work_lease.rs
+++ b/crates/cluster/tests/unit/work_lease.rs
@@ -76,3 +76,38 @@
     lease.tell(500);
     assert!(lease.allows(1_000));
 }
+
+/// A leader that reads and answers late still gives leave: telling the runs again before its
+/// answer can be there makes that answer void, and the next one too, for as long as it is late.
+#[rstest]
+#[case::near(50)]
+#[case::busy(400)]
+#[case::very_busy(600)]
+#[case::as_late_as_an_edge_may_be_silent(750)]
+fn an_edge_whose_telling_is_answered_late_gets_leave(#[case] one_way: u64) {
+    const STEP: u64 = 10;
+    const PAUSE: u64 = 500;
+    let mut lease = WorkLease::default();
+    let mut known: Option<u64> = None;
+    let mut tellings = vec![(one_way, lease.tell(0))];
+    let mut answers = Vec::new();
+    let mut allowed = 0;
+    for now in (0..20_000).step_by(STEP as usize) {
+        let told = tellings.extract_if(.., |(at, _)| *at <= now).last();
+        known = told.map(|(_, telling)| telling).or(known);
+        if told.is_some() || now % PAUSE == 0 {
+            let registration = known.map(|telling| Registration {
+                telling,
+                until: Some(now + 2_000),
+            });
+            answers.push((now + one_way, registration));
+        }
+        for (_, registration) in answers.extract_if(.., |(at, _)| *at <= now) {
+            if !lease.renew(registration, now) {
+                tellings.push((now + one_way, lease.tell(now)));
+            }
+        }
+        allowed += u64::from(lease.allows(now)) * STEP;
+    }
+    assert!(allowed > 10_000, "leave for {allowed} of 20000 ms");
+}
