--- a/crates/cluster/src/edge/cluster.rs
+++ b/crates/cluster/src/edge/cluster.rs
@@ -5,7 +5,7 @@
 use super::work_lease::WorkLease;
 use crate::link::{LinkContext, LinkEvent, LinkId, Writer, dial};
 use brasspond_cluster_protocol::{
-    Answer, AttemptId, Message, Peer, Question, Registration, RunSpec, ScoringSpec, Watch,
+    Answer, AttemptId, Kind, Message, Peer, Question, Registration, RunSpec, ScoringSpec, Watch,
 };
 use brasspond_consensus::Member;
 use brasspond_fleet::{FleetView, Regions, ViewDelta};
@@ -521,17 +521,52 @@
     }
 }
 
+impl Edge {
+    /// Tells the leader all that one may act on.
+    fn tell_all(&self, term: u64) {
+        self.tell_runs(term);
+        self.tell_evacuated();
+        self.tell_clock();
+        self.tell_all_usage();
+        self.tell_all_ends();
+    }
+
+    /// Sends the leader a message, if one is known. What its queue does not take is made good
+    /// by telling all again with the next look: the end of a run is told once, and one that was
+    /// lost kept its place on its replica taken for as long as the leader led.
+    pub(super) fn tell_leader(&self, message: &Message) {
+        let Some(leader) = self.cluster.borrow().leader() else {
+            return;
+        };
+        if !leader.writer.send(message) {
+            log::warn!(
+                "event=leader_message_lost message={} waiting_bytes={}",
+                Kind::of(message).name(),
+                leader.writer.waiting_bytes()
+            );
+            self.metrics.leader_message_lost();
+            self.has_lost_words.set(true);
+        }
+    }
+
+    /// Tells all again where something could not be told.
+    pub(super) fn repeat_lost_words(&self) {
+        let leader = self.cluster.borrow().leader();
+        if let Some(leader) = leader
+            && self.has_lost_words.replace(false)
+        {
+            self.tell_all(leader.term);
+        }
+    }
+}
+
 /// Does what a message of a storage process asks for.
 pub(super) fn act(edge: &Rc<Edge>, happening: Happening) {
     match happening {
         Happening::NewLeader(term) => {
             // What another told says nothing of what this one knows; it tells a whole view.
             edge.leader_view.replace(None);
-            edge.tell_runs(term);
-            edge.tell_evacuated();
-            edge.tell_clock();
-            edge.tell_all_usage();
-            edge.tell_all_ends();
+            edge.tell_all(term);
         }
         Happening::TellRuns(term) => edge.tell_runs(term),
         Happening::Quarantine(told) => edge.take_quarantine(told),
--- a/crates/cluster/src/edge/ended.rs
+++ b/crates/cluster/src/edge/ended.rs
@@ -134,8 +134,8 @@
         };
         let now = self.clock.now();
         let is_new = self.quarantine.borrow_mut().note_end(report.clone(), now);
-        if is_new && let Some(leader) = self.cluster.borrow().leader() {
-            leader.writer.send(&Message::ReplicasEnded(vec![report]));
+        if is_new {
+            self.tell_leader(&Message::ReplicasEnded(vec![report]));
         }
     }
 
@@ -146,9 +146,7 @@
         if reports.is_empty() {
             return;
         }
-        if let Some(leader) = self.cluster.borrow().leader() {
-            leader.writer.send(&Message::ReplicasEnded(reports));
-        }
+        self.tell_leader(&Message::ReplicasEnded(reports));
     }
 
     /// Takes what the leader tells of contents.
--- a/crates/cluster/src/edge/process.rs
+++ b/crates/cluster/src/edge/process.rs
@@ -77,6 +77,8 @@
     /// Requests so far of routes that are divided among services, by route.
     pub counts: RefCell<HashMap<String, u64>>,
     pub run_news: mpsc::Sender<RunNews>,
+    /// Something could not be told to the leader.
+    pub has_lost_words: Cell<bool>,
     pub draining: Cell<bool>,
     pub metrics: EdgeMetrics,
     /// What tenants used here; none where nobody asks for it.
@@ -154,6 +156,7 @@
         scorings: RefCell::new(Scorings::default()),
         counts: RefCell::new(HashMap::new()),
         run_news,
+        has_lost_words: Cell::new(false),
         draining: Cell::new(false),
         metrics: EdgeMetrics::default(),
         usage: RefCell::new(usage),
@@ -414,6 +417,7 @@
         self.cluster.borrow_mut().tick(self.clock.wall(), now);
         self.set_interest(now);
         self.tell_what_leader_lacks();
+        self.repeat_lost_words();
         self.report_progress();
         self.report_usage();
         self.quarantine.borrow_mut().tick(now);
--- a/crates/cluster/src/edge/runs.rs
+++ b/crates/cluster/src/edge/runs.rs
@@ -140,10 +140,10 @@
     }
 
     /// Waits for leave to begin work for jobs; for ever where no leader gives it any more: a
-    /// run or scoring that nobody wants is ended from outside.
-    pub(super) async fn leave_to_begin(&self) {
+    /// run or scoring that nobody wants is ended from outside. Whether there was a wait.
+    pub(super) async fn leave_to_begin(&self) -> bool {
         if self.may_begin() {
-            return;
+            return false;
         }
         let begun = Moment::now();
         let mut renewed = self.cluster.borrow().lease().watch();
@@ -157,6 +157,7 @@
             "event=leave_awaited waited_ms={}",
             begun.elapsed().as_millis()
         );
+        true
     }
 
     /// Tells the event loop what became of a run; a loop that has ended hears nothing more.
@@ -169,6 +170,10 @@
     pub(super) fn cancel_run(&self, term: u64, attempt: AttemptId) {
         if term >= self.cluster.borrow().newest_term() {
             self.end_run(attempt, RunEnd::Cancelled);
+            // Its text may have become whole meanwhile: nothing more is to begin for it.
+            if self.runs.borrow().is_being_scored(attempt) {
+                self.end_scoring(attempt, ScoringEnd::Unanswered);
+            }
         }
     }
 
@@ -216,20 +221,18 @@
             held.task.abort();
         }
         let events = take_untold(&held.progress);
-        if let Some(leader) = self.cluster.borrow().leader() {
-            leader.writer.send(&Message::Ended {
-                attempt,
-                events,
-                end,
-            });
-        }
+        self.tell_leader(&Message::Ended {
+            attempt,
+            events,
+            end,
+        });
     }
 
     /// Tells the leader what the runs made since the last time.
     pub(super) fn report_progress(&self) {
-        let Some(leader) = self.cluster.borrow().leader() else {
+        if self.cluster.borrow().leader().is_none() {
             return;
-        };
+        }
         let mut reports = Vec::new();
         for (attempt, held) in &self.runs.borrow().held {
             if held.end.is_some() {
@@ -245,15 +248,15 @@
             }
         }
         if !reports.is_empty() {
-            leader.writer.send(&Message::Progress(reports));
+            self.tell_leader(&Message::Progress(reports));
         }
     }
 
     /// Tells a leader of all runs.
     pub(super) fn tell_runs(&self, term: u64) {
-        let Some(leader) = self.cluster.borrow().leader() else {
+        if self.cluster.borrow().leader().is_none() {
             return;
-        };
+        }
         let uptime = self.clock.now();
         let telling = self.cluster.borrow_mut().begin_telling(uptime);
         self.drop_ordered_scorings();
@@ -271,7 +274,7 @@
                 scoring: held.scoring.clone(),
             });
         }
-        leader.writer.send(&Message::Runs {
+        self.tell_leader(&Message::Runs {
             term,
             telling,
             uptime,
@@ -282,9 +285,7 @@
 
     /// Hands every run back, so that other edges go on with them.
     pub(super) fn hand_over_runs(&self) {
-        if let Some(leader) = self.cluster.borrow().leader() {
-            leader.writer.send(&Message::Draining);
-        }
+        self.tell_leader(&Message::Draining);
         let held: Vec<AttemptId> = self.runs.borrow().held.keys().copied().collect();
         for attempt in held {
             self.end_run(attempt, RunEnd::Cancelled);
@@ -313,8 +314,12 @@
     let Some(request) = build_request(edge, spec) else {
         return RunEnd::Impossible;
     };
-    // The order may have been read long after it was given.
-    edge.leave_to_begin().await;
+    // The order may have been read long after it was given, and more be known of its replica.
+    if edge.leave_to_begin().await && edge.clear_run(spec).is_err() {
+        return RunEnd::NotRun {
+            other_instance: false,
+        };
+    }
     let mut connection = match edge.pool.take(clearance).await {
         Ok(connection) => connection,
         Err(_) => return RunEnd::Unreachable,
--- a/crates/cluster/src/edge/scoring.rs
+++ b/crates/cluster/src/edge/scoring.rs
@@ -90,9 +90,7 @@
     }
 
     pub(super) fn tell_scored(&self, attempt: AttemptId, end: ScoringEnd) {
-        if let Some(leader) = self.cluster.borrow().leader() {
-            leader.writer.send(&Message::Scored { attempt, end });
-        }
+        self.tell_leader(&Message::Scored { attempt, end });
     }
 }
 
--- a/crates/cluster/src/edge/usage.rs
+++ b/crates/cluster/src/edge/usage.rs
@@ -32,13 +32,13 @@
 
     /// Tells the leader what it does not know yet.
     pub(super) fn report_usage(&self) {
-        let Some(leader) = self.cluster.borrow().leader() else {
+        if self.cluster.borrow().leader().is_none() {
             return;
-        };
+        }
         let time = self.true_time();
         let mut usage = self.usage.borrow_mut();
         if let Some(report) = usage.as_mut().and_then(|usage| usage.report(time)) {
-            leader.writer.send(&Message::Usage(report));
+            self.tell_leader(&Message::Usage(report));
         }
     }
 
--- a/crates/cluster/src/edge/work_lease.rs
+++ b/crates/cluster/src/edge/work_lease.rs
@@ -16,6 +16,9 @@
 /// Time for a leader to say that it took a telling, in ms: it says what it holds each 500 ms.
 /// An edge that is not known by then tells its runs again; sooner, the telling may be under way.
 const TELLING_TIME: u64 = 1_000;
+/// The time is doubled with each telling that was not taken, up to this, in ms: a leader whose
+/// answers take 1.2 s met a newer telling each time, and gave 0 ms of leave in 20 s.
+const LONGEST_TELLING_TIME: u64 = 8_000;
 
 /// An edge's leave to begin work.
 #[derive(Debug)]
@@ -23,6 +26,8 @@
     /// The newest telling of all runs.
     telling: u64,
     told_at: u64,
+    /// Time for that one to be taken, in ms.
+    patience: u64,
     /// Until when work may begin, by this process's clock in ms.
     until: watch::Sender<u64>,
 }
@@ -32,6 +37,7 @@
         Self {
             telling: 0,
             told_at: 0,
+            patience: TELLING_TIME,
             until: watch::Sender::new(0),
         }
     }
@@ -56,8 +62,13 @@
     pub fn renew(&mut self, registration: Option<Registration>, now: u64) -> bool {
         let current = registration.filter(|held| held.telling == self.telling);
         let Some(current) = current else {
-            return now < self.told_at + TELLING_TIME;
+            let is_late = now >= self.told_at + self.patience;
+            if is_late {
+                self.patience = (2 * self.patience).min(LONGEST_TELLING_TIME);
+            }
+            return !is_late;
         };
+        self.patience = TELLING_TIME;
         if let Some(until) = current.until {
             self.until.send_if_modified(|known| {
                 let is_later = until > *known;
--- a/crates/cluster/src/storage/ordering.rs
+++ b/crates/cluster/src/storage/ordering.rs
@@ -99,7 +99,7 @@
         match order {
             Announced::Version(order) => {
                 let takes_work = self.takes_orders(&order.replica);
-                self.give_order(order, may_give && takes_work);
+                self.give_order(order, may_give && takes_work, since);
             }
             Announced::Usage(window, counts) => self.send_usage(window, counts, may_give),
             Announced::Replicas(order, _) => {
@@ -122,12 +122,16 @@
         self.consensus.has_quorum_contact(READ_LEASE, now) && now < announced_at + ANNOUNCED_FOR
     }
 
-    /// Sends an order, if this process surely leads.
-    fn give_order(&mut self, order: VersionOrder, surely_leads: bool) {
+    /// Sends an order, if this process surely leads; it was announced at a moment in ms.
+    fn give_order(&mut self, order: VersionOrder, surely_leads: bool, announced_at: u64) {
         let dialect = Rc::clone(&self.outside.dialect);
         let pool = self.pool.clone();
         let local = self.local.clone();
         let term = self.consensus.term();
+        let clock = self.clock;
+        // Another holder waits for the lease of what the log holds, no longer: an order that
+        // leaves later than its announcement allows may follow another's.
+        let is_fresh = move || clock.now() < announced_at + ANNOUNCED_FOR;
         log::info!(
             "event=order_given replica={} model={} version={} fence={} expected_count={} sent={surely_leads}",
             order.replica,
@@ -138,7 +142,7 @@
         );
         tokio::task::spawn_local(async move {
             let answer = if surely_leads {
-                send_order(&pool, &*dialect, &order).await
+                send_order(&pool, &*dialect, &order, is_fresh).await
             } else {
                 OrderAnswer::NotSent
             };
@@ -150,7 +154,12 @@
 }
 
 /// Sends an order on a connection of its own: whether it was done must be known.
-async fn send_order(pool: &Pool, dialect: &dyn Dialect, order: &VersionOrder) -> OrderAnswer {
+async fn send_order(
+    pool: &Pool,
+    dialect: &dyn Dialect,
+    order: &VersionOrder,
+    is_fresh: impl FnOnce() -> bool,
+) -> OrderAnswer {
     let (path, body) = dialect.order(order);
     let request = Request::builder()
         .method(Method::POST)
@@ -162,7 +171,8 @@
     let Ok(request) = request else {
         return OrderAnswer::NotSent;
     };
-    match pool.call_anew(order.address, request, REPLICA_ANSWER).await {
+    let call = pool.call_anew_if(is_fresh, order.address, request, REPLICA_ANSWER);
+    match call.await {
         Ok((status, _, _)) => dialect.order_answer(status),
         Err(UpstreamError::NotSent) => OrderAnswer::NotSent,
         Err(UpstreamError::Broken) => OrderAnswer::Unknown,
--- a/crates/cluster/src/upstream.rs
+++ b/crates/cluster/src/upstream.rs
@@ -132,8 +132,26 @@
         address: SocketAddr,
         request: Request<Full<Bytes>>,
         limit: Duration,
+    ) -> Result<Answer, UpstreamError> {
+        self.call_anew_if(|| true, address, request, limit).await
+    }
+
+    /// The same, if it may still be sent once the connection is there: opening one takes up to
+    /// [`CONNECT_TIME`], and a process that stood still meanwhile does not know how long.
+    ///
+    /// # Errors
+    /// See [`UpstreamError`]; not sent where it may not be.
+    pub async fn call_anew_if(
+        &self,
+        may_send: impl FnOnce() -> bool,
+        address: SocketAddr,
+        request: Request<Full<Bytes>>,
+        limit: Duration,
     ) -> Result<Answer, UpstreamError> {
         let connection = connect(address).await?;
+        if !may_send() {
+            return Err(UpstreamError::NotSent);
+        }
         self.exchange(connection, request, limit).await
     }
 
@@ -265,3 +283,7 @@
         Ok(Err(_)) | Err(_) => Look::Silent,
     }
 }
+
+#[cfg(test)]
+#[path = "../tests/unit/upstream.rs"]
+mod tests;
--- a/crates/dispatch/src/runs.rs
+++ b/crates/dispatch/src/runs.rs
@@ -86,6 +86,11 @@
 }
 
 impl Edge {
+    /// Whether it was not heard for long.
+    pub(crate) fn is_quiet(&self, now: Millis) -> bool {
+        now >= self.heard_at + QUIET
+    }
+
     /// Whether a connection to a replica is at rest here.
     fn rests_to(&self, replica: &str) -> bool {
         self.resting
@@ -296,14 +301,16 @@
             keeps_time && !edge.draining && bodies.allows(edge.region.as_deref())
         });
         let cost = |edge: &Edge| {
-            let is_quiet = now >= edge.heard_at + QUIET;
             let distance = there.distance_to(&edge.zone, edge.region.as_deref());
             let opens = if edge.rests_to(replica) {
                 0
             } else {
                 NEW_CONNECTION
             };
-            (is_quiet, edge.running + crossing(distance) + opens)
+            (
+                edge.is_quiet(now),
+                edge.running + crossing(distance) + opens,
+            )
         };
         let best = taking.min_by_key(|(_, edge)| cost(edge));
         best.map(|(machine, _)| machine.clone())
@@ -318,7 +325,9 @@
         now: Millis,
     ) {
         if !self.runs.by_id.contains_key(&attempt) {
-            self.end_unknown(machine, attempt);
+            if !self.scorings.holds(attempt) {
+                self.end_unknown(machine, attempt);
+            }
             return;
         }
         if !self.take_events(attempt, events, now) {
--- a/crates/dispatch/src/scoring.rs
+++ b/crates/dispatch/src/scoring.rs
@@ -62,6 +62,17 @@
     pub fn len(&self) -> usize {
         self.by_id.len()
     }
+
+    /// Whether this run or order scores a text.
+    pub fn holds(&self, attempt: AttemptId) -> bool {
+        self.by_id.contains_key(&attempt)
+    }
+
+    /// Scorings at an edge.
+    fn at(&self, machine: &str) -> usize {
+        let held = self.by_id.values();
+        held.filter(|one| one.machine == machine).count()
+    }
 }
 
 impl Dispatcher {
@@ -163,7 +174,13 @@
         let taking = self.edges.iter();
         let taking =
             taking.filter(|(_, edge)| !edge.draining && bodies.allows(edge.region.as_deref()));
-        let Some((machine, _)) = taking.min_by_key(|(_, edge)| edge.running) else {
+        // Runs alone do not tell how busy an edge is here: all texts of a lost edge, 24 of one
+        // job, went to the one with the fewest runs, a silent one.
+        let least = taking.min_by_key(|(machine, edge)| {
+            let calls = self.scorings.at(machine);
+            (edge.is_quiet(now), edge.running + calls)
+        });
+        let Some((machine, _)) = least else {
             return false;
         };
         let machine = machine.clone();
--- a/crates/dispatch/tests/model/time.rs
+++ b/crates/dispatch/tests/model/time.rs
@@ -203,6 +203,9 @@
         let reports = self.edges[number].reports();
         let edge = &mut self.edges[number];
         edge.telling += 1;
+        // Ordered scorings are in no telling, and end with it.
+        let held = &edge.held;
+        edge.calling.retain(|one| held.contains_key(&one.attempt));
         edge.to_leader
             .push_front((self.now, ToLeader::Runs(edge.telling, reports)));
     }
@@ -426,6 +429,7 @@
                 let obeys = self.mutation != Some(Mutation::CancelIgnored);
                 if term >= self.edges[number].newest_term && obeys {
                     self.end_run(number, attempt, RunEnd::Cancelled);
+                    self.end_own_scoring(number, attempt);
                 }
             }
             ToEdge::Recorded(attempt) => {
@@ -439,6 +443,17 @@
         }
     }
 
+    /// A cancelled run whose text became whole meanwhile begins nothing more.
+    fn end_own_scoring(&mut self, number: usize, attempt: AttemptId) {
+        let edge = &mut self.edges[number];
+        let is_own = edge.held.contains_key(&attempt);
+        let calls = edge.calling.len();
+        edge.calling.retain(|one| !is_own || one.attempt != attempt);
+        if edge.calling.len() < calls {
+            self.tell_scored(number, attempt, ScoringEnd::Unanswered);
+        }
+    }
+
     /// Whether an order is of a leader that goes by an edge's newest telling of its runs.
     fn goes_by(&self, number: usize, telling: u64) -> bool {
         let ignores = self.mutation == Some(Mutation::TellingIgnored);
--- a/crates/telemetry/src/metrics.rs
+++ b/crates/telemetry/src/metrics.rs
@@ -34,6 +34,7 @@
     denials: Counters,
     store_reachable: Gauge,
     unoffered_seconds: Histogram,
+    leader_messages_lost: Counter,
     held_contents: Gauge,
     evacuations_known: Gauge,
     evacuated_zones: Gauge,
@@ -64,6 +65,12 @@
         let denials = Counters::default();
         let store_reachable = Gauge::default();
         let unoffered_seconds = latency();
+        let leader_messages_lost = Counter::default();
+        registry.register(
+            "leader_messages_lost",
+            "Messages to the leader that its queue did not take",
+            leader_messages_lost.clone(),
+        );
         let held_contents = Gauge::default();
         let evacuations_known = Gauge::default();
         let evacuated_zones = Gauge::default();
@@ -172,6 +179,7 @@
             denials,
             store_reachable,
             unoffered_seconds,
+            leader_messages_lost,
             held_contents,
             evacuations_known,
             evacuated_zones,
@@ -200,6 +208,11 @@
         self.denials.get_or_create(&labels).inc();
     }
 
+    /// A message to the leader was not sent.
+    pub fn leader_message_lost(&self) {
+        self.leader_messages_lost.inc();
+    }
+
     /// A request ended that no replica was offered.
     pub fn unoffered(&self, seconds: f64) {
         self.unoffered_seconds.observe(seconds);
