A replica's life: told by entry and report, ordered, never going back

Cause: a replica may start again under its id, and nothing read when it started; what is known of it was kept by its id alone. Ruled out: ordering lives by the entry's revision alone, as a late write of the old life would count; taking any other number for newer, as an old report would. No table uses lives yet.

--- a/crates/cluster/tests/unit/balance.rs
+++ b/crates/cluster/tests/unit/balance.rs
@@ -27,6 +27,7 @@
             is_spot: false,
             notice_ms: None,
             warming_ms: 0,
+            life: brasspond_fleet::Life::UNTOLD,
         };
         ((*id).to_string(), info)
     });
--- a/crates/dispatch/examples/fleet_cost.rs
+++ b/crates/dispatch/examples/fleet_cost.rs
@@ -125,6 +125,7 @@
         notice_ms: None,
         region: None,
         warming_ms: 0,
+        life: brasspond_fleet::Life::UNTOLD,
     }
 }
 
@@ -373,6 +374,7 @@
                         .iter()
                         .any(|(_, loading, ..)| *loading == replica),
                     sequence: *sequence,
+                    life: brasspond_fleet::Life::UNTOLD,
                 };
                 let report = Some(report);
                 self.handle("report", Event::Report { replica, report });
--- a/crates/dispatch/src/orders.rs
+++ b/crates/dispatch/src/orders.rs
@@ -10,7 +10,7 @@
 use crate::dispatcher::{Action, Dispatcher, Millis, OrderLeases};
 use crate::loads::LoadLimit;
 use crate::replicas::Replica;
-use brasspond_fleet::FleetView;
+use brasspond_fleet::{FleetView, Life};
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, HashMap};
 
@@ -37,6 +37,8 @@
     pub busy: bool,
     /// Orders taken.
     pub sequence: u64,
+    /// The life that says it.
+    pub life: Life,
 }
 
 /// What a replica said to an order.
--- a/crates/dispatch/tests/dispatcher.rs
+++ b/crates/dispatch/tests/dispatcher.rs
@@ -272,6 +272,7 @@
         versions: vec![("model".to_string(), version)],
         busy,
         sequence,
+        life: brasspond_fleet::Life::UNTOLD,
     })
 }
 
@@ -691,6 +692,7 @@
                     versions: vec![("model".to_string(), 3)],
                     busy: false,
                     sequence: 1,
+                    life: brasspond_fleet::Life::UNTOLD,
                 }),
             });
             loading.extend(asked(&actions));
--- a/crates/dispatch/tests/loads.rs
+++ b/crates/dispatch/tests/loads.rs
@@ -65,6 +65,7 @@
             versions: vec![("model".to_string(), held)],
             busy,
             sequence: self.sequence.get(&replica).copied().unwrap_or(0),
+            life: brasspond_fleet::Life::UNTOLD,
         });
         Event::Report { replica, report }
     }
--- a/crates/dispatch/tests/model/carry.rs
+++ b/crates/dispatch/tests/model/carry.rs
@@ -105,6 +105,7 @@
             versions: vec![("model".to_string(), replica.version)],
             busy: replica.loading.is_some(),
             sequence: replica.sequence,
+            life: brasspond_fleet::Life::UNTOLD,
         });
         let wait = if report.is_some() { STEP_MS } else { ANSWER_MS };
         self.answers.push(Answer {
--- a/crates/eligibility/tests/standing.rs
+++ b/crates/eligibility/tests/standing.rs
@@ -22,6 +22,7 @@
         notice_ms: None,
         region: Some("north".into()),
         warming_ms: 0,
+        life: brasspond_fleet::Life::UNTOLD,
     }
 }
 
--- a/crates/eligibility/tests/warming.rs
+++ b/crates/eligibility/tests/warming.rs
@@ -20,6 +20,7 @@
         notice_ms: None,
         region: None,
         warming_ms,
+        life: brasspond_fleet::Life::UNTOLD,
     }
 }
 
--- a/crates/fleet/src/view.rs
+++ b/crates/fleet/src/view.rs
@@ -1,6 +1,7 @@
 //! The newest known state of configuration, replicas, versions, retirements.
 
 use crate::configuration::{Configuration, WarmUp};
+use crate::life::Life;
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
@@ -18,7 +19,7 @@
 /// A replica of a service.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ReplicaInfo {
-    /// Identity of this start of the replica.
+    /// Its id, the same in all its lives.
     pub id: String,
     /// Service it answers for.
     pub service: String,
@@ -48,13 +49,17 @@
     /// its entry has it, in ms; 0: it is warm. The entry may be older than a heartbeat.
     #[serde(default)]
     pub warming_ms: u64,
+    /// The life that wrote its entry.
+    #[serde(default)]
+    pub life: Life,
 }
 
 impl ReplicaInfo {
     /// Whether another entry of this replica says the same of where work may go:
     /// all but the weights it holds, which change with every load.
     pub fn takes_work_like(&self, other: &Self) -> bool {
-        self.service == other.service
+        self.life == other.life
+            && self.service == other.service
             && self.address == other.address
             && self.zone == other.zone
             && self.region == other.region
