The leader tells a replica's lives apart

Cause: versions, loads under way, counts of orders, paces, faults and runs were kept by a replica's id. One that started again under it within a heartbeat was believed to hold what it had lost, was ordered under the count of the life before, and was blamed for its broken streams. Change: a newer life, heard of from the entry or the report, voids all that (rebirth.rs); an entry, report or answer of an earlier one tells nothing; a load under way asks anew; runs of earlier lives are handed over with their last events; an order is answered and given for one life. A stream that finds an older version has the belief dropped, as replicas that tell no life can't be told apart otherwise. Until its entry tells, a new life is taken to warm up. Log: event=replica_reborn; counter replicas_reborn at leader and edges. Kept by id: which model it serves first, leases of orders, places taken, the warm-up budget. Ruled out: keeping runs that may be of the new life, as an edge's stream tells none.

--- a/crates/cluster-protocol/src/run.rs
+++ b/crates/cluster-protocol/src/run.rs
@@ -1,5 +1,6 @@
 //! Runs of items on replicas.
 
+use brasspond_fleet::Life;
 use brasspond_fleet::Regions;
 use brasspond_jobs::ScoringCall;
 use brasspond_quarantine::{Content, Fingerprint};
@@ -72,7 +73,7 @@
     pub headers: Vec<(String, String)>,
     /// Body of the item.
     pub body: Bytes,
-    /// Identity of the replica.
+    /// Id of the replica.
     pub replica: String,
     /// Where the replica listens.
     pub address: SocketAddr,
@@ -89,6 +90,9 @@
     /// The replica warms up: before which moment the run must leave, by the edge's clock in
     /// ms; none: it is warm as far as the leader knows.
     pub send_by: Option<u64>,
+    /// The replica's life, as the leader knows it.
+    #[serde(default)]
+    pub life: Life,
 }
 
 impl RunSpec {
--- a/crates/cluster/src/outside.rs
+++ b/crates/cluster/src/outside.rs
@@ -6,7 +6,7 @@
 use brasspond_autoscaling::ScaleOrder;
 use brasspond_consensus::Member;
 use brasspond_dispatch::{OrderAnswer, ReplicaReport};
-use brasspond_fleet::{Credential, FleetView};
+use brasspond_fleet::{Credential, FleetView, Identity};
 use brasspond_jobs::{Page, Submission};
 use brasspond_metering::{Counts, WindowNumber};
 use bytes::Bytes;
@@ -254,8 +254,8 @@
     pub expected_count: u64,
     /// Runs end under their version first; else they go on under the new one.
     pub runs_finish: bool,
-    /// The replica.
-    pub replica: String,
+    /// The replica, in the life that is known.
+    pub replica: Identity,
     /// Where it listens.
     pub address: SocketAddr,
 }
--- a/crates/cluster/src/storage/leading.rs
+++ b/crates/cluster/src/storage/leading.rs
@@ -272,6 +272,7 @@
                     leading.results.scores.push(score);
                 }
             }
+            Action::Reborn { replica, address } => self.replica_reborn(&replica, address),
             Action::AskReport { replica, address } => self.ask_report(replica, address),
             Action::Order {
                 replica,
--- a/crates/cluster/src/storage/ordering.rs
+++ b/crates/cluster/src/storage/ordering.rs
@@ -6,6 +6,7 @@
 use brasspond_autoscaling::ScaleOrder;
 use brasspond_consensus::READ_LEASE;
 use brasspond_dispatch::{Event, OrderAnswer};
+use brasspond_fleet::Identity;
 use brasspond_jobs::Command;
 use brasspond_metering::{Counts, WindowNumber};
 use bytes::Bytes;
@@ -37,7 +38,8 @@
     /// What one holder at a time gives orders on.
     fn subject(&self) -> &str {
         match self {
-            Self::Version(order) => &order.replica,
+            // Of the id: an order may reach the next life.
+            Self::Version(order) => &order.replica.id,
             Self::Usage(..) => USAGE_SUBJECT,
             Self::Replicas(_, subject) => subject,
         }
@@ -71,6 +73,18 @@
         });
     }
 
+    /// Connections that rest to a replica that started again are of the life before: each would
+    /// cost a question its time-out where the break was not seen.
+    pub(super) fn replica_reborn(&mut self, replica: &Identity, address: SocketAddr) {
+        log::info!(
+            "event=replica_reborn replica={} life={} seen_by=leader",
+            replica.id,
+            replica.life
+        );
+        self.pool.forget(address);
+        self.metrics.replica_reborn();
+    }
+
     /// Announces an order in the log; it is given once a quorum knows of it.
     pub(super) fn announce(&mut self, order: Announced) {
         let now = self.clock.now();
@@ -109,11 +123,14 @@
         }
     }
 
-    /// Whether a replica is still to load: its zone may have been evacuated since the order
-    /// was announced.
-    fn takes_orders(&self, replica: &str) -> bool {
-        let known = self.view.replicas.get(replica);
-        self.view.knows_evacuated() && known.is_some_and(|known| self.view.takes_work(known))
+    /// Whether a replica is still to load: its zone may have been evacuated, or it may have
+    /// started again, since the order was announced.
+    fn takes_orders(&self, replica: &Identity) -> bool {
+        let known = self.view.replicas.get(&*replica.id);
+        let leading = self.leading.as_ref();
+        leading.is_some_and(|leading| leading.dispatcher.is_present(replica))
+            && self.view.knows_evacuated()
+            && known.is_some_and(|known| self.view.takes_work(known))
     }
 
     /// Whether this process surely leads at this moment and announced an order just now.
@@ -130,7 +147,7 @@
         let term = self.consensus.term();
         log::info!(
             "event=order_given replica={} model={} version={} fence={} expected_count={} sent={surely_leads}",
-            order.replica,
+            order.replica.id,
             order.model,
             order.version,
             order.fence,
@@ -157,7 +174,7 @@
         .uri(path)
         .header(hyper::header::HOST, order.address.to_string())
         .header(hyper::header::CONTENT_TYPE, "application/json")
-        .header(&dialect.names().expect_instance, &order.replica)
+        .header(&dialect.names().expect_instance, &*order.replica.id)
         .body(Full::new(body));
     let Ok(request) = request else {
         return OrderAnswer::NotSent;
--- a/crates/dispatch/examples/fleet_cost.rs
+++ b/crates/dispatch/examples/fleet_cost.rs
@@ -380,15 +380,17 @@
                 self.handle("report", Event::Report { replica, report });
             }
             Action::Order {
-                replica,
+                replica: ordered,
                 model,
                 version,
                 ..
             } => {
+                let replica = ordered.id.to_string();
                 self.sequences.entry(replica.clone()).or_default().0 += 1;
-                let load = (self.now + LOAD_MS, replica.clone(), model, version);
+                let load = (self.now + LOAD_MS, replica, model, version);
                 self.loading.push(load);
                 let answer = OrderAnswer::Taken;
+                let replica = ordered;
                 self.handle("ordered", Event::Ordered { replica, answer });
             }
             _ => {}
--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -10,7 +10,7 @@
 use brasspond_cluster_protocol::{
     AttemptId, Pace, RunEnd, RunReport, RunSpec, ScoringEnd, ScoringSpec, StreamEvent,
 };
-use brasspond_fleet::FleetView;
+use brasspond_fleet::{FleetView, Identity};
 use brasspond_jobs::{Draft, Job, JobTable, Listing, Piece, Score};
 use brasspond_warmup::PeerClock;
 use std::collections::{BTreeMap, HashMap};
@@ -140,15 +140,15 @@
     },
     /// Answer to [`Action::AskReport`]; none: no answer.
     Report {
-        /// Identity of the replica.
+        /// Id of the replica; the report names the life that says it.
         replica: String,
         /// What it said.
         report: Option<ReplicaReport>,
     },
     /// Answer to [`Action::Order`].
     Ordered {
-        /// Identity of the replica.
-        replica: String,
+        /// The replica in the life that was ordered.
+        replica: Identity,
         /// What it said.
         answer: OrderAnswer,
     },
@@ -199,17 +199,24 @@
     Finish(Draft),
     /// Put a kept text with its score at the next position of its job.
     ListScored(Score),
+    /// A replica started again: its connections are of the life before.
+    Reborn {
+        /// The replica in its new life.
+        replica: Identity,
+        /// Where it listens.
+        address: SocketAddr,
+    },
     /// Ask a replica for its state.
     AskReport {
-        /// Identity of the replica.
+        /// Id of the replica.
         replica: String,
         /// Where it listens.
         address: SocketAddr,
     },
     /// Order a replica to load a version.
     Order {
-        /// Identity of the replica.
-        replica: String,
+        /// The replica, in the life that is known.
+        replica: Identity,
         /// Where it listens.
         address: SocketAddr,
         /// The model.
@@ -466,6 +473,9 @@
         self.view.merge(&view);
         let has_other_replicas = !Arc::ptr_eq(&replicas, &self.view.replicas);
         let evacuates_alike = self.view.evacuates_like(&evacuated);
+        if has_other_replicas {
+            self.hear_entries(now);
+        }
         if has_other_replicas || configuration_changed || !evacuates_alike {
             self.replicas.take_view(&self.view, now);
         }
@@ -536,6 +546,7 @@
             self.orders.assign(&self.view, &self.demand);
             self.placement.forget();
         }
+        self.settle_lives(now);
         self.replicas.renew_typical();
         self.move_from_leaving(now);
         self.move_from_slow_replicas(now);
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -14,6 +14,7 @@
 mod moves;
 mod orders;
 mod placement;
+mod rebirth;
 mod replicas;
 pub mod residency;
 mod runs;
--- a/crates/dispatch/src/moves.rs
+++ b/crates/dispatch/src/moves.rs
@@ -66,7 +66,7 @@
 impl Dispatcher {
     /// Stops a run at its edge and waits for its last events, so that its item
     /// goes on elsewhere without making any of them again.
-    fn hand_over(&mut self, attempt: AttemptId, reason: &str, now: Millis) {
+    pub(crate) fn hand_over(&mut self, attempt: AttemptId, reason: &str, now: Millis) {
         self.log_move(attempt, reason, now);
         self.cancel(attempt);
         if let Some(run) = self.runs.by_id.get_mut(&attempt) {
@@ -195,11 +195,12 @@
                 (false, false) => 2 * stall,
             };
             if !run.cancelled && now >= run.heard_at + patience {
-                stalled.push((*attempt, run.replica.clone(), edge_spoke));
+                let is_present = self.is_of_present_life(run);
+                stalled.push((*attempt, run.replica.clone(), edge_spoke, is_present));
             }
         }
-        for (attempt, replica, edge_spoke) in stalled {
-            if edge_spoke {
+        for (attempt, replica, edge_spoke, is_present) in stalled {
+            if edge_spoke && is_present {
                 self.replicas.note_fault(&replica, now);
             }
             self.move_run(attempt, "stalled", now);
--- a/crates/dispatch/src/orders.rs
+++ b/crates/dispatch/src/orders.rs
@@ -10,7 +10,7 @@
 use crate::dispatcher::{Action, Dispatcher, Millis, OrderLeases};
 use crate::loads::LoadLimit;
 use crate::replicas::Replica;
-use brasspond_fleet::{FleetView, Life};
+use brasspond_fleet::{FleetView, Heard, Identity, Life};
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, HashMap};
 
@@ -84,11 +84,16 @@
 /// Orders under way, and which model each replica serves first.
 #[derive(Debug)]
 pub(crate) struct Orders {
+    /// By id; stages and times are of its present life.
     loads: BTreeMap<String, Load>,
     limit: LoadLimit,
+    /// Of the life: its counts start anew.
     sequences: HashMap<String, u64>,
+    /// Of the id: what it is there for.
     pub serves_first: BTreeMap<String, String>,
+    /// Of the life.
     not_before: HashMap<String, Millis>,
+    /// Of the id: an order of another holder may reach the next life.
     leases: OrderLeases,
     /// When loads were last planned.
     planned_at: Option<Millis>,
@@ -108,6 +113,31 @@
         }
     }
 
+    /// A replica may have started again unnoticed: it is asked how many orders it took.
+    pub fn forget_count(&mut self, id: &str) {
+        self.sequences.remove(id);
+    }
+
+    /// A replica started again: an order under way begins anew, and its counts are asked for.
+    pub fn begin_life(&mut self, id: &str, now: Millis) {
+        self.sequences.remove(id);
+        self.not_before.remove(id);
+        let Some(load) = self.loads.get_mut(id) else {
+            return;
+        };
+        log::info!(
+            "event=load_anew replica={id} model={} version={} stage={:?} elapsed_ms={}",
+            load.model,
+            load.version,
+            load.stage,
+            now - load.since
+        );
+        load.stage = Stage::Asking;
+        load.since = now;
+        load.taken_at = None;
+        load.ask_at = Some(now);
+    }
+
     fn is_leased(&self, replica: &str, now: Millis) -> bool {
         self.leases.is_leased(replica, now)
     }
@@ -503,7 +533,7 @@
         let load = self.orders.loads.get(replica);
         if let (Some(known), Some(load)) = (known, load) {
             self.actions.push(Action::Order {
-                replica: replica.to_string(),
+                replica: self.replicas.lives.identity(replica),
                 address: known.standing.address,
                 model: load.model.clone(),
                 version: load.version,
@@ -541,7 +571,32 @@
         }
     }
 
+    /// Hears the life that a report is of; none: it is of an earlier one.
+    fn hear_report(
+        &mut self,
+        id: &str,
+        report: Option<ReplicaReport>,
+        now: Millis,
+    ) -> Option<ReplicaReport> {
+        let report = report?;
+        match self.replicas.lives.hear(id, report.life, now) {
+            Heard::Same | Heard::First => {}
+            Heard::Older => return None,
+            Heard::Reborn { .. } => {
+                self.begin_life(id, now);
+                self.replicas.set_versions(id, &report.versions);
+                self.replicas.assume_warming(id, &self.view, now);
+                if let Some(load) = self.orders.loads.get_mut(id) {
+                    // It has just been asked.
+                    load.ask_at = None;
+                }
+            }
+        }
+        Some(report)
+    }
+
     pub(crate) fn on_report(&mut self, id: &str, report: Option<ReplicaReport>, now: Millis) {
+        let report = self.hear_report(id, report, now);
         let Some(load) = self.orders.loads.get_mut(id) else {
             return;
         };
@@ -598,9 +653,18 @@
         self.orders.limit.finished(took, under_way, least, now);
     }
 
-    pub(crate) fn on_ordered(&mut self, id: &str, answer: OrderAnswer, now: Millis) {
+    pub(crate) fn on_ordered(&mut self, replica: &Identity, answer: OrderAnswer, now: Millis) {
+        let id = &*replica.id;
         let ask_after = self.orders.limit.ask_after();
-        log::info!("event=order_answered replica={id} answer={answer:?}");
+        let is_void = !self.is_present(replica);
+        log::info!(
+            "event=order_answered replica={id} life={} answer={answer:?} is_void={is_void}",
+            replica.life
+        );
+        if is_void {
+            // The load began anew with the newer life.
+            return;
+        }
         let Some(load) = self.orders.loads.get_mut(id) else {
             return;
         };
--- a/crates/dispatch/src/replicas.rs
+++ b/crates/dispatch/src/replicas.rs
@@ -4,7 +4,7 @@
 use crate::load_cost::{LoadCost, Means};
 use crate::warming::Warming;
 use brasspond_eligibility::{Standing, Weights, Work};
-use brasspond_fleet::{FleetView, Regions};
+use brasspond_fleet::{FleetView, Lives, Regions};
 use brasspond_warmup::Budget;
 use std::collections::{BTreeMap, HashMap};
 
@@ -29,7 +29,7 @@
     /// Milliseconds an event takes while nothing else runs; none before any was seen.
     pub event_ms: Option<f64>,
     /// Its paces and fill lately.
-    means: Option<Means>,
+    pub means: Option<Means>,
     pub faults: u32,
     pub paused_until: Millis,
     /// Paces told earlier say nothing: it loaded, or warmed up.
@@ -53,6 +53,8 @@
     load_costs: HashMap<String, LoadCost>,
     /// Those that warm up.
     pub warming: Warming,
+    /// The newest life of each that was heard of.
+    pub lives: Lives,
 }
 
 /// What a run asks of a replica.
@@ -85,6 +87,7 @@
 }
 
 impl Replicas {
+    /// Takes a newer view whose lives were heard; an entry of an earlier life tells nothing.
     pub fn take_view(&mut self, view: &FleetView, now: Millis) {
         let unknown_until = self.unknown_until(now);
         self.by_id.retain(|id, replica| {
@@ -95,6 +98,9 @@
             is_listed || replica.running > 0 || replica.has_counted_grants(now)
         });
         for (id, info) in view.replicas.iter() {
+            if !self.lives.may_say(id, info.life) {
+                continue;
+            }
             let replica = match self.by_id.get_mut(id) {
                 Some(known) => known,
                 None => self.by_id.entry(id.clone()).or_insert(Replica {
@@ -185,6 +191,25 @@
         }
     }
 
+    /// A replica told which versions it holds, and nothing else is known of it.
+    pub fn set_versions(&mut self, id: &str, told: &[(String, u64)]) {
+        if let Some(replica) = self.by_id.get_mut(id) {
+            replica.standing.versions = told.iter().cloned().collect();
+        }
+    }
+
+    /// A stream showed that a replica does not hold a version. Where it tells no life, or told
+    /// none yet, it may have lost it with its start: until this was noted, an item of that
+    /// version was sent there every 2 s for good, and no load was due.
+    pub fn disprove(&mut self, id: &str, model: &str, version: u64) {
+        if let Some(replica) = self.by_id.get_mut(id) {
+            let versions = &mut replica.standing.versions;
+            if versions.get(model).is_some_and(|known| *known >= version) {
+                versions.remove(model);
+            }
+        }
+    }
+
     /// A replica holds a version; its runs stood still while it loaded.
     pub fn set_version(&mut self, id: &str, model: &str, version: u64, now: Millis) {
         if let Some(replica) = self.by_id.get_mut(id) {
--- a/crates/dispatch/src/runs.rs
+++ b/crates/dispatch/src/runs.rs
@@ -6,7 +6,7 @@
 use crate::replicas::Need;
 use brasspond_cluster_protocol::{AttemptId, Pace, RunEnd, RunSpec, StreamEvent};
 use brasspond_distance::{Distance, Place};
-use brasspond_fleet::Regions;
+use brasspond_fleet::{Life, Regions};
 use brasspond_jobs::{JobTable, Listing, Outcome, Part, Piece};
 use std::collections::{BTreeMap, HashMap};
 
@@ -37,6 +37,8 @@
     pub item: u32,
     pub item_id: String,
     pub replica: String,
+    /// Its life, as it was known when the run began.
+    pub life: Life,
     /// All events so far, those of earlier runs included.
     pub events: Vec<StreamEvent>,
     /// How many of them the log keeps, or is about to.
@@ -195,6 +197,7 @@
             return false;
         };
         let attempt = self.runs.next_id(self.term);
+        let life = self.replicas.lives.of(&replica);
         let granted_at = self.spend_for_item(&replica, now);
         let Some(job) = self.jobs.jobs.get_mut(id) else {
             return false;
@@ -234,6 +237,7 @@
             scoring: stored.scoring.clone(),
             tenant: table.job(id).and_then(|job| job.tenant.clone()),
             send_by,
+            life,
         };
         log::info!(
             "event=run_started job={id} item={} attempt={} replica={replica} edge={machine} events={} waited_ms={} expected_tokens={} version={} min_version={} runs_there={} event_ms={:.1} granted={} replicas_revision={}",
@@ -260,6 +264,7 @@
             item,
             item_id: stored.id.clone(),
             replica,
+            life,
             events,
             kept,
             heard_at: now,
@@ -315,7 +320,9 @@
             self.move_run(attempt, "events_missing", now);
             return;
         }
-        let replica = self.runs.by_id.get(&attempt).map(|run| &run.replica);
+        let run = self.runs.by_id.get(&attempt);
+        let run = run.filter(|run| self.is_of_present_life(run));
+        let replica = run.map(|run| &run.replica);
         if let (Some(replica), Some(pace)) = (replica.cloned(), pace)
             && pace.events >= Pace::LEAST_EVENTS
             && !self.orders.is_busy(&replica)
@@ -355,13 +362,17 @@
             self.recorded(machine, attempt);
             return;
         };
-        self.judge_replica(&run.replica, end, now);
+        let is_present = self.is_of_present_life(&run);
+        if is_present {
+            self.judge_replica(&run, end, now);
+        }
         if end == RunEnd::Unsent && run.granted_at.is_none() {
             // Its edge knows that the replica warms up: it waits until this process does.
             self.replicas.note_fault(&run.replica, now);
         }
         self.take_back(attempt, &run.replica, run.granted_at, end);
         if end == RunEnd::Whole
+            && is_present
             && let Some(edge) = self.edges.get_mut(machine)
         {
             *edge.resting.entry(run.replica.clone()).or_default() += 1;
@@ -430,7 +441,18 @@
         });
     }
 
-    fn judge_replica(&mut self, replica: &str, end: RunEnd, now: Millis) {
+    /// Whether a run was begun at the life of its replica that is known.
+    pub(crate) fn is_of_present_life(&self, run: &Run) -> bool {
+        self.replicas.lives.of(&run.replica) == run.life
+    }
+
+    fn judge_replica(&mut self, run: &Run, end: RunEnd, now: Millis) {
+        let replica = &run.replica;
+        let job = self.jobs.jobs.get(&run.job);
+        if let Some(job) = job.filter(|_| end == RunEnd::TooOld) {
+            self.replicas.disprove(replica, &job.model, job.min_version);
+            self.orders.forget_count(replica);
+        }
         match end {
             RunEnd::Broken | RunEnd::Unreachable | RunEnd::NotRun { .. } | RunEnd::TooOld => {
                 self.replicas.note_fault(replica, now);
--- a/crates/dispatch/src/takeover.rs
+++ b/crates/dispatch/src/takeover.rs
@@ -65,6 +65,8 @@
             job: report.job,
             item: report.item,
             item_id,
+            // Which it was begun under is not told.
+            life: self.replicas.lives.of(&report.replica),
             replica: report.replica,
             events: report.events,
             kept,
--- a/crates/dispatch/tests/dispatcher.rs
+++ b/crates/dispatch/tests/dispatcher.rs
@@ -5,6 +5,7 @@
 
 use brasspond_cluster_protocol::{Pace, RunEnd, RunReport, RunSpec};
 use brasspond_dispatch::{Action, Event, OrderAnswer, OrderLeases, ReplicaReport};
+use brasspond_fleet::{Identity, Life};
 use brasspond_jobs::{Draft, Outcome};
 use fixture::{Fixture, event, runs};
 use rstest::rstest;
@@ -253,12 +254,20 @@
             version,
             expected_count,
             ..
-        } => Some((replica.clone(), *version, *expected_count)),
+        } => Some((replica.id.to_string(), *version, *expected_count)),
         _ => None,
     });
     orders.collect()
 }
 
+/// A replica that tells no life.
+fn identity(id: &str) -> Identity {
+    Identity {
+        id: id.into(),
+        life: Life::UNTOLD,
+    }
+}
+
 fn asked(actions: &[Action]) -> Vec<String> {
     let asked = actions.iter().filter_map(|action| match action {
         Action::AskReport { replica, .. } => Some(replica.clone()),
@@ -292,7 +301,7 @@
             });
             assert_eq!(orders(&order), [(replica.clone(), 2, 0)]);
             fixture.handle(Event::Ordered {
-                replica: replica.clone(),
+                replica: identity(&replica),
                 answer: OrderAnswer::Taken,
             });
             fixture.advance(1_000);
@@ -330,7 +339,7 @@
         report: report(1, false, 5),
     });
     fixture.handle(Event::Ordered {
-        replica: "replica-0".to_string(),
+        replica: identity("replica-0"),
         answer: OrderAnswer::Unknown,
     });
     fixture.advance(300);
--- a/crates/dispatch/tests/loads.rs
+++ b/crates/dispatch/tests/loads.rs
@@ -38,15 +38,21 @@
         while let Some(action) = actions.pop() {
             let event = match action {
                 Action::AskReport { replica, .. } => self.report(replica, now, version),
-                Action::Order { replica, .. } => {
+                Action::Order {
+                    replica: ordered, ..
+                } => {
+                    let replica = ordered.id.to_string();
                     let under_way = self.loading.len() + 1;
                     self.most = self.most.max(under_way);
                     let crowd = under_way.max(self.at_once) as u64;
                     let took = self.load_ms * crowd / self.at_once as u64;
                     self.loading.insert(replica.clone(), now + took);
-                    *self.sequence.entry(replica.clone()).or_default() += 1;
+                    *self.sequence.entry(replica).or_default() += 1;
                     let answer = OrderAnswer::Taken;
-                    Event::Ordered { replica, answer }
+                    Event::Ordered {
+                        replica: ordered,
+                        answer,
+                    }
                 }
                 _ => continue,
             };
--- a/crates/dispatch/tests/model/carry.rs
+++ b/crates/dispatch/tests/model/carry.rs
@@ -5,6 +5,7 @@
 use super::replica::ArrivedOrder;
 use super::{Answer, Mutation, STEP_MS, World};
 use brasspond_dispatch::{Action, Event, OrderAnswer, ReplicaReport};
+use brasspond_fleet::Identity;
 use brasspond_jobs::{Command, Draft};
 use rand::Rng;
 
@@ -63,6 +64,7 @@
                 assert_eq!(&spec.regions, self.regions(), "{} is scored", spec.job);
                 self.tell_edge(&machine, ToEdge::Score(spec));
             }
+            Action::Reborn { .. } => {}
             Action::AskReport { replica, .. } => {
                 self.check_evacuated(&replica);
                 self.report(&replica);
@@ -73,7 +75,7 @@
                 expected_count,
                 ..
             } => {
-                self.check_evacuated(&replica);
+                self.check_evacuated(&replica.id);
                 self.order(replica, version, expected_count);
             }
         }
@@ -117,12 +119,12 @@
         });
     }
 
-    fn order(&mut self, replica: String, version: u64, expected_count: u64) {
+    fn order(&mut self, replica: Identity, version: u64, expected_count: u64) {
         let holder = self.holder.clone();
         self.leases
-            .insert(replica.clone(), (holder.clone(), self.now));
+            .insert(replica.id.to_string(), (holder.clone(), self.now));
         self.oracle.check_order(GivenOrder {
-            replica: replica.clone(),
+            replica: replica.id.to_string(),
             holder,
             version,
             at: self.now,
@@ -131,7 +133,7 @@
             version,
             expected_count,
         };
-        let answer = self.arrive(&replica, order);
+        let answer = self.arrive(&replica.id, order);
         let wait = if answer == OrderAnswer::Unknown {
             ANSWER_MS
         } else {
--- a/crates/eligibility/src/standing.rs
+++ b/crates/eligibility/src/standing.rs
@@ -27,7 +27,7 @@
     pub is_evacuated: bool,
     /// It is not known yet which zones are evacuated.
     pub is_unknown: bool,
-    /// Weights that it holds: version by model, none older than was known before.
+    /// Weights that it holds in this life: version by model, none older than was known before.
     pub versions: HashMap<String, u64>,
     /// Whether it warms up, where its service says what it bears then.
     pub warming: Spell,
@@ -74,6 +74,12 @@
         }
     }
 
+    /// It started again: what it held and how it warmed up is of the life before.
+    pub fn begin_life(&mut self) {
+        self.versions.clear();
+        self.warming = Spell::default();
+    }
+
     /// Whether it takes new work of its service at all.
     pub fn takes_work(&self) -> bool {
         !self.draining && !self.is_unknown && !self.is_evacuated
--- a/crates/fleet/src/life.rs
+++ b/crates/fleet/src/life.rs
@@ -104,10 +104,9 @@
         }
     }
 
-    /// Whether something is of the life that is known; of an untold one it may be.
+    /// Whether something is of the life that is known.
     pub fn is_present(&self, replica: &Identity) -> bool {
-        let known = self.of(&replica.id);
-        known == replica.life || !replica.life.is_told()
+        self.of(&replica.id) == replica.life
     }
 
     /// A replica told its life itself, at `now` (ms of a steady clock).
@@ -141,6 +140,16 @@
         Heard::First
     }
 
+    /// Whether what tells a life is not of an earlier one; what tells none may be of any.
+    pub fn may_say(&self, id: &str, life: Life) -> bool {
+        !life.is_told() || life == self.of(id)
+    }
+
+    /// Whether a lower life was heard that may yet be the present one.
+    pub fn is_in_doubt(&self) -> bool {
+        self.known.values().any(|known| known.lower.is_some())
+    }
+
     /// Drops replicas whose entries went long ago.
     pub fn forget_gone(&mut self, is_listed: impl Fn(&str) -> bool, now: u64) {
         self.known.retain(|id, known| {
--- a/crates/telemetry/src/metrics.rs
+++ b/crates/telemetry/src/metrics.rs
@@ -39,6 +39,7 @@
     evacuated_zones: Gauge,
     evacuated_replicas: Gauge,
     permits: Counters,
+    replicas_reborn: Counter,
     log_lines_dropped: Gauge,
     links: LinkMetrics,
 }
@@ -68,6 +69,12 @@
         let evacuations_known = Gauge::default();
         let evacuated_zones = Gauge::default();
         let evacuated_replicas = Gauge::default();
+        let replicas_reborn = Counter::default();
+        registry.register(
+            "replicas_reborn",
+            "Replicas seen to start again under their id",
+            replicas_reborn.clone(),
+        );
         let permits = Counters::default();
         registry.register(
             "permits",
@@ -177,6 +184,7 @@
             evacuated_zones,
             evacuated_replicas,
             permits,
+            replicas_reborn,
             log_lines_dropped,
         }
     }
@@ -194,6 +202,11 @@
         self.request_seconds.get_or_create(&labels).observe(seconds);
     }
 
+    /// Replicas were seen to start again under their id.
+    pub fn replicas_reborn(&self, count: usize) {
+        self.replicas_reborn.inc_by(count as u64);
+    }
+
     /// A call was turned away for its API key.
     pub fn denial(&self, reason: &str) {
         let labels = vec![("reason", reason.to_string())];
@@ -275,6 +288,7 @@
     runs_ended: Counters,
     scorings_ended: Counters,
     edge_messages_lost: Counters,
+    replicas_reborn: Counter,
     usage_reports: Counters,
     replica_orders: Counters,
     leaderships: Counter,
@@ -333,6 +347,12 @@
         let orders = Counters::default();
         let runs_ended = Counters::default();
         let scorings_ended = Counters::default();
+        let replicas_reborn = Counter::default();
+        registry.register(
+            "replicas_reborn",
+            "Replicas that this process, leading, saw start again under their id",
+            replicas_reborn.clone(),
+        );
         let edge_messages_lost = Counters::default();
         registry.register(
             "edge_messages_lost",
@@ -411,6 +431,7 @@
             runs_ended,
             scorings_ended,
             edge_messages_lost,
+            replicas_reborn,
             usage_reports,
             replica_orders,
             leaderships,
@@ -471,6 +492,11 @@
         self.edge_messages_lost.get_or_create(&labels).inc();
     }
 
+    /// A replica was seen to start again under its id.
+    pub fn replica_reborn(&self) {
+        self.replicas_reborn.inc();
+    }
+
     /// The platform answered a usage report, or did not.
     pub fn usage_report(&self, answer: &str) {
         let labels = vec![("answer", answer.to_string())];
