Edges tell a replica's lives apart; quarantine counts the ends of each life

Cause: an edge kept pace, faults, pauses, told load, warming up, address and resting connections by a replica's id; and a content that ends one replica again and again was counted once, as the ended are kept by name. Change: a newer life in an entry has all of that begin anew, an entry of an earlier life is passed over, requests sent before tell nothing of the new life, connections at rest to the old one are closed. Ends are counted by id and life ('id@life' in the log, whose older entries have ids alone). An entry's address, service, zone and region are taken with each view: a new life may stand elsewhere. Kept: requests of ours in flight there, until they end. Not done: requests waiting at a life that is over aren't cut off before their connection is.

--- a/crates/cluster/src/edge/balance.rs
+++ b/crates/cluster/src/edge/balance.rs
@@ -4,8 +4,9 @@
 use crate::link::LinkContext;
 use brasspond_distance::Distance;
 use brasspond_eligibility::{Clearance, Standing, Unfit, Work};
-use brasspond_fleet::FleetView;
+use brasspond_fleet::{FleetView, Heard, Identity, Lives, ReplicaInfo};
 use std::collections::{BTreeMap, HashMap};
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -37,9 +38,41 @@
     paused_until: Option<Moment>,
     /// Requests there as it told, our own not counted.
     others: (u32, Moment),
+    /// When its present life was first heard of: what was sent before tells nothing of it.
+    since: Moment,
+}
+
+/// What a newer view changed.
+#[derive(Debug)]
+pub(super) struct Taken {
+    /// Replicas that took work before.
+    pub was_ready: usize,
+    /// Replicas that started again under their ids, with where their earlier lives listened.
+    pub reborn: Vec<(Identity, SocketAddr)>,
 }
 
 impl Known {
+    fn new(info: &ReplicaInfo, view: &FleetView, links: &LinkContext, now: u64) -> Self {
+        Self {
+            standing: Standing::new(info, view, now),
+            distance: links.distance_to(&info.zone, info.region.as_deref()),
+            slots: info.slots,
+            in_flight: 0,
+            answer_ms: None,
+            faults: 0,
+            paused_until: None,
+            others: (0, Moment::now()),
+            since: Moment::now(),
+        }
+    }
+
+    /// It started again. Requests of ours that are there end soon, and are counted until then.
+    fn begin_life(&mut self, info: &ReplicaInfo, view: &FleetView, links: &LinkContext, now: u64) {
+        let in_flight = self.in_flight;
+        *self = Self::new(info, view, links, now);
+        self.in_flight = in_flight;
+    }
+
     /// Requests there, of this edge and of others as far as told lately.
     fn there(&self, now: Moment) -> u32 {
         let is_fresh = now.saturating_duration_since(self.others.1) < LOAD_LIFE;
@@ -52,6 +85,8 @@
     /// Where this edge is, and how long round trips take.
     links: Rc<LinkContext>,
     replicas: HashMap<String, Known>,
+    /// The newest life of each that was heard of.
+    lives: Lives,
 }
 
 impl Balance {
@@ -59,29 +94,33 @@
         Self {
             links,
             replicas: HashMap::new(),
+            lives: Lives::default(),
         }
     }
 
-    /// Takes a newer view; returns how many replicas took work before.
-    pub fn take_view(&mut self, view: &FleetView, now: u64) -> usize {
-        let before = self.ready();
+    /// Takes a newer view. The entry of an earlier life tells nothing.
+    pub fn take_view(&mut self, view: &FleetView, now: u64) -> Taken {
+        let was_ready = self.ready();
+        let mut reborn = Vec::new();
         self.replicas.retain(|id, _| view.replicas.contains_key(id));
+        self.lives
+            .forget_gone(|id| view.replicas.contains_key(id), now);
         let links = &self.links;
         for (id, info) in view.replicas.iter() {
-            let known = self.replicas.entry(id.clone()).or_insert_with(|| Known {
-                standing: Standing::new(info, view, now),
-                distance: links.distance_to(&info.zone, info.region.as_deref()),
-                slots: info.slots,
-                in_flight: 0,
-                answer_ms: None,
-                faults: 0,
-                paused_until: None,
-                others: (0, Moment::now()),
-            });
+            let heard = self.lives.hear_entry(id, info.life, info.revision, now);
+            if heard == Heard::Older {
+                continue;
+            }
+            let known = self.replicas.entry(id.clone());
+            let known = known.or_insert_with(|| Known::new(info, view, links, now));
+            if matches!(heard, Heard::Reborn { .. }) {
+                reborn.push((self.lives.identity(id), known.standing.address));
+                known.begin_life(info, view, links, now);
+            }
             known.standing.renew(info, view, now);
             known.slots = info.slots;
         }
-        before
+        Taken { was_ready, reborn }
     }
 
     /// The replica expected to answer first; those in `tried` only if there is
@@ -176,6 +215,16 @@
         self.replicas.get(id).map(|known| &known.standing)
     }
 
+    /// Whether a lower life was heard that may yet be the present one.
+    pub fn is_in_doubt(&self) -> bool {
+        self.lives.is_in_doubt()
+    }
+
+    /// A replica in the life that is known.
+    pub fn identity(&self, id: &str) -> Identity {
+        self.lives.identity(id)
+    }
+
     /// Why no replica takes a request: the reason that lies nearest to taking it, with how
     /// many have it. None: no replica is known.
     pub fn why_none(&self, work: &Work<'_>) -> Option<(Unfit, usize)> {
@@ -200,8 +249,11 @@
         }
     }
 
-    pub fn note_answer(&mut self, id: &str, time: Duration) {
-        if let Some(known) = self.replicas.get_mut(id) {
+    /// A replica answered a request that was sent at `begun`, after `time`.
+    pub fn note_answer(&mut self, id: &str, begun: Moment, time: Duration) {
+        if let Some(known) = self.replicas.get_mut(id)
+            && begun >= known.since
+        {
             let time = time.as_secs_f64() * 1_000.0;
             let before = known.answer_ms.unwrap_or(time);
             known.answer_ms = Some(before + TIME_WEIGHT * (time - before));
@@ -223,8 +275,11 @@
         }
     }
 
-    pub fn note_fault(&mut self, id: &str) {
-        if let Some(known) = self.replicas.get_mut(id) {
+    /// A request that was sent at `begun` found a fault.
+    pub fn note_fault(&mut self, id: &str, begun: Moment) {
+        if let Some(known) = self.replicas.get_mut(id)
+            && begun >= known.since
+        {
             let pause = FIRST_PAUSE * (1 << known.faults.min(4));
             known.faults += 1;
             let pause = pause.min(LONGEST_PAUSE);
--- a/crates/cluster/src/edge/ended.rs
+++ b/crates/cluster/src/edge/ended.rs
@@ -10,10 +10,10 @@
 use crate::clock::Moment;
 use crate::upstream::{Look, look};
 use brasspond_cluster_protocol::{Message, RunSpec};
+use brasspond_fleet::Identity;
 use brasspond_quarantine::{EndReport, Fingerprint, Told};
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::sync::Arc;
 use std::time::Duration;
 
 /// Pauses before an address is looked at: a process that ends closes its connections a
@@ -24,12 +24,26 @@
 struct Break {
     request: String,
     content: Fingerprint,
-    replica: String,
+    /// In the life that was known as the request was sent.
+    replica: Identity,
     address: SocketAddr,
     begun: Moment,
     broke: Moment,
 }
 
+impl Break {
+    /// The end that was seen, once it is known that it was one.
+    fn report(&self) -> EndReport {
+        let ran = self.broke.saturating_duration_since(self.begun);
+        EndReport {
+            content: self.content,
+            replica: self.replica.name(),
+            ran_ms: ran.as_millis() as u64,
+            ago_ms: self.broke.elapsed().as_millis() as u64,
+        }
+    }
+}
+
 impl Forwarded {
     /// Looks whether a replica has ended, if its connection broke under this request, which
     /// it was sent at `begun`.
@@ -45,11 +59,12 @@
         let Some(address) = balance.standing(replica).map(|standing| standing.address) else {
             return;
         };
+        let identity = balance.identity(replica);
         drop(balance);
         let broken = Break {
             request: self.id.clone(),
             content: self.content(),
-            replica: replica.to_string(),
+            replica: identity,
             address,
             begun,
             broke: Moment::now(),
@@ -79,13 +94,22 @@
         self.spawn_look(Break {
             request: spec.item_id.clone(),
             content: spec.content(),
-            replica: spec.replica.clone(),
+            replica: self.identity_of(spec),
             address: spec.address,
             begun,
             broke: Moment::now(),
         });
     }
 
+    /// The replica of a run, in the newer life of those that the leader and this edge know.
+    fn identity_of(&self, spec: &RunSpec) -> Identity {
+        let known = self.balance.borrow().identity(&spec.replica);
+        Identity {
+            life: known.life.max(spec.life),
+            ..known
+        }
+    }
+
     /// A replica ran a content to an answer: it does not end replicas.
     pub(super) fn content_answered(&self, content: Fingerprint) {
         if !self.quarantine.borrow_mut().answered(content) {
@@ -113,8 +137,9 @@
         }
         let ended = seen == Look::Refused;
         log::info!(
-            "event=replica_looked_at replica={} request={} content={} ended={ended} seen={}",
-            broken.replica,
+            "event=replica_looked_at replica={} life={} request={} content={} ended={ended} seen={}",
+            broken.replica.id,
+            broken.replica.life,
             broken.request,
             broken.content,
             seen.name()
@@ -125,13 +150,7 @@
     }
 
     fn note_end(&self, broken: &Break) {
-        let ran = broken.broke.saturating_duration_since(broken.begun);
-        let report = EndReport {
-            content: broken.content,
-            replica: Arc::from(broken.replica.as_str()),
-            ran_ms: ran.as_millis() as u64,
-            ago_ms: broken.broke.elapsed().as_millis() as u64,
-        };
+        let report = broken.report();
         let now = self.clock.now();
         let is_new = self.quarantine.borrow_mut().note_end(report.clone(), now);
         if is_new && let Some(leader) = self.cluster.borrow().leader() {
@@ -163,3 +182,7 @@
         self.metrics.held_contents(quarantine.held());
     }
 }
+
+#[cfg(test)]
+#[path = "../../tests/unit/ended.rs"]
+mod tests;
--- a/crates/cluster/src/edge/forward.rs
+++ b/crates/cluster/src/edge/forward.rs
@@ -263,7 +263,7 @@
                 failed,
                 Failed::NotSent | Failed::Late | Failed::NotRun { .. }
             );
-            self.note_failure(&replica, &failed);
+            self.note_failure(&replica, begun, &failed);
             self.look_after_failure(&replica, begun, &failed);
             if let Failed::Answered(answer) = failed {
                 last_answer = Some(answer);
@@ -396,7 +396,7 @@
         self.edge.balance.borrow().has_room(&self.work())
     }
 
-    pub(super) fn note_failure(&self, replica: &str, failed: &Failed) {
+    pub(super) fn note_failure(&self, replica: &str, begun: Moment, failed: &Failed) {
         let is_fault = match failed {
             Failed::NotSent => true,
             Failed::NotRun { is_full } => !is_full,
@@ -404,7 +404,8 @@
             Failed::Late | Failed::Answered(_) => false,
         };
         if is_fault {
-            self.edge.balance.borrow_mut().note_fault(replica);
+            let mut balance = self.edge.balance.borrow_mut();
+            balance.note_fault(replica, begun);
         }
     }
 
@@ -509,7 +510,7 @@
         metrics.attempt(outcome, begun.elapsed().as_secs_f64());
         if result.is_ok() {
             let mut balance = self.edge.balance.borrow_mut();
-            balance.note_answer(replica, begun.elapsed());
+            balance.note_answer(replica, begun, begun.elapsed());
         }
         result
     }
--- a/crates/cluster/src/edge/passing.rs
+++ b/crates/cluster/src/edge/passing.rs
@@ -135,7 +135,7 @@
         self.buffer.clear();
         if let Some(broken) = self.upstream.take() {
             let mut balance = self.request.edge.balance.borrow_mut();
-            balance.note_fault(&broken.replica);
+            balance.note_fault(&broken.replica, broken.begun);
             drop(balance);
             self.request.look_after_break(&broken.replica, broken.begun);
             self.tried.push(broken.replica.clone());
--- a/crates/cluster/src/edge/process.rs
+++ b/crates/cluster/src/edge/process.rs
@@ -18,12 +18,13 @@
 use brasspond_cluster_protocol::{Message, Peer, RunSpec, Watch};
 use brasspond_distance::Place;
 use brasspond_eligibility::{Clearance, Unfit, Work};
-use brasspond_fleet::{ConfigurationIndex, FleetView, OtherBase, Regions, ViewDelta};
+use brasspond_fleet::{ConfigurationIndex, FleetView, Identity, OtherBase, Regions, ViewDelta};
 use brasspond_metering::{ToldClock, UsageRecorder};
 use brasspond_quarantine::Recorder;
 use brasspond_telemetry::{EdgeMetrics, LogRing};
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -395,23 +396,52 @@
         if changed {
             self.renew_index();
             self.note_fleet_known();
-            let view = self.view.borrow();
-            let was_ready = self.balance.borrow_mut().take_view(&view, self.clock.now());
-            self.note_evacuated(&view);
-            let ready = self.balance.borrow().ready();
-            if was_ready != ready {
-                log::info!(
-                    "event=replicas_known revision={} all={} ready={ready} before={was_ready}",
-                    view.replicas_revision,
-                    view.replicas.len()
-                );
-            }
+            self.take_replicas();
+        }
+    }
+
+    fn take_replicas(&self) {
+        let view = self.view.borrow();
+        let taken = self.balance.borrow_mut().take_view(&view, self.clock.now());
+        self.note_reborn(&taken.reborn);
+        self.note_evacuated(&view);
+        let was_ready = taken.was_ready;
+        let ready = self.balance.borrow().ready();
+        if was_ready != ready {
+            log::info!(
+                "event=replicas_known revision={} all={} ready={ready} before={was_ready}",
+                view.replicas_revision,
+                view.replicas.len()
+            );
+        }
+    }
+
+    /// Lower lives count in time, also where no entry changes meanwhile.
+    fn settle_lives(&self) {
+        let is_in_doubt = self.balance.borrow().is_in_doubt();
+        if is_in_doubt {
+            self.take_replicas();
+        }
+    }
+
+    /// Connections at rest to a life that is over are closed: one whose break was not seen
+    /// costs a request its time-out.
+    fn note_reborn(&self, reborn: &[(Identity, SocketAddr)]) {
+        for (replica, address) in reborn {
+            log::info!(
+                "event=replica_reborn replica={} life={} seen_by=edge",
+                replica.id,
+                replica.life
+            );
+            self.pool.forget(*address);
         }
+        self.metrics.replicas_reborn(reborn.len());
     }
 
     fn tick(self: &Rc<Self>) {
         let now = self.clock.now();
         self.cluster.borrow_mut().tick(self.clock.wall(), now);
+        self.settle_lives();
         self.set_interest(now);
         self.tell_what_leader_lacks();
         self.report_progress();
--- a/crates/cluster/src/edge/scoring.rs
+++ b/crates/cluster/src/edge/scoring.rs
@@ -212,7 +212,7 @@
             Err(failed) => failed,
         };
         self.log(&replica, failed.name());
-        request.note_failure(&replica, &failed);
+        request.note_failure(&replica, begun, &failed);
         request.look_after_failure(&replica, begun, &failed);
         self.tried.push(replica);
         self.silent += u32::from(failed.is_silent());
--- a/crates/cluster/tests/unit/balance.rs
+++ b/crates/cluster/tests/unit/balance.rs
@@ -1,10 +1,11 @@
 //! Which replica takes a request, by where it stands.
 
 use super::Balance;
+use crate::clock::Moment;
 use crate::link::LinkContext;
 use brasspond_distance::{Distance, Place};
 use brasspond_eligibility::Work;
-use brasspond_fleet::{FleetView, Regions, ReplicaInfo};
+use brasspond_fleet::{FleetView, Life, Regions, ReplicaInfo};
 use rstest::rstest;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -71,14 +72,14 @@
 #[rstest]
 fn a_replica_of_another_region_is_not_tried_for_being_unknown() {
     let (mut balance, _) = balance(&[("far", "s1"), ("near", "n1")]);
-    balance.note_answer("near", Duration::from_millis(30));
+    balance.note_answer("near", Moment::now(), Duration::from_millis(30));
     assert_eq!(chosen(&balance), "near");
 }
 
 #[rstest]
 fn a_crowd_near_by_sends_requests_to_another_region() {
     let (mut balance, _) = balance(&[("far", "s1"), ("near", "n1")]);
-    balance.note_answer("near", Duration::from_millis(30));
+    balance.note_answer("near", Moment::now(), Duration::from_millis(30));
     for _ in 0..6 {
         balance.begin("near");
     }
@@ -89,7 +90,7 @@
 #[rstest]
 fn regions_a_ms_apart_are_near() {
     let (mut balance, links) = balance(&[("far", "s1"), ("near", "n1")]);
-    balance.note_answer("near", Duration::from_millis(30));
+    balance.note_answer("near", Moment::now(), Duration::from_millis(30));
     for _ in 0..3 {
         links.note_round_trip(Distance::SameRegion, Duration::from_micros(600));
         links.note_round_trip(Distance::OtherRegion, Duration::from_millis(1));
@@ -108,3 +109,81 @@
     }
     assert_eq!(chosen(&balance), "c");
 }
+
+/// A view in which the first replica is in a life, as an entry of a revision has it.
+fn view_of_life(born: u64, revision: u64, address: &str) -> FleetView {
+    let mut view = view(&[("reborn", "n1"), ("other", "n1")]);
+    let replicas = Arc::make_mut(&mut view.replicas);
+    let info = replicas.get_mut("reborn").expect("there");
+    info.life = Life::told(born);
+    info.revision = revision;
+    info.address = address.parse().expect("address");
+    view
+}
+
+fn address_of(balance: &Balance) -> String {
+    let standing = balance.standing("reborn").expect("known");
+    standing.address.to_string()
+}
+
+/// What a replica did before it started again says nothing of it: neither its faults nor its
+/// pace.
+#[rstest]
+fn a_new_life_is_judged_anew() {
+    let (mut balance, _) = balance(&[]);
+    balance.take_view(&view_of_life(1, 1, "127.0.0.1:1"), 0);
+    balance.note_answer("other", Moment::now(), Duration::from_millis(25));
+    balance.note_answer("reborn", Moment::now(), Duration::from_secs(4));
+    balance.note_load("reborn", 50, 50);
+    balance.note_fault("reborn", Moment::now());
+    assert_eq!(chosen(&balance), "other");
+    balance.take_view(&view_of_life(2, 2, "127.0.0.1:1"), 0);
+    assert_eq!(chosen(&balance), "reborn");
+}
+
+/// The entry of the life before, read after the newer one, changes nothing.
+#[rstest]
+fn an_entry_of_an_earlier_life_tells_nothing() {
+    let (mut balance, _) = balance(&[]);
+    balance.take_view(&view_of_life(2, 5, "127.0.0.1:2"), 0);
+    balance.take_view(&view_of_life(1, 4, "127.0.0.1:1"), 0);
+    assert_eq!(address_of(&balance), "127.0.0.1:2");
+}
+
+/// A new life may listen elsewhere.
+#[rstest]
+fn a_new_life_may_listen_elsewhere() {
+    let (mut balance, _) = balance(&[]);
+    balance.take_view(&view_of_life(1, 1, "127.0.0.1:1"), 0);
+    balance.take_view(&view_of_life(2, 2, "127.0.0.1:2"), 0);
+    assert_eq!(address_of(&balance), "127.0.0.1:2");
+}
+
+/// Requests that were sent to the life before and fail, or are answered, after the new one
+/// was heard of tell nothing of it.
+#[rstest]
+fn a_new_life_is_not_blamed() {
+    let (mut balance, _) = balance(&[]);
+    balance.take_view(&view_of_life(1, 1, "127.0.0.1:1"), 0);
+    balance.note_answer("other", Moment::now(), Duration::from_millis(25));
+    let begun = Moment::now();
+    std::thread::sleep(Duration::from_millis(2));
+    balance.take_view(&view_of_life(2, 2, "127.0.0.1:1"), 0);
+    balance.note_fault("reborn", begun);
+    balance.note_answer("reborn", begun, Duration::from_secs(4));
+    assert_eq!(chosen(&balance), "reborn");
+    balance.note_fault("reborn", Moment::now());
+    assert_eq!(chosen(&balance), "other");
+}
+
+/// Where an earlier life listened is told once, so that connections there are closed.
+#[rstest]
+fn a_new_life_is_told_once() {
+    let (mut balance, _) = balance(&[]);
+    balance.take_view(&view_of_life(1, 1, "127.0.0.1:1"), 0);
+    let view = view_of_life(2, 2, "127.0.0.1:2");
+    let taken = balance.take_view(&view, 10);
+    let reborn: Vec<_> = taken.reborn.iter().map(|(_, at)| at.to_string()).collect();
+    assert_eq!(reborn, ["127.0.0.1:1"]);
+    assert!(balance.take_view(&view, 20).reborn.is_empty());
+}
--- /dev/null
+++ b/crates/cluster/tests/unit/ended.rs
@@ -0,0 +1,50 @@
+//! What an edge reports of replicas that ended.
+
+use super::Break;
+use crate::clock::Moment;
+use brasspond_fleet::{Identity, Life};
+use brasspond_quarantine::{Content, Fingerprint, HELD_AFTER, Recorder};
+use rstest::rstest;
+use std::time::Duration;
+
+fn content() -> Fingerprint {
+    Fingerprint::of(&Content {
+        method: "POST",
+        host: "host.example",
+        path: "/reads/x",
+        tenant: None,
+        body: b"ends",
+    })
+}
+
+/// A request broke off as a replica ended in one of its lives.
+fn broken(born: u64) -> Break {
+    Break {
+        request: "request".to_string(),
+        content: content(),
+        replica: Identity {
+            id: "replica-0".into(),
+            life: Life::told(born),
+        },
+        address: "127.0.0.1:1".parse().expect("address"),
+        begun: Moment::now(),
+        broke: Moment::now() + Duration::from_millis(60),
+    }
+}
+
+/// A replica that starts again under its id and ends again under the same content has ended
+/// twice: a content that ends one replica in each of its lives is held like any other. The
+/// end of one life that several requests saw is one.
+#[rstest]
+fn each_life_that_ends_counts() {
+    let mut recorder = Recorder::default();
+    for life in 0..HELD_AFTER as u64 {
+        assert!(!recorder.is_held(content()), "after {life} ends");
+        for request in 0..3 {
+            let report = broken(1_000 * life).report();
+            let is_new = recorder.note_end(report, 5_000 * (life + 1));
+            assert_eq!(is_new, request == 0);
+        }
+    }
+    assert!(recorder.is_held(content()));
+}
--- a/crates/eligibility/src/standing.rs
+++ b/crates/eligibility/src/standing.rs
@@ -58,6 +58,7 @@
 
     /// Takes what a newer view says.
     pub fn renew(&mut self, info: &ReplicaInfo, view: &FleetView, now: Millis) {
+        self.take_place(info);
         self.draining = info.draining;
         self.is_evacuated = view.is_evacuated(&info.zone);
         self.is_unknown = !view.knows_evacuated();
@@ -74,6 +75,20 @@
         }
     }
 
+    /// A replica that starts again under its id may do so elsewhere, and for another service.
+    fn take_place(&mut self, info: &ReplicaInfo) {
+        self.address = info.address;
+        if *self.service != *info.service {
+            self.service = info.service.as_str().into();
+        }
+        if *self.zone != *info.zone {
+            self.zone = info.zone.as_str().into();
+        }
+        if self.region != info.region {
+            self.region.clone_from(&info.region);
+        }
+    }
+
     /// It started again: what it held and how it warmed up is of the life before.
     pub fn begin_life(&mut self) {
         self.versions.clear();
--- a/crates/eligibility/tests/standing.rs
+++ b/crates/eligibility/tests/standing.rs
@@ -159,3 +159,28 @@
     assert_eq!(standing.takes(&work(&regions)), Ok(()));
     assert!(standing.takes_work());
 }
+
+/// A replica that starts again under its id may do so elsewhere, and holds nothing.
+#[rstest]
+fn a_new_life_stands_where_its_entry_says() {
+    let mut standing = Standing::new(&replica(), &FleetView::default(), 0);
+    standing.versions.insert("model".to_string(), 9);
+    standing.begin_life();
+    let moved = ReplicaInfo {
+        service: "others".to_string(),
+        address: "127.0.0.1:9".parse().expect("address"),
+        zone: "elsewhere".to_string(),
+        region: Some("south".into()),
+        models: Vec::new(),
+        ..replica()
+    };
+    standing.renew(&moved, &FleetView::default(), 0);
+    let place = (
+        &*standing.service,
+        &*standing.zone,
+        standing.region.as_deref(),
+    );
+    assert_eq!(place, ("others", "elsewhere", Some("south")));
+    assert_eq!(standing.address, moved.address);
+    assert!(standing.versions.is_empty());
+}
--- a/crates/fleet/src/life.rs
+++ b/crates/fleet/src/life.rs
@@ -48,6 +48,18 @@
     pub life: Life,
 }
 
+impl Identity {
+    /// One name for both, where things are counted by name, also in a log whose older entries
+    /// have ids alone: `id`, or `id@life` where a life is told.
+    pub fn name(&self) -> Arc<str> {
+        if self.life.is_told() {
+            format!("{}@{}", self.id, self.life).into()
+        } else {
+            Arc::clone(&self.id)
+        }
+    }
+}
+
 /// A word of a lower life alone counts after this time without a word of the known one, in
 /// ms: the clock of the replica's machine was set back between two starts. An entry, an
 /// answer or a report may come seconds late, and a living replica writes its entry
--- a/crates/fleet/src/view.rs
+++ b/crates/fleet/src/view.rs
@@ -210,13 +210,14 @@
         configuration.service(service)?.warm_up
     }
 
-    /// Whether another view tells the same of a replica's warming up: its entry and what its
-    /// service bears. A view that lacks the replica tells nothing.
+    /// Whether another view tells the same of a replica's warming up: its life, its entry and
+    /// what its service bears. A view that lacks the replica tells nothing.
     pub fn tells_warming_like(&self, other: &Self, replica: &str) -> bool {
         let own = self.replicas.get(replica);
         let others = other.replicas.get(replica);
         own.zip(others).is_some_and(|(own, others)| {
-            own.warming_ms == others.warming_ms
+            own.life == others.life
+                && own.warming_ms == others.warming_ms
                 && self.warm_up_of(&own.service) == other.warm_up_of(&own.service)
         })
     }
