The dispatcher's fuzzer plays rebirths at any step, and found two faults of lives

Checked: once the entry told, no run goes there for a version that was lost, no order expects a count of an earlier life. Built-in fault: replicas that start again tell their first life; it is caught. What an entry forbids now holds whichever life wrote it.

--- a/crates/cluster/src/edge/balance.rs
+++ b/crates/cluster/src/edge/balance.rs
@@ -98,7 +98,7 @@
         }
     }
 
-    /// Takes a newer view. The entry of an earlier life tells nothing.
+    /// Takes a newer view. The entry of an earlier life allows nothing.
     pub fn take_view(&mut self, view: &FleetView, now: u64) -> Taken {
         let was_ready = self.ready();
         let mut reborn = Vec::new();
@@ -109,6 +109,9 @@
         for (id, info) in view.replicas.iter() {
             let heard = self.lives.hear_entry(id, info.life, info.revision, now);
             if heard == Heard::Older {
+                if let Some(known) = self.replicas.get_mut(id) {
+                    known.standing.renew_limits(info, view, now);
+                }
                 continue;
             }
             let known = self.replicas.entry(id.clone());
--- a/crates/dispatch/src/replicas.rs
+++ b/crates/dispatch/src/replicas.rs
@@ -87,7 +87,8 @@
 }
 
 impl Replicas {
-    /// Takes a newer view whose lives were heard; an entry of an earlier life tells nothing.
+    /// Takes a newer view whose lives were heard; an entry of an earlier life allows
+    /// nothing.
     pub fn take_view(&mut self, view: &FleetView, now: Millis) {
         let unknown_until = self.unknown_until(now);
         self.by_id.retain(|id, replica| {
@@ -99,6 +100,10 @@
         });
         for (id, info) in view.replicas.iter() {
             if !self.lives.may_say(id, info.life) {
+                if let Some(known) = self.by_id.get_mut(id) {
+                    known.standing.renew_limits(info, view, now);
+                    known.renew_budget(view, unknown_until, now);
+                }
                 continue;
             }
             let replica = match self.by_id.get_mut(id) {
--- a/crates/dispatch/tests/fuzzing.rs
+++ b/crates/dispatch/tests/fuzzing.rs
@@ -9,6 +9,15 @@
 use proptest::prelude::*;
 use rstest::rstest;
 
+/// A replica starts again, and its machine's clock was set back.
+const REBORN_EARLIER: Fault = Fault::ReplicaReborn {
+    replica: 0,
+    entry_ms: 0,
+    is_cut: false,
+    keeps: false,
+    set_back: true,
+};
+
 /// One case: a fault, and how long the world runs on after it, in ms.
 type Strike = (Fault, u64);
 
@@ -38,6 +47,26 @@
     }
 }
 
+fn any_rebirth() -> impl Strategy<Value = Fault> {
+    let often = proptest::bool::weighted(0.8);
+    let parts = (
+        0_usize..4,
+        0_u64..3_000,
+        any::<bool>(),
+        any::<bool>(),
+        often,
+    );
+    parts.prop_map(
+        |(replica, entry_ms, is_cut, keeps, is_ordered)| Fault::ReplicaReborn {
+            replica,
+            entry_ms,
+            is_cut,
+            keeps,
+            set_back: !is_ordered,
+        },
+    )
+}
+
 fn any_fault() -> impl Strategy<Value = Fault> {
     let edge = 0_usize..3;
     let replica = 0_usize..4;
@@ -62,6 +91,8 @@
         (replica.clone(), Just(true)).prop_map(|(one, begins)| Fault::Evacuate(one, begins)),
         (replica.clone(), 200_u64..6_000).prop_map(|(one, ms)| Fault::ReplicaWarms(one, ms)),
         (replica.clone(), 200_u64..6_000).prop_map(|(one, ms)| Fault::ReplicaComesBack(one, ms)),
+        any_rebirth(),
+        any_rebirth(),
         (0_usize..3, 0_u64..=LONGEST_LAG).prop_map(|(edge, ms)| Fault::EdgeLags(edge, ms)),
         (replica, any::<u8>()).prop_map(|(one, share)| Fault::OrdersLate(one, share)),
         Just(Fault::Version),
@@ -118,6 +149,25 @@
     (Fault::EdgeEnds(0), 741),
     (Fault::LeaderFalls { next: 1, pause_ms: 20, proposals_kept: false }, 10),
 ])]
+// A late word of the life before had the lower one, which wrote the entry, never count.
+#[case(0, false, vec![
+    (Fault::Evacuate(0, true), 131),
+    (Fault::ReplicaReborn {
+        replica: 0,
+        entry_ms: 161,
+        is_cut: false,
+        keeps: false,
+        set_back: true,
+    }, 151),
+])]
+// The entry of a lower life was passed over whole, and with it for how long it warms up.
+#[case(0, false, vec![
+    (REBORN_EARLIER, 951),
+    (Fault::ReplicaWarms(0, 2_601), 571),
+    (Fault::EdgeEnds(2), 131),
+    (Fault::Submit(34), 281),
+    (Fault::ReplicaComesBack(2, 941), 741),
+])]
 fn regressions(#[case] seed: u64, #[case] single: bool, #[case] strikes: Vec<Strike>) {
     play(seed, single, &strikes);
 }
@@ -173,6 +223,32 @@
     assert!(caught, "{mutation:?} was never noticed");
 }
 
+/// Replicas that start again and tell their first life are believed to hold what they lost.
+#[rstest]
+fn a_rebirth_untold_is_noticed() {
+    const SEEDS: u64 = 40;
+    let mut strikes = vec![(Fault::Version, 6_000)];
+    for replica in 0..4 {
+        let rebirth = Fault::ReplicaReborn {
+            replica,
+            entry_ms: 0,
+            is_cut: replica % 2 == 0,
+            keeps: false,
+            set_back: false,
+        };
+        strikes.push((rebirth, 400));
+        strikes.push((Fault::Submit(30), 900));
+    }
+    let caught = |mutation| {
+        (0..SEEDS).any(|seed| {
+            let play = || play_mutated(seed, false, &strikes, mutation);
+            std::panic::catch_unwind(play).is_err()
+        })
+    };
+    assert!(caught(Some(Mutation::RebirthUntold)), "never noticed");
+    assert!(!caught(None));
+}
+
 /// The count of what reaches replicas that warm up fails when a fault is built in.
 #[rstest]
 #[case::a_leave_ignored(Mutation::LeaveIgnored)]
--- a/crates/dispatch/tests/model/carry.rs
+++ b/crates/dispatch/tests/model/carry.rs
@@ -2,10 +2,11 @@
 
 use super::edge::ToEdge;
 use super::oracle::GivenOrder;
-use super::replica::ArrivedOrder;
+use super::replica::{ArrivedOrder, Replica};
 use super::{Answer, Mutation, STEP_MS, World};
+use brasspond_cluster_protocol::RunSpec;
 use brasspond_dispatch::{Action, Event, OrderAnswer, ReplicaReport};
-use brasspond_fleet::Identity;
+use brasspond_fleet::{Identity, Life};
 use brasspond_jobs::{Command, Draft};
 use rand::Rng;
 
@@ -32,6 +33,7 @@
                 let is_made = job.drafts.contains_key(&spec.item);
                 assert!(!is_made, "{} is whole and made again", spec.item_id);
                 self.check_evacuated(&spec.replica);
+                self.check_held(&spec);
                 self.check_edge(&machine, &spec.job);
                 self.check_replica(&spec.replica, &spec.job);
                 self.tell_edge(&machine, ToEdge::Run(spec));
@@ -76,6 +78,7 @@
                 ..
             } => {
                 self.check_evacuated(&replica.id);
+                self.check_count(&replica.id, expected_count);
                 self.order(replica, version, expected_count);
             }
         }
@@ -100,15 +103,49 @@
         }
     }
 
-    fn report(&mut self, id: &str) {
-        let replica = self.replicas.iter().find(|one| one.id == id);
-        let heard = replica.filter(|replica| !replica.is_dark(self.now));
-        let report = heard.map(|replica| ReplicaReport {
+    /// What a replica says of itself.
+    pub(super) fn report_of(&self, replica: &Replica) -> ReplicaReport {
+        ReplicaReport {
             versions: vec![("model".to_string(), replica.version)],
             busy: replica.loading.is_some(),
             sequence: replica.sequence,
-            life: brasspond_fleet::Life::UNTOLD,
-        });
+            life: self.life_of(replica),
+        }
+    }
+
+    /// The life that a replica tells, or its first where that fault is built in.
+    pub(super) fn life_of(&self, replica: &Replica) -> Life {
+        if self.mutation == Some(Mutation::RebirthUntold) && replica.tells {
+            return Life::told(replica.first_born);
+        }
+        replica.life()
+    }
+
+    /// A replica whose entry told its present life, which is known to be the newest.
+    fn told(&self, id: &str) -> Option<&Replica> {
+        let mut replicas = self.replicas.iter();
+        replicas.find(|one| one.id == id && one.is_life_told && one.is_ordered)
+    }
+
+    /// No run goes to a replica for a version that it lost with its start, once its entry
+    /// told that it started again.
+    fn check_held(&self, spec: &RunSpec) {
+        let told = self.told(&spec.replica);
+        let lacks = told.is_some_and(|one| one.version < spec.min_version && !one.went_back);
+        assert!(!lacks, "{} lost what it is believed to hold", spec.replica);
+    }
+
+    /// No order expects a count of an earlier life.
+    fn check_count(&self, replica: &str, expected_count: u64) {
+        let taken = self.told(replica).map(|one| one.sequence);
+        let is_of_life = taken.is_none_or(|taken| expected_count <= taken);
+        assert!(is_of_life, "{replica} took {taken:?} orders in its life");
+    }
+
+    fn report(&mut self, id: &str) {
+        let replica = self.replicas.iter().find(|one| one.id == id);
+        let heard = replica.filter(|replica| !replica.is_dark(self.now));
+        let report = heard.map(|replica| self.report_of(replica));
         let wait = if report.is_some() { STEP_MS } else { ANSWER_MS };
         self.answers.push(Answer {
             at: self.now + wait,
--- a/crates/dispatch/tests/model/fault.rs
+++ b/crates/dispatch/tests/model/fault.rs
@@ -1,8 +1,10 @@
 //! Faults that strike the world, and faults built into it.
 
-use super::replica::Replica;
-use super::{SLOTS, World, zone_of};
+use super::replica::{FIRST_BORN, Replica};
+use super::{Answer, SLOTS, World, zone_of};
 use brasspond_cluster_protocol::{RunEnd, ScoringEnd};
+use brasspond_dispatch::{Event, OrderAnswer};
+use brasspond_fleet::Identity;
 use brasspond_jobs::{Command, JobTable};
 use rand::Rng;
 
@@ -40,6 +42,18 @@
     ReplicaWarms(usize, u64),
     /// A replica ends; another begins at its address and warms up for so many ms.
     ReplicaComesBack(usize, u64),
+    /// A replica starts again under its id.
+    ReplicaReborn {
+        replica: usize,
+        /// Its entry tells so many ms later.
+        entry_ms: u64,
+        /// Streams that it made are silent for good; else they break off.
+        is_cut: bool,
+        /// It holds the version that it held.
+        keeps: bool,
+        /// Its machine's clock was set back meanwhile.
+        set_back: bool,
+    },
     /// What the leader tells an edge takes so many ms more.
     EdgeLags(usize, u64),
     /// A replica leaves orders unanswered and carries them out late.
@@ -89,6 +103,8 @@
     PieceMisplaced,
     /// Edges send a run however late its leave reaches them.
     LeaveIgnored,
+    /// Replicas that start again tell their first life.
+    RebirthUntold,
     /// Edges tell of runs that they sent that they did not.
     SentToldUnsent,
 }
@@ -121,6 +137,13 @@
                 self.warm_up(number, ms);
                 self.replicas[number].bounded_from = self.now;
             }
+            Fault::ReplicaReborn {
+                replica,
+                entry_ms,
+                is_cut,
+                keeps,
+                set_back,
+            } => self.reborn(replica, entry_ms, is_cut, keeps, set_back),
             Fault::EdgeLags(number, ms) => self.edges[number].lag_ms = ms,
             Fault::OrdersLate(number, share) => self.replicas[number].late_orders = share,
             Fault::Evacuate(number, begins) => self.evacuate(number, begins),
@@ -280,10 +303,61 @@
         };
         let mut fresh = Replica::new(number, self.incarnations, SLOTS, version);
         fresh.checks_count = self.replicas[number].checks_count;
+        fresh.tells = self.replicas[number].tells;
+        fresh.is_ordered = fresh.tells;
         self.replicas[number] = fresh;
         self.view_changed();
     }
 
+    fn reborn(&mut self, number: usize, entry_ms: u64, is_cut: bool, keeps: bool, back: bool) {
+        self.tell_late(number);
+        if is_cut {
+            self.replicas[number].streams.clear();
+        } else {
+            self.break_streams(number);
+        }
+        let now = self.now;
+        let replica = &mut self.replicas[number];
+        let born = if back {
+            replica.born - 1
+        } else {
+            (replica.born + 1).max(FIRST_BORN + now)
+        };
+        replica.start_again(born, keeps);
+        replica.told_from = now + entry_ms;
+        // Which of two lives is the newer can't be known for a while, or ever.
+        replica.is_ordered = replica.tells && !back;
+        self.view_changed();
+    }
+
+    /// What the life that ends said last comes late.
+    fn tell_late(&mut self, number: usize) {
+        let replica = &self.replicas[number];
+        if !replica.tells {
+            return;
+        }
+        let life = self.life_of(replica);
+        let identity = Identity {
+            id: replica.id.as_str().into(),
+            life,
+        };
+        let report = self.report_of(replica);
+        let events = [
+            Event::Report {
+                replica: replica.id.clone(),
+                report: Some(report),
+            },
+            Event::Ordered {
+                replica: identity,
+                answer: OrderAnswer::Holds,
+            },
+        ];
+        for (event, after) in events.into_iter().zip([400, 900]) {
+            let at = self.now + after;
+            self.answers.push(Answer { at, event });
+        }
+    }
+
     /// A replica begins to warm up; until a view tells of it nobody can know.
     fn warm_up(&mut self, number: usize, ms: u64) {
         let replica = &mut self.replicas[number];
--- a/crates/dispatch/tests/model/mod.rs
+++ b/crates/dispatch/tests/model/mod.rs
@@ -158,6 +158,11 @@
         for replica in &mut world.replicas {
             replica.checks_count = mutation != Some(Mutation::CountIgnored);
         }
+        // A fleet may be mixed: one replica of it tells no life.
+        if seed.is_multiple_of(4) {
+            world.replicas[REPLICAS - 1].tells = false;
+            world.replicas[REPLICAS - 1].is_ordered = false;
+        }
         world.renew_view();
         world
     }
@@ -267,16 +272,28 @@
             info.region = Some(region_of(replica.number, REPLICAS).into());
             info.models[0].version = replica.version;
             info.warming_ms = replica.warming_until.saturating_sub(self.now);
+            info.life = self.life_of(replica);
+            info.revision = replica.lives;
+            let before = self.view.replicas.get(&info.id);
+            let before = before.filter(|_| self.now < replica.told_from);
+            let info = before.cloned().unwrap_or(info);
             (info.id.clone(), info)
         });
         self.view.replicas = Arc::new(replicas.collect());
         for replica in &mut self.replicas {
             // What was sent before the view told of it comes within the longest lag.
             let told = self.now + LONGEST_LAG + 2 * STEP_MS;
-            if replica.is_warming(self.now) && replica.bounded_from == u64::MAX {
+            let is_entry_told = self.now >= replica.told_from;
+            replica.is_life_told |= is_entry_told;
+            if replica.is_warming(self.now) && replica.bounded_from == u64::MAX && is_entry_told {
                 replica.bounded_from = told;
             }
         }
+        let untold = self.replicas.iter().map(|one| one.told_from);
+        let untold = untold.filter(|at| *at > self.now).min();
+        if let Some(at) = untold {
+            self.view_at = Some(self.view_at.map_or(at, |known| known.min(at)));
+        }
         self.view.replicas_revision += 1;
         let versions = BTreeMap::from([("model".to_string(), self.version)]);
         self.view.versions = Arc::new(versions);
--- a/crates/dispatch/tests/model/replica.rs
+++ b/crates/dispatch/tests/model/replica.rs
@@ -3,7 +3,10 @@
 
 use brasspond_cluster_protocol::AttemptId;
 use brasspond_dispatch::OrderAnswer;
+use brasspond_fleet::Life;
 
+/// When the first lives began, by the clocks of their machines.
+pub const FIRST_BORN: u64 = 1_000_000;
 /// Time a load takes, in ms.
 const LOAD_MS: u64 = 900;
 
@@ -45,6 +48,22 @@
     pub warming_until: u64,
     /// From when on its bound must be kept: all that was sent before it was told has come.
     pub bounded_from: u64,
+    /// When its present life began.
+    pub born: u64,
+    /// When the first life under its id began.
+    pub first_born: u64,
+    /// Lives under its id so far.
+    pub lives: u64,
+    /// Whether it tells its lives at all.
+    pub tells: bool,
+    /// Until when its entry is the one of the life before.
+    pub told_from: u64,
+    /// Its present life was told by its entry, and can be known to be the newest.
+    pub is_life_told: bool,
+    /// Its present life is told, and higher than those before.
+    pub is_ordered: bool,
+    /// It has loaded an older version than it held: an order was carried out late.
+    pub went_back: bool,
     /// Whether the expected count is looked at; a built-in fault turns it off.
     pub checks_count: bool,
 }
@@ -66,6 +85,14 @@
             late_orders: 0,
             warming_until: 0,
             bounded_from: 0,
+            born: FIRST_BORN,
+            first_born: FIRST_BORN,
+            lives: 1,
+            tells: true,
+            told_from: 0,
+            is_life_told: false,
+            is_ordered: true,
+            went_back: false,
             checks_count: true,
         }
     }
@@ -78,6 +105,30 @@
         now < self.dark_until
     }
 
+    /// It starts again under its id: it knows nothing of before, but for the version it held
+    /// if it `keeps` that. What was sent to the life before may still reach this one.
+    pub fn start_again(&mut self, born: u64, keeps: bool) {
+        self.born = born;
+        self.lives += 1;
+        self.sequence = 0;
+        self.loading = None;
+        self.dark_until = 0;
+        self.is_life_told = false;
+        self.went_back = false;
+        if !keeps {
+            self.version = 1;
+        }
+    }
+
+    /// The life that it tells.
+    pub fn life(&self) -> Life {
+        if self.tells {
+            Life::told(self.born)
+        } else {
+            Life::UNTOLD
+        }
+    }
+
     /// Takes an order; the answer it gives.
     pub fn order(&mut self, order: &ArrivedOrder, now: u64) -> OrderAnswer {
         if self.loading.is_some() || (self.checks_count && order.expected_count != self.sequence) {
@@ -97,6 +148,7 @@
             && until <= now
         {
             self.loading = None;
+            self.went_back |= version < self.version;
             self.version = version;
         }
         let due = self.late.iter().position(|(at, _)| *at <= now);
--- a/crates/eligibility/src/standing.rs
+++ b/crates/eligibility/src/standing.rs
@@ -60,11 +60,8 @@
     pub fn renew(&mut self, info: &ReplicaInfo, view: &FleetView, now: Millis) {
         self.take_place(info);
         self.draining = info.draining;
-        self.is_evacuated = view.is_evacuated(&info.zone);
-        self.is_unknown = !view.knows_evacuated();
-        let is_bounded = view.warm_up_of(&info.service).is_some();
-        let warming_ms = if is_bounded { info.warming_ms } else { 0 };
-        self.warming.observe(warming_ms, info.revision, now);
+        self.renew_zone(view);
+        self.renew_warming(info, view, now);
         for served in &info.models {
             match self.versions.get_mut(&served.name) {
                 Some(known) => *known = (*known).max(served.version),
@@ -75,6 +72,27 @@
         }
     }
 
+    /// Takes from the entry of a life that is lower than the one known what forbids requests,
+    /// and nothing that allows any: the lower may yet be the present one.
+    pub fn renew_limits(&mut self, info: &ReplicaInfo, view: &FleetView, now: Millis) {
+        self.draining |= info.draining;
+        self.renew_zone(view);
+        if info.warming_ms > 0 {
+            self.renew_warming(info, view, now);
+        }
+    }
+
+    fn renew_zone(&mut self, view: &FleetView) {
+        self.is_evacuated = view.is_evacuated(&self.zone);
+        self.is_unknown = !view.knows_evacuated();
+    }
+
+    fn renew_warming(&mut self, info: &ReplicaInfo, view: &FleetView, now: Millis) {
+        let is_bounded = view.warm_up_of(&info.service).is_some();
+        let warming_ms = if is_bounded { info.warming_ms } else { 0 };
+        self.warming.observe(warming_ms, info.revision, now);
+    }
+
     /// A replica that starts again under its id may do so elsewhere, and for another service.
     fn take_place(&mut self, info: &ReplicaInfo) {
         self.address = info.address;
--- a/crates/fleet/src/life.rs
+++ b/crates/fleet/src/life.rs
@@ -85,6 +85,17 @@
     Older,
 }
 
+/// Where a life is told.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Word {
+    /// The replica said it.
+    Own,
+    /// An entry that is newer than those that were read.
+    NewEntry,
+    /// An entry that was read before, or an older one: no new word of any life.
+    KnownEntry,
+}
+
 #[derive(Clone, Debug)]
 struct Known {
     life: Life,
@@ -126,7 +137,7 @@
         let Some(known) = self.known.get_mut(id) else {
             return self.meet(id, life, 0, now);
         };
-        known.hear(life, true, now)
+        known.hear(life, Word::Own, now)
     }
 
     /// Its entry, of this revision, tells a life.
@@ -134,11 +145,14 @@
         let Some(known) = self.known.get_mut(id) else {
             return self.meet(id, life, revision, now);
         };
-        // An entry that was there before the newer life was heard is no new word of the lower.
-        let is_new = revision > known.revision;
+        let word = if revision > known.revision {
+            Word::NewEntry
+        } else {
+            Word::KnownEntry
+        };
         known.revision = known.revision.max(revision);
         known.listed_at = now;
-        known.hear(life, is_new, now)
+        known.hear(life, word, now)
     }
 
     fn meet(&mut self, id: &str, life: Life, revision: u64, now: u64) -> Heard {
@@ -174,15 +188,15 @@
 }
 
 impl Known {
-    fn hear(&mut self, life: Life, is_new: bool, now: u64) -> Heard {
+    fn hear(&mut self, life: Life, word: Word, now: u64) -> Heard {
         if !life.is_told() {
             return Heard::Same;
         }
         if life == self.life {
-            self.lower = None;
+            self.confirm(word, now);
             return Heard::Same;
         }
-        if life < self.life && !self.was_set_back(life, is_new, now) {
+        if life < self.life && !self.was_set_back(life, word, now) {
             return Heard::Older;
         }
         self.lower = None;
@@ -190,12 +204,22 @@
         Heard::Reborn { before }
     }
 
+    /// The known life was heard. Where its entry tells it, that is that; what the replica
+    /// told itself may have been on its way while a lower life wrote the entry.
+    fn confirm(&mut self, word: Word, now: u64) {
+        match (word, &mut self.lower) {
+            (Word::NewEntry, lower) => *lower = None,
+            (Word::Own, Some((_, since))) => *since = now,
+            (Word::Own, None) | (Word::KnownEntry, _) => {}
+        }
+    }
+
     /// Whether a lower life is the present one.
-    fn was_set_back(&mut self, life: Life, is_new: bool, now: u64) -> bool {
+    fn was_set_back(&mut self, life: Life, word: Word, now: u64) -> bool {
         match self.lower {
             Some((lower, since)) if lower == life => now >= since + SET_BACK_MS,
             _ => {
-                if is_new {
+                if word != Word::KnownEntry {
                     self.lower = Some((life, now));
                 }
                 false
--- a/crates/fleet/tests/life.rs
+++ b/crates/fleet/tests/life.rs
@@ -54,6 +54,20 @@
     assert_eq!(lives.of("one"), OLD);
 }
 
+/// A word of the life before that comes late puts that off, and does not undo it.
+#[rstest]
+fn a_late_word_undoes_no_set_back() {
+    let mut lives = Lives::default();
+    lives.hear_entry("one", NEW, 5, 0);
+    lives.hear_entry("one", OLD, 6, 10);
+    assert_eq!(lives.hear("one", NEW, 500), Heard::Same);
+    assert!(lives.is_in_doubt());
+    let heard = lives.hear_entry("one", OLD, 6, 499 + SET_BACK_MS);
+    assert_eq!(heard, Heard::Older);
+    let heard = lives.hear_entry("one", OLD, 6, 500 + SET_BACK_MS);
+    assert_eq!(heard, reborn(NEW));
+}
+
 /// A stale entry that is read again and again is one word, and no new one.
 #[rstest]
 fn a_stale_entry_sets_nothing_back() {
