--- a/crates/dispatch/examples/fleet_cost.rs
+++ b/crates/dispatch/examples/fleet_cost.rs
@@ -125,6 +125,7 @@
         notice_ms: None,
         region: None,
         warming_ms: 0,
+        life: brasspond_fleet::Life::UNTOLD,
     }
 }
 
@@ -374,20 +375,23 @@
                         .iter()
                         .any(|(_, loading, ..)| *loading == replica),
                     sequence: *sequence,
+                    life: brasspond_fleet::Life::UNTOLD,
                 };
                 let report = Some(report);
                 self.handle("report", Event::Report { replica, report });
             }
             Action::Order {
-                replica,
+                replica: ordered,
                 model,
                 version,
                 ..
             } => {
+                let replica = ordered.id.to_string();
                 self.sequences.entry(replica.clone()).or_default().0 += 1;
-                let load = (self.now + LOAD_MS, replica.clone(), model, version);
+                let load = (self.now + LOAD_MS, replica, model, version);
                 self.loading.push(load);
                 let answer = OrderAnswer::Taken;
+                let replica = ordered;
                 self.handle("ordered", Event::Ordered { replica, answer });
             }
             _ => {}
--- a/crates/eligibility/src/standing.rs
+++ b/crates/eligibility/src/standing.rs
@@ -27,7 +27,7 @@
     pub is_evacuated: bool,
     /// It is not known yet which zones are evacuated.
     pub is_unknown: bool,
-    /// Weights that it holds: version by model, none older than was known before.
+    /// Weights that it holds in this life: version by model, none older than was known before.
     pub versions: HashMap<String, u64>,
     /// Whether it warms up, where its service says what it bears then.
     pub warming: Spell,
@@ -58,12 +58,10 @@
 
     /// Takes what a newer view says.
     pub fn renew(&mut self, info: &ReplicaInfo, view: &FleetView, now: Millis) {
+        self.take_place(info);
         self.draining = info.draining;
-        self.is_evacuated = view.is_evacuated(&info.zone);
-        self.is_unknown = !view.knows_evacuated();
-        let is_bounded = view.warm_up_of(&info.service).is_some();
-        let warming_ms = if is_bounded { info.warming_ms } else { 0 };
-        self.warming.observe(warming_ms, info.revision, now);
+        self.renew_zone(view);
+        self.renew_warming(info, view, now);
         for served in &info.models {
             match self.versions.get_mut(&served.name) {
                 Some(known) => *known = (*known).max(served.version),
@@ -74,6 +72,47 @@
         }
     }
 
+    /// Takes from the entry of a life that is lower than the one known what forbids requests,
+    /// and nothing that allows any: the lower may yet be the present one.
+    pub fn renew_limits(&mut self, info: &ReplicaInfo, view: &FleetView, now: Millis) {
+        self.draining |= info.draining;
+        self.renew_zone(view);
+        if info.warming_ms > 0 {
+            self.renew_warming(info, view, now);
+        }
+    }
+
+    fn renew_zone(&mut self, view: &FleetView) {
+        self.is_evacuated = view.is_evacuated(&self.zone);
+        self.is_unknown = !view.knows_evacuated();
+    }
+
+    fn renew_warming(&mut self, info: &ReplicaInfo, view: &FleetView, now: Millis) {
+        let is_bounded = view.warm_up_of(&info.service).is_some();
+        let warming_ms = if is_bounded { info.warming_ms } else { 0 };
+        self.warming.observe(warming_ms, info.revision, now);
+    }
+
+    /// A replica that starts again under its id may do so elsewhere, and for another service.
+    fn take_place(&mut self, info: &ReplicaInfo) {
+        self.address = info.address;
+        if *self.service != *info.service {
+            self.service = info.service.as_str().into();
+        }
+        if *self.zone != *info.zone {
+            self.zone = info.zone.as_str().into();
+        }
+        if self.region != info.region {
+            self.region.clone_from(&info.region);
+        }
+    }
+
+    /// It started again: what it held and how it warmed up is of the life before.
+    pub fn begin_life(&mut self) {
+        self.versions.clear();
+        self.warming = Spell::default();
+    }
+
     /// Whether it takes new work of its service at all.
     pub fn takes_work(&self) -> bool {
         !self.draining && !self.is_unknown && !self.is_evacuated
