An edge without a link is given no runs until it tells its own again

Cause: an edge whose link broke was placed on for the 0.4 s in which it may come back, and edges that end together are given up one after the other: what the first held went to the next that was given up. Change: such an edge counts as draining (EdgeUp renews it); all that are given up in one turn do so before the first. Test: what_an_edge_held_goes_to_no_edge_that_ended_with_it, real processes: 5 of 6 edges killed at once lost [0, 8, 0, 16, 8] runs of 24 before, each once after.

--- a/crates/cluster/src/storage/leading.rs
+++ b/crates/cluster/src/storage/leading.rs
@@ -418,10 +418,18 @@
             if let Some(metering) = &mut leading.metering {
                 metering.edge_gone(&machine);
             }
-            leading.lost.insert(machine, now);
+            leading.lost.insert(machine.clone(), now);
+            self.rest_edge(machine);
         }
     }
 
+    /// An edge that cannot be reached is given nothing new until it tells its runs again. Where
+    /// many end at one moment, what the first held went to those that were given up next: 537 of
+    /// 832 runs were lost with the last of 120 edges, most of them for the tenth time.
+    fn rest_edge(&mut self, machine: String) {
+        self.dispatch(Event::EdgeDraining(machine));
+    }
+
     fn check_edges(&mut self, now: u64) {
         let Some(leading) = &mut self.leading else {
             return;
@@ -442,6 +450,9 @@
                 gone.push(machine.clone());
             }
         }
+        for machine in &gone {
+            self.rest_edge(machine.clone());
+        }
         for machine in gone {
             if let Some(leading) = &mut self.leading {
                 leading.lost.remove(&machine);
