The log's copy of the view is one that the source told, and seconds old

Cause: a new leader's first copy into the log was due at once, when its source had told versions (one call) and not yet replicas (53): the old replicas under a newer revision, and the next copy 14 s later (400 KB, 30 bytes a ms). Test: a_new_leader_copies_what_its_source_told failed with the old rule (case 1).

--- a/crates/cluster/src/storage/leading.rs
+++ b/crates/cluster/src/storage/leading.rs
@@ -1,6 +1,7 @@
 //! What a storage process does while it leads: runs jobs, orders replicas,
 //! tells edges.
 
+use super::copying::{ViewCopies, revision};
 use super::ordering::Announced;
 use super::process::Storage;
 use crate::evacuation::Evacuations;
@@ -8,6 +9,7 @@
 use crate::outside::{Interest, VersionOrder};
 use brasspond_autoscaling::Autoscaler;
 use brasspond_cluster_protocol::{Kind, Message, Peer};
+use brasspond_compression::always_packing;
 use brasspond_consensus::READ_LEASE;
 use brasspond_dispatch::{Action, Dispatcher, Event, OrderLeases, Settings};
 use brasspond_fleet::FleetView;
@@ -26,10 +28,6 @@
 /// Slack on a lease, in ms: an order may leave its holder so long after others
 /// have read its announcement.
 const LEASE_MARGIN: u64 = 500;
-/// Pause between two copies of the view into the log, in ms, at the least.
-const REMEMBER_PAUSE: u64 = 1_000;
-/// Bytes of such copies a millisecond at the most.
-const REMEMBERED_BYTES_A_MS: u64 = 30;
 /// Pause between two lines on what runs, in ms.
 const STATE_LOG_PAUSE: u64 = 1_000;
 /// Most results in one entry of the log, in bytes of text.
@@ -41,8 +39,8 @@
     pub term: u64,
     pub told_at: u64,
     ticked_at: u64,
-    /// When the view may be copied into the log again.
-    remember_at: u64,
+    /// When the view is copied into the log.
+    copies: ViewCopies,
     /// The view as it was last sent to all edges.
     pub sent_view: FleetView,
     /// That view as a frame, once an edge needed it: after a change of leader all do,
@@ -192,7 +190,7 @@
             term,
             told_at: 0,
             ticked_at: now,
-            remember_at: 0,
+            copies: ViewCopies::new(&self.view, now),
             sent_view: FleetView::default(),
             whole_view: None,
             view_sent_at: 0,
@@ -525,23 +523,27 @@
         let Some(leading) = &mut self.leading else {
             return;
         };
-        let revision = view_revision(&self.view);
         let known = self.table.remembered().map_or(0, |(revision, _)| *revision);
-        let is_due = now >= leading.remember_at;
-        if revision <= known || !is_due || self.view.configuration.is_none() {
+        if !leading.copies.is_due(&self.view, known, now) {
             return;
         }
         let mut kept = self.view.clone();
         // What is evacuated is known from its source alone: a copy would outlive it.
         kept.forget_evacuated();
-        if let Ok(bytes) = rmp_serde::to_vec(&kept) {
-            let pause = bytes.len() as u64 / REMEMBERED_BYTES_A_MS;
-            leading.remember_at = now + pause.max(REMEMBER_PAUSE);
-            self.propose(&Command::Remember {
-                revision,
-                configuration: bytes.into(),
-            });
-        }
+        let Ok(bytes) = rmp_serde::to_vec(&kept) else {
+            return;
+        };
+        let copy = Command::Remember {
+            revision: revision(&self.view),
+            configuration: bytes.into(),
+        };
+        // Packed however busy this process is: it goes to five machines and their disks, and
+        // the smaller it is the newer is the one that the next leader begins with.
+        let Ok(packed) = always_packing(|| copy.encode()) else {
+            return;
+        };
+        leading.copies.copied(packed.len(), now);
+        self.consensus.propose(packed);
     }
 
     /// Drops jobs that nobody may ask for any more.
@@ -565,12 +567,6 @@
     }
 }
 
-fn view_revision(view: &FleetView) -> u64 {
-    view.configuration_revision
-        .max(view.replicas_revision)
-        .max(view.versions_revision)
-}
-
 fn text_bytes(listing: &Listing) -> usize {
     match &listing.outcome {
         Outcome::Completed { text, .. } => text.len(),
--- a/crates/cluster/src/storage/mod.rs
+++ b/crates/cluster/src/storage/mod.rs
@@ -2,6 +2,7 @@
 
 mod applying;
 mod asks;
+pub mod copying;
 mod evacuation;
 pub mod gathering;
 mod group;
