A new leader follows its copy of the replicas instead of listing them again

Change: who wants the replicas from the source says what it knows of them by others (Outside::want); the watcher follows the changes since, one call, and lists where the history is gone. Test: what_is_known_by_others_is_followed (both cases failed: the first call was a list).

--- a/crates/cluster/src/edge/process.rs
+++ b/crates/cluster/src/edge/process.rs
@@ -367,11 +367,7 @@
             },
             Watch::Everything => Interest::ALL,
         };
-        self.outside.interest.send_if_modified(|interest| {
-            let changes = *interest != wanted;
-            *interest = wanted;
-            changes
-        });
+        self.outside.want(wanted, &self.view.borrow());
     }
 
     /// Looks through a configuration that is new.
--- a/crates/cluster/src/storage/leading.rs
+++ b/crates/cluster/src/storage/leading.rs
@@ -184,7 +184,7 @@
         let dispatcher = Dispatcher::new(term, settings, &self.table, view, leases.clone(), now);
         self.metrics.leadership();
         self.has_untold_edges = true;
-        self.outside.interest.send_replace(Interest::ALL);
+        self.outside.want(Interest::ALL, &self.view);
         self.leading = Some(Leading {
             dispatcher,
             term,
