--- a/crates/cluster/tests/unit/link.rs
+++ b/crates/cluster/tests/unit/link.rs
@@ -2,7 +2,7 @@
 
 use super::shared_frame;
 use brasspond_cluster_protocol::{FrameBuffer, Message, encode};
-use brasspond_fleet::{FleetView, ReplicaInfo};
+use brasspond_fleet::{FleetView, Life, ReplicaInfo};
 use rstest::rstest;
 use std::sync::Arc;
 
@@ -10,6 +10,7 @@
 
 fn whole_view() -> Message {
     let replica = |number: usize| ReplicaInfo {
+        life: Life::UNTOLD,
         id: format!("i-{:010x}", number * 2_654_435_761),
         service: "generation".to_string(),
         address: ([10, 3, (number >> 8) as u8, number as u8], 8_000).into(),
