--- a/crates/cluster/src/lib.rs
+++ b/crates/cluster/src/lib.rs
@@ -17,6 +17,7 @@
 mod metrics_server;
 pub mod outside;
 pub mod settings;
+mod source;
 pub mod storage;
 mod traffic;
 pub mod upstream;
--- a/crates/cluster/src/outside.rs
+++ b/crates/cluster/src/outside.rs
@@ -15,11 +15,12 @@
 use displaydoc::Display;
 use futures::future::LocalBoxFuture;
 use hyper::header::{HeaderMap, HeaderName};
-use std::cell::RefCell;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use tokio::sync::watch;
 
+pub use crate::source::{KnownFleet, Reach};
+
 /// Parts of the fleet's view that a process needs from its source.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Interest {
@@ -305,7 +306,7 @@
     pub interest: Rc<watch::Sender<Interest>>,
     /// What this process knows of the fleet by others, where the source is wanted again: it
     /// needs to tell only what changed since.
-    pub base: Rc<RefCell<FleetView>>,
+    pub base: Rc<KnownFleet>,
 }
 
 impl Outside {
@@ -314,7 +315,7 @@
         self.interest.send_if_modified(|interest| {
             let changes = *interest != wanted;
             if changes && wanted.replicas {
-                self.base.replace(known.clone());
+                self.base.keep(known.clone());
             }
             *interest = wanted;
             changes
--- a/crates/cluster/src/storage/leading.rs
+++ b/crates/cluster/src/storage/leading.rs
@@ -28,11 +28,26 @@
 /// Slack on a lease, in ms: an order may leave its holder so long after others
 /// have read its announcement.
 const LEASE_MARGIN: u64 = 500;
+/// Slack after the time for which a job may be asked for before it is forgotten, in ms.
+const JOB_LIFE_SLACK: u64 = 30_000;
 /// Pause between two lines on what runs, in ms.
 const STATE_LOG_PAUSE: u64 = 1_000;
 /// Most results in one entry of the log, in bytes of text.
 const LISTING_BYTES: usize = 512 * 1024;
 
+/// Part of the time after which nothing of an ended job may begin for which edges may begin
+/// work without a word of their leader; the rest is for bytes on their way, which a connection
+/// to a silent replica keeps for 1.5 s at the most.
+const WORK_LEASE_SHARE: f64 = 0.5;
+/// Shortest such time, in ms: leave is renewed each 500 ms, and one renewal may be late.
+const LEAST_WORK_LEASE: u64 = 1_000;
+
+/// Time for which edges may begin work without a word of their leader, in ms.
+fn work_lease(ended_ms: u64) -> u64 {
+    let share = (ended_ms as f64 * WORK_LEASE_SHARE) as u64;
+    share.max(LEAST_WORK_LEASE)
+}
+
 /// State of a leader.
 pub(super) struct Leading {
     pub dispatcher: Dispatcher,
@@ -358,7 +373,7 @@
         let until = clock.filter(|_| is_sure);
         Some(Registration {
             telling: known.telling,
-            until: until.map(|clock| clock + self.settings.work_lease_ms),
+            until: until.map(|clock| clock + work_lease(self.settings.ended_ms)),
         })
     }
 
@@ -615,7 +630,7 @@
 
     /// Drops jobs that nobody may ask for any more.
     fn forget_jobs(&mut self, now: u64) {
-        let life = self.settings.job_life_ms;
+        let life = self.settings.job_life_ms + JOB_LIFE_SLACK;
         let Some(leading) = &mut self.leading else {
             return;
         };
