Soak: jobs bring scoring calls and are ended early; two checks of them

A job each 1.5 s in place of 2 s. The stand-in's replicas keep the time of each request by its identity, and of each text's last event.

Checks, from what callers and replicas see alone: ended_jobs_begin_nothing (no item and no scoring call reaches a replica more than 3 s after the first acknowledged end of its job), scores_are_own (a score is the stamp of the item's own call; no call comes before the text's last event was sent). jobs_are_kept passes over jobs that their callers ended, and holds all others as before; each of these has made histories that break it in tests/checks.rs.

--- a/crates/soak/src/callers.rs
+++ b/crates/soak/src/callers.rs
@@ -1,11 +1,12 @@
 //! Callers and a trainer, who ask all the while and note what they see.
 
-use crate::history::{CallRecord, History, Kind, Outcome, PageRecord, ResultRecord};
+use crate::history::{CallRecord, EndRecord, History, Kind, Outcome, PageRecord, ResultRecord};
+use crate::jobs::{EndPlan, EndWhen, JobPlan};
 use brasspond_platform_standin::caller::{Asked, Caller, job_of, results_path};
 use bytes::Bytes;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
@@ -18,9 +19,11 @@
 /// Pause between two requests that end replicas.
 const ENDING_PAUSE: Duration = Duration::from_millis(2_500);
 /// Pause between two jobs.
-const JOB_PAUSE: Duration = Duration::from_millis(2_000);
-/// Items of a job.
-const ITEMS: usize = 8;
+const JOB_PAUSE: Duration = Duration::from_millis(1_500);
+/// Pause before a call about a job is made again elsewhere.
+const AGAIN_PAUSE: Duration = Duration::from_millis(150);
+/// Pause between two looks at how many items are listed.
+const LISTED_PAUSE: Duration = Duration::from_millis(20);
 /// The body under which replicas end.
 pub const ENDS: &str = "ends its replica";
 
@@ -35,6 +38,19 @@
     pub is_proxied: bool,
 }
 
+/// A job that was handed in, or is to be.
+#[derive(Debug)]
+pub struct Job {
+    /// What it is like.
+    pub plan: JobPlan,
+    /// The oldest version that it allows.
+    pub oldest: u64,
+    /// Items that a reader has seen listed.
+    listed: AtomicUsize,
+    /// Its caller ends it: nobody waits for its results any more.
+    is_ended: AtomicBool,
+}
+
 /// What all callers of a run share.
 pub struct Callers {
     /// What they see.
@@ -49,8 +65,10 @@
     pub next: AtomicU64,
     /// The newest version that a trainer named.
     pub newest_version: AtomicU64,
-    /// Items of each job, and the oldest version that it allows.
-    pub jobs: Mutex<BTreeMap<String, (Vec<String>, u64)>>,
+    /// What jobs are drawn from.
+    pub seed: u64,
+    /// Jobs by their identities.
+    pub jobs: Mutex<BTreeMap<String, Arc<Job>>>,
 }
 
 impl Callers {
@@ -152,26 +170,90 @@
         edges.copied().collect()
     }
 
-    /// Hands jobs in and reads their results, each at one edge after the other.
+    /// Hands jobs in, reads their results and ends some, each at one edge after the other.
     pub async fn run_trainer(self: Arc<Self>) {
         let mut step = 0;
         while self.goes_on() && !self.is_calm.load(Ordering::Relaxed) {
-            let id = format!("job-{step}");
+            let plan = JobPlan::draw(self.seed, step);
             let newest = self.newest_version.load(Ordering::Relaxed);
             let oldest = newest.saturating_sub(1).max(1);
-            let items: Vec<String> = (0..ITEMS).map(|item| format!("{id}-item-{item}")).collect();
-            let body = Bytes::from(job_of(step, oldest, &items));
-            let kept = (items.clone(), oldest);
+            let body = Bytes::from(job_of(step, oldest, &plan.items));
+            let id = plan.id.clone();
+            let job = Arc::new(Job {
+                plan,
+                oldest,
+                listed: AtomicUsize::new(0),
+                is_ended: AtomicBool::new(false),
+            });
+            let kept = Arc::clone(&job);
             self.jobs.lock().expect("lock").insert(id.clone(), kept);
             if self.submit(&id, body).await {
                 let reader = Arc::clone(&self);
-                tokio::spawn(async move { reader.read_job(&id, ITEMS).await });
+                let read = Arc::clone(&job);
+                tokio::spawn(async move { reader.read_job(&read).await });
+                let ender = Arc::clone(&self);
+                tokio::spawn(async move { ender.end_job(&job).await });
             }
             step += 1;
             tokio::time::sleep(JOB_PAUSE).await;
         }
     }
 
+    /// Ends a job as planned, and sends the end again.
+    async fn end_job(&self, job: &Job) {
+        let Some(plan) = &job.plan.end else {
+            return;
+        };
+        match plan.when {
+            EndWhen::AtOnce => {}
+            EndWhen::After(ms) => tokio::time::sleep(Duration::from_millis(ms)).await,
+            EndWhen::Listed(count) => {
+                while job.listed.load(Ordering::Relaxed) < count && self.goes_on() {
+                    tokio::time::sleep(LISTED_PAUSE).await;
+                }
+            }
+        }
+        job.is_ended.store(true, Ordering::Relaxed);
+        self.send_ends(&job.plan.id, plan).await;
+    }
+
+    /// Asks until an end is acknowledged, each time elsewhere; then again as planned.
+    async fn send_ends(&self, id: &str, plan: &EndPlan) {
+        let mut turn = plan.turn;
+        let mut again = plan.again.iter();
+        while self.goes_on() {
+            let to = self.edges[turn % self.edges.len()];
+            turn += 1;
+            let pause = match self.end_at(to, id).await {
+                200 => match again.next() {
+                    Some(ms) => Duration::from_millis(*ms),
+                    None => return,
+                },
+                _ => AGAIN_PAUSE,
+            };
+            tokio::time::sleep(pause).await;
+        }
+    }
+
+    async fn end_at(&self, to: EdgeAddress, id: &str) -> u16 {
+        let sent_at = self.history.now();
+        let path = format!("/-/lots/{id}");
+        let mut caller = Caller::new(to.address);
+        let asked = caller.ask("DELETE", &path, "ender", Bytes::new(), TRAINER_LIMIT);
+        let status = match asked.await {
+            Asked::Answered(status, ..) => status,
+            Asked::Broken | Asked::Late | Asked::Unreached => 0,
+        };
+        self.history.note_end(EndRecord {
+            job: id.to_string(),
+            edge: to.edge,
+            sent_at,
+            ended_at: self.history.now(),
+            status,
+        });
+        status
+    }
+
     async fn submit(&self, id: &str, body: Bytes) -> bool {
         let edges = self.own_edges();
         let mut turn = self.number() as usize;
@@ -202,21 +284,22 @@
                 });
                 return true;
             }
-            tokio::time::sleep(Duration::from_millis(150)).await;
+            tokio::time::sleep(AGAIN_PAUSE).await;
         }
         false
     }
 
-    /// Reads a job from its first position until all its items are there.
-    pub async fn read_job(&self, id: &str, items: usize) {
+    /// Reads a job from its first position until all its items are there, or it is ended.
+    pub async fn read_job(&self, job: &Job) {
         let edges = self.own_edges();
+        let items = job.plan.items.len();
         let mut since = 0;
         let mut turn = self.number() as usize;
-        while since < items && self.goes_on() {
+        while since < items && self.goes_on() && !job.is_ended.load(Ordering::Relaxed) {
             let to = edges[turn % edges.len()];
             turn += 1;
             let mut caller = Caller::new(to.address);
-            let path = results_path(id, since);
+            let path = results_path(&job.plan.id, since);
             let asked = caller
                 .ask("GET", &path, "reader", Bytes::new(), TRAINER_LIMIT)
                 .await;
@@ -225,12 +308,13 @@
             {
                 let count = results.len();
                 self.history.note_page(PageRecord {
-                    job: id.to_string(),
+                    job: job.plan.id.clone(),
                     since,
                     results,
                     at: self.history.now(),
                 });
                 since += count;
+                job.listed.fetch_max(since, Ordering::Relaxed);
             }
             tokio::time::sleep(Duration::from_millis(120)).await;
         }
@@ -247,6 +331,7 @@
             is_completed: one["state"] == "completed",
             text: one["text"].as_str().unwrap_or_default().to_string(),
             versions: versions.filter_map(serde_json::Value::as_u64).collect(),
+            score: one["score"].as_str().map(str::to_string),
         }
     });
     Some(results.collect())
--- a/crates/soak/src/checks.rs
+++ b/crates/soak/src/checks.rs
@@ -2,8 +2,9 @@
 //!
 //! Each check is a pure function of a [`Seen`]; its tests give it one that breaks its promise.
 
-use crate::history::{CallRecord, Kind, Outcome, PageRecord};
+use crate::history::{CallRecord, EndRecord, Kind, Outcome, PageRecord};
 use crate::schedule::{Fault, Process, Schedule, Trouble, Way};
+use brasspond_platform_standin::caller::score_of;
 use brasspond_platform_standin::processes::region_of_edge;
 use serde::Serialize;
 use std::collections::{BTreeMap, BTreeSet};
@@ -20,6 +21,9 @@
 /// Replicas that may end under one content: three make it known, three more may be under way
 /// at other edges or in an election.
 const MOST_ENDS: usize = 6;
+/// Time after a job's end was acknowledged from which nothing of it reaches a replica, in ms:
+/// what the pages name where the settings' `bounds.cancel_ms` is not set, as here.
+const CANCEL_TIME: u64 = 3_000;
 
 /// What one replica saw, over all its lives.
 #[derive(Clone, Debug, Default)]
@@ -28,6 +32,10 @@
     pub runs: BTreeMap<String, u32>,
     /// Orders of each life, in order: who gave them, and the fence.
     pub orders: Vec<Vec<(String, u64)>>,
+    /// Identity and time of each request that came, in ms from the begin of the run.
+    pub arrivals: Vec<(String, u64)>,
+    /// When it first sent the last event of an item's text.
+    pub whole_at: BTreeMap<String, u64>,
 }
 
 /// A configuration as it was written.
@@ -48,6 +56,10 @@
     pub pages: Vec<PageRecord>,
     /// Items of each job that was handed in.
     pub jobs: BTreeMap<String, Vec<String>>,
+    /// Calls that end jobs.
+    pub job_ends: Vec<EndRecord>,
+    /// Identity of the scoring call of each item.
+    pub scores: BTreeMap<String, String>,
     /// Oldest version that each job allows, and the newest named when it was handed in.
     pub versions: BTreeMap<String, u64>,
     /// The newest version ever named.
@@ -66,6 +78,21 @@
     pub ended_alone: Vec<String>,
 }
 
+impl Seen {
+    /// How many jobs' ends were acknowledged.
+    pub fn ended_jobs(&self) -> usize {
+        acknowledged_ends(self).len()
+    }
+
+    /// How many scoring calls reached replicas.
+    pub fn scoring_calls(&self) -> usize {
+        let calls: BTreeSet<&String> = self.scores.values().collect();
+        let replicas = self.replicas.values();
+        let arrivals = replicas.flat_map(|one| &one.arrivals);
+        arrivals.filter(|(id, _)| calls.contains(id)).count()
+    }
+}
+
 /// A promise that was broken.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize)]
 pub struct Broken {
@@ -81,7 +108,7 @@
 type Check = (&'static str, fn(&Seen, &Schedule) -> Vec<(u64, String)>);
 
 /// All checks.
-const CHECKS: [Check; 11] = [
+const CHECKS: [Check; 13] = [
     ("own_answer", own_answer),
     ("at_most_once", at_most_once),
     ("refusals_are_true", refusals_are_true),
@@ -89,6 +116,8 @@
     ("jobs_are_kept", jobs_are_kept),
     ("results_stay", results_stay),
     ("texts_are_whole", texts_are_whole),
+    ("ended_jobs_begin_nothing", ended_jobs_begin_nothing),
+    ("scores_are_own", scores_are_own),
     ("versions_are_allowed", versions_are_allowed),
     ("one_holder", one_holder),
     ("configuration_in_force", configuration_in_force),
@@ -220,7 +249,8 @@
     results.collect()
 }
 
-/// A job that was taken is finished, with each of its items at one position.
+/// A job that was taken and that nobody ended is finished, with each of its items at one
+/// position.
 fn jobs_are_kept(seen: &Seen, schedule: &Schedule) -> Vec<(u64, String)> {
     let mut lost = Vec::new();
     for (job, items) in &seen.jobs {
@@ -228,7 +258,8 @@
             let is_taken = matches!(call.outcome, Outcome::Answered { status: 202, .. });
             call.id == *job && is_taken
         });
-        if !was_taken {
+        let is_ended = seen.job_ends.iter().any(|end| end.job == *job);
+        if !was_taken || is_ended {
             continue;
         }
         let listed = listed(seen, job);
@@ -274,6 +305,95 @@
     wrong
 }
 
+/// When each job's end was first acknowledged.
+fn acknowledged_ends(seen: &Seen) -> BTreeMap<&str, u64> {
+    let mut ends: BTreeMap<&str, u64> = BTreeMap::new();
+    let acknowledged = seen.job_ends.iter().filter(|end| end.status == 200);
+    for end in acknowledged {
+        let first = ends.entry(&end.job).or_insert(end.ended_at);
+        *first = end.ended_at.min(*first);
+    }
+    ends
+}
+
+/// Neither an item nor its scoring call reaches a replica more than [`CANCEL_TIME`] after the
+/// end of its job was acknowledged.
+fn ended_jobs_begin_nothing(seen: &Seen, _: &Schedule) -> Vec<(u64, String)> {
+    let ends = acknowledged_ends(seen);
+    let mut end_of: BTreeMap<&str, (&str, u64)> = BTreeMap::new();
+    for (job, items) in &seen.jobs {
+        let Some(ended_at) = ends.get(job.as_str()) else {
+            continue;
+        };
+        for item in items {
+            end_of.insert(item, (job, *ended_at));
+            if let Some(call) = seen.scores.get(item) {
+                end_of.insert(call, (job, *ended_at));
+            }
+        }
+    }
+    let mut late = Vec::new();
+    for (name, replica) in &seen.replicas {
+        for (id, at) in &replica.arrivals {
+            let Some((job, ended_at)) = end_of.get(id.as_str()) else {
+                continue;
+            };
+            if *at > ended_at + CANCEL_TIME {
+                let after = at - ended_at;
+                let what = format!("{id} reached {name} {after} ms after the end of {job}");
+                late.push((*at, what));
+            }
+        }
+    }
+    late
+}
+
+/// A result's score is the answer to its own call, and no such call is made before the text's
+/// last event was sent.
+fn scores_are_own(seen: &Seen, _: &Schedule) -> Vec<(u64, String)> {
+    let mut whole_at: BTreeMap<&str, u64> = BTreeMap::new();
+    let mut asked: BTreeSet<&str> = BTreeSet::new();
+    for replica in seen.replicas.values() {
+        for (item, at) in &replica.whole_at {
+            let first = whole_at.entry(item).or_insert(*at);
+            *first = (*at).min(*first);
+        }
+        asked.extend(replica.arrivals.iter().map(|(id, _)| id.as_str()));
+    }
+    let mut wrong = Vec::new();
+    let items: BTreeMap<&str, &str> = seen
+        .scores
+        .iter()
+        .map(|(item, call)| (call.as_str(), item.as_str()))
+        .collect();
+    for replica in seen.replicas.values() {
+        for (id, at) in &replica.arrivals {
+            let Some(item) = items.get(id.as_str()) else {
+                continue;
+            };
+            if whole_at.get(item).is_none_or(|whole_at| at < whole_at) {
+                wrong.push((
+                    *at,
+                    format!("{id} came before the text of {item} was whole"),
+                ));
+            }
+        }
+    }
+    for page in &seen.pages {
+        for result in page.results.iter().filter(|one| one.is_completed) {
+            let Some(call) = seen.scores.get(&result.id) else {
+                continue;
+            };
+            let is_own = result.score.as_deref() == Some(score_of(call).as_str());
+            if !is_own || !asked.contains(call.as_str()) {
+                let what = format!("{} has the score {:?}", result.id, result.score);
+                wrong.push((page.at, what));
+            }
+        }
+    }
+    wrong
+}
+
 /// A result names versions that its job allows and that were named.
 fn versions_are_allowed(seen: &Seen, _: &Schedule) -> Vec<(u64, String)> {
     let mut wrong = Vec::new();
--- a/crates/soak/src/history.rs
+++ b/crates/soak/src/history.rs
@@ -82,6 +82,23 @@
     pub text: String,
     /// Versions that made it.
     pub versions: Vec<u64>,
+    /// Its score.
+    pub score: Option<String>,
+}
+
+/// A call that ends a job.
+#[derive(Clone, Debug, Serialize)]
+pub struct EndRecord {
+    /// The job.
+    pub job: String,
+    /// The edge that was asked.
+    pub edge: usize,
+    /// When it was sent, in ms from the begin of the run.
+    pub sent_at: u64,
+    /// When its answer was read.
+    pub ended_at: u64,
+    /// Status of its answer; 0 where none came.
+    pub status: u16,
 }
 
 /// Everything that was seen.
@@ -90,6 +107,7 @@
     begun: Instant,
     calls: Mutex<Vec<CallRecord>>,
     pages: Mutex<Vec<PageRecord>>,
+    ends: Mutex<Vec<EndRecord>>,
 }
 
 impl Default for History {
@@ -98,6 +116,7 @@
             begun: Instant::now(),
             calls: Mutex::default(),
             pages: Mutex::default(),
+            ends: Mutex::default(),
         }
     }
 }
@@ -108,6 +127,21 @@
         self.begun.elapsed().as_millis() as u64
     }
 
+    /// A moment as time since the begin of the run, in ms.
+    pub fn time_of(&self, at: Instant) -> u64 {
+        at.saturating_duration_since(self.begun).as_millis() as u64
+    }
+
+    /// Notes a call that ends a job.
+    pub fn note_end(&self, end: EndRecord) {
+        self.ends.lock().expect("lock").push(end);
+    }
+
+    /// All calls so far that end jobs.
+    pub fn ends(&self) -> Vec<EndRecord> {
+        self.ends.lock().expect("lock").clone()
+    }
+
     /// Notes a call.
     pub fn note_call(&self, call: CallRecord) {
         self.calls.lock().expect("lock").push(call);
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod callers;
 pub mod checks;
 pub mod history;
+pub mod jobs;
 pub mod play;
 pub mod proxy;
 pub mod report;
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -120,10 +120,12 @@
     let served: usize = report.seconds.iter().map(|one| one.served).sum();
     let others: usize = report.seconds.iter().map(|one| one.others).sum();
     println!(
-        "seed {}: {} broken; {served} served, {others} not; {} jobs; {} ends; {} processes, {} MB at the peak",
+        "seed {}: {} broken; {served} served, {others} not; {} jobs, {} ended, {} scoring calls; {} ends; {} processes, {} MB at the peak",
         schedule.seed,
         report.broken.len(),
         report.jobs,
+        report.ended_jobs,
+        report.scoring_calls,
         report.ends,
         report.peak.processes,
         report.peak.memory_kb / 1_024
--- a/crates/soak/src/report.rs
+++ b/crates/soak/src/report.rs
@@ -26,6 +26,10 @@
     pub peak: Peak,
     /// Jobs handed in, and results read.
     pub jobs: usize,
+    /// Jobs whose end was acknowledged.
+    pub ended_jobs: usize,
+    /// Scoring calls that reached replicas.
+    pub scoring_calls: usize,
     /// Replicas that ended under the content that ends them.
     pub ends: usize,
 }
@@ -65,6 +69,8 @@
             seconds,
             peak,
             jobs: seen.jobs.len(),
+            ended_jobs: seen.ended_jobs(),
+            scoring_calls: seen.scoring_calls(),
             ends: seen.ends,
         }
     }
