Soak: proxies before each second replica

Cause: nothing ever harmed a way to a replica.

Change: each second replica of the soak has a proxy before it, whose address its entry names; delay, reset, silence of open connections, cuts one way (a new one there as well: what it takes is lost with its connection, so that nothing arrives late for the proxy's sake). A proxy listens only while its target does: a replica's end is seen at its address by a refusal, as without a proxy. An answer that such harm cuts off is excused as one that a replica breaks off is.

Ruled out: proxies between the cluster's own processes without a change of the product.

--- a/crates/soak/src/checks.rs
+++ b/crates/soak/src/checks.rs
@@ -207,6 +207,8 @@
         Trouble::CutRegion(region) => region_of_edge(edge) == region.name(),
         Trouble::Harm(Way::Edge(other), _) => other == edge,
         Trouble::Freeze(_) | Trouble::Kill(_) | Trouble::Wipe(_) => false,
+        // An answer that was begun cannot be begun anew elsewhere.
+        Trouble::Harm(Way::Plain(_) | Way::Engine(_), _) => true,
         Trouble::Harm(..) => false,
         Trouble::StoreDown
         | Trouble::StoreSilent
--- a/crates/soak/src/jobs.rs
+++ b/crates/soak/src/jobs.rs
@@ -9,7 +9,7 @@
 /// Sets the draw of jobs apart from those of faults.
 const JOB_STREAM: u64 = 2;
 /// Part of the jobs that are ended early.
-const ENDED_SHARE: f64 = 0.6;
+const ENDED_SHARE: f64 = 0.5;
 /// Times of an event of a job's texts, in ms: of 30 events, texts of 0.5, 2, 5.4 and 7.2 s.
 const EVENT_TIMES: [u64; 4] = [15, 70, 180, 240];
 /// Part of the items whose texts are as long as others of their job's are not.
--- a/crates/soak/src/play.rs
+++ b/crates/soak/src/play.rs
@@ -5,7 +5,9 @@
 use crate::checks::{CONFIGURATION_TIME, ReplicaSeen, Seen, Written};
 use crate::history::{History, Kind};
 use crate::proxy::Proxy;
-use crate::schedule::{Fault, LAST_CALM, Process, ROLL_PAUSE, Schedule, Trouble, Way};
+use crate::schedule::{
+    Fault, LAST_CALM, Process, ROLL_PAUSE, Schedule, Trouble, Way, is_behind_proxy,
+};
 use brasspond_platform_standin::caller::{Caller, named_version, with_route};
 use brasspond_platform_standin::ending::EndingReplica;
 use brasspond_platform_standin::processes::{
@@ -64,6 +66,9 @@
     plain: Vec<Arc<EndingReplica>>,
     engines: Vec<Arc<EndingReplica>>,
     edge_proxies: Vec<Proxy>,
+    /// Proxies before some plain replicas and engines, by their places.
+    plain_proxies: BTreeMap<usize, Proxy>,
+    engine_proxies: BTreeMap<usize, Proxy>,
     store_proxies: StoreProxies,
     callers: Arc<Callers>,
     written: Vec<Written>,
@@ -143,11 +148,16 @@
         let cluster = Cluster::start_deployed(first, store, proxied, size, deployment).await;
         let mut plain = Vec::new();
         let mut engines = Vec::new();
+        let mut plain_proxies = BTreeMap::new();
+        let mut engine_proxies = BTreeMap::new();
+        let store = &cluster.store;
         for number in 0..schedule.replicas {
-            let name = format!("soak-plain-{number}");
-            plain.push(EndingReplica::start(&cluster.store, "plain", &name, ENDS).await);
-            let name = format!("soak-engine-{number}");
-            engines.push(EndingReplica::start(&cluster.store, "engines", &name, ENDS).await);
+            let (replica, proxy) = start_replica(store, "plain", number).await?;
+            plain.push(replica);
+            plain_proxies.extend(proxy.map(|proxy| (number, proxy)));
+            let (replica, proxy) = start_replica(store, "engines", number).await?;
+            engines.push(replica);
+            engine_proxies.extend(proxy.map(|proxy| (number, proxy)));
         }
         // What runs is to be counted: the cluster's own replicas leave.
         for id in ["plain-0", "engine-0", "engine-1"] {
@@ -193,6 +203,8 @@
             plain,
             engines,
             edge_proxies,
+            plain_proxies,
+            engine_proxies,
             store_proxies,
             callers,
             written: Vec::new(),
@@ -287,7 +299,11 @@
                     }
                 }
             }
-            Trouble::Harm(way, harm) => self.proxy(way).harm(harm),
+            Trouble::Harm(way, harm) => {
+                if let Some(proxy) = self.proxy(way) {
+                    proxy.harm(harm);
+                }
+            }
             Trouble::StoreDown => self.cluster.store.down.store(true, Ordering::Relaxed),
             Trouble::StoreSilent => self.cluster.store.silent.store(true, Ordering::Relaxed),
             Trouble::StoreRefuses => {
@@ -314,7 +330,11 @@
 
     fn end(&self, fault: &Fault) {
         match fault.trouble {
-            Trouble::Harm(way, _) => self.proxy(way).heal(),
+            Trouble::Harm(way, _) => {
+                if let Some(proxy) = self.proxy(way) {
+                    proxy.heal();
+                }
+            }
             Trouble::StoreDown => self.cluster.store.down.store(false, Ordering::Relaxed),
             Trouble::StoreSilent => self.cluster.store.silent.store(false, Ordering::Relaxed),
             Trouble::StoreRefuses => {
@@ -341,11 +361,14 @@
         Arc::clone(lives.last().expect("a first life"))
     }
 
-    fn proxy(&self, way: Way) -> &Proxy {
+    /// The proxy on a way; none: a file names a replica that is reached without one.
+    fn proxy(&self, way: Way) -> Option<&Proxy> {
         match way {
-            Way::Edge(number) => &self.edge_proxies[number],
-            Way::StoreOfEdges => &self.store_proxies.edges,
-            Way::StoreOfStorage => &self.store_proxies.storage,
+            Way::Edge(number) => self.edge_proxies.get(number),
+            Way::StoreOfEdges => Some(&self.store_proxies.edges),
+            Way::StoreOfStorage => Some(&self.store_proxies.storage),
+            Way::Plain(number) => self.plain_proxies.get(&number),
+            Way::Engine(number) => self.engine_proxies.get(&number),
         }
     }
 
@@ -576,6 +599,24 @@
     }
 }
 
+/// Starts a replica of a service, some behind proxies.
+async fn start_replica(
+    store: &Arc<Store>,
+    service: &'static str,
+    number: usize,
+) -> std::io::Result<(Arc<EndingReplica>, Option<Proxy>)> {
+    let name = format!("soak-{service}-{number}");
+    let listener = EndingReplica::listen().await;
+    let address = listener.local_addr()?;
+    let proxy = match is_behind_proxy(number) {
+        true => Some(Proxy::start(address).await?),
+        false => None,
+    };
+    let told = proxy.as_ref().map_or(address, |proxy| proxy.address);
+    let replica = EndingReplica::start_at(store, service, &name, ENDS, listener, told);
+    Ok((replica, proxy))
+}
+
 fn ids(job: &Job) -> Vec<String> {
     let items = job.plan.items.iter();
     items.map(|item| item.id.clone()).collect()
--- a/crates/soak/src/proxy.rs
+++ b/crates/soak/src/proxy.rs
@@ -1,4 +1,7 @@
 //! A proxy between two parties on loopback addresses, which harms what passes through it.
+//!
+//! It listens only while its target does, so that the end of a process is seen at its proxy's
+//! address too.
 
 use crate::schedule::Harm;
 use std::net::SocketAddr;
@@ -7,14 +10,25 @@
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::Notify;
 
 /// Bytes passed on at a time.
 const PIECE: usize = 16 * 1024;
 /// Bytes passed on at a time where they trickle, and the pause between.
 const SMALL_PIECE: usize = 64;
 const TRICKLE_PAUSE: Duration = Duration::from_millis(5);
-/// Pause between two looks whether a cut is over.
+/// Pause between two looks whether a cut is over, or a target is back.
 const LOOK_PAUSE: Duration = Duration::from_millis(20);
+/// Times after the break of a connection at which its target is looked at: a process that ends
+/// closes its connections a moment before its listener.
+const BREAK_LOOKS: [Duration; 3] = [
+    Duration::ZERO,
+    Duration::from_millis(5),
+    Duration::from_millis(30),
+];
+/// An address of its own, from which nothing connects: its port stays free while it does not
+/// listen.
+const LISTENS_AT: &str = "127.0.2.2:0";
 
 /// What is done to connections at present, and what was done to those that were open.
 #[derive(Debug, Default)]
@@ -22,6 +36,8 @@
     harm: Mutex<Option<Harm>>,
     resets: AtomicU64,
     silences: AtomicU64,
+    /// Nothing listens at the target.
+    gone: Notify,
 }
 
 /// A proxy; it ends with the runtime.
@@ -45,18 +61,14 @@
     /// # Errors
     /// No port is to be had.
     pub async fn start(target: SocketAddr) -> std::io::Result<Self> {
-        let listener = TcpListener::bind("127.0.0.1:0").await?;
+        let listener = TcpListener::bind(LISTENS_AT).await?;
         let address = listener.local_addr()?;
         let state = Arc::new(State::default());
         let proxy = Self {
             address,
             state: Arc::clone(&state),
         };
-        tokio::spawn(async move {
-            while let Ok((near, _)) = listener.accept().await {
-                tokio::spawn(pass(near, target, Arc::clone(&state)));
-            }
-        });
+        tokio::spawn(listen(listener, address, target, state));
         Ok(proxy)
     }
 
@@ -85,8 +97,52 @@
     }
 }
 
+/// Takes connections while the target listens.
+async fn listen(
+    mut listener: TcpListener,
+    address: SocketAddr,
+    target: SocketAddr,
+    state: Arc<State>,
+) {
+    loop {
+        tokio::select! {
+            Ok((near, _)) = listener.accept() => {
+                tokio::spawn(pass(near, target, Arc::clone(&state)));
+            }
+            () = state.gone.notified() => {
+                drop(listener);
+                listener = listen_again(address, target).await;
+            }
+        }
+    }
+}
+
+/// Listens once the target does.
+async fn listen_again(address: SocketAddr, target: SocketAddr) -> TcpListener {
+    loop {
+        if TcpStream::connect(target).await.is_ok()
+            && let Ok(listener) = TcpListener::bind(address).await
+        {
+            return listener;
+        }
+        tokio::time::sleep(LOOK_PAUSE).await;
+    }
+}
+
+/// Looks whether the target still listens, after a connection to it broke.
+async fn look_after_break(target: SocketAddr, state: Arc<State>) {
+    for pause in BREAK_LOOKS {
+        tokio::time::sleep(pause).await;
+        if TcpStream::connect(target).await.is_err() {
+            state.gone.notify_one();
+            return;
+        }
+    }
+}
+
 async fn pass(near: TcpStream, target: SocketAddr, state: Arc<State>) {
     let Ok(far) = TcpStream::connect(target).await else {
+        state.gone.notify_one();
         return;
     };
     // Small answers must not wait for one another.
@@ -109,7 +165,9 @@
     // Either end closes both ways, as a reset does.
     tokio::select! {
         () = there => {}
-        () = back => {}
+        () = back => {
+            tokio::spawn(look_after_break(target, Arc::clone(&state)));
+        }
         () = is_reset => {}
     }
 }
@@ -139,6 +197,13 @@
         }
         let mut bytes = &buffer[..read];
         match state.harm() {
+            Some(Harm::CutThere) if direction == Direction::There => {
+                while state.harm() == Some(Harm::CutThere) {
+                    tokio::time::sleep(LOOK_PAUSE).await;
+                }
+                // What was cut is lost, and so is the connection: nothing comes late.
+                return;
+            }
             Some(Harm::Delay(ms)) => tokio::time::sleep(Duration::from_millis(ms)).await,
             Some(Harm::CutBack) if direction == Direction::Back => {
                 while state.harm() == Some(Harm::CutBack) {
--- a/crates/soak/src/schedule.rs
+++ b/crates/soak/src/schedule.rs
@@ -26,6 +26,11 @@
 /// Sets the draw of cuts apart from all others, whose schedules stay what they were.
 const CUT_STREAM: u64 = 1;
 
+/// Sets the draw of harm to replicas' connections apart in the same way.
+const REPLICA_STREAM: u64 = 3;
+/// Pause between the beginnings of two such, in ms.
+const REPLICA_PAUSE: std::ops::Range<u64> = 1_500..9_000;
+
 /// A machine for callers or one with a disk, by its place.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
@@ -48,6 +53,16 @@
     StoreOfEdges,
     /// From storage processes to the store.
     StoreOfStorage,
+    /// From edges and storage processes to a plain replica, one that [`is_behind_proxy`].
+    Plain(usize),
+    /// The same to an engine.
+    Engine(usize),
+}
+
+/// Whether a replica is reached through a proxy: each second one, so that the others' ends are
+/// seen without one.
+pub fn is_behind_proxy(replica: usize) -> bool {
+    !replica.is_multiple_of(2)
 }
 
 /// A region of the stand-in's layout.
@@ -82,6 +97,8 @@
     Silence,
     /// Nothing passes from the far side for a while.
     CutBack,
+    /// Nothing passes to the far side for a while, and is lost.
+    CutThere,
     /// Bytes come in small pieces with pauses.
     Trickle,
     /// Each connection ends after so many bytes from the far side.
@@ -213,9 +230,55 @@
             at += random.random_range(200..LONGEST_PAUSE);
         }
         schedule.draw_cut(end);
+        schedule.draw_harm_to_replicas(end);
         schedule
     }
 
+    /// Adds harm to connections of replicas.
+    fn draw_harm_to_replicas(&mut self, end: u64) {
+        let mut random = ChaCha8Rng::seed_from_u64(self.seed);
+        random.set_stream(REPLICA_STREAM);
+        let behind: Vec<usize> = (0..self.replicas)
+            .filter(|one| is_behind_proxy(*one))
+            .collect();
+        if behind.is_empty() {
+            return;
+        }
+        let mut at = FIRST_AT;
+        loop {
+            at += random.random_range(REPLICA_PAUSE);
+            let lasting = random.random_range(200..3_500);
+            let replica = behind[random.random_range(0..behind.len())];
+            let way = match random.random_range(0..2) {
+                0 => Way::Plain(replica),
+                _ => Way::Engine(replica),
+            };
+            let harm = match random.random_range(0..5) {
+                0 => Harm::Delay(random.random_range(5..200)),
+                1 => Harm::Reset,
+                2 => Harm::Silence,
+                3 => Harm::CutBack,
+                _ => Harm::CutThere,
+            };
+            if at + lasting > end {
+                return;
+            }
+            self.add(Fault {
+                at,
+                lasting,
+                trouble: Trouble::Harm(way, harm),
+            });
+        }
+    }
+
+    /// Adds a fault at its place if it is borne.
+    fn add(&mut self, fault: Fault) {
+        if self.is_borne(&fault) {
+            let place = self.faults.partition_point(|one| one.at <= fault.at);
+            self.faults.insert(place, fault);
+        }
+    }
+
     /// Adds a cut between the regions to some schedules.
     fn draw_cut(&mut self, end: u64) {
         let mut random = ChaCha8Rng::seed_from_u64(self.seed);
@@ -233,10 +296,7 @@
             lasting,
             trouble: Trouble::CutRegion(region),
         };
-        if self.is_borne(&fault) {
-            let place = self.faults.partition_point(|one| one.at <= fault.at);
-            self.faults.insert(place, fault);
-        }
+        self.add(fault);
     }
 
     fn draw_trouble(&self, random: &mut ChaCha8Rng) -> Trouble {
