Soak: faults in series that overlap, replicas born again, kept connections beside new ones

Cause: faults came one by one, a process that was told to stop got no further signal, callers used one connection at a time, a replica was always back under another identity.

Change: series of faults, each before the one before has done its work: signals to edges, members and the leader with configurations in between, and standstills of several edges at a time, half of them with their leader lost meanwhile. Signals reach processes that are about to stop. Half of the callers keep three connections and use them in turn until their process closes them, half open one for each request (both kinds at each address). Each draw has a stream of its own.

--- a/crates/soak/src/callers.rs
+++ b/crates/soak/src/callers.rs
@@ -10,6 +10,8 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
+/// Connections that a caller keeps: at any moment some are at rest.
+const KEPT: usize = 3;
 /// Pause between two requests of a caller.
 const PAUSE: Duration = Duration::from_millis(60);
 /// Time that a caller waits.
@@ -51,6 +53,15 @@
     is_ended: AtomicBool,
 }
 
+/// How a caller connects.
+#[derive(Clone, Copy, Debug)]
+pub enum Connections {
+    /// It keeps [`KEPT`] and uses them in turn.
+    Kept,
+    /// Each request has a new one.
+    New,
+}
+
 /// What all callers of a run share.
 pub struct Callers {
     /// What they see.
@@ -128,10 +139,18 @@
         outcome
     }
 
-    /// Reads and writes at one edge, on a connection that is kept.
-    pub async fn run_caller(self: Arc<Self>, to: EdgeAddress) {
-        let mut caller = Caller::new(to.address);
+    /// Reads and writes at one edge: on several connections in turn, each of which is kept for
+    /// as long as its process has it open, or each time on a new one.
+    pub async fn run_caller(self: Arc<Self>, to: EdgeAddress, connections: Connections) {
+        let mut kept: Vec<Caller> = (0..KEPT).map(|_| Caller::new(to.address)).collect();
+        let mut turn = 0;
         while self.goes_on() {
+            turn += 1;
+            let mut new = Caller::new(to.address);
+            let caller = match connections {
+                Connections::Kept => &mut kept[turn % KEPT],
+                Connections::New => &mut new,
+            };
             let number = self.number();
             let (kind, path) = if number.is_multiple_of(3) {
                 (Kind::Write, format!("/writes/{number}"))
@@ -139,7 +158,7 @@
                 (Kind::Read, format!("/reads/{number}"))
             };
             let body = Bytes::from(format!("body of {number}"));
-            let (_, outcome) = self.ask(&mut caller, to, kind, &path, body).await;
+            let (_, outcome) = self.ask(caller, to, kind, &path, body).await;
             if matches!(outcome, Outcome::Unreached | Outcome::Broken) {
                 tokio::time::sleep(PAUSE).await;
             }
--- a/crates/soak/src/checks.rs
+++ b/crates/soak/src/checks.rs
@@ -200,6 +200,7 @@
         Trouble::Terminate(Process::Edge(_))
         | Trouble::HangUp(_)
         | Trouble::Roll
+        | Trouble::Configuration
         | Trouble::Terminate(_) => false,
         Trouble::Freeze(Process::Edge(other)) | Trouble::Kill(Process::Edge(other)) => {
             other == edge
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -30,6 +30,8 @@
     /// Machines with a disk, three or more
     #[bpaf(fallback(3), display_fallback)]
     storage: u8,
+    /// Replicas also start again under the identities that they had
+    rebirths: bool,
     /// Folder for reports, schedules and logs
     #[bpaf(argument("DIR"), fallback(PathBuf::from("out/soak")))]
     dir: PathBuf,
@@ -86,6 +88,7 @@
             length: options.seconds * 1_000,
             edges: options.edges,
             storage: options.storage.max(3),
+            rebirths: options.rebirths,
         };
         let schedule = Schedule::draw(seed, extent);
         let folder = options.dir.join(format!("seed-{seed}"));
--- a/crates/soak/src/play.rs
+++ b/crates/soak/src/play.rs
@@ -1,7 +1,7 @@
 //! Plays a schedule: starts everything, inflicts the faults, lets callers ask, heals, and
 //! collects what was seen.
 
-use crate::callers::{CALLER_LIMIT, Callers, ENDS, EdgeAddress, Job};
+use crate::callers::{CALLER_LIMIT, Callers, Connections, ENDS, EdgeAddress, Job};
 use crate::checks::{CONFIGURATION_TIME, ReplicaSeen, Seen, Written};
 use crate::history::{History, Kind};
 use crate::proxy::Proxy;
@@ -33,7 +33,7 @@
 /// Time that a killed process is away where its fault does not say.
 const RESTART_PAUSE: Duration = Duration::from_millis(300);
 /// Callers at each address.
-const CALLERS: usize = 2;
+const CALLERS: [Connections; 2] = [Connections::Kept, Connections::New];
 /// Time for the last reads of all jobs.
 const LAST_READS: Duration = Duration::from_secs(10);
 
@@ -191,8 +191,8 @@
             jobs: Mutex::default(),
         });
         for to in callers.edges.clone() {
-            for _ in 0..CALLERS {
-                tokio::spawn(Arc::clone(&callers).run_caller(to));
+            for connections in CALLERS {
+                tokio::spawn(Arc::clone(&callers).run_caller(to, connections));
             }
         }
         tokio::spawn(Arc::clone(&callers).run_trainer());
@@ -314,6 +314,9 @@
             Trouble::StoreSlow(ms) => self.cluster.store.slow_ms.store(ms, Ordering::Relaxed),
             Trouble::EndPlain(number) => self.plain[number].end(),
             Trouble::EndEngine(number) => self.engines[number].end(),
+            Trouble::RebirthPlain(number) => self.plain[number].end_and_keep_id(),
+            Trouble::RebirthEngine(number) => self.engines[number].end_and_keep_id(),
+            Trouble::Configuration => self.write_configuration(),
             Trouble::MutePlain(number) => {
                 self.present(number).silent.store(true, Ordering::Relaxed)
             }
@@ -378,14 +381,15 @@
         edges.chain(storage).collect()
     }
 
+    /// Signals a process, also one that is about to stop.
     fn signal(&mut self, place: Place, signal: Signal) {
-        if !self.is_away(place) {
+        if !self.machine(place).has_ended() {
             self.machine(place).signal(signal);
         }
     }
 
     fn freeze(&mut self, place: Place, lasting: Duration) {
-        if self.is_away(place) {
+        if self.machine(place).has_ended() {
             return;
         }
         self.signal(place, Signal::SIGSTOP);
@@ -407,11 +411,10 @@
 
     /// Starts again once it has stopped, or is killed after its grace.
     fn terminate(&mut self, place: Place) {
-        if self.is_away(place) {
-            return;
-        }
         self.signal(place, Signal::SIGTERM);
-        self.comes_back(place, GRACE);
+        if !self.is_away(place) {
+            self.comes_back(place, GRACE);
+        }
     }
 
     fn comes_back(&mut self, place: Place, after: Duration) {
--- a/crates/soak/src/schedule.rs
+++ b/crates/soak/src/schedule.rs
@@ -31,6 +31,26 @@
 /// Pause between the beginnings of two such, in ms.
 const REPLICA_PAUSE: std::ops::Range<u64> = 1_500..9_000;
 
+/// Sets the draw of series of faults apart in the same way.
+const SERIES_STREAM: u64 = 4;
+/// Pause between the beginnings of two series, in ms.
+const SERIES_PAUSE: std::ops::Range<u64> = 5_000..14_000;
+/// Faults of a series.
+const SERIES_FAULTS: std::ops::RangeInclusive<usize> = 3..=6;
+/// Pause between two faults of a series, in ms: less than any of them takes.
+const SERIES_STEP: std::ops::Range<u64> = 30..500;
+/// Time for which several edges stand still together, in ms: round the one after which a
+/// leader gives an edge up (1.6 s).
+const STANDSTILL: std::ops::Range<u64> = 1_300..2_600;
+/// Sets the draw of rebirths apart in the same way.
+const REBIRTH_STREAM: u64 = 5;
+/// Time from a replica's end until it serves again, in ms.
+const REBIRTH_TIME: u64 = 1_000;
+/// Time for which a process is away that is killed in a series, in ms.
+const RESTART_TIME: u64 = 500;
+/// Pause between two rebirths, in ms.
+const REBIRTH_PAUSE: std::ops::Range<u64> = 2_000..9_000;
+
 /// A machine for callers or one with a disk, by its place.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
@@ -141,6 +161,12 @@
     EndPlain(usize),
     /// An engine ends, and is back as another.
     EndEngine(usize),
+    /// A plain replica ends, and starts again under the identity that it had.
+    RebirthPlain(usize),
+    /// An engine does.
+    RebirthEngine(usize),
+    /// A configuration is written beside those that come in turn.
+    Configuration,
     /// A plain replica takes requests and answers none.
     MutePlain(usize),
     /// A plain replica breaks its answers off.
@@ -195,6 +221,8 @@
     pub edges: u8,
     /// Machines with a disk.
     pub storage: u8,
+    /// Replicas also start again under the identities that they had.
+    pub rebirths: bool,
 }
 
 impl Schedule {
@@ -231,6 +259,10 @@
         }
         schedule.draw_cut(end);
         schedule.draw_harm_to_replicas(end);
+        schedule.draw_series(end);
+        if extent.rebirths {
+            schedule.draw_rebirths(end);
+        }
         schedule
     }
 
@@ -271,6 +303,99 @@
         }
     }
 
+    /// Adds faults that come in series and overlap.
+    fn draw_series(&mut self, end: u64) {
+        let mut random = ChaCha8Rng::seed_from_u64(self.seed);
+        random.set_stream(SERIES_STREAM);
+        let mut at = FIRST_AT;
+        while at < end {
+            let faults = match random.random_range(0..3) {
+                0 => self.draw_standstill(&mut random, at),
+                _ => self.draw_signals(&mut random, at),
+            };
+            for fault in faults.into_iter().filter(|fault| fault.end() <= end) {
+                self.add(fault);
+            }
+            at += random.random_range(SERIES_PAUSE);
+        }
+    }
+
+    /// Several edges stand still together, and perhaps their leader is lost meanwhile.
+    fn draw_standstill(&self, random: &mut ChaCha8Rng, at: u64) -> Vec<Fault> {
+        let edges = usize::from(self.edges);
+        let (first, count) = (
+            random.random_range(0..edges),
+            random.random_range(1..=edges),
+        );
+        let lasting = random.random_range(STANDSTILL);
+        let frozen = (first..first + count).map(|edge| Fault {
+            at,
+            lasting,
+            trouble: Trouble::Freeze(Process::Edge(edge % edges)),
+        });
+        let mut faults: Vec<Fault> = frozen.collect();
+        let loses_leader = random.random_bool(0.5);
+        let after = random.random_range(0..lasting);
+        if loses_leader {
+            faults.push(Fault {
+                at: at + after,
+                lasting: RESTART_TIME,
+                trouble: Trouble::Kill(Process::Leader),
+            });
+        }
+        faults
+    }
+
+    /// Signals and configurations, each before the one before has done its work.
+    fn draw_signals(&self, random: &mut ChaCha8Rng, mut at: u64) -> Vec<Fault> {
+        let mut faults = Vec::new();
+        for _ in 0..random.random_range(SERIES_FAULTS) {
+            let process = match random.random_range(0..5) {
+                0..=2 => Process::Edge(random.random_range(0..usize::from(self.edges))),
+                3 => Process::Storage(random.random_range(0..usize::from(self.storage))),
+                _ => Process::Leader,
+            };
+            let trouble = match random.random_range(0..8) {
+                0..=2 => Trouble::Terminate(process),
+                3 => Trouble::HangUp(process),
+                4 => Trouble::Freeze(process),
+                5 => Trouble::Kill(process),
+                _ => Trouble::Configuration,
+            };
+            faults.push(Fault {
+                at,
+                lasting: random.random_range(200..1_500),
+                trouble,
+            });
+            at += random.random_range(SERIES_STEP);
+        }
+        faults
+    }
+
+    /// Adds replicas that start again under the identities that they had.
+    fn draw_rebirths(&mut self, end: u64) {
+        let mut random = ChaCha8Rng::seed_from_u64(self.seed);
+        random.set_stream(REBIRTH_STREAM);
+        let mut at = FIRST_AT;
+        loop {
+            at += random.random_range(REBIRTH_PAUSE);
+            let replica = random.random_range(0..self.replicas);
+            let trouble = match random.random_range(0..3) {
+                0 => Trouble::RebirthPlain(replica),
+                _ => Trouble::RebirthEngine(replica),
+            };
+            let fault = Fault {
+                at,
+                lasting: REBIRTH_TIME,
+                trouble,
+            };
+            if fault.end() > end {
+                return;
+            }
+            self.add(fault);
+        }
+    }
+
     /// Adds a fault at its place if it is borne.
     fn add(&mut self, fault: Fault) {
         if self.is_borne(&fault) {
--- a/crates/soak/tests/checks.rs
+++ b/crates/soak/tests/checks.rs
@@ -4,7 +4,9 @@
 use brasspond_soak::checks::{ReplicaSeen, Seen, Written, check};
 use brasspond_soak::history::{CallRecord, EndRecord, Kind, Outcome, PageRecord, ResultRecord};
 use brasspond_soak::jobs::{EndPlan, EndWhen, ITEMS, JobPlan};
-use brasspond_soak::schedule::{Extent, Fault, Process, Region, Schedule, Trouble};
+use brasspond_soak::schedule::{
+    Extent, Fault, Process, Region, Schedule, Trouble, Way, is_behind_proxy,
+};
 use rstest::rstest;
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -20,6 +22,7 @@
         length: LENGTH,
         edges: 3,
         storage: 3,
+        rebirths: false,
     };
     let mut schedule = Schedule::draw(1, extent);
     schedule.faults = faults.to_vec();
@@ -269,6 +272,7 @@
         length: 60_000,
         edges: 3,
         storage: 3,
+        rebirths: false,
     };
     let mut cuts = 0;
     for seed in 0..200 {
@@ -290,6 +294,94 @@
     assert!((50..=120).contains(&cuts), "{cuts} of 200");
 }
 
+/// Connections of replicas behind proxies are harmed, of no others.
+#[rstest]
+fn replicas_connections_are_harmed() {
+    let extent = Extent {
+        length: 60_000,
+        edges: 3,
+        storage: 3,
+        rebirths: false,
+    };
+    let mut harms = BTreeSet::new();
+    for seed in 0..50 {
+        for fault in Schedule::draw(seed, extent).faults {
+            if let Trouble::Harm(Way::Plain(number) | Way::Engine(number), harm) = fault.trouble {
+                assert!(is_behind_proxy(number), "seed {seed}: {fault:?}");
+                let name = format!("{harm:?}");
+                harms.insert(name.split('(').next().unwrap_or_default().to_string());
+            }
+        }
+    }
+    let all = ["CutBack", "CutThere", "Delay", "Reset", "Silence"];
+    assert_eq!(harms, all.map(str::to_string).into());
+}
+
+/// Faults come in series: several edges stand still together, and signals reach a process
+/// before it has done what the one before asks. Configurations come in between.
+#[rstest]
+fn faults_come_in_series_and_overlap() {
+    let extent = Extent {
+        length: 60_000,
+        edges: 3,
+        storage: 3,
+        rebirths: false,
+    };
+    let (mut together, mut again, mut configurations) = (0, 0, 0);
+    for seed in 0..50 {
+        let faults = Schedule::draw(seed, extent).faults;
+        assert!(faults.is_sorted_by_key(|fault| fault.at));
+        assert!(faults.iter().all(|fault| fault.end() <= 46_000));
+        let is_frozen = |fault: &Fault| matches!(fault.trouble, Trouble::Freeze(Process::Edge(_)));
+        let pairs = || faults.windows(2).map(|pair| (&pair[0], &pair[1]));
+        let frozen = pairs().filter(|(a, b)| a.at == b.at && is_frozen(a) && is_frozen(b));
+        together += frozen.count();
+        let signals = pairs().filter(|(a, b)| {
+            let is_signal =
+                |fault: &Fault| matches!(fault.trouble, Trouble::Terminate(_) | Trouble::HangUp(_));
+            is_signal(a) && is_signal(b) && b.at < a.at + 500
+        });
+        again += signals.count();
+        let written = faults.iter();
+        configurations += written
+            .filter(|fault| fault.trouble == Trouble::Configuration)
+            .count();
+    }
+    assert!(together > 50, "{together}");
+    assert!(again > 50, "{again}");
+    assert!(configurations > 50, "{configurations}");
+}
+
+/// Rebirths are a kind of fault that can be left out, and change nothing else of a schedule.
+#[rstest]
+fn rebirths_are_drawn_where_they_are_asked_for() {
+    let without = Extent {
+        length: 60_000,
+        edges: 3,
+        storage: 3,
+        rebirths: false,
+    };
+    let with = Extent {
+        rebirths: true,
+        ..without
+    };
+    let is_rebirth = |fault: &Fault| {
+        matches!(
+            fault.trouble,
+            Trouble::RebirthPlain(_) | Trouble::RebirthEngine(_)
+        )
+    };
+    for seed in 0..20 {
+        let plain = Schedule::draw(seed, without);
+        assert!(!plain.faults.iter().any(is_rebirth));
+        let mut drawn = Schedule::draw(seed, with);
+        let all = drawn.faults.len();
+        drawn.faults.retain(|fault| !is_rebirth(fault));
+        assert!(drawn.faults.len() < all, "seed {seed} has none");
+        assert_eq!(drawn, plain);
+    }
+}
+
 /// A schedule is its seed's, and a file brings it back.
 #[rstest]
 fn a_schedule_is_drawn_from_its_seed() {
@@ -297,6 +389,7 @@
         length: 120_000,
         edges: 5,
         storage: 5,
+        rebirths: false,
     };
     for seed in 0..200 {
         let drawn = Schedule::draw(seed, extent);
--- /dev/null
+++ b/crates/soak/tests/rebirth.rs
@@ -0,0 +1,54 @@
+//! A replica of the stand-in that starts again: under another identity, or under its own.
+
+use brasspond_platform_standin::ending::EndingReplica;
+use brasspond_platform_standin::{Replica, Store};
+use rstest::rstest;
+use std::sync::Arc;
+use std::time::Duration;
+
+async fn second_life(replica: &EndingReplica) -> Vec<Arc<Replica>> {
+    let lives = tokio::time::timeout(Duration::from_secs(5), async {
+        while replica.lives().len() < 2 {
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+        replica.lives()
+    });
+    lives.await.expect("back in time")
+}
+
+async fn started() -> Arc<EndingReplica> {
+    let (store, _) = Store::start().await;
+    let replica = EndingReplica::start(&store, "plain", "one", "ends").await;
+    while replica.lives().is_empty() {
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+    replica
+}
+
+/// It has the identity of before, a later start, and nothing else.
+#[rstest]
+#[tokio::test]
+async fn a_replica_is_born_again_under_its_identity() {
+    let replica = started().await;
+    replica.end_and_keep_id();
+    let lives = second_life(&replica).await;
+    assert_eq!(lives[0].id, lives[1].id);
+    assert!(lives[0].born() < lives[1].born());
+    assert_eq!(lives[1].version(), 1);
+    replica.end();
+    while replica.lives().len() < 3 {
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+    let lives = replica.lives();
+    assert_ne!(lives[1].id, lives[2].id, "kept once only");
+}
+
+/// One that just ends is back as another.
+#[rstest]
+#[tokio::test]
+async fn a_replica_that_ends_is_back_as_another() {
+    let replica = started().await;
+    replica.end();
+    let lives = second_life(&replica).await;
+    assert_ne!(lives[0].id, lives[1].id);
+}
--- a/crates/soak/tests/short.rs
+++ b/crates/soak/tests/short.rs
@@ -23,6 +23,7 @@
         length: 32_000,
         edges: 3,
         storage: 3,
+        rebirths: false,
     };
     is_kept(&Schedule::draw(seed, extent)).await;
 }
