--- a/crates/soak/src/play.rs
+++ b/crates/soak/src/play.rs
@@ -79,6 +79,7 @@
     /// Edges that are told to stop in turn, with when.
     rolling: Vec<(u64, Place)>,
     ended_alone: Vec<String>,
+    last_leader: usize,
 }
 
 struct StoreProxies {
@@ -213,6 +214,7 @@
             away: Vec::new(),
             rolling: Vec::new(),
             ended_alone: Vec::new(),
+            last_leader: 0,
         })
     }
 
@@ -262,14 +264,22 @@
         }
     }
 
-    fn place(&self, process: Process) -> Place {
+    fn place(&mut self, process: Process) -> Place {
         match process {
             Process::Edge(number) => Place::Edge(number),
             Process::Storage(number) => Place::Storage(number),
-            Process::Leader => Place::Storage(self.cluster.leader()),
+            Process::Leader => Place::Storage(self.leader()),
         }
     }
 
+    /// The storage process that leads; the one that last did, where all have just started.
+    fn leader(&mut self) -> usize {
+        if let Some((_, leader)) = self.cluster.leaderships().last() {
+            self.last_leader = *leader;
+        }
+        self.last_leader
+    }
+
     fn is_away(&self, place: Place) -> bool {
         self.away.iter().any(|(other, _)| *other == place)
     }
@@ -277,10 +287,22 @@
     fn begin(&mut self, fault: &Fault) {
         let lasting = Duration::from_millis(fault.lasting);
         match fault.trouble {
-            Trouble::Freeze(process) => self.freeze(self.place(process), lasting),
-            Trouble::Kill(process) => self.kill(self.place(process), lasting),
-            Trouble::Terminate(process) => self.terminate(self.place(process)),
-            Trouble::HangUp(process) => self.signal(self.place(process), Signal::SIGHUP),
+            Trouble::Freeze(process) => {
+                let place = self.place(process);
+                self.freeze(place, lasting);
+            }
+            Trouble::Kill(process) => {
+                let place = self.place(process);
+                self.kill(place, lasting);
+            }
+            Trouble::Terminate(process) => {
+                let place = self.place(process);
+                self.terminate(place);
+            }
+            Trouble::HangUp(process) => {
+                let place = self.place(process);
+                self.signal(place, Signal::SIGHUP);
+            }
             Trouble::Roll => self.begin_roll(),
             Trouble::KillAll => {
                 for place in self.places() {
--- a/crates/soak/src/schedule.rs
+++ b/crates/soak/src/schedule.rs
@@ -34,7 +34,7 @@
 /// Sets the draw of series of faults apart in the same way.
 const SERIES_STREAM: u64 = 4;
 /// Pause between the beginnings of two series, in ms.
-const SERIES_PAUSE: std::ops::Range<u64> = 5_000..14_000;
+const SERIES_PAUSE: std::ops::Range<u64> = 4_000..10_000;
 /// Faults of a series.
 const SERIES_FAULTS: std::ops::RangeInclusive<usize> = 3..=6;
 /// Pause between two faults of a series, in ms: less than any of them takes.
@@ -309,7 +309,7 @@
         random.set_stream(SERIES_STREAM);
         let mut at = FIRST_AT;
         while at < end {
-            let faults = match random.random_range(0..3) {
+            let faults = match random.random_range(0..2) {
                 0 => self.draw_standstill(&mut random, at),
                 _ => self.draw_signals(&mut random, at),
             };
