--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -30,6 +30,8 @@
     /// Machines with a disk, three or more
     #[bpaf(fallback(3), display_fallback)]
     storage: u8,
+    /// Replicas also start again under the identities that they had
+    rebirths: bool,
     /// Folder for reports, schedules and logs
     #[bpaf(argument("DIR"), fallback(PathBuf::from("out/soak")))]
     dir: PathBuf,
@@ -86,6 +88,7 @@
             length: options.seconds * 1_000,
             edges: options.edges,
             storage: options.storage.max(3),
+            rebirths: options.rebirths,
         };
         let schedule = Schedule::draw(seed, extent);
         let folder = options.dir.join(format!("seed-{seed}"));
@@ -120,10 +123,12 @@
     let served: usize = report.seconds.iter().map(|one| one.served).sum();
     let others: usize = report.seconds.iter().map(|one| one.others).sum();
     println!(
-        "seed {}: {} broken; {served} served, {others} not; {} jobs; {} ends; {} processes, {} MB at the peak",
+        "seed {}: {} broken; {served} served, {others} not; {} jobs, {} ended, {} scoring calls; {} ends; {} processes, {} MB at the peak",
         schedule.seed,
         report.broken.len(),
         report.jobs,
+        report.ended_jobs,
+        report.scoring_calls,
         report.ends,
         report.peak.processes,
         report.peak.memory_kb / 1_024
--- a/crates/soak/src/play.rs
+++ b/crates/soak/src/play.rs
@@ -1,11 +1,13 @@
 //! Plays a schedule: starts everything, inflicts the faults, lets callers ask, heals, and
 //! collects what was seen.
 
-use crate::callers::{CALLER_LIMIT, Callers, ENDS, EdgeAddress};
+use crate::callers::{CALLER_LIMIT, Callers, Connections, ENDS, EdgeAddress, Job};
 use crate::checks::{CONFIGURATION_TIME, ReplicaSeen, Seen, Written};
 use crate::history::{History, Kind};
 use crate::proxy::Proxy;
-use crate::schedule::{Fault, LAST_CALM, Process, ROLL_PAUSE, Schedule, Trouble, Way};
+use crate::schedule::{
+    Fault, LAST_CALM, Process, ROLL_PAUSE, Schedule, Trouble, Way, is_behind_proxy,
+};
 use brasspond_platform_standin::caller::{Caller, named_version, with_route};
 use brasspond_platform_standin::ending::EndingReplica;
 use brasspond_platform_standin::processes::{
@@ -31,7 +33,7 @@
 /// Time that a killed process is away where its fault does not say.
 const RESTART_PAUSE: Duration = Duration::from_millis(300);
 /// Callers at each address.
-const CALLERS: usize = 2;
+const CALLERS: [Connections; 2] = [Connections::Kept, Connections::New];
 /// Time for the last reads of all jobs.
 const LAST_READS: Duration = Duration::from_secs(10);
 
@@ -64,6 +66,9 @@
     plain: Vec<Arc<EndingReplica>>,
     engines: Vec<Arc<EndingReplica>>,
     edge_proxies: Vec<Proxy>,
+    /// Proxies before some plain replicas and engines, by their places.
+    plain_proxies: BTreeMap<usize, Proxy>,
+    engine_proxies: BTreeMap<usize, Proxy>,
     store_proxies: StoreProxies,
     callers: Arc<Callers>,
     written: Vec<Written>,
@@ -74,6 +79,7 @@
     /// Edges that are told to stop in turn, with when.
     rolling: Vec<(u64, Place)>,
     ended_alone: Vec<String>,
+    last_leader: usize,
 }
 
 struct StoreProxies {
@@ -143,11 +149,16 @@
         let cluster = Cluster::start_deployed(first, store, proxied, size, deployment).await;
         let mut plain = Vec::new();
         let mut engines = Vec::new();
+        let mut plain_proxies = BTreeMap::new();
+        let mut engine_proxies = BTreeMap::new();
+        let store = &cluster.store;
         for number in 0..schedule.replicas {
-            let name = format!("soak-plain-{number}");
-            plain.push(EndingReplica::start(&cluster.store, "plain", &name, ENDS).await);
-            let name = format!("soak-engine-{number}");
-            engines.push(EndingReplica::start(&cluster.store, "engines", &name, ENDS).await);
+            let (replica, proxy) = start_replica(store, "plain", number).await?;
+            plain.push(replica);
+            plain_proxies.extend(proxy.map(|proxy| (number, proxy)));
+            let (replica, proxy) = start_replica(store, "engines", number).await?;
+            engines.push(replica);
+            engine_proxies.extend(proxy.map(|proxy| (number, proxy)));
         }
         // What runs is to be counted: the cluster's own replicas leave.
         for id in ["plain-0", "engine-0", "engine-1"] {
@@ -177,11 +188,12 @@
             is_calm: AtomicBool::new(false),
             next: AtomicU64::new(1),
             newest_version: AtomicU64::new(1),
+            seed: schedule.seed,
             jobs: Mutex::default(),
         });
         for to in callers.edges.clone() {
-            for _ in 0..CALLERS {
-                tokio::spawn(Arc::clone(&callers).run_caller(to));
+            for connections in CALLERS {
+                tokio::spawn(Arc::clone(&callers).run_caller(to, connections));
             }
         }
         tokio::spawn(Arc::clone(&callers).run_trainer());
@@ -192,6 +204,8 @@
             plain,
             engines,
             edge_proxies,
+            plain_proxies,
+            engine_proxies,
             store_proxies,
             callers,
             written: Vec::new(),
@@ -200,6 +214,7 @@
             away: Vec::new(),
             rolling: Vec::new(),
             ended_alone: Vec::new(),
+            last_leader: 0,
         })
     }
 
@@ -249,12 +264,20 @@
         }
     }
 
-    fn place(&self, process: Process) -> Place {
+    fn place(&mut self, process: Process) -> Place {
         match process {
             Process::Edge(number) => Place::Edge(number),
             Process::Storage(number) => Place::Storage(number),
-            Process::Leader => Place::Storage(self.cluster.leader()),
+            Process::Leader => Place::Storage(self.leader()),
+        }
+    }
+
+    /// The storage process that leads; the one that last did, where all have just started.
+    fn leader(&mut self) -> usize {
+        if let Some((_, leader)) = self.cluster.leaderships().last() {
+            self.last_leader = *leader;
         }
+        self.last_leader
     }
 
     fn is_away(&self, place: Place) -> bool {
@@ -264,10 +287,22 @@
     fn begin(&mut self, fault: &Fault) {
         let lasting = Duration::from_millis(fault.lasting);
         match fault.trouble {
-            Trouble::Freeze(process) => self.freeze(self.place(process), lasting),
-            Trouble::Kill(process) => self.kill(self.place(process), lasting),
-            Trouble::Terminate(process) => self.terminate(self.place(process)),
-            Trouble::HangUp(process) => self.signal(self.place(process), Signal::SIGHUP),
+            Trouble::Freeze(process) => {
+                let place = self.place(process);
+                self.freeze(place, lasting);
+            }
+            Trouble::Kill(process) => {
+                let place = self.place(process);
+                self.kill(place, lasting);
+            }
+            Trouble::Terminate(process) => {
+                let place = self.place(process);
+                self.terminate(place);
+            }
+            Trouble::HangUp(process) => {
+                let place = self.place(process);
+                self.signal(place, Signal::SIGHUP);
+            }
             Trouble::Roll => self.begin_roll(),
             Trouble::KillAll => {
                 for place in self.places() {
@@ -286,7 +321,11 @@
                     }
                 }
             }
-            Trouble::Harm(way, harm) => self.proxy(way).harm(harm),
+            Trouble::Harm(way, harm) => {
+                if let Some(proxy) = self.proxy(way) {
+                    proxy.harm(harm);
+                }
+            }
             Trouble::StoreDown => self.cluster.store.down.store(true, Ordering::Relaxed),
             Trouble::StoreSilent => self.cluster.store.silent.store(true, Ordering::Relaxed),
             Trouble::StoreRefuses => {
@@ -297,6 +336,9 @@
             Trouble::StoreSlow(ms) => self.cluster.store.slow_ms.store(ms, Ordering::Relaxed),
             Trouble::EndPlain(number) => self.plain[number].end(),
             Trouble::EndEngine(number) => self.engines[number].end(),
+            Trouble::RebirthPlain(number) => self.plain[number].end_and_keep_id(),
+            Trouble::RebirthEngine(number) => self.engines[number].end_and_keep_id(),
+            Trouble::Configuration => self.write_configuration(),
             Trouble::MutePlain(number) => {
                 self.present(number).silent.store(true, Ordering::Relaxed)
             }
@@ -313,7 +355,11 @@
 
     fn end(&self, fault: &Fault) {
         match fault.trouble {
-            Trouble::Harm(way, _) => self.proxy(way).heal(),
+            Trouble::Harm(way, _) => {
+                if let Some(proxy) = self.proxy(way) {
+                    proxy.heal();
+                }
+            }
             Trouble::StoreDown => self.cluster.store.down.store(false, Ordering::Relaxed),
             Trouble::StoreSilent => self.cluster.store.silent.store(false, Ordering::Relaxed),
             Trouble::StoreRefuses => {
@@ -340,11 +386,14 @@
         Arc::clone(lives.last().expect("a first life"))
     }
 
-    fn proxy(&self, way: Way) -> &Proxy {
+    /// The proxy on a way; none: a file names a replica that is reached without one.
+    fn proxy(&self, way: Way) -> Option<&Proxy> {
         match way {
-            Way::Edge(number) => &self.edge_proxies[number],
-            Way::StoreOfEdges => &self.store_proxies.edges,
-            Way::StoreOfStorage => &self.store_proxies.storage,
+            Way::Edge(number) => self.edge_proxies.get(number),
+            Way::StoreOfEdges => Some(&self.store_proxies.edges),
+            Way::StoreOfStorage => Some(&self.store_proxies.storage),
+            Way::Plain(number) => self.plain_proxies.get(&number),
+            Way::Engine(number) => self.engine_proxies.get(&number),
         }
     }
 
@@ -354,14 +403,15 @@
         edges.chain(storage).collect()
     }
 
+    /// Signals a process, also one that is about to stop.
     fn signal(&mut self, place: Place, signal: Signal) {
-        if !self.is_away(place) {
+        if !self.machine(place).has_ended() {
             self.machine(place).signal(signal);
         }
     }
 
     fn freeze(&mut self, place: Place, lasting: Duration) {
-        if self.is_away(place) {
+        if self.machine(place).has_ended() {
             return;
         }
         self.signal(place, Signal::SIGSTOP);
@@ -383,11 +433,10 @@
 
     /// Starts again once it has stopped, or is killed after its grace.
     fn terminate(&mut self, place: Place) {
-        if self.is_away(place) {
-            return;
-        }
         self.signal(place, Signal::SIGTERM);
-        self.comes_back(place, GRACE);
+        if !self.is_away(place) {
+            self.comes_back(place, GRACE);
+        }
     }
 
     fn comes_back(&mut self, place: Place, after: Duration) {
@@ -495,10 +544,7 @@
     /// Lets callers end and reads all jobs once more from the start.
     async fn finish(&mut self) {
         let jobs = self.callers.jobs.lock().expect("lock").clone();
-        let reads = jobs.iter().map(|(id, (items, _))| {
-            let callers = Arc::clone(&self.callers);
-            async move { callers.read_job(id, items.len()).await }
-        });
+        let reads = jobs.values().map(|job| self.callers.read_job(job));
         let all = futures::future::join_all(reads);
         // A job that cannot be read is found by the checks.
         let _ = tokio::time::timeout(LAST_READS, all).await;
@@ -530,10 +576,18 @@
 
     fn collect(self) -> Played {
         let jobs = self.callers.jobs.lock().expect("lock").clone();
-        let items = jobs.values().flat_map(|(items, _)| items.iter());
-        let texts = items.map(|id| (id.clone(), whole_text(id))).collect();
-        let all = self.plain.iter().chain(&self.engines).enumerate();
-        let replicas = all.map(|(number, one)| (format!("replica-{number}"), seen_by(one)));
+        let items = || jobs.values().flat_map(|job| &job.plan.items);
+        let texts = items().map(|item| (item.id.clone(), whole_text(&item.id)));
+        let texts = texts.collect();
+        let scores = items().map(|item| (item.id.clone(), item.score.clone()));
+        let scores = scores.collect();
+        let history = &self.callers.history;
+        let plain = self.plain.iter().enumerate();
+        let plain = plain.map(|(number, one)| (format!("plain-{number}"), one));
+        let engines = self.engines.iter().enumerate();
+        let engines = engines.map(|(number, one)| (format!("engine-{number}"), one));
+        let all = plain.chain(engines);
+        let replicas = all.map(|(name, one)| (name, seen_by(one, history)));
         let ends = self.callers.history.calls();
         let ends = ends.iter().filter(|call| call.kind == Kind::Ending);
         let ends = ends.map(|call| {
@@ -546,9 +600,17 @@
             ends: ends.sum::<u32>() as usize,
             calls: self.callers.history.calls(),
             pages: self.callers.history.pages(),
-            versions: jobs.iter().map(|(id, one)| (id.clone(), one.1)).collect(),
+            job_ends: self.callers.history.ends(),
+            scores,
+            versions: jobs
+                .iter()
+                .map(|(id, job)| (id.clone(), job.oldest))
+                .collect(),
             newest_version: self.callers.newest_version.load(Ordering::Relaxed),
-            jobs: jobs.into_iter().map(|(id, one)| (id, one.0)).collect(),
+            jobs: jobs
+                .iter()
+                .map(|(id, job)| (id.clone(), ids(job)))
+                .collect(),
             texts,
             replicas: replicas.collect(),
             written: self.written,
@@ -562,13 +624,44 @@
     }
 }
 
-fn seen_by(replica: &EndingReplica) -> ReplicaSeen {
+/// Starts a replica of a service, some behind proxies.
+async fn start_replica(
+    store: &Arc<Store>,
+    service: &'static str,
+    number: usize,
+) -> std::io::Result<(Arc<EndingReplica>, Option<Proxy>)> {
+    let name = format!("soak-{service}-{number}");
+    let listener = EndingReplica::listen().await;
+    let address = listener.local_addr()?;
+    let proxy = match is_behind_proxy(number) {
+        true => Some(Proxy::start(address).await?),
+        false => None,
+    };
+    let told = proxy.as_ref().map_or(address, |proxy| proxy.address);
+    let replica = EndingReplica::start_at(store, service, &name, ENDS, listener, told);
+    Ok((replica, proxy))
+}
+
+fn ids(job: &Job) -> Vec<String> {
+    let items = job.plan.items.iter();
+    items.map(|item| item.id.clone()).collect()
+}
+
+fn seen_by(replica: &EndingReplica, history: &History) -> ReplicaSeen {
     let mut seen = ReplicaSeen::default();
     for life in replica.lives() {
         for (id, runs) in &*life.runs.lock().expect("lock") {
             *seen.runs.entry(id.clone()).or_default() += runs;
         }
         seen.orders.push(life.orders.lock().expect("lock").clone());
+        let arrivals = life.named_arrivals().into_iter();
+        let arrivals = arrivals.map(|one| (one.id, history.time_of(one.at)));
+        seen.arrivals.extend(arrivals);
+        for (id, at) in &*life.whole_at.lock().expect("lock") {
+            let at = history.time_of(*at);
+            let first = seen.whole_at.entry(id.clone()).or_insert(at);
+            *first = at.min(*first);
+        }
     }
     seen
 }
--- a/crates/soak/src/schedule.rs
+++ b/crates/soak/src/schedule.rs
@@ -26,6 +26,31 @@
 /// Sets the draw of cuts apart from all others, whose schedules stay what they were.
 const CUT_STREAM: u64 = 1;
 
+/// Sets the draw of harm to replicas' connections apart in the same way.
+const REPLICA_STREAM: u64 = 3;
+/// Pause between the beginnings of two such, in ms.
+const REPLICA_PAUSE: std::ops::Range<u64> = 1_500..9_000;
+
+/// Sets the draw of series of faults apart in the same way.
+const SERIES_STREAM: u64 = 4;
+/// Pause between the beginnings of two series, in ms.
+const SERIES_PAUSE: std::ops::Range<u64> = 4_000..10_000;
+/// Faults of a series.
+const SERIES_FAULTS: std::ops::RangeInclusive<usize> = 3..=6;
+/// Pause between two faults of a series, in ms: less than any of them takes.
+const SERIES_STEP: std::ops::Range<u64> = 30..500;
+/// Time for which several edges stand still together, in ms: round the one after which a
+/// leader gives an edge up (1.6 s).
+const STANDSTILL: std::ops::Range<u64> = 1_300..2_600;
+/// Sets the draw of rebirths apart in the same way.
+const REBIRTH_STREAM: u64 = 5;
+/// Time from a replica's end until it serves again, in ms.
+const REBIRTH_TIME: u64 = 1_000;
+/// Time for which a process is away that is killed in a series, in ms.
+const RESTART_TIME: u64 = 500;
+/// Pause between two rebirths, in ms.
+const REBIRTH_PAUSE: std::ops::Range<u64> = 2_000..9_000;
+
 /// A machine for callers or one with a disk, by its place.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
@@ -48,6 +73,16 @@
     StoreOfEdges,
     /// From storage processes to the store.
     StoreOfStorage,
+    /// From edges and storage processes to a plain replica, one that [`is_behind_proxy`].
+    Plain(usize),
+    /// The same to an engine.
+    Engine(usize),
+}
+
+/// Whether a replica is reached through a proxy: each second one, so that the others' ends are
+/// seen without one.
+pub fn is_behind_proxy(replica: usize) -> bool {
+    !replica.is_multiple_of(2)
 }
 
 /// A region of the stand-in's layout.
@@ -82,6 +117,8 @@
     Silence,
     /// Nothing passes from the far side for a while.
     CutBack,
+    /// Nothing passes to the far side for a while, and is lost.
+    CutThere,
     /// Bytes come in small pieces with pauses.
     Trickle,
     /// Each connection ends after so many bytes from the far side.
@@ -124,6 +161,12 @@
     EndPlain(usize),
     /// An engine ends, and is back as another.
     EndEngine(usize),
+    /// A plain replica ends, and starts again under the identity that it had.
+    RebirthPlain(usize),
+    /// An engine does.
+    RebirthEngine(usize),
+    /// A configuration is written beside those that come in turn.
+    Configuration,
     /// A plain replica takes requests and answers none.
     MutePlain(usize),
     /// A plain replica breaks its answers off.
@@ -178,6 +221,8 @@
     pub edges: u8,
     /// Machines with a disk.
     pub storage: u8,
+    /// Replicas also start again under the identities that they had.
+    pub rebirths: bool,
 }
 
 impl Schedule {
@@ -213,9 +258,152 @@
             at += random.random_range(200..LONGEST_PAUSE);
         }
         schedule.draw_cut(end);
+        schedule.draw_harm_to_replicas(end);
+        schedule.draw_series(end);
+        if extent.rebirths {
+            schedule.draw_rebirths(end);
+        }
         schedule
     }
 
+    /// Adds harm to connections of replicas.
+    fn draw_harm_to_replicas(&mut self, end: u64) {
+        let mut random = ChaCha8Rng::seed_from_u64(self.seed);
+        random.set_stream(REPLICA_STREAM);
+        let behind: Vec<usize> = (0..self.replicas)
+            .filter(|one| is_behind_proxy(*one))
+            .collect();
+        if behind.is_empty() {
+            return;
+        }
+        let mut at = FIRST_AT;
+        loop {
+            at += random.random_range(REPLICA_PAUSE);
+            let lasting = random.random_range(200..3_500);
+            let replica = behind[random.random_range(0..behind.len())];
+            let way = match random.random_range(0..2) {
+                0 => Way::Plain(replica),
+                _ => Way::Engine(replica),
+            };
+            let harm = match random.random_range(0..5) {
+                0 => Harm::Delay(random.random_range(5..200)),
+                1 => Harm::Reset,
+                2 => Harm::Silence,
+                3 => Harm::CutBack,
+                _ => Harm::CutThere,
+            };
+            if at + lasting > end {
+                return;
+            }
+            self.add(Fault {
+                at,
+                lasting,
+                trouble: Trouble::Harm(way, harm),
+            });
+        }
+    }
+
+    /// Adds faults that come in series and overlap.
+    fn draw_series(&mut self, end: u64) {
+        let mut random = ChaCha8Rng::seed_from_u64(self.seed);
+        random.set_stream(SERIES_STREAM);
+        let mut at = FIRST_AT;
+        while at < end {
+            let faults = match random.random_range(0..2) {
+                0 => self.draw_standstill(&mut random, at),
+                _ => self.draw_signals(&mut random, at),
+            };
+            for fault in faults.into_iter().filter(|fault| fault.end() <= end) {
+                self.add(fault);
+            }
+            at += random.random_range(SERIES_PAUSE);
+        }
+    }
+
+    /// Several edges stand still together, and perhaps their leader is lost meanwhile.
+    fn draw_standstill(&self, random: &mut ChaCha8Rng, at: u64) -> Vec<Fault> {
+        let edges = usize::from(self.edges);
+        let (first, count) = (
+            random.random_range(0..edges),
+            random.random_range(1..=edges),
+        );
+        let lasting = random.random_range(STANDSTILL);
+        let frozen = (first..first + count).map(|edge| Fault {
+            at,
+            lasting,
+            trouble: Trouble::Freeze(Process::Edge(edge % edges)),
+        });
+        let mut faults: Vec<Fault> = frozen.collect();
+        let loses_leader = random.random_bool(0.5);
+        let after = random.random_range(0..lasting);
+        if loses_leader {
+            faults.push(Fault {
+                at: at + after,
+                lasting: RESTART_TIME,
+                trouble: Trouble::Kill(Process::Leader),
+            });
+        }
+        faults
+    }
+
+    /// Signals and configurations, each before the one before has done its work.
+    fn draw_signals(&self, random: &mut ChaCha8Rng, mut at: u64) -> Vec<Fault> {
+        let mut faults = Vec::new();
+        for _ in 0..random.random_range(SERIES_FAULTS) {
+            let process = match random.random_range(0..5) {
+                0..=2 => Process::Edge(random.random_range(0..usize::from(self.edges))),
+                3 => Process::Storage(random.random_range(0..usize::from(self.storage))),
+                _ => Process::Leader,
+            };
+            let trouble = match random.random_range(0..8) {
+                0..=2 => Trouble::Terminate(process),
+                3 => Trouble::HangUp(process),
+                4 => Trouble::Freeze(process),
+                5 => Trouble::Kill(process),
+                _ => Trouble::Configuration,
+            };
+            faults.push(Fault {
+                at,
+                lasting: random.random_range(200..1_500),
+                trouble,
+            });
+            at += random.random_range(SERIES_STEP);
+        }
+        faults
+    }
+
+    /// Adds replicas that start again under the identities that they had.
+    fn draw_rebirths(&mut self, end: u64) {
+        let mut random = ChaCha8Rng::seed_from_u64(self.seed);
+        random.set_stream(REBIRTH_STREAM);
+        let mut at = FIRST_AT;
+        loop {
+            at += random.random_range(REBIRTH_PAUSE);
+            let replica = random.random_range(0..self.replicas);
+            let trouble = match random.random_range(0..3) {
+                0 => Trouble::RebirthPlain(replica),
+                _ => Trouble::RebirthEngine(replica),
+            };
+            let fault = Fault {
+                at,
+                lasting: REBIRTH_TIME,
+                trouble,
+            };
+            if fault.end() > end {
+                return;
+            }
+            self.add(fault);
+        }
+    }
+
+    /// Adds a fault at its place if it is borne.
+    fn add(&mut self, fault: Fault) {
+        if self.is_borne(&fault) {
+            let place = self.faults.partition_point(|one| one.at <= fault.at);
+            self.faults.insert(place, fault);
+        }
+    }
+
     /// Adds a cut between the regions to some schedules.
     fn draw_cut(&mut self, end: u64) {
         let mut random = ChaCha8Rng::seed_from_u64(self.seed);
@@ -233,10 +421,7 @@
             lasting,
             trouble: Trouble::CutRegion(region),
         };
-        if self.is_borne(&fault) {
-            let place = self.faults.partition_point(|one| one.at <= fault.at);
-            self.faults.insert(place, fault);
-        }
+        self.add(fault);
     }
 
     fn draw_trouble(&self, random: &mut ChaCha8Rng) -> Trouble {
