--- a/crates/cluster/src/edge/balance.rs
+++ b/crates/cluster/src/edge/balance.rs
@@ -26,7 +26,7 @@
 /// Reported load older than this says nothing.
 const LOAD_LIFE: Duration = Duration::from_millis(500);
 
-/// A replica as an edge sees it.
+/// A replica as an edge sees it: of its present life, but for the requests in flight.
 #[derive(Clone, Debug)]
 pub(super) struct Known {
     standing: Standing,
@@ -80,7 +80,7 @@
     }
 }
 
-/// All replicas by identity.
+/// All replicas by id.
 pub(super) struct Balance {
     /// Where this edge is, and how long round trips take.
     links: Rc<LinkContext>,
--- a/crates/cluster/src/storage/order_log.rs
+++ b/crates/cluster/src/storage/order_log.rs
@@ -23,6 +23,7 @@
 pub(super) struct OrderLog {
     /// Nothing is known of what happened before this time; none: all is known.
     unknown_before: Option<u64>,
+    /// A replica's subject is its id: an order may reach its next life.
     last: HashMap<String, Last>,
 }
 
--- a/crates/cluster/src/upstream.rs
+++ b/crates/cluster/src/upstream.rs
@@ -82,7 +82,7 @@
     }
 }
 
-/// Connections at rest, by address.
+/// Connections at rest, by address: those to a life that is over are closed when that is seen.
 #[derive(Clone, Default)]
 pub struct Pool {
     idle: Rc<RefCell<HashMap<SocketAddr, Vec<Connection>>>>,
--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -64,7 +64,7 @@
 pub struct OrderLeases {
     /// On any subject.
     pub all_until: Millis,
-    /// On single subjects, by name; a replica's is its identity.
+    /// On single subjects, by name; a replica's is its id, whichever its life.
     pub until: BTreeMap<String, Millis>,
 }
 
@@ -241,7 +241,7 @@
     pub running: usize,
     /// When it last said anything.
     pub heard_at: Millis,
-    /// Connections at rest that it keeps, by replica, as far as known.
+    /// Connections at rest that it keeps, by replica, as far as known; of its present life.
     pub resting: HashMap<String, usize>,
     /// Its clock, as it told it since it is up.
     pub clock: PeerClock,
--- a/crates/dispatch/src/replicas.rs
+++ b/crates/dispatch/src/replicas.rs
@@ -17,7 +17,8 @@
 /// Time after a load in which runs still tell of the pause it made, in ms.
 const AFTER_LOAD: Millis = 400;
 
-/// A replica.
+/// A replica. Of its id are places taken, the budget and what goes with it; the entry says
+/// anew where it stands; all else is of its present life (`Replica::begin_life`).
 #[derive(Clone, Debug)]
 pub(crate) struct Replica {
     /// What decides whether it takes work at all.
@@ -43,7 +44,7 @@
     pub is_old: bool,
 }
 
-/// All replicas by identity.
+/// All replicas by id.
 #[derive(Debug, Default)]
 pub(crate) struct Replicas {
     pub by_id: BTreeMap<String, Replica>,
--- a/crates/dispatch/src/warming.rs
+++ b/crates/dispatch/src/warming.rs
@@ -50,7 +50,7 @@
 /// Replicas with budgets.
 #[derive(Debug, Default)]
 pub(crate) struct Warming {
-    /// By identity, those that warm up or did just now.
+    /// By id, those that warm up or did just now.
     ids: BTreeSet<String>,
     /// Whether this process surely leads, as it was told last.
     is_sure: bool,
--- a/crates/quarantine/src/case.rs
+++ b/crates/quarantine/src/case.rs
@@ -28,6 +28,7 @@
 /// A content under which replicas ended.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Case {
+    /// Lives of replicas, by the name of id and life; each that ended counts.
     ended: BTreeSet<Arc<str>>,
     standing: Standing,
 }
@@ -48,7 +49,7 @@
         self.ends() >= WATCHED_AFTER
     }
 
-    /// Whether a replica, by its identity, is known to have ended under it.
+    /// Whether a replica, by the name of its id and life, is known to have ended under it.
     pub fn has_ended(&self, replica: &str) -> bool {
         self.ended.contains(replica)
     }
--- a/crates/quarantine/src/ledger.rs
+++ b/crates/quarantine/src/ledger.rs
@@ -16,7 +16,7 @@
 /// A change of what is kept.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Change {
-    /// A replica, by its identity, ended under a content.
+    /// A replica, by the name of its id and life, ended under a content.
     Ended(Fingerprint, Arc<str>),
     /// A replica answered a content.
     Answered(Fingerprint),
--- a/crates/quarantine/src/recorder.rs
+++ b/crates/quarantine/src/recorder.rs
@@ -19,7 +19,7 @@
 pub struct EndReport {
     /// What it ran.
     pub content: Fingerprint,
-    /// Identity of the replica.
+    /// Name of the replica's id and life.
     pub replica: Arc<str>,
     /// Time from the beginning of the run to its end, in ms.
     pub ran_ms: Millis,
--- a/crates/warmup/src/permit.rs
+++ b/crates/warmup/src/permit.rs
@@ -12,7 +12,7 @@
 /// Leave for one request to one replica.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Permit {
-    /// Identity of the replica.
+    /// Id of the replica: the permit is over before its next life matters.
     pub replica: Arc<str>,
     /// The request may be sent before this moment, by the clock of the process that sends it.
     pub send_by: Millis,
