--- a/crates/dispatch/tests/lives.rs
+++ b/crates/dispatch/tests/lives.rs
@@ -214,6 +214,7 @@
     let first = runs(&fixture.accept(submission("job", &[1], 0)))[0].clone();
     fixture.set_replica(entry(SECOND, 1, 7));
     fixture.handle(Event::Progress {
+        machine: "edge-1".to_string(),
         attempt: first.attempt,
         events: vec![event(1, "a", 1)],
         pace: Some(Pace {
