--- a/crates/cluster/src/edge/process.rs
+++ b/crates/cluster/src/edge/process.rs
@@ -367,7 +367,11 @@
             },
             Watch::Everything => Interest::ALL,
         };
-        self.outside.want(wanted, &self.view.borrow());
+        self.outside.interest.send_if_modified(|interest| {
+            let changes = *interest != wanted;
+            *interest = wanted;
+            changes
+        });
     }
 
     /// Looks through a configuration that is new.
--- a/crates/cluster/src/outside.rs
+++ b/crates/cluster/src/outside.rs
@@ -13,7 +13,6 @@
 use displaydoc::Display;
 use futures::future::LocalBoxFuture;
 use hyper::header::{HeaderMap, HeaderName};
-use std::cell::RefCell;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use tokio::sync::watch;
@@ -274,21 +273,4 @@
     pub observed: watch::Receiver<Observed>,
     /// Which parts are wanted from the source.
     pub interest: Rc<watch::Sender<Interest>>,
-    /// What this process knows of the fleet by others, where the source is wanted again: it
-    /// needs to tell only what changed since.
-    pub base: Rc<RefCell<FleetView>>,
-}
-
-impl Outside {
-    /// Wants these parts from the source, from `known` on; true: it wanted others before.
-    pub(crate) fn want(&self, wanted: Interest, known: &FleetView) -> bool {
-        self.interest.send_if_modified(|interest| {
-            let changes = *interest != wanted;
-            if changes && wanted.replicas {
-                self.base.replace(known.clone());
-            }
-            *interest = wanted;
-            changes
-        })
-    }
 }
--- a/crates/cluster/src/storage/leading.rs
+++ b/crates/cluster/src/storage/leading.rs
@@ -202,7 +202,7 @@
         let dispatcher = Dispatcher::new(term, settings, &self.table, view, leases.clone(), now);
         self.metrics.leadership();
         self.has_untold_edges = true;
-        self.outside.want(Interest::ALL, &self.view);
+        self.outside.interest.send_replace(Interest::ALL);
         self.leading = Some(Leading {
             dispatcher,
             term,
