--- a/crates/cluster/src/outside.rs
+++ b/crates/cluster/src/outside.rs
@@ -19,7 +19,7 @@
 use std::rc::Rc;
 use tokio::sync::watch;
 
-pub use crate::source::{KnownFleet, Reach};
+pub use crate::source::Reach;
 
 /// Parts of the fleet's view that a process needs from its source.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -304,21 +304,4 @@
     pub observed: watch::Receiver<Observed>,
     /// Which parts are wanted from the source.
     pub interest: Rc<watch::Sender<Interest>>,
-    /// What this process knows of the fleet by others, where the source is wanted again: it
-    /// needs to tell only what changed since.
-    pub base: Rc<KnownFleet>,
-}
-
-impl Outside {
-    /// Wants these parts from the source, from `known` on; true: it wanted others before.
-    pub(crate) fn want(&self, wanted: Interest, known: &FleetView) -> bool {
-        self.interest.send_if_modified(|interest| {
-            let changes = *interest != wanted;
-            if changes && wanted.replicas {
-                self.base.keep(known.clone());
-            }
-            *interest = wanted;
-            changes
-        })
-    }
 }
