--- a/crates/cluster-protocol/src/lib.rs
+++ b/crates/cluster-protocol/src/lib.rs
@@ -143,8 +143,8 @@
 /// What a leader holds of an edge.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Registration {
-    /// The edge's telling of its runs that the leader goes by: it knows those runs and what it
-    /// ordered since, and nothing else that the edge may hold.
+    /// Number of the newest list of runs ([`Message::Runs`]) that the leader took. It knows the
+    /// runs of that list and those that it ordered since, and no others.
     pub telling: u64,
     /// Until when the edge may begin work, by its own steady clock in ms; none: the sender is
     /// not sure that it leads.
--- a/crates/cluster-protocol/src/run.rs
+++ b/crates/cluster-protocol/src/run.rs
@@ -172,7 +172,8 @@
     Mixed,
     /// It was not sent: its replica warms up, and it had no leave, or its leave was over.
     Unsent,
-    /// Stopped by the leader, or by the edge's own stop.
+    /// Stopped by the leader, by the edge's own stop, or not begun as its edge had no leave any
+    /// more.
     Cancelled,
 }
 
--- a/crates/cluster/src/edge/cluster.rs
+++ b/crates/cluster/src/edge/cluster.rs
@@ -392,7 +392,7 @@
             return Vec::new();
         }
         log::info!(
-            "event=runs_untold term={} telling={}",
+            "event=runs_told_again reason=not_registered term={} telling={}",
             leader.term,
             self.lease.telling()
         );
@@ -416,7 +416,7 @@
 
     /// Numbers a telling of all runs; orders given before it are void.
     pub(super) fn begin_telling(&mut self, now: u64) -> u64 {
-        self.lease.tell(now)
+        self.lease.begin_telling(now)
     }
 
     /// Leave to begin work.
@@ -532,8 +532,8 @@
     }
 
     /// Sends the leader a message, if one is known. What its queue does not take is made good
-    /// by telling all again with the next look: the end of a run is told once, and one that was
-    /// lost kept its place on its replica taken for as long as the leader led.
+    /// by telling all again with the next look, which voids orders under way: the end of a run is
+    /// told once, and one that was lost kept its place on its replica taken for as long as the leader led.
     pub(super) fn tell_leader(&self, message: &Message) {
         let Some(leader) = self.cluster.borrow().leader() else {
             return;
--- a/crates/cluster/src/edge/ended.rs
+++ b/crates/cluster/src/edge/ended.rs
@@ -115,9 +115,7 @@
         if !self.quarantine.borrow_mut().answered(content) {
             return;
         }
-        if let Some(leader) = self.cluster.borrow().leader() {
-            leader.writer.send(&Message::ContentAnswered(content));
-        }
+        self.tell_leader(&Message::ContentAnswered(content));
     }
 
     fn spawn_look(self: &Rc<Self>, broken: Break) {
--- a/crates/cluster/src/edge/process.rs
+++ b/crates/cluster/src/edge/process.rs
@@ -422,7 +422,8 @@
         }
     }
 
-    /// Lower lives count in time, also where no entry changes meanwhile.
+    /// A lower life counts after [`brasspond_fleet::SET_BACK_MS`] also where no entry changes
+    /// meanwhile.
     fn settle_lives(&self) {
         let is_in_doubt = self.balance.borrow().is_in_doubt();
         if is_in_doubt {
--- a/crates/cluster/src/edge/runs.rs
+++ b/crates/cluster/src/edge/runs.rs
@@ -141,7 +141,7 @@
 
     /// Waits for leave to begin work for jobs; for ever where no leader gives it any more: a
     /// run or scoring that nobody wants is ended from outside. Whether there was a wait.
-    pub(super) async fn leave_to_begin(&self) -> bool {
+    pub(super) async fn await_leave(&self) -> bool {
         if self.may_begin() {
             return false;
         }
@@ -315,10 +315,9 @@
         return RunEnd::Impossible;
     };
     // The order may have been read long after it was given, and more be known of its replica.
-    if edge.leave_to_begin().await && edge.clear_run(spec).is_err() {
-        return RunEnd::NotRun {
-            other_instance: false,
-        };
+    if edge.await_leave().await && edge.clear_run(spec).is_err() {
+        // Nothing was sent, and no replica is to blame: the item waits again.
+        return RunEnd::Cancelled;
     }
     let mut connection = match edge.pool.take(clearance).await {
         Ok(connection) => connection,
--- a/crates/cluster/src/edge/scoring.rs
+++ b/crates/cluster/src/edge/scoring.rs
@@ -133,7 +133,8 @@
     regions: &Regions,
     ran_out: u32,
 ) -> ScoringEnd {
-    edge.leave_to_begin().await;
+    // Not of the call's own time, which begins below.
+    edge.await_leave().await;
     let begun = Moment::now();
     let time = time_of(edge, call);
     let deadline = begun + time;
@@ -194,7 +195,7 @@
     /// One attempt; none: another is to follow.
     async fn attempt(&mut self) -> Option<ScoringEnd> {
         let left = self.deadline.saturating_duration_since(Moment::now());
-        if within(left, self.edge.leave_to_begin()).await.is_err() {
+        if within(left, self.edge.await_leave()).await.is_err() {
             return Some(ScoringEnd::Unanswered);
         }
         let request = self.request()?;
--- a/crates/cluster/src/edge/work_lease.rs
+++ b/crates/cluster/src/edge/work_lease.rs
@@ -46,7 +46,7 @@
 impl WorkLease {
     /// Numbers a telling of all runs. Leave that was given holds on: it was given by a leader
     /// that knew all that had ended by then.
-    pub fn tell(&mut self, now: u64) -> u64 {
+    pub fn begin_telling(&mut self, now: u64) -> u64 {
         self.telling += 1;
         self.told_at = now;
         self.telling
--- a/crates/cluster/src/settings.rs
+++ b/crates/cluster/src/settings.rs
@@ -66,7 +66,7 @@
     /// Time for which a holder of replicas' orders keeps its place, in ms.
     pub lease_ms: u64,
     /// Time after an acknowledged end of a job from which nothing of it may begin, in ms.
-    pub ended_ms: u64,
+    pub cancel_ms: u64,
     /// Time after its submission until which a job may be asked for, in ms.
     pub job_life_ms: u64,
     /// Time from the order to stop until the process is killed.
--- a/crates/cluster/src/source.rs
+++ b/crates/cluster/src/source.rs
@@ -1,4 +1,5 @@
-//! Whether the fleet's source answers, and when it is called again.
+//! Whether the fleet's source answers, and when it is called again: decisions, which is why
+//! they stand here and not in the adapter that calls it.
 
 use crate::outside::Observed;
 use std::cell::Cell;
--- a/crates/cluster/src/storage/leading.rs
+++ b/crates/cluster/src/storage/leading.rs
@@ -42,9 +42,10 @@
 /// Shortest such time, in ms: leave is renewed each 500 ms, and one renewal may be late.
 const LEAST_WORK_LEASE: u64 = 1_000;
 
-/// Time for which edges may begin work without a word of their leader, in ms.
-fn work_lease(ended_ms: u64) -> u64 {
-    let share = (ended_ms as f64 * WORK_LEASE_SHARE) as u64;
+/// Time for which edges may begin work without a word of their leader, in ms. Below 2.5 s of
+/// `cancel_ms` the least lease and bytes on their way together are longer than that.
+fn work_lease(cancel_ms: u64) -> u64 {
+    let share = (cancel_ms as f64 * WORK_LEASE_SHARE) as u64;
     share.max(LEAST_WORK_LEASE)
 }
 
@@ -104,10 +105,19 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 struct Registered {
     link: LinkId,
+    /// Which start of its process told them.
+    incarnation: u64,
     /// Its telling of its runs that this leader goes by.
     telling: u64,
 }
 
+impl Registered {
+    /// Whether it is a later telling of the same process.
+    fn is_newer_than(&self, told: &Self) -> bool {
+        self.incarnation == told.incarnation && self.telling > told.telling
+    }
+}
+
 /// What the dispatcher wants kept, collected between two syncs.
 #[derive(Default)]
 struct Results {
@@ -331,7 +341,8 @@
         }
     }
 
-    /// Sends an edge what the telling of its runs makes of it. An edge that cannot be sent
+    /// Sends an edge a message, made with the number of the telling of its runs that this leader
+    /// goes by. An edge that cannot be sent
     /// something is given up: what ends a run is not sent twice, and leave to begin work says
     /// that all before it has arrived.
     fn send_to_edge(&mut self, machine: &str, message: impl FnOnce(u64) -> Message) {
@@ -373,7 +384,7 @@
         let until = clock.filter(|_| is_sure);
         Some(Registration {
             telling: known.telling,
-            until: until.map(|clock| clock + work_lease(self.settings.ended_ms)),
+            until: until.map(|clock| clock + work_lease(self.settings.cancel_ms)),
         })
     }
 
@@ -407,8 +418,17 @@
                 runs,
                 draining,
             } if term == leading.term => {
-                let known = Registered { link, telling };
-                leading.edges.insert(machine.clone(), known);
+                let told = Registered {
+                    link,
+                    incarnation,
+                    telling,
+                };
+                let known = leading.edges.get(&machine);
+                if known.is_some_and(|known| known.is_newer_than(&told)) {
+                    // An older link delivered it late: its edge told more since.
+                    return;
+                }
+                leading.edges.insert(machine.clone(), told);
                 leading.lost.remove(&machine);
                 leading.unreached.remove(&machine);
                 log::info!(
@@ -503,14 +523,14 @@
                 metering.edge_gone(&machine);
             }
             leading.lost.insert(machine.clone(), now);
-            self.rest_edge(machine);
+            self.stop_placing_on(machine);
         }
     }
 
     /// An edge that cannot be reached is given nothing new until it tells its runs again. Where
     /// many end at one moment, what the first held went to those that were given up next: 537 of
     /// 832 runs were lost with the last of 120 edges, most of them for the tenth time.
-    fn rest_edge(&mut self, machine: String) {
+    fn stop_placing_on(&mut self, machine: String) {
         self.dispatch(Event::EdgeDraining(machine));
     }
 
@@ -535,8 +555,9 @@
                 gone.insert(machine.clone());
             }
         }
+        // All first: what one held must not go to one that is given up next.
         for machine in &gone {
-            self.rest_edge(machine.clone());
+            self.stop_placing_on(machine.clone());
         }
         for machine in gone {
             if let Some(leading) = &mut self.leading {
--- a/crates/cluster/tests/unit/work_lease.rs
+++ b/crates/cluster/tests/unit/work_lease.rs
@@ -15,7 +15,7 @@
 fn nothing_begins_before_a_leader_gave_leave_and_after_it_is_over() {
     let mut lease = WorkLease::default();
     assert!(!lease.allows(0));
-    let telling = lease.tell(10);
+    let telling = lease.begin_telling(10);
     assert!(lease.renew(known(telling, 2_000), 20));
     assert!(lease.allows(1_999));
     assert!(!lease.allows(2_000));
@@ -25,7 +25,7 @@
 #[rstest]
 fn a_late_renewal_does_not_last_longer() {
     let mut lease = WorkLease::default();
-    let telling = lease.tell(0);
+    let telling = lease.begin_telling(0);
     assert!(lease.renew(known(telling, 2_000), 9_000));
     assert!(!lease.allows(9_000));
 }
@@ -33,7 +33,7 @@
 #[rstest]
 fn an_older_renewal_takes_no_leave_back() {
     let mut lease = WorkLease::default();
-    let telling = lease.tell(0);
+    let telling = lease.begin_telling(0);
     lease.renew(known(telling, 2_000), 10);
     lease.renew(known(telling, 1_500), 20);
     assert!(lease.allows(1_800));
@@ -46,8 +46,8 @@
     #[case] registration: Option<Registration>,
 ) {
     let mut lease = WorkLease::default();
-    lease.tell(0);
-    lease.tell(100);
+    lease.begin_telling(0);
+    lease.begin_telling(100);
     // The telling may be under way.
     assert!(lease.renew(registration, 200));
     assert!(!lease.renew(registration, 100 + TELLING_TIME));
@@ -58,7 +58,7 @@
 #[rstest]
 fn a_leader_that_is_not_sure_gives_no_leave() {
     let mut lease = WorkLease::default();
-    let telling = lease.tell(0);
+    let telling = lease.begin_telling(0);
     let unsure = Registration {
         telling,
         until: None,
@@ -71,9 +71,9 @@
 #[rstest]
 fn a_new_telling_ends_no_leave() {
     let mut lease = WorkLease::default();
-    let telling = lease.tell(0);
+    let telling = lease.begin_telling(0);
     lease.renew(known(telling, 2_000), 10);
-    lease.tell(500);
+    lease.begin_telling(500);
     assert!(lease.allows(1_000));
 }
 
@@ -89,7 +89,7 @@
     const PAUSE: u64 = 500;
     let mut lease = WorkLease::default();
     let mut known: Option<u64> = None;
-    let mut tellings = vec![(one_way, lease.tell(0))];
+    let mut tellings = vec![(one_way, lease.begin_telling(0))];
     let mut answers = Vec::new();
     let mut allowed = 0;
     for now in (0..20_000).step_by(STEP as usize) {
@@ -104,7 +104,7 @@
         }
         for (_, registration) in answers.extract_if(.., |(at, _)| *at <= now) {
             if !lease.renew(registration, now) {
-                tellings.push((now + one_way, lease.tell(now)));
+                tellings.push((now + one_way, lease.begin_telling(now)));
             }
         }
         allowed += u64::from(lease.allows(now)) * STEP;
--- a/crates/dispatch/src/orders.rs
+++ b/crates/dispatch/src/orders.rs
@@ -571,7 +571,8 @@
         }
     }
 
-    /// Hears the life that a report is of; none: it is of an earlier one.
+    /// Hears the life that a report is of; none: no answer, or one of an earlier life,
+    /// which counts as none.
     fn hear_report(
         &mut self,
         id: &str,
--- a/crates/dispatch/src/rebirth.rs
+++ b/crates/dispatch/src/rebirth.rs
@@ -62,7 +62,8 @@
         !reborn.is_empty()
     }
 
-    /// Lower lives count in time, also where no entry changes meanwhile.
+    /// A lower life counts after [`brasspond_fleet::SET_BACK_MS`] also where no entry changes
+    /// meanwhile.
     pub(crate) fn settle_lives(&mut self, now: Millis) {
         if self.replicas.lives.is_in_doubt() && self.hear_entries(now) {
             self.replicas.take_view(&self.view, now);
--- a/crates/fleet/src/life.rs
+++ b/crates/fleet/src/life.rs
@@ -9,7 +9,8 @@
 use std::sync::Arc;
 
 /// One life of a replica, from a start to its end: the Unix time of the start in ms, as the
-/// replica tells it. Untold is another life than any told one, and before them all.
+/// replica tells it. Untold is lower than any told one; a word that tells none is taken as of the
+/// life that is known ([`Heard::Same`]).
 #[derive(
     Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
 )]
@@ -99,10 +100,11 @@
 #[derive(Clone, Debug)]
 struct Known {
     life: Life,
-    /// Highest revision of an entry of its.
+    /// Highest revision of its entries so far.
     revision: u64,
     /// A lower life, and since when nothing else was heard.
     lower: Option<(Life, u64)>,
+    /// When its entry was last there, in ms.
     listed_at: u64,
 }
 
@@ -196,7 +198,7 @@
             self.confirm(word, now);
             return Heard::Same;
         }
-        if life < self.life && !self.was_set_back(life, word, now) {
+        if life < self.life && !self.counts_lower(life, word, now) {
             return Heard::Older;
         }
         self.lower = None;
@@ -214,8 +216,8 @@
         }
     }
 
-    /// Whether a lower life is the present one.
-    fn was_set_back(&mut self, life: Life, word: Word, now: u64) -> bool {
+    /// Notes a lower life; true once it was heard for [`SET_BACK_MS`].
+    fn counts_lower(&mut self, life: Life, word: Word, now: u64) -> bool {
         match self.lower {
             Some((lower, since)) if lower == life => now >= since + SET_BACK_MS,
             _ => {
--- a/crates/soak/src/callers.rs
+++ b/crates/soak/src/callers.rs
@@ -2,7 +2,7 @@
 
 use crate::history::{CallRecord, EndRecord, History, Kind, Outcome, PageRecord, ResultRecord};
 use crate::jobs::{EndPlan, EndWhen, JobPlan};
-use brasspond_platform_standin::caller::{Asked, Caller, job_of, results_path};
+use brasspond_platform_standin::caller::{Asked, Caller, end_path, job_of, results_path};
 use bytes::Bytes;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -256,7 +256,7 @@
 
     async fn end_at(&self, to: EdgeAddress, id: &str) -> u16 {
         let sent_at = self.history.now();
-        let path = format!("/-/lots/{id}");
+        let path = end_path(id);
         let mut caller = Caller::new(to.address);
         let asked = caller.ask("DELETE", &path, "ender", Bytes::new(), TRAINER_LIMIT);
         let status = match asked.await {
--- a/crates/telemetry/src/source_metrics.rs
+++ b/crates/telemetry/src/source_metrics.rs
@@ -21,7 +21,7 @@
         let metrics = Self::default();
         registry.register(
             "unreadable_entries",
-            "Entries at the source that cannot be read now, by kind",
+            "Entries at the source that are not used now: unreadable, or of a service that is not configured, by kind",
             metrics.now.clone(),
         );
         registry.register(
