--- a/crates/cluster/src/storage/collecting.rs
+++ b/crates/cluster/src/storage/collecting.rs
@@ -102,6 +102,12 @@
             return;
         };
         leading.copies.copied(packed.len(), now);
+        log::info!(
+            "event=view_copied replicas_revision={} versions_revision={} bytes={}",
+            self.view.replicas_revision,
+            self.view.versions_revision,
+            packed.len()
+        );
         self.consensus.propose(packed);
     }
 
