A new leader lets scoring calls go on that edges make for kept texts

What callers saw: after each change of leader every scoring call under way was broken off at its replica and begun again, with its short first attempt. The scoring service ran each score up to four times, results came as much later as the call had lasted, and a call that takes longer than leaders last was never answered.

Cause: the edge reports its call with the run that made the text; the log keeps the text, so the new leader finds the item waiting for a score. adoption() had no case for a whole run of such an item and cancelled it; 0.3 s later the call was ordered anew. Evidence in the logs of the new test on the code before: scoring_begun leader_term=2, attempt_failed attempt=1, leadership_won term=3, scoring_ordered attempt=3.1 ran_out=0, scoring_begun leader_term=3, attempt_failed attempt=1.

Ruled out: slow attempts alone (three attempts of 0.9, 1.8 and 3.6 s, the last two longer than the 1.6 s of the answer; 192 runs of the listed test on the code before, at loads up to 12 beside three writers that sync, did not fail); the scoring edge given up (needs 1.6 s of silence; would count four as well, and stays possible: the edge may be gone for good).

Change: such a call is adopted where the reported text is the kept one, made by the same versions; else it ends as before.

Why it holds: the call's edge, job, text and end are in the registration already, so nothing is guessed; one scoring counts per item as before; an ended job's call is not adopted.

--- a/crates/brasspond/tests/cluster.rs
+++ b/crates/brasspond/tests/cluster.rs
@@ -157,6 +157,11 @@
 /// A score that takes longer than a first attempt is given: its route's time-out counts, and
 /// the attempt after a silent one is given more (a text's score of 1.2 s was begun anew each
 /// second until its trainer gave the step up).
+///
+/// On a busy machine it was once made four times. A leader that is held up by its disk loses its
+/// leadership; the next one ended each call under way for a text that the log keeps, and had an
+/// edge begin it again, with the short first attempt: two runs before and two after. The next test
+/// loses the leader on purpose.
 #[rstest]
 #[tokio::test(flavor = "multi_thread")]
 async fn a_score_that_takes_long_is_waited_for() {
@@ -179,6 +184,39 @@
     }
 }
 
+/// A scoring call that an edge makes goes on when the leader is lost.
+///
+/// What happened: each score was made four times, and listed 1.7 s later than it would have been.
+/// An edge reports its call to the next leader with the run that made the text. That leader found
+/// the text in the log, waiting for a score, took the edge's run for one that nothing needs, and
+/// ordered the call anew: `event=scoring_begun` of one request twice, 1.8 s apart, with
+/// `event=leadership_won` and `event=scoring_ordered` between them; the second call began with the
+/// short attempt again (`event=attempt_failed attempt=1` after 0.9 s, both times), so that one
+/// that takes longer than leaders last would never be answered.
+#[rstest]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_score_under_way_outlives_its_leader() {
+    const ITEMS: usize = 3;
+    let mut cluster = Cluster::start().await;
+    *cluster.plain.answers_after.lock().expect("lock") = Duration::from_millis(1_600);
+    let front = cluster.edges[0].front;
+    let response = call(front, "POST", "/jobs/x", "job-9", scored_job(ITEMS)).await;
+    assert_eq!(response.expect("answered").status(), 202);
+    let ids: Vec<String> = (0..ITEMS).map(|number| format!("score-{number}")).collect();
+    while ids.iter().any(|id| cluster.plain.runs_of(id) < 2) {
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    let leader = cluster.leader();
+    cluster.storage[leader].kill();
+    for result in read_results(front, "job-9", ITEMS).await {
+        assert_eq!(result["state"], "completed");
+    }
+    for id in &ids {
+        let runs = cluster.plain.runs_of(id);
+        assert!(runs <= 3, "{runs} runs of one score");
+    }
+}
+
 /// All processes end while texts wait for their scores: none is made again.
 #[rstest]
 #[tokio::test(flavor = "multi_thread")]
--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -130,7 +130,7 @@
                 runs,
             } => {
                 let edge = Edge::new(zone, region, now);
-                self.on_edge_up(machine, edge, runs, now);
+                self.on_edge_up(machine, edge, runs, table, now);
             }
             Event::EdgeDraining(machine) => {
                 if let Some(edge) = self.edges.get_mut(&machine) {
--- a/crates/dispatch/src/jobs.rs
+++ b/crates/dispatch/src/jobs.rs
@@ -183,6 +183,11 @@
         due
     }
 
+    /// Takes a text out of those that wait for an order to score them.
+    pub fn take_unscored_item(&mut self, job: &str, item: u32) {
+        self.unscored.remove(&(job.to_string(), item));
+    }
+
     /// Looks up every job's route in the newest configuration.
     pub fn resolve_routes(&mut self, view: &FleetView, table: &JobTable) {
         for (id, run) in &mut self.jobs {
--- a/crates/dispatch/src/scoring.rs
+++ b/crates/dispatch/src/scoring.rs
@@ -112,6 +112,30 @@
         self.scorings.by_id.insert(attempt, scoring);
     }
 
+    /// An edge makes, or has made, the scoring call of a text that the log keeps: it is this leader's
+    /// scoring from now on. Its time counts from here, as the report does not say when it began.
+    pub(crate) fn adopt_scoring(&mut self, machine: &str, report: RunReport, now: Millis) {
+        let attempt = report.attempt;
+        let item = self.jobs.item(&report.job, report.item);
+        log::info!(
+            "event=scoring_adopted job={} item={} attempt={attempt} edge={machine}",
+            report.job,
+            item.map_or("", |item| item.id.as_str())
+        );
+        self.jobs.take_unscored_item(&report.job, report.item);
+        let scoring = Scoring {
+            machine: machine.to_string(),
+            job: report.job,
+            item: report.item,
+            since: now,
+            time: None,
+        };
+        self.add_scoring(attempt, scoring);
+        if let Some(end) = report.scoring {
+            self.on_scored(machine, attempt, end, now);
+        }
+    }
+
     /// An edge reported how a scoring ended. Unanswered calls are ordered again without limit but
     /// for the item's time in the queue.
     pub(crate) fn on_scored(
--- a/crates/dispatch/src/takeover.rs
+++ b/crates/dispatch/src/takeover.rs
@@ -1,14 +1,17 @@
 //! Runs that edges have when they come, come back or are lost.
 //!
 //! Owns nothing. A new leader knows no runs: each edge registers with a list of all that it has,
-//! and those of items that wait are adopted.
+//! and those of items that wait are adopted. So are the scoring calls that edges make for texts
+//! which the log keeps.
 
 use crate::action::Action;
 use crate::dispatcher::Dispatcher;
+use crate::earlier_texts::draft_of;
 use crate::edges::Edge;
 use crate::job_run::State;
 use crate::runs::Run;
 use brasspond_cluster_protocol::{AttemptId, RunEnd, RunReport, ScoringEnd, StreamEvent};
+use brasspond_jobs::JobTable;
 use brasspond_units::Millis;
 
 /// How many events two streams begin with alike.
@@ -27,6 +30,8 @@
     Refresh,
     /// It is known here as the item's scoring.
     RefreshScoring,
+    /// Its item waits for a score: the edge's scoring call goes on if it is for the kept text.
+    AdoptScoring,
     /// Nothing needs it: its item is unknown, ended, withheld or run elsewhere.
     Cancel,
 }
@@ -40,10 +45,20 @@
             replaces: Some(*known),
         },
         Some(State::Scoring(Some(known))) if *known == attempt => Adoption::RefreshScoring,
+        Some(State::Scoring(None)) if is_whole => Adoption::AdoptScoring,
         _ => Adoption::Cancel,
     }
 }
 
+/// Whether the log keeps the whole text that an edge reports, made by the same versions: a score
+/// counts for no other text.
+fn is_text_kept(report: &RunReport, table: &JobTable) -> bool {
+    let job = table.job(&report.job);
+    let kept = job.and_then(|job| job.drafts.get(&report.item));
+    let made = draft_of(&report.job, report.item, &report.events, 0);
+    kept.is_some_and(|(text, versions)| *text == made.text && *versions == made.versions)
+}
+
 impl Dispatcher {
     /// An edge registered with all runs that it has.
     pub(crate) fn on_edge_up(
@@ -51,13 +66,14 @@
         machine: String,
         edge: Edge,
         runs: Vec<RunReport>,
+        table: &JobTable,
         now: Millis,
     ) {
         self.abandon_unreported(&machine, &runs);
         self.forget_unreported_scorings(&machine, &runs, now);
         self.edges.insert(machine.clone(), edge);
         for report in runs {
-            self.adopt(&machine, report, now);
+            self.adopt(&machine, report, table, now);
         }
         let runs = self.runs.by_id.values();
         let running = runs.filter(|run| run.machine == machine).count();
@@ -69,7 +85,7 @@
     }
 
     /// Does with a run that an edge has what [`adoption`] says.
-    fn adopt(&mut self, machine: &str, report: RunReport, now: Millis) {
+    fn adopt(&mut self, machine: &str, report: RunReport, table: &JobTable, now: Millis) {
         let attempt = report.attempt;
         let item = self.jobs.item(&report.job, report.item);
         let is_whole = report.end == Some(RunEnd::Whole);
@@ -87,7 +103,12 @@
                     self.on_scored(machine, attempt, scoring, now);
                 }
             }
-            Adoption::Cancel => {
+            // A call that is begun again loses the time it has had: one that takes long would not be
+            // answered while leaders change.
+            Adoption::AdoptScoring if is_text_kept(&report, table) => {
+                self.adopt_scoring(machine, report, now);
+            }
+            Adoption::AdoptScoring | Adoption::Cancel => {
                 // Its cancellation may have been lost with the old link.
                 self.remove_run(attempt);
                 self.cancel_at(machine, attempt);
--- a/crates/dispatch/tests/scoring.rs
+++ b/crates/dispatch/tests/scoring.rs
@@ -261,17 +261,84 @@
     let run = runs(&before.accept(scored_submission("job", 1))).remove(0);
     end_whole(&mut before, "edge-1", &run);
     let mut after = before.next_leader();
-    let report = RunReport {
+    let actions = after.edge_with("edge-1", vec![whole_report(&run, Some(good()))]);
+    assert_eq!((kept(&actions), listed_scores(&actions).len()), (1, 1));
+}
+
+/// A run whose text is whole, as its edge reports it to a new leader.
+fn whole_report(run: &RunSpec, scoring: Option<ScoringEnd>) -> RunReport {
+    RunReport {
         attempt: run.attempt,
         job: run.job.clone(),
         item: run.item,
         replica: run.replica.clone(),
         events: vec![event(1, "a", 1), event(2, "b", 1)],
         end: Some(RunEnd::Whole),
-        scoring: Some(good()),
-    };
+        scoring,
+    }
+}
+
+/// A leader that has kept the text of a run, whose edge makes its scoring call; and the leader
+/// after it, which no edge has registered with yet.
+fn next_leader_with_kept_text() -> (Fixture, RunSpec) {
+    let mut before = fixture();
+    before.edge("edge-1");
+    let run = runs(&before.accept(scored_submission("job", 1))).remove(0);
+    let actions = end_whole(&mut before, "edge-1", &run);
+    commit(&mut before, &actions);
+    (before.next_leader(), run)
+}
+
+/// Actions that end a run's scoring call at its edge.
+fn ends_of(actions: &[Action], run: &RunSpec) -> usize {
+    let ends = actions.iter().filter(|action| match action {
+        Action::Recorded { attempt, .. } | Action::Cancel { attempt, .. } => {
+            *attempt == run.attempt
+        }
+        _ => false,
+    });
+    ends.count()
+}
+
+/// A call that an edge makes goes on under the next leader, and its score counts.
+#[rstest]
+fn a_new_leader_lets_the_call_for_a_kept_text_go_on() {
+    let (mut after, run) = next_leader_with_kept_text();
+    let actions = after.edge_with("edge-1", vec![whole_report(&run, None)]);
+    assert_eq!(ends_of(&actions, &run), 0, "{actions:?}");
+    assert_eq!(pass(&mut after, 900), [], "no other edge makes it");
+    let actions = scored(&mut after, "edge-1", run.attempt, good());
+    assert_eq!(listed_scores(&actions), ["good"]);
+}
+
+/// A call that ended while no leader could be told counts as well.
+#[rstest]
+fn a_new_leader_takes_the_score_of_a_kept_text() {
+    let (mut after, run) = next_leader_with_kept_text();
+    let actions = after.edge_with("edge-1", vec![whole_report(&run, Some(good()))]);
+    assert_eq!(listed_scores(&actions), ["good"]);
+    assert_eq!(pass(&mut after, 900), []);
+}
+
+/// A score is of the text that is listed with it: a call for another text of the item ends.
+#[rstest]
+fn a_call_for_another_text_than_the_kept_one_ends() {
+    let (mut after, run) = next_leader_with_kept_text();
+    let mut report = whole_report(&run, None);
+    report.events[1] = event(2, "c", 1);
     let actions = after.edge_with("edge-1", vec![report]);
-    assert_eq!((kept(&actions), listed_scores(&actions).len()), (1, 1));
+    assert_ne!(ends_of(&actions, &run), 0, "{actions:?}");
+    assert_eq!(pass(&mut after, 900).len(), 1);
+}
+
+/// Another edge makes the call since: one call counts.
+#[rstest]
+fn a_call_that_was_ordered_elsewhere_ends_at_the_edge_that_comes_late() {
+    let (mut after, run) = next_leader_with_kept_text();
+    after.edge("edge-2");
+    assert_eq!(pass(&mut after, 400).len(), 1);
+    let actions = after.edge_with("edge-1", vec![whole_report(&run, None)]);
+    assert_ne!(ends_of(&actions, &run), 0, "{actions:?}");
 }
 
 #[rstest]
