A new leader lists the replicas before it goes by them

Cause: a new leader begins with the log's copy of the replicas, whose age nobody asks. It placed by it after 0.3 s and told it to all edges; its own list came up to 3 s later. Evidence (leaving.rs, logs of the code before): view_copied replicas_revision=5, leadership_won, 8 x run_started replica=engine-0, edges replicas_known revision=5 ready=3, and 1.6 s later revision=7 ready=2.

Ruled out: edges that lived through the change (they refuse replicas gone from a newer view); a lost departure (the list, once read, has it).

Change: storage/listing.rs, a pure decision: until the source has told this process the replicas whole, the dispatcher places nothing and moves nothing, and edges are told the view without replicas. A source without a page for 1 s counts as away, a listing that goes on is waited for 5 s. Observed says whether the replicas are followed and how many pages came. No message and no byte on disk changes.

Golden files: one new log event; decisions as kept.

Why it holds: what an edge or the dispatcher goes by is now either followed at the source by the leader's own process, or the source is away.

Cost: with the store away a new leader places 0.7 s later than before.

--- a/crates/cluster/src/platform/mod.rs
+++ b/crates/cluster/src/platform/mod.rs
@@ -21,7 +21,7 @@
 pub use operations::{Holder, Operations, OperationsAnswer};
 pub use reachability::Reachability;
 pub use registry::{GroupRecord, Registry, RegistryError};
-pub use view::{Interest, Observed};
+pub use view::{Interest, Observed, ReplicaListing};
 pub use wire::{Call, HeaderNames, VersionOrder, WireFormat};
 
 use std::rc::Rc;
--- a/crates/cluster/src/platform/view.rs
+++ b/crates/cluster/src/platform/view.rs
@@ -39,6 +39,15 @@
     };
 }
 
+/// How far a process has come in learning the replicas from the source itself.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct ReplicaListing {
+    /// They were listed whole since they are wanted, and their changes are followed.
+    pub is_followed: bool,
+    /// Pages of listings read since the process began: while it rises the source answers.
+    pub pages: u64,
+}
+
 /// The view as the source last gave it, with the state of the source.
 #[derive(Clone, Debug, Default)]
 pub struct Observed {
@@ -46,6 +55,8 @@
     pub view: FleetView,
     /// Whether the last call of each wanted part succeeded (`Reachability`).
     pub reachable: bool,
+    /// Whether `view` has the source's present replicas.
+    pub listing: ReplicaListing,
     /// Entries at the source that are not used: unreadable, or of a service that is not
     /// configured.
     pub unreadable: Unreadable,
--- a/crates/cluster/src/storage/announcing.rs
+++ b/crates/cluster/src/storage/announcing.rs
@@ -141,7 +141,9 @@
         }
     }
 
-    /// Sends edges what changed in the view, and a whole view to those that hold none.
+    /// Sends edges what changed in the view, and a whole view to those that hold none. Without the
+    /// replicas while these may be an old copy: an edge would send requests by it to replicas that
+    /// have left since.
     pub(super) fn send_view(&mut self, now: Millis) {
         let Some(leading) = &mut self.leading else {
             return;
@@ -151,7 +153,11 @@
         if !is_comparison_due && !self.links.edges_lack_view {
             return;
         }
-        let change = announcements.next_change(&self.view, now);
+        let change = if leading.listing.is_awaited() {
+            announcements.next_change(&self.view.without_replicas(), now)
+        } else {
+            announcements.next_change(&self.view, now)
+        };
         let mut edges_lack_view = false;
         for state in self.links.announced_edges(leading.term) {
             let (kind, frame) = if state.has_view {
--- a/crates/cluster/src/storage/leading.rs
+++ b/crates/cluster/src/storage/leading.rs
@@ -10,6 +10,7 @@
 use super::copying::ViewCopies;
 use super::edges::Edges;
 use super::leader_rules::wait_for_other_holder;
+use super::listing::FirstListing;
 use super::ordering::Announced;
 use super::process::Storage;
 use crate::evacuation::Evacuations;
@@ -48,6 +49,8 @@
     pub evacuations: Evacuations,
     /// Results on their way into the log.
     pub results: Results,
+    /// Whether the replicas of the view are the source's.
+    pub listing: FirstListing,
     /// When the view is copied into the log.
     pub copies: ViewCopies,
     /// When this leader first saw each job.
@@ -82,6 +85,7 @@
             self.begin_leading(now);
         }
         self.announce_leader(now);
+        self.observe_listing(now);
         self.send_view(now);
         self.send_quarantine();
         if self.is_tick_due(now) {
@@ -90,6 +94,25 @@
         self.place_on_opening(now);
     }
 
+    /// Lets the dispatcher place runs, and edges be told the replicas, once these are listed.
+    fn observe_listing(&mut self, now: Millis) {
+        let Some(leading) = &mut self.leading else {
+            return;
+        };
+        if !leading.listing.observe(self.listing, now) {
+            return;
+        }
+        leading.dispatcher.set_placing(true);
+        leading.announcements.state.is_changed = true;
+        log::info!(
+            "event=replicas_listed term={} listed={} waited_ms={} revision={}",
+            leading.term,
+            self.listing.is_followed,
+            leading.listing.waited(now),
+            self.view.replicas_revision
+        );
+    }
+
     /// What a leader does each tick, in this order.
     fn tick_leader(&mut self, now: Millis) {
         self.announce_to_outsiders(self.consensus.term(), now);
@@ -159,15 +182,20 @@
         let settings = Settings::default();
         let view = self.view.clone();
         let metering = self.settings.process.metering;
+        let listing = FirstListing::new(self.listing, now);
+        let mut dispatcher =
+            Dispatcher::new(term, settings, &self.table, view, leases.clone(), now);
+        dispatcher.set_placing(!listing.is_awaited());
         Leading {
             term,
-            dispatcher: Dispatcher::new(term, settings, &self.table, view, leases.clone(), now),
+            dispatcher,
             leases,
             announced: HashMap::new(),
             edges: Edges::default(),
             announcements: Announcements::default(),
             evacuations: Evacuations::default(),
             results: Results::default(),
+            listing,
             copies: ViewCopies::new(&self.view, now),
             job_ages: HashMap::new(),
             clock: FleetClock::default(),
--- a/crates/cluster/src/storage/mod.rs
+++ b/crates/cluster/src/storage/mod.rs
@@ -13,6 +13,7 @@
 pub mod leader_rules;
 mod leading;
 mod links;
+pub mod listing;
 pub mod load;
 mod local;
 pub mod long_poll;
--- a/crates/cluster/src/storage/process.rs
+++ b/crates/cluster/src/storage/process.rs
@@ -16,7 +16,7 @@
 use super::texts::Texts;
 use crate::clock::{Clock, Moment};
 use crate::link::{LinkContext, LinkEvent, accept_links};
-use crate::platform::{Interest, Observed, Platform};
+use crate::platform::{Interest, Observed, Platform, ReplicaListing};
 use crate::settings::StorageSettings;
 use crate::upstream::Pool;
 use brasspond_consensus::{Consensus, Member, Persisted, Timing};
@@ -81,6 +81,8 @@
     pub view: FleetView,
     /// Whether the view's source answers this process.
     pub source_answers: bool,
+    /// Whether this process has the replicas from the view's source itself.
+    pub listing: ReplicaListing,
     /// The log keeps a copy of the view that was not merged into `view` yet.
     pub has_newer_copy: bool,
 
@@ -188,6 +190,7 @@
             order_log,
             disk: Disk::new(log),
             source_answers: true,
+            listing: ReplicaListing::default(),
             has_newer_copy: false,
             links: Links::new(context, events),
             pool: Pool::default(),
@@ -240,6 +243,7 @@
 
     fn on_observed(&mut self, seen: &Observed) {
         self.source_answers = seen.reachable;
+        self.listing = seen.listing;
         if self.view.merge(&seen.view) {
             self.view_changed();
         }
--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -56,6 +56,8 @@
     pub(crate) replicas: Replicas,
     pub(crate) orders: Orders,
     pub(crate) placement: Placement,
+    /// Whether runs may be placed by the view's replicas.
+    may_place: bool,
     demand: Demand,
     /// Replicas are to be divided among models at the next tick, not at each job: jobs of several
     /// models often come together.
@@ -88,6 +90,7 @@
             replicas: Replicas::default(),
             orders: Orders::new(leases),
             placement: Placement::default(),
+            may_place: true,
             demand: Demand::default(),
             demand_changed: false,
             actions: Vec::new(),
@@ -168,6 +171,17 @@
         }
     }
 
+    /// Sets whether runs may be placed by the view's replicas: not while they are an old copy, in
+    /// which a replica may be missing that leaves. Runs under way go on.
+    pub fn set_placing(&mut self, may_place: bool) {
+        self.may_place = may_place;
+    }
+
+    /// Whether runs may begin, or go on at another replica.
+    pub(crate) fn may_place(&self, now: Millis) -> bool {
+        self.may_place && !self.is_adopting(now)
+    }
+
     /// Whether edges may still have runs that this leader does not know: it starts nothing.
     pub(crate) fn is_adopting(&self, now: Millis) -> bool {
         now < self.began + self.settings.adopt_ms
@@ -232,9 +246,12 @@
         }
         self.recheck_lives(now);
         self.replicas.renew_typical();
-        self.move_from_departing(now);
-        self.move_from_slow_replicas(now);
-        self.move_to_faster_replicas(now);
+        if self.may_place {
+            // A run that is moved while nothing is placed would stand still.
+            self.move_from_departing(now);
+            self.move_from_slow_replicas(now);
+            self.move_to_faster_replicas(now);
+        }
         self.move_stalled(now);
         self.keep_parts(now);
         self.give_up_overdue(now);
--- a/crates/dispatch/src/starting.rs
+++ b/crates/dispatch/src/starting.rs
@@ -41,9 +41,9 @@
 
 impl Dispatcher {
     /// Starts as many waiting items as replicas have free places, the oldest job's first. A new
-    /// leader waits until edges have reported the runs they have.
+    /// leader waits until edges have reported the runs they have and its replicas are listed.
     pub(crate) fn start_runs(&mut self, table: &JobTable, now: Millis) {
-        if self.is_adopting(now) {
+        if !self.may_place(now) {
             return;
         }
         let waiting = self.jobs.with_waiting();
--- a/crates/dispatch/tests/takeover.rs
+++ b/crates/dispatch/tests/takeover.rs
@@ -148,3 +148,18 @@
     });
     assert_eq!(machine, Some("edge-2"));
 }
+
+/// The replicas that a new leader knows may be an old copy: nothing is placed on them until they
+/// are the source's, and what edges run goes on.
+#[rstest]
+fn a_new_leader_places_nothing_before_its_replicas_are_listed() {
+    let mut before = Fixture::new(view(1, 4), OrderLeases::default());
+    before.accept(submission("job", &[1, 2], 0));
+    let mut after = before.next_leader();
+    after.dispatcher().set_placing(false);
+    after.edge("edge-1");
+    after.advance(1_000);
+    assert_eq!(runs(&after.handle(Event::Tick)).len(), 0);
+    after.dispatcher().set_placing(true);
+    assert_eq!(runs(&after.handle(Event::Tick)).len(), 2);
+}
--- a/crates/fleet/src/view.rs
+++ b/crates/fleet/src/view.rs
@@ -134,6 +134,15 @@
 }
 
 impl FleetView {
+    /// The same without its replicas: a process that merges it keeps the replicas that it knows.
+    pub fn without_replicas(&self) -> Self {
+        Self {
+            replicas: Arc::default(),
+            replicas_revision: 0,
+            ..self.clone()
+        }
+    }
+
     /// Takes from `other` each part of a higher revision; returns whether there was one.
     pub fn merge(&mut self, other: &Self) -> bool {
         let configuration = replace_older(
