The test of usage reports asks for one holder of each fence, not for two leaders

Cause: usage_is_reported_once_for_each_window failed once in four runs beside a load of 22 to 30. It asked for two holders in all; a leader that was lost and won again makes a third, with a fence of its own.

Shown by a run: a trial of the test that holds the second leader up for 1.5 s after its first report fails 3 of 3 times with [(2, "storage-2"), (3, "storage-1"), (4, "storage-3")], every window reported once and the counts right.

Ruled out: two holders of one fence (none in any run); load alone (68 runs at loads of 15 to 31 did not lose the second leader).

Change: each pair of fence and holder has to be a term that this machine won by its own log, and there are two at the least. Stricter on what is promised (a holder that never won its term passed before), open on how often leaders change, which is no promise. No product code changes.

--- a/crates/brasspond/tests/tenants.rs
+++ b/crates/brasspond/tests/tenants.rs
@@ -4,7 +4,7 @@
 use brasspond_platform_standin::processes::{Cluster, call_with, configuration, job};
 use rstest::rstest;
 use serde_json::{Value, json};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::path::Path;
 use std::sync::atomic::Ordering;
@@ -194,6 +194,13 @@
 }
 
 /// Reports say what ran, whatever becomes of calls, leader and an edge's process.
+///
+/// On a busy machine it failed once, as it asked for two holders of reports in all: the leader that
+/// followed the killed one was lost as well, and a third went on. Nothing was wrong with that. A
+/// trial that held the second leader up for 1.5 s after its first report failed 3 of 3 times with
+/// `[(2, "storage-2"), (3, "storage-1"), (4, "storage-3")]`, each window reported once and the
+/// counts right. How often leaders change is no promise; that a fence has one holder is, the machine
+/// that won its term.
 #[rstest]
 #[tokio::test(flavor = "multi_thread")]
 async fn usage_is_reported_once_for_each_window() {
@@ -237,10 +244,14 @@
     let calls = cluster.operations.calls_to("/usage");
     let fences: Vec<u64> = calls.iter().map(|call| call.fence).collect();
     assert!(fences.is_sorted(), "{fences:?}");
-    let mut holders: Vec<(u64, String)> = calls
+    let holders: BTreeSet<(u64, String)> = calls
         .into_iter()
         .map(|call| (call.fence, call.holder))
         .collect();
-    holders.dedup();
-    assert_eq!(holders.len(), 2, "one holder of each fence: {holders:?}");
+    let won = cluster.leaderships().into_iter();
+    let won: BTreeSet<(u64, String)> = won
+        .map(|(term, machine)| (term, cluster.storage[machine].name.clone()))
+        .collect();
+    assert!(holders.is_subset(&won), "{holders:?} beside {won:?}");
+    assert!(holders.len() >= 2, "the next leader reports: {holders:?}");
 }
