soak: two builds of the program side by side

The stand-in's cluster starts each machine's process with the build that its start asks for.

Ruled out: a wrapper in place of the program (no process of ours starts another).

--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -2,6 +2,7 @@
 #![forbid(unsafe_code)]
 
 use bpaf::Bpaf;
+use brasspond_platform_standin::processes::Builds;
 use brasspond_soak::checks::check;
 use brasspond_soak::play::play;
 use brasspond_soak::report::Report;
@@ -41,10 +42,29 @@
     /// Plays the schedule of this file instead
     #[bpaf(argument("FILE"), optional)]
     replay: Option<PathBuf>,
+    /// Processes also run this other build of the program, by turns from machine to machine and
+    /// from start to start
+    #[bpaf(argument("FILE"), optional)]
+    by_turns: Option<PathBuf>,
+    /// Each machine starts with this other build of the program, and goes on with the one beside
+    /// this program from its second start on
+    #[bpaf(argument("FILE"), optional)]
+    upgrade_from: Option<PathBuf>,
     /// Drops faults of a schedule that breaks a promise, as long as it does
     shrink: bool,
 }
 
+impl Options {
+    /// The builds that processes run.
+    fn builds(&self) -> Builds {
+        match (&self.by_turns, &self.upgrade_from) {
+            (Some(other), _) => Builds::ByTurns(other.clone()),
+            (None, Some(other)) => Builds::UpgradeFrom(other.clone()),
+            (None, None) => Builds::Own,
+        }
+    }
+}
+
 #[tokio::main]
 async fn main() -> ExitCode {
     let options = options().run();
@@ -82,7 +102,7 @@
     if let Some(file) = &options.replay {
         let text = std::fs::read_to_string(file)?;
         let schedule = serde_json::from_str(&text).map_err(std::io::Error::other)?;
-        let is_broken = play_one(&schedule, &options.dir).await? > 0;
+        let is_broken = play_one(&schedule, &options.builds(), &options.dir).await? > 0;
         return Ok(u64::from(is_broken));
     }
     let mut broken = 0;
@@ -95,19 +115,19 @@
         };
         let schedule = Schedule::draw(seed, extent);
         let folder = options.dir.join(format!("seed-{seed}"));
-        if play_one(&schedule, &folder).await? == 0 {
+        if play_one(&schedule, &options.builds(), &folder).await? == 0 {
             continue;
         }
         broken += 1;
         if options.shrink {
-            shrink(schedule, &folder).await?;
+            shrink(schedule, &options.builds(), &folder).await?;
         }
     }
     Ok(broken)
 }
 
 /// Plays one schedule; returns how many promises it broke.
-async fn play_one(schedule: &Schedule, folder: &Path) -> std::io::Result<usize> {
+async fn play_one(schedule: &Schedule, builds: &Builds, folder: &Path) -> std::io::Result<usize> {
     std::fs::create_dir_all(folder)?;
     let text = serde_json::to_string_pretty(schedule).map_err(std::io::Error::other)?;
     std::fs::write(folder.join("schedule.json"), text)?;
@@ -119,7 +139,7 @@
         schedule.edges,
         schedule.storage
     );
-    let played = play(schedule, folder, |line| println!("{line}")).await?;
+    let played = play(schedule, builds, folder, |line| println!("{line}")).await?;
     let broken = check(&played.seen, schedule);
     let report = Report::new(schedule, &played.seen, broken, played.peak);
     report.write(folder)?;
@@ -143,14 +163,14 @@
 }
 
 /// Drops halves of the faults, then single ones, as long as a promise is still broken.
-async fn shrink(mut schedule: Schedule, folder: &Path) -> std::io::Result<()> {
+async fn shrink(mut schedule: Schedule, builds: &Builds, folder: &Path) -> std::io::Result<()> {
     let mut size = schedule.faults.len().div_ceil(2);
     while size > 0 {
         let mut from = 0;
         while from < schedule.faults.len() {
             let to = (from + size).min(schedule.faults.len());
             let smaller = schedule.without(from..to);
-            if play_one(&smaller, &folder.join("shrunk")).await? > 0 {
+            if play_one(&smaller, builds, &folder.join("shrunk")).await? > 0 {
                 schedule = smaller;
             } else {
                 from = to;
--- a/crates/soak/src/play/mod.rs
+++ b/crates/soak/src/play/mod.rs
@@ -12,7 +12,7 @@
 use crate::proxy::Proxy;
 use crate::schedule::{Fault, LAST_CALM, Schedule};
 use brasspond_platform_standin::ending::EndingReplica;
-use brasspond_platform_standin::processes::Cluster;
+use brasspond_platform_standin::processes::{Builds, Cluster};
 use machines::Place;
 use std::collections::BTreeMap;
 use std::path::Path;
@@ -85,16 +85,18 @@
     storage: Proxy,
 }
 
-/// Plays a schedule; logs and reports go into `folder`. `report` is called with a line for each fault.
+/// Plays a schedule on processes of these builds; logs and reports go into `folder`. `report` is
+/// called with a line for each fault.
 ///
 /// # Errors
 /// A proxy has no port, or the logs cannot be kept.
 pub async fn play(
     schedule: &Schedule,
+    builds: &Builds,
     folder: &Path,
     report: impl Fn(&str),
 ) -> std::io::Result<Played> {
-    let mut run = Run::start(schedule).await?;
+    let mut run = Run::start(schedule, builds).await?;
     let steps = steps_of(schedule);
     run.play(steps, &report).await;
     run.finish().await;
--- a/crates/soak/src/play/starting.rs
+++ b/crates/soak/src/play/starting.rs
@@ -6,7 +6,9 @@
 use crate::proxy::Proxy;
 use crate::schedule::{Schedule, is_behind_proxy};
 use brasspond_platform_standin::ending::EndingReplica;
-use brasspond_platform_standin::processes::{Cluster, Deployment, Size, configuration, parted};
+use brasspond_platform_standin::processes::{
+    Builds, Cluster, Deployment, Size, configuration, parted,
+};
 use brasspond_platform_standin::{Store, StoreAddresses};
 use std::collections::BTreeMap;
 use std::sync::atomic::{AtomicBool, AtomicU64};
@@ -20,13 +22,13 @@
 
 impl Run {
     /// Starts the platform, the cluster, the proxies and the callers.
-    pub(super) async fn start(schedule: &Schedule) -> std::io::Result<Self> {
+    pub(super) async fn start(schedule: &Schedule, builds: &Builds) -> std::io::Result<Self> {
         let (store, addresses) = Store::start().await;
         let store_proxies = StoreProxies {
             edges: Proxy::start(addresses.edges).await?,
             storage: Proxy::start(addresses.storage).await?,
         };
-        let cluster = start_cluster(schedule, store, &store_proxies).await;
+        let cluster = start_cluster(schedule, builds, store, &store_proxies).await;
         let replicas = Replicas::start(&cluster.store, schedule.replicas).await?;
         // Only replicas whose runs are counted may serve: those of the stand-in go.
         for id in ["plain-0", "engine-0", "engine-1"] {
@@ -57,7 +59,12 @@
 }
 
 /// Starts the cluster, whose store is reached through proxies.
-async fn start_cluster(schedule: &Schedule, store: Arc<Store>, proxies: &StoreProxies) -> Cluster {
+async fn start_cluster(
+    schedule: &Schedule,
+    builds: &Builds,
+    store: Arc<Store>,
+    proxies: &StoreProxies,
+) -> Cluster {
     let proxied = StoreAddresses {
         edges: proxies.edges.address,
         storage: proxies.storage.address,
@@ -68,6 +75,7 @@
     };
     let deployment = Deployment {
         region_of: Some(parted),
+        builds: builds.clone(),
         ..Deployment::default()
     };
     Cluster::start_deployed(configuration(1), store, proxied, size, deployment).await
--- a/crates/soak/tests/short.rs
+++ b/crates/soak/tests/short.rs
@@ -1,6 +1,7 @@
 //! A short schedule, fixed, against the real program; and those on which a run once failed
 //! (`seeds/`, with a line on the cause of each in `seeds/README.md`).
 
+use brasspond_platform_standin::processes::Builds;
 use brasspond_soak::checks::check;
 use brasspond_soak::play::play;
 use brasspond_soak::schedule::{Extent, Schedule};
@@ -13,7 +14,9 @@
         "seed-{}-{}-{}",
         schedule.seed, schedule.length, schedule.edges
     ));
-    let played = play(schedule, &folder, |_| {}).await.expect("played");
+    let played = play(schedule, &Builds::Own, &folder, |_| {})
+        .await
+        .expect("played");
     let broken = check(&played.seen, schedule);
     assert!(broken.is_empty(), "{broken:#?}, logs in {folder:?}");
 }
