Edges without a leader ask the members that they have links to

What callers saw: while the store is down every job is refused (no_leader) though a leader was elected 0.3 s after the last one was lost.

Cause: a leader that is killed within ms of a change of members does not get its announcement out. The member that joined last wins; edges do not know it. They read the record (the store is down) and asked the seeds, edges that know as little; the first seed that named members ended the search. A member with a link to them knew all.

Change: the search asks the storage processes behind the edge's own links first, and goes on among the seeds until one names a process that is new here.

Why it holds: whoever can be elected is a member, and every member knows all others.

--- a/crates/brasspond/tests/cluster.rs
+++ b/crates/brasspond/tests/cluster.rs
@@ -101,6 +101,33 @@
     );
 }
 
+/// The leader is lost the moment the group has grown, and the store, which names the members, is down.
+///
+/// Edges heard of members with the leader's announcements alone, twice a second: one that knew the
+/// first member only found no other for as long as the store was down, and refused every job
+/// (`outcome=no_leader`), as did the seeds that it asked. The leader announces a change of members at
+/// once (`event=members_changed`).
+#[rstest]
+#[tokio::test(flavor = "multi_thread")]
+async fn edges_find_the_next_leader_among_members_that_have_just_joined() {
+    let mut cluster = Cluster::start().await;
+    cluster.store.down.store(true, Ordering::Relaxed);
+    let leader = cluster.leader();
+    cluster.storage[leader].kill();
+    let is_taken = async |front, id: &str| {
+        let response = call(front, "POST", "/jobs/x", id, job(1)).await;
+        response.is_some_and(|response| response.status() == 202)
+    };
+    let deadline = tokio::time::Instant::now() + Duration::from_secs(10);
+    for (number, edge) in cluster.edges.iter().enumerate() {
+        while !is_taken(edge.front, &format!("job-{number}")).await {
+            let is_late = tokio::time::Instant::now() >= deadline;
+            assert!(!is_late, "{} finds no leader", edge.name);
+            tokio::time::sleep(Duration::from_millis(100)).await;
+        }
+    }
+}
+
 /// A run that is given up between its last event and the end of its stream goes on after
 /// its last event, where nothing is left to make and no weights are named. Such an answer was once
 /// refused as made by old weights for ever, and each replica paused in turn.
--- a/crates/cluster/src/edge/member_search.rs
+++ b/crates/cluster/src/edge/member_search.rs
@@ -1,12 +1,15 @@
-//! The search for storage processes while no leader is known: in the group's record, then with
-//! the seeds.
+//! The search for storage processes while no leader is known: with those that this edge has links
+//! to, in the group's record, then with the seeds.
 //!
 //! Owns the pause between two searches. Relies on the platform's registry for the record.
 
 use super::process::Edge;
 use crate::clock::within;
-use crate::member_question::ask_members;
+use crate::member_question::{MEMBERS_ANSWER_TIMEOUT, ask_members};
 use crate::platform::RegistryError;
+use brasspond_cluster_protocol::Answer;
+use brasspond_consensus::Member;
+use futures::future::join_all;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::sync::watch;
@@ -35,6 +38,7 @@
         if edge.storage.borrow().contact.leader().is_some() {
             pause = SEARCH_PAUSE;
         } else {
+            ask_linked(&edge).await;
             if seed_searches == 0 {
                 found = read_record(&edge).await;
             }
@@ -85,25 +89,49 @@
     }
 }
 
-/// Asks the seeds in turn for the members; the first that names some ends that.
+/// Asks the storage processes behind this edge's links for the members. One that lives knows those
+/// that joined after the last announcement which this edge heard, and the next leader may be one of
+/// them; while the store is down nobody else may know it.
+async fn ask_linked(edge: &Rc<Edge>) {
+    let asked = edge.storage.borrow_mut().ask_for_members();
+    let answers = asked
+        .into_iter()
+        .map(|answer| within(MEMBERS_ANSWER_TIMEOUT, answer));
+    for answer in join_all(answers).await {
+        if let Ok(Ok(Answer::Members(members))) = answer {
+            dial_unknown(edge, members);
+        }
+    }
+}
+
+/// Asks the seeds in turn for the members, until one names a process that is not known here: an
+/// edge among them may know no more than this one.
 async fn ask_seeds(edge: &Rc<Edge>) {
     for seed in &edge.settings.process.seeds {
         if *seed == edge.settings.process.cluster_address {
             continue;
         }
-        if let Some(members) = ask_members(*seed).await {
-            let known = edge.storage.borrow().known_peers();
-            let mut storage = edge.storage.borrow_mut();
-            for member in members {
-                if !known.contains(&member.address) {
-                    storage.dial_to(member.address);
-                }
-            }
+        if let Some(members) = ask_members(*seed).await
+            && dial_unknown(edge, members)
+        {
             return;
         }
     }
 }
 
+/// Connects to those members that this edge has no link to; whether there are any.
+fn dial_unknown(edge: &Rc<Edge>, members: Vec<Member>) -> bool {
+    let known = edge.storage.borrow().known_peers();
+    let mut storage = edge.storage.borrow_mut();
+    let mut found = false;
+    for member in members {
+        if !known.contains(&member.address) {
+            found |= storage.dial_to(member.address);
+        }
+    }
+    found
+}
+
 #[cfg(test)]
 #[path = "../../tests/unit/member_search.rs"]
 mod tests;
--- a/crates/cluster/src/edge/storage_links.rs
+++ b/crates/cluster/src/edge/storage_links.rs
@@ -177,10 +177,10 @@
         self.members = members;
     }
 
-    /// Keeps a link to an address up, if there is none yet.
-    pub fn dial_to(&mut self, address: SocketAddr) {
+    /// Keeps a link to an address up; false: that was done before.
+    pub fn dial_to(&mut self, address: SocketAddr) -> bool {
         if self.dialers.contains_key(&address) {
-            return;
+            return false;
         }
         let dialing = dial(
             address,
@@ -190,6 +190,7 @@
         );
         let task = tokio::task::spawn_local(dialing);
         self.dialers.insert(address, task.abort_handle());
+        true
     }
 
     /// Applies what happened on a link; what the event loop is to do for it.
@@ -365,6 +366,20 @@
         Some(receiver)
     }
 
+    /// Asks all storage processes that this edge has links to for the members.
+    pub(super) fn ask_for_members(&mut self) -> Vec<oneshot::Receiver<Answer>> {
+        let links = self.links.iter();
+        // Other links are of processes that ask this edge.
+        let own = links.filter(|(_, state)| self.dialers.contains_key(&state.address));
+        let own: Vec<_> = own
+            .map(|(link, state)| (*link, state.writer.clone()))
+            .collect();
+        let asked = own
+            .iter()
+            .map(|(link, writer)| self.ask(*link, writer, Question::Members));
+        asked.flatten().collect()
+    }
+
     /// Asks for a whole view, a little later where one was asked for a moment ago.
     pub(super) fn request_view(&mut self, link: LinkId, now: u64) {
         if now < self.view_asked_at + VIEW_REQUEST_PAUSE_MS {
--- a/crates/cluster/src/link_writer.rs
+++ b/crates/cluster/src/link_writer.rs
@@ -35,14 +35,21 @@
     /// One that writes nowhere.
     #[cfg(test)]
     pub(crate) fn detached() -> Self {
-        let (queue, _) = mpsc::channel(1);
+        Self::queued().0
+    }
+
+    /// One that queues a message which nobody writes, with the queue.
+    #[cfg(test)]
+    pub(crate) fn queued() -> (Self, mpsc::Receiver<Bytes>) {
+        let (queue, queued) = mpsc::channel(1);
         let place = brasspond_distance::Place::new("zone", None);
-        Self {
+        let writer = Self {
             queue,
             waiting: Rc::default(),
             distance: Rc::default(),
             context: Rc::new(LinkContext::new(place)),
-        }
+        };
+        (writer, queued)
     }
 
     /// Queues a message; false if the queue is full or the link is down.
--- a/crates/cluster/src/member_question.rs
+++ b/crates/cluster/src/member_question.rs
@@ -10,7 +10,7 @@
 use tokio::net::TcpStream;
 
 /// Longest time to connect to a process and to read its answer. Not measured.
-const MEMBERS_ANSWER_TIMEOUT: Duration = Duration::from_millis(700);
+pub(crate) const MEMBERS_ANSWER_TIMEOUT: Duration = Duration::from_millis(700);
 
 /// Asks a process where the members of the log are. None: it does not answer in time, or knows
 /// none; another one is asked then.
--- a/crates/cluster/tests/unit/storage_links.rs
+++ b/crates/cluster/tests/unit/storage_links.rs
@@ -2,7 +2,7 @@
 
 use super::{LinkAction, StorageLinks};
 use crate::link::{LinkContext, LinkEvent, Writer};
-use brasspond_cluster_protocol::{AttemptId, Message, Peer, ScoringSpec, Watch};
+use brasspond_cluster_protocol::{Answer, AttemptId, Message, Peer, ScoringSpec, Watch};
 use brasspond_fleet::Regions;
 use brasspond_jobs::ScoringCall;
 use bytes::Bytes;
@@ -37,12 +37,20 @@
     StorageLinks::new(hello, false, events, context)
 }
 
+fn address() -> std::net::SocketAddr {
+    "127.0.0.1:1".parse().expect("address")
+}
+
 fn up() -> LinkEvent {
+    up_with(Writer::detached())
+}
+
+fn up_with(writer: Writer) -> LinkEvent {
     LinkEvent::Up {
         link: LINK,
-        writer: Writer::detached(),
+        writer,
         peer: None,
-        address: "127.0.0.1:1".parse().expect("address"),
+        address: address(),
     }
 }
 
@@ -126,3 +134,32 @@
     assert_eq!(links.contact.leaderless_for(2_500), 0);
     assert_eq!(links.contact.leaderless_for(2_700), 200);
 }
+
+/// While no leader is known, the storage processes that this edge dialled are asked who the members
+/// are; processes that dialled this edge are not.
+#[rstest]
+#[case::dialled(true, 1)]
+#[case::of_another_process(false, 0)]
+#[tokio::test]
+async fn storage_processes_are_asked_for_the_members(#[case] dials: bool, #[case] asked: usize) {
+    let test = async {
+        let mut links = storage_links();
+        if dials {
+            assert!(links.dial_to(address()), "a new one");
+            assert!(!links.dial_to(address()), "it is dialled already");
+        }
+        let (writer, _queue) = Writer::queued();
+        links.on_link(up_with(writer), 0);
+        let answers = links.ask_for_members();
+        assert_eq!(answers.len(), asked);
+        for answer in answers {
+            let reply = Message::Reply {
+                number: 1,
+                answer: Answer::Members(Vec::new()),
+            };
+            links.on_link(arrived(reply), 10);
+            assert!(matches!(answer.await, Ok(Answer::Members(_))));
+        }
+    };
+    tokio::task::LocalSet::new().run_until(test).await;
+}
