--- a/crates/cluster/src/member_question.rs
+++ b/crates/cluster/src/member_question.rs
@@ -9,7 +9,8 @@
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
 
-/// Longest time to connect to a process and to read its answer. Not measured.
+/// Longest time to connect to a process, where there is no link, and to read its answer. Not
+/// measured.
 pub(crate) const MEMBERS_ANSWER_TIMEOUT: Duration = Duration::from_millis(700);
 
 /// Asks a process where the members of the log are. None: it does not answer in time, or knows
--- a/crates/cluster/src/storage/listing.rs
+++ b/crates/cluster/src/storage/listing.rs
@@ -1,11 +1,11 @@
-//! Whether a new leader goes by the replicas that it knows: a pure decision.
+//! From when on a new leader uses the replicas that it knows: a pure decision.
 //!
 //! A new leader begins with the log's copy of the replicas, which may be seconds old: a replica in
 //! it may have said since that it leaves, and by then is to get nothing new. So the leader lists
 //! the replicas at their source first, and meanwhile neither places runs nor tells edges the copy.
 //! Edges that know replicas keep theirs; an edge that has just started lists them itself.
 //!
-//! A source that does not answer is not waited for: jobs go on by the copy while it is away.
+//! A source that does not answer is not waited for: while it is away the copy is used.
 
 use crate::platform::ReplicaListing;
 use brasspond_units::Millis;
@@ -53,7 +53,7 @@
         !self.is_awaited
     }
 
-    /// Whether the replicas that the leader knows are not to be gone by yet.
+    /// Whether the replicas that the leader knows may be an old copy, and are not used yet.
     pub fn is_awaited(&self) -> bool {
         self.is_awaited
     }
--- a/crates/cluster/tests/listing.rs
+++ b/crates/cluster/tests/listing.rs
@@ -1,4 +1,4 @@
-//! Whether a new leader goes by the replicas that it knows.
+//! From when on a new leader uses the replicas that it knows.
 
 use brasspond_cluster::platform::ReplicaListing;
 use brasspond_cluster::storage::listing::FirstListing;
