--- a/crates/cluster-protocol/tests/golden.rs
+++ b/crates/cluster-protocol/tests/golden.rs
@@ -5,13 +5,13 @@
 };
 use brasspond_consensus::Payload;
 use brasspond_fleet::KeyDigest;
-use brasspond_golden::{Variants, check_lines, check_values, to_hex};
+use brasspond_golden::{Variants, check_lines, to_hex};
 use brasspond_jobs::BodyError;
 use brasspond_quarantine::{Content, Fingerprint};
 use rstest::rstest;
-use serde::Serialize;
-use serde::de::DeserializeOwned;
-use std::path::Path;
+
+/// Golden files of this package.
+const FOLDER: &str = concat!(env!("CARGO_MANIFEST_DIR"), "/tests/golden");
 
 fn variants() -> Variants {
     Variants::default()
@@ -27,8 +27,7 @@
 
 #[rstest]
 fn messages() {
-    let file = concat!(env!("CARGO_MANIFEST_DIR"), "/tests/golden/messages.txt");
-    check_values(file.as_ref(), &variants().of::<Message>());
+    variants().check::<Message>(FOLDER, "messages");
 }
 
 /// Frames as they go over a connection, with their length and what tells packed ones.
@@ -45,22 +44,16 @@
     }
 }
 
-/// Checks a value of each variant of a type against the type's file.
-fn check<T: Serialize + DeserializeOwned>(name: &str) {
-    let folder = Path::new(env!("CARGO_MANIFEST_DIR")).join("tests/golden");
-    check_values(&folder.join(format!("{name}.txt")), &variants().of::<T>());
-}
-
 /// Types within messages: only the outermost has all its variants met above.
 #[rstest]
 fn parts_of_messages() {
-    check::<Question>("question");
-    check::<Answer>("answer");
-    check::<Peer>("peer");
-    check::<Watch>("watch");
-    check::<RunEnd>("run_end");
-    check::<ScoringEnd>("scoring_end");
-    check::<brasspond_consensus::Message>("consensus");
-    check::<Payload>("payload");
-    check::<BodyError>("body_error");
+    variants().check::<Question>(FOLDER, "question");
+    variants().check::<Answer>(FOLDER, "answer");
+    variants().check::<Peer>(FOLDER, "peer");
+    variants().check::<Watch>(FOLDER, "watch");
+    variants().check::<RunEnd>(FOLDER, "run_end");
+    variants().check::<ScoringEnd>(FOLDER, "scoring_end");
+    variants().check::<brasspond_consensus::Message>(FOLDER, "consensus");
+    variants().check::<Payload>(FOLDER, "payload");
+    variants().check::<BodyError>(FOLDER, "body_error");
 }
--- a/crates/golden/src/wire.rs
+++ b/crates/golden/src/wire.rs
@@ -42,6 +42,15 @@
         let (_, values) = traced.unwrap_or_else(|error| panic!("{error}: {}", error.explanation()));
         values
     }
+
+    /// Checks the values against the golden file `name` of a folder, see [`check_values`].
+    ///
+    /// # Panics
+    /// As [`Self::of`] and [`check_values`] do.
+    pub fn check<T: Serialize + DeserializeOwned>(self, folder: &str, name: &str) {
+        let file = Path::new(folder).join(format!("{name}.txt"));
+        check_values(&file, &self.of::<T>());
+    }
 }
 
 /// Checks the MessagePack of values, a line each, against the golden file; the bytes in the file
--- a/crates/jobs/tests/golden.rs
+++ b/crates/jobs/tests/golden.rs
@@ -1,14 +1,14 @@
 //! Bytes of commands and snapshots of the log, as an earlier build wrote them.
 
-use brasspond_golden::{Variants, check_lines, check_values, to_hex};
+use brasspond_golden::{Variants, check_lines, to_hex};
 use brasspond_jobs::{Command, JobTable, Outcome, Page};
 use brasspond_metering::UsageCommand;
 use brasspond_quarantine::{Change, Content, Fingerprint};
 use bytes::Bytes;
 use rstest::rstest;
-use serde::Serialize;
-use serde::de::DeserializeOwned;
-use std::path::Path;
+
+/// Golden files of this package.
+const FOLDER: &str = concat!(env!("CARGO_MANIFEST_DIR"), "/tests/golden");
 
 fn variants() -> Variants {
     Variants::default().with(&Fingerprint::of(&Content {
@@ -22,8 +22,7 @@
 
 #[rstest]
 fn commands() {
-    let file = concat!(env!("CARGO_MANIFEST_DIR"), "/tests/golden/commands.txt");
-    check_values(file.as_ref(), &variants().of::<Command>());
+    variants().check::<Command>(FOLDER, "commands");
 }
 
 /// Commands as entries of the log hold them: packed where that is shorter.
@@ -47,26 +46,18 @@
 
 #[rstest]
 fn snapshots() {
-    let file = concat!(env!("CARGO_MANIFEST_DIR"), "/tests/golden/snapshots.txt");
-    check_values(file.as_ref(), &variants().of::<JobTable>());
+    variants().check::<JobTable>(FOLDER, "snapshots");
 }
 
 #[rstest]
 fn pages() {
-    let file = concat!(env!("CARGO_MANIFEST_DIR"), "/tests/golden/pages.txt");
-    check_values(file.as_ref(), &variants().of::<Page>());
-}
-
-/// Checks a value of each variant of a type against the type's file.
-fn check<T: Serialize + DeserializeOwned>(name: &str) {
-    let folder = Path::new(env!("CARGO_MANIFEST_DIR")).join("tests/golden");
-    check_values(&folder.join(format!("{name}.txt")), &variants().of::<T>());
+    variants().check::<Page>(FOLDER, "pages");
 }
 
 /// Types within commands: only the outermost has all its variants met above.
 #[rstest]
 fn parts_of_commands() {
-    check::<Outcome>("outcome");
-    check::<UsageCommand>("usage_command");
-    check::<Change>("quarantine_change");
+    variants().check::<Outcome>(FOLDER, "outcome");
+    variants().check::<UsageCommand>(FOLDER, "usage_command");
+    variants().check::<Change>(FOLDER, "quarantine_change");
 }
--- a/standalone/resource/tests/golden.rs
+++ b/standalone/resource/tests/golden.rs
@@ -1,11 +1,11 @@
 //! Bytes of the catalogue that a node keeps on its disk, as an earlier build wrote them.
 
-use brasspond_golden::{Variants, check_values};
+use brasspond_golden::Variants;
 use brasspond_resource::{Catalogue, Kind, MachineRole, Role, Spec, SwapPolicy};
 use rstest::rstest;
-use serde::Serialize;
-use serde::de::DeserializeOwned;
-use std::path::Path;
+
+/// Golden files of this package.
+const FOLDER: &str = concat!(env!("CARGO_MANIFEST_DIR"), "/tests/golden");
 
 fn variants() -> Variants {
     Variants::default()
@@ -13,22 +13,15 @@
 
 #[rstest]
 fn kept_catalogues() {
-    let file = concat!(env!("CARGO_MANIFEST_DIR"), "/tests/golden/catalogue.txt");
-    check_values(file.as_ref(), &variants().of::<Catalogue>());
-}
-
-/// Checks a value of each variant of a type against the type's file.
-fn check<T: Serialize + DeserializeOwned>(name: &str) {
-    let folder = Path::new(env!("CARGO_MANIFEST_DIR")).join("tests/golden");
-    check_values(&folder.join(format!("{name}.txt")), &variants().of::<T>());
+    variants().check::<Catalogue>(FOLDER, "catalogue");
 }
 
 /// Types within catalogues: only the outermost has all its variants met above.
 #[rstest]
 fn parts_of_catalogues() {
-    check::<Spec>("spec");
-    check::<Kind>("kind");
-    check::<SwapPolicy>("swap_policy");
-    check::<Role>("role");
-    check::<MachineRole>("machine_role");
+    variants().check::<Spec>(FOLDER, "spec");
+    variants().check::<Kind>(FOLDER, "kind");
+    variants().check::<SwapPolicy>(FOLDER, "swap_policy");
+    variants().check::<Role>(FOLDER, "role");
+    variants().check::<MachineRole>(FOLDER, "machine_role");
 }
