--- a/crates/findings/src/lib.rs
+++ b/crates/findings/src/lib.rs
@@ -8,9 +8,11 @@
 
 mod document;
 mod schema;
+mod values;
 
 pub use document::{Document, parse_toml, parse_yaml};
 pub use schema::{Field, Kind, check};
+pub use values::Values;
 
 use std::fmt;
 
