Normalise response times by the reported slowdown and age them

Cause: an edge reads only two numbers of the load header, so a transient slowdown of a replica's machine counts as the replica's own speed, and the average of response times never ages: one slow answer keeps a replica behind the others until they are busier than it was slow.

Ruled out: dropping an average after 5 s. At one request in five seconds per edge nearly all replicas would then tie, and all edges would choose the lowest id. An average that moves towards the typical time of its service keeps the order of the replicas.

Change: `load_report` parses the fourth number. It is valid for 500 ms, divides the response time of the attempt that it came with and multiplies the expected time. `response_time` gives an average half of its weight after 5 s. The statistics of a replica move from `balance.rs` to `replica_state.rs` unchanged otherwise.

--- a/crates/cluster/src/edge/attempt.rs
+++ b/crates/cluster/src/edge/attempt.rs
@@ -7,6 +7,7 @@
 use super::balance::LoadBalancer;
 use super::forward::ForwardedRequest;
 use super::headers::{copy_headers, header_text};
+use super::load_report::LoadReport;
 use super::process::Edge;
 use super::stream_forwarding::ReplicaStream;
 use super::usage::UsageGuard;
@@ -300,12 +301,10 @@
     }
 }
 
-/// Records the load in a replica's response header, in the form `running,waiting,slots`, of which
-/// the slots are not used. A missing or malformed header is ignored.
-fn record_load(balancer: &mut LoadBalancer, replica: &str, report: &str) {
-    let mut numbers = report.split(',').map(|part| part.trim().parse::<u32>());
-    if let (Some(Ok(running)), Some(Ok(waiting))) = (numbers.next(), numbers.next()) {
-        balancer.record_load(replica, running, waiting);
+/// Records the load in a replica's response header. A missing or malformed header is ignored.
+fn record_load(balancer: &mut LoadBalancer, replica: &str, header: &str) {
+    if let Some(report) = LoadReport::parse(header) {
+        balancer.record_load(replica, &report);
     }
 }
 
--- a/crates/cluster/src/edge/balance.rs
+++ b/crates/cluster/src/edge/balance.rs
@@ -5,58 +5,24 @@
 //! of the replica's process to its end. The fleet view supplies locations and capacity, the links
 //! supply round-trip times.
 
-use super::attempts::REPLICA_FAULT_BACKOFF;
+use super::load_report::LoadReport;
+use super::replica_state::{DEFAULT_RESPONSE_MS, ReplicaState, expected_response_ms};
+use super::response_time::median;
 use crate::clock::Moment;
 use crate::link::LinkContext;
 use brasspond_distance::Distance;
 use brasspond_eligibility::{Clearance, Endpoint, Ineligible, Requirements};
-use brasspond_fleet::{FleetView, Identity, LifeChange, Lives, ReplicaInfo};
+use brasspond_fleet::{FleetView, Identity, LifeChange, Lives};
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
-/// Weight of the newest sample in the moving average of response times, from 0 to 1.
-const RESPONSE_TIME_WEIGHT: f64 = 0.3;
-/// Response time assumed for a replica that has not responded yet, in ms.
-const DEFAULT_RESPONSE_MS: f64 = 20.0;
 /// Minimum network cost in ms by distance (same zone, same region, other region). It replaces a
 /// shorter round-trip time, because traffic between zones and regions is billed and fails more
 /// often.
 const MIN_NETWORK_COST_MS: [f64; 3] = [0.0, 3.0, 5.0];
-/// Utilization of a replica's slots, from 0 to 1, from which scoring calls wait, so that callers'
-/// requests find free slots.
-const MAX_SCORING_UTILIZATION: f64 = 0.67;
-/// Age at which a reported load is considered stale.
-const REPORTED_LOAD_TTL: Duration = Duration::from_millis(500);
-
-/// Number of requests of other edges at a replica, computed from its last load report.
-#[derive(Clone, Copy, Debug)]
-struct OtherEdgesLoad {
-    requests: u32,
-    reported_at: Moment,
-}
-
-/// Statistics of a replica. Response times, faults and pauses are those of its current life; the
-/// numbers of requests may include requests of an earlier life.
-#[derive(Clone, Debug)]
-struct ReplicaState {
-    endpoint: Endpoint,
-    distance: Distance,
-    slots: u32,
-    /// Requests that this edge has sent and that have not ended.
-    in_flight: u32,
-    /// Moving average of response times in ms; `None` before the first response.
-    response_ms: Option<f64>,
-    /// Consecutive faults.
-    faults: u32,
-    paused_until: Option<Moment>,
-    other_edges: OtherEdgesLoad,
-    /// When the replica's current life became known. Results of attempts that began earlier are
-    /// ignored.
-    known_since: Moment,
-}
-
 /// Result of applying a newer view.
 #[derive(Debug)]
 pub(super) struct ViewChange {
@@ -67,117 +33,13 @@
     pub restarted: Vec<(Identity, SocketAddr)>,
 }
 
-impl ReplicaState {
-    fn new(info: &ReplicaInfo, view: &FleetView, links: &LinkContext, now: u64) -> Self {
-        let known_since = Moment::now();
-        Self {
-            endpoint: Endpoint::new(info, view, now),
-            distance: links.distance_to(&info.zone, info.region.as_deref()),
-            slots: info.slots,
-            in_flight: 0,
-            response_ms: None,
-            faults: 0,
-            paused_until: None,
-            other_edges: OtherEdgesLoad {
-                requests: 0,
-                reported_at: known_since,
-            },
-            known_since,
-        }
-    }
-
-    /// Resets the statistics after a restart. Requests sent to the previous life are still counted
-    /// in flight until they end.
-    fn reset(&mut self, info: &ReplicaInfo, view: &FleetView, links: &LinkContext, now: u64) {
-        let in_flight = self.in_flight;
-        *self = Self::new(info, view, links, now);
-        self.in_flight = in_flight;
-    }
-
-    /// Number of requests at the replica: those of this edge, and those of other edges unless the
-    /// load report is stale.
-    fn requests(&self, now: Moment) -> u32 {
-        let age = now.saturating_duration_since(self.other_edges.reported_at);
-        let other_edges = if age < REPORTED_LOAD_TTL {
-            self.other_edges.requests
-        } else {
-            0
-        };
-        self.in_flight + other_edges
-    }
-
-    fn is_paused(&self, now: Moment) -> bool {
-        self.paused_until.is_some_and(|until| until > now)
-    }
-
-    /// Whether a scoring call may use a slot.
-    fn has_spare_capacity(&self, now: Moment) -> bool {
-        let limit = f64::from(self.slots.max(1)) * MAX_SCORING_UTILIZATION;
-        !self.is_paused(now) && f64::from(self.requests(now)) < limit
-    }
-
-    /// Estimated wait for a slot: the remaining pause or the average response time, whichever is
-    /// longer. Assumes that all slots are in use.
-    fn time_to_free_slot(&self, now: Moment) -> Duration {
-        let pause = self
-            .paused_until
-            .map_or(Duration::ZERO, |until| until.saturating_duration_since(now));
-        let response_ms = self.response_ms.unwrap_or(DEFAULT_RESPONSE_MS);
-        pause.max(Duration::from_secs_f64(response_ms / 1_000.0))
-    }
-
-    fn record_response(&mut self, id: &str, time: Duration) {
-        self.response_ms = Some(average_response_ms(self.response_ms, time));
-        if self.faults > 0 {
-            log::info!(
-                "event=replica_recovered replica={id} faults={}",
-                self.faults
-            );
-        }
-        self.faults = 0;
-        self.paused_until = None;
-    }
-
-    fn record_fault(&mut self, id: &str, now: Moment) {
-        let pause = REPLICA_FAULT_BACKOFF.pause(self.faults);
-        self.faults += 1;
-        self.paused_until = Some(now + pause);
-        log::info!(
-            "event=replica_paused replica={id} faults={} pause_ms={}",
-            self.faults,
-            pause.as_millis()
-        );
-    }
-}
-
-/// Expected response time of a replica in ms. `response_ms` is its moving average, `requests` the
-/// number of its requests, `slots` its concurrency, and `network_ms` the network cost.
-///
-/// Formula: `response_ms * (1 + requests / slots) + network_ms`. The moving average already
-/// contains a round trip; the network cost is added on top to prefer near replicas.
-fn expected_response_ms(
-    response_ms: Option<f64>,
-    requests: u32,
-    slots: u32,
-    network_ms: f64,
-) -> f64 {
-    let base_ms = response_ms.unwrap_or(DEFAULT_RESPONSE_MS);
-    let rounds = 1.0 + f64::from(requests) / f64::from(slots.max(1));
-    base_ms * rounds + network_ms
-}
-
-/// Updates the moving average of response times, in ms. The first sample is the average itself.
-fn average_response_ms(before: Option<f64>, time: Duration) -> f64 {
-    let time = time.as_secs_f64() * 1_000.0;
-    let before = before.unwrap_or(time);
-    before + RESPONSE_TIME_WEIGHT * (time - before)
-}
-
 /// Chooses replicas among all those of the fleet view.
 pub(super) struct LoadBalancer {
     /// Location of this edge and measured round-trip times.
     links: Rc<LinkContext>,
     replicas: HashMap<String, ReplicaState>,
+    /// Typical response time in ms by service: the median of the replicas' recent averages.
+    typical_ms: HashMap<Arc<str>, f64>,
     /// Newest known life of each replica.
     lives: Lives,
 }
@@ -187,6 +49,7 @@
         Self {
             links,
             replicas: HashMap::new(),
+            typical_ms: HashMap::new(),
             lives: Lives::default(),
         }
     }
@@ -286,14 +149,38 @@
             farther => self.links.round_trip_ms(farther),
         };
         let network_ms = round_trip_ms.max(MIN_NETWORK_COST_MS[state.distance as usize]);
+        let typical_ms = self.typical_ms.get(&state.endpoint.service).copied();
+        let response_ms = if state.response.mean_ms().is_some() {
+            state.response.expected_ms(typical_ms, now)
+        } else {
+            None
+        };
+        let response_ms = response_ms.unwrap_or(DEFAULT_RESPONSE_MS) * state.slowdown(now);
         expected_response_ms(
-            state.response_ms,
+            Some(response_ms),
             state.requests(now),
             state.slots,
             network_ms,
         )
     }
 
+    /// Computes the typical response times of all services. A service without recent answers keeps
+    /// its last one. The cost is linear in the number of replicas, so this is not done per request.
+    pub fn update_typical_times(&mut self, now: Moment) {
+        let mut times: HashMap<&Arc<str>, Vec<f64>> = HashMap::new();
+        for state in self.replicas.values() {
+            if let Some(mean_ms) = state.response.recent_mean_ms(now) {
+                let service = times.entry(&state.endpoint.service);
+                service.or_default().push(mean_ms);
+            }
+        }
+        for (service, times) in times {
+            if let Some(typical_ms) = median(times) {
+                self.typical_ms.insert(Arc::clone(service), typical_ms);
+            }
+        }
+    }
+
     /// Distance to a replica; `None` if the replica is unknown.
     pub fn distance(&self, id: &str) -> Option<Distance> {
         self.replicas.get(id).map(|state| state.distance)
@@ -350,18 +237,14 @@
     /// Records the response time of an attempt that began at `started`.
     pub fn record_response(&mut self, id: &str, started: Moment, time: Duration) {
         if let Some(state) = self.current_state(id, started) {
-            state.record_response(id, time);
+            state.record_response(id, started, time);
         }
     }
 
-    /// Records the load that a replica reported: its running and waiting requests, including those
-    /// of this edge.
-    pub fn record_load(&mut self, id: &str, running: u32, waiting: u32) {
+    /// Records the load that a replica reported.
+    pub fn record_load(&mut self, id: &str, report: &LoadReport) {
         if let Some(state) = self.replicas.get_mut(id) {
-            state.other_edges = OtherEdgesLoad {
-                requests: (running + waiting).saturating_sub(state.in_flight),
-                reported_at: Moment::now(),
-            };
+            state.record_load(report, Moment::now());
         }
     }
 
--- a/crates/cluster/src/edge/process.rs
+++ b/crates/cluster/src/edge/process.rs
@@ -8,7 +8,7 @@
 use super::storage_links::StorageLinks;
 use super::usage::UsageReporter;
 use super::{front, leader_messages, member_search, ready};
-use crate::clock::{Clock, SuspensionDetector};
+use crate::clock::{Clock, Moment, SuspensionDetector};
 use crate::link::{LinkContext, LinkEvent, TRAFFIC_LOG_INTERVAL_MS, accept_links};
 use crate::platform::Platform;
 use crate::settings::{EdgeSettings, ProcessSettings};
@@ -274,6 +274,9 @@
         self.quarantine.borrow_mut().tick(now);
         self.pool.close_expired();
         self.permit_locks.borrow_mut().forget_idle();
+        self.balancer
+            .borrow_mut()
+            .update_typical_times(Moment::now());
         if now >= self.traffic_logged_at.get() + TRAFFIC_LOG_INTERVAL_MS {
             self.traffic_logged_at.set(now);
             self.link_context.log_traffic();
--- a/crates/cluster/tests/unit/balance.rs
+++ b/crates/cluster/tests/unit/balance.rs
@@ -1,6 +1,6 @@
 //! Choice of the replica for a request.
 
-use super::{DEFAULT_RESPONSE_MS, LoadBalancer, average_response_ms, expected_response_ms};
+use super::{DEFAULT_RESPONSE_MS, LoadBalancer, LoadReport, expected_response_ms};
 use crate::clock::Moment;
 use crate::link::LinkContext;
 use brasspond_distance::{Distance, Place};
@@ -44,7 +44,20 @@
     (balancer, links)
 }
 
+fn report(running: u32, waiting: u32, duration_percent: Option<u32>) -> LoadReport {
+    LoadReport {
+        running,
+        waiting,
+        duration_percent,
+    }
+}
+
 fn chosen(balancer: &LoadBalancer) -> String {
+    chosen_at(balancer, Duration::ZERO)
+}
+
+/// The choice after some time.
+fn chosen_at(balancer: &LoadBalancer, after: Duration) -> String {
     let requirements = Requirements {
         service: "plain",
         regions: &Regions::Any,
@@ -53,7 +66,7 @@
         now: 0,
         permit: None,
     };
-    let clearance = balancer.choose(&requirements, &[], Moment::now());
+    let clearance = balancer.choose(&requirements, &[], Moment::now() + after);
     clearance.expect("a replica").replica().to_string()
 }
 
@@ -135,7 +148,7 @@
     balancer.apply_view(&view_of_life(1, 1, "127.0.0.1:1"), 0);
     balancer.record_response("other", Moment::now(), Duration::from_millis(25));
     balancer.record_response("reborn", Moment::now(), Duration::from_secs(4));
-    balancer.record_load("reborn", 50, 50);
+    balancer.record_load("reborn", &report(50, 50, None));
     balancer.record_fault("reborn", Moment::now());
     assert_eq!(chosen(&balancer), "other");
     balancer.apply_view(&view_of_life(2, 2, "127.0.0.1:1"), 0);
@@ -208,10 +221,40 @@
     assert!((ms - expected_ms).abs() < 1e-9, "{ms}");
 }
 
+/// Guards against a transient slowdown that is attributed to the replica itself.
+#[rstest]
+fn response_times_are_normalised_by_the_reported_slowdown() {
+    let (mut balancer, _) = balancer(&[("a", "n1"), ("b", "n1")]);
+    for (id, percent, time_ms) in [("a", Some(250), 100), ("b", None, 60)] {
+        let started = Moment::now();
+        balancer.record_load(id, &report(0, 0, percent));
+        balancer.record_response(id, started, Duration::from_millis(time_ms));
+    }
+    balancer.record_load("a", &report(0, 0, Some(100)));
+    assert_eq!(chosen(&balancer), "a");
+}
+
+/// Guards against ignoring that a replica reports that it is slow at present.
+#[rstest]
+fn a_replica_that_reports_a_slowdown_is_avoided_until_the_report_is_stale() {
+    let (mut balancer, _) = balancer(&[("a", "n1"), ("b", "n1")]);
+    balancer.record_response("a", Moment::now(), Duration::from_millis(40));
+    balancer.record_response("b", Moment::now(), Duration::from_millis(60));
+    balancer.record_load("a", &report(0, 0, Some(250)));
+    assert_eq!(chosen(&balancer), "b");
+    assert_eq!(chosen_at(&balancer, Duration::from_millis(500)), "a");
+}
+
+/// Guards against one slow answer that keeps a replica behind the others for good.
 #[rstest]
-fn the_first_response_sets_the_average_and_later_ones_move_it() {
-    let first = average_response_ms(None, Duration::from_millis(100));
-    let second = average_response_ms(Some(first), Duration::from_millis(200));
-    assert!((first - 100.0).abs() < 1e-9, "{first}");
-    assert!((second - 130.0).abs() < 1e-9, "{second}");
+fn a_replica_is_tried_again_some_time_after_a_slow_answer() {
+    let (mut balancer, _) = balancer(&[("a", "n1"), ("b", "n1"), ("c", "n1")]);
+    balancer.record_response("a", Moment::now(), Duration::from_secs(4));
+    balancer.record_response("b", Moment::now(), Duration::from_millis(40));
+    balancer.record_response("c", Moment::now(), Duration::from_millis(42));
+    balancer.update_typical_times(Moment::now());
+    balancer.begin_request("b");
+    balancer.begin_request("c");
+    assert_eq!(chosen(&balancer), "b");
+    assert_eq!(chosen_at(&balancer, Duration::from_secs(60)), "a");
 }
