Add messages on loads of replicas, and features in the hello of an edge

Cause: a frame that cannot be decoded closes its link, and struct fields are identified by position, so neither a field nor a message can be added without knowing what the receiver reads.

Ruled out: features in another message, since an old process would close the link on it; names of fields in all messages, since these are sent often and would grow.

Change: `Peer::Edge` has `features`, and the hello of an edge identifies fields by name. Builds without the field ignore it. Messages `ReplicaLoads` and `ReplicaObservations`, with a traffic kind of their own. Storage processes send the hello that they sent before, byte by byte.

--- a/crates/cluster-protocol/src/frame.rs
+++ b/crates/cluster-protocol/src/frame.rs
@@ -4,7 +4,7 @@
 //! Log entries are compressed individually, once for all members, so consensus messages are not
 //! compressed again.
 
-use crate::Message;
+use crate::{Message, Peer};
 use brasspond_compression::{PLAIN, UnpackError, pack, unpack};
 use bytes::{Buf, Bytes, BytesMut};
 use displaydoc::Display;
@@ -33,7 +33,7 @@
     frame.push(PLAIN);
     // Every message can be encoded and writing to a vector cannot fail, so this is unreachable. An
     // empty frame sends nothing.
-    if rmp_serde::encode::write(&mut frame, message).is_err() {
+    if write(&mut frame, message).is_err() {
         return Bytes::new();
     }
     if !matches!(message, Message::Consensus { .. }) {
@@ -48,6 +48,15 @@
     frame.into()
 }
 
+/// Encodes a message without its frame. Builds that lack a field of an edge's hello could not
+/// decode it by position.
+fn write(frame: &mut Vec<u8>, message: &Message) -> Result<(), rmp_serde::encode::Error> {
+    match message {
+        Message::Hello(Peer::Edge { .. }) => rmp_serde::encode::write_named(frame, message),
+        _ => rmp_serde::encode::write(frame, message),
+    }
+}
+
 /// Buffers received bytes and decodes complete messages.
 #[derive(Debug, Default)]
 pub struct FrameBuffer {
--- a/crates/cluster-protocol/src/kind.rs
+++ b/crates/cluster-protocol/src/kind.rs
@@ -30,6 +30,8 @@
     Usage,
     /// Orders to an edge to cancel a run or to discard its outcome.
     Stop,
+    /// Observations of replicas, and the list of deviating replicas.
+    ReplicaLoads,
     /// Everything else, such as hellos, heartbeats and quarantine updates.
     Other,
 }
@@ -39,7 +41,7 @@
     pub const COUNT: usize = Self::ALL.len();
 
     /// All kinds, in the order of their discriminants.
-    pub const ALL: [Self; 13] = [
+    pub const ALL: [Self; 14] = [
         Self::Log,
         Self::LogControl,
         Self::Question,
@@ -52,6 +54,7 @@
         Self::Events,
         Self::Usage,
         Self::Stop,
+        Self::ReplicaLoads,
         Self::Other,
     ];
 
@@ -74,6 +77,7 @@
             | Message::Scored { .. } => Self::Events,
             Message::Usage(_) => Self::Usage,
             Message::Cancel { .. } | Message::Recorded { .. } => Self::Stop,
+            Message::ReplicaLoads(_) | Message::ReplicaObservations(_) => Self::ReplicaLoads,
             Message::Hello(_)
             | Message::Draining
             | Message::ReplicasEnded(_)
@@ -106,6 +110,7 @@
             Self::Events => "events",
             Self::Usage => "usage",
             Self::Stop => "stop",
+            Self::ReplicaLoads => "replica_loads",
             Self::Other => "other",
         }
     }
--- a/crates/cluster-protocol/src/lib.rs
+++ b/crates/cluster-protocol/src/lib.rs
@@ -4,8 +4,10 @@
 //! be compressed. The side that opens a connection sends [`Message::Hello`] first, and a storage
 //! process answers with its own.
 //!
-//! On the wire, struct fields are identified by position and enum variants by name. All versions
-//! are versions of model weights. Times are in ms; the comment of each field names its clock.
+//! On the wire, struct fields are identified by position and enum variants by name. The hello of an
+//! edge is the exception: its fields are identified by name, so that a process of another build
+//! reads those that it knows. A message that an older build cannot decode is sent only to a process
+//! that has announced the feature ([`Peer::Edge`]). All versions are versions of model weights. Times are in ms; the comment of each field names its clock.
 #![forbid(unsafe_code)]
 
 mod frame;
@@ -23,6 +25,7 @@
 use brasspond_jobs::{BodyError, Page, Submission};
 use brasspond_metering::{UsageReport, WindowNumber};
 use brasspond_quarantine::{CasesUpdate, EndReport, Fingerprint};
+use brasspond_replica_load::{ReplicaLoad, ReplicaObservation};
 use brasspond_units::{Millis, WallMillis};
 use brasspond_warmup::Permit;
 use bytes::Bytes;
@@ -37,6 +40,9 @@
 /// heartbeats.
 pub const EDGE_REPORT_INTERVAL: Millis = 250;
 
+/// Feature of an edge that reads [`Message::ReplicaLoads`].
+pub const FEATURE_REPLICA_LOADS: u32 = 1;
+
 /// Identity of a process, as it announces itself in [`Message::Hello`].
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Peer {
@@ -50,6 +56,10 @@
         incarnation: u64,
         /// Region of that zone; `None` if unknown.
         region: Option<Arc<str>>,
+        /// Optional messages that the process can read, as a sum of the `FEATURE_` constants. Zero
+        /// if its build does not announce them.
+        #[serde(default)]
+        features: u32,
     },
     /// Stores the log, or may be added as a member that stores it.
     Storage(Member),
@@ -304,4 +314,11 @@
         /// Time by the sender's monotonic clock, in ms since its start.
         uptime: u64,
     },
+    /// Leader to edge: all replicas that deviate from their service. Sent only to edges that
+    /// announced [`FEATURE_REPLICA_LOADS`]: after each first [`Message::Leading`] on a link, and
+    /// when the list changes or must be refreshed.
+    ReplicaLoads(Vec<ReplicaLoad>),
+    /// Edge to leader: what the edge observed at replicas since its last report. Sent only on links
+    /// on which [`Message::ReplicaLoads`] was received.
+    ReplicaObservations(Vec<ReplicaObservation>),
 }
--- a/crates/cluster/src/member_question.rs
+++ b/crates/cluster/src/member_question.rs
@@ -27,6 +27,7 @@
         zone: String::new(),
         incarnation: 0,
         region: None,
+        features: 0,
     };
     stream
         .write_all(&encode(&Message::Hello(hello)))
--- a/crates/cluster/src/storage/edges.rs
+++ b/crates/cluster/src/storage/edges.rs
@@ -178,6 +178,7 @@
                 zone,
                 incarnation,
                 region,
+                ..
             } => Some(SendingEdge {
                 link,
                 machine,
--- a/crates/cluster/tests/unit/reader.rs
+++ b/crates/cluster/tests/unit/reader.rs
@@ -26,6 +26,7 @@
         zone: "n1".to_string(),
         incarnation: 1,
         region: Some("n".into()),
+        features: 0,
     };
     choose(&links, &own, members, standbys).map(|member| member.id)
 }
--- a/crates/cluster/tests/unit/storage_links.rs
+++ b/crates/cluster/tests/unit/storage_links.rs
@@ -31,6 +31,7 @@
         zone: "zone".to_string(),
         incarnation: 1,
         region: None,
+        features: 0,
     };
     let place = brasspond_distance::Place::new("zone", None);
     let context = Rc::new(LinkContext::new(place));
