Share slow and failing replicas between edges, by way of the leader

Cause: each edge finds out each slow or silent replica by itself, at one request in five seconds.

Ruled out: a list per change only, because an edge must be able to tell an old list from a valid one; a link to each other edge, because of its cost; own and shared times in strict order, because a replica that answered this edge 6 s ago would lose all its rating at once.

Change: - Edges report what they observed every 500 ms, on links on which the leader has sent a list. The time is the replica's own: without the reported slowdown and the round trip. - The leader merges the reports and sends deviating replicas to the edges that announced the feature. - Edges expect the shared time, or else the typical one of the service, from replicas that have not answered them recently. Replicas that fail elsewhere rank behind the others, except for one request in eight. - Among replicas within 20% of the shortest time one is drawn at random, if the speed of an eligible replica is known. Otherwise the choice is as before.

--- a/crates/cluster/src/edge/balance.rs
+++ b/crates/cluster/src/edge/balance.rs
@@ -6,13 +6,17 @@
 //! supply round-trip times.
 
 use super::load_report::LoadReport;
-use super::replica_state::{DEFAULT_RESPONSE_MS, ReplicaState, expected_response_ms};
+use super::replica_state::{ReplicaState, SharedLoad, expected_response_ms};
 use super::response_time::median;
 use crate::clock::Moment;
 use crate::link::LinkContext;
 use brasspond_distance::Distance;
 use brasspond_eligibility::{Clearance, Endpoint, Ineligible, Requirements};
 use brasspond_fleet::{FleetView, Identity, LifeChange, Lives};
+use brasspond_replica_load::{ObservationRecorder, ReplicaLoad};
+use rand::Rng;
+use std::cell::Cell;
+use std::cmp::Ordering;
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -23,6 +27,41 @@
 /// shorter round-trip time, because traffic between zones and regions is billed and fails more
 /// often.
 const MIN_NETWORK_COST_MS: [f64; 3] = [0.0, 3.0, 5.0];
+/// Ratio to the shortest expected response time up to which a replica is chosen as well. Edges that
+/// all chose the shortest one would send their requests to the same replica.
+const NEAR_BEST_RATIO: f64 = 1.2;
+/// Number of requests of which one does not avoid the replicas that fail at other edges.
+const FAILING_TRIAL_INTERVAL: u32 = 8;
+
+/// A replica that may take a request.
+struct Candidate {
+    /// Whether it was tried, is paused, and is avoided because it fails at other edges.
+    rank: (bool, bool, bool),
+    expected_ms: f64,
+    clearance: Clearance,
+}
+
+impl Candidate {
+    /// Orders the preferred candidate first.
+    fn compare(one: &Self, other: &Self) -> Ordering {
+        let order = one.rank.cmp(&other.rank);
+        order
+            .then_with(|| one.expected_ms.total_cmp(&other.expected_ms))
+            .then_with(|| one.clearance.replica().cmp(other.clearance.replica()))
+    }
+}
+
+/// Draws one of the candidates of the best rank whose time is near the shortest one.
+fn draw_near_best(mut candidates: Vec<Candidate>) -> Option<Clearance> {
+    let best = candidates
+        .iter()
+        .min_by(|one, other| Candidate::compare(one, other))?;
+    let (rank, limit_ms) = (best.rank, best.expected_ms * NEAR_BEST_RATIO);
+    candidates.retain(|one| one.rank == rank && one.expected_ms <= limit_ms);
+    let drawn = rand::rng().random_range(0..candidates.len());
+    Some(candidates.swap_remove(drawn).clearance)
+}
+
 /// Result of applying a newer view.
 #[derive(Debug)]
 pub(super) struct ViewChange {
@@ -40,6 +79,10 @@
     replicas: HashMap<String, ReplicaState>,
     /// Typical response time in ms by service: the median of the replicas' recent averages.
     typical_ms: HashMap<Arc<str>, f64>,
+    /// Answers and faults that were not reported to the leader yet.
+    pub observations: ObservationRecorder,
+    /// Number of choices in which a replica was eligible that fails at other edges.
+    failing_choices: Cell<u32>,
     /// Newest known life of each replica.
     lives: Lives,
 }
@@ -50,6 +93,8 @@
             links,
             replicas: HashMap::new(),
             typical_ms: HashMap::new(),
+            observations: ObservationRecorder::default(),
+            failing_choices: Cell::new(0),
             lives: Lives::default(),
         }
     }
@@ -90,24 +135,49 @@
     /// Chooses the replica for a request and returns its clearance, or `None` if no replica may
     /// take the request.
     ///
-    /// Untried replicas are preferred over tried ones, then active over paused ones, then shorter
-    /// expected response times. Ties are broken by id to keep the choice deterministic.
+    /// Untried replicas are preferred over tried ones, then active over paused ones, then those
+    /// that do not fail at other edges, then shorter expected response times. If the speed of an
+    /// eligible replica is known, one of those with nearly the shortest time is drawn at random;
+    /// otherwise ties are broken by id to keep the choice deterministic.
     pub fn choose(
         &self,
         requirements: &Requirements<'_>,
         tried: &[String],
         now: Moment,
     ) -> Option<Clearance> {
-        let ranked = self.replicas.iter().filter_map(|(id, state)| {
-            let clearance = state.endpoint.authorize(requirements).ok()?;
-            let rank = (tried.contains(id), state.is_paused(now));
-            Some((rank, self.expected_ms(state, now), clearance))
-        });
-        let best = ranked.min_by(|(rank, cost, clearance), (other_rank, other_cost, other)| {
-            let order = rank.cmp(other_rank).then(cost.total_cmp(other_cost));
-            order.then_with(|| clearance.replica().cmp(other.replica()))
+        let eligible: Vec<(&ReplicaState, Clearance)> = self
+            .replicas
+            .values()
+            .filter_map(|state| Some((state, state.endpoint.authorize(requirements).ok()?)))
+            .collect();
+        let has_known_speeds = eligible.iter().any(|(state, _)| state.has_known_speed(now));
+        let avoids_failing = self.avoids_failing(&eligible, now);
+        let ranked = eligible.into_iter().map(|(state, clearance)| {
+            let is_tried = tried.iter().any(|id| **id == **clearance.replica());
+            let is_avoided = avoids_failing && state.is_failing(now);
+            Candidate {
+                rank: (is_tried, state.is_paused(now), is_avoided),
+                expected_ms: self.expected_ms(state, has_known_speeds, now),
+                clearance,
+            }
         });
-        best.map(|(_, _, clearance)| clearance)
+        if has_known_speeds {
+            draw_near_best(ranked.collect())
+        } else {
+            let best = ranked.min_by(Candidate::compare);
+            best.map(|candidate| candidate.clearance)
+        }
+    }
+
+    /// Whether a request avoids the replicas that fail at other edges. One request in
+    /// [`FAILING_TRIAL_INTERVAL`] does not, so that their recovery is detected.
+    fn avoids_failing(&self, eligible: &[(&ReplicaState, Clearance)], now: Moment) -> bool {
+        if !eligible.iter().any(|(state, _)| state.is_failing(now)) {
+            return false;
+        }
+        let count = self.failing_choices.get().wrapping_add(1);
+        self.failing_choices.set(count);
+        count % FAILING_TRIAL_INTERVAL != 0
     }
 
     /// Shortest estimated wait for a slot of an eligible replica; `None` if no replica is eligible.
@@ -143,25 +213,12 @@
     }
 
     /// Expected response time of a replica, in ms.
-    fn expected_ms(&self, state: &ReplicaState, now: Moment) -> f64 {
-        let round_trip_ms = match state.distance {
-            Distance::SameZone => 0.0,
-            farther => self.links.round_trip_ms(farther),
-        };
+    fn expected_ms(&self, state: &ReplicaState, has_known_speeds: bool, now: Moment) -> f64 {
+        let round_trip_ms = self.round_trip_ms(state.distance);
         let network_ms = round_trip_ms.max(MIN_NETWORK_COST_MS[state.distance as usize]);
         let typical_ms = self.typical_ms.get(&state.endpoint.service).copied();
-        let response_ms = if state.response.mean_ms().is_some() {
-            state.response.expected_ms(typical_ms, now)
-        } else {
-            None
-        };
-        let response_ms = response_ms.unwrap_or(DEFAULT_RESPONSE_MS) * state.slowdown(now);
-        expected_response_ms(
-            Some(response_ms),
-            state.requests(now),
-            state.slots,
-            network_ms,
-        )
+        let response_ms = state.idle_response_ms(typical_ms, has_known_speeds, now);
+        expected_response_ms(response_ms, state.requests(now), state.slots, network_ms)
     }
 
     /// Computes the typical response times of all services. A service without recent answers keeps
@@ -181,6 +238,14 @@
         }
     }
 
+    /// Round-trip time to another zone, in ms; 0 within the zone.
+    fn round_trip_ms(&self, distance: Distance) -> f64 {
+        match distance {
+            Distance::SameZone => 0.0,
+            farther => self.links.round_trip_ms(farther),
+        }
+    }
+
     /// Distance to a replica; `None` if the replica is unknown.
     pub fn distance(&self, id: &str) -> Option<Distance> {
         self.replicas.get(id).map(|state| state.distance)
@@ -237,7 +302,11 @@
     /// Records the response time of an attempt that began at `started`.
     pub fn record_response(&mut self, id: &str, started: Moment, time: Duration) {
         if let Some(state) = self.current_state(id, started) {
-            state.record_response(id, started, time);
+            let time_ms = state.record_response(id, started, time);
+            let (replica, distance) = (Arc::clone(&state.endpoint.id), state.distance);
+            // Edges at other distances are told the time of the replica itself.
+            let own_ms = (time_ms - self.round_trip_ms(distance)).max(0.0);
+            self.observations.record_answer(&replica, own_ms);
         }
     }
 
@@ -248,10 +317,46 @@
         }
     }
 
+    /// Applies the leader's list of all deviating replicas, which replaces the previous one.
+    pub fn apply_shared_loads(&mut self, loads: &[ReplicaLoad], now: Moment) {
+        for load in loads {
+            let Some(state) = self.replicas.get_mut(&*load.replica) else {
+                continue;
+            };
+            let shared = SharedLoad {
+                mean_ms: load.mean_ms.map(f64::from),
+                is_failing: load.is_failing,
+                received_at: now,
+            };
+            let before = state.shared.replace(shared);
+            if before.is_none_or(|before| before.is_failing != load.is_failing) {
+                log::info!(
+                    "event=replica_slow_known replica={} mean_ms={} failing={}",
+                    load.replica,
+                    load.mean_ms.unwrap_or(0),
+                    load.is_failing
+                );
+            }
+        }
+        for state in self.replicas.values_mut() {
+            state.shared = state.shared.filter(|shared| shared.received_at == now);
+        }
+    }
+
+    /// Number of replicas of which the leader shared something that is not stale.
+    pub fn shared_loads(&self, now: Moment) -> usize {
+        let replicas = self.replicas.values();
+        replicas
+            .filter(|state| state.current_shared(now).is_some())
+            .count()
+    }
+
     /// Pauses a replica after a fault in an attempt that began at `started`.
     pub fn record_fault(&mut self, id: &str, started: Moment) {
         if let Some(state) = self.current_state(id, started) {
             state.record_fault(id, Moment::now());
+            let replica = Arc::clone(&state.endpoint.id);
+            self.observations.record_fault(&replica);
         }
     }
 
--- a/crates/cluster/src/edge/leader_messages.rs
+++ b/crates/cluster/src/edge/leader_messages.rs
@@ -7,6 +7,7 @@
 use brasspond_fleet::{FleetView, ViewDelta};
 use brasspond_metering::WindowNumber;
 use brasspond_quarantine::CasesUpdate;
+use brasspond_replica_load::ReplicaLoad;
 use brasspond_units::WallMillis;
 use std::rc::Rc;
 
@@ -25,6 +26,7 @@
     Cancel(u64, AttemptId),
     Recorded(AttemptId),
     Quarantine(CasesUpdate),
+    ReplicaLoads(Vec<ReplicaLoad>),
 }
 
 impl Edge {
@@ -79,6 +81,7 @@
         }
         LinkAction::RegisterRuns(term) => edge.register_runs(term),
         LinkAction::Quarantine(update) => edge.apply_quarantine(update),
+        LinkAction::ReplicaLoads(loads) => edge.apply_replica_loads(&loads),
         LinkAction::Time(time, closed) => edge.apply_time(time, closed),
         LinkAction::View(view) => {
             edge.fleet.leader_view.replace(Some(view.clone()));
--- a/crates/cluster/src/edge/mod.rs
+++ b/crates/cluster/src/edge/mod.rs
@@ -26,6 +26,7 @@
 mod reader;
 mod ready;
 mod refusal;
+mod replica_loads;
 mod replica_state;
 mod residency;
 mod response_time;
--- a/crates/cluster/src/edge/process.rs
+++ b/crates/cluster/src/edge/process.rs
@@ -8,7 +8,7 @@
 use super::storage_links::StorageLinks;
 use super::usage::UsageReporter;
 use super::{front, leader_messages, member_search, ready};
-use crate::clock::{Clock, Moment, SuspensionDetector};
+use crate::clock::{Clock, SuspensionDetector};
 use crate::link::{LinkContext, LinkEvent, TRAFFIC_LOG_INTERVAL_MS, accept_links};
 use crate::platform::Platform;
 use crate::settings::{EdgeSettings, ProcessSettings};
@@ -53,6 +53,8 @@
     /// When the traffic of links was last logged, in ms.
     traffic_logged_at: Cell<u64>,
     pub balancer: RefCell<LoadBalancer>,
+    /// When observations of replicas were last reported, in ms.
+    pub observations_reported_at: Cell<u64>,
     pub pool: Pool,
     pub jobs: JobTasks,
     /// Request counters of routes that split traffic between services, by route.
@@ -240,6 +242,7 @@
             callers: Callers::default(),
             storage: RefCell::new(storage),
             balancer: RefCell::new(LoadBalancer::new(Rc::clone(&link_context))),
+            observations_reported_at: Cell::new(0),
             link_context,
             traffic_logged_at: Cell::new(0),
             pool: Pool::default(),
@@ -275,9 +278,7 @@
         self.quarantine.borrow_mut().tick(now);
         self.pool.close_expired();
         self.permit_locks.borrow_mut().forget_idle();
-        self.balancer
-            .borrow_mut()
-            .update_typical_times(Moment::now());
+        self.exchange_replica_loads(now);
         if now >= self.traffic_logged_at.get() + TRAFFIC_LOG_INTERVAL_MS {
             self.traffic_logged_at.set(now);
             self.link_context.log_traffic();
--- a/crates/cluster/src/edge/replica_state.rs
+++ b/crates/cluster/src/edge/replica_state.rs
@@ -28,6 +28,20 @@
     reported_at: Moment,
 }
 
+/// Age at which what the leader shared about a replica is considered stale. The leader sends it
+/// every second, so one message may be lost.
+const SHARED_LOAD_TTL: Duration = Duration::from_secs(2);
+
+/// What the leader shared about a replica that deviates from its service.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub(super) struct SharedLoad {
+    /// Mean response time in ms at all edges; `None` without answers.
+    pub mean_ms: Option<f64>,
+    /// Whether the replica fails at several edges.
+    pub is_failing: bool,
+    pub received_at: Moment,
+}
+
 /// Statistics of a replica. Response times, faults and pauses are those of its current life; the
 /// numbers of requests may include requests of an earlier life.
 #[derive(Clone, Debug)]
@@ -43,6 +57,8 @@
     faults: u32,
     paused_until: Option<Moment>,
     reported: ReportedLoad,
+    /// What the leader shared last.
+    pub shared: Option<SharedLoad>,
     /// When the replica's current life became known. Results of attempts that began earlier are
     /// ignored.
     pub known_since: Moment,
@@ -64,6 +80,7 @@
                 slowdown: None,
                 reported_at: known_since,
             },
+            shared: None,
             known_since,
         }
     }
@@ -96,6 +113,43 @@
         report.and_then(|report| report.slowdown).unwrap_or(1.0)
     }
 
+    /// What the leader shared about the replica, unless it is stale.
+    pub fn current_shared(&self, now: Moment) -> Option<&SharedLoad> {
+        self.shared
+            .as_ref()
+            .filter(|shared| now.saturating_duration_since(shared.received_at) < SHARED_LOAD_TTL)
+    }
+
+    /// Whether the speed of the replica is known from its reports or from the leader.
+    pub fn has_known_speed(&self, now: Moment) -> bool {
+        self.reported.slowdown.is_some() || self.current_shared(now).is_some()
+    }
+
+    /// Whether the leader shared that the replica fails.
+    pub fn is_failing(&self, now: Moment) -> bool {
+        let shared = self.current_shared(now);
+        shared.is_some_and(|shared| shared.is_failing)
+    }
+
+    /// Expected response time in ms of the idle replica. `typical_ms` is that of its service.
+    /// `has_known_speeds` tells whether the speed of any replica of the service is known; if not,
+    /// a replica that has not answered yet counts as fast, so that it is tried.
+    pub fn idle_response_ms(
+        &self,
+        typical_ms: Option<f64>,
+        has_known_speeds: bool,
+        now: Moment,
+    ) -> f64 {
+        let shared_ms = self.current_shared(now).and_then(|shared| shared.mean_ms);
+        let reference_ms = shared_ms.or(typical_ms);
+        let response_ms = if has_known_speeds || self.response.mean_ms().is_some() {
+            self.response.expected_ms(reference_ms, now)
+        } else {
+            None
+        };
+        response_ms.unwrap_or(DEFAULT_RESPONSE_MS) * self.slowdown(now)
+    }
+
     pub fn is_paused(&self, now: Moment) -> bool {
         self.paused_until.is_some_and(|until| until > now)
     }
@@ -163,12 +217,11 @@
 /// Formula: `response_ms * (1 + requests / slots) + network_ms`. The response time already contains
 /// a round trip; the network cost is added on top to prefer near replicas.
 pub(super) fn expected_response_ms(
-    response_ms: Option<f64>,
+    response_ms: f64,
     requests: u32,
     slots: u32,
     network_ms: f64,
 ) -> f64 {
-    let base_ms = response_ms.unwrap_or(DEFAULT_RESPONSE_MS);
     let rounds = 1.0 + f64::from(requests) / f64::from(slots.max(1));
-    base_ms * rounds + network_ms
+    response_ms * rounds + network_ms
 }
--- a/crates/cluster/src/edge/storage_links.rs
+++ b/crates/cluster/src/edge/storage_links.rs
@@ -11,6 +11,7 @@
 use brasspond_cluster_protocol::{Answer, AttemptId, Message, Peer, Question, Registration};
 use brasspond_consensus::Member;
 use brasspond_fleet::Regions;
+use brasspond_replica_load::ReplicaLoad;
 use brasspond_units::WallMillis;
 use std::cell::Cell;
 use std::collections::HashMap;
@@ -61,6 +62,9 @@
     reader_paused_until: u64,
     /// Whether a message to the leader was lost, so that the full state must be sent again.
     pub has_lost_message: Cell<bool>,
+    /// Link on which the last list of deviating replicas arrived. The process at its other end
+    /// accepts observations while it is the leader.
+    replica_loads_link: Option<LinkId>,
 }
 
 impl StorageLinks {
@@ -88,6 +92,7 @@
             dialed_reader: None,
             reader_paused_until: 0,
             has_lost_message: Cell::new(false),
+            replica_loads_link: None,
         }
     }
 
@@ -251,6 +256,7 @@
             Message::Cancel { term, attempt } => vec![LinkAction::Cancel(term, attempt)],
             Message::Recorded { attempt } => vec![LinkAction::Recorded(attempt)],
             Message::Quarantine(update) => vec![LinkAction::Quarantine(update)],
+            Message::ReplicaLoads(loads) => self.on_replica_loads(link, loads),
             Message::Reply { number, answer } => {
                 if let Some((_, requester)) = self.pending.remove(&number) {
                     // Sending fails if the requester no longer waits for the answer.
@@ -320,6 +326,23 @@
         vec![LinkAction::RegisterRuns(leader.term)]
     }
 
+    /// Handles a list of deviating replicas. A list of a process that is not the leader is ignored,
+    /// since it may be old.
+    fn on_replica_loads(&mut self, link: LinkId, loads: Vec<ReplicaLoad>) -> Vec<LinkAction> {
+        let leader = self.contact.leader();
+        if leader.is_none_or(|leader| leader.link != link) {
+            return Vec::new();
+        }
+        self.replica_loads_link = Some(link);
+        vec![LinkAction::ReplicaLoads(loads)]
+    }
+
+    /// Link to the leader if the leader accepts observations of replicas.
+    pub(super) fn observations_writer(&self) -> Option<Writer> {
+        let leader = self.contact.leader()?;
+        (self.replica_loads_link == Some(leader.link)).then_some(leader.writer)
+    }
+
     /// Whether an order belongs to the newest registration of runs. The leader does not track
     /// orders from before the registration and would never cancel them.
     fn is_current(&self, registration: u64, attempt: AttemptId) -> bool {
--- a/crates/cluster/src/storage/announcing.rs
+++ b/crates/cluster/src/storage/announcing.rs
@@ -123,6 +123,7 @@
                 state.announced_term = term;
                 state.has_view = false;
                 state.has_quarantine = false;
+                state.has_replica_loads = false;
                 self.links.edges_lack_quarantine = true;
             }
         }
--- a/crates/cluster/src/storage/edges.rs
+++ b/crates/cluster/src/storage/edges.rs
@@ -139,6 +139,9 @@
             Message::Progress(reports) => self.on_progress(&machine, reports),
             Message::View(view) => self.merge_edge_view(&machine, &view),
             Message::Beat { wall, uptime } => self.on_edge_heartbeat(&sender, wall, uptime),
+            Message::ReplicaObservations(report) => {
+                self.on_replica_observations(&machine, &report);
+            }
             Message::Usage(report) => self.on_usage_report(sender, report),
             Message::ReplicasEnded(reports) => self.on_replicas_ended(&machine, reports),
             Message::ContentAnswered(content) => self.on_content_answered(&machine, content),
--- a/crates/cluster/src/storage/leader.rs
+++ b/crates/cluster/src/storage/leader.rs
@@ -21,6 +21,7 @@
 use brasspond_dispatch::{Action, Dispatcher, Event, OrderLeases, Settings};
 use brasspond_metering::{FleetClock, Metering};
 use brasspond_quarantine::{Fingerprint, QuarantineController};
+use brasspond_replica_load::LoadBoard;
 use brasspond_units::Millis;
 use std::collections::{BTreeSet, HashMap};
 
@@ -63,6 +64,8 @@
     pub quarantine_controller: QuarantineController,
     /// Request contents whose quarantine cases changed since edges were last sent the cases.
     pub unsent_contents: BTreeSet<Fingerprint>,
+    /// What edges observed at replicas.
+    pub load_board: LoadBoard,
     /// Decides how many replicas each service has.
     pub autoscaler: Autoscaler,
     /// When the autoscaler last planned, or the start of leadership before its first plan.
@@ -122,6 +125,7 @@
     /// Runs the periodic tasks of the leader, in a fixed order.
     fn tick_leader(&mut self, now: Millis) {
         self.announce_to_storage(self.consensus.term(), now);
+        self.share_replica_loads(now);
         self.reconcile_members(now);
         self.reconcile_record(now);
         self.remove_failed_edges(now);
@@ -155,6 +159,7 @@
         if self.leader_state.take().is_some() {
             log::info!("event=leadership_lost term={}", self.consensus.term());
             self.metrics.warming_replicas(0);
+            self.metrics.shared_replica_loads(0);
             self.platform.interest.send_replace(Interest::NONE);
         }
     }
@@ -209,6 +214,7 @@
             metering: metering.map(|metering| Metering::new(metering, now)),
             quarantine_controller: QuarantineController::default(),
             unsent_contents: BTreeSet::new(),
+            load_board: LoadBoard::default(),
             autoscaler: Autoscaler::default(),
             planned_at: now,
             warming_logged_at: 0,
--- a/crates/cluster/src/storage/links.rs
+++ b/crates/cluster/src/storage/links.rs
@@ -4,7 +4,7 @@
 
 use super::process::Storage;
 use crate::link::{LinkContext, LinkEvent, LinkId, Writer};
-use brasspond_cluster_protocol::{Message, Peer};
+use brasspond_cluster_protocol::{FEATURE_REPLICA_LOADS, Message, Peer};
 use brasspond_consensus::MemberId;
 use brasspond_units::Millis;
 use std::collections::{BTreeSet, HashMap};
@@ -25,6 +25,9 @@
     pub has_view: bool,
     /// Whether the edge at the other end was sent all quarantine cases that concern edges.
     pub has_quarantine: bool,
+    /// Whether the edge at the other end was sent the list of deviating replicas in this term, so
+    /// that it may report its observations.
+    pub has_replica_loads: bool,
 }
 
 impl LinkState {
@@ -36,6 +39,7 @@
             announced_term: 0,
             has_view: false,
             has_quarantine: false,
+            has_replica_loads: false,
         }
     }
 
@@ -44,6 +48,14 @@
         matches!(self.peer, Some(Peer::Edge { .. }))
     }
 
+    /// Whether the process at the other end is an edge that reads lists of deviating replicas.
+    pub fn reads_replica_loads(&self) -> bool {
+        let Some(Peer::Edge { features, .. }) = &self.peer else {
+            return false;
+        };
+        features & FEATURE_REPLICA_LOADS != 0
+    }
+
     fn is_to_member(&self, id: MemberId) -> bool {
         matches!(&self.peer, Some(Peer::Storage(member)) if member.id == id)
     }
--- a/crates/cluster/src/storage/mod.rs
+++ b/crates/cluster/src/storage/mod.rs
@@ -28,6 +28,7 @@
 mod quarantine;
 mod questions;
 mod record;
+mod replica_loads;
 mod residency;
 pub mod retirements;
 mod scaling;
--- a/crates/cluster/tests/unit/storage_links.rs
+++ b/crates/cluster/tests/unit/storage_links.rs
@@ -169,3 +169,54 @@
     };
     tokio::task::LocalSet::new().run_until(test).await;
 }
+
+/// Guards against observations sent to a leader that cannot read them, which would close the link:
+/// an old leader sends no list, and neither does a process that does not lead.
+#[rstest]
+fn observations_are_sent_only_to_a_leader_that_sent_a_list() {
+    let mut links = storage_links();
+    let list = || arrived(Message::ReplicaLoads(Vec::new()));
+    links.on_link(up(), 0);
+    assert!(links.on_link(list(), 5).is_empty());
+    links.on_link(arrived(leading()), 10);
+    assert!(links.observations_writer().is_none());
+    let actions = links.on_link(list(), 20);
+    assert!(matches!(actions[..], [LinkAction::ReplicaLoads(_)]));
+    assert!(links.observations_writer().is_some());
+}
+
+/// Guards against observations sent to the next leader because the lost one accepted them.
+#[rstest]
+fn the_next_leader_is_sent_no_observations_before_its_list() {
+    const NEXT_LINK: u64 = 2;
+    let mut links = storage_links();
+    links.on_link(up(), 0);
+    links.on_link(arrived(leading()), 10);
+    links.on_link(arrived(Message::ReplicaLoads(Vec::new())), 20);
+    // The leader falls silent.
+    links.tick(0, 2_500);
+    assert!(links.observations_writer().is_none());
+    let on_next = |message| LinkEvent::Message {
+        link: NEXT_LINK,
+        message,
+    };
+    let LinkEvent::Up { writer, .. } = up() else {
+        unreachable!("the event is that of a new link");
+    };
+    links.on_link(
+        LinkEvent::Up {
+            link: NEXT_LINK,
+            writer,
+            peer: None,
+            address: address(),
+        },
+        2_600,
+    );
+    links.on_link(on_next(leading()), 2_700);
+    assert!(links.observations_writer().is_none());
+    // A list that the lost leader sent is ignored.
+    let late = links.on_link(arrived(Message::ReplicaLoads(Vec::new())), 2_710);
+    assert!(late.is_empty());
+    links.on_link(on_next(Message::ReplicaLoads(Vec::new())), 2_720);
+    assert!(links.observations_writer().is_some());
+}
--- a/crates/telemetry/src/metrics/edge.rs
+++ b/crates/telemetry/src/metrics/edge.rs
@@ -30,6 +30,7 @@
         store_reachable: Gauge = "store_reachable", "1 while the platform's store answers";
         unoffered_seconds: Histogram = "unoffered_seconds", "Time for which requests were queued that no replica was offered";
         quarantined_contents: Gauge = "held_contents", "Quarantined contents, as the leader reported";
+        known_replica_loads: Gauge = "known_replica_loads", "Replicas that the leader reported as slow or failing and that this edge treats so";
         log_lines_dropped: Gauge = "log_lines_dropped", "Log lines dropped since the start";
     }
 }
@@ -118,6 +119,11 @@
         self.instruments.quarantined_contents.set(count as i64);
     }
 
+    /// Sets the number of replicas whose speed or failure is known from the leader.
+    pub fn known_replica_loads(&self, count: usize) {
+        self.instruments.known_replica_loads.set(count as i64);
+    }
+
     /// Records a finished attempt at a replica and its duration.
     pub fn attempt(&self, outcome: &str, seconds: f64) {
         count(&self.instruments.attempts, [("outcome", outcome)]);
--- a/crates/telemetry/src/metrics/storage.rs
+++ b/crates/telemetry/src/metrics/storage.rs
@@ -39,6 +39,7 @@
         waiting: Gauge = "items_waiting", "Items that wait, where it leads";
         quarantined_contents: Gauge = "held_contents", "Quarantined contents";
         warming_replicas: Gauge = "warming_replicas", "Replicas that warm up, or did just now, where this process leads";
+        shared_replica_loads: Gauge = "shared_replica_loads", "Replicas reported to edges as slow or failing, where this process leads";
         log_lines_dropped: Gauge = "log_lines_dropped", "Log lines dropped since the start";
     }
 }
@@ -128,6 +129,11 @@
         self.gauges.warming_replicas.set(count as i64);
     }
 
+    /// Sets the number of replicas that edges are told are slow or failing.
+    pub fn shared_replica_loads(&self, count: usize) {
+        self.gauges.shared_replica_loads.set(count as i64);
+    }
+
     /// Sets the number of permits with this outcome, counted since this process became leader.
     pub fn grants(&self, outcome: &str, count: u64) {
         set(
