--- a/crates/cluster/src/storage/links.rs
+++ b/crates/cluster/src/storage/links.rs
@@ -193,3 +193,7 @@
         }
     }
 }
+
+#[cfg(test)]
+#[path = "../../tests/unit/replica_loads.rs"]
+mod tests;
