Drop observations of a replica that restarted

Cause: the leader's sums of a replica outlived its restart, so that the next life of a slow replica could be listed for up to 5 s.

Change: `LoadBoard::forget`, called when the leader observes the restart. Also a form of a condition that clippy asks for, and a clearer name of a test.

--- a/crates/cluster/src/edge/balance.rs
+++ b/crates/cluster/src/edge/balance.rs
@@ -177,7 +177,7 @@
         }
         let count = self.failing_choices.get().wrapping_add(1);
         self.failing_choices.set(count);
-        count % FAILING_TRIAL_INTERVAL != 0
+        !count.is_multiple_of(FAILING_TRIAL_INTERVAL)
     }
 
     /// Shortest estimated wait for a slot of an eligible replica; `None` if no replica is eligible.
--- a/crates/cluster/src/storage/ordering.rs
+++ b/crates/cluster/src/storage/ordering.rs
@@ -95,6 +95,9 @@
         );
         self.pool.close_idle(address);
         self.metrics.replica_reborn();
+        if let Some(leader_state) = &mut self.leader_state {
+            leader_state.load_board.forget(&replica.id);
+        }
     }
 
     /// Announces an order in the log. It is sent once the announcement is committed.
--- a/crates/cluster/tests/unit/balance.rs
+++ b/crates/cluster/tests/unit/balance.rs
@@ -311,7 +311,7 @@
 /// Guards against an edge that finds out each slow replica by itself: without own answers, the
 /// shared time counts, and for the other replicas the typical one.
 #[rstest]
-fn a_replica_shared_as_slow_is_avoided_until_the_news_is_stale() {
+fn a_replica_shared_as_slow_is_avoided_until_the_list_is_stale() {
     let (mut balancer, _) = balancer(&[("a", "n1"), ("b", "n1"), ("c", "n1")]);
     balancer.record_response("b", Moment::now(), Duration::from_millis(40));
     balancer.update_typical_times(Moment::now());
--- a/crates/replica-load/src/board.rs
+++ b/crates/replica-load/src/board.rs
@@ -58,6 +58,11 @@
         }
     }
 
+    /// Discards what edges observed at a replica that has restarted since.
+    pub fn forget(&mut self, replica: &str) {
+        self.replicas.remove(replica);
+    }
+
     /// The list that edges were sent last.
     pub fn shared(&self) -> &[ReplicaLoad] {
         &self.shared
--- a/crates/replica-load/tests/board.rs
+++ b/crates/replica-load/tests/board.rs
@@ -90,6 +90,17 @@
     assert!(board.shared().is_empty());
 }
 
+/// Guards against a replica that is rated by its life before a restart.
+#[rstest]
+fn a_restarted_replica_leaves_the_list() {
+    let mut board = LoadBoard::default();
+    board.observe(&edge(0), &ten(400), 1_000);
+    board.tick(service_of, 1_000);
+    board.forget("replica-000");
+    let change = board.tick(service_of, 1_500).expect("the list changes");
+    assert_eq!(change.left, [replica(0)]);
+}
+
 /// Guards against a replica that nobody uses any more and stays on the list for its past.
 #[rstest]
 fn observations_expire() {
