Make a clearance for the chosen replica only

Cause: a choice made a clearance, with two reference counts, for each allowed replica.

Change: the allowed replicas are checked, and the chosen one is authorized. The result is the same, since both ask the same check.

--- a/crates/cluster/src/edge/balance.rs
+++ b/crates/cluster/src/edge/balance.rs
@@ -34,32 +34,32 @@
 const FAILING_TRIAL_INTERVAL: u32 = 8;
 
 /// A replica that may take a request.
-struct Candidate {
+struct Candidate<'a> {
     /// Whether it was tried, is paused, and is avoided because it fails at other edges.
     rank: (bool, bool, bool),
     expected_ms: f64,
-    clearance: Clearance,
+    endpoint: &'a Endpoint,
 }
 
-impl Candidate {
+impl Candidate<'_> {
     /// Orders the preferred candidate first.
     fn compare(one: &Self, other: &Self) -> Ordering {
         let order = one.rank.cmp(&other.rank);
         order
             .then_with(|| one.expected_ms.total_cmp(&other.expected_ms))
-            .then_with(|| one.clearance.replica().cmp(other.clearance.replica()))
+            .then_with(|| one.endpoint.id.cmp(&other.endpoint.id))
     }
 }
 
 /// Draws one of the candidates of the best rank whose time is near the shortest one.
-fn draw_near_best(mut candidates: Vec<Candidate>) -> Option<Clearance> {
+fn draw_near_best(mut candidates: Vec<Candidate<'_>>) -> Option<Candidate<'_>> {
     let best = candidates
         .iter()
         .min_by(|one, other| Candidate::compare(one, other))?;
     let (rank, limit_ms) = (best.rank, best.expected_ms * NEAR_BEST_RATIO);
     candidates.retain(|one| one.rank == rank && one.expected_ms <= limit_ms);
     let drawn = rand::rng().random_range(0..candidates.len());
-    Some(candidates.swap_remove(drawn).clearance)
+    Some(candidates.swap_remove(drawn))
 }
 
 /// Result of applying a newer view.
@@ -145,34 +145,34 @@
         tried: &[String],
         now: Moment,
     ) -> Option<Clearance> {
-        let eligible: Vec<(&ReplicaState, Clearance)> = self
+        let eligible: Vec<&ReplicaState> = self
             .replicas
             .values()
-            .filter_map(|state| Some((state, state.endpoint.authorize(requirements).ok()?)))
+            .filter(|state| state.endpoint.check(requirements).is_ok())
             .collect();
-        let has_known_speeds = eligible.iter().any(|(state, _)| state.has_known_speed(now));
+        let has_known_speeds = eligible.iter().any(|state| state.has_known_speed(now));
         let avoids_failing = self.avoids_failing(&eligible, now);
-        let ranked = eligible.into_iter().map(|(state, clearance)| {
-            let is_tried = tried.iter().any(|id| **id == **clearance.replica());
+        let ranked = eligible.into_iter().map(|state| {
+            let is_tried = tried.iter().any(|id| **id == *state.endpoint.id);
             let is_avoided = avoids_failing && state.is_failing(now);
             Candidate {
                 rank: (is_tried, state.is_paused(now), is_avoided),
                 expected_ms: self.expected_ms(state, has_known_speeds, now),
-                clearance,
+                endpoint: &state.endpoint,
             }
         });
-        if has_known_speeds {
+        let chosen = if has_known_speeds {
             draw_near_best(ranked.collect())
         } else {
-            let best = ranked.min_by(Candidate::compare);
-            best.map(|candidate| candidate.clearance)
-        }
+            ranked.min_by(Candidate::compare)
+        };
+        chosen?.endpoint.authorize(requirements).ok()
     }
 
     /// Whether a request avoids the replicas that fail at other edges. One request in
     /// [`FAILING_TRIAL_INTERVAL`] does not, so that their recovery is detected.
-    fn avoids_failing(&self, eligible: &[(&ReplicaState, Clearance)], now: Moment) -> bool {
-        if !eligible.iter().any(|(state, _)| state.is_failing(now)) {
+    fn avoids_failing(&self, eligible: &[&ReplicaState], now: Moment) -> bool {
+        if !eligible.iter().any(|state| state.is_failing(now)) {
             return false;
         }
         let count = self.failing_choices.get().wrapping_add(1);
