--- a/crates/cluster/src/edge/balance.rs
+++ b/crates/cluster/src/edge/balance.rs
@@ -5,56 +5,61 @@
 //! of the replica's process to its end. The fleet view supplies locations and capacity, the links
 //! supply round-trip times.
 
-use super::attempts::REPLICA_FAULT_BACKOFF;
+use super::load_report::LoadReport;
+use super::replica_state::{ReplicaState, SharedLoad, expected_response_ms};
+use super::response_time::median;
 use crate::clock::Moment;
 use crate::link::LinkContext;
 use brasspond_distance::Distance;
 use brasspond_eligibility::{Clearance, Endpoint, Ineligible, Requirements};
-use brasspond_fleet::{FleetView, Identity, LifeChange, Lives, ReplicaInfo};
+use brasspond_fleet::{FleetView, Identity, LifeChange, Lives};
+use brasspond_replica_load::{ObservationRecorder, ReplicaLoad};
+use rand::Rng;
+use std::cell::Cell;
+use std::cmp::Ordering;
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
-/// Weight of the newest sample in the moving average of response times, from 0 to 1.
-const RESPONSE_TIME_WEIGHT: f64 = 0.3;
-/// Response time assumed for a replica that has not responded yet, in ms.
-const DEFAULT_RESPONSE_MS: f64 = 20.0;
 /// Minimum network cost in ms by distance (same zone, same region, other region). It replaces a
 /// shorter round-trip time, because traffic between zones and regions is billed and fails more
 /// often.
 const MIN_NETWORK_COST_MS: [f64; 3] = [0.0, 3.0, 5.0];
-/// Utilization of a replica's slots, from 0 to 1, from which scoring calls wait, so that callers'
-/// requests find free slots.
-const MAX_SCORING_UTILIZATION: f64 = 0.67;
-/// Age at which a reported load is considered stale.
-const REPORTED_LOAD_TTL: Duration = Duration::from_millis(500);
-
-/// Number of requests of other edges at a replica, computed from its last load report.
-#[derive(Clone, Copy, Debug)]
-struct OtherEdgesLoad {
-    requests: u32,
-    reported_at: Moment,
+/// Ratio to the shortest expected response time up to which a replica is chosen as well. Edges that
+/// all chose the shortest one would send their requests to the same replica.
+const NEAR_BEST_RATIO: f64 = 1.2;
+/// Number of requests of which one does not avoid the replicas that fail at other edges.
+const FAILING_TRIAL_INTERVAL: u32 = 8;
+
+/// A replica that may take a request.
+struct Candidate<'a> {
+    /// Whether it was tried, is paused, and is avoided because it fails at other edges.
+    rank: (bool, bool, bool),
+    expected_ms: f64,
+    endpoint: &'a Endpoint,
 }
 
-/// Statistics of a replica. Response times, faults and pauses are those of its current life; the
-/// numbers of requests may include requests of an earlier life.
-#[derive(Clone, Debug)]
-struct ReplicaState {
-    endpoint: Endpoint,
-    distance: Distance,
-    slots: u32,
-    /// Requests that this edge has sent and that have not ended.
-    in_flight: u32,
-    /// Moving average of response times in ms; `None` before the first response.
-    response_ms: Option<f64>,
-    /// Consecutive faults.
-    faults: u32,
-    paused_until: Option<Moment>,
-    other_edges: OtherEdgesLoad,
-    /// When the replica's current life became known. Results of attempts that began earlier are
-    /// ignored.
-    known_since: Moment,
+impl Candidate<'_> {
+    /// Orders the preferred candidate first.
+    fn compare(one: &Self, other: &Self) -> Ordering {
+        let order = one.rank.cmp(&other.rank);
+        order
+            .then_with(|| one.expected_ms.total_cmp(&other.expected_ms))
+            .then_with(|| one.endpoint.id.cmp(&other.endpoint.id))
+    }
+}
+
+/// Draws one of the candidates of the best rank whose time is near the shortest one.
+fn draw_near_best(mut candidates: Vec<Candidate<'_>>) -> Option<Candidate<'_>> {
+    let best = candidates
+        .iter()
+        .min_by(|one, other| Candidate::compare(one, other))?;
+    let (rank, limit_ms) = (best.rank, best.expected_ms * NEAR_BEST_RATIO);
+    candidates.retain(|one| one.rank == rank && one.expected_ms <= limit_ms);
+    let drawn = rand::rng().random_range(0..candidates.len());
+    Some(candidates.swap_remove(drawn))
 }
 
 /// Result of applying a newer view.
@@ -67,117 +72,17 @@
     pub restarted: Vec<(Identity, SocketAddr)>,
 }
 
-impl ReplicaState {
-    fn new(info: &ReplicaInfo, view: &FleetView, links: &LinkContext, now: u64) -> Self {
-        let known_since = Moment::now();
-        Self {
-            endpoint: Endpoint::new(info, view, now),
-            distance: links.distance_to(&info.zone, info.region.as_deref()),
-            slots: info.slots,
-            in_flight: 0,
-            response_ms: None,
-            faults: 0,
-            paused_until: None,
-            other_edges: OtherEdgesLoad {
-                requests: 0,
-                reported_at: known_since,
-            },
-            known_since,
-        }
-    }
-
-    /// Resets the statistics after a restart. Requests sent to the previous life are still counted
-    /// in flight until they end.
-    fn reset(&mut self, info: &ReplicaInfo, view: &FleetView, links: &LinkContext, now: u64) {
-        let in_flight = self.in_flight;
-        *self = Self::new(info, view, links, now);
-        self.in_flight = in_flight;
-    }
-
-    /// Number of requests at the replica: those of this edge, and those of other edges unless the
-    /// load report is stale.
-    fn requests(&self, now: Moment) -> u32 {
-        let age = now.saturating_duration_since(self.other_edges.reported_at);
-        let other_edges = if age < REPORTED_LOAD_TTL {
-            self.other_edges.requests
-        } else {
-            0
-        };
-        self.in_flight + other_edges
-    }
-
-    fn is_paused(&self, now: Moment) -> bool {
-        self.paused_until.is_some_and(|until| until > now)
-    }
-
-    /// Whether a scoring call may use a slot.
-    fn has_spare_capacity(&self, now: Moment) -> bool {
-        let limit = f64::from(self.slots.max(1)) * MAX_SCORING_UTILIZATION;
-        !self.is_paused(now) && f64::from(self.requests(now)) < limit
-    }
-
-    /// Estimated wait for a slot: the remaining pause or the average response time, whichever is
-    /// longer. Assumes that all slots are in use.
-    fn time_to_free_slot(&self, now: Moment) -> Duration {
-        let pause = self
-            .paused_until
-            .map_or(Duration::ZERO, |until| until.saturating_duration_since(now));
-        let response_ms = self.response_ms.unwrap_or(DEFAULT_RESPONSE_MS);
-        pause.max(Duration::from_secs_f64(response_ms / 1_000.0))
-    }
-
-    fn record_response(&mut self, id: &str, time: Duration) {
-        self.response_ms = Some(average_response_ms(self.response_ms, time));
-        if self.faults > 0 {
-            log::info!(
-                "event=replica_recovered replica={id} faults={}",
-                self.faults
-            );
-        }
-        self.faults = 0;
-        self.paused_until = None;
-    }
-
-    fn record_fault(&mut self, id: &str, now: Moment) {
-        let pause = REPLICA_FAULT_BACKOFF.pause(self.faults);
-        self.faults += 1;
-        self.paused_until = Some(now + pause);
-        log::info!(
-            "event=replica_paused replica={id} faults={} pause_ms={}",
-            self.faults,
-            pause.as_millis()
-        );
-    }
-}
-
-/// Expected response time of a replica in ms. `response_ms` is its moving average, `requests` the
-/// number of its requests, `slots` its concurrency, and `network_ms` the network cost.
-///
-/// Formula: `response_ms * (1 + requests / slots) + network_ms`. The moving average already
-/// contains a round trip; the network cost is added on top to prefer near replicas.
-fn expected_response_ms(
-    response_ms: Option<f64>,
-    requests: u32,
-    slots: u32,
-    network_ms: f64,
-) -> f64 {
-    let base_ms = response_ms.unwrap_or(DEFAULT_RESPONSE_MS);
-    let rounds = 1.0 + f64::from(requests) / f64::from(slots.max(1));
-    base_ms * rounds + network_ms
-}
-
-/// Updates the moving average of response times, in ms. The first sample is the average itself.
-fn average_response_ms(before: Option<f64>, time: Duration) -> f64 {
-    let time = time.as_secs_f64() * 1_000.0;
-    let before = before.unwrap_or(time);
-    before + RESPONSE_TIME_WEIGHT * (time - before)
-}
-
 /// Chooses replicas among all those of the fleet view.
 pub(super) struct LoadBalancer {
     /// Location of this edge and measured round-trip times.
     links: Rc<LinkContext>,
     replicas: HashMap<String, ReplicaState>,
+    /// Typical response time in ms by service: the median of the replicas' recent averages.
+    typical_ms: HashMap<Arc<str>, f64>,
+    /// Answers and faults that were not reported to the leader yet.
+    pub observations: ObservationRecorder,
+    /// Number of choices in which a replica was eligible that fails at other edges.
+    failing_choices: Cell<u32>,
     /// Newest known life of each replica.
     lives: Lives,
 }
@@ -187,6 +92,9 @@
         Self {
             links,
             replicas: HashMap::new(),
+            typical_ms: HashMap::new(),
+            observations: ObservationRecorder::default(),
+            failing_choices: Cell::new(0),
             lives: Lives::default(),
         }
     }
@@ -227,24 +135,49 @@
     /// Chooses the replica for a request and returns its clearance, or `None` if no replica may
     /// take the request.
     ///
-    /// Untried replicas are preferred over tried ones, then active over paused ones, then shorter
-    /// expected response times. Ties are broken by id to keep the choice deterministic.
+    /// Untried replicas are preferred over tried ones, then active over paused ones, then those
+    /// that do not fail at other edges, then shorter expected response times. If the speed of an
+    /// eligible replica is known, one of those with nearly the shortest time is drawn at random;
+    /// otherwise ties are broken by id to keep the choice deterministic.
     pub fn choose(
         &self,
         requirements: &Requirements<'_>,
         tried: &[String],
         now: Moment,
     ) -> Option<Clearance> {
-        let ranked = self.replicas.iter().filter_map(|(id, state)| {
-            let clearance = state.endpoint.authorize(requirements).ok()?;
-            let rank = (tried.contains(id), state.is_paused(now));
-            Some((rank, self.expected_ms(state, now), clearance))
-        });
-        let best = ranked.min_by(|(rank, cost, clearance), (other_rank, other_cost, other)| {
-            let order = rank.cmp(other_rank).then(cost.total_cmp(other_cost));
-            order.then_with(|| clearance.replica().cmp(other.replica()))
+        let eligible: Vec<&ReplicaState> = self
+            .replicas
+            .values()
+            .filter(|state| state.endpoint.check(requirements).is_ok())
+            .collect();
+        let has_known_speeds = eligible.iter().any(|state| state.has_known_speed(now));
+        let avoids_failing = self.avoids_failing(&eligible, now);
+        let ranked = eligible.into_iter().map(|state| {
+            let is_tried = tried.iter().any(|id| **id == *state.endpoint.id);
+            let is_avoided = avoids_failing && state.is_failing(now);
+            Candidate {
+                rank: (is_tried, state.is_paused(now), is_avoided),
+                expected_ms: self.expected_ms(state, has_known_speeds, now),
+                endpoint: &state.endpoint,
+            }
         });
-        best.map(|(_, _, clearance)| clearance)
+        let chosen = if has_known_speeds {
+            draw_near_best(ranked.collect())
+        } else {
+            ranked.min_by(Candidate::compare)
+        };
+        chosen?.endpoint.authorize(requirements).ok()
+    }
+
+    /// Whether a request avoids the replicas that fail at other edges. One request in
+    /// [`FAILING_TRIAL_INTERVAL`] does not, so that their recovery is detected.
+    fn avoids_failing(&self, eligible: &[&ReplicaState], now: Moment) -> bool {
+        if !eligible.iter().any(|state| state.is_failing(now)) {
+            return false;
+        }
+        let count = self.failing_choices.get().wrapping_add(1);
+        self.failing_choices.set(count);
+        !count.is_multiple_of(FAILING_TRIAL_INTERVAL)
     }
 
     /// Shortest estimated wait for a slot of an eligible replica; `None` if no replica is eligible.
@@ -280,18 +213,37 @@
     }
 
     /// Expected response time of a replica, in ms.
-    fn expected_ms(&self, state: &ReplicaState, now: Moment) -> f64 {
-        let round_trip_ms = match state.distance {
+    fn expected_ms(&self, state: &ReplicaState, has_known_speeds: bool, now: Moment) -> f64 {
+        let round_trip_ms = self.round_trip_ms(state.distance);
+        let network_ms = round_trip_ms.max(MIN_NETWORK_COST_MS[state.distance as usize]);
+        let typical_ms = self.typical_ms.get(&state.endpoint.service).copied();
+        let response_ms = state.idle_response_ms(typical_ms, has_known_speeds, now);
+        expected_response_ms(response_ms, state.requests(now), state.slots, network_ms)
+    }
+
+    /// Computes the typical response times of all services. A service without recent answers keeps
+    /// its last one. The cost is linear in the number of replicas, so this is not done per request.
+    pub fn update_typical_times(&mut self, now: Moment) {
+        let mut times: HashMap<&Arc<str>, Vec<f64>> = HashMap::new();
+        for state in self.replicas.values() {
+            if let Some(mean_ms) = state.response.recent_mean_ms(now) {
+                let service = times.entry(&state.endpoint.service);
+                service.or_default().push(mean_ms);
+            }
+        }
+        for (service, times) in times {
+            if let Some(typical_ms) = median(times) {
+                self.typical_ms.insert(Arc::clone(service), typical_ms);
+            }
+        }
+    }
+
+    /// Round-trip time to another zone, in ms; 0 within the zone.
+    fn round_trip_ms(&self, distance: Distance) -> f64 {
+        match distance {
             Distance::SameZone => 0.0,
             farther => self.links.round_trip_ms(farther),
-        };
-        let network_ms = round_trip_ms.max(MIN_NETWORK_COST_MS[state.distance as usize]);
-        expected_response_ms(
-            state.response_ms,
-            state.requests(now),
-            state.slots,
-            network_ms,
-        )
+        }
     }
 
     /// Distance to a replica; `None` if the replica is unknown.
@@ -350,25 +302,61 @@
     /// Records the response time of an attempt that began at `started`.
     pub fn record_response(&mut self, id: &str, started: Moment, time: Duration) {
         if let Some(state) = self.current_state(id, started) {
-            state.record_response(id, time);
+            let time_ms = state.record_response(id, started, time);
+            let (replica, distance) = (Arc::clone(&state.endpoint.id), state.distance);
+            // Edges at other distances are told the time of the replica itself.
+            let own_ms = (time_ms - self.round_trip_ms(distance)).max(0.0);
+            self.observations.record_answer(&replica, own_ms);
         }
     }
 
-    /// Records the load that a replica reported: its running and waiting requests, including those
-    /// of this edge.
-    pub fn record_load(&mut self, id: &str, running: u32, waiting: u32) {
+    /// Records the load that a replica reported.
+    pub fn record_load(&mut self, id: &str, report: &LoadReport) {
         if let Some(state) = self.replicas.get_mut(id) {
-            state.other_edges = OtherEdgesLoad {
-                requests: (running + waiting).saturating_sub(state.in_flight),
-                reported_at: Moment::now(),
+            state.record_load(report, Moment::now());
+        }
+    }
+
+    /// Applies the leader's list of all deviating replicas, which replaces the previous one.
+    pub fn apply_shared_loads(&mut self, loads: &[ReplicaLoad], now: Moment) {
+        for load in loads {
+            let Some(state) = self.replicas.get_mut(&*load.replica) else {
+                continue;
+            };
+            let shared = SharedLoad {
+                mean_ms: load.mean_ms.map(f64::from),
+                is_failing: load.is_failing,
+                received_at: now,
             };
+            let before = state.shared.replace(shared);
+            if before.is_none_or(|before| before.is_failing != load.is_failing) {
+                log::info!(
+                    "event=replica_slow_known replica={} mean_ms={} failing={}",
+                    load.replica,
+                    load.mean_ms.unwrap_or(0),
+                    load.is_failing
+                );
+            }
+        }
+        for state in self.replicas.values_mut() {
+            state.shared = state.shared.filter(|shared| shared.received_at == now);
         }
     }
 
+    /// Number of replicas of which the leader shared something that is not stale.
+    pub fn shared_loads(&self, now: Moment) -> usize {
+        let replicas = self.replicas.values();
+        replicas
+            .filter(|state| state.current_shared(now).is_some())
+            .count()
+    }
+
     /// Pauses a replica after a fault in an attempt that began at `started`.
     pub fn record_fault(&mut self, id: &str, started: Moment) {
         if let Some(state) = self.current_state(id, started) {
             state.record_fault(id, Moment::now());
+            let replica = Arc::clone(&state.endpoint.id);
+            self.observations.record_fault(&replica);
         }
     }
 
--- a/crates/cluster/src/edge/process.rs
+++ b/crates/cluster/src/edge/process.rs
@@ -14,7 +14,7 @@
 use crate::settings::{EdgeSettings, ProcessSettings};
 use crate::storage::ProcessError;
 use crate::upstream::Pool;
-use brasspond_cluster_protocol::{EDGE_REPORT_INTERVAL, Peer};
+use brasspond_cluster_protocol::{EDGE_REPORT_INTERVAL, FEATURE_REPLICA_LOADS, Peer};
 use brasspond_distance::Place;
 use brasspond_metering::UsageRecorder;
 use brasspond_quarantine::QuarantineRecorder;
@@ -53,6 +53,8 @@
     /// When the traffic of links was last logged, in ms.
     traffic_logged_at: Cell<u64>,
     pub balancer: RefCell<LoadBalancer>,
+    /// When observations of replicas were last reported, in ms.
+    pub observations_reported_at: Cell<u64>,
     pub pool: Pool,
     pub jobs: JobTasks,
     /// Request counters of routes that split traffic between services, by route.
@@ -212,6 +214,7 @@
         zone: process.zone.clone(),
         incarnation: rand::random(),
         region: process.region.clone(),
+        features: FEATURE_REPLICA_LOADS,
     }
 }
 
@@ -239,6 +242,7 @@
             callers: Callers::default(),
             storage: RefCell::new(storage),
             balancer: RefCell::new(LoadBalancer::new(Rc::clone(&link_context))),
+            observations_reported_at: Cell::new(0),
             link_context,
             traffic_logged_at: Cell::new(0),
             pool: Pool::default(),
@@ -274,6 +278,7 @@
         self.quarantine.borrow_mut().tick(now);
         self.pool.close_expired();
         self.permit_locks.borrow_mut().forget_idle();
+        self.exchange_replica_loads(now);
         if now >= self.traffic_logged_at.get() + TRAFFIC_LOG_INTERVAL_MS {
             self.traffic_logged_at.set(now);
             self.link_context.log_traffic();
