Hedge idempotent requests whose first replica is slow

Cause: a request that meets a slow or silent replica waits three objectives before another replica is tried, at each edge anew.

Ruled out: a shorter timeout (cancels work that is nearly done), two replicas for each request (doubles the load), tasks of their own for the attempts (cancelling would need messages).

Change: edge/hedging.rs decides (delay, eligibility, token bucket per service); edge/hedged_attempt.rs makes both attempts in the request's task. The first whole answer wins; dropping the other future closes its connection. Both attempts count as delivered. A cancelled attempt counts as an answer after twice its waiting time, so that its replica falls behind.

--- /dev/null
+++ b/crates/brasspond/tests/hedging.rs
@@ -0,0 +1,147 @@
+//! Hedged requests: a slow or silent replica does not make callers late, tested with real
+//! processes.
+
+use brasspond_platform_standin::Replica;
+use brasspond_platform_standin::processes::{
+    Cluster, call, call_with, configuration, replica_entry, text,
+};
+use rstest::rstest;
+use serde_json::Value;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::{Duration, Instant};
+
+/// Latency objective of the configured routes. Without hedges a silent replica is given up only
+/// after three times as long.
+const OBJECTIVE: Duration = Duration::from_millis(300);
+/// Time limit on cancelling the attempt that lost.
+const CANCEL_LIMIT: Duration = Duration::from_millis(500);
+/// Time for the edges to learn of new replicas.
+const VIEW_TIME: Duration = Duration::from_millis(800);
+/// Index of the route for `/reads/` in the configuration.
+const READS: usize = 2;
+
+/// Starts a cluster with `count` replicas of the plain service and the given maximum number of
+/// attempts for `/reads/`.
+async fn start(count: usize, max_attempts: u32) -> (Cluster, Vec<Arc<Replica>>) {
+    let mut first: Value = configuration(1);
+    first["route_list"][READS]["max_attempts"] = max_attempts.into();
+    let cluster = Cluster::start_with(first).await;
+    let mut replicas = vec![Arc::clone(&cluster.plain)];
+    for number in 1..count {
+        let id = format!("plain-{number}");
+        let (replica, address) = Replica::start(&id).await;
+        let entry = replica_entry("plain", address);
+        cluster.store.put("servers", &id, entry);
+        replicas.push(replica);
+    }
+    tokio::time::sleep(VIEW_TIME).await;
+    (cluster, replicas)
+}
+
+fn runs(replicas: &[Arc<Replica>], id: &str) -> u32 {
+    replicas.iter().map(|one| one.runs_of(id)).sum()
+}
+
+fn abandoned(replicas: &[Arc<Replica>]) -> u32 {
+    let counts = replicas.iter();
+    counts
+        .map(|one| one.abandoned.load(Ordering::Relaxed))
+        .sum()
+}
+
+async fn await_abandoned(replicas: &[Arc<Replica>], expected: u32) {
+    let deadline = Instant::now() + CANCEL_LIMIT;
+    while abandoned(replicas) < expected {
+        assert!(Instant::now() < deadline, "{}", abandoned(replicas));
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+}
+
+/// Sends requests until one was sent to the first replica, and returns its number. Each must be
+/// answered with its own body within the objective.
+async fn answer_in_time(cluster: &Cluster, replica: &Replica) -> String {
+    for number in 0..20 {
+        let id = format!("read-{number}");
+        let started = Instant::now();
+        let answer = call(cluster.edges[0].front, "POST", "/reads/x", &id, id.clone()).await;
+        let answer = answer.expect("answered");
+        assert_eq!(answer.status(), 200);
+        assert_eq!(text(answer).await.as_deref(), Some(id.as_str()));
+        let elapsed = started.elapsed();
+        assert!(elapsed < OBJECTIVE, "{id}: {elapsed:?}");
+        if replica.runs_of(&id) > 0 {
+            return id;
+        }
+    }
+    panic!("no request was sent to {}", replica.id);
+}
+
+/// Guards against callers that wait for a slow replica while another one is free, and against a
+/// losing attempt that goes on using its replica.
+#[rstest]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_slow_replica_does_not_make_callers_late() {
+    let (cluster, replicas) = start(2, 2).await;
+    *replicas[0].answer_delay.lock().expect("lock") = Duration::from_millis(700);
+    let id = answer_in_time(&cluster, &replicas[0]).await;
+    assert_eq!(runs(&replicas, &id), 2);
+    await_abandoned(&replicas, 1).await;
+    let edge = &cluster.edges[0];
+    edge.await_line("event=request_hedged").await;
+    edge.await_line("winner=second").await;
+}
+
+/// Guards against callers that wait three objectives for a replica that is silent from the start.
+#[rstest]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_silent_replica_does_not_make_callers_late() {
+    let (cluster, replicas) = start(2, 2).await;
+    replicas[0].silent.store(true, Ordering::Relaxed);
+    answer_in_time(&cluster, &replicas[0]).await;
+    await_abandoned(&replicas, 1).await;
+}
+
+/// Guards against a request that is on more replicas than its route allows, and against one that
+/// gets an answer although all its attempts failed.
+#[rstest]
+#[case::two(2)]
+#[case::three(3)]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_request_is_on_no_more_replicas_than_its_route_allows(#[case] max_attempts: u32) {
+    let (cluster, replicas) = start(5, max_attempts).await;
+    for replica in &replicas {
+        replica.silent.store(true, Ordering::Relaxed);
+    }
+    let front = cluster.edges[0].front;
+    let headers = [("x-brasspond-deadline-ms", "2500")];
+    let asked = ask_with(front, &headers).await;
+    assert_eq!(asked, 504, "it may have run");
+    assert_eq!(runs(&replicas, "read"), max_attempts);
+    await_abandoned(&replicas, max_attempts).await;
+}
+
+/// Sends the request `read` with additional headers and returns the status.
+async fn ask_with(front: SocketAddr, headers: &[(&str, &str)]) -> u16 {
+    let answer = call_with(front, "POST", "/reads/x", "read", headers, "x").await;
+    answer.expect("answered").status().as_u16()
+}
+
+/// Guards against a request that runs twice although it must not.
+#[rstest]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_request_that_may_not_run_twice_is_never_hedged() {
+    let (cluster, replicas) = start(3, 2).await;
+    for replica in &replicas {
+        *replica.answer_delay.lock().expect("lock") = Duration::from_millis(600);
+    }
+    let front = cluster.edges[0].front;
+    for number in 0..4 {
+        let id = format!("write-{number}");
+        let answer = call(front, "POST", "/writes/x", &id, "x").await;
+        assert_eq!(answer.expect("answered").status(), 200);
+        assert_eq!(runs(&replicas, &id), 1);
+    }
+    assert_eq!(abandoned(&replicas), 0);
+}
--- a/crates/cluster/src/edge/forward.rs
+++ b/crates/cluster/src/edge/forward.rs
@@ -8,6 +8,7 @@
 use super::attempts::{MIN_TIME_TO_SEND, attempt_timeout, may_retry};
 use super::draining::RequestGuard;
 use super::headers::{header_number, header_text, host_of};
+use super::hedging::HedgeClass;
 use super::process::Edge;
 use super::refusal::AttemptHistory;
 use super::responses::{Body, forwarded_response, full_body, unknown_outcome};
@@ -157,7 +158,8 @@
 
     async fn run(self, guard: RequestGuard) -> Response<Body> {
         let mut history = AttemptHistory::default();
-        let max_attempts = self.route.max_attempts.max(1);
+        let max_attempts = self.max_attempts();
+        self.count_for_hedges();
         while may_retry(history.delivered, history.attempts, max_attempts) {
             history.attempts += 1;
             let left = self.left();
@@ -171,21 +173,22 @@
                     break;
                 }
             };
-            let replica = clearance.replica().to_string();
-            let started = Moment::now();
-            let is_last = history.delivered + 1 == max_attempts;
-            let timeout = if is_last {
-                self.left()
-            } else {
-                self.attempt_timeout(0)
-            };
-            match self.attempt(&clearance, None, timeout).await {
-                Ok(response) => return self.respond(response, &replica, history, guard),
-                Err(error) => {
-                    self.log_failure(&replica, history.attempts, &error, left);
-                    self.observe_failure(&replica, started, &error);
-                    history.record(replica, error);
-                }
+            let timeout = self.timeout_after(history.delivered);
+            let hedge_timeout = self.timeout_after(history.delivered + 1);
+            let plan = self.plan_hedge(history.delivered, hedge_timeout, HedgeClass::Caller);
+            let attempt = self.attempt_hedged(&clearance, timeout, &history.tried, plan);
+            let outcome = attempt.await;
+            let first_number = history.attempts;
+            history.attempts += u32::from(outcome.was_hedged());
+            for (number, failed) in (first_number..).zip(outcome.failed) {
+                self.log_failure(&failed.replica, number, &failed.error, left);
+                history.record(failed.replica, failed.error);
+            }
+            if let Some(cancelled) = outcome.cancelled {
+                history.record_cancelled(cancelled);
+            }
+            if let Some((response, replica)) = outcome.answer {
+                return self.respond(response, &replica, history, guard);
             }
             if history.may_have_run && !self.is_repeatable() {
                 break;
@@ -194,6 +197,21 @@
         self.refuse(history)
     }
 
+    /// Timeout of an attempt after `delivered` attempts that reached a replica. The last attempt
+    /// that the route allows has all the time left.
+    fn timeout_after(&self, delivered: u32) -> Duration {
+        if delivered + 1 >= self.max_attempts() {
+            self.left()
+        } else {
+            self.attempt_timeout(0)
+        }
+    }
+
+    /// Maximum number of attempts that reach a replica.
+    fn max_attempts(&self) -> u32 {
+        self.route.max_attempts.max(1)
+    }
+
     fn respond(
         self,
         response: ReplicaResponse,
--- a/crates/cluster/src/edge/mod.rs
+++ b/crates/cluster/src/edge/mod.rs
@@ -13,6 +13,8 @@
 mod forward;
 mod front;
 mod headers;
+mod hedged_attempt;
+mod hedging;
 mod item_run;
 mod job_calls;
 mod leader_contact;
--- a/crates/cluster/src/edge/process.rs
+++ b/crates/cluster/src/edge/process.rs
@@ -3,6 +3,7 @@
 use super::balance::LoadBalancer;
 use super::draining::Callers;
 use super::fleet_view::FleetState;
+use super::hedging::HedgeBudgets;
 use super::permits::PermitLocks;
 use super::runs::{JobTasks, RunUpdate};
 use super::storage_links::StorageLinks;
@@ -61,6 +62,7 @@
     /// Detected ends of replicas, by content, and the quarantined contents.
     pub quarantine: RefCell<QuarantineRecorder>,
     pub permit_locks: RefCell<PermitLocks>,
+    pub hedge_budgets: RefCell<HedgeBudgets>,
 }
 
 /// Listeners of an edge.
@@ -247,6 +249,7 @@
             usage: UsageReporter::new(recorder),
             quarantine: RefCell::default(),
             permit_locks: RefCell::default(),
+            hedge_budgets: RefCell::default(),
             clock: Clock::default(),
             metrics: EdgeMetrics::default(),
             platform,
--- a/crates/cluster/src/edge/refusal.rs
+++ b/crates/cluster/src/edge/refusal.rs
@@ -35,6 +35,13 @@
         self.tried.push(replica);
     }
 
+    /// Records an attempt that was cancelled after it may have reached its replica.
+    pub fn record_cancelled(&mut self, replica: String) {
+        self.delivered += 1;
+        self.may_have_run = true;
+        self.tried.push(replica);
+    }
+
     /// Name of the outcome for metrics.
     fn outcome(&self) -> &'static str {
         if self.may_have_run {
--- a/crates/cluster/tests/unit/balance.rs
+++ b/crates/cluster/tests/unit/balance.rs
@@ -215,3 +215,60 @@
     assert!((first - 100.0).abs() < 1e-9, "{first}");
     assert!((second - 130.0).abs() < 1e-9, "{second}");
 }
+
+fn plain_requirements() -> Requirements<'static> {
+    Requirements {
+        service: "plain",
+        regions: &Regions::Any,
+        weights: None,
+        is_quarantined: false,
+        now: 0,
+        permit: None,
+    }
+}
+
+fn free_replica(balancer: &LoadBalancer, excluded: &[&str]) -> Option<String> {
+    let excluded = excluded.iter().map(|id| (*id).to_string()).collect();
+    let chosen = balancer.choose_free(&plain_requirements(), excluded, Moment::now());
+    chosen.map(|clearance| clearance.replica().to_string())
+}
+
+/// Guards against hedges to a replica that is full, paused or already has the request.
+#[rstest]
+fn only_an_active_replica_with_a_free_slot_is_free() {
+    let (mut balancer, _) = balancer(&[("a", "n1"), ("b", "n1"), ("c", "n1"), ("d", "n1")]);
+    assert_eq!(free_replica(&balancer, &["a"]).as_deref(), Some("b"));
+    for _ in 0..6 {
+        balancer.begin_request("b");
+    }
+    assert_eq!(free_replica(&balancer, &["a"]).as_deref(), Some("c"));
+    balancer.record_fault("c", Moment::now());
+    assert_eq!(free_replica(&balancer, &["a"]).as_deref(), Some("d"));
+    assert_eq!(free_replica(&balancer, &["a", "d"]), None);
+}
+
+/// Guards against a delay of hedges that follows the slow replicas of a service.
+#[rstest]
+fn the_typical_response_time_is_the_median_of_known_replicas() {
+    let (mut balancer, _) = balancer(&[("a", "n1"), ("b", "n1"), ("c", "n1"), ("d", "n1")]);
+    let typical = |balancer: &LoadBalancer| balancer.typical_response_ms(&plain_requirements());
+    assert_eq!(typical(&balancer), None);
+    for (id, time_ms) in [("a", 40), ("b", 900), ("c", 50)] {
+        balancer.record_response(id, Moment::now(), Duration::from_millis(time_ms));
+    }
+    assert_eq!(typical(&balancer), Some(50.0));
+}
+
+/// Guards against a silent replica that stays the first choice because it never answers.
+#[rstest]
+fn a_cancelled_attempt_moves_its_replica_behind_the_others() {
+    let (mut balancer, _) = balancer(&[("a", "n1"), ("b", "n1")]);
+    let started = Moment::now();
+    balancer.record_response("a", started, Duration::from_millis(30));
+    balancer.record_response("b", started, Duration::from_millis(40));
+    assert_eq!(chosen(&balancer), "a");
+    balancer.record_unanswered("a", started, Duration::from_millis(10));
+    assert_eq!(chosen(&balancer), "a", "shorter than the usual time");
+    balancer.record_unanswered("a", started, Duration::from_millis(90));
+    assert_eq!(chosen(&balancer), "b");
+}
--- a/crates/telemetry/src/metrics/edge.rs
+++ b/crates/telemetry/src/metrics/edge.rs
@@ -21,6 +21,7 @@
         request_seconds: Histograms = "request_seconds", "Time from a request's arrival to the head of its answer, by route";
         attempts: Counters = "attempts", "Attempts at replicas by outcome";
         attempt_seconds: Histograms = "attempt_seconds", "Time of an attempt to the head of its answer, by outcome";
+        hedges: Counters = "hedges", "Requests that waited long for a first replica: sent to a second one and won or lost by it, or not sent because there was no_budget or no_replica";
         job_calls: Counters = "job_calls", "Calls about jobs by call and outcome";
         job_call_seconds: Histograms = "job_call_seconds", "Time of a call about a job, by call";
         runs: Counters = "runs", "Runs of items by how they ended";
@@ -128,6 +129,11 @@
         );
     }
 
+    /// Counts a hedge or a hedge that was not sent, by outcome.
+    pub fn hedge(&self, outcome: &str) {
+        count(&self.instruments.hedges, [("outcome", outcome)]);
+    }
+
     /// Records an answered job call and its duration.
     pub fn job_call(&self, call: &str, outcome: &str, seconds: f64) {
         count(
