Hedge scoring calls as callers' requests

Cause: a scoring call that meets a silent replica waits three objectives before it is sent to another one.

Change: edge/scoring.rs makes its attempts through attempt_hedged. Each earlier attempt of the call counts towards max_attempts, and both replicas of a hedged attempt count as tried.

--- a/crates/brasspond/tests/hedging.rs
+++ b/crates/brasspond/tests/hedging.rs
@@ -3,7 +3,7 @@
 
 use brasspond_platform_standin::Replica;
 use brasspond_platform_standin::processes::{
-    Cluster, call, call_with, configuration, replica_entry, text,
+    Cluster, call, call_with, configuration, read_results, replica_entry, scored_job, text,
 };
 use rstest::rstest;
 use serde_json::Value;
@@ -145,3 +145,36 @@
     }
     assert_eq!(abandoned(&replicas), 0);
 }
+
+/// Guards against texts whose scores come late because a scoring call waits for a silent replica.
+#[rstest]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_silent_replica_does_not_delay_scores() {
+    const ITEMS: usize = 4;
+    let (cluster, replicas) = start(2, 3).await;
+    replicas[0].silent.store(true, Ordering::Relaxed);
+    let front = cluster.edges[0].front;
+    let response = call(front, "POST", "/jobs/x", "job", scored_job(ITEMS)).await;
+    assert_eq!(response.expect("answered").status(), 202);
+    for result in read_results(front, "job", ITEMS).await {
+        let score = result["score"].as_str().expect("a score");
+        assert!(score.starts_with("stamp.score-"), "{score}");
+    }
+    let logs: String = cluster.edges.iter().map(|edge| edge.log()).collect();
+    let scored = logs.lines().filter(|line| line.contains("event=scored "));
+    let scored: Vec<&str> = scored.collect();
+    assert_eq!(scored.len(), ITEMS);
+    for line in scored {
+        assert!(line.contains(" silent=0 "), "an attempt timed out: {line}");
+    }
+    let is_hedged = |line: &str| line.contains("event=request_hedged request=score-");
+    assert!(
+        logs.lines().any(is_hedged),
+        "no call met the silent replica"
+    );
+    let running = runs(&replicas, "score-0");
+    assert!(
+        running <= 3,
+        "{running} replicas, more than the route allows"
+    );
+}
--- a/crates/cluster/src/edge/hedging.rs
+++ b/crates/cluster/src/edge/hedging.rs
@@ -57,7 +57,9 @@
     max_attempts: u32,
     objective: Duration,
 ) -> bool {
-    kind == RouteKind::Idempotent && delivered + 2 <= max_attempts && !objective.is_zero()
+    kind == RouteKind::Idempotent
+        && delivered.saturating_add(2) <= max_attempts
+        && !objective.is_zero()
 }
 
 /// Time from the start of an attempt to its hedge. `typical_ms` is the response time expected for
--- a/crates/cluster/src/edge/scoring.rs
+++ b/crates/cluster/src/edge/scoring.rs
@@ -9,10 +9,12 @@
 use super::attempts::{SCORING_BACKOFF, pause_fits, scoring_has_failed, weighted_timeouts};
 use super::forward::{Admitted, ForwardedRequest};
 use super::headers::header_text;
+use super::hedged_attempt::HedgedOutcome;
+use super::hedging::HedgeClass;
 use super::process::Edge;
 use crate::clock::{Moment, within};
 use brasspond_cluster_protocol::{AttemptId, Message, ScoringEnd, ScoringSpec};
-use brasspond_eligibility::Ineligible;
+use brasspond_eligibility::{Clearance, Ineligible};
 use brasspond_fleet::Regions;
 use brasspond_jobs::ScoringCall;
 use hyper::http::request::Parts;
@@ -213,33 +215,48 @@
             Err(Some(Ineligible::Quarantined)) => return Some(ScoringEnd::Unanswered),
             Err(_) => return None,
         };
-        let replica = clearance.replica().to_string();
-        let started = Moment::now();
-        let timeout =
-            request.attempt_timeout(weighted_timeouts(self.timeouts, self.earlier_timeouts));
-        match request.attempt(&clearance, None, timeout).await {
-            Ok(ReplicaResponse::Full(status, headers, _)) if status.is_success() => {
+        let outcome = self.attempt_at(&request, &clearance).await;
+        for failed in outcome.failed {
+            self.log_failed_attempt(&failed.replica, failed.error.name());
+            self.tried.push(failed.replica);
+            self.count_failure(&failed.error);
+        }
+        self.tried.extend(outcome.cancelled);
+        match outcome.answer {
+            Some((ReplicaResponse::Full(status, headers, _), _)) if status.is_success() => {
                 request.record_completed();
                 let signature = &self.edge.platform.wire.names().signature;
                 let score = header_text(&headers, signature);
                 Some(ScoringEnd::Scored(score))
             }
-            Ok(ReplicaResponse::Full(status, ..) | ReplicaResponse::Stream(status, ..)) => {
+            Some((response, replica)) => {
+                let (ReplicaResponse::Full(status, ..) | ReplicaResponse::Stream(status, ..)) =
+                    response;
                 self.log_failed_attempt(&replica, status.as_str());
                 self.tried.push(replica);
                 None
             }
-            Err(error) => {
-                self.log_failed_attempt(&replica, error.name());
-                request.observe_failure(&replica, started, &error);
-                self.tried.push(replica);
-                self.count_failure(&error);
+            None => {
                 let has_failed = scoring_has_failed(self.server_errors, request.route.max_attempts);
                 has_failed.then_some(ScoringEnd::Failed)
             }
         }
     }
 
+    /// Makes an attempt and, if the call has attempts left, a hedge. Every earlier attempt counts
+    /// towards the attempts of the route, including those that did not reach a replica.
+    async fn attempt_at(&self, request: &ForwardedRequest, clearance: &Clearance) -> HedgedOutcome {
+        if self.tried.is_empty() {
+            request.count_for_hedges();
+        }
+        let attempts = u32::try_from(self.tried.len()).unwrap_or(u32::MAX);
+        let timeouts = weighted_timeouts(self.timeouts, self.earlier_timeouts);
+        let timeout = request.attempt_timeout(timeouts);
+        let plan = request.plan_hedge(attempts, timeout, HedgeClass::ScoringCall);
+        let attempt = request.attempt_hedged(clearance, timeout, &self.tried, plan);
+        attempt.await
+    }
+
     fn count_failure(&mut self, error: &AttemptError) {
         self.timeouts += u32::from(error.is_timeout());
         if let AttemptError::ErrorResponse(response) = error
