Reject requests that would be late; scoring calls yield free slots

Cause: a request that cannot be answered in its time waits in a queue until its deadline, and a scoring call that a full replica rejected is back after 10 ms. The Retry-After covered the next free slot only.

Ruled out: rejecting by expected times alone, because a mean that does not fade would reject for good; a longer wait of scoring calls for spare capacity, because scores are due as well.

Change: edge/balance/overload.rs tells whether all slots of all allowed replicas are in use and none is expected to answer in time; forward.rs then rejects with 503 before anything is sent. Retry-After covers the backlog. Scoring calls prefer replicas below the scoring utilization that are expected to meet the objective, and wait half to all of a typical response time after a full replica has rejected them.

--- a/crates/brasspond/tests/hedging.rs
+++ b/crates/brasspond/tests/hedging.rs
@@ -178,3 +178,38 @@
         "{running} replicas, more than the route allows"
     );
 }
+
+/// Guards against requests that wait in the queue of a busy service until their deadline, and
+/// against callers that return before the backlog is worked off.
+#[rstest]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_request_that_cannot_be_answered_in_time_is_rejected_at_once() {
+    /// Three times the slots of the replica.
+    const REQUESTS: usize = 24;
+    let (cluster, replicas) = start(1, 2).await;
+    let front = cluster.edges[0].front;
+    *replicas[0].answer_delay.lock().expect("lock") = Duration::from_millis(700);
+    let ask = async |id: String| {
+        let answer = call(front, "POST", "/reads/x", &id, "x").await;
+        answer.expect("answered").status()
+    };
+    assert_eq!(ask("first".to_string()).await, 200);
+    let waiting = futures::future::join_all((0..REQUESTS).map(|number| ask(format!("{number}"))));
+    let late = async {
+        tokio::time::sleep(Duration::from_millis(200)).await;
+        let headers = [("x-brasspond-deadline-ms", "1000")];
+        let started = Instant::now();
+        let answer = call_with(front, "POST", "/reads/x", "late", &headers, "x").await;
+        (answer.expect("answered"), started.elapsed())
+    };
+    let (statuses, (answer, elapsed)) = futures::future::join(waiting, late).await;
+    assert_eq!(answer.status(), 503);
+    assert!(elapsed < Duration::from_millis(300), "{elapsed:?}");
+    assert_eq!(replicas[0].runs_of("late"), 0);
+    let retry_after = answer.headers()["retry-after"].to_str().expect("a number");
+    // Two rounds of 0.7 s are ahead, and the jitter adds up to half of that.
+    let retry_after: f64 = retry_after.parse().expect("seconds");
+    assert!((1.4..=3.0).contains(&retry_after), "{retry_after}");
+    // Requests with enough time left are not rejected.
+    assert!(statuses.iter().all(|status| *status == 200), "{statuses:?}");
+}
--- a/crates/cluster/src/edge/attempt_error.rs
+++ b/crates/cluster/src/edge/attempt_error.rs
@@ -57,6 +57,11 @@
         matches!(self, Self::MayHaveRun(UncertainCause::TimedOut))
     }
 
+    /// Whether the replica rejected the request because all its slots are in use.
+    pub fn is_full(&self) -> bool {
+        matches!(self, Self::NotRun { is_full: true })
+    }
+
     /// Whether the request may have reached the replica and counts as an attempt of the route.
     pub fn reached_replica(&self) -> bool {
         !matches!(self, Self::NotSent | Self::Expired)
--- a/crates/cluster/src/edge/attempts.rs
+++ b/crates/cluster/src/edge/attempts.rs
@@ -7,7 +7,7 @@
 //! |---|---|---|---|
 //! | caller's request | [`attempt_timeout`]; all the time left for the last attempt or if the request must not run twice | [`may_retry`] | none |
 //! | broken stream | [`attempt_timeout`]; stall: [`stream_stall_timeout`] | [`may_resume_stream`] | none |
-//! | scoring call | [`attempt_timeout`], doubled after each timeout | not [`scoring_has_failed`], and the pause ends before the deadline ([`pause_fits`]) | [`SCORING_BACKOFF`] |
+//! | scoring call | [`attempt_timeout`], doubled after each timeout | not [`scoring_has_failed`], and the pause ends before the deadline ([`pause_fits`]) | [`SCORING_BACKOFF`]; at least [`full_replica_pause`] after a full replica |
 //! | run of an item | [`ITEM_HEAD_TIMEOUT`] until the response head arrives | the leader decides | none |
 //! | permit for a replica that is warming up | none | [`pause_fits`] | `permits::PERMIT_RETRY_PAUSE` |
 
@@ -108,6 +108,13 @@
     timeouts.saturating_add(2 * earlier_timeouts)
 }
 
+/// Pause of a scoring call after a full replica rejected it. `typical` is the usual response time
+/// of the service; a slot in use becomes free after half of it on average. `random`, from 0 to 1,
+/// spreads the calls that were rejected together.
+pub(super) fn full_replica_pause(typical: Duration, random: f64) -> Duration {
+    typical.mul_f64(f64::midpoint(1.0, random))
+}
+
 /// Whether a pause that starts now ends before the deadline.
 pub(super) fn pause_fits(now: Moment, pause: Duration, deadline: Moment) -> bool {
     now + pause < deadline
--- a/crates/cluster/src/edge/balance.rs
+++ b/crates/cluster/src/edge/balance.rs
@@ -5,6 +5,8 @@
 //! of the replica's process to its end. The fleet view supplies locations and capacity, the links
 //! supply round-trip times.
 
+mod overload;
+
 use super::attempts::REPLICA_FAULT_BACKOFF;
 use crate::clock::Moment;
 use crate::link::LinkContext;
@@ -396,16 +398,41 @@
     /// Chooses an eligible replica that has a free slot, is not paused and is not `excluded`; `None`
     /// if there is none.
     pub fn choose_free(
+        &self,
+        requirements: &Requirements<'_>,
+        excluded: Vec<String>,
+        now: Moment,
+    ) -> Option<Clearance> {
+        self.choose_fit(requirements, excluded, now, |state| {
+            !state.is_paused(now) && state.requests(now) < state.slots.max(1)
+        })
+    }
+
+    /// Chooses an eligible replica that has capacity for scoring calls, is expected to respond
+    /// within `limit` and is not `excluded`; `None` if there is none.
+    pub fn choose_spare(
+        &self,
+        requirements: &Requirements<'_>,
+        excluded: Vec<String>,
+        limit: Duration,
+        now: Moment,
+    ) -> Option<Clearance> {
+        let limit_ms = limit.as_secs_f64() * 1_000.0;
+        self.choose_fit(requirements, excluded, now, |state| {
+            state.has_spare_capacity(now) && self.expected_ms(state, now) <= limit_ms
+        })
+    }
+
+    fn choose_fit(
         &self,
         requirements: &Requirements<'_>,
         mut excluded: Vec<String>,
         now: Moment,
+        is_fit: impl Fn(&ReplicaState) -> bool,
     ) -> Option<Clearance> {
         let states = self.replicas.iter();
-        let unfit = states.filter(|(_, state)| {
-            state.endpoint.check(requirements).is_ok()
-                && (state.is_paused(now) || state.requests(now) >= state.slots.max(1))
-        });
+        let unfit = states
+            .filter(|(_, state)| state.endpoint.check(requirements).is_ok() && !is_fit(state));
         excluded.extend(unfit.map(|(id, _)| id.clone()));
         let chosen = self.choose(requirements, &excluded, now)?;
         let is_excluded = excluded.iter().any(|id| **id == **chosen.replica());
--- a/crates/cluster/src/edge/forward.rs
+++ b/crates/cluster/src/edge/forward.rs
@@ -166,6 +166,9 @@
             if left < MIN_TIME_TO_SEND {
                 break;
             }
+            if history.delivered == 0 && self.is_too_late(left) {
+                break;
+            }
             let clearance = match self.choose(&history.tried).await {
                 Ok(clearance) => clearance,
                 Err(reason) => {
@@ -392,4 +395,44 @@
         let balancer = self.edge.balancer.borrow();
         balancer.has_spare_capacity(&self.requirements(), Moment::now())
     }
+
+    /// Chooses a replica that has capacity for scoring calls, is expected to meet the latency
+    /// objective and was not tried; `None` if there is none.
+    pub(super) fn choose_with_spare_capacity(&self, tried: &[String]) -> Option<Clearance> {
+        let balancer = self.edge.balancer.borrow();
+        let objective = self.objective();
+        balancer.choose_spare(
+            &self.requirements(),
+            tried.to_vec(),
+            objective,
+            Moment::now(),
+        )
+    }
+
+    /// Typical response time of the service; zero if it is not known.
+    pub(super) fn typical_response(&self) -> Duration {
+        let balancer = self.edge.balancer.borrow();
+        let typical_ms = balancer.typical_response_ms(&self.requirements());
+        Duration::from_secs_f64(typical_ms.unwrap_or(0.0) / 1_000.0)
+    }
+
+    /// Whether every replica that could take the request is so busy that no answer is expected in
+    /// the time left. Streams are excluded: their time left covers more than the response head.
+    fn is_too_late(&self, left: Duration) -> bool {
+        if self.route.kind == RouteKind::Streaming {
+            return false;
+        }
+        let balancer = self.edge.balancer.borrow();
+        let is_too_late = balancer.is_overloaded(&self.requirements(), left, Moment::now());
+        if is_too_late {
+            log::info!(
+                "event=request_overloaded request={} route={} service={} left_ms={}",
+                self.id,
+                self.route.name,
+                self.service,
+                left.as_millis()
+            );
+        }
+        is_too_late
+    }
 }
--- a/crates/cluster/src/edge/retry_after.rs
+++ b/crates/cluster/src/edge/retry_after.rs
@@ -78,11 +78,11 @@
             Missing::Members => MEMBERS_TIME,
             Missing::Release => QUARANTINE_TIME,
             Missing::Replica(requirements) => {
-                let free_in = self
-                    .balancer
-                    .borrow()
-                    .time_to_free_slot(&requirements, Moment::now());
-                free_in.unwrap_or(NO_REPLICA_TIME)
+                let now = Moment::now();
+                let balancer = self.balancer.borrow();
+                let free_in = balancer.time_to_free_slot(&requirements, now);
+                let backlog_time = balancer.backlog_time(&requirements, now);
+                free_in.map_or(NO_REPLICA_TIME, |free_in| free_in.max(backlog_time))
             }
         };
         unavailable(with_jitter(
--- a/crates/cluster/src/edge/scoring.rs
+++ b/crates/cluster/src/edge/scoring.rs
@@ -6,10 +6,12 @@
 
 use super::attempt::ReplicaResponse;
 use super::attempt_error::AttemptError;
-use super::attempts::{SCORING_BACKOFF, pause_fits, scoring_has_failed, weighted_timeouts};
+use super::attempts::{
+    SCORING_BACKOFF, full_replica_pause, pause_fits, scoring_has_failed, weighted_timeouts,
+};
 use super::forward::{Admitted, ForwardedRequest};
 use super::headers::header_text;
-use super::hedged_attempt::HedgedOutcome;
+use super::hedged_attempt::{FailedAttempt, HedgedOutcome};
 use super::hedging::HedgeClass;
 use super::process::Edge;
 use crate::clock::{Moment, within};
@@ -151,6 +153,7 @@
         tried: Vec::new(),
         server_errors: 0,
         timeouts: 0,
+        full_pause: None,
     };
     let end = scorer.run().await;
     let elapsed = started.elapsed();
@@ -183,6 +186,8 @@
     server_errors: u32,
     /// Number of attempts that timed out.
     timeouts: u32,
+    /// Minimum pause before the next attempt if a full replica rejected the last one.
+    full_pause: Option<Duration>,
 }
 
 impl Scorer<'_> {
@@ -193,7 +198,7 @@
             if let Some(end) = self.attempt().await {
                 return end;
             }
-            let pause = SCORING_BACKOFF.pause(earlier_failures);
+            let pause = self.pause(earlier_failures);
             if !pause_fits(Moment::now(), pause, self.deadline) {
                 return ScoringEnd::Unanswered;
             }
@@ -202,20 +207,38 @@
         }
     }
 
+    /// Pause before the next attempt. The pause for a full replica is left out if no attempt could
+    /// follow it.
+    fn pause(&self, earlier_failures: u32) -> Duration {
+        let backoff = SCORING_BACKOFF.pause(earlier_failures);
+        let full_pause = self.full_pause.unwrap_or(Duration::ZERO);
+        if pause_fits(Moment::now(), full_pause, self.deadline) {
+            backoff.max(full_pause)
+        } else {
+            backoff
+        }
+    }
+
     /// Makes one attempt. Returns `None` if another attempt may follow.
     async fn attempt(&mut self) -> Option<ScoringEnd> {
         let lease = self.edge.await_work_lease();
         if within(self.left(), lease).await.is_err() {
             return Some(ScoringEnd::Unanswered);
         }
+        self.full_pause = None;
         let request = self.build_request()?;
         self.yield_to_callers(&request).await;
-        let clearance = match request.choose(&self.tried).await {
+        let clearance = match self.choose(&request).await {
             Ok(clearance) => clearance,
             Err(Some(Ineligible::Quarantined)) => return Some(ScoringEnd::Unanswered),
             Err(_) => return None,
         };
         let outcome = self.attempt_at(&request, &clearance).await;
+        let is_full = |failed: &FailedAttempt| failed.error.is_full();
+        if outcome.failed.iter().any(is_full) {
+            let typical = request.typical_response();
+            self.full_pause = Some(full_replica_pause(typical, rand::random()));
+        }
         for failed in outcome.failed {
             self.log_failed_attempt(&failed.replica, failed.error.name());
             self.tried.push(failed.replica);
@@ -243,6 +266,15 @@
         }
     }
 
+    /// Chooses a replica, preferably one with spare capacity, so that the last free slots of each
+    /// replica are left to callers' requests.
+    async fn choose(&self, request: &ForwardedRequest) -> Result<Clearance, Option<Ineligible>> {
+        match request.choose_with_spare_capacity(&self.tried) {
+            Some(clearance) => Ok(clearance),
+            None => request.choose(&self.tried).await,
+        }
+    }
+
     /// Makes an attempt and, if the call has attempts left, a hedge. Every earlier attempt counts
     /// towards the attempts of the route, including those that did not reach a replica.
     async fn attempt_at(&self, request: &ForwardedRequest, clearance: &Clearance) -> HedgedOutcome {
--- a/crates/cluster/tests/unit/attempts.rs
+++ b/crates/cluster/tests/unit/attempts.rs
@@ -1,8 +1,8 @@
 //! Timeouts, retry limits and backoff of attempts.
 
 use super::{
-    REPLICA_FAULT_BACKOFF, SCORING_BACKOFF, attempt_timeout, may_resume_stream, may_retry,
-    pause_fits, scoring_has_failed, stream_stall_timeout, weighted_timeouts,
+    REPLICA_FAULT_BACKOFF, SCORING_BACKOFF, attempt_timeout, full_replica_pause, may_resume_stream,
+    may_retry, pause_fits, scoring_has_failed, stream_stall_timeout, weighted_timeouts,
 };
 use crate::clock::Moment;
 use rstest::rstest;
@@ -94,3 +94,11 @@
     assert!(pause_fits(now, ms(20), now + ms(21)));
     assert!(!pause_fits(now, ms(20), now + ms(20)));
 }
+
+/// Guards against scoring calls that return to full replicas at once, or all at the same time.
+#[rstest]
+#[case::earliest(0.0, 40)]
+#[case::latest(1.0, 80)]
+fn a_call_that_full_replicas_rejected_waits_for_a_slot(#[case] random: f64, #[case] pause_ms: u64) {
+    assert_eq!(full_replica_pause(ms(80), random), ms(pause_ms));
+}
--- a/crates/cluster/tests/unit/balance.rs
+++ b/crates/cluster/tests/unit/balance.rs
@@ -36,7 +36,7 @@
     view
 }
 
-fn balancer(replicas: &[(&str, &str)]) -> (LoadBalancer, Rc<LinkContext>) {
+pub(super) fn balancer(replicas: &[(&str, &str)]) -> (LoadBalancer, Rc<LinkContext>) {
     let place = Place::new("n1", Some("n".into()));
     let links = Rc::new(LinkContext::new(place));
     let mut balancer = LoadBalancer::new(Rc::clone(&links));
@@ -216,7 +216,7 @@
     assert!((second - 130.0).abs() < 1e-9, "{second}");
 }
 
-fn plain_requirements() -> Requirements<'static> {
+pub(super) fn plain_requirements() -> Requirements<'static> {
     Requirements {
         service: "plain",
         regions: &Regions::Any,
@@ -272,3 +272,23 @@
     balancer.record_unanswered("a", started, Duration::from_millis(90));
     assert_eq!(chosen(&balancer), "b");
 }
+
+/// Guards against scoring calls that take the last free slots of replicas.
+#[rstest]
+fn scoring_calls_prefer_replicas_with_spare_capacity() {
+    let (mut balancer, _) = balancer(&[("a", "n1"), ("b", "n1")]);
+    let spare = |balancer: &LoadBalancer, limit_ms: u64| {
+        let limit = Duration::from_millis(limit_ms);
+        let chosen = balancer.choose_spare(&plain_requirements(), Vec::new(), limit, Moment::now());
+        chosen.map(|clearance| clearance.replica().to_string())
+    };
+    balancer.record_response("b", Moment::now(), Duration::from_millis(200));
+    for _ in 0..5 {
+        balancer.begin_request("a");
+    }
+    assert_eq!(chosen(&balancer), "a");
+    assert_eq!(spare(&balancer, 300).as_deref(), Some("b"));
+    assert_eq!(spare(&balancer, 150), None, "too slow");
+    balancer.record_load("b", 5, 0);
+    assert_eq!(spare(&balancer, 300), None);
+}
