Explain hedges and overload; tests of hedged requests that fail

Change: the last line of explain names the hedge of a request and the rejection for overload. Tests: the connection of a losing attempt is not used again, a failed attempt leaves the outcome to the other one, a replica that is warming up is never hedged to.

--- a/crates/brasspond/tests/hedging.rs
+++ b/crates/brasspond/tests/hedging.rs
@@ -93,6 +93,63 @@
     edge.await_line("winner=second").await;
 }
 
+/// Guards against a connection that is used again although a cancelled attempt is still on it: the
+/// next request would get another request's answer.
+#[rstest]
+#[tokio::test(flavor = "multi_thread")]
+async fn the_connection_of_a_losing_attempt_is_not_used_again() {
+    let (cluster, replicas) = start(2, 2).await;
+    let delay = Duration::from_millis(700);
+    *replicas[0].answer_delay.lock().expect("lock") = delay;
+    answer_in_time(&cluster, &replicas[0]).await;
+    *replicas[0].answer_delay.lock().expect("lock") = Duration::ZERO;
+    // Only the replica of the losing attempt is left.
+    cluster.store.remove("servers", "plain-1");
+    tokio::time::sleep(VIEW_TIME.max(delay)).await;
+    let front = cluster.edges[0].front;
+    for number in 0..5 {
+        let id = format!("later-{number}");
+        let answer = call(front, "POST", "/reads/x", &id, id.clone()).await;
+        let answer = answer.expect("answered");
+        assert_eq!(answer.status(), 200);
+        assert_eq!(text(answer).await.as_deref(), Some(id.as_str()));
+        assert_eq!(replicas[0].runs_of(&id), 1);
+    }
+    let log = cluster.edges[0].log();
+    assert!(!log.contains("event=attempt_failed"), "{log}");
+}
+
+/// Guards against a request that fails with its first attempt although its hedge is answered, and
+/// against one that hides the error of both.
+#[rstest]
+#[case::hedge_answers(false, 200)]
+#[case::both_fail(true, 500)]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_failed_attempt_leaves_the_outcome_to_the_other(
+    #[case] do_both_fail: bool,
+    #[case] status: u16,
+) {
+    let (cluster, replicas) = start(2, 2).await;
+    for replica in &replicas {
+        *replica.answer_delay.lock().expect("lock") = Duration::from_millis(250);
+        replica.fails.store(do_both_fail, Ordering::Relaxed);
+    }
+    // The first attempt fails after its hedge was sent and before that is answered.
+    replicas[0].fails.store(true, Ordering::Relaxed);
+    let front = cluster.edges[0].front;
+    for number in 0..20 {
+        let id = format!("read-{number}");
+        let answer = call(front, "POST", "/reads/x", &id, "x").await;
+        assert_eq!(answer.expect("answered").status(), status, "{id}");
+        assert!(runs(&replicas, &id) <= 2);
+        let log = cluster.edges[0].log();
+        if log.contains("event=attempt_failed") && log.contains("event=hedge_ended") {
+            return;
+        }
+    }
+    panic!("no hedged request had a failed attempt");
+}
+
 /// Guards against callers that wait three objectives for a replica that is silent from the start.
 #[rstest]
 #[tokio::test(flavor = "multi_thread")]
--- a/crates/cluster/tests/unit/balance.rs
+++ b/crates/cluster/tests/unit/balance.rs
@@ -5,7 +5,7 @@
 use crate::link::LinkContext;
 use brasspond_distance::{Distance, Place};
 use brasspond_eligibility::Requirements;
-use brasspond_fleet::{FleetView, Life, Regions, ReplicaInfo};
+use brasspond_fleet::{Configuration, FleetView, Life, Regions, ReplicaInfo, Service, WarmUp};
 use rstest::rstest;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -292,3 +292,33 @@
     balancer.record_load("b", 5, 0);
     assert_eq!(spare(&balancer, 300), None);
 }
+
+/// Guards against a hedge to a replica that is warming up, which needs a permit of the leader.
+#[rstest]
+fn a_replica_that_is_warming_up_is_not_free() {
+    let mut view = view(&[("a", "n1"), ("b", "n1")]);
+    let service = Service {
+        name: "plain".to_string(),
+        max_connections: 10,
+        engine_slots: 0,
+        models: Vec::new(),
+        scaling: None,
+        warm_up: Some(WarmUp {
+            time_ms: 3_000,
+            per_second: 12.0,
+        }),
+    };
+    view.configuration = Some(Arc::new(Configuration {
+        services: vec![service],
+        ..Configuration::default()
+    }));
+    let mut replicas = (*view.replicas).clone();
+    replicas.get_mut("b").expect("the replica").warming_ms = 3_000;
+    view.replicas = Arc::new(replicas);
+    let links = Rc::new(LinkContext::new(Place::new("n1", Some("n".into()))));
+    let mut balancer = LoadBalancer::new(links);
+    balancer.apply_view(&view, 0);
+    assert!(balancer.has_warming_replica(&plain_requirements()));
+    assert_eq!(free_replica(&balancer, &["a"]), None);
+    assert_eq!(free_replica(&balancer, &["b"]).as_deref(), Some("a"));
+}
--- a/crates/telemetry/src/explain/outcome.rs
+++ b/crates/telemetry/src/explain/outcome.rs
@@ -38,6 +38,12 @@
         let after = line.field("after");
         return format!("stream broke off after event {after}; {attempts}");
     }
+    if let Some(line) = find("request_overloaded") {
+        return format!(
+            "refused at once: no replica was expected to answer within {} ms; {attempts}",
+            line.field("left_ms")
+        );
+    }
     if let Some(line) = find("request_failed") {
         return failure_outcome(line, &attempts);
     }
@@ -56,14 +62,21 @@
     }
 }
 
-/// Summary of the failed attempts, each with its outcome, cause and replica.
+/// Summary of the failed attempts, each with its outcome, cause and replica, and of the hedges.
 fn failed_attempts(lines: &[LogLine]) -> String {
+    let hedges: String = events(lines, "hedge_ended")
+        .into_iter()
+        .map(|line| {
+            let (second, winner) = (line.field("second"), line.field("winner"));
+            format!("; hedged at {second}, winner: {winner}")
+        })
+        .collect();
     let failed = events(lines, "attempt_failed");
     if failed.is_empty() {
-        return String::from("no attempt failed");
+        return format!("no attempt failed{hedges}");
     }
     let failed: Vec<String> = failed.into_iter().map(failed_attempt).collect();
-    format!("failed attempts: {}", failed.join(", "))
+    format!("failed attempts: {}{hedges}", failed.join(", "))
 }
 
 fn failed_attempt(line: &LogLine) -> String {
--- a/crates/telemetry/tests/explain.rs
+++ b/crates/telemetry/tests/explain.rs
@@ -11,6 +11,11 @@
 2026-01-01T00:00:02.6Z [INFO] event=attempt_failed request=r4 route=x attempt=1 replica=i-5 outcome=may_have_run cause=broken content=0a1b left_ms=900
 2026-01-01T00:00:02.62Z [INFO] event=replica_looked_at replica=i-5 request=r4 content=0a1b ended=true seen=refused
 2026-01-01T00:00:02.64Z [INFO] event=request_failed request=r5 route=x content=0a1b attempts=1 offers=0 quarantined=true may_have_run=false late=false ready_replicas=3
+2026-01-01T00:00:02.7Z [INFO] event=request_overloaded request=r6 route=x service=s left_ms=700
+2026-01-01T00:00:02.7Z [INFO] event=request_failed request=r6 route=x attempts=1 offers=0 may_have_run=false late=false ready_replicas=3
+2026-01-01T00:00:02.8Z [INFO] event=request_hedged request=r7 route=x first=i-1 second=i-2 delay_ms=75 left_ms=1425
+2026-01-01T00:00:02.84Z [INFO] event=hedge_ended request=r7 winner=second second=i-2 hedge_ms=40 left_ms=1385
+2026-01-01T00:00:02.84Z [INFO] event=request_answered request=r7 route=x replica=i-2 attempt=2 status=200 elapsed_ms=115
 noise that is no event
 2026-01-01T00:00:03Z [INFO] event=leader_silent
 ";
@@ -51,6 +56,14 @@
     "r5",
     "not run: replicas ended under its content 0a1b, which is held; no attempt failed"
 )]
+#[case::overloaded(
+    "r6",
+    "refused at once: no replica was expected to answer within 700 ms; no attempt failed"
+)]
+#[case::hedged(
+    "r7",
+    "answered with 200 by i-2 after 115 ms; no attempt failed; hedged at i-2, winner: second"
+)]
 #[case::content(
     "0a1b",
     "1 replicas ended under it; 1 requests turned away, 0 items withheld; held in the end"
