--- a/crates/cluster/src/edge/balance.rs
+++ b/crates/cluster/src/edge/balance.rs
@@ -5,6 +5,7 @@
 //! of the replica's process to its end. The fleet view supplies locations and capacity, the links
 //! supply round-trip times.
 
+mod hedges;
 mod overload;
 
 use super::attempts::REPLICA_FAULT_BACKOFF;
@@ -29,9 +30,6 @@
 /// Utilization of a replica's slots, from 0 to 1, from which scoring calls wait, so that callers'
 /// requests find free slots.
 const MAX_SCORING_UTILIZATION: f64 = 0.67;
-/// Response time assumed for an attempt that was cancelled unanswered, as a multiple of the time
-/// until then, which is only a lower bound.
-const UNANSWERED_FACTOR: f64 = 2.0;
 /// Age at which a reported load is considered stale.
 const REPORTED_LOAD_TTL: Duration = Duration::from_millis(500);
 
@@ -383,75 +381,6 @@
         let state = self.replicas.get_mut(id)?;
         (started >= state.known_since).then_some(state)
     }
-
-    /// Typical response time of the eligible replicas that have responded to this edge, in ms: the
-    /// median of their averages. `None` if none has responded.
-    pub fn typical_response_ms(&self, requirements: &Requirements<'_>) -> Option<f64> {
-        let states = self.replicas.values();
-        let eligible = states.filter(|state| state.endpoint.check(requirements).is_ok());
-        let mut times: Vec<f64> = eligible.filter_map(|state| state.response_ms).collect();
-        let middle = times.len().checked_sub(1)? / 2;
-        let (_, median, _) = times.select_nth_unstable_by(middle, f64::total_cmp);
-        Some(*median)
-    }
-
-    /// Chooses an eligible replica that has a free slot, is not paused and is not `excluded`; `None`
-    /// if there is none.
-    pub fn choose_free(
-        &self,
-        requirements: &Requirements<'_>,
-        excluded: Vec<String>,
-        now: Moment,
-    ) -> Option<Clearance> {
-        self.choose_fit(requirements, excluded, now, |state| {
-            !state.is_paused(now) && state.requests(now) < state.slots.max(1)
-        })
-    }
-
-    /// Chooses an eligible replica that has capacity for scoring calls, is expected to respond
-    /// within `limit` and is not `excluded`; `None` if there is none.
-    pub fn choose_spare(
-        &self,
-        requirements: &Requirements<'_>,
-        excluded: Vec<String>,
-        limit: Duration,
-        now: Moment,
-    ) -> Option<Clearance> {
-        let limit_ms = limit.as_secs_f64() * 1_000.0;
-        self.choose_fit(requirements, excluded, now, |state| {
-            state.has_spare_capacity(now) && self.expected_ms(state, now) <= limit_ms
-        })
-    }
-
-    fn choose_fit(
-        &self,
-        requirements: &Requirements<'_>,
-        mut excluded: Vec<String>,
-        now: Moment,
-        is_fit: impl Fn(&ReplicaState) -> bool,
-    ) -> Option<Clearance> {
-        let states = self.replicas.iter();
-        let unfit = states
-            .filter(|(_, state)| state.endpoint.check(requirements).is_ok() && !is_fit(state));
-        excluded.extend(unfit.map(|(id, _)| id.clone()));
-        let chosen = self.choose(requirements, &excluded, now)?;
-        let is_excluded = excluded.iter().any(|id| **id == **chosen.replica());
-        (!is_excluded).then_some(chosen)
-    }
-
-    /// Records an attempt that began at `started` and was cancelled unanswered after `elapsed`. If
-    /// that is longer than the average, the attempt counts as a response time of
-    /// [`UNANSWERED_FACTOR`] times as long. Faults and pauses stay as they are.
-    pub fn record_unanswered(&mut self, id: &str, started: Moment, elapsed: Duration) {
-        let Some(state) = self.current_state(id, started) else {
-            return;
-        };
-        let average_ms = state.response_ms.unwrap_or(DEFAULT_RESPONSE_MS);
-        if elapsed.as_secs_f64() * 1_000.0 > average_ms {
-            let assumed = elapsed.mul_f64(UNANSWERED_FACTOR);
-            state.response_ms = Some(average_response_ms(state.response_ms, assumed));
-        }
-    }
 }
 
 #[cfg(test)]
