--- a/crates/cluster/src/edge/balance.rs
+++ b/crates/cluster/src/edge/balance.rs
@@ -5,6 +5,9 @@
 //! of the replica's process to its end. The fleet view supplies locations and capacity, the links
 //! supply round-trip times.
 
+mod hedges;
+mod overload;
+
 use super::load_report::LoadReport;
 use super::replica_state::{ReplicaState, SharedLoad, expected_response_ms};
 use super::response_time::median;
--- a/crates/cluster/src/edge/forward.rs
+++ b/crates/cluster/src/edge/forward.rs
@@ -8,6 +8,7 @@
 use super::attempts::{MIN_TIME_TO_SEND, attempt_timeout, may_retry};
 use super::draining::RequestGuard;
 use super::headers::{header_number, header_text, host_of};
+use super::hedging::HedgeClass;
 use super::process::Edge;
 use super::refusal::AttemptHistory;
 use super::responses::{Body, forwarded_response, full_body, unknown_outcome};
@@ -157,13 +158,17 @@
 
     async fn run(self, guard: RequestGuard) -> Response<Body> {
         let mut history = AttemptHistory::default();
-        let max_attempts = self.route.max_attempts.max(1);
+        let max_attempts = self.max_attempts();
+        self.count_for_hedges();
         while may_retry(history.delivered, history.attempts, max_attempts) {
             history.attempts += 1;
             let left = self.left();
             if left < MIN_TIME_TO_SEND {
                 break;
             }
+            if history.delivered == 0 && self.is_too_late(left) {
+                break;
+            }
             let clearance = match self.choose(&history.tried).await {
                 Ok(clearance) => clearance,
                 Err(reason) => {
@@ -171,21 +176,22 @@
                     break;
                 }
             };
-            let replica = clearance.replica().to_string();
-            let started = Moment::now();
-            let is_last = history.delivered + 1 == max_attempts;
-            let timeout = if is_last {
-                self.left()
-            } else {
-                self.attempt_timeout(0)
-            };
-            match self.attempt(&clearance, None, timeout).await {
-                Ok(response) => return self.respond(response, &replica, history, guard),
-                Err(error) => {
-                    self.log_failure(&replica, history.attempts, &error, left);
-                    self.observe_failure(&replica, started, &error);
-                    history.record(replica, error);
-                }
+            let timeout = self.timeout_after(history.delivered);
+            let hedge_timeout = self.timeout_after(history.delivered + 1);
+            let plan = self.plan_hedge(history.delivered, hedge_timeout, HedgeClass::Caller);
+            let attempt = self.attempt_hedged(&clearance, timeout, &history.tried, plan);
+            let outcome = attempt.await;
+            let first_number = history.attempts;
+            history.attempts += u32::from(outcome.was_hedged());
+            for (number, failed) in (first_number..).zip(outcome.failed) {
+                self.log_failure(&failed.replica, number, &failed.error, left);
+                history.record(failed.replica, failed.error);
+            }
+            if let Some(cancelled) = outcome.cancelled {
+                history.record_cancelled(cancelled);
+            }
+            if let Some((response, replica)) = outcome.answer {
+                return self.respond(response, &replica, history, guard);
             }
             if history.may_have_run && !self.is_repeatable() {
                 break;
@@ -194,6 +200,21 @@
         self.refuse(history)
     }
 
+    /// Timeout of an attempt after `delivered` attempts that reached a replica. The last attempt
+    /// that the route allows has all the time left.
+    fn timeout_after(&self, delivered: u32) -> Duration {
+        if delivered + 1 >= self.max_attempts() {
+            self.left()
+        } else {
+            self.attempt_timeout(0)
+        }
+    }
+
+    /// Maximum number of attempts that reach a replica.
+    fn max_attempts(&self) -> u32 {
+        self.route.max_attempts.max(1)
+    }
+
     fn respond(
         self,
         response: ReplicaResponse,
@@ -374,4 +395,44 @@
         let balancer = self.edge.balancer.borrow();
         balancer.has_spare_capacity(&self.requirements(), Moment::now())
     }
+
+    /// Chooses a replica that has capacity for scoring calls, is expected to meet the latency
+    /// objective and was not tried; `None` if there is none.
+    pub(super) fn choose_with_spare_capacity(&self, tried: &[String]) -> Option<Clearance> {
+        let balancer = self.edge.balancer.borrow();
+        let objective = self.objective();
+        balancer.choose_spare(
+            &self.requirements(),
+            tried.to_vec(),
+            objective,
+            Moment::now(),
+        )
+    }
+
+    /// Typical response time of the service; zero if it is not known.
+    pub(super) fn typical_response(&self) -> Duration {
+        let balancer = self.edge.balancer.borrow();
+        let typical_ms = balancer.typical_response_ms(&self.requirements());
+        Duration::from_secs_f64(typical_ms.unwrap_or(0.0) / 1_000.0)
+    }
+
+    /// Whether every replica that could take the request is so busy that no answer is expected in
+    /// the time left. Streams are excluded: their time left covers more than the response head.
+    fn is_too_late(&self, left: Duration) -> bool {
+        if self.route.kind == RouteKind::Streaming {
+            return false;
+        }
+        let balancer = self.edge.balancer.borrow();
+        let is_too_late = balancer.is_overloaded(&self.requirements(), left, Moment::now());
+        if is_too_late {
+            log::info!(
+                "event=request_overloaded request={} route={} service={} left_ms={}",
+                self.id,
+                self.route.name,
+                self.service,
+                left.as_millis()
+            );
+        }
+        is_too_late
+    }
 }
--- a/crates/cluster/src/edge/scoring.rs
+++ b/crates/cluster/src/edge/scoring.rs
@@ -6,13 +6,17 @@
 
 use super::attempt::ReplicaResponse;
 use super::attempt_error::AttemptError;
-use super::attempts::{SCORING_BACKOFF, pause_fits, scoring_has_failed, weighted_timeouts};
+use super::attempts::{
+    SCORING_BACKOFF, full_replica_pause, pause_fits, scoring_has_failed, weighted_timeouts,
+};
 use super::forward::{Admitted, ForwardedRequest};
 use super::headers::header_text;
+use super::hedged_attempt::{FailedAttempt, HedgedOutcome};
+use super::hedging::HedgeClass;
 use super::process::Edge;
 use crate::clock::{Moment, within};
 use brasspond_cluster_protocol::{AttemptId, Message, ScoringEnd, ScoringSpec};
-use brasspond_eligibility::Ineligible;
+use brasspond_eligibility::{Clearance, Ineligible};
 use brasspond_fleet::Regions;
 use brasspond_jobs::ScoringCall;
 use hyper::http::request::Parts;
@@ -149,6 +153,7 @@
         tried: Vec::new(),
         server_errors: 0,
         timeouts: 0,
+        full_pause: None,
     };
     let end = scorer.run().await;
     let elapsed = started.elapsed();
@@ -181,6 +186,8 @@
     server_errors: u32,
     /// Number of attempts that timed out.
     timeouts: u32,
+    /// Minimum pause before the next attempt if a full replica rejected the last one.
+    full_pause: Option<Duration>,
 }
 
 impl Scorer<'_> {
@@ -191,7 +198,7 @@
             if let Some(end) = self.attempt().await {
                 return end;
             }
-            let pause = SCORING_BACKOFF.pause(earlier_failures);
+            let pause = self.pause(earlier_failures);
             if !pause_fits(Moment::now(), pause, self.deadline) {
                 return ScoringEnd::Unanswered;
             }
@@ -200,46 +207,88 @@
         }
     }
 
+    /// Pause before the next attempt. The pause for a full replica is left out if no attempt could
+    /// follow it.
+    fn pause(&self, earlier_failures: u32) -> Duration {
+        let backoff = SCORING_BACKOFF.pause(earlier_failures);
+        let full_pause = self.full_pause.unwrap_or(Duration::ZERO);
+        if pause_fits(Moment::now(), full_pause, self.deadline) {
+            backoff.max(full_pause)
+        } else {
+            backoff
+        }
+    }
+
     /// Makes one attempt. Returns `None` if another attempt may follow.
     async fn attempt(&mut self) -> Option<ScoringEnd> {
         let lease = self.edge.await_work_lease();
         if within(self.left(), lease).await.is_err() {
             return Some(ScoringEnd::Unanswered);
         }
+        self.full_pause = None;
         let request = self.build_request()?;
         self.yield_to_callers(&request).await;
-        let clearance = match request.choose(&self.tried).await {
+        let clearance = match self.choose(&request).await {
             Ok(clearance) => clearance,
             Err(Some(Ineligible::Quarantined)) => return Some(ScoringEnd::Unanswered),
             Err(_) => return None,
         };
-        let replica = clearance.replica().to_string();
-        let started = Moment::now();
-        let timeout =
-            request.attempt_timeout(weighted_timeouts(self.timeouts, self.earlier_timeouts));
-        match request.attempt(&clearance, None, timeout).await {
-            Ok(ReplicaResponse::Full(status, headers, _)) if status.is_success() => {
+        let outcome = self.attempt_at(&request, &clearance).await;
+        let is_full = |failed: &FailedAttempt| failed.error.is_full();
+        if outcome.failed.iter().any(is_full) {
+            let typical = request.typical_response();
+            self.full_pause = Some(full_replica_pause(typical, rand::random()));
+        }
+        for failed in outcome.failed {
+            self.log_failed_attempt(&failed.replica, failed.error.name());
+            self.tried.push(failed.replica);
+            self.count_failure(&failed.error);
+        }
+        self.tried.extend(outcome.cancelled);
+        match outcome.answer {
+            Some((ReplicaResponse::Full(status, headers, _), _)) if status.is_success() => {
                 request.record_completed();
                 let signature = &self.edge.platform.wire.names().signature;
                 let score = header_text(&headers, signature);
                 Some(ScoringEnd::Scored(score))
             }
-            Ok(ReplicaResponse::Full(status, ..) | ReplicaResponse::Stream(status, ..)) => {
+            Some((response, replica)) => {
+                let (ReplicaResponse::Full(status, ..) | ReplicaResponse::Stream(status, ..)) =
+                    response;
                 self.log_failed_attempt(&replica, status.as_str());
                 self.tried.push(replica);
                 None
             }
-            Err(error) => {
-                self.log_failed_attempt(&replica, error.name());
-                request.observe_failure(&replica, started, &error);
-                self.tried.push(replica);
-                self.count_failure(&error);
+            None => {
                 let has_failed = scoring_has_failed(self.server_errors, request.route.max_attempts);
                 has_failed.then_some(ScoringEnd::Failed)
             }
         }
     }
 
+    /// Chooses a replica, preferably one with spare capacity, so that the last free slots of each
+    /// replica are left to callers' requests.
+    async fn choose(&self, request: &ForwardedRequest) -> Result<Clearance, Option<Ineligible>> {
+        match request.choose_with_spare_capacity(&self.tried) {
+            Some(clearance) => Ok(clearance),
+            None => request.choose(&self.tried).await,
+        }
+    }
+
+    /// Makes an attempt and, if the call has attempts left, a hedge. Every earlier attempt counts
+    /// towards the attempts of the route, including those that did not reach a replica.
+    async fn attempt_at(&self, request: &ForwardedRequest, clearance: &Clearance) -> HedgedOutcome {
+        if self.tried.is_empty() {
+            request.count_for_hedges();
+        }
+        let attempts = u32::try_from(self.tried.len()).unwrap_or(u32::MAX);
+        let timeouts = weighted_timeouts(self.timeouts, self.earlier_timeouts);
+        let timeout = request.attempt_timeout(timeouts);
+        let plan = request.plan_hedge(attempts, timeout, HedgeClass::ScoringCall);
+        let attempt = request.attempt_hedged(clearance, timeout, &self.tried, plan);
+        attempt.await
+    }
+
     fn count_failure(&mut self, error: &AttemptError) {
         self.timeouts += u32::from(error.is_timeout());
         if let AttemptError::ErrorResponse(response) = error
--- a/crates/cluster/tests/unit/balance.rs
+++ b/crates/cluster/tests/unit/balance.rs
@@ -5,7 +5,7 @@
 use crate::link::LinkContext;
 use brasspond_distance::{Distance, Place};
 use brasspond_eligibility::Requirements;
-use brasspond_fleet::{FleetView, Life, Regions, ReplicaInfo};
+use brasspond_fleet::{Configuration, FleetView, Life, Regions, ReplicaInfo, Service, WarmUp};
 use brasspond_replica_load::ReplicaLoad;
 use rstest::rstest;
 use std::collections::BTreeMap;
@@ -38,7 +38,7 @@
     view
 }
 
-fn balancer(replicas: &[(&str, &str)]) -> (LoadBalancer, Rc<LinkContext>) {
+pub(super) fn balancer(replicas: &[(&str, &str)]) -> (LoadBalancer, Rc<LinkContext>) {
     let place = Place::new("n1", Some("n".into()));
     let links = Rc::new(LinkContext::new(place));
     let mut balancer = LoadBalancer::new(Rc::clone(&links));
@@ -46,7 +46,7 @@
     (balancer, links)
 }
 
-fn report(running: u32, waiting: u32, duration_percent: Option<u32>) -> LoadReport {
+pub(super) fn report(running: u32, waiting: u32, duration_percent: Option<u32>) -> LoadReport {
     LoadReport {
         running,
         waiting,
@@ -389,3 +389,110 @@
     assert_eq!(report, [("a", 1, 50, 0), ("far", 1, 50, 1)]);
     assert!(balancer.observations.take().is_empty());
 }
+
+pub(super) fn plain_requirements() -> Requirements<'static> {
+    Requirements {
+        service: "plain",
+        regions: &Regions::Any,
+        weights: None,
+        is_quarantined: false,
+        now: 0,
+        permit: None,
+    }
+}
+
+fn free_replica(balancer: &LoadBalancer, excluded: &[&str]) -> Option<String> {
+    let excluded = excluded.iter().map(|id| (*id).to_string()).collect();
+    let chosen = balancer.choose_free(&plain_requirements(), excluded, Moment::now());
+    chosen.map(|clearance| clearance.replica().to_string())
+}
+
+/// Guards against hedges to a replica that is full, paused or already has the request.
+#[rstest]
+fn only_an_active_replica_with_a_free_slot_is_free() {
+    let (mut balancer, _) = balancer(&[("a", "n1"), ("b", "n1"), ("c", "n1"), ("d", "n1")]);
+    assert_eq!(free_replica(&balancer, &["a"]).as_deref(), Some("b"));
+    for _ in 0..6 {
+        balancer.begin_request("b");
+    }
+    assert_eq!(free_replica(&balancer, &["a"]).as_deref(), Some("c"));
+    balancer.record_fault("c", Moment::now());
+    assert_eq!(free_replica(&balancer, &["a"]).as_deref(), Some("d"));
+    assert_eq!(free_replica(&balancer, &["a", "d"]), None);
+}
+
+/// Guards against a delay of hedges that follows the slow replicas of a service.
+#[rstest]
+fn the_typical_response_time_is_the_median_of_known_replicas() {
+    let (mut balancer, _) = balancer(&[("a", "n1"), ("b", "n1"), ("c", "n1"), ("d", "n1")]);
+    let typical = |balancer: &LoadBalancer| balancer.typical_response_ms(&plain_requirements());
+    assert_eq!(typical(&balancer), None);
+    for (id, time_ms) in [("a", 40), ("b", 900), ("c", 50)] {
+        balancer.record_response(id, Moment::now(), Duration::from_millis(time_ms));
+    }
+    assert_eq!(typical(&balancer), Some(50.0));
+}
+
+/// Guards against a silent replica that stays the first choice because it never answers.
+#[rstest]
+fn a_cancelled_attempt_moves_its_replica_behind_the_others() {
+    let (mut balancer, _) = balancer(&[("a", "n1"), ("b", "n1")]);
+    let started = Moment::now();
+    balancer.record_response("a", started, Duration::from_millis(30));
+    balancer.record_response("b", started, Duration::from_millis(40));
+    assert_eq!(chosen(&balancer), "a");
+    balancer.record_unanswered("a", started, Duration::from_millis(10));
+    assert_eq!(chosen(&balancer), "a", "shorter than the usual time");
+    balancer.record_unanswered("a", started, Duration::from_millis(90));
+    assert_eq!(chosen(&balancer), "b");
+}
+
+/// Guards against scoring calls that take the last free slots of replicas.
+#[rstest]
+fn scoring_calls_prefer_replicas_with_spare_capacity() {
+    let (mut balancer, _) = balancer(&[("a", "n1"), ("b", "n1")]);
+    let spare = |balancer: &LoadBalancer, limit_ms: u64| {
+        let limit = Duration::from_millis(limit_ms);
+        let chosen = balancer.choose_spare(&plain_requirements(), Vec::new(), limit, Moment::now());
+        chosen.map(|clearance| clearance.replica().to_string())
+    };
+    balancer.record_response("b", Moment::now(), Duration::from_millis(200));
+    for _ in 0..5 {
+        balancer.begin_request("a");
+    }
+    assert_eq!(chosen(&balancer), "a");
+    assert_eq!(spare(&balancer, 300).as_deref(), Some("b"));
+    assert_eq!(spare(&balancer, 150), None, "too slow");
+    balancer.record_load("b", &report(5, 0, None));
+    assert_eq!(spare(&balancer, 300), None);
+}
+
+/// Guards against a hedge to a replica that is warming up, which needs a permit of the leader.
+#[rstest]
+fn a_replica_that_is_warming_up_is_not_free() {
+    let mut view = view(&[("a", "n1"), ("b", "n1")]);
+    let service = Service {
+        name: "plain".to_string(),
+        max_connections: 10,
+        engine_slots: 0,
+        models: Vec::new(),
+        scaling: None,
+        warm_up: Some(WarmUp {
+            time_ms: 3_000,
+            per_second: 12.0,
+        }),
+    };
+    view.configuration = Some(Arc::new(Configuration {
+        services: vec![service],
+        ..Configuration::default()
+    }));
+    let mut replicas = (*view.replicas).clone();
+    replicas.get_mut("b").expect("the replica").warming_ms = 3_000;
+    view.replicas = Arc::new(replicas);
+    let links = Rc::new(LinkContext::new(Place::new("n1", Some("n".into()))));
+    let mut balancer = LoadBalancer::new(links);
+    balancer.apply_view(&view, 0);
+    assert!(balancer.has_warming_replica(&plain_requirements()));
+    assert_eq!(free_replica(&balancer, &["a"]), None);
+    assert_eq!(free_replica(&balancer, &["b"]).as_deref(), Some("a"));
+}
