Edges disconnect callers that read nothing and bound the answers held for slow readers

Cause: an edge held an answer until its caller had read it. Only TCP_USER_TIMEOUT (1.5 s, applied by Linux also to a closed receive window) ended such a connection, after 2.0 s on loopback, without a log line and also for callers that paused for 2 s. Ruled out: a timer per write (cost for a rare case); a longer TCP_USER_TIMEOUT for all callers (work for vanished callers would go on for seconds); SO_SNDBUF (bounds throughput). Change: CallerStream wraps accepted connections and lists those whose writes are blocked; the tick closes a connection after 5 s without progress, and the one longest without progress while more than a quarter of limits.memory_mb is held. Unsent bytes in the socket are limited to 32 KiB, so that progress is seen every 16 KiB. A caller without progress for 0.5 s gets a user timeout of 10 s. A planned stop waits for answers that are being read. Log caller_cut, metrics callers_cut, held_answer_bytes. Conclusion: callers whose writes the socket takes whole cost one comparison per write.

--- a/crates/cluster/src/edge/draining.rs
+++ b/crates/cluster/src/edge/draining.rs
@@ -107,7 +107,7 @@
         callers.closing.send_replace(true);
         let deadline =
             tokio::time::Instant::now() + max_drain_time(self.settings.termination_grace);
-        while callers.requests() > 0 && tokio::time::Instant::now() < deadline {
+        while self.has_open_answers() && tokio::time::Instant::now() < deadline {
             tokio::time::sleep(DRAIN_CHECK_INTERVAL).await;
         }
         self.report_usage();
@@ -116,6 +116,11 @@
         callers.closing.send_replace(true);
     }
 
+    /// Whether a request runs or an answer waits for a caller that reads slowly.
+    fn has_open_answers(&self) -> bool {
+        self.callers.requests() > 0 || self.slow_readers.held_bytes() > 0
+    }
+
     /// Waits until this edge has drained.
     pub(super) async fn drained(&self) {
         let mut closing = self.callers.watch_closing();
--- a/crates/cluster/src/edge/front.rs
+++ b/crates/cluster/src/edge/front.rs
@@ -2,6 +2,7 @@
 //!
 //! Requests go to [`super::forward`], calls about jobs to [`super::job_calls`].
 
+use super::caller_stream::CallerStream;
 use super::draining::RequestGuard;
 use super::forward::{Admitted, forward};
 use super::headers::{header_text, host_of};
@@ -21,7 +22,7 @@
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::{Method, Request, Response, StatusCode};
-use hyper_util::rt::{TokioIo, TokioTimer};
+use hyper_util::rt::TokioTimer;
 use std::convert::Infallible;
 use std::pin::pin;
 use std::rc::Rc;
@@ -73,7 +74,8 @@
 }
 
 async fn serve_connection(edge: Rc<Edge>, stream: TcpStream) {
-    crate::socket::set_options(&stream);
+    let stream = CallerStream::new(stream, &edge.slow_readers);
+    let writes = stream.writes();
     let limits = {
         let view = edge.fleet.view.borrow();
         view.configuration
@@ -93,7 +95,7 @@
         .timer(TokioTimer::new())
         .header_read_timeout(idle)
         .max_buf_size(limits.header_bytes.max(MIN_BUFFER_BYTES))
-        .serve_connection(TokioIo::new(stream), service);
+        .serve_connection(stream, service);
     let mut connection = pin!(connection);
     let mut shed = edge.callers.watch_shed();
     let stopped = pin!(async {
@@ -102,15 +104,14 @@
             _ = shed.changed() => {}
         }
     });
-    if let Either::Right((_, connection)) =
+    if let Either::Right((_, mut connection)) =
         futures::future::select(connection.as_mut(), stopped).await
     {
-        connection.graceful_shutdown();
-    } else {
-        return;
+        connection.as_mut().graceful_shutdown();
+        // Errors of a caller's connection are not logged.
+        let _ = connection.await;
     }
-    // Errors of a caller's connection are not logged.
-    let _ = connection.await;
+    edge.report_cut(&writes);
 }
 
 /// Handles one request of a caller.
--- a/crates/cluster/src/edge/process.rs
+++ b/crates/cluster/src/edge/process.rs
@@ -5,6 +5,7 @@
 use super::fleet_view::FleetState;
 use super::permits::PermitLocks;
 use super::runs::{JobTasks, RunUpdate};
+use super::slow_reader::SlowReaders;
 use super::storage_links::StorageLinks;
 use super::usage::UsageReporter;
 use super::{front, leader_messages, member_search, ready};
@@ -46,6 +47,8 @@
     pub metrics: EdgeMetrics,
     pub fleet: FleetState,
     pub callers: Callers,
+    /// Callers' connections whose answers wait to be read.
+    pub slow_readers: Rc<SlowReaders>,
     /// Links to storage processes and the contact with the leader.
     pub storage: RefCell<StorageLinks>,
     /// Distances and counters shared by all links.
@@ -237,6 +240,7 @@
         Self {
             fleet: FleetState::new(process.supports_evacuation),
             callers: Callers::default(),
+            slow_readers: Rc::new(SlowReaders::new(process.memory_limit)),
             storage: RefCell::new(storage),
             balancer: RefCell::new(LoadBalancer::new(Rc::clone(&link_context))),
             link_context,
@@ -273,6 +277,8 @@
         self.report_usage();
         self.quarantine.borrow_mut().tick(now);
         self.pool.close_expired();
+        self.slow_readers.sweep(now);
+        self.metrics.held_bytes(self.slow_readers.held_bytes());
         self.permit_locks.borrow_mut().forget_idle();
         if now >= self.traffic_logged_at.get() + TRAFFIC_LOG_INTERVAL_MS {
             self.traffic_logged_at.set(now);
--- a/crates/cluster/src/settings.rs
+++ b/crates/cluster/src/settings.rs
@@ -35,6 +35,8 @@
     /// Interval between reads of replica changes at the source of the view. While the source
     /// answers, the known replicas are at most this old.
     pub source_pause: Duration,
+    /// Memory limit of the process in bytes, or `None` if the platform does not state it.
+    pub memory_limit: Option<u64>,
     /// Settings of usage reports, or `None` if the deployment does not meter usage.
     pub metering: Option<MeterSettings>,
     /// Address on which metrics are served, if any.
--- a/crates/cluster/src/socket.rs
+++ b/crates/cluster/src/socket.rs
@@ -10,6 +10,14 @@
 const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
 /// Number of unanswered keep-alive probes after which an idle connection is closed.
 const KEEPALIVE_PROBES: u32 = 2;
+/// Unsent bytes that the socket of a caller's connection holds; bytes in flight are not limited.
+/// Without the limit, the socket accepts more bytes only once a third of its buffer is free, which
+/// a steady reader of 100 KB/s reaches later than the timeout for stalled writes.
+pub(crate) const UNSENT_BYTES: u32 = 32 * 1024;
+/// Replaces [`UNACKNOWLEDGED_TIMEOUT`] for a caller that reads slowly. Linux also applies that
+/// timeout while the receiver's window is closed. It must exceed the edge's timeout for stalled
+/// writes.
+const SLOW_READER_TIMEOUT: Duration = Duration::from_secs(10);
 
 /// Sets the options that every connection needs: `TCP_NODELAY` and timeouts for a silent remote
 /// machine.
@@ -27,6 +35,26 @@
     log_failure("keepalive", socket.set_tcp_keepalive(&probes));
 }
 
+/// Limits the unsent bytes that the socket holds to [`UNSENT_BYTES`].
+pub(crate) fn limit_unsent_bytes(stream: &TcpStream) {
+    let result = SockRef::from(stream).set_tcp_notsent_lowat(UNSENT_BYTES);
+    log_failure("notsent_lowat", result);
+}
+
+/// Keeps the connection open while the remote process reads slowly. Its machine answers, so the
+/// shorter timeout for a silent machine is not needed.
+pub(crate) fn allow_slow_reads(stream: &TcpStream) {
+    let result = SockRef::from(stream).set_tcp_user_timeout(Some(SLOW_READER_TIMEOUT));
+    log_failure("user_timeout", result);
+}
+
+/// Makes the socket discard unsent bytes when it is closed, instead of holding them until the
+/// remote process reads them.
+pub(crate) fn discard_on_close(stream: &TcpStream) {
+    let result = SockRef::from(stream).set_linger(Some(Duration::ZERO));
+    log_failure("linger", result);
+}
+
 /// Logs an option that could not be set; the connection works without it.
 fn log_failure(option: &str, result: std::io::Result<()>) {
     if let Err(error) = result {
--- a/crates/telemetry/src/metrics/edge.rs
+++ b/crates/telemetry/src/metrics/edge.rs
@@ -26,6 +26,8 @@
         runs: Counters = "runs", "Runs of items by how they ended";
         scorings: Counters = "scorings", "Scorings of texts by how they ended";
         scoring_seconds: Histogram = "scoring_seconds", "Time from a whole text to its score";
+        callers_cut: Counters = "callers_cut", "Connections of callers closed because of answers that they did not read, by reason";
+        held_answer_bytes: Gauge = "held_answer_bytes", "Bytes of answers held for callers whose connections accept no more bytes";
         denials: Counters = "denials", "Calls turned away for their API key, by reason";
         store_reachable: Gauge = "store_reachable", "1 while the platform's store answers";
         unoffered_seconds: Histogram = "unoffered_seconds", "Time for which requests were queued that no replica was offered";
@@ -90,6 +92,17 @@
         count(&self.instruments.denials, [("reason", reason)]);
     }
 
+    /// Counts a caller's connection that was closed because the caller did not read.
+    pub fn caller_cut(&self, reason: &str) {
+        count(&self.instruments.callers_cut, [("reason", reason)]);
+    }
+
+    /// Sets the number of bytes of answers held for callers whose connections accept no more.
+    pub fn held_bytes(&self, bytes: u64) {
+        let bytes = i64::try_from(bytes).unwrap_or(i64::MAX);
+        self.instruments.held_answer_bytes.set(bytes);
+    }
+
     /// Counts a message to the leader that was not sent.
     pub fn leader_message_lost(&self) {
         self.instruments.leader_messages_lost.inc();
