--- a/crates/brasspond/tests/slow_readers.rs
+++ b/crates/brasspond/tests/slow_readers.rs
@@ -1,10 +1,10 @@
 //! Callers that read their answers slowly or not at all, and replicas that do not read their
 //! requests, tested with real processes.
 
-use brasspond_platform_standin::ANSWER_BYTES_HEADER;
 use brasspond_platform_standin::processes::{
-    Cluster, Machine, call, configuration, read_results, replica_entry,
+    Cluster, Deployment, Machine, Size, call, configuration, read_results, replica_entry,
 };
+use brasspond_platform_standin::{ANSWER_BYTES_HEADER, Store};
 use rstest::rstest;
 use serde_json::Value;
 use std::net::SocketAddr;
@@ -21,6 +21,9 @@
 /// freed, because glibc maps allocations of more than 32 MiB separately.
 const LARGE_ANSWER: usize = 48_000_000;
 
+/// Metric of the bytes of answers that an edge holds for slow readers.
+const HELD_BYTES: &str = "brasspond_edge_held_answer_bytes";
+
 /// Sends a request on a new connection with a small receive buffer and reads nothing.
 async fn request(front: SocketAddr, head: &str) -> TcpStream {
     let socket = TcpSocket::new_v4().expect("a socket");
@@ -80,10 +83,7 @@
     let before = resident_bytes(edge);
     let stalled = request(edge.front, &read_head("stalled", LARGE_ANSWER)).await;
     let large = LARGE_ANSWER as f64;
-    await_metric(edge, "brasspond_edge_held_answer_bytes", |held| {
-        held >= large
-    })
-    .await;
+    await_metric(edge, HELD_BYTES, |held| held >= large).await;
     let held_since = Instant::now();
     let during = resident_bytes(edge);
     assert!(
@@ -101,7 +101,7 @@
         held_for < STALL_TIMEOUT + Duration::from_secs(3),
         "{held_for:?}"
     );
-    await_metric(edge, "brasspond_edge_held_answer_bytes", |held| held == 0.0).await;
+    await_metric(edge, HELD_BYTES, |held| held == 0.0).await;
     await_metric(edge, "brasspond_edge_callers_cut_total", |count| {
         count == 1.0
     })
@@ -114,6 +114,41 @@
     drop(stalled);
 }
 
+/// Guards against answers for slow readers that use up the memory of an edge: the bound of a
+/// quarter of the limit closes the connection that has gone longest without reading, and no other.
+#[rstest]
+#[tokio::test(flavor = "multi_thread")]
+async fn answers_are_bounded_by_the_memory_limit() {
+    const MEMORY_MB: u64 = 256;
+    let (store, addresses) = Store::start().await;
+    let size = Size {
+        edges: 2,
+        storage: 3,
+    };
+    let deployment = Deployment {
+        memory_mb: Some(MEMORY_MB),
+        ..Deployment::default()
+    };
+    let cluster =
+        Cluster::start_deployed(configuration(1), store, addresses, size, deployment).await;
+    let edge = &cluster.edges[0];
+    let large = LARGE_ANSWER as f64;
+    let first = request(edge.front, &read_head("first", LARGE_ANSWER)).await;
+    await_metric(edge, HELD_BYTES, |held| held >= large).await;
+    // The first caller has gone longer without reading than the second one.
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    let second = request(edge.front, &read_head("second", LARGE_ANSWER)).await;
+    edge.await_line("event=caller_cut reason=memory").await;
+    let first_caller = first.local_addr().expect("an address");
+    let log = edge.log();
+    let cut = log.lines().find(|line| line.contains("event=caller_cut"));
+    let cut = cut.expect("a line");
+    assert!(cut.contains(&format!("caller={first_caller} ")), "{cut}");
+    let received = read_slowly(second, &[Duration::ZERO], RECEIVE_BUFFER as usize).await;
+    assert_eq!(received, LARGE_ANSWER);
+    drop(first);
+}
+
 /// Reads a response to its end, `portion` bytes after each pause. Returns the size of its body.
 async fn read_slowly(mut stream: TcpStream, pauses: &[Duration], portion: usize) -> usize {
     let mut received = Vec::new();
@@ -194,10 +229,7 @@
     for _ in 0..SLOW_TRAINERS {
         slow.push(request(edge.front, head).await);
     }
-    await_metric(edge, "brasspond_edge_held_answer_bytes", |held| {
-        held > 500_000.0
-    })
-    .await;
+    await_metric(edge, HELD_BYTES, |held| held > 500_000.0).await;
     for number in 0..20 {
         let started = Instant::now();
         let id = format!("read-{number}");
