Soak: slow readers, bursts, changes of speed and a limit on memory

Cause: no soak played uneven load, and none checked the memory of a process. Ruled out: new faults in the main sequence, which would change what every seed draws. Check memory_is_bounded: no process uses more than 256 MB.

--- a/crates/soak/src/callers/mod.rs
+++ b/crates/soak/src/callers/mod.rs
@@ -1,5 +1,6 @@
 //! Callers that send requests throughout a run and record their outcomes.
 
+mod load;
 mod trainer;
 
 pub use trainer::Job;
--- a/crates/soak/src/checks/mod.rs
+++ b/crates/soak/src/checks/mod.rs
@@ -32,6 +32,9 @@
 /// quarantines it, and three more by requests in progress at other edges or during an election.
 const MAX_CRASHES: usize = 6;
 
+/// Limit on the resident memory of a process, in KB: the 256 MB that a node may use for control.
+const MAX_MEMORY_KB: u64 = 256 * 1_000;
+
 /// A violation of a guarantee.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize)]
 pub struct Violation {
@@ -90,6 +93,15 @@
             what: format!("{name} exited without a fault"),
         });
     }
+    for (name, memory_kb) in &observed.memory_kb {
+        if *memory_kb > MAX_MEMORY_KB {
+            violations.push(Violation {
+                check: "memory_is_bounded",
+                at: schedule.length,
+                what: format!("{name} used {memory_kb} KB of memory"),
+            });
+        }
+    }
     violations.sort_by_key(|one| one.at);
     violations
 }
--- a/crates/soak/src/checks/observed.rs
+++ b/crates/soak/src/checks/observed.rs
@@ -55,6 +55,8 @@
     pub new_routes: BTreeMap<String, u64>,
     /// Names of processes that exited without a fault.
     pub unexpected_exits: Vec<String>,
+    /// Largest resident memory of each process in KB, by the name of its machine.
+    pub memory_kb: BTreeMap<String, u64>,
 }
 
 impl Observed {
--- a/crates/soak/src/checks/requests.rs
+++ b/crates/soak/src/checks/requests.rs
@@ -81,7 +81,11 @@
         | FaultKind::StoreSilent
         | FaultKind::StoreRefuses
         | FaultKind::StoreLoses(_)
-        | FaultKind::StoreSlow(_) => false,
+        | FaultKind::StoreSlow(_)
+        | FaultKind::PacePlain(..)
+        | FaultKind::PaceEngine(..)
+        | FaultKind::SlowReader(_)
+        | FaultKind::Burst(..) => false,
         _ => true,
     }
 }
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -36,6 +36,8 @@
     storage: u8,
     /// Also restart replicas under the ids that they had
     rebirths: bool,
+    /// Also play callers that read slowly, bursts of callers and replicas whose speed changes
+    uneven_load: bool,
     /// Output folder for reports, schedules and logs
     #[bpaf(argument("DIR"), fallback(PathBuf::from("out/soak")))]
     dir: PathBuf,
@@ -114,6 +116,7 @@
             edges: options.edges,
             storage: options.storage.max(MIN_STORAGE),
             same_id_restarts: options.rebirths,
+            uneven_load: options.uneven_load,
         };
         let schedule = Schedule::draw(seed, params);
         let folder = options.dir.join(format!("seed-{seed}"));
--- a/crates/soak/src/play/collecting.rs
+++ b/crates/soak/src/play/collecting.rs
@@ -75,6 +75,7 @@
             new_routes: self.new_routes.lock().expect("lock").clone(),
             config_writes: self.config_writes,
             unexpected_exits: self.unexpected_exits,
+            memory_kb: self.memory_kb,
         };
         RunOutput {
             observed,
--- a/crates/soak/src/play/faults.rs
+++ b/crates/soak/src/play/faults.rs
@@ -5,11 +5,15 @@
 use crate::proxy::Proxy;
 use crate::schedule::{Fault, FaultKind, ProxiedLink};
 use brasspond_platform_standin::Replica;
+use brasspond_platform_standin::restarting::RestartingReplica;
 use nix::sys::signal::Signal;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
+/// Usual duration of work, in percent.
+const USUAL_PERCENT: u64 = 100;
+
 impl Run {
     /// Injects a fault.
     pub(super) fn inject(&mut self, fault: &Fault) {
@@ -94,6 +98,10 @@
                     .lock()
                     .expect("lock") = pause;
             }
+            FaultKind::PacePlain(number, percent) => set_pace(&self.plain[number], percent),
+            FaultKind::PaceEngine(number, percent) => set_pace(&self.engines[number], percent),
+            FaultKind::SlowReader(edge) => self.callers.start_slow_reader(edge),
+            FaultKind::Burst(edge, count) => self.callers.start_burst(edge, count),
             // `inject` handles these kinds itself.
             FaultKind::Freeze(_)
             | FaultKind::Kill(_)
@@ -131,6 +139,8 @@
                 replica.fails.store(false, Ordering::Relaxed);
                 *replica.answer_delay.lock().expect("lock") = Duration::ZERO;
             }
+            FaultKind::PacePlain(number, _) => set_pace(&self.plain[number], USUAL_PERCENT),
+            FaultKind::PaceEngine(number, _) => set_pace(&self.engines[number], USUAL_PERCENT),
             _ => {}
         }
     }
@@ -152,3 +162,10 @@
         }
     }
 }
+
+/// Sets the duration of work of a replica's current process, in percent of the usual.
+fn set_pace(replica: &RestartingReplica, percent: u64) {
+    let processes = replica.lives();
+    let current = processes.last().expect("a first process");
+    current.speed_percent.store(percent, Ordering::Relaxed);
+}
--- a/crates/soak/src/play/machines.rs
+++ b/crates/soak/src/play/machines.rs
@@ -154,9 +154,17 @@
     /// Updates the peak numbers of processes and memory.
     pub(super) fn update_peak(&mut self) {
         let machines = self.cluster.edges.iter().chain(&self.cluster.storage);
-        let pids: Vec<u32> = machines.filter_map(Machine::pid).collect();
-        let memory = pids.iter().filter_map(|pid| memory_kb(*pid)).sum();
-        self.peak.processes = self.peak.processes.max(pids.len());
+        let running = machines.filter_map(|machine| Some((machine, machine.pid()?)));
+        let mut processes = 0;
+        let mut memory = 0;
+        for (machine, pid) in running {
+            processes += 1;
+            let resident = memory_kb(pid).unwrap_or(0);
+            memory += resident;
+            let largest = self.memory_kb.entry(machine.name.clone()).or_default();
+            *largest = resident.max(*largest);
+        }
+        self.peak.processes = self.peak.processes.max(processes);
         self.peak.memory_kb = self.peak.memory_kb.max(memory);
     }
 }
--- a/crates/soak/src/play/mod.rs
+++ b/crates/soak/src/play/mod.rs
@@ -70,6 +70,8 @@
     /// Version of the configuration that added the route of a call, by id of the call.
     new_routes: Arc<Mutex<BTreeMap<String, u64>>>,
     peak: PeakUsage,
+    /// Largest resident memory of each process in KB, by the name of its machine.
+    memory_kb: BTreeMap<String, u64>,
     /// Machines that were killed or terminated, each with the latest time of its restart.
     pending_restarts: Vec<(MachineId, tokio::time::Instant)>,
     /// Edges that a rolling restart has yet to terminate, each with the time of its SIGTERM in ms
--- a/crates/soak/src/play/starting.rs
+++ b/crates/soak/src/play/starting.rs
@@ -51,6 +51,7 @@
             config_writes: Vec::new(),
             new_routes: Arc::default(),
             peak: PeakUsage::default(),
+            memory_kb: BTreeMap::new(),
             pending_restarts: Vec::new(),
             pending_stops: Vec::new(),
             unexpected_exits: Vec::new(),
--- a/crates/soak/src/schedule/fault.rs
+++ b/crates/soak/src/schedule/fault.rs
@@ -130,6 +130,15 @@
     FailPlain(usize),
     /// A plain replica takes this many ms longer for each answer.
     SlowPlain(usize, u64),
+    /// The work of a plain replica takes this many percent of the usual time, as its load header
+    /// reports.
+    PacePlain(usize, u64),
+    /// The work of an engine takes this many percent of the usual time, as its load header reports.
+    PaceEngine(usize, u64),
+    /// A caller of the edge reads a large answer slowly.
+    SlowReader(usize),
+    /// This many callers send one request each to the edge at once.
+    Burst(usize, usize),
 }
 
 /// A fault with its start time and duration.
--- a/crates/soak/src/schedule/mod.rs
+++ b/crates/soak/src/schedule/mod.rs
@@ -7,6 +7,7 @@
 //! number of the draws must not change.
 
 mod fault;
+mod load;
 mod streams;
 
 pub use fault::{Fault, FaultKind, LinkFault, Process, ProxiedLink, Region, is_behind_proxy};
@@ -63,6 +64,8 @@
     pub storage: u8,
     /// Whether to draw restarts of replicas under the same id.
     pub same_id_restarts: bool,
+    /// Whether to draw uneven load: slow readers, bursts of callers and replicas whose speed changes.
+    pub uneven_load: bool,
 }
 
 impl Schedule {
@@ -100,6 +103,9 @@
         if params.same_id_restarts {
             schedule.draw_same_id_restarts(end);
         }
+        if params.uneven_load {
+            schedule.draw_uneven_load(end);
+        }
         schedule
     }
 
--- a/crates/soak/tests/checks.rs
+++ b/crates/soak/tests/checks.rs
@@ -24,6 +24,7 @@
         edges: 3,
         storage: 3,
         same_id_restarts: false,
+        uneven_load: false,
     };
     let mut schedule = Schedule::draw(1, params);
     schedule.faults = faults.to_vec();
@@ -125,6 +126,7 @@
         }],
         new_routes: BTreeMap::from([("new".to_string(), 2)]),
         unexpected_exits: Vec::new(),
+        memory_kb: BTreeMap::from([("edge-4".to_string(), 250_000)]),
     }
 }
 
@@ -239,6 +241,9 @@
 #[case::a_process_exited("processes_run", |observed: &mut Observed| {
     observed.unexpected_exits.push("edge-4".to_string());
 })]
+#[case::a_process_uses_too_much_memory("memory_is_bounded", |observed: &mut Observed| {
+    observed.memory_kb.insert("edge-4".to_string(), 260_000);
+})]
 fn violation_is_found(#[case] expected: &'static str, #[case] corrupt: fn(&mut Observed)) {
     let mut observed = valid_run();
     corrupt(&mut observed);
@@ -276,6 +281,7 @@
         edges: 3,
         storage: 3,
         same_id_restarts: false,
+        uneven_load: false,
     };
     let mut cuts = 0;
     for seed in 0..200 {
@@ -305,6 +311,7 @@
         edges: 3,
         storage: 3,
         same_id_restarts: false,
+        uneven_load: false,
     };
     let mut link_faults = BTreeSet::new();
     for seed in 0..50 {
@@ -333,6 +340,7 @@
         edges: 3,
         storage: 3,
         same_id_restarts: false,
+        uneven_load: false,
     };
     let (mut suspension_pairs, mut signal_pairs, mut configurations) = (0, 0, 0);
     for seed in 0..50 {
@@ -369,6 +377,7 @@
         edges: 3,
         storage: 3,
         same_id_restarts: false,
+        uneven_load: false,
     };
     let with = ScheduleParams {
         same_id_restarts: true,
@@ -391,6 +400,42 @@
     }
 }
 
+/// Guards against uneven load that is drawn without the option or alters other faults, and against
+/// schedules with uneven load that do not survive JSON.
+#[rstest]
+fn uneven_load_is_drawn_only_on_request() {
+    let without = ScheduleParams {
+        length: 60_000,
+        edges: 3,
+        storage: 3,
+        same_id_restarts: false,
+        uneven_load: false,
+    };
+    let with = ScheduleParams {
+        uneven_load: true,
+        ..without
+    };
+    let kind = |fault: &Fault| match fault.kind {
+        FaultKind::SlowReader(_) => Some("slow reader"),
+        FaultKind::Burst(..) => Some("burst"),
+        FaultKind::PacePlain(..) => Some("pace of a plain replica"),
+        FaultKind::PaceEngine(..) => Some("pace of an engine"),
+        _ => None,
+    };
+    for seed in 0..20 {
+        let plain = Schedule::draw(seed, without);
+        assert!(plain.faults.iter().all(|fault| kind(fault).is_none()));
+        let mut drawn = Schedule::draw(seed, with);
+        let text = serde_json::to_string(&drawn).expect("text");
+        let read: Schedule = serde_json::from_str(&text).expect("read");
+        assert_eq!(read, drawn);
+        let kinds: BTreeSet<&str> = drawn.faults.iter().filter_map(kind).collect();
+        assert_eq!(kinds.len(), 4, "seed {seed}: {kinds:?}");
+        drawn.faults.retain(|fault| kind(fault).is_none());
+        assert_eq!(drawn, plain);
+    }
+}
+
 /// Guards against schedules that depend on more than the seed, or do not survive JSON.
 #[rstest]
 fn same_seed_draws_the_same_schedule() {
@@ -399,6 +444,7 @@
         edges: 5,
         storage: 5,
         same_id_restarts: false,
+        uneven_load: false,
     };
     for seed in 0..200 {
         let drawn = Schedule::draw(seed, params);
--- a/crates/soak/tests/short.rs
+++ b/crates/soak/tests/short.rs
@@ -30,6 +30,7 @@
         edges: 3,
         storage: 3,
         same_id_restarts: false,
+        uneven_load: false,
     };
     play_and_check(&Schedule::draw(seed, params)).await;
 }
