Scoring calls yield by the load of their service

Cause: at 3.2 times the work scoring calls filled the replicas that were left (4,151 refusals by full replicas), since an edge hears of one replica once in three seconds, a report is believed for 0.5 s and a replica without one looked idle; calls yielded for 100 ms at most. Change: a fading mean of all reports of the service counts for a replica whose own is stale; a call yields for its route's objective, half of its time left at the most.

--- a/crates/cluster/src/edge/balance.rs
+++ b/crates/cluster/src/edge/balance.rs
@@ -11,6 +11,7 @@
 use super::load_report::LoadReport;
 use super::replica_state::{ReplicaState, SharedLoad, expected_response_ms};
 use super::response_time::median;
+use super::service_load::ServiceLoad;
 use crate::clock::Moment;
 use crate::link::LinkContext;
 use brasspond_distance::Distance;
@@ -82,6 +83,8 @@
     replicas: HashMap<String, ReplicaState>,
     /// Typical response time in ms by service: the median of the replicas' recent averages.
     typical_ms: HashMap<Arc<str>, f64>,
+    /// Reported utilization by service.
+    service_loads: HashMap<Arc<str>, ServiceLoad>,
     /// Answers and faults that were not reported to the leader yet.
     pub observations: ObservationRecorder,
     /// Number of choices in which a replica was eligible that fails at other edges.
@@ -96,6 +99,7 @@
             links,
             replicas: HashMap::new(),
             typical_ms: HashMap::new(),
+            service_loads: HashMap::new(),
             observations: ObservationRecorder::default(),
             failing_choices: Cell::new(0),
             lives: Lives::default(),
@@ -199,7 +203,8 @@
     pub fn has_spare_capacity(&self, requirements: &Requirements<'_>, now: Moment) -> bool {
         let mut replicas = self.replicas.values();
         replicas.any(|state| {
-            state.endpoint.check(requirements).is_ok() && state.has_spare_capacity(now)
+            state.endpoint.check(requirements).is_ok()
+                && state.has_spare_capacity(self.utilization_of(state, now), now)
         })
     }
 
@@ -316,10 +321,21 @@
     /// Records the load that a replica reported.
     pub fn record_load(&mut self, id: &str, report: &LoadReport) {
         if let Some(state) = self.replicas.get_mut(id) {
-            state.record_load(report, Moment::now());
+            let now = Moment::now();
+            state.record_load(report, now);
+            let utilization = f64::from(report.requests()) / f64::from(state.slots.max(1));
+            let service = Arc::clone(&state.endpoint.service);
+            let load = self.service_loads.entry(service).or_default();
+            load.record(utilization, now);
         }
     }
 
+    /// Utilization of the replicas of a replica's service; `None` if it is not known.
+    fn utilization_of(&self, state: &ReplicaState, now: Moment) -> Option<f64> {
+        let load = self.service_loads.get(&state.endpoint.service)?;
+        load.utilization(now)
+    }
+
     /// Applies the leader's list of all deviating replicas, which replaces the previous one.
     pub fn apply_shared_loads(&mut self, loads: &[ReplicaLoad], now: Moment) {
         for load in loads {
--- a/crates/cluster/src/edge/balance/hedges.rs
+++ b/crates/cluster/src/edge/balance/hedges.rs
@@ -51,7 +51,7 @@
     ) -> Option<Clearance> {
         let limit_ms = limit.as_secs_f64() * 1_000.0;
         self.choose_fit(requirements, excluded, now, |state| {
-            state.has_spare_capacity(now)
+            state.has_spare_capacity(self.utilization_of(state, now), now)
                 && !state.is_failing(now)
                 && self.expected_ms(state, true, now) <= limit_ms
         })
--- a/crates/cluster/src/edge/mod.rs
+++ b/crates/cluster/src/edge/mod.rs
@@ -37,6 +37,7 @@
 mod retry_after;
 mod runs;
 mod scoring;
+mod service_load;
 mod slow_reader;
 mod starting;
 mod storage_links;
--- a/crates/cluster/src/edge/replica_state.rs
+++ b/crates/cluster/src/edge/replica_state.rs
@@ -154,10 +154,15 @@
         self.paused_until.is_some_and(|until| until > now)
     }
 
-    /// Whether a scoring call may use a slot.
-    pub fn has_spare_capacity(&self, now: Moment) -> bool {
-        let limit = f64::from(self.slots.max(1)) * MAX_SCORING_UTILIZATION;
-        !self.is_paused(now) && f64::from(self.requests(now)) < limit
+    /// Whether a scoring call may use a slot. `service_utilization` is that of the service's
+    /// replicas; it counts while the replica's own report is stale.
+    pub fn has_spare_capacity(&self, service_utilization: Option<f64>, now: Moment) -> bool {
+        let slots = f64::from(self.slots.max(1));
+        let mut requests = f64::from(self.requests(now));
+        if self.current_report(now).is_none() {
+            requests = requests.max(service_utilization.unwrap_or(0.0) * slots);
+        }
+        !self.is_paused(now) && requests < slots * MAX_SCORING_UTILIZATION
     }
 
     /// Estimated wait for a slot: the remaining pause or the average response time, whichever is
--- a/crates/cluster/src/edge/scoring.rs
+++ b/crates/cluster/src/edge/scoring.rs
@@ -28,9 +28,13 @@
 
 /// Timeout of a call whose route is unknown. A configuration with the route may arrive meanwhile.
 const UNKNOWN_ROUTE_TIMEOUT: Duration = Duration::from_millis(1_000);
-/// Maximum time for which an attempt yields to callers' requests to a busy service.
+/// Maximum time for which an attempt yields to callers' requests to a busy service, if its route has
+/// a shorter latency objective. A call whose route has a longer one yields for that long.
 const YIELD_TIMEOUT: Duration = Duration::from_millis(100);
-/// Pause between two checks of a busy service's capacity.
+/// Maximum share of the call's remaining time in which it yields, so that it can still be answered.
+const MAX_YIELD_SHARE: u32 = 2;
+/// Minimum pause between two checks of a busy service's capacity. Up to twice as much is added at
+/// random, so that calls that wait do not all see the same free slot.
 const CAPACITY_CHECK_PAUSE: Duration = Duration::from_millis(10);
 
 /// Tasks that score texts that were generated through other edges.
@@ -171,6 +175,12 @@
     end
 }
 
+/// Maximum time for which an attempt yields to callers. `objective` is the latency objective of the
+/// call's route, `left` the call's remaining time.
+fn yield_timeout(objective: Duration, left: Duration) -> Duration {
+    objective.max(YIELD_TIMEOUT).min(left / MAX_YIELD_SHARE)
+}
+
 /// State of a scoring call.
 struct Scorer<'a> {
     edge: &'a Rc<Edge>,
@@ -329,11 +339,12 @@
         Some(request.ok()?.into_parts().0)
     }
 
-    /// Waits until a replica of the service has spare capacity, up to [`YIELD_TIMEOUT`].
+    /// Waits until a replica of the service has spare capacity, up to [`yield_timeout`].
     async fn yield_to_callers(&self, request: &ForwardedRequest) {
-        let until = Moment::now() + YIELD_TIMEOUT;
+        let until = Moment::now() + yield_timeout(request.objective(), self.left());
         while !request.has_spare_capacity() && Moment::now() < until {
-            tokio::time::sleep(CAPACITY_CHECK_PAUSE).await;
+            let pause = CAPACITY_CHECK_PAUSE.mul_f64(1.0 + 2.0 * rand::random::<f64>());
+            tokio::time::sleep(pause).await;
         }
     }
 
