Restore reasons and figures behind constants and rules in comments

Ruled out: facts that today's comments still state, notes on how values were tuned, dates and stories, and crates/cluster/src/edge/{balance,forward,attempt,scoring}.rs, which have changed since. Change: one or two sentences each for 25 constants and rules in cluster, dispatch, jobs, quarantine and warmup, in today's names. All figures are those of the earlier comments; none was measured again.

--- a/crates/cluster/src/clock.rs
+++ b/crates/cluster/src/clock.rs
@@ -12,7 +12,7 @@
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 /// Interval between checks of the clock during a wait. It bounds how late a wait ends after a
-/// suspension.
+/// suspension, and is half of the 500 ms within which callers expect the wait to end.
 const CLOCK_CHECK_INTERVAL: Duration = Duration::from_millis(250);
 
 /// An instant of a monotonic clock that includes suspensions (`CLOCK_BOOTTIME`).
--- a/crates/cluster/src/edge/leader_contact.rs
+++ b/crates/cluster/src/edge/leader_contact.rs
@@ -10,7 +10,8 @@
 use tokio::sync::watch;
 
 /// Time without an announcement after which an edge considers its leader lost, in ms. It is longer
-/// than the election timeout.
+/// than the election timeout of 0.6 to 0.8 s, and shorter than the 1.5 s after which a link with
+/// unacknowledged data is closed.
 const LEADER_SILENCE_TIMEOUT_MS: u64 = 1_300;
 /// Time without a leader after which a starting edge watches the view's source, in ms. An existing
 /// leader sends the view within this time.
@@ -20,6 +21,8 @@
 /// overloaded if all edges read it at once.
 const LEADERLESS_LIMIT_AT_FIRST_START_MS: u64 = 3_000;
 /// Time without a leader after which an edge that had one watches the view's source, in ms.
+/// Together with the polling interval of the source, it is only a part of the 2 to 4 s within which
+/// a configuration must take effect.
 const LEADERLESS_LIMIT_MS: u64 = 1_000;
 
 /// A known leader.
--- a/crates/cluster/src/edge/permits.rs
+++ b/crates/cluster/src/edge/permits.rs
@@ -16,13 +16,15 @@
 use std::time::Duration;
 use tokio::sync::Mutex;
 
-/// Maximum wait for a permit, as a fraction of the route's latency objective.
+/// Maximum wait for a permit, as a fraction of the route's latency objective. It is short, since a
+/// caller that is told early when to retry is served better than one whose request is queued.
 const PERMIT_WAIT_OBJECTIVES: f64 = 0.25;
 /// Lower bound of the maximum wait for a permit: one round trip to the leader on a busy edge.
 const MIN_PERMIT_WAIT: Duration = Duration::from_millis(50);
 /// Maximum wait for a permit if a full warm replica can take the request instead.
 const FULL_REPLICA_PERMIT_WAIT: Duration = Duration::from_millis(20);
-/// Pause between two questions while no permit is available.
+/// Pause between two questions while no permit is available. Exhausted budgets free one request at
+/// a time.
 const PERMIT_RETRY_PAUSE: Duration = Duration::from_millis(20);
 /// Time without a leader after which a question for a permit fails, in ms.
 const PERMIT_LEADERLESS_LIMIT_MS: u64 = 100;
--- a/crates/cluster/src/edge/ready.rs
+++ b/crates/cluster/src/edge/ready.rs
@@ -14,7 +14,8 @@
 use tokio::net::TcpListener;
 
 /// Time without a leader after which an edge that cannot reach the view's source either counts as
-/// isolated, in ms. It is longer than an election.
+/// isolated, in ms. It is longer than an election, and a second longer than the time after which an
+/// edge that had a leader watches the source.
 const ISOLATED_AFTER_MS: u64 = 2_000;
 
 /// Time after which an edge whose accepts fail is not ready, in ms. It must be short enough for two
--- a/crates/cluster/src/edge/retry_after.rs
+++ b/crates/cluster/src/edge/retry_after.rs
@@ -27,6 +27,7 @@
 /// within this time.
 const EVACUATED_TIME: Duration = Duration::from_millis(1_000);
 /// Expected time until the log's members are in the regions to which a job's data is restricted.
+/// Each member is replaced within a few tenths of a second once its successor has the log.
 const MEMBERS_TIME: Duration = Duration::from_millis(2_000);
 /// Pause while the allowed regions have no replica, or route and tenant share no region. This
 /// takes a new machine or a new configuration to resolve.
--- a/crates/cluster/src/edge/starting.rs
+++ b/crates/cluster/src/edge/starting.rs
@@ -14,9 +14,10 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-/// Time after the start during which requests are queued, in ms.
+/// Time after the start during which requests are queued, in ms. It is several times what an edge
+/// needs to learn the fleet if a leader or the store answers.
 const STARTUP_MS: u64 = 2_000;
-/// Maximum time in the queue.
+/// Maximum time in the queue. Another edge would have answered the caller by then.
 const MAX_QUEUE_TIME: Duration = Duration::from_millis(500);
 /// A request is queued for at most its deadline divided by this. Callers whose body is not read
 /// within a third of their deadline disconnect.
--- a/crates/cluster/src/link_writer.rs
+++ b/crates/cluster/src/link_writer.rs
@@ -83,7 +83,9 @@
 
 /// Encodes a message for many links. The frame is compressed even while this process is busy and
 /// has paused compression: compressing it once is cheap, and sending a large frame uncompressed to
-/// every edge would saturate the leader's link and delay its heartbeats.
+/// every edge would saturate the leader's link and delay its heartbeats. A full view of 3,000
+/// replicas takes 73 KB compressed and 400 KB uncompressed; the latter, sent to 250 edges, would
+/// occupy a link of 600 Mbit/s for 1.3 s.
 pub(crate) fn shared_frame(message: &Message) -> Bytes {
     brasspond_compression::with_packing(|| encode(message))
 }
--- a/crates/cluster/src/platform/reachability.rs
+++ b/crates/cluster/src/platform/reachability.rs
@@ -11,8 +11,8 @@
 
 /// Delay after the first failed call, added again for each further consecutive failure.
 const SOURCE_RETRY_STEP: Duration = Duration::from_millis(150);
-/// Maximum delay after a failed call. It is a small part of the time within which a configuration
-/// must take effect.
+/// Maximum delay after a failed call. It is a small part of the 2 to 4 s within which a
+/// configuration must take effect after the source acknowledged it.
 const MAX_SOURCE_RETRY_DELAY: Duration = Duration::from_millis(600);
 
 /// Tracks whether calls for one part of the view succeed. The parts of one source share the number
--- a/crates/cluster/src/storage/leader_rules.rs
+++ b/crates/cluster/src/storage/leader_rules.rs
@@ -85,7 +85,8 @@
 /// Minimum interval between view changes sent to edges: one tick of the leader.
 const VIEW_INTERVAL: Millis = 100;
 /// Minimum interval between view changes that edges do not act on. A replica that loads weights
-/// causes such a change; on large fleets, sending each of them takes much CPU time.
+/// causes such a change. Sent every 100 ms to 300 machines while 600 replicas loaded weights, these
+/// changes took so much CPU time that only a third of the requests was served.
 const PASSIVE_VIEW_INTERVAL: Millis = 2_000;
 
 /// State of the leader's view relative to what was sent to edges.
@@ -120,7 +121,8 @@
 }
 
 /// Number of edges that watch the source of the view while it answers the leader. An edge forwards
-/// changes that the leader lacks, so a few are enough.
+/// changes that the leader lacks, so a few are enough. Three edges made 479 calls to the store in
+/// 40 s without faults, where all edges made 838.
 const WATCHING_EDGES: usize = 3;
 /// Number of edges that watch while the source does not answer the leader. At least one of them
 /// should be able to reach it.
--- a/crates/cluster/src/storage/listing.rs
+++ b/crates/cluster/src/storage/listing.rs
@@ -12,7 +12,8 @@
 use crate::platform::ReplicaListing;
 use brasspond_units::Millis;
 
-/// Time without a page of the listing after which the source counts as unavailable.
+/// Time without a page of the listing after which the source counts as unavailable. A page takes a
+/// few ms, and a refused call is repeated within 150 ms.
 const PAGE_TIMEOUT: Millis = 1_000;
 /// Maximum time that a new leader waits for a listing in progress.
 const MAX_LISTING_TIME: Millis = 5_000;
--- a/crates/cluster/src/storage/long_poll.rs
+++ b/crates/cluster/src/storage/long_poll.rs
@@ -13,7 +13,8 @@
 use brasspond_units::Millis;
 
 /// Time without a new result after which a poll is answered: about the interval between two events
-/// of a text, by which the ends of equally long texts differ.
+/// of a text, by which the ends of equally long texts differ. When polls were answered with the
+/// first result, steps ended 0.5 to 0.9 s after their last text.
 const RESULT_QUIET_TIME: Millis = 120;
 /// Maximum time for which results are batched. It is half of [`READ_INTERVAL`], so that batching
 /// costs less than another read.
--- a/crates/cluster/src/storage/order_log.rs
+++ b/crates/cluster/src/storage/order_log.rs
@@ -17,7 +17,8 @@
 use brasspond_units::Millis;
 use std::collections::HashMap;
 
-/// Maximum number of entries searched for the last holder, which bounds the decoding at startup.
+/// Maximum number of entries searched for the last holder, which bounds the decoding at startup. If
+/// the holder is not found, the member only loses its head start in the next election.
 const MAX_SEARCHED_ENTRIES: usize = 4_096;
 
 /// The last announced order on a subject.
--- a/crates/cluster/src/storage/turn.rs
+++ b/crates/cluster/src/storage/turn.rs
@@ -26,7 +26,7 @@
 const MAX_APPLY_BYTES: usize = 128 * 1024;
 /// Maximum time for which committed entries are applied before links are read again. A member that
 /// applies a long log is silent for that long, which must be well below the minimum election
-/// timeout.
+/// timeout. Applying a long log at once caused three elections.
 const MAX_APPLY_TIME: Duration = Duration::from_millis(30);
 
 impl Storage {
--- a/crates/dispatch/src/loads.rs
+++ b/crates/dispatch/src/loads.rs
@@ -15,7 +15,8 @@
 const MIN_LOADS: usize = 2;
 /// Upper bound of the limit, which also bounds the number of the leader's calls to replicas.
 const MAX_LOADS: usize = 64;
-/// Share of the replicas that may load concurrently before the duration of a load is known.
+/// Share of the replicas that may load concurrently before the duration of a load is known. Two
+/// concurrent loads were too few with 16 replicas per model.
 const INITIAL_LOAD_SHARE: f64 = 0.2;
 /// A load is slow if it takes longer than this multiple of the minimum duration, plus one
 /// [`POLL_INTERVAL_MS`], which is the resolution of measured durations.
--- a/crates/dispatch/src/timeouts.rs
+++ b/crates/dispatch/src/timeouts.rs
@@ -6,7 +6,8 @@
 use brasspond_units::Millis;
 
 /// Time without a report on a run after which the run is moved to another replica, in ms. It is two
-/// report intervals, so that one report may be late, and does not depend on the run's pace.
+/// report intervals, so that one report may be late. It does not depend on the run's pace, so a run
+/// whose events take longer than this is moved again and again.
 const STALLED_AFTER: Millis = 2 * EDGE_REPORT_INTERVAL;
 /// Factor on [`STALLED_AFTER`] while the run's replica loads weights, as a load pauses runs for
 /// about 0.9 s.
@@ -18,7 +19,7 @@
 /// report, in ms.
 const REPORT_WINDOW_MS: Millis = 50;
 /// Maximum wait for the last events of a run that is handed over, in ms. Must exceed
-/// [`EDGE_REPORT_INTERVAL`].
+/// [`EDGE_REPORT_INTERVAL`]. An answer takes 1 to 7 ms; the rest allows for a busy edge.
 const HAND_OVER_TIMEOUT_MS: Millis = 300;
 /// Time without a message after which an edge misses heartbeats, in ms. It is two heartbeat
 /// intervals, so that one heartbeat may be late.
--- a/crates/jobs/src/command.rs
+++ b/crates/jobs/src/command.rs
@@ -230,7 +230,7 @@
 }
 
 /// Maximum size of an uncompressed command. It bounds the memory that a corrupt log entry can
-/// allocate.
+/// allocate. It is eight times the default maximum size of a caller's request body.
 const MAX_COMMAND_BYTES: usize = 256 * 1024 * 1024;
 
 /// A command or table cannot be read or written: {0}
--- a/crates/quarantine/src/case.rs
+++ b/crates/quarantine/src/case.rs
@@ -6,7 +6,7 @@
 
 /// Number of ends after which a content is quarantined. The end of a replica may be recorded for
 /// every content that it was running, so a harmless content may have two ends by chance, but hardly
-/// three.
+/// three. Callers are promised the same bound.
 pub const QUARANTINE_THRESHOLD: usize = 3;
 /// Number of ends from which on the leader sends a case to the edges. Edges report responses to the
 /// contents of these cases, and a response removes the case.
--- a/crates/quarantine/src/controller.rs
+++ b/crates/quarantine/src/controller.rs
@@ -9,7 +9,8 @@
 use std::collections::BTreeMap;
 
 /// Duration of the first quarantine of a content, in ms. Each further end doubles the duration,
-/// because each retry may crash another replica.
+/// because each retry may crash another replica. With these durations, the retries of a
+/// harmful content crash four replicas in the first hour.
 pub const FIRST_QUARANTINE_MS: Millis = 120_000;
 /// Maximum duration of a quarantine, in ms. After a release that fixes the crash, the content is
 /// served again within this time.
--- a/crates/warmup/src/budget.rs
+++ b/crates/warmup/src/budget.rs
@@ -7,7 +7,8 @@
 /// Time after the confirmation of a new leader during which the previous leader may still grant
 /// requests, in ms. Only one leader is confirmed at a time, but clocks and the estimates of clocks
 /// may be wrong by up to this time. A new leader assumes that all budgets are exhausted at the end
-/// of this time.
+/// of this time. Without this time, fuzzing found the rate exceeded at an overlap of 351 ms
+/// (`tests/granting.rs`).
 pub const LEADER_OVERLAP_MS: Millis = 500;
 
 /// Sliding-window rate limiter of one replica: at most [`Rate::max_grants`] grants in any span of
--- a/crates/warmup/src/permit.rs
+++ b/crates/warmup/src/permit.rs
@@ -6,7 +6,8 @@
 
 /// Time within which a granted request must be sent, in ms. It covers the delivery of the leader's
 /// message and a new connection on a busy edge. A longer time lowers the rate that a replica can
-/// reach, because each grant counts against the budget for this time as well.
+/// reach, because each grant counts against the budget for this time as well. With 100 ms, 10.9 of
+/// 12 requests per second are granted.
 pub const PERMIT_MS: Millis = 100;
 
 /// The leader's permission to send one request to one replica.
