Members of the log rewrite their files one after the other

Ruled out: hedges and shared loads (nothing of theirs is in the log). Change: the size at which a process rewrites its file is raised by up to a half, at random at its start.

--- a/crates/cluster/src/storage/disk.rs
+++ b/crates/cluster/src/storage/disk.rs
@@ -15,22 +15,38 @@
 const MAX_HISTORY_BYTES: u64 = 512 * 1024;
 /// Minimum size of the file at which it is rewritten with a snapshot, in bytes.
 const MIN_REWRITE_BYTES: u64 = 96 * 1024 * 1024;
+/// Maximum share by which a process raises the size at which it rewrites its file. Rewriting 80 MB
+/// occupies a process for a second. Members that all did so at once lost their leader again and
+/// again, and had no history left for those that had fallen behind.
+const REWRITE_SPREAD: f64 = 0.5;
 
 /// The file of the log.
 pub(super) struct Disk {
     log: RecordLog,
+    /// Factor on the sizes at which the file is rewritten, from 1 to 1 + [`REWRITE_SPREAD`].
+    rewrite_factor: f64,
     /// Size of the file at which it is rewritten, in bytes.
     rewrite_threshold: u64,
     /// Time spent writing in the current turn of the loop.
     turn_time: Duration,
 }
 
+/// Size of the file at which it is rewritten, in bytes. `rewritten` is its size after the last time.
+/// The threshold is at least twice that size. Otherwise a file whose snapshot is close to the minimum
+/// size would be rewritten after every few entries.
+fn rewrite_threshold(rewritten: u64, factor: f64) -> u64 {
+    let least = MIN_REWRITE_BYTES.max(2 * rewritten);
+    (least as f64 * factor) as u64
+}
+
 impl Disk {
-    /// Wraps an open file.
-    pub fn new(log: RecordLog) -> Self {
+    /// Wraps an open file. `random`, from 0 to 1, spreads the rewrites of the members of a group.
+    pub fn new(log: RecordLog, random: f64) -> Self {
+        let rewrite_factor = 1.0 + REWRITE_SPREAD * random;
         Self {
             log,
-            rewrite_threshold: MIN_REWRITE_BYTES,
+            rewrite_factor,
+            rewrite_threshold: rewrite_threshold(0, rewrite_factor),
             turn_time: Duration::ZERO,
         }
     }
@@ -110,9 +126,11 @@
         disk.log
             .rewrite(self.consensus.hard_state(), snapshot, &entries)
             .map_err(ProcessError::Disk)?;
-        // The threshold is at least twice the new size. Otherwise a file whose snapshot is close to
-        // the minimum size would be rewritten after every few entries.
-        disk.rewrite_threshold = MIN_REWRITE_BYTES.max(2 * disk.log.bytes());
+        disk.rewrite_threshold = rewrite_threshold(disk.log.bytes(), disk.rewrite_factor);
         Ok(())
     }
 }
+
+#[cfg(test)]
+#[path = "../../tests/unit/disk.rs"]
+mod tests;
--- a/crates/cluster/src/storage/process.rs
+++ b/crates/cluster/src/storage/process.rs
@@ -189,7 +189,7 @@
             platform,
             table,
             last_announcements,
-            disk: Disk::new(log),
+            disk: Disk::new(log, rand::random()),
             source_answers: true,
             replica_listing: ReplicaListing::default(),
             has_newer_copy: false,
