Keep descriptors free for probes, links, the store and replicas

Cause, as far as it is known: an edge accepts callers until no descriptor is left. Callers that wait in the backlog take each descriptor that is freed; a probe's accept then fails without a log line and is tried again each 50 ms, and calls to the store end with NotSent. The platform takes such an edge for dead.

Ruled out: accept_failed after accept_regained (the log has none).

Change: descriptors from seven eighths of the limit on are not for callers. A new descriptor has the lowest free number, so the number of an accepted connection tells that few are left; the edge then closes idle connections, as after a failed accept, and accepts no further caller until a duplicate gets a lower number.

--- a/crates/cluster/src/edge/draining.rs
+++ b/crates/cluster/src/edge/draining.rs
@@ -3,6 +3,7 @@
 //! A stopping edge returns its runs to the leader at once, accepts connections for a while, and
 //! then closes each connection after its current request.
 
+use super::descriptors::DescriptorLimit;
 use super::process::Edge;
 use super::ready::AcceptHealth;
 use std::cell::Cell;
@@ -21,7 +22,7 @@
 const FLUSH_TIME: Duration = Duration::from_millis(100);
 
 /// State of callers' connections and requests.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(super) struct Callers {
     is_draining: Cell<bool>,
     has_drained: Cell<bool>,
@@ -32,9 +33,24 @@
     shed: watch::Sender<u64>,
     /// Whether accepting connections works.
     pub accept_health: AcceptHealth,
+    /// The descriptors that callers' connections may use.
+    pub descriptors: DescriptorLimit,
 }
 
 impl Callers {
+    /// State without callers. Reads the process's limit on descriptors.
+    pub fn new() -> Self {
+        Self {
+            is_draining: Cell::default(),
+            has_drained: Cell::default(),
+            requests: Cell::default(),
+            closing: watch::Sender::default(),
+            shed: watch::Sender::default(),
+            accept_health: AcceptHealth::default(),
+            descriptors: DescriptorLimit::of_process(),
+        }
+    }
+
     /// Whether this edge is shutting down.
     pub fn is_draining(&self) -> bool {
         self.is_draining.get()
--- a/crates/cluster/src/edge/front.rs
+++ b/crates/cluster/src/edge/front.rs
@@ -24,6 +24,8 @@
 use hyper::{Method, Request, Response, StatusCode};
 use hyper_util::rt::TokioTimer;
 use std::convert::Infallible;
+use std::fmt::Display;
+use std::os::fd::AsRawFd;
 use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
@@ -47,8 +49,12 @@
         };
         match accepted {
             Ok((stream, _)) => {
-                edge.callers.accept_health.succeeded();
+                let is_reserved = edge.callers.descriptors.is_reserved(stream.as_raw_fd());
                 tokio::task::spawn_local(serve_connection(Rc::clone(&edge), stream));
+                if is_reserved {
+                    await_descriptors(&edge, &listener).await;
+                }
+                edge.callers.accept_health.succeeded();
             }
             Err(error) => {
                 edge.accept_failed(&error);
@@ -58,10 +64,19 @@
     }
 }
 
+/// Sheds connections until a further caller would leave the reserved descriptors free, or the edge
+/// stops.
+async fn await_descriptors(edge: &Edge, listener: &TcpListener) {
+    let closing = edge.callers.watch_closing();
+    while !edge.callers.descriptors.has_room(listener) && !*closing.borrow() {
+        edge.accept_failed(&"few file descriptors are left");
+        tokio::time::sleep(CALLER_ACCEPT_RETRY_PAUSE).await;
+    }
+}
+
 impl Edge {
-    /// Sheds connections after a failed accept, which usually means that file descriptors are
-    /// exhausted.
-    fn accept_failed(&self, error: &std::io::Error) {
+    /// Sheds connections after a failed accept, or while few file descriptors are left.
+    fn accept_failed(&self, error: &impl Display) {
         if self.callers.accept_health.failed(self.clock.now()) {
             log::warn!(
                 "event=accept_failed error=\"{error}\" requests={}",
--- a/crates/cluster/src/edge/mod.rs
+++ b/crates/cluster/src/edge/mod.rs
@@ -6,6 +6,7 @@
 mod attempts;
 mod balance;
 mod caller_stream;
+mod descriptors;
 mod draining;
 mod ended;
 mod evacuation;
--- a/crates/cluster/src/edge/process.rs
+++ b/crates/cluster/src/edge/process.rs
@@ -244,7 +244,7 @@
             .map(|metering| UsageRecorder::new(metering.windows));
         Self {
             fleet: FleetState::new(process.supports_evacuation),
-            callers: Callers::default(),
+            callers: Callers::new(),
             slow_readers: Rc::new(SlowReaders::new(process.memory_limit)),
             storage: RefCell::new(storage),
             balancer: RefCell::new(LoadBalancer::new(Rc::clone(&link_context))),
