--- a/crates/autoscaling/src/zones.rs
+++ b/crates/autoscaling/src/zones.rs
@@ -26,9 +26,9 @@
         .map(|zone| (Arc::clone(zone), ZoneReplicas::default()))
         .collect();
     for replica in view.undrained_replicas(&service.name) {
-        let counts = match zones.get_mut(replica.zone.as_str()) {
+        let counts = match zones.get_mut(&replica.zone) {
             Some(counts) => counts,
-            None => zones.entry(replica.zone.as_str().into()).or_default(),
+            None => zones.entry(Arc::clone(&replica.zone)).or_default(),
         };
         if replica.is_spot {
             counts.spot += 1;
--- a/crates/autoscaling/tests/autoscaler.rs
+++ b/crates/autoscaling/tests/autoscaler.rs
@@ -2,7 +2,7 @@
 //! of capacity.
 
 use brasspond_autoscaling::{Autoscaler, ScaleAnswer, ScaleOrder};
-use brasspond_fleet::{Configuration, FleetView, ReplicaInfo, Scaling, Service};
+use brasspond_fleet::{Configuration, FleetView, ReplicaInfo, Scaling, Service, replicas_by_id};
 use brasspond_golden::{Digest, check_lines};
 use proptest::prelude::*;
 use rstest::rstest;
@@ -62,13 +62,13 @@
             }),
             warm_up: None,
         };
-        let mut replicas = BTreeMap::new();
+        let mut replicas = Vec::new();
         for zone in ZONES {
             let spot = self.spot.get(zone).copied().unwrap_or(0);
             let kinds = (0..self.ordinary).map(|number| (number, false));
             for (number, is_spot) in kinds.chain((0..spot).map(|number| (number, true))) {
                 let id = format!("{zone}-{is_spot}-{number}");
-                replicas.insert(id.clone(), replica(id, zone, is_spot));
+                replicas.push(replica(id, zone, is_spot));
             }
         }
         FleetView {
@@ -78,7 +78,7 @@
                 ..Configuration::default()
             })),
             configuration_revision: 1,
-            replicas: Arc::new(replicas),
+            replicas: replicas_by_id(replicas),
             replicas_revision: self.revision,
             evacuated: Arc::new(self.evacuated.clone()),
             evacuated_revision: self.revision,
@@ -114,13 +114,13 @@
 
 fn replica(id: String, zone: &str, is_spot: bool) -> ReplicaInfo {
     ReplicaInfo {
-        id,
-        service: "engines".to_string(),
+        id: id.into(),
+        service: "engines".into(),
         address: "10.0.0.1:80".parse().expect("address"),
-        zone: zone.to_string(),
+        zone: zone.into(),
         slots: SLOTS,
         draining: false,
-        models: Vec::new(),
+        models: Vec::new().into(),
         revision: 1,
         is_spot,
         notice_ms: None,
--- a/crates/cluster/src/edge/balance.rs
+++ b/crates/cluster/src/edge/balance.rs
@@ -7,6 +7,9 @@
 
 mod hedges;
 mod overload;
+mod view_changes;
+
+pub(super) use view_changes::{ChangedReplicas, ViewChange};
 
 use super::load_report::LoadReport;
 use super::replica_state::{ReplicaState, SharedLoad, expected_response_ms};
@@ -16,13 +19,12 @@
 use crate::link::LinkContext;
 use brasspond_distance::Distance;
 use brasspond_eligibility::{Clearance, Endpoint, Ineligible, Requirements};
-use brasspond_fleet::{FleetView, Identity, LifeChange, Lives};
+use brasspond_fleet::{Identity, Lives};
 use brasspond_replica_load::{ObservationRecorder, ReplicaLoad};
 use rand::Rng;
 use std::cell::Cell;
 use std::cmp::Ordering;
 use std::collections::{BTreeMap, HashMap};
-use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -66,21 +68,13 @@
     Some(candidates.swap_remove(drawn))
 }
 
-/// Result of applying a newer view.
-#[derive(Debug)]
-pub(super) struct ViewChange {
-    /// Number of ready replicas before the change.
-    pub ready_before: usize,
-    /// Replicas that restarted under the same id. The address is that of the previous life, or the
-    /// new one if the replica was missing from the previous view.
-    pub restarted: Vec<(Identity, SocketAddr)>,
-}
-
 /// Chooses replicas among all those of the fleet view.
 pub(super) struct LoadBalancer {
     /// Location of this edge and measured round-trip times.
     links: Rc<LinkContext>,
-    replicas: HashMap<String, ReplicaState>,
+    replicas: HashMap<Arc<str>, ReplicaState>,
+    /// Number of replicas that accept work.
+    ready: usize,
     /// Typical response time in ms by service: the median of the replicas' recent averages.
     typical_ms: HashMap<Arc<str>, f64>,
     /// Reported utilization by service.
@@ -91,6 +85,8 @@
     failing_choices: Cell<u32>,
     /// Newest known life of each replica.
     lives: Lives,
+    /// When the lives of removed replicas were last dropped, in ms.
+    lives_pruned_at: u64,
 }
 
 impl LoadBalancer {
@@ -98,44 +94,13 @@
         Self {
             links,
             replicas: HashMap::new(),
+            ready: 0,
             typical_ms: HashMap::new(),
             service_loads: HashMap::new(),
             observations: ObservationRecorder::default(),
             failing_choices: Cell::new(0),
             lives: Lives::default(),
-        }
-    }
-
-    /// Applies a newer view at `now`, in ms of the edge's clock. An entry from an earlier life of a
-    /// replica updates only draining, warm-up, the evacuation of the zone, and whether the service
-    /// is configured.
-    pub fn apply_view(&mut self, view: &FleetView, now: u64) -> ViewChange {
-        let ready_before = self.ready();
-        let mut restarted = Vec::new();
-        self.replicas.retain(|id, _| view.replicas.contains_key(id));
-        self.lives
-            .forget_gone(|id| view.replicas.contains_key(id), now);
-        let links = &self.links;
-        for (id, info) in view.replicas.iter() {
-            let change = self.lives.observe_entry(id, info.life, info.revision, now);
-            if change == LifeChange::Older {
-                if let Some(state) = self.replicas.get_mut(id) {
-                    state.endpoint.update_restrictions(info, view, now);
-                }
-                continue;
-            }
-            let state = self.replicas.entry(id.clone());
-            let state = state.or_insert_with(|| ReplicaState::new(info, view, links, now));
-            if matches!(change, LifeChange::Restarted { .. }) {
-                restarted.push((self.lives.identity(id), state.endpoint.address));
-                state.reset(info, view, links, now);
-            }
-            state.endpoint.update(info, view, now);
-            state.slots = info.slots;
-        }
-        ViewChange {
-            ready_before,
-            restarted,
+            lives_pruned_at: 0,
         }
     }
 
@@ -261,8 +226,7 @@
 
     /// Number of replicas that accept work.
     pub fn ready(&self) -> usize {
-        let replicas = self.replicas.values();
-        replicas.filter(|state| state.endpoint.takes_work()).count()
+        self.ready
     }
 
     /// State that decides the eligibility of a replica; `None` if the replica is unknown.
--- a/crates/cluster/src/edge/balance/hedges.rs
+++ b/crates/cluster/src/edge/balance/hedges.rs
@@ -67,7 +67,7 @@
         let states = self.replicas.iter();
         let unfit = states
             .filter(|(_, state)| state.endpoint.check(requirements).is_ok() && !is_fit(state));
-        excluded.extend(unfit.map(|(id, _)| id.clone()));
+        excluded.extend(unfit.map(|(id, _)| id.to_string()));
         let chosen = self.choose(requirements, &excluded, now)?;
         let is_excluded = excluded.iter().any(|id| **id == **chosen.replica());
         (!is_excluded).then_some(chosen)
--- a/crates/cluster/src/edge/fleet_view.rs
+++ b/crates/cluster/src/edge/fleet_view.rs
@@ -3,7 +3,7 @@
 //! Keeps the merged view, the view as the leader sent it, and the configuration index. Changes
 //! are applied to the load balancer, the connection pool and the evacuations.
 
-use super::balance::ViewChange;
+use super::balance::{ChangedReplicas, ViewChange};
 use super::process::{EDGE_TICK, Edge};
 use super::starting::FleetKnowledge;
 use crate::evacuation::Evacuations;
@@ -135,7 +135,7 @@
     /// Merges a view into the edge's view.
     pub(super) fn apply_view(&self, view: &FleetView) {
         let changed = self.fleet.view.borrow_mut().merge(view);
-        self.after_view(changed);
+        self.after_view(changed, ChangedReplicas::All);
     }
 
     /// Applies a delta that the leader sent. Call [`FleetState::apply_leader_delta`] first.
@@ -145,26 +145,31 @@
     pub(super) fn apply_delta(&self, delta: &ViewDelta) -> Result<(), BaseMismatch> {
         let leader_view = self.fleet.leader_view.borrow();
         let mut view = self.fleet.view.borrow_mut();
+        let changed_replicas = if view.differs_in_replicas_only(delta) {
+            ChangedReplicas::Delta(delta)
+        } else {
+            ChangedReplicas::All
+        };
         let changed = view.apply_or_merge(delta, leader_view.as_ref())?;
         drop((view, leader_view));
-        self.after_view(changed);
+        self.after_view(changed, changed_replicas);
         Ok(())
     }
 
-    fn after_view(&self, changed: bool) {
+    fn after_view(&self, changed: bool, changed_replicas: ChangedReplicas<'_>) {
         if changed {
             self.fleet.update_index();
             self.announce_fleet_known();
-            self.apply_replicas();
+            self.apply_replicas(changed_replicas);
         }
     }
 
-    fn apply_replicas(&self) {
+    fn apply_replicas(&self, changed: ChangedReplicas<'_>) {
         let view = self.fleet.view.borrow();
         let change = self
             .balancer
             .borrow_mut()
-            .apply_view(&view, self.clock.now());
+            .apply_view(&view, changed, self.clock.now());
         let ViewChange {
             ready_before,
             restarted,
@@ -187,7 +192,7 @@
     pub(super) fn reconcile_lives(&self) {
         let is_uncertain = self.balancer.borrow().has_uncertain_lives();
         if is_uncertain {
-            self.apply_replicas();
+            self.apply_replicas(ChangedReplicas::All);
         }
     }
 
--- a/crates/cluster/src/storage/replica_loads.rs
+++ b/crates/cluster/src/storage/replica_loads.rs
@@ -27,7 +27,7 @@
             return;
         };
         let replicas = &self.view.replicas;
-        let service_of = |replica: &str| replicas.get(replica).map(|info| info.service.as_str());
+        let service_of = |replica: &str| replicas.get(replica).map(|info| &*info.service);
         let change = leader_state.load_board.tick(service_of, now);
         if let Some(change) = &change {
             log_change(change);
--- a/crates/cluster/tests/unit/balance.rs
+++ b/crates/cluster/tests/unit/balance.rs
@@ -1,11 +1,13 @@
 //! Choice of the replica for a request.
 
-use super::{LoadBalancer, LoadReport, expected_response_ms};
+use super::{ChangedReplicas, LoadBalancer, LoadReport, expected_response_ms};
 use crate::clock::Moment;
 use crate::link::LinkContext;
 use brasspond_distance::{Distance, Place};
 use brasspond_eligibility::Requirements;
-use brasspond_fleet::{Configuration, FleetView, Life, Regions, ReplicaInfo, Service, WarmUp};
+use brasspond_fleet::{
+    Configuration, FleetView, Life, Regions, ReplicaInfo, Service, WarmUp, replicas_by_id,
+};
 use brasspond_replica_load::ReplicaLoad;
 use rstest::rstest;
 use std::collections::BTreeMap;
@@ -16,25 +18,22 @@
 /// The first letter of a zone names its region: zones `n1` and `n2` are in region `n`.
 fn view(replicas: &[(&str, &str)]) -> FleetView {
     let mut view = FleetView::default();
-    let infos = replicas.iter().map(|(id, zone)| {
-        let info = ReplicaInfo {
-            id: (*id).to_string(),
-            service: "plain".to_string(),
-            address: "127.0.0.1:1".parse().expect("address"),
-            zone: (*zone).to_string(),
-            region: Some(Arc::from(&zone[..1])),
-            slots: 6,
-            draining: false,
-            models: Vec::new(),
-            revision: 1,
-            is_spot: false,
-            notice_ms: None,
-            warming_ms: 0,
-            life: brasspond_fleet::Life::UNKNOWN,
-        };
-        ((*id).to_string(), info)
+    let infos = replicas.iter().map(|(id, zone)| ReplicaInfo {
+        id: (*id).into(),
+        service: "plain".into(),
+        address: "127.0.0.1:1".parse().expect("address"),
+        zone: (*zone).into(),
+        region: Some(Arc::from(&zone[..1])),
+        slots: 6,
+        draining: false,
+        models: Vec::new().into(),
+        revision: 1,
+        is_spot: false,
+        notice_ms: None,
+        warming_ms: 0,
+        life: brasspond_fleet::Life::UNKNOWN,
     });
-    view.replicas = Arc::new(infos.collect());
+    view.replicas = replicas_by_id(infos);
     view
 }
 
@@ -42,7 +41,7 @@
     let place = Place::new("n1", Some("n".into()));
     let links = Rc::new(LinkContext::new(place));
     let mut balancer = LoadBalancer::new(Rc::clone(&links));
-    balancer.apply_view(&view(replicas), 0);
+    balancer.apply_view(&view(replicas), ChangedReplicas::All, 0);
     (balancer, links)
 }
 
@@ -128,10 +127,7 @@
 /// A view in which replica `reborn` has the given life, revision and address.
 fn view_of_life(started_at: u64, revision: u64, address: &str) -> FleetView {
     let mut view = view(&[("reborn", "n1"), ("other", "n1")]);
-    let replicas = Arc::make_mut(&mut view.replicas);
-    let info = replicas
-        .get_mut("reborn")
-        .expect("the replica is in the view");
+    let info = view.replica_mut("reborn").expect("in the view");
     info.life = Life::reported(started_at);
     info.revision = revision;
     info.address = address.parse().expect("address");
@@ -147,13 +143,13 @@
 #[rstest]
 fn observations_of_an_earlier_life_are_dropped() {
     let (mut balancer, _) = balancer(&[]);
-    balancer.apply_view(&view_of_life(1, 1, "127.0.0.1:1"), 0);
+    balancer.apply_view(&view_of_life(1, 1, "127.0.0.1:1"), ChangedReplicas::All, 0);
     balancer.record_response("other", Moment::now(), Duration::from_millis(25));
     balancer.record_response("reborn", Moment::now(), Duration::from_secs(4));
     balancer.record_load("reborn", &report(50, 50, None));
     balancer.record_fault("reborn", Moment::now());
     assert_eq!(chosen(&balancer), "other");
-    balancer.apply_view(&view_of_life(2, 2, "127.0.0.1:1"), 0);
+    balancer.apply_view(&view_of_life(2, 2, "127.0.0.1:1"), ChangedReplicas::All, 0);
     assert_eq!(chosen(&balancer), "reborn");
 }
 
@@ -161,8 +157,8 @@
 #[rstest]
 fn an_entry_of_an_earlier_life_changes_nothing() {
     let (mut balancer, _) = balancer(&[]);
-    balancer.apply_view(&view_of_life(2, 5, "127.0.0.1:2"), 0);
-    balancer.apply_view(&view_of_life(1, 4, "127.0.0.1:1"), 0);
+    balancer.apply_view(&view_of_life(2, 5, "127.0.0.1:2"), ChangedReplicas::All, 0);
+    balancer.apply_view(&view_of_life(1, 4, "127.0.0.1:1"), ChangedReplicas::All, 0);
     assert_eq!(address_of(&balancer), "127.0.0.1:2");
 }
 
@@ -170,8 +166,8 @@
 #[rstest]
 fn a_new_life_is_reached_at_its_own_address() {
     let (mut balancer, _) = balancer(&[]);
-    balancer.apply_view(&view_of_life(1, 1, "127.0.0.1:1"), 0);
-    balancer.apply_view(&view_of_life(2, 2, "127.0.0.1:2"), 0);
+    balancer.apply_view(&view_of_life(1, 1, "127.0.0.1:1"), ChangedReplicas::All, 0);
+    balancer.apply_view(&view_of_life(2, 2, "127.0.0.1:2"), ChangedReplicas::All, 0);
     assert_eq!(address_of(&balancer), "127.0.0.1:2");
 }
 
@@ -180,11 +176,11 @@
 #[rstest]
 fn results_of_requests_sent_before_a_restart_are_ignored() {
     let (mut balancer, _) = balancer(&[]);
-    balancer.apply_view(&view_of_life(1, 1, "127.0.0.1:1"), 0);
+    balancer.apply_view(&view_of_life(1, 1, "127.0.0.1:1"), ChangedReplicas::All, 0);
     balancer.record_response("other", Moment::now(), Duration::from_millis(25));
     let started = Moment::now();
     std::thread::sleep(Duration::from_millis(2));
-    balancer.apply_view(&view_of_life(2, 2, "127.0.0.1:1"), 0);
+    balancer.apply_view(&view_of_life(2, 2, "127.0.0.1:1"), ChangedReplicas::All, 0);
     balancer.record_fault("reborn", started);
     balancer.record_response("reborn", started, Duration::from_secs(4));
     assert_eq!(chosen(&balancer), "reborn");
@@ -196,16 +192,21 @@
 #[rstest]
 fn a_restart_is_reported_once() {
     let (mut balancer, _) = balancer(&[]);
-    balancer.apply_view(&view_of_life(1, 1, "127.0.0.1:1"), 0);
+    balancer.apply_view(&view_of_life(1, 1, "127.0.0.1:1"), ChangedReplicas::All, 0);
     let view = view_of_life(2, 2, "127.0.0.1:2");
-    let change = balancer.apply_view(&view, 10);
+    let change = balancer.apply_view(&view, ChangedReplicas::All, 10);
     let restarted: Vec<_> = change
         .restarted
         .iter()
         .map(|(_, at)| at.to_string())
         .collect();
     assert_eq!(restarted, ["127.0.0.1:1"]);
-    assert!(balancer.apply_view(&view, 20).restarted.is_empty());
+    assert!(
+        balancer
+            .apply_view(&view, ChangedReplicas::All, 20)
+            .restarted
+            .is_empty()
+    );
 }
 
 #[rstest]
@@ -328,12 +329,12 @@
 #[case::restarted(true)]
 fn a_recovered_replica_is_used_again(#[case] restarts: bool) {
     let (mut balancer, _) = balancer(&[]);
-    balancer.apply_view(&view_of_life(1, 1, "127.0.0.1:1"), 0);
+    balancer.apply_view(&view_of_life(1, 1, "127.0.0.1:1"), ChangedReplicas::All, 0);
     let list = [shared("reborn", Some(400), true)];
     balancer.apply_shared_loads(&list, Moment::now());
     assert_eq!(balancer.shared_loads(Moment::now()), 1);
     if restarts {
-        balancer.apply_view(&view_of_life(2, 2, "127.0.0.1:2"), 0);
+        balancer.apply_view(&view_of_life(2, 2, "127.0.0.1:2"), ChangedReplicas::All, 0);
     } else {
         balancer.apply_shared_loads(&[], Moment::now());
     }
@@ -486,12 +487,10 @@
         services: vec![service],
         ..Configuration::default()
     }));
-    let mut replicas = (*view.replicas).clone();
-    replicas.get_mut("b").expect("the replica").warming_ms = 3_000;
-    view.replicas = Arc::new(replicas);
+    view.replica_mut("b").expect("the replica").warming_ms = 3_000;
     let links = Rc::new(LinkContext::new(Place::new("n1", Some("n".into()))));
     let mut balancer = LoadBalancer::new(links);
-    balancer.apply_view(&view, 0);
+    balancer.apply_view(&view, ChangedReplicas::All, 0);
     assert!(balancer.has_warming_replica(&plain_requirements()));
     assert_eq!(free_replica(&balancer, &["a"]), None);
     assert_eq!(free_replica(&balancer, &["b"]).as_deref(), Some("a"));
--- a/crates/cluster/tests/unit/link_writer.rs
+++ b/crates/cluster/tests/unit/link_writer.rs
@@ -2,31 +2,29 @@
 
 use super::shared_frame;
 use brasspond_cluster_protocol::{FrameBuffer, Message, encode};
-use brasspond_fleet::{FleetView, Life, ReplicaInfo};
+use brasspond_fleet::{FleetView, Life, ReplicaInfo, replicas_by_id};
 use rstest::rstest;
-use std::sync::Arc;
 
 const REPLICAS: usize = 3_000;
 
 fn full_view() -> Message {
     let replica = |number: usize| ReplicaInfo {
         life: Life::UNKNOWN,
-        id: format!("i-{:010x}", number * 2_654_435_761),
-        service: "generation".to_string(),
+        id: format!("i-{:010x}", number * 2_654_435_761).into(),
+        service: "generation".into(),
         address: ([10, 3, (number >> 8) as u8, number as u8], 8_000).into(),
-        zone: "zone-a".to_string(),
+        zone: "zone-a".into(),
         slots: 8,
         draining: false,
-        models: Vec::new(),
+        models: Vec::new().into(),
         revision: number as u64,
         is_spot: false,
         notice_ms: None,
         region: None,
         warming_ms: 0,
     };
-    let replicas = (0..REPLICAS).map(replica).map(|one| (one.id.clone(), one));
     Message::View(FleetView {
-        replicas: Arc::new(replicas.collect()),
+        replicas: replicas_by_id((0..REPLICAS).map(replica)),
         replicas_revision: REPLICAS as u64,
         ..FleetView::default()
     })
--- a/crates/dispatch/examples/fleet_cost.rs
+++ b/crates/dispatch/examples/fleet_cost.rs
@@ -13,7 +13,7 @@
 };
 use brasspond_fleet::{
     Configuration, FleetView, Identity, Life, Limits, Regions, ReplicaInfo, Route, RouteKind,
-    ServedModel, Service, Target,
+    ServedModel, Service, Target, replicas_by_id,
 };
 use brasspond_jobs::{Command, Draft, Item, JobTable, Submission};
 use bytes::Bytes;
@@ -114,18 +114,18 @@
 
 fn replica(number: usize) -> ReplicaInfo {
     ReplicaInfo {
-        id: format!("i-{number:08x}"),
-        service: "engines".to_string(),
+        id: format!("i-{number:08x}").into(),
+        service: "engines".into(),
         address: format!("10.{}.{}.1:80", number / 250, number % 250)
             .parse()
             .expect("address"),
-        zone: format!("zone-{}", number % 3),
+        zone: format!("zone-{}", number % 3).into(),
         slots: SLOTS,
         draining: false,
         models: MODELS
             .iter()
             .map(|model| ServedModel {
-                name: model.to_string(),
+                name: (*model).into(),
                 version: 1,
             })
             .collect(),
@@ -140,12 +140,6 @@
 
 impl Fleet {
     fn new(replicas: usize, edges: usize, items: usize) -> Self {
-        let replicas_by_id: BTreeMap<_, _> = (0..replicas)
-            .map(|number| {
-                let replica = replica(number);
-                (replica.id.clone(), replica)
-            })
-            .collect();
         let view = FleetView {
             configuration: Some(Arc::new(Configuration {
                 version: 1,
@@ -162,7 +156,7 @@
                 tenants: Vec::new(),
             })),
             configuration_revision: 1,
-            replicas: Arc::new(replicas_by_id),
+            replicas: replicas_by_id((0..replicas).map(replica)),
             replicas_revision: 1,
             ..FleetView::default()
         };
--- a/crates/dispatch/src/assignment.rs
+++ b/crates/dispatch/src/assignment.rs
@@ -15,7 +15,7 @@
     pub fn assign(&mut self, view: &FleetView, demand: &Demand) {
         self.primary_models.retain(|id, _| {
             view.replicas
-                .get(id)
+                .get(id.as_str())
                 .is_some_and(|replica| view.takes_work(replica))
         });
         let Some(configuration) = &view.configuration else {
@@ -28,14 +28,14 @@
             let ready: Vec<_> = view.replicas_taking_work(&service.name).collect();
             let mut counts = self.counts(&service.models);
             let new = ready.iter();
-            let new = new.filter(|replica| !self.primary_models.contains_key(&replica.id));
+            let new = new.filter(|replica| !self.primary_models.contains_key(&*replica.id));
             let mut new: Vec<_> = new.collect();
             new.sort_by(|a, b| (&a.zone, &a.id).cmp(&(&b.zone, &b.id)));
             for replica in new {
                 let underserved = demand.most_underserved(&service.models, &counts, ready.len());
                 counts[underserved] += 1;
                 let model = service.models[underserved].clone();
-                self.primary_models.insert(replica.id.clone(), model);
+                self.primary_models.insert(replica.id.to_string(), model);
             }
             self.rebalance(&service.models, counts, demand, view);
         }
--- a/crates/dispatch/src/replicas.rs
+++ b/crates/dispatch/src/replicas.rs
@@ -9,7 +9,7 @@
 use crate::slowdown::{Means, Slowdown};
 use crate::warming::Warming;
 use brasspond_eligibility::{Endpoint, Requirements, VersionConstraint};
-use brasspond_fleet::{FleetView, Lives, Regions, ReplicaInfo};
+use brasspond_fleet::{FleetView, Lives, Regions, ReplicaInfo, ServedModel, shared_name};
 use brasspond_units::Millis;
 use brasspond_warmup::Budget;
 use std::collections::{BTreeMap, HashMap};
@@ -104,7 +104,7 @@
     pub fn apply_view(&mut self, view: &FleetView, now: Millis) {
         let unknown_until = self.unknown_until(now);
         self.by_id.retain(|id, replica| {
-            let is_listed = view.replicas.contains_key(id);
+            let is_listed = view.replicas.contains_key(&**id);
             if !is_listed {
                 replica.endpoint.is_draining = true;
             }
@@ -112,17 +112,17 @@
         });
         for (id, info) in view.replicas.iter() {
             if !self.lives.may_be_known_life(id, info.life) {
-                if let Some(known) = self.by_id.get_mut(id) {
+                if let Some(known) = self.by_id.get_mut(&**id) {
                     known.endpoint.update_restrictions(info, view, now);
                     known.update_budget(view, unknown_until, now);
                 }
                 continue;
             }
-            let replica = match self.by_id.get_mut(id) {
+            let replica = match self.by_id.get_mut(&**id) {
                 Some(known) => known,
                 None => {
                     let replica = Replica::new(info, view, now);
-                    self.by_id.entry(id.clone()).or_insert(replica)
+                    self.by_id.entry(id.to_string()).or_insert(replica)
                 }
             };
             replica.endpoint.update(info, view, now);
@@ -205,7 +205,11 @@
     /// Replaces the known versions of a replica with those that its new life reported.
     pub fn replace_versions(&mut self, id: &str, reported: &[(String, u64)]) {
         if let Some(replica) = self.by_id.get_mut(id) {
-            replica.endpoint.versions = reported.iter().cloned().collect();
+            let served = reported.iter().map(|(model, version)| ServedModel {
+                name: shared_name(model),
+                version: *version,
+            });
+            replica.endpoint.versions = served.collect();
         }
     }
 
@@ -215,7 +219,8 @@
     pub fn forget_version(&mut self, id: &str, model: &str, version: u64) {
         if let Some(replica) = self.by_id.get_mut(id) {
             let versions = &mut replica.endpoint.versions;
-            if versions.get(model).is_some_and(|known| *known >= version) {
+            let known = versions.version_of(model);
+            if known.is_some_and(|known| known >= version) {
                 versions.remove(model);
             }
         }
@@ -227,7 +232,7 @@
         if let Some(replica) = self.by_id.get_mut(id) {
             replica.pace_valid_from = now + PACE_SETTLE_TIME_MS;
             let versions = &mut replica.endpoint.versions;
-            versions.insert(model.to_string(), version);
+            versions.set(model, version);
         }
     }
 }
@@ -267,6 +272,6 @@
 
     /// The served version of a model; 0 if the replica does not serve the model.
     pub fn version_of(&self, model: &str) -> u64 {
-        self.endpoint.versions.get(model).copied().unwrap_or(0)
+        self.endpoint.versions.version_of(model).unwrap_or(0)
     }
 }
--- a/crates/dispatch/src/status.rs
+++ b/crates/dispatch/src/status.rs
@@ -54,9 +54,8 @@
         let serving = self.replicas.by_id.iter();
         let serving = serving.filter(|(_, replica)| !replica.endpoint.versions.is_empty());
         for (id, replica) in serving.take(MAX_LOGGED_REPLICAS) {
-            let highest = replica.endpoint.versions.values().max();
             // The filter above keeps only replicas that serve a version.
-            let highest = highest.copied().unwrap_or(0);
+            let highest = replica.endpoint.versions.highest_version().unwrap_or(0);
             let running = replica.running;
             let mark = if self.orders.is_loading_any(id) {
                 "*"
--- a/crates/dispatch/tests/distance.rs
+++ b/crates/dispatch/tests/distance.rs
@@ -7,7 +7,6 @@
 use brasspond_dispatch::{Action, Event, OrderLeases};
 use fixture::Fixture;
 use rstest::rstest;
-use std::sync::Arc;
 use support::{submission, view};
 
 /// Returns the registration of an edge in a zone. The first letter of the zone is its region.
@@ -22,9 +21,8 @@
 
 fn edges_of_runs(edges: &[(&str, &str)], items: usize) -> Vec<String> {
     let mut view = view(1, 64);
-    let replicas = Arc::make_mut(&mut view.replicas);
-    let replica = replicas.get_mut("replica-0").expect("the first");
-    replica.zone = "n1".to_string();
+    let replica = view.replica_mut("replica-0").expect("the first");
+    replica.zone = "n1".into();
     replica.region = Some("n".into());
     let mut fixture = Fixture::new(view, OrderLeases::default());
     for (machine, zone) in edges {
--- a/crates/dispatch/tests/evacuation.rs
+++ b/crates/dispatch/tests/evacuation.rs
@@ -18,11 +18,10 @@
 /// Returns a view with replicas in [`ZONES`] in turn, in which no zone is evacuated.
 fn view_with_zones(replicas: usize, slots: u32) -> FleetView {
     let mut fleet = view(replicas, slots);
-    let known = Arc::make_mut(&mut fleet.replicas);
     for number in 0..replicas {
         let id = format!("replica-{number}");
-        let replica = known.get_mut(&id).expect("a replica");
-        replica.zone = ZONES[number % ZONES.len()].to_string();
+        let replica = fleet.replica_mut(&id).expect("a replica");
+        replica.zone = ZONES[number % ZONES.len()].into();
     }
     fleet.evacuated_revision = 1;
     fleet.must_know_evacuations = true;
@@ -168,9 +167,10 @@
     assert_eq!(loading.len(), 8, "a fifth of forty");
     // The same fleet, with all replicas that load first in one zone.
     let mut fleet = view_with_zones(40, 2);
-    for (id, replica) in Arc::make_mut(&mut fleet.replicas).iter_mut() {
-        let zone = if loading.contains(id) { "a" } else { "b" };
-        replica.zone = zone.to_string();
+    for replica in fleet.replicas_mut() {
+        let is_loading = loading.iter().any(|id| **id == *replica.id);
+        let zone = if is_loading { "a" } else { "b" };
+        replica.zone = zone.into();
     }
     let mut fixture = Fixture::new(fleet.clone(), OrderLeases::default());
     assert_eq!(
@@ -204,11 +204,10 @@
     let mut configuration = (**fleet.configuration.as_ref().expect("a configuration")).clone();
     configuration.services[0].models = vec!["model".to_string(), "other".to_string()];
     fleet.configuration = Some(Arc::new(configuration));
-    let known = Arc::make_mut(&mut fleet.replicas);
-    for replica in known.values_mut() {
+    for replica in fleet.replicas_mut() {
         // Replicas that serve the other model first are only in the zones to be evacuated.
-        let is_other = ["a", "b"].contains(&replica.zone.as_str());
-        replica.models[0].version = if is_other { 0 } else { 1 };
+        let is_other = ["a", "b"].contains(&&*replica.zone);
+        replica.models.set("model", if is_other { 0 } else { 1 });
     }
     let mut fixture = Fixture::new(fleet.clone(), OrderLeases::default());
     fixture.register_edge("edge-1");
--- a/crates/dispatch/tests/model/view.rs
+++ b/crates/dispatch/tests/model/view.rs
@@ -5,7 +5,7 @@
     VIEW_DELAY_MS, region_of, zone_of,
 };
 use crate::support;
-use brasspond_fleet::Regions;
+use brasspond_fleet::{Regions, replicas_by_id};
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
@@ -19,20 +19,19 @@
     pub(super) fn refresh_view(&mut self) {
         let replicas = self.replicas.iter().map(|replica| {
             let mut info = support::replica(replica.number, SLOTS as u32);
-            info.id.clone_from(&replica.id);
+            info.id = replica.id.as_str().into();
             info.draining = replica.draining;
-            info.zone = zone_of(replica.number).to_string();
+            info.zone = zone_of(replica.number).into();
             info.region = Some(region_of(replica.number, REPLICAS).into());
-            info.models[0].version = replica.version;
+            info.models.set("model", replica.version);
             info.warming_ms = replica.warming_until.saturating_sub(self.now);
             info.life = self.life_of(replica);
             info.revision = replica.life_count;
             let before = self.view.replicas.get(&info.id);
             let before = before.filter(|_| self.now < replica.entry_written_at);
-            let info = before.cloned().unwrap_or(info);
-            (info.id.clone(), info)
+            before.map_or(info, |before| (**before).clone())
         });
-        self.view.replicas = Arc::new(replicas.collect());
+        self.view.replicas = replicas_by_id(replicas);
         for replica in &mut self.replicas {
             // Requests sent before the view shows the warm-up arrive within the maximum delay.
             let known_at = self.now + MAX_LAG_MS + 2 * STEP_MS;
--- a/crates/dispatch/tests/notices.rs
+++ b/crates/dispatch/tests/notices.rs
@@ -6,14 +6,12 @@
 use brasspond_dispatch::{Action, Event, OrderLeases};
 use fixture::{Fixture, runs};
 use rstest::rstest;
-use std::sync::Arc;
 use support::{submission, view};
 
 /// Returns a view in which the first replica drains, with the time until its shutdown.
 fn with_notice(replicas: usize, slots: u32, notice_ms: Option<u64>) -> Event {
     let mut view = view(replicas, slots);
-    let known = Arc::make_mut(&mut view.replicas);
-    let first = known.get_mut("replica-0").expect("the first");
+    let first = view.replica_mut("replica-0").expect("the first");
     first.draining = true;
     first.notice_ms = notice_ms;
     view.replicas_revision = 2;
--- a/crates/dispatch/tests/permits.rs
+++ b/crates/dispatch/tests/permits.rs
@@ -13,7 +13,6 @@
     warming_replica,
 };
 use rstest::rstest;
-use std::sync::Arc;
 use support::submission;
 
 #[rstest]
@@ -115,7 +114,7 @@
 fn a_leader_without_a_configuration_grants_nothing() {
     let mut view = view_with_warm_up(1);
     view.configuration = None;
-    Arc::make_mut(&mut view.replicas).insert("replica-0".to_string(), warming_replica(0, 5_000));
+    view.insert_replica(warming_replica(0, 5_000));
     let mut fixture = Fixture::new(view, OrderLeases::default());
     fixture.advance(5_000);
     fixture.handle(Event::Tick);
--- a/crates/dispatch/tests/residency.rs
+++ b/crates/dispatch/tests/residency.rs
@@ -17,7 +17,7 @@
 /// Returns a view with replicas in the north and the south in turn.
 fn view_of_two_regions(replicas: usize) -> FleetView {
     let mut view = support::view(replicas, 4);
-    for (number, replica) in Arc::make_mut(&mut view.replicas).values_mut().enumerate() {
+    for (number, replica) in view.replicas_mut().enumerate() {
         let region = if number % 2 == 0 { "north" } else { "south" };
         replica.region = Some(region.into());
     }
--- a/crates/dispatch/tests/restarts.rs
+++ b/crates/dispatch/tests/restarts.rs
@@ -17,7 +17,7 @@
 /// Returns a view with replicas in their first lives.
 fn fleet(replicas: usize) -> FleetView {
     let mut fleet = view(replicas, 1);
-    for replica in Arc::make_mut(&mut fleet.replicas).values_mut() {
+    for replica in fleet.replicas_mut() {
         replica.life = FIRST;
     }
     fleet
@@ -26,7 +26,7 @@
 /// Returns an entry of the first replica.
 fn entry(life: Life, version: u64, revision: u64) -> ReplicaInfo {
     let mut info = support::replica(0, 1);
-    info.models[0].version = version;
+    info.models.set("model", version);
     info.life = life;
     info.revision = revision;
     info
--- a/crates/dispatch/tests/runs.rs
+++ b/crates/dispatch/tests/runs.rs
@@ -102,10 +102,11 @@
 #[rstest]
 fn no_run_starts_on_replicas_that_drain_or_are_too_old() {
     let mut fleet = view(3, 1);
-    let replicas = Arc::make_mut(&mut fleet.replicas);
-    replicas.get_mut("replica-0").expect("a replica").draining = true;
-    replicas.get_mut("replica-1").expect("a replica").models[0].version = 4;
-    replicas.get_mut("replica-2").expect("a replica").models[0].version = 5;
+    fleet.replica_mut("replica-0").expect("a replica").draining = true;
+    for (id, version) in [("replica-1", 4), ("replica-2", 5)] {
+        let replica = fleet.replica_mut(id).expect("a replica");
+        replica.models.set("model", version);
+    }
     let mut fixture = Fixture::new(fleet, OrderLeases::default());
     fixture.register_edge("edge-1");
     let actions = fixture.accept(submission("job", &[1, 2], 5));
--- a/crates/dispatch/tests/support/mod.rs
+++ b/crates/dispatch/tests/support/mod.rs
@@ -2,7 +2,7 @@
 
 use brasspond_fleet::{
     Configuration, FleetView, Limits, Regions, ReplicaInfo, Route, RouteKind, ServedModel, Service,
-    Target,
+    Target, replicas_by_id,
 };
 use brasspond_jobs::{Item, Submission};
 use bytes::Bytes;
@@ -48,7 +48,7 @@
             tenants: Vec::new(),
         })),
         configuration_revision: 1,
-        replicas: Arc::new(replicas.map(|one| (one.id.clone(), one)).collect()),
+        replicas: replicas_by_id(replicas),
         replicas_revision: 1,
         ..FleetView::default()
     }
@@ -57,18 +57,19 @@
 /// Returns a replica that serves version 1.
 pub fn replica(number: usize, slots: u32) -> ReplicaInfo {
     ReplicaInfo {
-        id: format!("replica-{number}"),
-        service: "engines".to_string(),
+        id: format!("replica-{number}").into(),
+        service: "engines".into(),
         address: format!("10.0.{}.{}:80", 1 + number / 250, number % 250 + 1)
             .parse()
             .expect("address"),
-        zone: "zone".to_string(),
+        zone: "zone".into(),
         slots,
         draining: false,
         models: vec![ServedModel {
-            name: "model".to_string(),
+            name: "model".into(),
             version: 1,
-        }],
+        }]
+        .into(),
         revision: 1,
         is_spot: false,
         notice_ms: None,
--- a/crates/dispatch/tests/warming.rs
+++ b/crates/dispatch/tests/warming.rs
@@ -82,7 +82,7 @@
 #[rstest]
 fn a_new_leader_counts_all_budgets_as_spent() {
     let mut view = view_with_warm_up(1);
-    Arc::make_mut(&mut view.replicas).insert("replica-0".to_string(), warming_replica(0, 5_000));
+    view.insert_replica(warming_replica(0, 5_000));
     let mut fixture = Fixture::new(view, OrderLeases::default());
     fixture.register_edge("edge");
     fixture.report_clock("edge", CLOCK_OFFSET_MS);
@@ -294,7 +294,7 @@
 #[rstest]
 fn a_budget_counts_as_spent_after_its_limit_rises() {
     let mut view = view_with_warm_up(1);
-    Arc::make_mut(&mut view.replicas).insert("replica-0".to_string(), warming_replica(0, 5_000));
+    view.insert_replica(warming_replica(0, 5_000));
     let mut fixture = Fixture::new(view.clone(), OrderLeases::default());
     fixture.register_edge("edge");
     fixture.report_clock("edge", CLOCK_OFFSET_MS);
--- a/crates/eligibility/src/endpoint.rs
+++ b/crates/eligibility/src/endpoint.rs
@@ -5,10 +5,9 @@
 
 use crate::clearance::Clearance;
 use crate::requirements::{Ineligible, Requirements};
-use brasspond_fleet::{FleetView, ReplicaInfo};
+use brasspond_fleet::{FleetView, ReplicaInfo, ServedModels};
 use brasspond_units::Millis;
 use brasspond_warmup::WarmUpPeriod;
-use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
 
@@ -35,7 +34,7 @@
     /// known.
     pub is_configured: bool,
     /// Newest known version of the weights that the replica serves in its current life, by model.
-    pub versions: HashMap<String, u64>,
+    pub versions: ServedModels,
     /// Warm-up period. It is active only if the configuration limits the service during warm-up.
     pub warming: WarmUpPeriod,
     /// Time from which the warm-up budget allows the next request, in ms; `Millis::MAX` without a
@@ -47,16 +46,16 @@
     /// Creates the state of a replica that this process did not know before.
     pub fn new(info: &ReplicaInfo, view: &FleetView, now: Millis) -> Self {
         let mut endpoint = Self {
-            id: info.id.as_str().into(),
+            id: Arc::clone(&info.id),
             address: info.address,
-            service: info.service.as_str().into(),
-            zone: info.zone.as_str().into(),
+            service: Arc::clone(&info.service),
+            zone: Arc::clone(&info.zone),
             region: info.region.clone(),
             is_draining: false,
             is_evacuated: false,
             is_evacuation_unknown: false,
             is_configured: true,
-            versions: HashMap::new(),
+            versions: ServedModels::default(),
             warming: WarmUpPeriod::default(),
             available_at: Millis::MAX,
         };
@@ -70,14 +69,7 @@
         self.is_draining = info.draining;
         self.update_zone(view);
         self.update_warm_up(info, view, now);
-        for served in &info.models {
-            match self.versions.get_mut(&served.name) {
-                Some(known) => *known = (*known).max(served.version),
-                None => {
-                    self.versions.insert(served.name.clone(), served.version);
-                }
-            }
-        }
+        self.versions.raise(&info.models);
     }
 
     /// Applies an entry whose life is lower than the known life. Such an entry is usually outdated,
@@ -109,24 +101,17 @@
     }
 
     /// Updates address, service, zone and region, because a replica may restart under the same id
-    /// elsewhere and for another service. Strings are replaced only if they differ, which keeps
-    /// them shared with other owners.
+    /// elsewhere and for another service.
     fn update_location(&mut self, info: &ReplicaInfo) {
         self.address = info.address;
-        if *self.service != *info.service {
-            self.service = info.service.as_str().into();
-        }
-        if *self.zone != *info.zone {
-            self.zone = info.zone.as_str().into();
-        }
-        if self.region != info.region {
-            self.region.clone_from(&info.region);
-        }
+        self.service = Arc::clone(&info.service);
+        self.zone = Arc::clone(&info.zone);
+        self.region.clone_from(&info.region);
     }
 
     /// Discards the versions and the warm-up period. Called after the replica has restarted.
     pub fn reset(&mut self) {
-        self.versions.clear();
+        self.versions = ServedModels::default();
         self.warming = WarmUpPeriod::default();
     }
 
@@ -194,7 +179,7 @@
         let Some(weights) = required.weights.filter(|weights| !weights.allows_any()) else {
             return true;
         };
-        let version = self.versions.get(weights.model);
-        version.is_some_and(|version| weights.allows(*version))
+        let version = self.versions.version_of(weights.model);
+        version.is_some_and(|version| weights.allows(version))
     }
 }
--- a/crates/eligibility/tests/endpoint.rs
+++ b/crates/eligibility/tests/endpoint.rs
@@ -9,16 +9,17 @@
 
 fn replica() -> ReplicaInfo {
     ReplicaInfo {
-        id: "replica".to_string(),
-        service: "engines".to_string(),
+        id: "replica".into(),
+        service: "engines".into(),
         address: "10.0.0.1:80".parse().expect("address"),
-        zone: "north-a".to_string(),
+        zone: "north-a".into(),
         slots: 4,
         draining: false,
         models: vec![ServedModel {
-            name: "model".to_string(),
+            name: "model".into(),
             version: 3,
-        }],
+        }]
+        .into(),
         revision: 1,
         is_spot: false,
         notice_ms: None,
@@ -174,14 +175,14 @@
 #[rstest]
 fn a_restarted_replica_has_the_location_in_its_entry() {
     let mut endpoint = Endpoint::new(&replica(), &FleetView::default(), 0);
-    endpoint.versions.insert("model".to_string(), 9);
+    endpoint.versions.set("model", 9);
     endpoint.reset();
     let moved = ReplicaInfo {
-        service: "others".to_string(),
+        service: "others".into(),
         address: "127.0.0.1:9".parse().expect("address"),
-        zone: "elsewhere".to_string(),
+        zone: "elsewhere".into(),
         region: Some("south".into()),
-        models: Vec::new(),
+        models: Vec::new().into(),
         ..replica()
     };
     endpoint.update(&moved, &FleetView::default(), 0);
--- a/crates/eligibility/tests/warming.rs
+++ b/crates/eligibility/tests/warming.rs
@@ -8,13 +8,13 @@
 
 fn replica(warming_ms: u64) -> ReplicaInfo {
     ReplicaInfo {
-        id: "replica".to_string(),
-        service: "engines".to_string(),
+        id: "replica".into(),
+        service: "engines".into(),
         address: "10.0.0.1:80".parse().expect("address"),
-        zone: "north-a".to_string(),
+        zone: "north-a".into(),
         slots: 4,
         draining: false,
-        models: Vec::new(),
+        models: Vec::new().into(),
         revision: 1,
         is_spot: false,
         notice_ms: None,
@@ -157,8 +157,9 @@
 ) {
     let with = |ms: Option<u64>, warm_up| {
         let mut view = view(warm_up);
-        let replicas = Arc::make_mut(&mut view.replicas);
-        replicas.extend(ms.map(|ms| ("replica".to_string(), replica(ms))));
+        if let Some(ms) = ms {
+            view.insert_replica(replica(ms));
+        }
         view
     };
     let own = with(Some(3_000), LIMITED);
--- a/crates/fleet/src/delta.rs
+++ b/crates/fleet/src/delta.rs
@@ -18,9 +18,9 @@
     /// The configuration with its revision, if it changed.
     pub configuration: Option<(u64, Arc<Configuration>)>,
     /// Replicas that were added or changed.
-    pub changed: Vec<ReplicaInfo>,
+    pub changed: Vec<Arc<ReplicaInfo>>,
     /// Ids of replicas that were removed.
-    pub gone: Vec<String>,
+    pub gone: Vec<Arc<str>>,
     /// Revision of the replicas in the newer view.
     pub replicas_revision: u64,
     /// Versions of the weights with their revision, if they changed.
@@ -31,6 +31,12 @@
     pub evacuated: Option<(u64, Arc<BTreeSet<Arc<str>>>)>,
 }
 
+/// Whether two entries are equal. Entries that no process has changed since are shared, so most
+/// comparisons need not look at them.
+fn is_same(one: &Arc<ReplicaInfo>, other: &Arc<ReplicaInfo>) -> bool {
+    Arc::ptr_eq(one, other) || one == other
+}
+
 /// Error: the view does not have the base revision of the delta, so a complete view is needed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct BaseMismatch;
@@ -60,8 +66,11 @@
         }
         if !Arc::ptr_eq(&self.replicas, &older.replicas) {
             let changed = self.replicas.iter();
-            let changed = changed.filter(|(id, replica)| older.replicas.get(*id) != Some(replica));
-            delta.changed = changed.map(|(_, replica)| replica.clone()).collect();
+            let changed = changed.filter(|(id, replica)| {
+                let before = older.replicas.get(*id);
+                before.is_none_or(|before| !is_same(before, replica))
+            });
+            delta.changed = changed.map(|(_, replica)| Arc::clone(replica)).collect();
             let gone = older.replicas.keys();
             let gone = gone.filter(|id| !self.replicas.contains_key(*id));
             delta.gone = gone.cloned().collect();
@@ -77,7 +86,9 @@
         }
         let mut pairs = self.replicas.iter().zip(other.replicas.iter());
         self.replicas.len() == other.replicas.len()
-            && pairs.all(|(one, other)| one.0 == other.0 && one.1.has_same_routing_state(other.1))
+            && pairs.all(|((one_id, one), (other_id, other))| {
+                Arc::ptr_eq(one, other) || one_id == other_id && one.has_same_routing_state(other)
+            })
     }
 
     /// Whether nothing that edges act on has changed since `older`. Versions and retirements are
@@ -132,13 +143,21 @@
                     replicas.remove(id);
                 }
                 for replica in &delta.changed {
-                    replicas.insert(replica.id.clone(), replica.clone());
+                    replicas.insert(Arc::clone(&replica.id), Arc::clone(replica));
                 }
             }
         }
         Ok(changed)
     }
 
+    /// Whether a delta changes this view exactly in the replicas that it contains, apart from
+    /// versions and retirements. Other changes may affect any replica.
+    pub fn differs_in_replicas_only(&self, delta: &ViewDelta) -> bool {
+        self.replicas_revision == delta.base
+            && delta.configuration.is_none()
+            && delta.evacuated.is_none()
+    }
+
     /// Applies a delta of another process's view, or merges `known`, which is that view with the
     /// delta applied, if the base revision differs. Returns whether anything changed. The merge
     /// spares a new leader with an old view from sending complete views to all edges.
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -10,6 +10,8 @@
 mod index;
 mod life;
 mod region;
+mod served;
+mod sharing;
 mod tenant;
 mod view;
 
@@ -20,5 +22,7 @@
 pub use index::ConfigurationIndex;
 pub use life::{Identity, LOWER_LIFE_ACCEPTED_AFTER_MS, Life, LifeChange, Lives};
 pub use region::Regions;
+pub use served::{ServedModel, ServedModels};
+pub use sharing::shared_name;
 pub use tenant::{Credential, Denial, KeyDigest, Tenant};
-pub use view::{FleetView, ReplicaInfo, Retirement, ServedModel};
+pub use view::{FleetView, ReplicaInfo, Replicas, Retirement, replicas_by_id};
--- a/crates/fleet/src/life.rs
+++ b/crates/fleet/src/life.rs
@@ -139,15 +139,21 @@
     /// Records a life that the replica itself reported.
     pub fn observe_report(&mut self, id: &str, life: Life, now: u64) -> LifeChange {
         let Some(known) = self.known.get_mut(id) else {
-            return self.add(id, life, 0, now);
+            return self.add(id.into(), life, 0, now);
         };
         known.observe(life, Origin::Replica, now)
     }
 
     /// Records a life from the replica's entry with this revision.
-    pub fn observe_entry(&mut self, id: &str, life: Life, revision: u64, now: u64) -> LifeChange {
+    pub fn observe_entry(
+        &mut self,
+        id: &Arc<str>,
+        life: Life,
+        revision: u64,
+        now: u64,
+    ) -> LifeChange {
         let Some(known) = self.known.get_mut(id) else {
-            return self.add(id, life, revision, now);
+            return self.add(Arc::clone(id), life, revision, now);
         };
         let origin = if revision > known.revision {
             Origin::NewEntry
@@ -159,14 +165,21 @@
         known.observe(life, origin, now)
     }
 
-    fn add(&mut self, id: &str, life: Life, revision: u64, now: u64) -> LifeChange {
+    /// Records that the entry of a replica was removed at `now`.
+    pub fn observe_removal(&mut self, id: &str, now: u64) {
+        if let Some(known) = self.known.get_mut(id) {
+            known.listed_at = now;
+        }
+    }
+
+    fn add(&mut self, id: Arc<str>, life: Life, revision: u64, now: u64) -> LifeChange {
         let known = KnownLife {
             life,
             revision,
             lower: None,
             listed_at: now,
         };
-        self.known.insert(id.into(), known);
+        self.known.insert(id, known);
         LifeChange::First
     }
 
--- a/crates/fleet/src/view.rs
+++ b/crates/fleet/src/view.rs
@@ -3,37 +3,32 @@
 
 use crate::configuration::{Configuration, WarmUp};
 use crate::life::Life;
-use serde::{Deserialize, Serialize};
+use crate::served::ServedModels;
+use crate::sharing;
+use serde::{Deserialize, Deserializer, Serialize};
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-/// A model that a replica serves.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct ServedModel {
-    /// Name of the model.
-    pub name: String,
-    /// Version of its weights.
-    pub version: u64,
-}
-
 /// A replica of a service.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ReplicaInfo {
     /// Id of the replica, which stays the same after a restart.
-    pub id: String,
+    pub id: Arc<str>,
     /// Name of the service that the replica belongs to.
-    pub service: String,
+    #[serde(deserialize_with = "sharing::name")]
+    pub service: Arc<str>,
     /// Address on which the replica listens.
     pub address: SocketAddr,
     /// Name of the zone of the replica.
-    pub zone: String,
+    #[serde(deserialize_with = "sharing::name")]
+    pub zone: Arc<str>,
     /// Number of requests that the replica runs concurrently.
     pub slots: u32,
     /// Whether the replica is draining, so that it gets no new work.
     pub draining: bool,
     /// Models that the replica serves, with their versions.
-    pub models: Vec<ServedModel>,
+    pub models: ServedModels,
     /// Revision of the replica's entry in the source.
     pub revision: u64,
     /// Whether the platform may preempt the replica at short notice.
@@ -44,7 +39,7 @@
     #[serde(default)]
     pub notice_ms: Option<u64>,
     /// Name of the region of the zone; `None` if the zone is unknown.
-    #[serde(default)]
+    #[serde(default, deserialize_with = "sharing::optional_name")]
     pub region: Option<Arc<str>>,
     /// Remaining warm-up time when the entry was written, in ms; 0 if the replica is warm. A
     /// replica warms up after its start and after a loss of its caches. The entry may be older than
@@ -73,8 +68,7 @@
     /// Returns the version of a model that this replica serves, or `None` if it does not serve the
     /// model.
     pub fn version_of(&self, model: &str) -> Option<u64> {
-        let served = self.models.iter().find(|served| served.name == model)?;
-        Some(served.version)
+        self.models.version_of(model)
     }
 }
 
@@ -93,6 +87,23 @@
     pub revision: u64,
 }
 
+/// Replicas by their ids. A copy shares the replicas, so it costs a pointer for each of them.
+pub type Replicas = BTreeMap<Arc<str>, Arc<ReplicaInfo>>;
+
+/// Returns replicas by their ids, which keys and entries share.
+pub fn replicas_by_id(replicas: impl IntoIterator<Item = ReplicaInfo>) -> Arc<Replicas> {
+    let replicas = replicas.into_iter().map(Arc::new);
+    let replicas = replicas.map(|replica| (Arc::clone(&replica.id), replica));
+    Arc::new(replicas.collect())
+}
+
+fn deserialize_replicas<'de, D: Deserializer<'de>>(
+    deserializer: D,
+) -> Result<Arc<Replicas>, D::Error> {
+    let replicas = BTreeMap::<String, ReplicaInfo>::deserialize(deserializer)?;
+    Ok(replicas_by_id(replicas.into_values()))
+}
+
 /// The fleet as one process knows it. The source of its parts is the platform's store of entries.
 /// Parts are reference-counted, so clones are cheap.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
@@ -102,7 +113,8 @@
     /// Revision of the configuration.
     pub configuration_revision: u64,
     /// Replicas by their ids.
-    pub replicas: Arc<BTreeMap<String, ReplicaInfo>>,
+    #[serde(deserialize_with = "deserialize_replicas")]
+    pub replicas: Arc<Replicas>,
     /// Revision of the source up to which `replicas` is complete.
     pub replicas_revision: u64,
     /// Newest version of the weights of each model.
@@ -139,6 +151,30 @@
 }
 
 impl FleetView {
+    /// Adds or replaces a replica. Copies the map if it is shared.
+    pub fn insert_replica(&mut self, replica: impl Into<Arc<ReplicaInfo>>) {
+        let replica = replica.into();
+        let replicas = Arc::make_mut(&mut self.replicas);
+        replicas.insert(Arc::clone(&replica.id), replica);
+    }
+
+    /// Returns a replica to be changed, or `None` if it is unknown. Copies what is shared.
+    pub fn replica_mut(&mut self, id: &str) -> Option<&mut ReplicaInfo> {
+        let replica = Arc::make_mut(&mut self.replicas).get_mut(id)?;
+        Some(Arc::make_mut(replica))
+    }
+
+    /// Returns all replicas to be changed. Copies what is shared.
+    pub fn replicas_mut(&mut self) -> impl Iterator<Item = &mut ReplicaInfo> {
+        let replicas = Arc::make_mut(&mut self.replicas).values_mut();
+        replicas.map(Arc::make_mut)
+    }
+
+    /// Removes a replica. Copies the map if it is shared.
+    pub fn remove_replica(&mut self, id: &str) {
+        Arc::make_mut(&mut self.replicas).remove(id);
+    }
+
     /// Returns a copy without replicas. A process that merges the copy keeps the replicas that it
     /// knows.
     pub fn without_replicas(&self) -> Self {
@@ -261,6 +297,7 @@
         let is_defined = self.defines_service(service);
         self.replicas
             .values()
-            .filter(move |replica| is_defined && replica.service == service && !replica.draining)
+            .map(|replica| &**replica)
+            .filter(move |replica| is_defined && *replica.service == *service && !replica.draining)
     }
 }
--- a/crates/fleet/tests/delta.rs
+++ b/crates/fleet/tests/delta.rs
@@ -1,19 +1,21 @@
 //! Tests that applying a delta yields the newer view or fails without a change.
 
-use brasspond_fleet::{BaseMismatch, Configuration, FleetView, ReplicaInfo, ServedModel};
+use brasspond_fleet::{
+    BaseMismatch, Configuration, FleetView, ReplicaInfo, ServedModel, replicas_by_id,
+};
 use proptest::prelude::*;
 use rstest::rstest;
 use std::sync::Arc;
 
 fn replica(number: u64, revision: u64) -> ReplicaInfo {
     ReplicaInfo {
-        id: format!("replica-{number}"),
-        service: "service".to_string(),
+        id: format!("replica-{number}").into(),
+        service: "service".into(),
         address: "10.0.0.1:80".parse().expect("address"),
-        zone: "zone".to_string(),
+        zone: "zone".into(),
         slots: 1,
         draining: revision.is_multiple_of(3),
-        models: Vec::new(),
+        models: Vec::new().into(),
         revision,
         is_spot: false,
         notice_ms: None,
@@ -29,12 +31,10 @@
     let mut views = vec![view.clone()];
     for (step, (number, is_removed)) in changes.iter().enumerate() {
         let revision = step as u64 + 1;
-        let replicas = Arc::make_mut(&mut view.replicas);
         if *is_removed {
-            replicas.remove(&format!("replica-{number}"));
+            view.remove_replica(&format!("replica-{number}"));
         } else {
-            let one = replica(*number, revision);
-            replicas.insert(one.id.clone(), one);
+            view.insert_replica(replica(*number, revision));
         }
         view.replicas_revision = revision;
         views.push(view.clone());
@@ -155,7 +155,7 @@
     let view = |number: u64, revision: u64| {
         let one = replica(number, 1);
         FleetView {
-            replicas: Arc::new([(one.id.clone(), one)].into()),
+            replicas: replicas_by_id([one]),
             replicas_revision: revision,
             ..FleetView::default()
         }
@@ -176,11 +176,12 @@
         let mut one = replica(1, revision);
         one.draining = draining;
         one.models = vec![ServedModel {
-            name: "model".to_string(),
+            name: "model".into(),
             version,
-        }];
+        }]
+        .into();
         FleetView {
-            replicas: Arc::new([(one.id.clone(), one)].into()),
+            replicas: replicas_by_id([one]),
             replicas_revision: revision,
             ..FleetView::default()
         }
