Load first what the work needs, and poll loads at each tick

Loads of 1.2 s (0.9 s and the lag of reports) seemed to take up to 1.83 s, which the limit took for a busy store (64 to 48), and each place stood idle until the next plan: 475 loads in 19 s. At 20 s 368 of 500 items waited for replicas of the version that they allow.

Ruled out: answers to orders (475 of 475 taken), the store of weights (it bears 1,875 loads at once).

Change: polls go by the tick. Plans go each 208 ms at 10,000 replicas. The loads that bring twice the slots of the model's peak of items to an allowed version are urgent: they come first, and their number is bounded by a 64th of the replicas where that is more than 64. All others begin only while fewer than 64 load. Among idle replicas those with the highest version load first, so that the same replicas serve one step after the other and connections are used again.

--- a/crates/dispatch/src/jobs.rs
+++ b/crates/dispatch/src/jobs.rs
@@ -249,6 +249,14 @@
         of_model.map(|job| job.waiting.len()).sum()
     }
 
+    /// Number of items of a model that wait or run.
+    pub fn open_items(&self, model: &str) -> usize {
+        let of_model = self.jobs.values().filter(|job| job.model == model);
+        let items = of_model.flat_map(|job| &job.items);
+        let is_open = |item: &&ItemRun| matches!(item.state, State::Waiting | State::Running(_));
+        items.filter(is_open).count()
+    }
+
     /// Number of waiting items by service.
     pub fn waiting_by_service(&self) -> BTreeMap<String, usize> {
         let mut waiting = BTreeMap::new();
--- a/crates/dispatch/src/load_plan.rs
+++ b/crates/dispatch/src/load_plan.rs
@@ -9,26 +9,29 @@
 
 use crate::dispatcher::Dispatcher;
 use crate::loading::PlannedLoad;
+use crate::loads::MAX_LOADS;
 use crate::replicas::Replica;
 use brasspond_units::Millis;
 use std::cmp::Reverse;
 
-/// Number of replicas for each ms of the interval between two plans. With 3,000 replicas, loads are
-/// planned every 187 ms; with fewer than 16, after each event that may make loads due. This bounds
+/// Number of replicas for each ms of the interval between two plans. With 10,000 replicas, loads are
+/// planned every 208 ms; with fewer than 48, after each event that may make loads due. This bounds
 /// the leader's processor time for passes over the fleet.
-const PLAN_REPLICAS_PER_MS: u64 = 16;
+const PLAN_REPLICAS_PER_MS: u64 = 48;
 /// While no item waits, replicas load the newest version until this share of a model's replicas has
 /// it, 0 to 1. The other replicas skip versions, as each load interrupts or moves their runs.
 const NEWEST_SHARE: f64 = 0.5;
 
 /// A load that is due. The order of the fields is the priority within a model: replicas whose
-/// version is too old come first, then those with the fewest runs.
+/// version is too old come first, then those with the fewest runs, then those with the highest
+/// version, which served the last jobs and to which edges have open connections.
 #[derive(Debug, PartialEq, Eq, PartialOrd, Ord)]
-struct DueLoad {
+struct DueLoad<'a> {
     /// Whether the replica's version is at least [`ModelPlan::oldest_allowed`].
     has_allowed_version: bool,
     running: usize,
-    replica: String,
+    version: Reverse<u64>,
+    replica: &'a str,
     slots: usize,
 }
 
@@ -39,9 +42,11 @@
     newest: u64,
     /// The oldest version that replicas may keep, see [`oldest_allowed`].
     oldest_allowed: u64,
-    /// Number of replicas that must still load the newest version until [`NEWEST_SHARE`] have it; 0
-    /// while items of the model wait.
+    /// Number of replicas that must still load the newest version until [`NEWEST_SHARE`] of the
+    /// required ones have it; 0 while items of the model wait.
     missing_newest: usize,
+    /// Number of loads that the current work needs. Further loads wait for them.
+    urgent: usize,
     /// Waiting items minus the free slots of replicas that have an allowed version or are loading
     /// any version.
     shortage: i64,
@@ -51,7 +56,19 @@
     has_allowed_replica: bool,
 }
 
-/// Number of a model's replicas, and how many of them have its newest version or are loading it.
+/// Replicas of a model, and how many of them serve it.
+#[derive(Clone, Copy, Debug, Default)]
+struct ModelReplicas {
+    replicas: usize,
+    slots: usize,
+    /// Replicas that have an allowed version or are loading any version.
+    with_allowed: usize,
+    /// Replicas that have the newest version or are loading it.
+    with_newest: usize,
+}
+
+/// Number of replicas that a model requires, and how many of all have its newest version or are
+/// loading it.
 #[derive(Clone, Copy, Debug, Default)]
 struct NewestCount {
     replicas: usize,
@@ -84,6 +101,8 @@
     /// Polls replicas that load and begins due loads. If zones can be evacuated, no load begins
     /// before the evacuated zones are known.
     pub(crate) fn plan_loads(&mut self, now: Millis) {
+        // Not bound to the interval: a late poll delays the next load and makes this one look slow.
+        self.poll_loads(now);
         let interval = self.orders.primary_models.len() as Millis / PLAN_REPLICAS_PER_MS;
         let planned_at = self.orders.planned_at;
         if planned_at.is_some_and(|planned_at| now < planned_at + interval) {
@@ -91,17 +110,13 @@
         }
         self.orders.planned_at = Some(now);
         self.drop_unavailable_loads();
-        self.poll_loads(now);
         if !self.view.knows_evacuations() {
             return;
         }
         let replicas = self.orders.primary_models.len();
         let limit = self.orders.load_limit.update_max_loads(replicas);
-        let available = limit.saturating_sub(self.orders.loads.len());
-        if available == 0 {
-            return;
-        }
-        let planned = self.next_loads(available, now);
+        self.observe_peaks(now);
+        let planned = self.next_loads(limit, now);
         if planned.is_empty() {
             return;
         }
@@ -127,20 +142,38 @@
         });
     }
 
-    /// Chooses up to `limit` replicas to load next, each with a model and a version. Replicas whose
-    /// version is too old come first. Among these and among the others, the model with the largest
-    /// shortage comes first, and within a model the replicas with the fewest runs.
+    fn observe_peaks(&mut self, now: Millis) {
+        for model in self.view.versions.keys() {
+            let items = self.jobs.open_items(model);
+            self.orders.peaks.observe(model, items, now);
+        }
+    }
+
+    /// Chooses replicas to load next, each with a model and a version, so that up to `limit` load.
+    /// Replicas whose version is too old come first. Among these and among the others, the model
+    /// with the largest shortage comes first, and within a model the replicas with the fewest runs.
+    /// Loads that the current work does not need begin only while fewer than [`MAX_LOADS`] are in
+    /// progress.
     fn next_loads(&self, limit: usize, now: Millis) -> Vec<PlannedLoad> {
+        let in_progress = self.orders.loads.len();
+        let available = limit.saturating_sub(in_progress);
+        if available == 0 {
+            return Vec::new();
+        }
         let mut plans = self.model_plans();
         let mut due = self.due_loads(&plans, now);
         let mut chosen = Vec::new();
-        while chosen.len() < limit {
+        while chosen.len() < available {
+            let may_wait = in_progress + chosen.len() >= MAX_LOADS;
             let heads = due.iter().enumerate();
             let heads = heads.filter_map(|(model, due)| Some((model, due.last()?)));
+            let heads = heads.filter(|(model, _)| !may_wait || plans[*model].urgent > 0);
             let next = heads.min_by_key(|(model, load)| {
+                let plan = &plans[*model];
                 (
+                    plan.urgent == 0,
                     load.has_allowed_version,
-                    Reverse(plans[*model].shortage),
+                    Reverse(plan.shortage),
                     *model,
                 )
             });
@@ -152,6 +185,7 @@
             };
             let plan = &mut plans[model];
             plan.shortage -= load.slots as i64;
+            plan.urgent = plan.urgent.saturating_sub(1);
             chosen.push(PlannedLoad {
                 replica: load.replica.to_string(),
                 model: plan.model.to_string(),
@@ -162,9 +196,9 @@
     }
 
     /// Collects the due loads of each of `plans`, the one with the highest priority last.
-    fn due_loads(&self, plans: &[ModelPlan<'_>], now: Millis) -> Vec<Vec<DueLoad>> {
+    fn due_loads(&self, plans: &[ModelPlan<'_>], now: Millis) -> Vec<Vec<DueLoad<'_>>> {
         let active_by_replica = self.runs.active_by_replica();
-        let mut due: Vec<Vec<DueLoad>> = plans.iter().map(|_| Vec::new()).collect();
+        let mut due: Vec<Vec<DueLoad<'_>>> = plans.iter().map(|_| Vec::new()).collect();
         for (id, primary, replica) in self.replicas_with_models() {
             let Some(index) = plans.iter().position(|plan| plan.model == primary) else {
                 continue;
@@ -183,7 +217,8 @@
                 due[index].push(DueLoad {
                     has_allowed_version,
                     running: replica.running,
-                    replica: id.to_string(),
+                    version: Reverse(version),
+                    replica: id,
                     slots: replica.slots,
                 });
             }
@@ -207,12 +242,13 @@
             newest: *newest,
             oldest_allowed: oldest_allowed(*newest, self.jobs.highest_min_version(model)),
             missing_newest: 0,
+            urgent: 0,
             shortage: self.jobs.waiting_for_model(model) as i64,
             free_slots: 0,
             has_allowed_replica: false,
         });
         let mut plans: Vec<ModelPlan<'_>> = plans.collect();
-        let mut counts = vec![NewestCount::default(); plans.len()];
+        let mut counts = vec![ModelReplicas::default(); plans.len()];
         for (id, primary, replica) in self.replicas_with_models() {
             let index = plans.iter().position(|plan| plan.model == primary);
             if let Some(index) = index {
@@ -220,13 +256,30 @@
             }
         }
         for (plan, count) in plans.iter_mut().zip(counts) {
-            if self.jobs.waiting_for_model(plan.model) == 0 {
-                plan.missing_newest = count.missing();
-            }
+            self.set_urgent(plan, count);
         }
         plans
     }
 
+    /// Computes how many loads of a model the current work needs.
+    fn set_urgent(&self, plan: &mut ModelPlan<'_>, count: ModelReplicas) {
+        let peaks = &self.orders.peaks;
+        let required = peaks.required_replicas(plan.model, count.replicas, count.slots);
+        if self.jobs.waiting_for_model(plan.model) == 0 {
+            let newest = NewestCount {
+                replicas: required,
+                with_newest: count.with_newest,
+            };
+            plan.missing_newest = newest.missing();
+        }
+        let slots_each = (count.slots / count.replicas.max(1)).max(1);
+        let for_shortage = plan.shortage.max(0) as usize;
+        plan.urgent = required
+            .saturating_sub(count.with_allowed)
+            .max(plan.missing_newest)
+            .max(for_shortage.div_ceil(slots_each));
+    }
+
     /// Replicas with their primary models, sorted by id. Both maps are sorted by id and are merged.
     pub(crate) fn replicas_with_models(&self) -> impl Iterator<Item = (&str, &str, &Replica)> {
         let mut replicas = self.replicas.by_id.iter().peekable();
@@ -246,7 +299,7 @@
         id: &str,
         replica: &Replica,
         plan: &mut ModelPlan<'_>,
-        count: &mut NewestCount,
+        count: &mut ModelReplicas,
     ) {
         let free = replica.free_slots();
         let version = replica.version_of(plan.model);
@@ -254,6 +307,7 @@
         if load.is_some() || version >= plan.oldest_allowed {
             plan.shortage -= free as i64;
             plan.has_allowed_replica = true;
+            count.with_allowed += 1;
         }
         if load.is_none() {
             plan.free_slots += free;
@@ -261,6 +315,7 @@
         let loads_newest =
             load.is_some_and(|load| load.model == plan.model && load.version >= plan.newest);
         count.replicas += 1;
+        count.slots += replica.slots;
         count.with_newest += usize::from(loads_newest || version >= plan.newest);
     }
 
--- a/crates/dispatch/src/loads.rs
+++ b/crates/dispatch/src/loads.rs
@@ -13,8 +13,12 @@
 /// Lower bound of the limit, so that a load can proceed while the load of a failed replica has not
 /// timed out yet.
 const MIN_LOADS: usize = 2;
-/// Upper bound of the limit, which also bounds the number of the leader's calls to replicas.
-const MAX_LOADS: usize = 64;
+/// Upper bound of the limit in a small fleet, and of the loads that the current work does not need.
+/// It bounds the leader's calls to replicas, of which a load takes about four.
+pub(crate) const MAX_LOADS: usize = 64;
+/// Upper bound of the limit in a large fleet, as a share of the replicas. A job of a large fleet
+/// occupies more replicas, and all of them must load a new version before the next job.
+const MAX_LOAD_SHARE: f64 = 1.0 / 64.0;
 /// Share of the replicas that may load concurrently before the duration of a load is known. Two
 /// concurrent loads were too few with 16 replicas per model.
 const INITIAL_LOAD_SHARE: f64 = 0.2;
@@ -39,6 +43,11 @@
     duration_ms > min_ms * SLOW_LOAD_FACTOR + POLL_INTERVAL_MS as f64
 }
 
+/// Upper bound of the limit in a fleet of this size.
+fn max_loads(replicas: usize) -> usize {
+    MAX_LOADS.max((replicas as f64 * MAX_LOAD_SHARE) as usize)
+}
+
 /// Limit on concurrent loads and the observations from which it is derived.
 #[derive(Debug)]
 pub(crate) struct LoadLimit {
@@ -74,13 +83,14 @@
 
     /// Returns how many of `replicas` may load concurrently: [`INITIAL_LOAD_SHARE`] of them before
     /// the duration of a load is known, then the adapted limit; within [`MIN_LOADS`] and
-    /// [`MAX_LOADS`]. Also stores the initial limit for this number of replicas, from which the
+    /// [`max_loads`]. Also stores the initial limit for this number of replicas, from which the
     /// first call of [`Self::record_load`] starts.
     pub fn update_max_loads(&mut self, replicas: usize) -> usize {
         let share = (replicas as f64 * INITIAL_LOAD_SHARE) as usize;
-        self.initial = share.clamp(MIN_LOADS, MAX_LOADS);
+        let max = max_loads(replicas);
+        self.initial = share.clamp(MIN_LOADS, max);
         let limit = self.limit.map_or(self.initial, |limit| limit as usize);
-        limit.clamp(MIN_LOADS, MAX_LOADS)
+        limit.clamp(MIN_LOADS, max)
     }
 
     /// Time from the acceptance of an order to the first poll of the replica, in ms.
--- a/crates/dispatch/src/orders.rs
+++ b/crates/dispatch/src/orders.rs
@@ -8,6 +8,7 @@
 
 use crate::leases::OrderLeases;
 use crate::loads::LoadLimit;
+use crate::peak::PeakItems;
 use brasspond_fleet::Life;
 use brasspond_units::Millis;
 use std::collections::{BTreeMap, HashMap};
@@ -153,6 +154,8 @@
     leases: OrderLeases,
     /// When loads were last planned.
     pub planned_at: Option<Millis>,
+    /// Peak numbers of items, by which loads are urgent or not.
+    pub peaks: PeakItems,
 }
 
 impl Orders {
@@ -166,6 +169,7 @@
             not_before: HashMap::new(),
             leases,
             planned_at: None,
+            peaks: PeakItems::default(),
         }
     }
 
