Edges that send few requests keep to a few replicas

An edge sends about one request a second to 468 replicas. With the leader's list of deviating replicas it draws one of all that are expected to answer about equally soon, so that it nearly never meets the same one within the 7 s for which a connection rests; without the list it tries each replica once before it uses one again, all edges in the order of their ids (busiest replica at 15 times the mean).

Ruled out: short idle time-outs (Keep-Alive is honoured), runs of items (their edge is chosen by its resting connections).

Change: while an edge sends fewer requests than there are replicas, it chooses among as many as it had requests in the last seconds, four at the least: by rank, then the nearest, then in an order of its own, drawn at its start. A replica outside is taken if those inside are expected to take 1.2 times as long; one request in 16 chooses among all, so that a slow subset is left. Busy edges and small services choose as before.

--- a/crates/cluster/src/edge/balance.rs
+++ b/crates/cluster/src/edge/balance.rs
@@ -7,10 +7,13 @@
 
 mod hedges;
 mod overload;
+mod subset;
 mod view_changes;
 
 pub(super) use view_changes::{ChangedReplicas, ViewChange};
 
+use subset::{Preference, RecentRequests, Scope};
+
 use super::load_report::LoadReport;
 use super::replica_state::{ReplicaState, SharedLoad, expected_response_ms};
 use super::response_time::median;
@@ -44,6 +47,9 @@
     /// Whether it was tried, is paused, and is avoided because it fails at other edges.
     rank: (bool, bool, bool),
     expected_ms: f64,
+    distance: Distance,
+    /// Position in this edge's own order; 0 unless a subset is chosen.
+    preference: u64,
     endpoint: &'a Endpoint,
 }
 
@@ -53,6 +59,7 @@
         let order = one.rank.cmp(&other.rank);
         order
             .then_with(|| one.expected_ms.total_cmp(&other.expected_ms))
+            .then_with(|| one.preference.cmp(&other.preference))
             .then_with(|| one.endpoint.id.cmp(&other.endpoint.id))
     }
 }
@@ -83,6 +90,12 @@
     pub observations: ObservationRecorder,
     /// Number of choices in which a replica was eligible that fails at other edges.
     failing_choices: Cell<u32>,
+    /// Recent requests by service, which decide the sizes of the subsets.
+    recent_requests: HashMap<Arc<str>, RecentRequests>,
+    /// Order in which this edge prefers replicas.
+    preference: Preference,
+    /// Number of choices in which a subset was used.
+    subset_choices: Cell<u32>,
     /// Newest known life of each replica.
     lives: Lives,
     /// When the lives of removed replicas were last dropped, in ms.
@@ -99,6 +112,9 @@
             service_loads: HashMap::new(),
             observations: ObservationRecorder::default(),
             failing_choices: Cell::new(0),
+            recent_requests: HashMap::new(),
+            preference: Preference::default(),
+            subset_choices: Cell::new(0),
             lives: Lives::default(),
             lives_pruned_at: 0,
         }
@@ -110,7 +126,8 @@
     /// Untried replicas are preferred over tried ones, then active over paused ones, then those
     /// that do not fail at other edges, then shorter expected response times. If the speed of an
     /// eligible replica is known, one of those with nearly the shortest time is drawn at random;
-    /// otherwise ties are broken by id to keep the choice deterministic.
+    /// otherwise ties are broken by id to keep the choice deterministic. An edge that sends few
+    /// requests chooses among a subset of the replicas ([`subset`]).
     pub fn choose(
         &self,
         requirements: &Requirements<'_>,
@@ -124,19 +141,27 @@
             .collect();
         let has_known_speeds = eligible.iter().any(|state| state.has_known_speed(now));
         let avoids_failing = self.avoids_failing(&eligible, now);
+        let scope = self.scope(requirements.service, eligible.len(), now);
+        let is_subset = matches!(scope, Scope::Subset(_));
         let ranked = eligible.into_iter().map(|state| {
             let is_tried = tried.iter().any(|id| **id == *state.endpoint.id);
             let is_avoided = avoids_failing && state.is_failing(now);
             Candidate {
                 rank: (is_tried, state.is_paused(now), is_avoided),
-                expected_ms: self.expected_ms(state, has_known_speeds, now),
+                expected_ms: self.expected_ms(state, has_known_speeds || is_subset, now),
+                distance: state.distance,
+                preference: 0,
                 endpoint: &state.endpoint,
             }
         });
-        let chosen = if has_known_speeds {
-            draw_near_best(ranked.collect())
+        let mut candidates: Vec<Candidate<'_>> = ranked.collect();
+        if let Scope::Subset(size) = scope {
+            candidates = self.keep_subset(candidates, size);
+        }
+        let chosen = if has_known_speeds || scope == Scope::Exploration {
+            draw_near_best(candidates)
         } else {
-            ranked.min_by(Candidate::compare)
+            candidates.into_iter().min_by(Candidate::compare)
         };
         chosen?.endpoint.authorize(requirements).ok()
     }
@@ -259,9 +284,14 @@
 
     /// Adds a request to those in flight to a replica.
     pub fn begin_request(&mut self, id: &str) {
-        if let Some(state) = self.replicas.get_mut(id) {
-            state.in_flight += 1;
-        }
+        let Some(state) = self.replicas.get_mut(id) else {
+            return;
+        };
+        state.in_flight += 1;
+        let now = Moment::now();
+        let service = Arc::clone(&state.endpoint.service);
+        let recent = self.recent_requests.entry(service);
+        recent.or_insert_with(|| RecentRequests::new(now)).add(now);
     }
 
     /// Removes a request from those in flight to a replica.
