--- a/crates/cluster/src/edge/balance/view_changes.rs
+++ b/crates/cluster/src/edge/balance/view_changes.rs
@@ -118,3 +118,7 @@
 fn is_ready(state: ReplicaState) -> bool {
     state.endpoint.takes_work()
 }
+
+#[cfg(test)]
+#[path = "../../../tests/unit/view_changes.rs"]
+mod tests;
--- a/crates/dispatch/tests/model/view.rs
+++ b/crates/dispatch/tests/model/view.rs
@@ -21,7 +21,7 @@
             let mut info = support::replica(replica.number, SLOTS as u32);
             info.id = replica.id.as_str().into();
             info.draining = replica.draining;
-            info.zone = zone_of(replica.number).into();
+            info.zone = zone_of(replica.number);
             info.region = Some(region_of(replica.number, REPLICAS).into());
             info.models.set("model", replica.version);
             info.warming_ms = replica.warming_until.saturating_sub(self.now);
