The balancer lists eligible replicas and takes a median at one place each

typical_response_ms had a median of its own beside response_time::median; choose_fit collected the ids of all unfit replicas as tried ones and compared each candidate with each of them. Both use the shared code now: the fit and eligible replicas are chosen among directly. No decision changes (unit tests of choices, hedges and scoring calls unchanged but for the type of a parameter).

The subset's order is drawn from a seed, so that its tests repeat: one of them had failed in one of two runs (76 of 78 replicas used by 400 edges), for the random order, not for a fault.

--- a/crates/cluster/src/edge/balance.rs
+++ b/crates/cluster/src/edge/balance.rs
@@ -113,7 +113,7 @@
             observations: ObservationRecorder::default(),
             failing_choices: Cell::new(0),
             recent_requests: HashMap::new(),
-            preference: Preference::default(),
+            preference: Preference::random(),
             subset_choices: Cell::new(0),
             lives: Lives::default(),
             lives_pruned_at: 0,
@@ -134,11 +134,24 @@
         tried: &[String],
         now: Moment,
     ) -> Option<Clearance> {
-        let eligible: Vec<&ReplicaState> = self
-            .replicas
-            .values()
-            .filter(|state| state.endpoint.check(requirements).is_ok())
-            .collect();
+        let eligible = self.eligible(requirements).collect();
+        self.choose_among(eligible, requirements, tried, now)
+    }
+
+    /// Replicas that may take a request.
+    fn eligible(&self, requirements: &Requirements<'_>) -> impl Iterator<Item = &ReplicaState> {
+        let states = self.replicas.values();
+        states.filter(|state| state.endpoint.check(requirements).is_ok())
+    }
+
+    /// Chooses among eligible replicas, see [`Self::choose`].
+    fn choose_among(
+        &self,
+        eligible: Vec<&ReplicaState>,
+        requirements: &Requirements<'_>,
+        tried: &[String],
+        now: Moment,
+    ) -> Option<Clearance> {
         let has_known_speeds = eligible.iter().any(|state| state.has_known_speed(now));
         let avoids_failing = self.avoids_failing(&eligible, now);
         let scope = self.scope(requirements.service, eligible.len(), now);
@@ -184,18 +197,14 @@
         requirements: &Requirements<'_>,
         now: Moment,
     ) -> Option<Duration> {
-        let replicas = self.replicas.values();
-        let replicas = replicas.filter(|state| state.endpoint.check(requirements).is_ok());
+        let replicas = self.eligible(requirements);
         replicas.map(|state| state.time_to_free_slot(now)).min()
     }
 
     /// Whether an eligible replica has capacity for scoring calls.
     pub fn has_spare_capacity(&self, requirements: &Requirements<'_>, now: Moment) -> bool {
-        let mut replicas = self.replicas.values();
-        replicas.any(|state| {
-            state.endpoint.check(requirements).is_ok()
-                && state.has_spare_capacity(self.utilization_of(state, now), now)
-        })
+        let mut replicas = self.eligible(requirements);
+        replicas.any(|state| state.has_spare_capacity(self.utilization_of(state, now), now))
     }
 
     /// Whether all slots of a replica are in use; false for an unknown replica.
--- a/crates/cluster/src/edge/balance/hedges.rs
+++ b/crates/cluster/src/edge/balance/hedges.rs
@@ -3,6 +3,7 @@
 use super::LoadBalancer;
 use crate::clock::Moment;
 use crate::edge::replica_state::{DEFAULT_RESPONSE_MS, ReplicaState};
+use crate::edge::response_time::median;
 use brasspond_eligibility::{Clearance, Requirements};
 use std::sync::Arc;
 use std::time::Duration;
@@ -15,14 +16,9 @@
     /// Typical response time of the eligible replicas that have responded to this edge, in ms: the
     /// median of their averages. `None` if none has responded.
     pub fn typical_response_ms(&self, requirements: &Requirements<'_>) -> Option<f64> {
-        let states = self.replicas.values();
-        let eligible = states.filter(|state| state.endpoint.check(requirements).is_ok());
-        let mut times: Vec<f64> = eligible
-            .filter_map(|state| state.response.mean_ms())
-            .collect();
-        let middle = times.len().checked_sub(1)? / 2;
-        let (_, median, _) = times.select_nth_unstable_by(middle, f64::total_cmp);
-        Some(*median)
+        let times = self.eligible(requirements);
+        let times = times.filter_map(|state| state.response.mean_ms());
+        median(times.collect())
     }
 
     /// Chooses an eligible replica that has a free slot, is not paused and is not `excluded`; `None`
@@ -30,7 +26,7 @@
     pub fn choose_free(
         &self,
         requirements: &Requirements<'_>,
-        excluded: Vec<String>,
+        excluded: &[String],
         now: Moment,
     ) -> Option<Clearance> {
         self.choose_fit(requirements, excluded, now, |state| {
@@ -45,7 +41,7 @@
     pub fn choose_spare(
         &self,
         requirements: &Requirements<'_>,
-        excluded: Vec<String>,
+        excluded: &[String],
         limit: Duration,
         now: Moment,
     ) -> Option<Clearance> {
@@ -60,17 +56,15 @@
     fn choose_fit(
         &self,
         requirements: &Requirements<'_>,
-        mut excluded: Vec<String>,
+        excluded: &[String],
         now: Moment,
         is_fit: impl Fn(&ReplicaState) -> bool,
     ) -> Option<Clearance> {
-        let states = self.replicas.iter();
-        let unfit = states
-            .filter(|(_, state)| state.endpoint.check(requirements).is_ok() && !is_fit(state));
-        excluded.extend(unfit.map(|(id, _)| id.to_string()));
-        let chosen = self.choose(requirements, &excluded, now)?;
-        let is_excluded = excluded.iter().any(|id| **id == **chosen.replica());
-        (!is_excluded).then_some(chosen)
+        let fit = self.eligible(requirements).filter(|state| {
+            let is_excluded = excluded.iter().any(|id| **id == *state.endpoint.id);
+            !is_excluded && is_fit(state)
+        });
+        self.choose_among(fit.collect(), requirements, &[], now)
     }
 
     /// Records an attempt that began at `started` and was cancelled unanswered after `elapsed`. If
--- a/crates/cluster/src/edge/balance/overload.rs
+++ b/crates/cluster/src/edge/balance/overload.rs
@@ -51,11 +51,6 @@
         let backlog = f64::from(requests.saturating_sub(slots));
         Duration::from_secs_f64(backlog * typical_ms / f64::from(slots.max(1)) / 1_000.0)
     }
-
-    fn eligible(&self, requirements: &Requirements<'_>) -> impl Iterator<Item = &ReplicaState> {
-        let states = self.replicas.values();
-        states.filter(|state| state.endpoint.check(requirements).is_ok())
-    }
 }
 
 #[cfg(test)]
--- a/crates/cluster/src/edge/balance/subset.rs
+++ b/crates/cluster/src/edge/balance/subset.rs
@@ -7,7 +7,7 @@
 
 use super::{Candidate, LoadBalancer, NEAR_BEST_RATIO};
 use crate::clock::Moment;
-use std::hash::{BuildHasher, RandomState};
+use std::hash::{DefaultHasher, Hash, Hasher};
 use std::time::Duration;
 
 /// Smallest size of a subset, so that a slow or failing replica has alternatives.
@@ -51,12 +51,22 @@
 }
 
 /// An edge's own order of the replicas.
-#[derive(Debug, Default)]
-pub(super) struct Preference(RandomState);
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Preference {
+    seed: u64,
+}
 
 impl Preference {
-    fn of(&self, replica: &str) -> u64 {
-        self.0.hash_one(replica)
+    pub fn random() -> Self {
+        Self {
+            seed: rand::random(),
+        }
+    }
+
+    fn of(self, replica: &str) -> u64 {
+        let mut hasher = DefaultHasher::new();
+        (self.seed, replica).hash(&mut hasher);
+        hasher.finish()
     }
 }
 
--- a/crates/cluster/src/edge/forward.rs
+++ b/crates/cluster/src/edge/forward.rs
@@ -401,12 +401,7 @@
     pub(super) fn choose_with_spare_capacity(&self, tried: &[String]) -> Option<Clearance> {
         let balancer = self.edge.balancer.borrow();
         let objective = self.objective();
-        balancer.choose_spare(
-            &self.requirements(),
-            tried.to_vec(),
-            objective,
-            Moment::now(),
-        )
+        balancer.choose_spare(&self.requirements(), tried, objective, Moment::now())
     }
 
     /// Typical response time of the service; zero if it is not known.
--- a/crates/cluster/src/edge/hedged_attempt.rs
+++ b/crates/cluster/src/edge/hedged_attempt.rs
@@ -170,7 +170,7 @@
         let mut excluded = tried.to_vec();
         excluded.push(first.replica.to_string());
         let balancer = self.edge.balancer.borrow();
-        let chosen = balancer.choose_free(&self.requirements(), excluded, Moment::now());
+        let chosen = balancer.choose_free(&self.requirements(), &excluded, Moment::now());
         drop(balancer);
         let mut budgets = self.edge.hedge_budgets.borrow_mut();
         let outcome = match budgets.decide(self.service(), plan.class, chosen.is_some()) {
