Plans of loads: the state of models in a module of its own; one history for tests

The tests of differences and of catch-ups share the history of views that both play. No logic changes.

--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -18,7 +18,7 @@
 //! | when a run is stalled, an edge misses heartbeats or this process was suspended | `timeouts` |
 //! | whether an item is retried or given up, and whether its replica is paused | `retry` |
 //! | when a run is handed over to another replica | `moves` |
-//! | which replica loads which version, and how many load concurrently | `load_plan`, by `peak`; `loads` |
+//! | which replica loads which version, and how many load concurrently | `load_plan`, by `model_plan` and `peak`; `loads` |
 //! | when an order or a load is abandoned | `orders` |
 //! | which model is a replica's primary model | `assignment`, by `demand` |
 //! | when a scoring call is repeated | `scoring` |
@@ -42,6 +42,7 @@
 mod load_plan;
 mod loading;
 mod loads;
+mod model_plan;
 mod moves;
 mod orders;
 mod peak;
--- a/crates/dispatch/src/load_plan.rs
+++ b/crates/dispatch/src/load_plan.rs
@@ -10,6 +10,7 @@
 use crate::dispatcher::Dispatcher;
 use crate::loading::PlannedLoad;
 use crate::loads::MAX_LOADS;
+use crate::model_plan::ModelPlan;
 use crate::replicas::Replica;
 use brasspond_units::Millis;
 use std::cmp::Reverse;
@@ -18,10 +19,6 @@
 /// planned every 208 ms; with fewer than 48, after each event that may make loads due. This bounds
 /// the leader's processor time for passes over the fleet.
 const PLAN_REPLICAS_PER_MS: u64 = 48;
-/// While no item waits, replicas load the newest version until this share of a model's replicas has
-/// it, 0 to 1. The other replicas skip versions, as each load interrupts or moves their runs.
-const NEWEST_SHARE: f64 = 0.5;
-
 /// A load that is due. The order of the fields is the priority within a model: replicas whose
 /// version is too old come first, then those with the fewest runs, then those with the highest
 /// version, which served the last jobs and to which edges have open connections.
@@ -35,62 +32,6 @@
     slots: usize,
 }
 
-/// State of a model across its replicas.
-struct ModelPlan<'a> {
-    model: &'a str,
-    /// The newest version.
-    newest: u64,
-    /// The oldest version that replicas may keep, see [`oldest_allowed`].
-    oldest_allowed: u64,
-    /// Number of replicas that must still load the newest version until [`NEWEST_SHARE`] of the
-    /// required ones have it; 0 while items of the model wait.
-    missing_newest: usize,
-    /// Number of loads that the current work needs. Further loads wait for them.
-    urgent: usize,
-    /// Waiting items minus the free slots of replicas that have an allowed version or are loading
-    /// any version.
-    shortage: i64,
-    /// Free slots of replicas that are not loading, regardless of the version they serve.
-    free_slots: usize,
-    /// Whether any replica has an allowed version or is loading any version.
-    has_allowed_replica: bool,
-}
-
-/// Replicas of a model, and how many of them serve it.
-#[derive(Clone, Copy, Debug, Default)]
-struct ModelReplicas {
-    replicas: usize,
-    slots: usize,
-    /// Replicas that have an allowed version or are loading any version.
-    with_allowed: usize,
-    /// Replicas that have the newest version or are loading it.
-    with_newest: usize,
-}
-
-/// Number of replicas that a model requires, and how many of all have its newest version or are
-/// loading it.
-#[derive(Clone, Copy, Debug, Default)]
-struct NewestCount {
-    replicas: usize,
-    with_newest: usize,
-}
-
-impl NewestCount {
-    /// Number of replicas that must still load the newest version until [`NEWEST_SHARE`] have it.
-    fn missing(self) -> usize {
-        let wanted = (self.replicas as f64 * NEWEST_SHARE).ceil() as usize;
-        wanted.saturating_sub(self.with_newest)
-    }
-}
-
-/// The oldest version that replicas may keep: the one before the newest, or the newest if an active
-/// job requires it. `highest_min_version` is the highest minimum version of the active jobs.
-fn oldest_allowed(newest: u64, highest_min_version: u64) -> u64 {
-    highest_min_version
-        .max(newest.saturating_sub(1))
-        .min(newest)
-}
-
 /// Whether a replica that serves `version` should load the newest one, because its version is too
 /// old or because too few replicas have the newest. A `version` of 0 stands for no version.
 fn is_load_due(version: u64, newest: u64, oldest_allowed: u64, missing_newest: usize) -> bool {
@@ -235,90 +176,6 @@
         due
     }
 
-    /// Computes the state of each model with a known version in one pass over the fleet.
-    fn model_plans(&self) -> Vec<ModelPlan<'_>> {
-        let plans = self.view.versions.iter().map(|(model, newest)| ModelPlan {
-            model,
-            newest: *newest,
-            oldest_allowed: oldest_allowed(*newest, self.jobs.highest_min_version(model)),
-            missing_newest: 0,
-            urgent: 0,
-            shortage: self.jobs.waiting_for_model(model) as i64,
-            free_slots: 0,
-            has_allowed_replica: false,
-        });
-        let mut plans: Vec<ModelPlan<'_>> = plans.collect();
-        let mut counts = vec![ModelReplicas::default(); plans.len()];
-        for (id, primary, replica) in self.replicas_with_models() {
-            let index = plans.iter().position(|plan| plan.model == primary);
-            if let Some(index) = index {
-                self.count_replica(id, replica, &mut plans[index], &mut counts[index]);
-            }
-        }
-        for (plan, count) in plans.iter_mut().zip(counts) {
-            self.set_urgent(plan, count);
-        }
-        plans
-    }
-
-    /// Computes how many loads of a model the current work needs.
-    fn set_urgent(&self, plan: &mut ModelPlan<'_>, count: ModelReplicas) {
-        let peaks = &self.orders.peaks;
-        let required = peaks.required_replicas(plan.model, count.replicas, count.slots);
-        if self.jobs.waiting_for_model(plan.model) == 0 {
-            let newest = NewestCount {
-                replicas: required,
-                with_newest: count.with_newest,
-            };
-            plan.missing_newest = newest.missing();
-        }
-        let slots_each = (count.slots / count.replicas.max(1)).max(1);
-        let for_shortage = plan.shortage.max(0) as usize;
-        plan.urgent = required
-            .saturating_sub(count.with_allowed)
-            .max(plan.missing_newest)
-            .max(for_shortage.div_ceil(slots_each));
-    }
-
-    /// Replicas with their primary models, sorted by id. Both maps are sorted by id and are merged.
-    pub(crate) fn replicas_with_models(&self) -> impl Iterator<Item = (&str, &str, &Replica)> {
-        let mut replicas = self.replicas.by_id.iter().peekable();
-        self.orders
-            .primary_models
-            .iter()
-            .filter_map(move |(id, primary)| {
-                while replicas.next_if(|(other, _)| *other < id).is_some() {}
-                let (_, replica) = replicas.next_if(|(other, _)| *other == id)?;
-                Some((id.as_str(), primary.as_str(), replica))
-            })
-    }
-
-    /// Adds a replica to the state of its primary model.
-    fn count_replica(
-        &self,
-        id: &str,
-        replica: &Replica,
-        plan: &mut ModelPlan<'_>,
-        count: &mut ModelReplicas,
-    ) {
-        let free = replica.free_slots();
-        let version = replica.version_of(plan.model);
-        let load = self.orders.loads.get(id);
-        if load.is_some() || version >= plan.oldest_allowed {
-            plan.shortage -= free as i64;
-            plan.has_allowed_replica = true;
-            count.with_allowed += 1;
-        }
-        if load.is_none() {
-            plan.free_slots += free;
-        }
-        let loads_newest =
-            load.is_some_and(|load| load.model == plan.model && load.version >= plan.newest);
-        count.replicas += 1;
-        count.slots += replica.slots;
-        count.with_newest += usize::from(loads_newest || version >= plan.newest);
-    }
-
     /// Whether a replica with `runs` active runs may begin a due load now. A load pauses runs that
     /// are not handed over, and a single paused run can delay its whole job. A replica with runs
     /// therefore waits until other replicas of the model have free slots for all of them. It does
