--- a/crates/cluster/src/storage/announcing.rs
+++ b/crates/cluster/src/storage/announcing.rs
@@ -229,10 +229,12 @@
                 _ => announcements.first_frame(state),
             };
             let is_large = frame.len() >= LARGE_FRAME_BYTES;
-            state.has_view = !(is_large && large_frames >= MAX_LARGE_FRAMES)
-                && state.writer.send_frame(kind, frame);
+            let must_wait = is_large && large_frames >= MAX_LARGE_FRAMES;
+            state.has_view = !must_wait && state.writer.send_frame(kind, frame);
+            if state.has_view && kind == MessageKind::View {
+                state.needs_full_view = false;
+            }
             large_frames += usize::from(is_large && state.has_view);
-            state.needs_full_view &= kind != MessageKind::View || !state.has_view;
             edges_lack_view |= !state.has_view;
         }
         self.links.edges_lack_view = edges_lack_view;
