Polls of loads come after evacuated replicas are dropped

Cause: polls replicas that load before the interval of plans is checked, and with that before replicas that drain or whose zone was evacuated are dropped. The event that brings an evacuation so sent one more report request to such a replica.

Change: loads of unavailable replicas are dropped at each plan or tick, before the polls, as before; counts of orders and retry times, thousands in a large fleet, are still discarded with the plan alone.

--- a/crates/dispatch/src/load_plan.rs
+++ b/crates/dispatch/src/load_plan.rs
@@ -19,6 +19,7 @@
 /// planned every 208 ms; with fewer than 48, after each event that may make loads due. This bounds
 /// the leader's processor time for passes over the fleet.
 const PLAN_REPLICAS_PER_MS: u64 = 48;
+
 /// A load that is due. The order of the fields is the priority within a model: replicas whose
 /// version is too old come first, then those with the fewest runs, then those with the highest
 /// version, which served the last jobs and to which edges have open connections.
@@ -38,11 +39,21 @@
     version < newest && (version < oldest_allowed || missing_newest > 0)
 }
 
+/// Whether orders may be sent to a replica; false for an unknown one.
+fn takes_orders(replica: Option<&Replica>) -> bool {
+    replica.is_some_and(|replica| {
+        let endpoint = &replica.endpoint;
+        !endpoint.is_draining && !endpoint.is_evacuated
+    })
+}
+
 impl Dispatcher {
     /// Polls replicas that load and begins due loads. If zones can be evacuated, no load begins
     /// before the evacuated zones are known.
     pub(crate) fn plan_loads(&mut self, now: Millis) {
         // Not bound to the interval: a late poll delays the next load and makes this one look slow.
+        // Unavailable replicas are dropped first, as nothing may be sent to evacuated ones.
+        self.drop_unavailable_loads();
         self.poll_loads(now);
         let interval = self.orders.primary_models.len() as Millis / PLAN_REPLICAS_PER_MS;
         let planned_at = self.orders.planned_at;
@@ -50,7 +61,9 @@
             return;
         }
         self.orders.planned_at = Some(now);
-        self.drop_unavailable_loads();
+        let replicas = &self.replicas.by_id;
+        self.orders
+            .retain_replicas(|id| takes_orders(replicas.get(id)));
         if !self.view.knows_evacuations() {
             return;
         }
@@ -75,12 +88,8 @@
     /// do not count against the limit on concurrent loads.
     fn drop_unavailable_loads(&mut self) {
         let replicas = &self.replicas.by_id;
-        self.orders.retain(|id| {
-            replicas.get(id).is_some_and(|replica| {
-                let endpoint = &replica.endpoint;
-                !endpoint.is_draining && !endpoint.is_evacuated
-            })
-        });
+        self.orders
+            .retain_loads(|id| takes_orders(replicas.get(id)));
     }
 
     fn observe_peaks(&mut self, now: Millis) {
--- a/crates/dispatch/src/orders.rs
+++ b/crates/dispatch/src/orders.rs
@@ -207,8 +207,8 @@
         is_due && !self.leases.is_leased(id, now) && !self.loads.contains_key(id)
     }
 
-    /// Discards the loads, retry times and order counts of replicas that accept no orders.
-    pub fn retain(&mut self, takes_orders: impl Fn(&str) -> bool) {
+    /// Discards the loads of replicas that accept no orders.
+    pub fn retain_loads(&mut self, takes_orders: impl Fn(&str) -> bool) {
         self.loads.retain(|id, load| {
             let stays = takes_orders(id);
             if !stays {
@@ -220,6 +220,10 @@
             }
             stays
         });
+    }
+
+    /// Discards the retry times and order counts of replicas that accept no orders.
+    pub fn retain_replicas(&mut self, takes_orders: impl Fn(&str) -> bool) {
         self.not_before.retain(|id, _| takes_orders(id));
         self.sequences.retain(|id, _| takes_orders(id));
     }
--- a/crates/dispatch/tests/fuzzing.rs
+++ b/crates/dispatch/tests/fuzzing.rs
@@ -217,6 +217,13 @@
     (Fault::SubmitJob(34), 281),
     (Fault::ReplicaReplacedWarming(2, 941), 741),
 ])]
+// A replica that loads is asked for its report after its zone was evacuated.
+#[case(400363500792676763, false, vec![
+    (Fault::LeaderFails { next: 0, pause_ms: 571, proposals_kept: false }, 881),
+    (Fault::StreamsBreak(0), 361),
+    (Fault::NewVersion, 491),
+    (Fault::Evacuate(0, true), 291),
+])]
 fn regressions(#[case] seed: u64, #[case] single_version: bool, #[case] faults: Vec<TimedFault>) {
     run_scenario(seed, single_version, &faults);
 }
