Check the evacuations that an edge reports as changes, too

Cause: a leader compares the evacuated zones of a full view from an edge with its own, and sends its own again if they differ. For a report of changes it compared a copy of its own view with the report merged into it. That copy keeps the leader's zones where their revision is higher, and if nothing else was newer no comparison was made, so an edge with older zones was not noticed. The report was also merged twice, into the copy and into the view.

Ruled out: a second copy of the view for the comparison alone; the report contains the edge's zones.

Change: both kinds of report are compared as the edge sent them and merged once; CatchUp::evacuations_only returns the zones. This is a change of behaviour for reports of changes, to what full views have always had.

Before and after: found by reading, no run showed it. A new test of the fleet crate holds that the report contains the edge's zones also when those sent have a higher revision; that the leader compares them has no test of its own. Tests of fleet, cluster, cluster-protocol, dispatch and platform pass.

--- a/crates/cluster/src/storage/announcing.rs
+++ b/crates/cluster/src/storage/announcing.rs
@@ -240,10 +240,9 @@
         self.links.edges_lack_view = edges_lack_view;
     }
 
-    /// Merges the view of an edge, which sends it if this leader lacks parts of it.
-    pub(super) fn merge_edge_view(&mut self, machine: &str, view: &FleetView) {
-        self.check_reported_evacuations(view);
-        if self.view.merge(view) {
+    /// Called after the view of an edge was merged, which sends it if this leader lacks parts of it.
+    pub(super) fn edge_view_merged(&mut self, machine: &str, changed: bool) {
+        if changed {
             log::info!(
                 "event=view_from_edge machine={machine} configuration={} replicas_revision={} versions_revision={} evacuated_revision={} source_answers={}",
                 self.view.configuration_revision,
--- a/crates/cluster/src/storage/edges.rs
+++ b/crates/cluster/src/storage/edges.rs
@@ -137,12 +137,15 @@
                 self.on_runs(&sender, registration, uptime, runs, draining);
             }
             Message::Progress(reports) => self.on_progress(&machine, reports),
-            Message::View(view) => self.merge_edge_view(&machine, &view),
+            Message::View(view) => {
+                self.check_reported_evacuations(&view);
+                let changed = self.view.merge(&view);
+                self.edge_view_merged(&machine, changed);
+            }
             Message::ViewCatchUp(catch_up) => {
-                let mut view = self.view.clone();
-                if view.merge_catch_up(&catch_up) {
-                    self.merge_edge_view(&machine, &view);
-                }
+                self.check_reported_evacuations(&catch_up.evacuations_only());
+                let changed = self.view.merge_catch_up(&catch_up);
+                self.edge_view_merged(&machine, changed);
             }
             Message::Beat { wall, uptime } => self.on_edge_heartbeat(&sender, wall, uptime),
             Message::ReplicaObservations(report) => {
--- a/crates/fleet/src/catch_up.rs
+++ b/crates/fleet/src/catch_up.rs
@@ -50,6 +50,13 @@
             digest: digest(&current.replicas),
         }
     }
+
+    /// Returns a view with the evacuated zones of the current one and nothing else.
+    pub fn evacuations_only(&self) -> FleetView {
+        let mut view = FleetView::default();
+        view.apply_parts(&self.delta);
+        view.evacuations_only()
+    }
 }
 
 impl FleetView {
--- a/crates/fleet/tests/catch_up.rs
+++ b/crates/fleet/tests/catch_up.rs
@@ -2,9 +2,10 @@
 
 mod support;
 
-use brasspond_fleet::CatchUp;
+use brasspond_fleet::{CatchUp, FleetView};
 use proptest::prelude::*;
 use rstest::rstest;
+use std::sync::Arc;
 use support::{history, replica};
 
 proptest! {
@@ -46,3 +47,21 @@
     between.replicas_revision = 10_004;
     assert_eq!(between.catch_up(&catch_up), Ok(current));
 }
+
+/// Guards against a leader that does not learn which zones an edge considers evacuated, because the
+/// leader's own view has a higher revision.
+#[rstest]
+#[case::some(&["zone"], 3)]
+#[case::none(&[], 3)]
+#[case::unknown(&[], 0)]
+fn the_evacuated_zones_are_reported(#[case] zones: &[&str], #[case] revision: u64) {
+    let mut current = history(&[(1, false), (2, false)]).pop().expect("a view");
+    current.evacuated = Arc::new(zones.iter().map(|zone| Arc::from(*zone)).collect());
+    current.evacuated_revision = revision;
+    let sent = FleetView {
+        evacuated_revision: 7,
+        ..current.clone()
+    };
+    let reported = CatchUp::new(&sent, &current).evacuations_only();
+    assert_eq!(reported, current.evacuations_only());
+}
