Fleet, edge: use what std and the types already have

Arc compares pointers before contents for types with Eq, so a difference of views needs no comparison of its own. The balancer's two functions is_ready were one; the two ways of applying a view are functions now. DescriptorLimit has a default, so Callers derives its own again.

No change of behaviour.

--- a/crates/cluster/src/edge/balance/view_changes.rs
+++ b/crates/cluster/src/edge/balance/view_changes.rs
@@ -46,35 +46,45 @@
             restarted: Vec::new(),
         };
         match changed {
-            ChangedReplicas::All => {
-                self.prune_lives(view, now);
-                self.replicas.retain(|id, _| view.replicas.contains_key(id));
-                for info in view.replicas.values() {
-                    self.apply_entry(info, view, &mut change, now);
-                }
-                let states = self.replicas.values();
-                self.ready = states.filter(|state| state.endpoint.takes_work()).count();
-            }
-            ChangedReplicas::Delta(delta) => {
-                if now >= self.lives_pruned_at + LIVES_PRUNE_INTERVAL_MS {
-                    self.prune_lives(view, now);
-                }
-                for id in &delta.gone {
-                    self.lives.observe_removal(id, now);
-                    let removed = self.replicas.remove(id);
-                    self.ready -= usize::from(removed.is_some_and(is_ready));
-                }
-                for info in &delta.changed {
-                    let before = self.is_ready(&info.id);
-                    self.apply_entry(info, view, &mut change, now);
-                    let after = self.is_ready(&info.id);
-                    self.ready = self.ready + usize::from(after) - usize::from(before);
-                }
-            }
+            ChangedReplicas::All => self.apply_all(view, &mut change, now),
+            ChangedReplicas::Delta(delta) => self.apply_changed(view, delta, &mut change, now),
         }
         change
     }
 
+    fn apply_all(&mut self, view: &FleetView, change: &mut ViewChange, now: u64) {
+        self.prune_lives(view, now);
+        self.replicas.retain(|id, _| view.replicas.contains_key(id));
+        for info in view.replicas.values() {
+            self.apply_entry(info, view, change, now);
+        }
+        let states = self.replicas.values();
+        self.ready = states.filter(|state| state.endpoint.takes_work()).count();
+    }
+
+    fn apply_changed(
+        &mut self,
+        view: &FleetView,
+        delta: &ViewDelta,
+        change: &mut ViewChange,
+        now: u64,
+    ) {
+        if now >= self.lives_pruned_at + LIVES_PRUNE_INTERVAL_MS {
+            self.prune_lives(view, now);
+        }
+        for id in &delta.gone {
+            self.lives.observe_removal(id, now);
+            self.ready -= usize::from(self.is_ready(id));
+            self.replicas.remove(id);
+        }
+        for info in &delta.changed {
+            let before = self.is_ready(&info.id);
+            self.apply_entry(info, view, change, now);
+            let after = self.is_ready(&info.id);
+            self.ready = self.ready + usize::from(after) - usize::from(before);
+        }
+    }
+
     fn is_ready(&self, id: &str) -> bool {
         let state = self.replicas.get(id);
         state.is_some_and(|state| state.endpoint.takes_work())
@@ -115,10 +125,6 @@
     }
 }
 
-fn is_ready(state: ReplicaState) -> bool {
-    state.endpoint.takes_work()
-}
-
 #[cfg(test)]
 #[path = "../../../tests/unit/view_changes.rs"]
 mod tests;
--- a/crates/cluster/src/edge/descriptors.rs
+++ b/crates/cluster/src/edge/descriptors.rs
@@ -22,14 +22,6 @@
         Self { max }
     }
 
-    /// Limit of this process. Without a known limit no descriptor is reserved.
-    pub fn of_process() -> Self {
-        let soft = getrlimit(Resource::RLIMIT_NOFILE).map(|(soft, _)| soft);
-        Self::new(soft.map_or(RawFd::MAX, |soft| {
-            RawFd::try_from(soft).unwrap_or(RawFd::MAX)
-        }))
-    }
-
     /// Whether a descriptor is one of the last ones, so that no further caller may be accepted.
     pub fn is_reserved(self, descriptor: RawFd) -> bool {
         let reserved_from = self.max - self.max / RESERVED_DIVISOR;
@@ -44,6 +36,16 @@
     }
 }
 
+impl Default for DescriptorLimit {
+    /// Limit of this process. Without a known limit no descriptor is reserved.
+    fn default() -> Self {
+        let soft = getrlimit(Resource::RLIMIT_NOFILE).map(|(soft, _)| soft);
+        Self::new(soft.map_or(RawFd::MAX, |soft| {
+            RawFd::try_from(soft).unwrap_or(RawFd::MAX)
+        }))
+    }
+}
+
 #[cfg(test)]
 #[path = "../../tests/unit/descriptors.rs"]
 mod tests;
--- a/crates/cluster/src/edge/draining.rs
+++ b/crates/cluster/src/edge/draining.rs
@@ -22,7 +22,7 @@
 const FLUSH_TIME: Duration = Duration::from_millis(100);
 
 /// State of callers' connections and requests.
-#[derive(Debug)]
+#[derive(Debug, Default)]
 pub(super) struct Callers {
     is_draining: Cell<bool>,
     has_drained: Cell<bool>,
@@ -38,19 +38,6 @@
 }
 
 impl Callers {
-    /// State without callers. Reads the process's limit on descriptors.
-    pub fn new() -> Self {
-        Self {
-            is_draining: Cell::default(),
-            has_drained: Cell::default(),
-            requests: Cell::default(),
-            closing: watch::Sender::default(),
-            shed: watch::Sender::default(),
-            accept_health: AcceptHealth::default(),
-            descriptors: DescriptorLimit::of_process(),
-        }
-    }
-
     /// Whether this edge is shutting down.
     pub fn is_draining(&self) -> bool {
         self.is_draining.get()
--- a/crates/cluster/src/edge/process.rs
+++ b/crates/cluster/src/edge/process.rs
@@ -246,7 +246,7 @@
             .map(|metering| UsageRecorder::new(metering.windows));
         Self {
             fleet: FleetState::new(process.supports_evacuation),
-            callers: Callers::new(),
+            callers: Callers::default(),
             slow_readers: Rc::new(SlowReaders::new(process.memory_limit)),
             storage: RefCell::new(storage),
             balancer: RefCell::new(LoadBalancer::new(Rc::clone(&link_context))),
--- a/crates/fleet/src/delta.rs
+++ b/crates/fleet/src/delta.rs
@@ -31,12 +31,6 @@
     pub evacuated: Option<(u64, Arc<BTreeSet<Arc<str>>>)>,
 }
 
-/// Whether two entries are equal. Entries that no process has changed since are shared, so most
-/// comparisons need not look at them.
-fn is_same(one: &Arc<ReplicaInfo>, other: &Arc<ReplicaInfo>) -> bool {
-    Arc::ptr_eq(one, other) || one == other
-}
-
 /// Error: the view does not have the base revision of the delta, so a complete view is needed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct BaseMismatch;
@@ -66,10 +60,7 @@
         }
         if !Arc::ptr_eq(&self.replicas, &older.replicas) {
             let changed = self.replicas.iter();
-            let changed = changed.filter(|(id, replica)| {
-                let before = older.replicas.get(*id);
-                before.is_none_or(|before| !is_same(before, replica))
-            });
+            let changed = changed.filter(|(id, replica)| older.replicas.get(*id) != Some(*replica));
             delta.changed = changed.map(|(_, replica)| Arc::clone(replica)).collect();
             let gone = older.replicas.keys();
             let gone = gone.filter(|id| !self.replicas.contains_key(*id));
