Dispatch: pair replicas with their primary models at one place

The spare capacity of all replicas and that by model each filtered the same replicas, and merged the two sorted maps in two ways. Both now use replicas_with_spare, which uses replicas_with_primary. A plan counts a model's waiting items once instead of twice.

--- a/crates/dispatch/src/capacity.rs
+++ b/crates/dispatch/src/capacity.rs
@@ -79,21 +79,29 @@
 }
 
 impl Dispatcher {
+    /// Replicas that accept runs and are not loading, with their primary models and their spare
+    /// capacity.
+    fn replicas_with_spare(
+        &self,
+        now: Millis,
+    ) -> impl Iterator<Item = (Option<&str>, &Replica, usize)> {
+        self.replicas_with_primary()
+            .filter(|(id, _, replica)| {
+                replica.endpoint.takes_work() && !self.orders.is_loading_any(id)
+            })
+            .map(move |(_, primary, replica)| {
+                let spare = self.replicas.spare_capacity(replica, now);
+                (primary, replica, spare)
+            })
+            .filter(|(_, _, spare)| *spare > 0)
+    }
+
     /// Collects the spare capacity of all replicas that accept runs and are not loading.
     pub(crate) fn all_spare_capacity(&self, now: Millis) -> SpareCapacity<'_> {
         let mut by_model: HashMap<Option<&str>, Vec<FreeReplica<'_>>> = HashMap::new();
-        let mut primary_models = self.orders.primary_models.iter().peekable();
-        for (id, replica) in &self.replicas.by_id {
-            // Both maps are sorted by id.
-            while primary_models.next_if(|(other, _)| *other < id).is_some() {}
-            let primary = primary_models.next_if(|(other, _)| *other == id);
-            let spare = self.replicas.spare_capacity(replica, now);
-            if spare == 0 || !replica.endpoint.takes_work() || self.orders.is_loading_any(id) {
-                continue;
-            }
+        for (primary, replica, spare) in self.replicas_with_spare(now) {
             let event_ms = self.replicas.expected_event_ms(replica, 1);
-            let of_model = by_model.entry(primary.map(|(_, model)| model.as_str()));
-            of_model.or_default().push(FreeReplica {
+            by_model.entry(primary).or_default().push(FreeReplica {
                 replica,
                 event_ms: event_ms.unwrap_or(UNKNOWN_EVENT_MS),
                 spare,
@@ -108,20 +116,18 @@
     /// Sums the spare capacity of the replicas that accept runs and are not loading, in one pass
     /// over the fleet.
     pub(crate) fn spare_capacity_by_model(&self, now: Millis) -> SpareByModel {
-        let mut by_model: HashMap<String, usize> = HashMap::new();
-        for (id, primary, replica) in self.replicas_with_models() {
-            if !replica.endpoint.takes_work() || self.orders.is_loading_any(id) {
-                continue;
-            }
-            let spare = self.replicas.spare_capacity(replica, now);
-            match by_model.get_mut(primary) {
-                Some(total) => *total += spare,
-                None => {
-                    by_model.insert(primary.to_string(), spare);
-                }
+        let mut totals: HashMap<&str, usize> = HashMap::new();
+        for (primary, _, spare) in self.replicas_with_spare(now) {
+            if let Some(primary) = primary {
+                *totals.entry(primary).or_default() += spare;
             }
         }
-        SpareByModel { by_model }
+        let totals = totals.into_iter();
+        SpareByModel {
+            by_model: totals
+                .map(|(model, spare)| (model.to_string(), spare))
+                .collect(),
+        }
     }
 
     /// Spare capacity of a replica; 0 if it accepts no runs.
--- a/crates/dispatch/src/model_plan.rs
+++ b/crates/dispatch/src/model_plan.rs
@@ -17,6 +17,8 @@
     pub newest: u64,
     /// The oldest version that replicas may keep, see [`oldest_allowed`].
     pub oldest_allowed: u64,
+    /// Items that wait.
+    waiting: usize,
     /// Number of replicas that must still load the newest version until [`NEWEST_SHARE`] of the
     /// required ones have it; 0 while items of the model wait.
     pub missing_newest: usize,
@@ -69,15 +71,19 @@
 impl Dispatcher {
     /// Computes the state of each model with a known version in one pass over the fleet.
     pub(crate) fn model_plans(&self) -> Vec<ModelPlan<'_>> {
-        let plans = self.view.versions.iter().map(|(model, newest)| ModelPlan {
-            model,
-            newest: *newest,
-            oldest_allowed: oldest_allowed(*newest, self.jobs.highest_min_version(model)),
-            missing_newest: 0,
-            urgent: 0,
-            shortage: self.jobs.waiting_for_model(model) as i64,
-            free_slots: 0,
-            has_allowed_replica: false,
+        let plans = self.view.versions.iter().map(|(model, newest)| {
+            let waiting = self.jobs.waiting_for_model(model);
+            ModelPlan {
+                model,
+                newest: *newest,
+                oldest_allowed: oldest_allowed(*newest, self.jobs.highest_min_version(model)),
+                waiting,
+                missing_newest: 0,
+                urgent: 0,
+                shortage: waiting as i64,
+                free_slots: 0,
+                has_allowed_replica: false,
+            }
         });
         let mut plans: Vec<ModelPlan<'_>> = plans.collect();
         let mut counts = vec![ModelReplicas::default(); plans.len()];
@@ -97,7 +103,7 @@
     fn set_urgent(&self, plan: &mut ModelPlan<'_>, count: ModelReplicas) {
         let peaks = &self.orders.peaks;
         let required = peaks.required_replicas(plan.model, count.replicas, count.slots);
-        if self.jobs.waiting_for_model(plan.model) == 0 {
+        if plan.waiting == 0 {
             let newest = NewestCount {
                 replicas: required,
                 with_newest: count.with_newest,
@@ -112,17 +118,24 @@
             .max(for_shortage.div_ceil(slots_each));
     }
 
-    /// Replicas with their primary models, sorted by id. Both maps are sorted by id and are merged.
+    /// All replicas with their primary models, if they have one, sorted by id.
+    pub(crate) fn replicas_with_primary(
+        &self,
+    ) -> impl Iterator<Item = (&str, Option<&str>, &Replica)> {
+        // Both maps are sorted by id.
+        let mut models = self.orders.primary_models.iter().peekable();
+        self.replicas.by_id.iter().map(move |(id, replica)| {
+            while models.next_if(|(other, _)| *other < id).is_some() {}
+            let primary = models.next_if(|(other, _)| *other == id);
+            let primary = primary.map(|(_, model)| model.as_str());
+            (id.as_str(), primary, replica)
+        })
+    }
+
+    /// Replicas that have a primary model, with this model, sorted by id.
     pub(crate) fn replicas_with_models(&self) -> impl Iterator<Item = (&str, &str, &Replica)> {
-        let mut replicas = self.replicas.by_id.iter().peekable();
-        self.orders
-            .primary_models
-            .iter()
-            .filter_map(move |(id, primary)| {
-                while replicas.next_if(|(other, _)| *other < id).is_some() {}
-                let (_, replica) = replicas.next_if(|(other, _)| *other == id)?;
-                Some((id.as_str(), primary.as_str(), replica))
-            })
+        let replicas = self.replicas_with_primary();
+        replicas.filter_map(|(id, primary, replica)| Some((id, primary?, replica)))
     }
 
     /// Adds a replica to the state of its primary model.
