Tests of the cluster crate: one replica for three of them

Tests of announcements, frames and changes of the view each spelled out a replica. They share test_replicas::replica now; the view's test overrides the fields that its cases vary. No assertion changed.

--- a/crates/cluster/src/lib.rs
+++ b/crates/cluster/src/lib.rs
@@ -21,3 +21,7 @@
 pub mod storage;
 mod traffic;
 pub mod upstream;
+
+#[cfg(test)]
+#[path = "../tests/unit/replicas.rs"]
+mod test_replicas;
--- a/crates/cluster/tests/unit/announcing.rs
+++ b/crates/cluster/tests/unit/announcing.rs
@@ -3,31 +3,13 @@
 
 use super::*;
 use crate::link::Writer;
+use crate::test_replicas::replica;
 use brasspond_cluster_protocol::{FEATURE_VIEW_CATCH_UP, Peer};
-use brasspond_fleet::{Life, ReplicaInfo};
 use rstest::rstest;
 
 const REPLICAS: u64 = 10_000;
 const EDGES: usize = 1_000;
 
-fn replica(number: u64, revision: u64) -> ReplicaInfo {
-    ReplicaInfo {
-        id: format!("i-{:010x}", number * 2_654_435_761).into(),
-        service: "generation".into(),
-        address: ([10, 3, (number >> 8) as u8, number as u8], 8_000).into(),
-        zone: "zone-a".into(),
-        slots: 8,
-        draining: false,
-        models: Vec::new().into(),
-        revision,
-        is_spot: false,
-        notice_ms: None,
-        region: None,
-        warming_ms: 0,
-        life: Life::UNKNOWN,
-    }
-}
-
 /// The view of an earlier leader.
 fn earlier_view() -> FleetView {
     let replicas = (0..REPLICAS).map(|number| replica(number, 1 + number));
--- a/crates/cluster/tests/unit/link_writer.rs
+++ b/crates/cluster/tests/unit/link_writer.rs
@@ -1,31 +1,17 @@
 //! Tests of frames that are sent on many links.
 
 use super::shared_frame;
+use crate::test_replicas::replica;
 use brasspond_cluster_protocol::{FrameBuffer, Message, encode};
-use brasspond_fleet::{FleetView, Life, ReplicaInfo, replicas_by_id};
+use brasspond_fleet::{FleetView, replicas_by_id};
 use rstest::rstest;
 
-const REPLICAS: usize = 3_000;
+const REPLICAS: u64 = 3_000;
 
 fn full_view() -> Message {
-    let replica = |number: usize| ReplicaInfo {
-        life: Life::UNKNOWN,
-        id: format!("i-{:010x}", number * 2_654_435_761).into(),
-        service: "generation".into(),
-        address: ([10, 3, (number >> 8) as u8, number as u8], 8_000).into(),
-        zone: "zone-a".into(),
-        slots: 8,
-        draining: false,
-        models: Vec::new().into(),
-        revision: number as u64,
-        is_spot: false,
-        notice_ms: None,
-        region: None,
-        warming_ms: 0,
-    };
     Message::View(FleetView {
-        replicas: replicas_by_id((0..REPLICAS).map(replica)),
-        replicas_revision: REPLICAS as u64,
+        replicas: replicas_by_id((0..REPLICAS).map(|number| replica(number, number))),
+        replicas_revision: REPLICAS,
         ..FleetView::default()
     })
 }
--- a/crates/cluster/tests/unit/view_changes.rs
+++ b/crates/cluster/tests/unit/view_changes.rs
@@ -4,6 +4,7 @@
 use super::*;
 use crate::clock::Moment;
 use crate::link::LinkContext;
+use crate::test_replicas;
 use brasspond_distance::Place;
 use brasspond_fleet::Life;
 use proptest::prelude::*;
@@ -13,17 +14,9 @@
     ReplicaInfo {
         id: format!("replica-{number}").into(),
         service: "plain".into(),
-        address: ([127, 0, 0, 1], 1_000 + number as u16).into(),
-        zone: "n1".into(),
-        slots: 6,
         draining: revision.is_multiple_of(3),
-        models: Vec::new().into(),
-        revision,
-        is_spot: false,
-        notice_ms: None,
-        region: None,
-        warming_ms: 0,
         life: Life::reported(1 + revision / 4),
+        ..test_replicas::replica(number, revision)
     }
 }
 
