Log why a process ends, its memory, its term and what a refused read had asked

Nothing of a panic or of an error that ends a process was in the log (both went to standard error alone), memory was not logged at all, an edge did not say how its link to the leader ended, and a refused read did not say whether a member had been asked.

New lines: panicked (place, message), process_failed (error), memory_grown (peak, current, limit, and what holds it: log in memory, queued bytes, polls, backlog), at each 4 MB of a new peak, since a killed process says nothing afterwards; term_changed at storage processes; leader_link_down now with the term, how the link ended (closed, reset, timed_out, unreadable, failed) and how long the leader was known; results_unavailable with the reader's part (not_asked, not_current, no_answer) and the leader's. started says the size of the log's file.

What tells the hypotheses apart: an end by the memory limit is a peak_kb near limit_kb as the last line of a process without process_failed, panicked or stopped; an error or a panic names itself; a kill from outside has none of them.

--- a/crates/brasspond/src/cluster_process.rs
+++ b/crates/brasspond/src/cluster_process.rs
@@ -30,14 +30,14 @@
     })?;
     let runtime = single_threaded()?;
     let result = LocalSet::new().block_on(&runtime, serve(settings, log_ring.clone()));
-    log_ring.flush(LOG_FLUSH_TIMEOUT);
-    match result {
-        Ok(()) => Ok(Outcome::Success),
-        Err(error) => {
-            eprintln!("{error}");
-            Err(Outcome::Failed)
-        }
+    if let Err(error) = &result {
+        log::error!("event=process_failed error={:?}", error.to_string());
+        eprintln!("{error}");
     }
+    log_ring.flush(LOG_FLUSH_TIMEOUT);
+    result
+        .map(|()| Outcome::Success)
+        .map_err(|_| Outcome::Failed)
 }
 
 /// Connects to the platform and runs an edge or a storage process, as the settings say.
--- a/crates/brasspond/src/logging.rs
+++ b/crates/brasspond/src/logging.rs
@@ -29,13 +29,14 @@
     Ok(())
 }
 
-/// Starts logging to standard output through a ring buffer that never blocks.
+/// Starts logging to standard output through a ring buffer that never blocks. Panics are logged too.
 ///
 /// # Errors
 /// Returns an error if the writer thread cannot be started.
 pub(crate) fn start_on_stdout(level: &str) -> std::io::Result<LogRing> {
     let filter = parse_level(level);
     let ring = brasspond_telemetry::start(filter, LogLimits::default(), std::io::stdout())?;
+    brasspond_telemetry::log_panics(&ring);
     warn_unknown(level);
     Ok(ring)
 }
--- a/crates/cluster/src/edge/leader_contact.rs
+++ b/crates/cluster/src/edge/leader_contact.rs
@@ -4,7 +4,7 @@
 //! the configuration and the replicas. An edge that has had no leader for some time watches the
 //! source of the view, the store of these objects, itself.
 
-use crate::link::{LinkId, Writer};
+use crate::link::{LinkEnd, LinkId, Writer};
 use brasspond_cluster_protocol::{EDGE_HEARTBEAT_INTERVAL, Message, Watch};
 use brasspond_units::WallMillis;
 use tokio::sync::watch;
@@ -31,6 +31,8 @@
     pub link: LinkId,
     pub term: u64,
     pub writer: Writer,
+    /// When the leader's first announcement arrived, in ms.
+    known_since: u64,
     /// When the leader's last announcement arrived, in ms.
     heard_at: u64,
 }
@@ -112,11 +114,13 @@
         self.leaderless_since = None;
         let term = self.newest_term;
         let known = self.leader();
-        let is_new = known.is_none_or(|known| known.link != link || known.term != term);
+        let known = known.filter(|known| known.link == link && known.term == term);
+        let is_new = known.is_none();
         let leader = Leader {
             link,
             term,
             writer,
+            known_since: known.map_or(now, |known| known.known_since),
             heard_at: now,
         };
         if is_new {
@@ -133,14 +137,18 @@
     }
 
     /// Handles a broken link. Forgets the leader if this was the link to it.
-    pub fn observe_down(&mut self, link: LinkId) {
+    pub fn observe_down(&mut self, link: LinkId, end: LinkEnd, now: u64) {
         self.leader.send_if_modified(|leader| {
-            let is_leader_link = leader.as_ref().is_some_and(|leader| leader.link == link);
-            if is_leader_link {
-                log::info!("event=leader_link_down");
-                *leader = None;
-            }
-            is_leader_link
+            let Some(lost) = leader.take_if(|leader| leader.link == link) else {
+                return false;
+            };
+            log::info!(
+                "event=leader_link_down term={} end={} known_ms={}",
+                lost.term,
+                end.name(),
+                now.saturating_sub(lost.known_since)
+            );
+            true
         });
     }
 
--- a/crates/cluster/src/edge/questions.rs
+++ b/crates/cluster/src/edge/questions.rs
@@ -39,6 +39,28 @@
     (!left.is_zero() && !limit.is_zero()).then(|| left.min(limit))
 }
 
+/// Why the nearest storage process (the reader) returned no results.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum ReaderError {
+    /// There is no link to a reader other than the leader, or the reader is paused.
+    NotAsked,
+    /// The reader may not answer, since it may lack results.
+    NotCurrent,
+    /// The reader gave no answer in time, or its link broke.
+    NoAnswer,
+}
+
+impl ReaderError {
+    /// Name for logs.
+    fn name(self) -> &'static str {
+        match self {
+            Self::NotAsked => "not_asked",
+            Self::NotCurrent => "not_current",
+            Self::NoAnswer => "no_answer",
+        }
+    }
+}
+
 impl Edge {
     /// Asks the nearest storage process for results and, if that does not answer, the leader.
     ///
@@ -51,28 +73,41 @@
         deadline: Moment,
         leaderless_limit_ms: u64,
     ) -> Result<Answer, AskError> {
-        if let Some(answer) = self.ask_reader(&question, wait).await {
-            return Ok(answer);
-        }
-        self.ask(question, wait, deadline, leaderless_limit_ms)
-            .await
+        let reader_error = match self.ask_reader(&question, wait).await {
+            Ok(answer) => return Ok(answer),
+            Err(error) => error,
+        };
+        let answer = self.ask(question, wait, deadline, leaderless_limit_ms);
+        answer.await.inspect_err(|error| {
+            let now = self.clock.now();
+            log::info!(
+                "event=results_unavailable reader={} leader={error:?} leaderless_ms={}",
+                reader_error.name(),
+                self.storage.borrow_mut().contact.measure_leaderless(now)
+            );
+        })
     }
 
-    /// Asks the nearest storage process. Returns `None` if the leader must be asked.
-    async fn ask_reader(&self, question: &Question, wait: Duration) -> Option<Answer> {
+    /// Asks the nearest storage process.
+    ///
+    /// # Errors
+    /// The leader must be asked.
+    async fn ask_reader(&self, question: &Question, wait: Duration) -> Result<Answer, ReaderError> {
         let now = self.clock.now();
         let asked = {
             let mut storage = self.storage.borrow_mut();
-            let reader = storage.reader(now)?;
-            storage.ask(reader.link, &reader.writer, question.clone())?
+            let reader = storage.reader(now).ok_or(ReaderError::NotAsked)?;
+            storage
+                .ask(reader.link, &reader.writer, question.clone())
+                .ok_or(ReaderError::NotAsked)?
         };
         match within(wait + READER_ANSWER_TIMEOUT, asked).await {
-            Ok(Ok(answer @ Answer::Page(Some(_)))) => Some(answer),
-            Ok(Ok(_)) => None,
+            Ok(Ok(answer @ Answer::Page(Some(_)))) => Ok(answer),
+            Ok(Ok(_)) => Err(ReaderError::NotCurrent),
             Ok(Err(_)) | Err(_) => {
                 let until = self.clock.now() + READER_PAUSE_MS;
                 self.storage.borrow_mut().pause_reader(until);
-                None
+                Err(ReaderError::NoAnswer)
             }
         }
     }
--- a/crates/cluster/src/edge/storage_links.rs
+++ b/crates/cluster/src/edge/storage_links.rs
@@ -216,9 +216,9 @@
                 Vec::new()
             }
             LinkEvent::Message { link, message } => self.on_message(link, message, now),
-            LinkEvent::Down { link, .. } => {
+            LinkEvent::Down { link, end } => {
                 self.links.remove(&link);
-                self.contact.observe_down(link);
+                self.contact.observe_down(link, end, now);
                 self.pending.retain(|_, (pending, _)| *pending != link);
                 Vec::new()
             }
--- a/crates/cluster/src/lib.rs
+++ b/crates/cluster/src/lib.rs
@@ -14,6 +14,7 @@
 mod link_context;
 mod link_writer;
 mod member_question;
+mod memory;
 mod metrics_server;
 pub mod platform;
 pub mod settings;
--- a/crates/cluster/src/link.rs
+++ b/crates/cluster/src/link.rs
@@ -11,6 +11,7 @@
 use crate::link_writer::start_writer;
 use crate::socket::set_options;
 use brasspond_cluster_protocol::{FrameBuffer, Message, Peer};
+use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -32,6 +33,42 @@
 /// Id of a link, unique within a process.
 pub(crate) type LinkId = u64;
 
+/// How a link ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum LinkEnd {
+    /// The peer closed the connection, or its process ended.
+    Closed,
+    /// The connection was reset, for example since the peer's process ended with unread data.
+    Reset,
+    /// The peer's machine is silent.
+    TimedOut,
+    /// A frame could not be decoded.
+    Unreadable,
+    /// Reading failed for another reason.
+    Failed,
+}
+
+impl LinkEnd {
+    /// Name for logs.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Closed => "closed",
+            Self::Reset => "reset",
+            Self::TimedOut => "timed_out",
+            Self::Unreadable => "unreadable",
+            Self::Failed => "failed",
+        }
+    }
+
+    fn of(error: &std::io::Error) -> Self {
+        match error.kind() {
+            ErrorKind::ConnectionReset | ErrorKind::BrokenPipe => Self::Reset,
+            ErrorKind::TimedOut | ErrorKind::HostUnreachable => Self::TimedOut,
+            _ => Self::Failed,
+        }
+    }
+}
+
 /// Events of links.
 #[derive(Debug)]
 pub(crate) enum LinkEvent {
@@ -57,6 +94,8 @@
     Down {
         /// The link.
         link: LinkId,
+        /// How it ended.
+        end: LinkEnd,
     },
     /// The peer refused the connection, so no process listens there.
     Refused {
@@ -97,7 +136,7 @@
     set_options(&stream);
     let (mut reader, writer) = stream.into_split();
     let mut buffer = FrameBuffer::default();
-    let Some(Message::Hello(peer)) = read_message(&mut reader, &mut buffer).await else {
+    let Ok(Message::Hello(peer)) = read_message(&mut reader, &mut buffer).await else {
         return;
     };
     let writer = start_writer(writer, &context);
@@ -114,9 +153,9 @@
             buffer,
             link,
         };
-        forward_messages(&mut inbound, &events, |_| {}).await;
+        let end = forward_messages(&mut inbound, &events, |_| {}).await;
         // Fails only if the event loop has ended.
-        let _ = events.send(LinkEvent::Down { link }).await;
+        let _ = events.send(LinkEvent::Down { link, end }).await;
     }
 }
 
@@ -139,12 +178,12 @@
                     round_trip: started.elapsed(),
                 };
                 let link = outbound.link;
-                run_outbound(outbound, &hello, &context, &events).await;
-                if events.send(LinkEvent::Down { link }).await.is_err() {
+                let end = run_outbound(outbound, &hello, &context, &events).await;
+                if events.send(LinkEvent::Down { link, end }).await.is_err() {
                     return;
                 }
             }
-            Ok(Err(error)) if error.kind() == std::io::ErrorKind::ConnectionRefused => {
+            Ok(Err(error)) if error.kind() == ErrorKind::ConnectionRefused => {
                 // Fails only if the event loop has ended.
                 let _ = events.send(LinkEvent::Refused { address }).await;
             }
@@ -170,7 +209,7 @@
     hello: &Peer,
     context: &Rc<LinkContext>,
     events: &mpsc::Sender<LinkEvent>,
-) {
+) -> LinkEnd {
     let Outbound {
         stream,
         address,
@@ -188,20 +227,21 @@
         peer: None,
         address,
     };
-    if events.send(up).await.is_ok() {
-        let mut inbound = Inbound {
-            reader,
-            buffer: FrameBuffer::default(),
-            link,
-        };
-        let on_hello = |peer: &Peer| {
-            let peer_distance = context.distance_of(peer);
-            if distance.replace(Some(peer_distance)).is_none() {
-                context.record_round_trip(peer_distance, round_trip);
-            }
-        };
-        forward_messages(&mut inbound, events, on_hello).await;
+    if events.send(up).await.is_err() {
+        return LinkEnd::Closed;
     }
+    let mut inbound = Inbound {
+        reader,
+        buffer: FrameBuffer::default(),
+        link,
+    };
+    let on_hello = |peer: &Peer| {
+        let peer_distance = context.distance_of(peer);
+        if distance.replace(Some(peer_distance)).is_none() {
+            context.record_round_trip(peer_distance, round_trip);
+        }
+    };
+    forward_messages(&mut inbound, events, on_hello).await
 }
 
 /// Receiving side of a link.
@@ -211,42 +251,50 @@
     link: LinkId,
 }
 
-/// Forwards received messages as events until the link is closed.
+/// Forwards received messages as events until the link is closed, and returns how it ended.
 async fn forward_messages(
     inbound: &mut Inbound,
     events: &mpsc::Sender<LinkEvent>,
     on_hello: impl Fn(&Peer),
-) {
+) -> LinkEnd {
     let link = inbound.link;
-    while let Some(message) = read_message(&mut inbound.reader, &mut inbound.buffer).await {
+    loop {
+        let message = match read_message(&mut inbound.reader, &mut inbound.buffer).await {
+            Ok(message) => message,
+            Err(end) => return end,
+        };
         if let Message::Hello(peer) = &message {
             on_hello(peer);
         }
         let event = LinkEvent::Message { link, message };
         if events.send(event).await.is_err() {
-            return;
+            return LinkEnd::Closed;
         }
     }
 }
 
-/// Reads the next message. Returns `None` if the link is closed or received an invalid frame.
+/// Reads the next message.
+///
+/// # Errors
+/// The link ended, or received an invalid frame.
 pub(crate) async fn read_message(
     reader: &mut OwnedReadHalf,
     buffer: &mut FrameBuffer,
-) -> Option<Message> {
+) -> Result<Message, LinkEnd> {
     loop {
         match buffer.next_message() {
-            Ok(Some(message)) => return Some(message),
+            Ok(Some(message)) => return Ok(message),
             Ok(None) => {}
             Err(error) => {
                 log::warn!("event=link_frame_invalid error=\"{error}\"");
-                return None;
+                return Err(LinkEnd::Unreadable);
             }
         }
         buffer.bytes.reserve(READ_BUFFER_BYTES);
-        let read = reader.read_buf(&mut buffer.bytes).await;
-        if !matches!(read, Ok(bytes) if bytes > 0) {
-            return None;
+        match reader.read_buf(&mut buffer.bytes).await {
+            Ok(0) => return Err(LinkEnd::Closed),
+            Ok(_) => {}
+            Err(error) => return Err(LinkEnd::of(&error)),
         }
     }
 }
--- a/crates/cluster/src/member_question.rs
+++ b/crates/cluster/src/member_question.rs
@@ -44,7 +44,7 @@
         if let Message::Reply {
             answer: Answer::Members(members),
             ..
-        } = read_message(&mut reader, &mut buffer).await?
+        } = read_message(&mut reader, &mut buffer).await.ok()?
         {
             return (!members.is_empty()).then_some(members);
         }
--- a/crates/cluster/src/storage/links.rs
+++ b/crates/cluster/src/storage/links.rs
@@ -104,6 +104,11 @@
         self.states.get(&link)
     }
 
+    /// Bytes queued on all links and not yet written.
+    pub fn queued_bytes(&self) -> usize {
+        self.iter().map(|state| state.writer.queued_bytes()).sum()
+    }
+
     /// Returns the states of all links.
     pub fn iter(&self) -> impl Iterator<Item = &LinkState> {
         self.states.values()
--- a/crates/cluster/src/storage/monitor.rs
+++ b/crates/cluster/src/storage/monitor.rs
@@ -5,6 +5,7 @@
 use super::load::LoopLoad;
 use super::process::Storage;
 use crate::link::TRAFFIC_LOG_INTERVAL_MS;
+use crate::memory::ResidentMemory;
 use brasspond_telemetry::{LogRing, StorageState};
 use brasspond_units::Millis;
 use std::cell::Cell;
@@ -18,6 +19,11 @@
 /// election.
 const SLOW_TURN: Duration = Duration::from_millis(200);
 
+/// Interval between checks of this process's memory.
+const MEMORY_CHECK_INTERVAL: Millis = 50;
+/// Growth of the peak of this process's memory after which it is logged again, in kB.
+const MEMORY_LOG_STEP_KB: u64 = 4 * 1_024;
+
 /// State of the monitoring of this process.
 #[derive(Default)]
 pub(super) struct Monitor {
@@ -29,6 +35,12 @@
     counted_at: Millis,
     /// When link traffic was last logged, or 0 if never.
     traffic_logged_at: Millis,
+    /// When this process's memory was last checked, or 0 if never.
+    memory_checked_at: Millis,
+    /// Peak of this process's memory as last logged, in kB.
+    logged_peak_kb: u64,
+    /// Term as last logged.
+    logged_term: u64,
 }
 
 impl Storage {
@@ -63,6 +75,51 @@
         }
     }
 
+    /// Logs changes of the term and growth of this process's memory. A process that is killed cannot
+    /// log why, so both are logged as they happen.
+    pub(super) fn log_changes(&mut self, now: Millis) {
+        self.log_term();
+        if now >= self.monitor.memory_checked_at + MEMORY_CHECK_INTERVAL {
+            self.monitor.memory_checked_at = now;
+            self.log_memory();
+        }
+    }
+
+    fn log_term(&mut self) {
+        let term = self.consensus.term();
+        if std::mem::replace(&mut self.monitor.logged_term, term) != term {
+            log::info!(
+                "event=term_changed term={term} is_leader={} last_index={} commit_index={} applied_index={}",
+                self.consensus.is_leader(),
+                self.consensus.last_index(),
+                self.consensus.commit_index(),
+                self.consensus.applied_index()
+            );
+        }
+    }
+
+    fn log_memory(&mut self) {
+        let Some(memory) = ResidentMemory::read() else {
+            return;
+        };
+        if memory.peak_kb < self.monitor.logged_peak_kb + MEMORY_LOG_STEP_KB {
+            return;
+        }
+        self.monitor.logged_peak_kb = memory.peak_kb;
+        let limit = self.settings.process.memory_limit;
+        log::info!(
+            "event=memory_grown peak_kb={} current_kb={} limit_kb={} log_kb={} queued_kb={} polls={} backlog={} leads={}",
+            memory.peak_kb,
+            memory.current_kb,
+            limit.map_or(0, |limit| limit / 1_024),
+            self.consensus.log_bytes() / 1_024,
+            self.links.queued_bytes() / 1_024,
+            self.questions.poll_count(),
+            self.consensus.commit_index() - self.consensus.applied_index(),
+            self.leader_state.is_some()
+        );
+    }
+
     /// Serves metrics if an address is configured.
     pub(super) fn serve_metrics(&self, log_ring: Option<LogRing>) {
         let Some(address) = self.settings.process.metrics_address else {
--- a/crates/cluster/src/storage/process.rs
+++ b/crates/cluster/src/storage/process.rs
@@ -212,11 +212,12 @@
         let accepting = accept_links(listener, context, self.links.events.clone());
         tokio::task::spawn_local(accepting);
         log::info!(
-            "event=started role=storage machine={} member={:016x} term={} last_index={}",
+            "event=started role=storage machine={} member={:016x} term={} last_index={} file_bytes={}",
             self.own.machine,
             self.own.id,
             self.consensus.term(),
-            self.consensus.last_index()
+            self.consensus.last_index(),
+            self.disk.bytes()
         );
         self.platform.interest.send_replace(Interest::NONE);
         self.merge_view_copy();
--- a/crates/cluster/src/storage/questions.rs
+++ b/crates/cluster/src/storage/questions.rs
@@ -72,6 +72,11 @@
         due.min()
     }
 
+    /// Number of long polls that wait for their answer.
+    pub fn poll_count(&self) -> usize {
+        self.polls.len()
+    }
+
     /// Whether questions wait for a proposed entry to be committed.
     pub fn has_pending_proposals(&self) -> bool {
         !self.proposed.is_empty()
--- a/crates/cluster/src/storage/turn.rs
+++ b/crates/cluster/src/storage/turn.rs
@@ -71,6 +71,7 @@
         }
         self.clean_up(now);
         self.log_traffic(now);
+        self.log_changes(now);
         self.consensus.compact(LOG_MEMORY_BYTES);
         self.update_state(now);
         if self.disk.needs_rewrite() {
--- a/crates/consensus/src/entries.rs
+++ b/crates/consensus/src/entries.rs
@@ -50,6 +50,11 @@
         }
     }
 
+    /// Total size of the commands in memory, in bytes.
+    pub fn log_bytes(&self) -> usize {
+        self.log.bytes()
+    }
+
     /// Builds a snapshot from `state`, the encoded state machine after the last applied entry.
     pub fn snapshot(&self, state: Bytes) -> Snapshot {
         let members = match &self.previous_members {
--- a/crates/telemetry/src/lib.rs
+++ b/crates/telemetry/src/lib.rs
@@ -9,7 +9,9 @@
 mod explain;
 mod log_ring;
 mod metrics;
+mod panics;
 
 pub use explain::Timeline;
 pub use log_ring::{LogLimits, LogRing, start};
 pub use metrics::{EdgeMetrics, LinkMetrics, SourceMetrics, StorageMetrics, StorageState};
+pub use panics::log_panics;
--- a/crates/telemetry/src/log_ring.rs
+++ b/crates/telemetry/src/log_ring.rs
@@ -58,6 +58,15 @@
         self.dropped.load(Ordering::Relaxed)
     }
 
+    /// Writes a line without the logger, whose lock a panicking thread may hold, and waits until it
+    /// is written, but no longer than `limit`.
+    pub fn write_line(&self, line: &str, limit: Duration) {
+        let text = format!("{line}\n").into_bytes();
+        // If the ring is full, the line is lost like any other.
+        let _ = self.lines.try_send(Line::Text(text));
+        self.flush(limit);
+    }
+
     /// Waits until all lines so far are written, but no longer than `limit`. Returns at once if the
     /// ring is full.
     pub fn flush(&self, limit: Duration) {
