--- /dev/null
+++ b/crates/brasspond/tests/storage_memory.rs
@@ -0,0 +1,119 @@
+//! Memory of real storage processes whose log has the jobs of a whole day.
+
+mod stored_log;
+
+use brasspond_platform_standin::Store;
+use brasspond_platform_standin::processes::{Cluster, Deployment, Machine, Size, configuration};
+use rstest::rstest;
+use std::path::PathBuf;
+use std::time::{Duration, Instant};
+use stored_log::{Jobs, append_jobs};
+
+/// Memory limit of a storage process, in MB.
+const LIMIT_MB: u64 = 130;
+const SIZE: Size = Size {
+    edges: 2,
+    storage: 3,
+};
+const PATIENCE: Duration = Duration::from_secs(60);
+/// Interval between two checks of a process.
+const CHECK_PAUSE: Duration = Duration::from_millis(20);
+
+/// A cluster whose storage processes are stopped and have a log with `jobs`.
+async fn stopped_cluster(jobs: Jobs) -> Cluster {
+    let (store, addresses) = Store::start().await;
+    let deployment = Deployment {
+        memory_mb: Some(LIMIT_MB),
+        ..Deployment::default()
+    };
+    let mut cluster =
+        Cluster::start_deployed(configuration(1), store, addresses, SIZE, deployment).await;
+    cluster.storage.iter_mut().for_each(Machine::kill);
+    append_jobs(&data_folders(&cluster), jobs);
+    cluster
+}
+
+fn data_folders(cluster: &Cluster) -> Vec<PathBuf> {
+    let names = cluster.storage.iter().map(|machine| &machine.name);
+    names
+        .map(|name| cluster.folder().join(name).join("data"))
+        .collect()
+}
+
+fn start_storage(cluster: &mut Cluster) {
+    cluster.storage.iter_mut().for_each(Machine::start);
+}
+
+/// Highest resident memory of a machine's process, in kB; `None` if the process has ended.
+fn peak_kb(machine: &Machine) -> Option<u64> {
+    let pid = machine.pid()?;
+    let status = std::fs::read_to_string(format!("/proc/{pid}/status")).ok()?;
+    let line = status.lines().find(|line| line.starts_with("VmHWM:"))?;
+    line.split_ascii_whitespace().nth(1)?.parse().ok()
+}
+
+/// Peaks of the storage processes, in MB.
+fn peaks_mb(cluster: &Cluster) -> Vec<u64> {
+    let peak = |machine: &Machine| {
+        let kb = peak_kb(machine);
+        kb.unwrap_or_else(|| panic!("{} ended:\n{}", machine.name, machine.log())) / 1_000
+    };
+    cluster.storage.iter().map(peak).collect()
+}
+
+/// Waits until all storage processes have applied the end of the last job and one leads.
+async fn await_applied(cluster: &Cluster, jobs: Jobs) {
+    let line = format!("event=job_ended job={}", jobs.last_id());
+    for machine in &cluster.storage {
+        await_log(machine, &[&line, "event=snapshot_installed"]).await;
+    }
+    let deadline = Instant::now() + PATIENCE;
+    while cluster.leaderships().is_empty() {
+        assert!(Instant::now() < deadline, "no leader");
+        tokio::time::sleep(CHECK_PAUSE).await;
+    }
+}
+
+/// Waits until the current process of a machine has logged one of `parts`.
+async fn await_log(machine: &Machine, parts: &[&str]) {
+    let deadline = Instant::now() + PATIENCE;
+    loop {
+        let log = machine.log();
+        if parts.iter().any(|part| log.contains(part)) {
+            return;
+        }
+        let name = &machine.name;
+        assert!(
+            peak_kb(machine).is_some(),
+            "{name} ended before {parts:?}:\n{log}"
+        );
+        assert!(
+            Instant::now() < deadline,
+            "{name} never logged {parts:?}:\n{log}"
+        );
+        tokio::time::sleep(CHECK_PAUSE).await;
+    }
+}
+
+fn assert_within_limit(cluster: &Cluster) {
+    let peaks = peaks_mb(cluster);
+    println!("peaks_mb={peaks:?} leader={}", cluster.leader());
+    assert!(
+        peaks.iter().all(|peak| *peak <= LIMIT_MB),
+        "peaks of {peaks:?} MB, limit {LIMIT_MB} MB"
+    );
+}
+
+/// Guards against a process that ends at its memory limit when it starts: its memory must not grow
+/// with the log that it applies.
+#[rstest]
+#[case::a_day(62)]
+#[case::two_days(120)]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_start_with_a_long_log_stays_within_the_limit(#[case] text_mb: u32) {
+    let jobs = Jobs::with_text_mb(text_mb);
+    let mut cluster = stopped_cluster(jobs).await;
+    start_storage(&mut cluster);
+    await_applied(&cluster, jobs).await;
+    assert_within_limit(&cluster);
+}
