--- a/crates/brasspond/tests/storage_memory.rs
+++ b/crates/brasspond/tests/storage_memory.rs
@@ -7,7 +7,7 @@
 use rstest::rstest;
 use std::path::PathBuf;
 use std::time::{Duration, Instant};
-use stored_log::{Jobs, append_jobs};
+use stored_log::{Jobs, append_jobs, rewrite};
 
 /// Memory limit of a storage process, in MB.
 const LIMIT_MB: u64 = 130;
@@ -18,6 +18,8 @@
 const PATIENCE: Duration = Duration::from_secs(60);
 /// Interval between two checks of a process.
 const CHECK_PAUSE: Duration = Duration::from_millis(20);
+/// Time to observe processes after the last wait.
+const OBSERVED: Duration = Duration::from_secs(1);
 
 /// A cluster whose storage processes are stopped and have a log with `jobs`.
 async fn stopped_cluster(jobs: Jobs) -> Cluster {
@@ -117,3 +119,20 @@
     await_applied(&cluster, jobs).await;
     assert_within_limit(&cluster);
 }
+
+/// Guards against a leader or a new member that ends at its memory limit when a snapshot replaces a
+/// lost disk.
+#[rstest]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_snapshot_for_a_lost_disk_stays_within_the_limit() {
+    let jobs = Jobs::with_text_mb(62);
+    let mut cluster = stopped_cluster(jobs).await;
+    data_folders(&cluster)
+        .iter()
+        .for_each(|folder| rewrite(folder));
+    cluster.storage[2].wipe();
+    start_storage(&mut cluster);
+    await_log(&cluster.storage[2], &["event=snapshot_installed"]).await;
+    tokio::time::sleep(OBSERVED).await;
+    assert_within_limit(&cluster);
+}
--- a/crates/brasspond/tests/stored_log/mod.rs
+++ b/crates/brasspond/tests/stored_log/mod.rs
@@ -1,11 +1,11 @@
 //! Logs of stopped storage machines that are given the jobs of a whole day, without the traffic.
 
-use brasspond_consensus::{Entry, Payload, Persisted, Ready};
+use brasspond_consensus::{Entry, Payload, Persisted, Ready, Snapshot};
 use brasspond_durable::{OpenedLog, RecordLog};
-use brasspond_jobs::{Command, Draft, Item, Submission};
+use brasspond_jobs::{Command, Draft, Item, JobTable, Submission};
 use rand::rngs::StdRng;
 use rand::{RngCore, SeedableRng};
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 
 /// Items of a job.
 const ITEMS: u32 = 140;
@@ -143,3 +143,31 @@
         }
     }
 }
+
+/// Replaces the log in `folder`, whose process is stopped, by a snapshot of all its entries.
+pub fn rewrite(folder: &Path) {
+    let opened = RecordLog::open(folder, 0).expect("a log");
+    let OpenedLog {
+        mut log, persisted, ..
+    } = opened;
+    let (term, index) = last(&persisted);
+    let mut table = JobTable::default();
+    let mut members = Vec::new();
+    for entry in persisted.entries {
+        match entry.payload {
+            Payload::Nothing => {}
+            Payload::Members(voters) => members = voters,
+            Payload::Command(bytes) => {
+                table.apply(Command::decode(&bytes).expect("a command"));
+            }
+        }
+    }
+    let snapshot = Snapshot {
+        index,
+        term,
+        members,
+        state: table.encode().expect("a table"),
+    };
+    let rewritten = log.rewrite(persisted.hard_state, snapshot, &[]);
+    rewritten.expect("rewritten");
+}
