--- a/crates/brasspond/tests/stored_log/mod.rs
+++ b/crates/brasspond/tests/stored_log/mod.rs
@@ -35,6 +35,11 @@
         format!("job-{number:04}")
     }
 
+    /// Number of results of each job.
+    pub fn results() -> usize {
+        ITEMS as usize
+    }
+
     /// Id of the last job in the log.
     pub fn last_id(self) -> String {
         Self::id(self.count - 1)
