Move texts of ended jobs to disk while a log is applied

Cause: a process moved the texts of one ended job each 100 ms to its disk, and none while committed entries waited.

Change: beyond a sixteenth of the memory limit, the texts of one ended job are written with each slice of the log that is applied, so at most that share and the jobs that have not ended are in memory. A text that is joined from logged parts no longer keeps the spare capacity of its buffer.

Ruled out: writing all at once at the end of the log (the peak is before it).

--- a/crates/cluster/src/storage/applying.rs
+++ b/crates/cluster/src/storage/applying.rs
@@ -62,7 +62,9 @@
             Effect::Ended(job) => {
                 log::info!("event=job_ended job={job}");
                 self.questions.job_ended(&job);
-                self.texts.job_ended(job.clone());
+                if let Some(ended) = self.table.job(&job) {
+                    self.texts.job_ended(job.clone(), ended);
+                }
                 self.dispatch(Event::JobEnded(job));
             }
             Effect::Removed(jobs) => {
--- a/crates/cluster/src/storage/collecting.rs
+++ b/crates/cluster/src/storage/collecting.rs
@@ -8,7 +8,7 @@
 use super::leader_rules::job_retention;
 use super::process::Storage;
 use brasspond_compression::with_packing;
-use brasspond_jobs::{Command, Draft, Listing, Outcome, Piece, Score};
+use brasspond_jobs::{Command, Draft, Listing, Piece, Score};
 use brasspond_units::Millis;
 
 /// Bytes of text from which a log entry takes no further results. It is the same as the size limit
@@ -154,10 +154,7 @@
 }
 
 fn listing_bytes(listing: &Listing) -> usize {
-    match &listing.outcome {
-        Outcome::Completed { text, .. } => text.len(),
-        Outcome::Terminated => 0,
-    }
+    listing.outcome.text_length()
 }
 
 fn piece_bytes(piece: &Piece) -> usize {
--- a/crates/cluster/src/storage/mod.rs
+++ b/crates/cluster/src/storage/mod.rs
@@ -19,6 +19,7 @@
 mod local;
 pub mod long_poll;
 mod membership;
+mod memory_budget;
 mod monitor;
 mod order_log;
 mod ordering;
--- a/crates/cluster/src/storage/texts.rs
+++ b/crates/cluster/src/storage/texts.rs
@@ -4,9 +4,10 @@
 //! cannot be written to a file stays in memory, and one that cannot be read is read from another
 //! member.
 
+use super::memory_budget::MemoryBudget;
 use super::process::{ProcessError, Storage};
 use brasspond_durable::TextFiles;
-use brasspond_jobs::{Command, JobTable, Page};
+use brasspond_jobs::{Command, Job, JobTable, Page};
 use bytes::Bytes;
 use std::collections::VecDeque;
 use std::path::Path;
@@ -15,30 +16,62 @@
 pub(super) struct Texts {
     files: TextFiles,
     /// Ended jobs whose texts are not yet written to disk, oldest first.
-    ended: VecDeque<String>,
+    ended: VecDeque<EndedJob>,
+    /// Total size of the texts of `ended`, in bytes.
+    ended_bytes: usize,
+}
+
+/// An ended job whose texts are not yet written to disk.
+struct EndedJob {
+    id: String,
+    /// Size of its texts in bytes.
+    bytes: usize,
 }
 
 impl Texts {
     /// Empties the folder of text files and queues the ended jobs of `table` for writing. The table
     /// must contain all its texts.
     pub fn open(folder: &Path, table: &JobTable) -> Result<Self, ProcessError> {
-        let files = TextFiles::open(folder).map_err(ProcessError::Texts)?;
-        let ended = table.jobs().filter(|(_, job)| job.ended);
-        let ended = ended.map(|(id, _)| id.clone()).collect();
-        Ok(Self { files, ended })
+        let mut texts = Self {
+            files: TextFiles::open(folder).map_err(ProcessError::Texts)?,
+            ended: VecDeque::new(),
+            ended_bytes: 0,
+        };
+        for (id, job) in table.jobs().filter(|(_, job)| job.ended) {
+            texts.job_ended(id.clone(), job);
+        }
+        Ok(texts)
     }
 
     /// Queues the texts of an ended job for writing.
-    pub fn job_ended(&mut self, job: String) {
-        self.ended.push_back(job);
+    pub fn job_ended(&mut self, id: String, job: &Job) {
+        let bytes = job.text_bytes();
+        self.ended_bytes += bytes;
+        self.ended.push_back(EndedJob { id, bytes });
+    }
+
+    fn next_ended(&mut self) -> Option<String> {
+        let job = self.ended.pop_front()?;
+        self.ended_bytes -= job.bytes;
+        Some(job.id)
     }
 }
 
 impl Storage {
+    /// Writes the texts of the next ended job to disk if those of all ended jobs exceed their share
+    /// of the memory limit. A process that applies a long log would otherwise hold the texts of all
+    /// jobs in it.
+    pub(super) fn offload_excess_texts(&mut self) {
+        let budget = MemoryBudget::new(self.settings.process.memory_limit);
+        if self.texts.ended_bytes > budget.ended_texts {
+            self.offload_texts();
+        }
+    }
+
     /// Writes the texts of the next ended job to disk. Each call writes only one job, since a
     /// process that has just started may have many.
     pub(super) fn offload_texts(&mut self) {
-        let Some(job) = self.texts.ended.pop_front() else {
+        let Some(job) = self.texts.next_ended() else {
             return;
         };
         let texts = self.table.texts_for_file(&job);
--- a/crates/cluster/src/storage/turn.rs
+++ b/crates/cluster/src/storage/turn.rs
@@ -102,6 +102,7 @@
         for entry in committed {
             self.apply(entry)?;
         }
+        self.offload_excess_texts();
         self.answer_waiting(now);
         Ok(has_persisted || has_messages || has_committed || self.has_pending_results())
     }
--- a/crates/jobs/src/command.rs
+++ b/crates/jobs/src/command.rs
@@ -113,6 +113,16 @@
     Terminated,
 }
 
+impl Outcome {
+    /// Size of the text in bytes.
+    pub fn text_length(&self) -> usize {
+        match self {
+            Self::Completed { text, .. } => text.len(),
+            Self::Terminated => 0,
+        }
+    }
+}
+
 /// The part of a text that one event of the response stream contains.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Part {
--- a/crates/jobs/src/job.rs
+++ b/crates/jobs/src/job.rs
@@ -62,6 +62,12 @@
         self.ended || self.results.len() == self.items.len()
     }
 
+    /// Total size of the texts of its results that are in memory, in bytes.
+    pub fn text_bytes(&self) -> usize {
+        let outcomes = self.results.iter().map(|(_, outcome)| outcome);
+        outcomes.map(Outcome::text_length).sum()
+    }
+
     /// Returns the complete text of an item, scored or not, and the versions of the weights that
     /// produced it. Returns `None` if the item has no complete text, or if the text was moved to
     /// disk, which happens only to texts that no later job needs.
--- a/crates/jobs/src/table.rs
+++ b/crates/jobs/src/table.rs
@@ -124,7 +124,7 @@
         let spans = job.text_file.as_ref().map(|text_file| &text_file.spans);
         for (position, (item, outcome)) in (0..).zip(&job.results).skip(first) {
             let span = spans.and_then(|spans| spans.get(&position));
-            bytes += span.map_or_else(|| text_length(outcome), |span| span.length);
+            bytes += span.map_or_else(|| outcome.text_length(), |span| span.length);
             if !results.is_empty() && bytes > limit {
                 break;
             }
@@ -259,7 +259,9 @@
         if first.is_empty() {
             return Some((draft.text.clone(), draft.versions.clone()));
         }
-        let mut text = BytesMut::new();
+        // The text is kept for as long as the job, so no capacity is left over.
+        let length = first.iter().map(|part| part.data.len() + 1).sum::<usize>();
+        let mut text = BytesMut::with_capacity(length + draft.text.len());
         let mut versions: BTreeSet<u64> = draft.versions.iter().copied().collect();
         for part in first {
             text.extend_from_slice(&part.data);
@@ -335,10 +337,3 @@
     item.headers = Vec::new();
     item.scoring = None;
 }
-
-fn text_length(outcome: &Outcome) -> usize {
-    match outcome {
-        Outcome::Completed { text, .. } => text.len(),
-        Outcome::Terminated => 0,
-    }
-}
