Answer reads of results within a share of memory and of a turn

Cause: each read that was due was answered in the same turn of the loop: up to 700 KB read, encoded and queued, with a bound of 4 MB for each link and none for all links. All edges ask a new leader at one moment.

Change: no further page is read once the answers queued on all links reach an eighth of the memory limit, or once answering has taken 30 ms of the turn; the polls that remain are tried again each 10 ms in the order in which they were asked. A due answer that has waited for 1.2 s, after which its edge no longer waits, is answered as unknown.

Why it works: the bytes that a process holds for answers follow its limit, and a turn stays well below the election timeout.

--- a/crates/brasspond/tests/storage_memory.rs
+++ b/crates/brasspond/tests/storage_memory.rs
@@ -255,7 +255,8 @@
     assert_within_limit(&cluster);
 }
 
-/// Guards against a leader that ends at its memory limit when all edges read results at once.
+/// Guards against a leader that ends at its memory limit, or is replaced since it sends no heartbeat,
+/// when all edges read results at once.
 #[rstest]
 #[tokio::test(flavor = "multi_thread")]
 async fn reads_of_all_edges_at_once_stay_within_the_limit() {
@@ -268,4 +269,5 @@
     let whole = read_all(edges).await;
     assert_within_limit(&cluster);
     assert_eq!(whole, EDGES as usize);
+    assert_eq!(cluster.leader(), leader, "the leader was replaced");
 }
--- a/crates/cluster/src/storage/questions.rs
+++ b/crates/cluster/src/storage/questions.rs
@@ -6,7 +6,9 @@
 
 use super::leader_rules::{Leadership, may_answer};
 use super::long_poll::{LongPoll, Progress};
+use super::memory_budget::MemoryBudget;
 use super::process::Storage;
+use crate::clock::Moment;
 use crate::link::LinkId;
 use brasspond_cluster_protocol::{Answer, Message, Question};
 use brasspond_dispatch::PermitRequest;
@@ -14,6 +16,7 @@
 use brasspond_units::Millis;
 use std::collections::{BTreeMap, HashMap};
 use std::sync::Arc;
+use std::time::Duration;
 
 /// Maximum bytes of text in one answer, except for an answer with a single result. The reader asks
 /// for further results from the next position on.
@@ -21,6 +24,14 @@
 /// Maximum age of the state from which a follower answers reads. Results listed within this time
 /// may be missing from the answer. Each heartbeat of the leader (every 150 ms) renews the state.
 const MAX_FOLLOWER_AGE: Millis = 400;
+/// Maximum time for which polls are answered before links are read again. A page takes some ms to
+/// read and encode, and a leader that answers hundreds in one turn sends no heartbeat meanwhile.
+const MAX_ANSWER_TIME: Duration = Duration::from_millis(30);
+/// Interval between checks whether further answers fit into the queues of the links.
+const ANSWER_RETRY_INTERVAL: Millis = 10;
+/// Time after which a due answer that does not fit is not sent any more: the edge has stopped
+/// waiting for it.
+const MAX_ANSWER_DELAY: Millis = 1_200;
 
 /// Sender of a question, to which the answer is sent.
 #[derive(Clone, Copy, Debug)]
@@ -50,6 +61,9 @@
     /// Requesters whose entry is committed. They are answered in the next turn of the loop.
     done: Vec<Requester>,
     polls: Vec<Poll>,
+    /// When polls that are due are tried again, since their answers did not fit into the queues of
+    /// the links; `None` if all fitted.
+    retry_at: Option<Millis>,
     /// When jobs were accepted, by this process's clock. Jobs accepted by entries that are replayed
     /// at startup are missing.
     accepted_at: HashMap<String, Millis>,
@@ -69,7 +83,7 @@
     /// Returns when the next poll is due, or `None` if there are no polls.
     pub fn next_due(&self) -> Option<Millis> {
         let due = self.polls.iter().map(|one| one.poll.due_at());
-        due.min()
+        due.min().max(self.retry_at)
     }
 
     /// Number of long polls that wait for their answer.
@@ -266,16 +280,32 @@
         if self.questions.polls.is_empty() || (self.leader_state.is_some() && !self.may_answer()) {
             return;
         }
+        if self.questions.retry_at.is_some_and(|at| now < at) {
+            return;
+        }
+        self.questions.retry_at = None;
+        let started = Moment::now();
         for mut poll in std::mem::take(&mut self.questions.polls) {
             let is_known = self.observe_progress(&mut poll, now);
             if is_known && now < poll.poll.due_at() {
                 self.questions.polls.push(poll);
-            } else {
+            } else if now >= poll.poll.due_at() + MAX_ANSWER_DELAY {
+                self.answer(poll.requester, Answer::Unknown);
+            } else if started.elapsed() < MAX_ANSWER_TIME && self.has_room_for_answers() {
                 self.answer_poll(poll);
+            } else {
+                self.questions.polls.push(poll);
+                self.questions.retry_at = Some(now + ANSWER_RETRY_INTERVAL);
             }
         }
     }
 
+    /// Whether the answers queued on all links are within their share of the memory limit.
+    fn has_room_for_answers(&self) -> bool {
+        let budget = MemoryBudget::new(self.settings.process.memory_limit);
+        self.links.queued_bytes() < budget.queued_answers
+    }
+
     /// Updates a poll with the results available now. Returns false if its job is
     /// unknown to this process, or if callers of the tenant may not access it.
     fn observe_progress(&self, poll: &mut Poll, now: Millis) -> bool {
