Read listed results from any member while there is no leader

Cause: a member answered reads only if it had heard from a confirmed leader within 400 ms, and an edge without a leader asked at most one member, its reader.

Change: results in the log are committed and their positions never change, so a member that has results at the requested position answers whatever it knows of a leader; a read beyond what it has still needs a current member or the leader. An edge that knows no leader asks each member that it is linked to, one after the other.

Ruled out: answering "no such job" or an empty page without a leader: these may change.

--- a/crates/cluster/src/edge/questions.rs
+++ b/crates/cluster/src/edge/questions.rs
@@ -77,6 +77,11 @@
             Ok(answer) => return Ok(answer),
             Err(error) => error,
         };
+        if self.storage.borrow().contact.leader().is_none()
+            && let Some(answer) = self.ask_members_in_turn(&question, deadline).await
+        {
+            return Ok(answer);
+        }
         let answer = self.ask(question, wait, deadline, leaderless_limit_ms);
         answer.await.inspect_err(|error| {
             let now = self.clock.now();
@@ -112,6 +117,27 @@
         }
     }
 
+    /// Asks each connected storage process until one has results at the requested position. Results
+    /// in the log can be read there while there is no leader.
+    async fn ask_members_in_turn(&self, question: &Question, deadline: Moment) -> Option<Answer> {
+        let readers = self.storage.borrow().readers();
+        for reader in readers {
+            let left = deadline.saturating_duration_since(Moment::now());
+            let asked = {
+                let mut storage = self.storage.borrow_mut();
+                storage.ask(reader.link, &reader.writer, question.clone())
+            };
+            let Some(asked) = asked else {
+                continue;
+            };
+            let answer = within(left.min(READER_ANSWER_TIMEOUT), asked).await;
+            if let Ok(Ok(answer @ Answer::Page(Some(_)))) = answer {
+                return Some(answer);
+            }
+        }
+        None
+    }
+
     /// Asks the leader and retries until `deadline`, or until no leader has been known for
     /// `leaderless_limit_ms`. `wait` is the additional time of a long poll.
     ///
--- a/crates/cluster/src/edge/storage_links.rs
+++ b/crates/cluster/src/edge/storage_links.rs
@@ -410,16 +410,23 @@
 
     /// Asks all storage processes to which this edge has opened a link for the members.
     pub(super) fn ask_for_members(&mut self) -> Vec<oneshot::Receiver<Answer>> {
+        let pending = self
+            .readers()
+            .into_iter()
+            .map(|reader| self.ask(reader.link, &reader.writer, Question::Members));
+        pending.flatten().collect()
+    }
+
+    /// All storage processes to which this edge has opened a link.
+    pub(super) fn readers(&self) -> Vec<Reader> {
         let links = self.links.iter();
         // Excludes links that other processes opened to this edge.
         let dialled = links.filter(|(_, state)| self.dialers.contains_key(&state.address));
-        let dialled: Vec<_> = dialled
-            .map(|(link, state)| (*link, state.writer.clone()))
-            .collect();
-        let pending = dialled
-            .iter()
-            .map(|(link, writer)| self.ask(*link, writer, Question::Members));
-        pending.flatten().collect()
+        let readers = dialled.map(|(link, state)| Reader {
+            link: *link,
+            writer: state.writer.clone(),
+        });
+        readers.collect()
     }
 
     /// Requests a full view, delayed if the last request was less than [`VIEW_REQUEST_PAUSE_MS`]
--- a/crates/cluster/src/storage/questions.rs
+++ b/crates/cluster/src/storage/questions.rs
@@ -113,8 +113,9 @@
 
 impl Storage {
     /// Answers a question at once, proposes the requested command, or starts a long poll. Any
-    /// up-to-date member answers reads of results. Any process answers a question for the members.
-    /// Only the confirmed leader answers other questions.
+    /// up-to-date member answers reads of results, and any process that has results at the
+    /// requested position. Any process answers a question for the members. Only the confirmed
+    /// leader answers other questions.
     pub(super) fn on_question(&mut self, link: LinkId, number: u64, question: Question) {
         let requester = Requester {
             link,
@@ -135,6 +136,11 @@
             } if self.may_read(&job, tenant.as_deref()) || self.may_answer() => {
                 self.wait_for_results(requester, job, since, wait_ms, tenant);
             }
+            Question::Results {
+                job, since, tenant, ..
+            } if self.has_results(&job, since, tenant.as_deref()) => {
+                self.wait_for_results(requester, job, since, 0, tenant);
+            }
             question if self.may_answer() => self.answer_as_leader(requester, question),
             _ => {
                 let leader = self.consensus.leader().filter(|id| *id != self.own.id);
@@ -238,6 +244,13 @@
             && self.job_of(job, tenant).is_some()
     }
 
+    /// Whether this process has results of a job from a position on. Applied results are committed
+    /// and never change, so they are valid even if this process may lack later ones.
+    fn has_results(&self, job: &str, since: u64, tenant: Option<&str>) -> bool {
+        self.job_of(job, tenant)
+            .is_some_and(|job| job.results.len() as u64 > since)
+    }
+
     /// Returns a job if callers of the tenant may access it.
     fn job_of(&self, job: &str, tenant: Option<&str>) -> Option<&Job> {
         let known = self.table.job(job)?;
@@ -277,15 +290,17 @@
             self.answer_proposed_unknown();
             self.redirect_polls();
         }
-        if self.questions.polls.is_empty() || (self.leader_state.is_some() && !self.may_answer()) {
-            return;
-        }
-        if self.questions.retry_at.is_some_and(|at| now < at) {
+        if self.questions.polls.is_empty() || self.questions.retry_at.is_some_and(|at| now < at) {
             return;
         }
         self.questions.retry_at = None;
+        let is_unconfirmed = self.leader_state.is_some() && !self.may_answer();
         let started = Moment::now();
         for mut poll in std::mem::take(&mut self.questions.polls) {
+            if is_unconfirmed && !self.is_answerable_by_any(&poll) {
+                self.questions.polls.push(poll);
+                continue;
+            }
             let is_known = self.observe_progress(&mut poll, now);
             if is_known && now < poll.poll.due_at() {
                 self.questions.polls.push(poll);
@@ -306,6 +321,11 @@
         self.links.queued_bytes() < budget.queued_answers
     }
 
+    /// Whether any process with these results may answer a poll; see [`Self::has_results`].
+    fn is_answerable_by_any(&self, poll: &Poll) -> bool {
+        self.has_results(&poll.job, poll.since, poll.tenant.as_deref())
+    }
+
     /// Updates a poll with the results available now. Returns false if its job is
     /// unknown to this process, or if callers of the tenant may not access it.
     fn observe_progress(&self, poll: &mut Poll, now: Millis) -> bool {
@@ -360,7 +380,8 @@
     /// Answers `NotLeader` to the polls that this follower may no longer answer.
     fn redirect_polls(&mut self) {
         for poll in std::mem::take(&mut self.questions.polls) {
-            if self.may_read(&poll.job, poll.tenant.as_deref()) {
+            let may_read = self.may_read(&poll.job, poll.tenant.as_deref());
+            if may_read || self.is_answerable_by_any(&poll) {
                 self.questions.polls.push(poll);
             } else {
                 self.answer(poll.requester, Answer::NotLeader(None));
