--- a/crates/cluster/src/storage/disk.rs
+++ b/crates/cluster/src/storage/disk.rs
@@ -4,6 +4,7 @@
 //! Owns [`Disk`]. A disk failure ends the process, since only stored entries may be acknowledged.
 
 use super::process::{ProcessError, Storage};
+use super::snapshots::TableState;
 use crate::clock::Moment;
 use brasspond_consensus::{HardState, MemberId, Ready};
 use brasspond_durable::RecordLog;
@@ -120,7 +121,10 @@
 
     /// Rewrites the file as a snapshot of the table and the entries after it.
     pub(super) fn rewrite_file(&mut self) -> Result<(), ProcessError> {
-        let snapshot = self.consensus.snapshot(self.encode_table()?);
+        let snapshot = self.consensus.snapshot(TableState {
+            table: &self.table,
+            files: &self.texts.files,
+        });
         let entries = self.consensus.unapplied_entries();
         let disk = &mut self.disk;
         disk.log
--- a/crates/cluster/src/storage/mod.rs
+++ b/crates/cluster/src/storage/mod.rs
@@ -33,6 +33,7 @@
 pub mod retirements;
 mod scaling;
 pub mod search;
+mod snapshots;
 pub mod standbys;
 mod texts;
 mod turn;
--- a/crates/cluster/src/storage/process.rs
+++ b/crates/cluster/src/storage/process.rs
@@ -13,6 +13,7 @@
 use super::questions::Questions;
 use super::record::Record;
 use super::search::RecordSearch;
+use super::snapshots::read_table;
 use super::texts::Texts;
 use crate::clock::{Clock, Moment};
 use crate::link::{LinkContext, LinkEvent, accept_links};
@@ -21,7 +22,7 @@
 use crate::upstream::Pool;
 use brasspond_consensus::{Consensus, Member, Persisted, Timing};
 use brasspond_distance::Place;
-use brasspond_durable::{OpenedLog, RecordLog, RecordLogError};
+use brasspond_durable::{OpenedLog, RecordLog, RecordLogError, TextFiles};
 use brasspond_fleet::FleetView;
 use brasspond_jobs::JobTable;
 use brasspond_telemetry::{LogRing, StorageMetrics};
@@ -117,7 +118,11 @@
     platform: Platform,
     log_ring: Option<LogRing>,
 ) -> Result<(), ProcessError> {
-    let opened = RecordLog::open(&settings.folder, rand::random()).map_err(ProcessError::Disk)?;
+    let mut texts = TextFiles::open(&settings.folder).map_err(ProcessError::Texts)?;
+    let opened = RecordLog::open_with(&settings.folder, rand::random(), |reader| {
+        read_table(reader, &mut texts)
+    });
+    let opened = opened.map_err(ProcessError::Disk)?;
     let listener = TcpListener::bind(settings.process.cluster_address).await;
     let listener = listener.map_err(ProcessError::Listen)?;
     let (events, mut link_events) = mpsc::channel(MAX_QUEUED_EVENTS);
@@ -125,7 +130,8 @@
     let mut terminate = signal(SignalKind::terminate()).map_err(ProcessError::Listen)?;
     let mut hang_up = signal(SignalKind::hangup()).map_err(ProcessError::Listen)?;
     let mut observed = platform.observed.clone();
-    let mut storage = Storage::new(settings, platform, opened, events, LocalSender::new(local))?;
+    let local = LocalSender::new(local);
+    let mut storage = Storage::new(settings, platform, opened, texts, events, local);
     storage.begin(listener, log_ring);
     storage.finish_turn()?;
     loop {
@@ -157,13 +163,18 @@
     fn new(
         settings: StorageSettings,
         platform: Platform,
-        opened: OpenedLog,
+        opened: OpenedLog<JobTable>,
+        texts: TextFiles,
         events: mpsc::Sender<LinkEvent>,
         local: LocalSender,
-    ) -> Result<Self, ProcessError> {
+    ) -> Self {
         let clock = Clock::default();
         let now = clock.now();
-        let OpenedLog { log, id, persisted } = opened;
+        let OpenedLog {
+            log,
+            id,
+            mut persisted,
+        } = opened;
         let process = &settings.process;
         let own = Member {
             id,
@@ -173,14 +184,14 @@
             region: process.region.clone(),
         };
         let context = Rc::new(LinkContext::new(Place::new(&own.zone, own.region.clone())));
-        let table = restore_table(&persisted)?;
+        let table = take_table(&mut persisted);
         let last_announcements = match &persisted.snapshot {
             Some(_) => LastAnnouncements::after_snapshot(now),
             None => LastAnnouncements::complete(),
         };
         let search = RecordSearch::new(process.may_bootstrap, rand::random(), now);
-        Ok(Self {
-            texts: Texts::open(&settings.folder, &table)?,
+        Self {
+            texts: Texts::new(texts, &table),
             view: FleetView::unknown(process.supports_evacuation),
             consensus: restore_consensus(&own, persisted, now),
             settings,
@@ -203,7 +214,7 @@
             monitor: Monitor::default(),
             cleaned_at: 0,
             stopping_since: None,
-        })
+        }
     }
 
     /// Accepts links, connects to the members in the log and serves metrics.
@@ -270,19 +281,16 @@
     }
 }
 
-/// Decodes the table of a snapshot. Returns an empty table if the log has no snapshot.
-fn restore_table(persisted: &Persisted) -> Result<JobTable, ProcessError> {
-    match &persisted.snapshot {
-        Some(snapshot) => JobTable::decode(&snapshot.state)
-            .map_err(|error| ProcessError::Table(error.to_string())),
-        None => Ok(JobTable::default()),
-    }
+/// Takes the table out of the snapshot. Returns an empty table if the log has no snapshot.
+fn take_table(persisted: &mut Persisted<JobTable>) -> JobTable {
+    let snapshot = persisted.snapshot.as_mut();
+    snapshot.map_or_else(JobTable::default, |one| std::mem::take(&mut one.state))
 }
 
 /// Restores the consensus member from its disk. If another holder announced the last order, this
 /// member delays its candidacy so that another wins the first election. After a restart of all
 /// processes, the last holder can send orders at once, and any other must wait for its lease.
-fn restore_consensus(own: &Member, persisted: Persisted, now: Millis) -> Consensus {
+fn restore_consensus(own: &Member, persisted: Persisted<JobTable>, now: Millis) -> Consensus {
     let holder = last_holder(&persisted.entries);
     let mut consensus = Consensus::new(own.id, persisted, Timing::default(), rand::random(), now);
     if holder.is_some_and(|holder| holder != own.machine) {
--- a/crates/cluster/src/storage/texts.rs
+++ b/crates/cluster/src/storage/texts.rs
@@ -5,27 +5,25 @@
 //! member.
 
 use super::process::{ProcessError, Storage};
+use super::snapshots::read_table;
 use brasspond_durable::TextFiles;
 use brasspond_jobs::{Command, JobTable, Page};
-use bytes::Bytes;
 use std::collections::VecDeque;
-use std::path::Path;
 
 /// Files with the texts that were moved out of the table.
 pub(super) struct Texts {
-    files: TextFiles,
+    pub files: TextFiles,
     /// Ended jobs whose texts are not yet written to disk, oldest first.
     ended: VecDeque<String>,
 }
 
 impl Texts {
-    /// Empties the folder of text files and queues the ended jobs of `table` for writing. The table
-    /// must contain all its texts.
-    pub fn open(folder: &Path, table: &JobTable) -> Result<Self, ProcessError> {
-        let files = TextFiles::open(folder).map_err(ProcessError::Texts)?;
-        let ended = table.jobs().filter(|(_, job)| job.ended);
+    /// Wraps the files of a table and queues its ended jobs without a file for writing.
+    pub fn new(files: TextFiles, table: &JobTable) -> Self {
+        let jobs = table.jobs();
+        let ended = jobs.filter(|(_, job)| job.ended && job.text_file.is_none());
         let ended = ended.map(|(id, _)| id.clone()).collect();
-        Ok(Self { files, ended })
+        Self { files, ended }
     }
 
     /// Queues the texts of an ended job for writing.
@@ -76,10 +74,13 @@
         Some(page)
     }
 
-    /// Replaces the table by another one that contains all its texts.
-    pub(super) fn replace_table(&mut self, table: JobTable) -> Result<(), ProcessError> {
-        self.texts = Texts::open(&self.settings.folder, &table)?;
-        self.table = table;
+    /// Replaces the table by an encoded one, and the text files by those of its jobs.
+    pub(super) fn replace_table(&mut self, encoded: &[u8]) -> Result<(), ProcessError> {
+        self.table = JobTable::default();
+        let mut files = TextFiles::open(&self.settings.folder).map_err(ProcessError::Texts)?;
+        let table = read_table(encoded, &mut files);
+        self.table = table.map_err(|error| ProcessError::Table(error.to_string()))?;
+        self.texts = Texts::new(files, &self.table);
         Ok(())
     }
 
@@ -101,30 +102,4 @@
             }
         }
     }
-
-    /// Encodes the table for a snapshot, including all texts.
-    pub(super) fn encode_table(&self) -> Result<Bytes, ProcessError> {
-        let full = self.table_with_texts().map_err(ProcessError::Texts)?;
-        let state = full.as_ref().unwrap_or(&self.table).encode();
-        state.map_err(|error| ProcessError::Table(error.to_string()))
-    }
-
-    /// Returns a copy of the table with all texts loaded, or `None` if no texts are on disk.
-    fn table_with_texts(&self) -> std::io::Result<Option<JobTable>> {
-        let mut full: Option<JobTable> = None;
-        for (id, job) in self.table.jobs() {
-            let Some(text_file) = &job.text_file else {
-                continue;
-            };
-            let full = full.get_or_insert_with(|| self.table.clone());
-            for (position, span) in &text_file.spans {
-                let text = self
-                    .texts
-                    .files
-                    .read(text_file.file, span.offset, span.length)?;
-                full.restore_text(id, *position, text);
-            }
-        }
-        Ok(full)
-    }
 }
--- a/crates/cluster/src/storage/turn.rs
+++ b/crates/cluster/src/storage/turn.rs
@@ -8,7 +8,6 @@
 use super::process::{ProcessError, Storage};
 use crate::clock::Moment;
 use brasspond_consensus::{Ready, Snapshot};
-use brasspond_jobs::JobTable;
 use brasspond_units::Millis;
 use std::time::Duration;
 
@@ -120,9 +119,7 @@
     /// Replaces the table by the leader's snapshot. Orders announced in the log entries that the
     /// snapshot replaces are unknown.
     fn install_snapshot(&mut self, snapshot: &Snapshot, now: Millis) -> Result<(), ProcessError> {
-        let table = JobTable::decode(&snapshot.state)
-            .map_err(|error| ProcessError::Table(error.to_string()))?;
-        self.replace_table(table)?;
+        self.replace_table(&snapshot.state)?;
         self.last_announcements = LastAnnouncements::after_snapshot(now);
         log::info!("event=snapshot_installed index={}", snapshot.index);
         Ok(())
--- a/crates/consensus/src/entries.rs
+++ b/crates/consensus/src/entries.rs
@@ -4,7 +4,6 @@
 use crate::message::{Entry, Payload, Snapshot};
 use crate::node::Consensus;
 use brasspond_units::Millis;
-use bytes::Bytes;
 
 impl Consensus {
     /// Records that all entries up to `index` are synced. Call it once the data of
@@ -55,8 +54,9 @@
         self.log.bytes()
     }
 
-    /// Builds a snapshot from `state`, the encoded state machine after the last applied entry.
-    pub fn snapshot(&self, state: Bytes) -> Snapshot {
+    /// Builds a snapshot from `state`, the state machine after the last applied entry or its
+    /// encoding.
+    pub fn snapshot<S>(&self, state: S) -> Snapshot<S> {
         let members = match &self.previous_members {
             Some((_, previous)) if self.members_index > self.applied => previous.clone(),
             _ => self.members.clone(),
--- a/crates/consensus/src/message.rs
+++ b/crates/consensus/src/message.rs
@@ -56,17 +56,18 @@
     pub voted_for: Option<MemberId>,
 }
 
-/// State machine with the entries up to `index` applied; replaces these entries of the log.
+/// State machine with the entries up to `index` applied; replaces these entries of the log. `S` is
+/// the state machine itself or its encoding.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Snapshot {
+pub struct Snapshot<S = Bytes> {
     /// Index of the last entry that is included.
     pub index: u64,
     /// Term of that entry.
     pub term: u64,
     /// Voters as of that entry.
     pub members: Vec<Member>,
-    /// Encoded state machine.
-    pub state: Bytes,
+    /// The state machine.
+    pub state: S,
 }
 
 /// A message between two members. Every message carries a term.
--- a/crates/consensus/src/node.rs
+++ b/crates/consensus/src/node.rs
@@ -65,7 +65,13 @@
 impl Consensus {
     /// Restores a member from its disk. `seed` randomizes its election timeouts and early
     /// elections.
-    pub fn new(id: MemberId, persisted: Persisted, timing: Timing, seed: u64, now: Millis) -> Self {
+    pub fn new<S>(
+        id: MemberId,
+        persisted: Persisted<S>,
+        timing: Timing,
+        seed: u64,
+        now: Millis,
+    ) -> Self {
         let (index, term, members) = match &persisted.snapshot {
             Some(snapshot) => (snapshot.index, snapshot.term, snapshot.members.clone()),
             None => (0, 0, Vec::new()),
--- a/crates/consensus/src/ready.rs
+++ b/crates/consensus/src/ready.rs
@@ -1,18 +1,29 @@
 //! Data exchanged between a member and its caller: the persisted state and the pending work.
 
 use crate::message::{Entry, HardState, MemberId, Message, Snapshot};
+use bytes::Bytes;
 
-/// State of a member as read from its disk.
-#[derive(Clone, Debug, Default)]
-pub struct Persisted {
+/// State of a member as read from its disk. `S` is the state machine or its encoding.
+#[derive(Clone, Debug)]
+pub struct Persisted<S = Bytes> {
     /// Term and vote.
     pub hard_state: HardState,
     /// Newest snapshot; `None` if the log starts with the first entry.
-    pub snapshot: Option<Snapshot>,
+    pub snapshot: Option<Snapshot<S>>,
     /// Entries after the snapshot.
     pub entries: Vec<Entry>,
 }
 
+impl Default for Persisted {
+    fn default() -> Self {
+        Self {
+            hard_state: HardState::default(),
+            snapshot: None,
+            entries: Vec::new(),
+        }
+    }
+}
+
 /// Work for the caller, in this order: write and sync `hard_state`, `snapshot`, `truncate_from` and
 /// `entries`; call [`crate::Consensus::persisted`]; send `messages`; serve `entries_from_disk`.
 #[derive(Debug, Default)]
--- a/crates/durable/src/lib.rs
+++ b/crates/durable/src/lib.rs
@@ -3,7 +3,9 @@
 #![forbid(unsafe_code)]
 
 mod record_log;
+mod snapshot_record;
 mod text_files;
 
 pub use record_log::{OpenedLog, RecordLog, RecordLogError};
+pub use snapshot_record::{SnapshotState, StateReader};
 pub use text_files::TextFiles;
--- a/crates/durable/src/record_log.rs
+++ b/crates/durable/src/record_log.rs
@@ -6,7 +6,9 @@
 //! cannot be read or decoded, and the file is truncated there. A rewrite syncs a second file,
 //! renames it and syncs the folder before anything is appended.
 
+use crate::snapshot_record::{self, SnapshotState, StateReader, StateSpan};
 use brasspond_consensus::{Entry, HardState, MemberId, Persisted, Ready, Snapshot};
+use bytes::Bytes;
 use displaydoc::Display;
 use serde::{Deserialize, Serialize};
 use std::fs::{File, OpenOptions};
@@ -19,10 +21,10 @@
 /// Name of the file that a rewrite fills and then renames to [`FILE_NAME`].
 const NEW_FILE_NAME: &str = "log.new";
 /// Size of a record's header: length and checksum.
-const HEADER_BYTES: usize = 12;
+pub(crate) const HEADER_BYTES: usize = 12;
 /// Maximum size of a record's body; a greater length indicates corruption. It is twice the maximum
 /// size of a message between processes, so that any snapshot fits.
-const MAX_RECORD_BYTES: u32 = 512 * 1024 * 1024;
+pub(crate) const MAX_RECORD_BYTES: u32 = 512 * 1024 * 1024;
 
 /// Why the log cannot be written or read.
 #[derive(Debug, Display)]
@@ -43,7 +45,7 @@
 
 /// Body of a record. The names of the variants are part of the encoding.
 #[derive(Serialize, Deserialize)]
-enum Record {
+pub(crate) enum Record {
     /// Id of the member; the first record of a file.
     Identity(MemberId),
     /// Term and vote, replacing earlier ones.
@@ -105,24 +107,43 @@
     }
 }
 
-/// An opened log and its content.
-pub struct OpenedLog {
+/// An opened log and its content. `S` is the state machine of the snapshot or its encoding.
+pub struct OpenedLog<S = Bytes> {
     /// The log, ready for appending.
     pub log: RecordLog,
     /// Id of the member. It is the given new id if the folder had no log, or if the record with the
     /// id could not be read.
     pub id: MemberId,
     /// Persisted state of the member.
-    pub persisted: Persisted,
+    pub persisted: Persisted<S>,
 }
 
 impl RecordLog {
-    /// Opens the log in `folder`, or creates one for a member with the id `new_id`. The file is
-    /// truncated at the first record that cannot be read.
+    /// Opens the log in `folder` as [`RecordLog::open_with`] does, and reads the encoded state of the
+    /// snapshot into memory.
     ///
     /// # Errors
-    /// The file cannot be opened, written or synced, or the record with the id cannot be encoded.
+    /// See [`RecordLog::open_with`].
     pub fn open(folder: &Path, new_id: MemberId) -> Result<OpenedLog, RecordLogError> {
+        Self::open_with(folder, new_id, |mut reader| {
+            let mut state = Vec::new();
+            reader.read_to_end(&mut state)?;
+            Ok(state.into())
+        })
+    }
+
+    /// Opens the log in `folder`, or creates one for a member with the id `new_id`. The file is
+    /// truncated at the first record that cannot be read. `read_state` decodes the state of the
+    /// snapshot; it is called once if there is a snapshot.
+    ///
+    /// # Errors
+    /// The file cannot be opened, written or synced, the record with the id cannot be encoded, or
+    /// `read_state` fails.
+    pub fn open_with<S>(
+        folder: &Path,
+        new_id: MemberId,
+        read_state: impl FnOnce(StateReader<'_>) -> std::io::Result<S>,
+    ) -> Result<OpenedLog<S>, RecordLogError> {
         std::fs::create_dir_all(folder)?;
         let path = folder.join(FILE_NAME);
         remove_unfinished(&folder.join(NEW_FILE_NAME));
@@ -149,11 +170,8 @@
         }
         log.file.sync_data()?;
         sync_folder(folder)?;
-        Ok(OpenedLog {
-            log,
-            id,
-            persisted: read.persisted,
-        })
+        let persisted = read_snapshot_state(&log.file, read.persisted, read_state)?;
+        Ok(OpenedLog { log, id, persisted })
     }
 
     /// Size of the file in bytes.
@@ -234,16 +252,17 @@
         Ok(())
     }
 
-    /// Replaces the file with one that contains a snapshot and the entries after it.
+    /// Replaces the file with one that contains a snapshot and the entries after it. The state of
+    /// the snapshot is written as a stream.
     ///
     /// # Errors
     /// A disk operation or the encoding of a record fails. This log then still writes to the old
     /// file. If only the sync of the folder failed, the new file has already replaced the old one,
     /// so records appended after the error are lost.
-    pub fn rewrite(
+    pub fn rewrite<S: SnapshotState>(
         &mut self,
         hard_state: HardState,
-        snapshot: Snapshot,
+        snapshot: Snapshot<S>,
         entries: &[Entry],
     ) -> Result<(), RecordLogError> {
         let path = self.folder.join(NEW_FILE_NAME);
@@ -260,13 +279,11 @@
             bytes: 0,
             offsets: Offsets::after(snapshot.index),
         };
-        let mut records = vec![
-            Record::Identity(self.id),
-            Record::HardState(hard_state),
-            Record::Snapshot(snapshot),
-        ];
-        records.extend(entries.iter().cloned().map(Record::Entry));
-        new.append(&records)?;
+        new.append(&[Record::Identity(self.id), Record::HardState(hard_state)])?;
+        let patch = OpenOptions::new().write(true).open(&path)?;
+        new.bytes += snapshot_record::write(&new.file, &patch, new.bytes, &snapshot)?;
+        let entries: Vec<Record> = entries.iter().cloned().map(Record::Entry).collect();
+        new.append(&entries)?;
         new.file.sync_all()?;
         std::fs::rename(&path, self.folder.join(FILE_NAME))?;
         sync_folder(&self.folder)?;
@@ -298,49 +315,95 @@
     }
 }
 
+/// Decodes the state of the snapshot, if there is one.
+fn read_snapshot_state<S>(
+    file: &File,
+    persisted: Persisted<StateSpan>,
+    read_state: impl FnOnce(StateReader<'_>) -> std::io::Result<S>,
+) -> std::io::Result<Persisted<S>> {
+    let snapshot = match persisted.snapshot {
+        Some(snapshot) => Some(Snapshot {
+            index: snapshot.index,
+            term: snapshot.term,
+            members: snapshot.members,
+            state: read_state(snapshot.state.reader(file)?)?,
+        }),
+        None => None,
+    };
+    Ok(Persisted {
+        hard_state: persisted.hard_state,
+        snapshot,
+        entries: persisted.entries,
+    })
+}
+
 /// Content of the valid records of a file.
-#[derive(Default)]
 struct ReadRecords {
     id: Option<MemberId>,
-    persisted: Persisted,
+    persisted: Persisted<StateSpan>,
     offsets: Offsets,
     /// Total size of the valid records, in bytes.
     valid_bytes: u64,
 }
 
+impl ReadRecords {
+    fn new() -> Self {
+        Self {
+            id: None,
+            persisted: Persisted {
+                hard_state: HardState::default(),
+                snapshot: None,
+                entries: Vec::new(),
+            },
+            offsets: Offsets::default(),
+            valid_bytes: 0,
+        }
+    }
+}
+
+/// A record as read from a file.
+enum ReadRecord {
+    /// A snapshot whose state remains in the file.
+    Snapshot(Snapshot<StateSpan>),
+    /// Any other record.
+    Other(Record),
+}
+
 /// Reads the records one by one, so that the file is never in memory as a whole.
 fn read_records(file: &File) -> ReadRecords {
-    let mut read = ReadRecords::default();
+    let mut read = ReadRecords::new();
     let mut reader = BufReader::new(file);
     let mut body = Vec::new();
-    while let Some(record) = next_record(&mut reader, &mut body) {
+    while let Some((record, length)) = next_record(&mut reader, &mut body) {
         match record {
-            Record::Identity(id) => read.id = Some(id),
-            Record::HardState(state) => read.persisted.hard_state = state,
-            Record::Snapshot(snapshot) => {
+            ReadRecord::Other(Record::Identity(id)) => read.id = Some(id),
+            ReadRecord::Other(Record::HardState(state)) => read.persisted.hard_state = state,
+            ReadRecord::Snapshot(snapshot) => {
                 read.offsets = Offsets::after(snapshot.index);
                 read.persisted.snapshot = Some(snapshot);
                 read.persisted.entries.clear();
             }
-            Record::Truncate(first) => {
+            ReadRecord::Other(Record::Truncate(first)) => {
                 read.offsets.truncate(first);
                 read.persisted.entries.retain(|entry| entry.index < first);
             }
-            Record::Entry(entry) => {
+            ReadRecord::Other(Record::Entry(entry)) => {
                 read.offsets.push(entry.index, read.valid_bytes);
                 read.persisted.entries.push(entry);
             }
+            // `next_record` returns snapshots as `ReadRecord::Snapshot`.
+            ReadRecord::Other(Record::Snapshot(_)) => break,
         }
-        read.valid_bytes += (HEADER_BYTES + body.len()) as u64;
+        read.valid_bytes += HEADER_BYTES as u64 + u64::from(length);
     }
     read
 }
 
-/// Returns the next record; `None` at the end of the file, or if the record is torn, corrupt or
+/// Returns the next record and the length of its body; `None` at the end of the file, or if the record is torn, corrupt or
 /// cannot be read or decoded. The log ends there. A power failure tears only records that were not
 /// synced and therefore not acknowledged; if a synced record is corrupt or unreadable, acknowledged
 /// records are lost with it.
-fn next_record(reader: &mut impl Read, body: &mut Vec<u8>) -> Option<Record> {
+fn next_record(reader: &mut BufReader<&File>, body: &mut Vec<u8>) -> Option<(ReadRecord, u32)> {
     let mut header = [0; HEADER_BYTES];
     reader.read_exact(&mut header).ok()?;
     let length = u32::from_be_bytes(header[..4].try_into().ok()?);
@@ -348,12 +411,17 @@
     if length > MAX_RECORD_BYTES {
         return None;
     }
+    if snapshot_record::is_next(reader, length).ok()? {
+        let snapshot = snapshot_record::read(reader, length, checksum).ok()??;
+        return Some((ReadRecord::Snapshot(snapshot), length));
+    }
     body.clear();
     let read = reader.take(u64::from(length)).read_to_end(body).ok()?;
     if read < length as usize || xxh3_64(body) != checksum {
         return None;
     }
-    rmp_serde::from_slice(body).ok()
+    let record = rmp_serde::from_slice(body).ok()?;
+    Some((ReadRecord::Other(record), length))
 }
 
 /// Removes the file of an unfinished rewrite, if any. Errors are ignored, because the next rewrite
--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -13,6 +13,7 @@
 mod command;
 mod groups;
 mod job;
+mod stream;
 mod table;
 mod text_file;
 
--- a/crates/jobs/src/table.rs
+++ b/crates/jobs/src/table.rs
@@ -47,13 +47,13 @@
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct JobTable {
     /// Jobs by their ids.
-    jobs: BTreeMap<String, Job>,
+    pub(crate) jobs: BTreeMap<String, Job>,
     /// Revision and encoding of the newest copy of the view.
-    view_copy: Option<(u64, Bytes)>,
+    pub(crate) view_copy: Option<(u64, Bytes)>,
     #[serde(default)]
-    usage: UsageLedger,
+    pub(crate) usage: UsageLedger,
     #[serde(default)]
-    quarantine: QuarantineLedger,
+    pub(crate) quarantine: QuarantineLedger,
 }
 
 impl JobTable {
--- a/crates/jobs/src/text_file.rs
+++ b/crates/jobs/src/text_file.rs
@@ -11,6 +11,7 @@
 use crate::table::JobTable;
 use bytes::Bytes;
 use std::collections::{BTreeMap, BTreeSet};
+use std::io;
 
 /// Byte range in the text file of a job. It contains one text or several consecutive texts.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -45,17 +46,40 @@
     /// list is empty if the job does not exist or has not ended, or if any of its texts were
     /// already moved to a file.
     pub fn texts_for_file(&self, id: &str) -> Vec<(u64, Bytes)> {
-        let Some(job) = self
-            .job(id)
-            .filter(|job| job.ended && job.text_file.is_none())
-        else {
-            return Vec::new();
+        self.job(id).map_or_else(Vec::new, Job::texts_for_file)
+    }
+
+    /// Removes texts of a job from the table and records their locations in the file with number
+    /// `file`. The caller has written the texts to this file without gaps, in the order of `texts`.
+    pub fn move_to_file(&mut self, id: &str, file: u64, texts: &[(u64, Bytes)]) {
+        if let Some(job) = self.job_mut(id) {
+            job.move_to_file(file, texts);
+        }
+    }
+
+    /// Puts a text back into the table after it was read from its file.
+    pub fn restore_text(&mut self, id: &str, position: u64, text: Bytes) {
+        let Some(job) = self.job_mut(id) else {
+            return;
         };
-        let incomplete = job.incomplete_groups();
-        let results = (0..).zip(&job.results);
+        job.set_text(position, text);
+        if let Some(text_file) = &mut job.text_file {
+            text_file.spans.remove(&position);
+        }
+    }
+}
+
+impl Job {
+    /// Returns the texts that are needed only for reads; see [`JobTable::texts_for_file`].
+    pub fn texts_for_file(&self) -> Vec<(u64, Bytes)> {
+        if !self.ended || self.text_file.is_some() {
+            return Vec::new();
+        }
+        let incomplete = self.incomplete_groups();
+        let results = (0..).zip(&self.results);
         let read_only = results.filter_map(|(position, (item, outcome))| match outcome {
             Outcome::Completed { text, .. } => {
-                let group = job.items[*item as usize].group.as_str();
+                let group = self.items[*item as usize].group.as_str();
                 (!text.is_empty() && !incomplete.contains(group)).then(|| (position, text.clone()))
             }
             Outcome::Terminated => None,
@@ -63,12 +87,8 @@
         read_only.collect()
     }
 
-    /// Removes texts of a job from the table and records their locations in the file with number
-    /// `file`. The caller has written the texts to this file without gaps, in the order of `texts`.
-    pub fn move_to_file(&mut self, id: &str, file: u64, texts: &[(u64, Bytes)]) {
-        let Some(job) = self.job_mut(id) else {
-            return;
-        };
+    /// Replaces texts by their locations in a file; see [`JobTable::move_to_file`].
+    pub fn move_to_file(&mut self, file: u64, texts: &[(u64, Bytes)]) {
         let mut text_file = TextFileIndex {
             file,
             spans: BTreeMap::new(),
@@ -80,24 +100,31 @@
                 .spans
                 .insert(*position, TextSpan { offset, length });
             offset += length as u64;
-            job.set_text(*position, Bytes::new());
+            self.set_text(*position, Bytes::new());
         }
-        job.text_file = Some(text_file);
+        self.text_file = Some(text_file);
     }
 
-    /// Puts a text back into the table after it was read from its file.
-    pub fn restore_text(&mut self, id: &str, position: u64, text: Bytes) {
-        let Some(job) = self.job_mut(id) else {
-            return;
+    /// Returns a copy of this job with all texts, or `None` if no texts are in a file.
+    /// `read_texts` returns the first bytes of the file with the given number.
+    pub(crate) fn with_texts(
+        &self,
+        read_texts: impl Fn(u64, usize) -> io::Result<Bytes>,
+    ) -> io::Result<Option<Self>> {
+        let Some(text_file) = &self.text_file else {
+            return Ok(None);
         };
-        job.set_text(position, text);
-        if let Some(text_file) = &mut job.text_file {
-            text_file.spans.remove(&position);
+        let lengths = text_file.spans.values().map(|span| span.length);
+        let texts = read_texts(text_file.file, lengths.sum())?;
+        let mut full = self.clone();
+        for (position, span) in &text_file.spans {
+            // The texts are in the file without gaps, so no offset is beyond `texts`.
+            let begin = span.offset as usize;
+            full.set_text(*position, texts.slice(begin..begin + span.length));
         }
+        Ok(Some(full))
     }
-}
 
-impl Job {
     fn set_text(&mut self, position: u64, new: Bytes) {
         // A position that does not fit into `usize` has no result.
         let position = usize::try_from(position).ok();
