Text files: remove a file that could not be written completely

A write that failed on a full disk left its partial file behind until the next start, so the disk stayed full and the log, which needs the space, failed next. The file is now removed on any error, and texts are written through a buffer instead of a copy of all texts of the job.

Test first: a file that is /dev/full fails with StorageFull; it remained before and is gone now. Run: tests text_files and golden of brasspond-durable, clippy of the crate.

--- a/crates/durable/src/text_files.rs
+++ b/crates/durable/src/text_files.rs
@@ -5,7 +5,7 @@
 
 use bytes::Bytes;
 use std::fs::{self, File};
-use std::io::{self, Write};
+use std::io::{self, BufWriter, Write};
 use std::os::unix::fs::FileExt;
 use std::path::{Path, PathBuf};
 
@@ -33,17 +33,21 @@
         Ok(Self { folder, newest: 0 })
     }
 
-    /// Writes texts without separators to a new file and returns the file's number, from 1.
+    /// Writes texts without separators to a new file and returns the file's number, from 1. A file
+    /// that cannot be written completely is removed.
     ///
     /// # Errors
     /// The disk fails or is full.
     pub fn write<'a>(&mut self, texts: impl Iterator<Item = &'a Bytes>) -> io::Result<u64> {
         self.newest += 1;
         let number = self.newest;
-        let content: Vec<u8> = texts.flat_map(|text| text.iter().copied()).collect();
-        let mut file = File::create(self.path(number))?;
-        file.write_all(&content)?;
-        Ok(number)
+        let path = self.path(number);
+        let written = write_file(&path, texts);
+        if written.is_err() {
+            // The file may not exist, and the error of the write says more.
+            drop(fs::remove_file(&path));
+        }
+        written.map(|()| number)
     }
 
     /// Reads `length` bytes at `offset` of a file.
@@ -69,3 +73,11 @@
         self.folder.join(number.to_string())
     }
 }
+
+fn write_file<'a>(path: &Path, texts: impl Iterator<Item = &'a Bytes>) -> io::Result<()> {
+    let mut writer = BufWriter::new(File::create(path)?);
+    for text in texts {
+        writer.write_all(text)?;
+    }
+    writer.flush()
+}
--- a/crates/durable/tests/text_files.rs
+++ b/crates/durable/tests/text_files.rs
@@ -29,3 +29,18 @@
     let files = TextFiles::open(folder.path()).expect("opens again");
     assert!(files.read(file, 0, 4).is_err());
 }
+
+/// Guards against a full disk that stays full because of texts that were not written completely.
+#[rstest]
+fn a_file_that_cannot_be_written_completely_is_removed() {
+    let folder = tempfile::tempdir().expect("folder");
+    let mut files = TextFiles::open(folder.path()).expect("opens");
+    let texts = [Bytes::from_static(b"one")];
+    let first = folder.path().join("texts/1");
+    std::os::unix::fs::symlink("/dev/full", &first).expect("linked");
+    let error = files.write(texts.iter()).expect_err("the disk is full");
+    assert_eq!(error.kind(), std::io::ErrorKind::StorageFull);
+    assert!(first.symlink_metadata().is_err(), "the file remains");
+    let file = files.write(texts.iter()).expect("written");
+    assert_eq!(files.read(file, 0, 3).expect("read"), texts[0]);
+}
