Log: keep the old file when a rewrite fails, and try again once it has grown

What callers saw: a storage process whose disk was full ended at its next rewrite, and again after each start, although its file was intact and writable.

Cause: any error of RecordLog::rewrite ended the process, and log.new stayed on the disk until the next start.

Change: a rewrite that fails before the rename returns RecordLogError::Rewrite after it has removed log.new. The process logs rewrite_failed, keeps the old file and tries again once that has grown by a tenth. A failed sync of the folder after the rename still ends the process, since the old file may come back after a power failure.

Tests first: a state whose write fails with StorageFull after half a megabyte returned the plain disk error before; now the old file takes further entries and is read back. A rewrite whose new file cannot be opened is due again only after a tenth of growth.

--- a/crates/cluster/src/storage/disk.rs
+++ b/crates/cluster/src/storage/disk.rs
@@ -1,13 +1,14 @@
 //! The file of the log: written before messages are sent, read for members that are far behind, and
 //! rewritten when it grows too large.
 //!
-//! Owns [`Disk`]. A disk failure ends the process, since only stored entries may be acknowledged.
+//! Owns [`Disk`]. A disk failure ends the process, since only stored entries may be acknowledged. A
+//! rewrite that fails before it replaces the file does not.
 
 use super::process::{ProcessError, Storage};
 use super::snapshots::TableState;
 use crate::clock::Moment;
-use brasspond_consensus::{HardState, MemberId, Ready};
-use brasspond_durable::RecordLog;
+use brasspond_consensus::{Entry, HardState, MemberId, Ready, Snapshot};
+use brasspond_durable::{RecordLog, RecordLogError, SnapshotState};
 use brasspond_units::Millis;
 use std::time::Duration;
 
@@ -20,6 +21,8 @@
 /// occupies a process for a second. Members that all did so at once lost their leader again and
 /// again, and had no history left for those that had fallen behind.
 const REWRITE_SPREAD: f64 = 0.5;
+/// Divisor of the file's size that gives the growth after which a failed rewrite is tried again.
+const RETRY_GROWTH_DIVISOR: u64 = 10;
 
 /// The file of the log.
 pub(super) struct Disk {
@@ -77,6 +80,27 @@
         std::mem::take(&mut self.turn_time)
     }
 
+    /// Replaces the file by a snapshot and the entries after it. If the new file cannot be written,
+    /// for example because the disk is full, the old one stays in use until it has grown by a share.
+    pub fn rewrite<S: SnapshotState>(
+        &mut self,
+        hard_state: HardState,
+        snapshot: Snapshot<S>,
+        entries: &[Entry],
+    ) -> Result<(), ProcessError> {
+        let rewritten = self.log.rewrite(hard_state, snapshot, entries);
+        let bytes = self.log.bytes();
+        match rewritten {
+            Ok(()) => self.rewrite_threshold = rewrite_threshold(bytes, self.rewrite_factor),
+            Err(error @ RecordLogError::Rewrite(_)) => {
+                log::warn!("event=rewrite_failed file_bytes={bytes} error=\"{error}\"");
+                self.rewrite_threshold = bytes + bytes / RETRY_GROWTH_DIVISOR;
+            }
+            Err(error) => return Err(ProcessError::Disk(error)),
+        }
+        Ok(())
+    }
+
     /// Whether the file is due for a rewrite.
     pub fn needs_rewrite(&self) -> bool {
         self.log.bytes() > self.rewrite_threshold
@@ -126,12 +150,8 @@
             files: &self.texts.files,
         });
         let entries = self.consensus.unapplied_entries();
-        let disk = &mut self.disk;
-        disk.log
-            .rewrite(self.consensus.hard_state(), snapshot, &entries)
-            .map_err(ProcessError::Disk)?;
-        disk.rewrite_threshold = rewrite_threshold(disk.log.bytes(), disk.rewrite_factor);
-        Ok(())
+        let hard_state = self.consensus.hard_state();
+        self.disk.rewrite(hard_state, snapshot, &entries)
     }
 }
 
--- a/crates/cluster/tests/unit/disk.rs
+++ b/crates/cluster/tests/unit/disk.rs
@@ -1,6 +1,9 @@
 //! When the file of the log is rewritten.
 
-use super::{MIN_REWRITE_BYTES, REWRITE_SPREAD, rewrite_threshold};
+use super::{Disk, MIN_REWRITE_BYTES, REWRITE_SPREAD, rewrite_threshold};
+use brasspond_consensus::{HardState, Ready, Snapshot};
+use brasspond_durable::RecordLog;
+use bytes::Bytes;
 use rstest::rstest;
 
 /// Bytes that a rewritten file of 80 MB may grow before a member has finished its own rewrite.
@@ -26,3 +29,31 @@
     let threshold = rewrite_threshold(rewritten, 1.0);
     assert!(threshold >= 2 * rewritten && threshold >= MIN_REWRITE_BYTES);
 }
+
+/// Guards against a process that ends, or retries in each turn, because a rewrite fails.
+#[rstest]
+fn a_failed_rewrite_is_tried_again_once_the_file_has_grown() {
+    let folder = tempfile::tempdir().expect("folder");
+    let log = RecordLog::open(folder.path(), 7).expect("opens").log;
+    let mut disk = Disk::new(log, 0.0);
+    disk.rewrite_threshold = 0;
+    assert!(disk.needs_rewrite());
+    // A folder of this name cannot be opened as the new file.
+    std::fs::create_dir(folder.path().join("log.new")).expect("created");
+    let snapshot = Snapshot {
+        index: 0,
+        term: 0,
+        members: Vec::new(),
+        state: Bytes::new(),
+    };
+    disk.rewrite(HardState::default(), snapshot, &[])
+        .expect("the old file stays in use");
+    assert!(!disk.needs_rewrite());
+    let ready = Ready {
+        hard_state: Some(HardState::default()),
+        ..Ready::default()
+    };
+    disk.persist(&ready, HardState::default())
+        .expect("persisted");
+    assert!(disk.needs_rewrite(), "the file has grown by a tenth");
+}
--- a/crates/durable/src/record_log.rs
+++ b/crates/durable/src/record_log.rs
@@ -33,6 +33,8 @@
     Disk(std::io::Error),
     /// a record cannot be encoded: {0}
     Encode(rmp_serde::encode::Error),
+    /// the file cannot be rewritten and is still in use: {0}
+    Rewrite(Box<RecordLogError>),
 }
 
 impl std::error::Error for RecordLogError {}
@@ -256,9 +258,9 @@
     /// the snapshot is written as a stream.
     ///
     /// # Errors
-    /// A disk operation or the encoding of a record fails. This log then still writes to the old
-    /// file. If only the sync of the folder failed, the new file has already replaced the old one,
-    /// so records appended after the error are lost.
+    /// [`RecordLogError::Rewrite`] if the new file cannot be written. This log then still writes to
+    /// the old file, and the new one is removed. With any other error, the new file has replaced the
+    /// old one but the sync of the folder failed, so records appended after the error are lost.
     pub fn rewrite<S: SnapshotState>(
         &mut self,
         hard_state: HardState,
@@ -266,11 +268,29 @@
         entries: &[Entry],
     ) -> Result<(), RecordLogError> {
         let path = self.folder.join(NEW_FILE_NAME);
+        let new = self.replace_file(&path, hard_state, &snapshot, entries);
+        let new = new.map_err(|error| {
+            remove_unfinished(&path);
+            RecordLogError::Rewrite(Box::new(error))
+        })?;
+        sync_folder(&self.folder)?;
+        *self = new;
+        Ok(())
+    }
+
+    /// Writes and syncs a new file at `path` and renames it.
+    fn replace_file<S: SnapshotState>(
+        &self,
+        path: &Path,
+        hard_state: HardState,
+        snapshot: &Snapshot<S>,
+        entries: &[Entry],
+    ) -> Result<Self, RecordLogError> {
         let file = OpenOptions::new()
             .read(true)
             .append(true)
             .create(true)
-            .open(&path)?;
+            .open(path)?;
         file.set_len(0)?;
         let mut new = Self {
             folder: self.folder.clone(),
@@ -280,15 +300,13 @@
             offsets: Offsets::after(snapshot.index),
         };
         new.append(&[Record::Identity(self.id), Record::HardState(hard_state)])?;
-        let patch = OpenOptions::new().write(true).open(&path)?;
-        new.bytes += snapshot_record::write(&new.file, &patch, new.bytes, &snapshot)?;
+        let patch = OpenOptions::new().write(true).open(path)?;
+        new.bytes += snapshot_record::write(&new.file, &patch, new.bytes, snapshot)?;
         let entries: Vec<Record> = entries.iter().cloned().map(Record::Entry).collect();
         new.append(&entries)?;
         new.file.sync_all()?;
-        std::fs::rename(&path, self.folder.join(FILE_NAME))?;
-        sync_folder(&self.folder)?;
-        *self = new;
-        Ok(())
+        std::fs::rename(path, self.folder.join(FILE_NAME))?;
+        Ok(new)
     }
 
     /// Appends records to the file without syncing it.
@@ -424,7 +442,7 @@
     Some((ReadRecord::Other(record), length))
 }
 
-/// Removes the file of an unfinished rewrite, if any. Errors are ignored, because the next rewrite
+/// Removes the file of an unfinished or failed rewrite, if any. Errors are ignored, because the next rewrite
 /// truncates the file first.
 fn remove_unfinished(path: &Path) {
     drop(std::fs::remove_file(path));
--- a/crates/durable/tests/snapshot_record.rs
+++ b/crates/durable/tests/snapshot_record.rs
@@ -1,11 +1,12 @@
 //! Guards against snapshots that other builds cannot read, and against damaged ones.
 
-use brasspond_consensus::{Entry, HardState, Member, Payload, Snapshot};
-use brasspond_durable::{OpenedLog, RecordLog};
+use brasspond_consensus::{Entry, HardState, Member, Payload, Ready, Snapshot};
+use brasspond_durable::{OpenedLog, RecordLog, RecordLogError, SnapshotState};
 use bytes::Bytes;
 use proptest::prelude::*;
 use rstest::rstest;
 use serde::Serialize;
+use std::io::{self, Write};
 use std::path::Path;
 use xxhash_rust::xxh3::xxh3_64;
 
@@ -47,9 +48,9 @@
 /// Writes a log without a snapshot and returns its size.
 fn write_head(folder: &Path) -> usize {
     let mut log = RecordLog::open(folder, 7).expect("opens").log;
-    let ready = brasspond_consensus::Ready {
+    let ready = Ready {
         hard_state: Some(STATE),
-        ..Default::default()
+        ..Ready::default()
     };
     log.persist(&ready, STATE).expect("persisted");
     log.bytes() as usize
@@ -154,3 +155,50 @@
     assert!(opened.is_err());
     assert_eq!(std::fs::read(&path).expect("reads"), before);
 }
+
+/// A state whose write ends after some bytes because the disk is full.
+struct FullDisk;
+
+impl SnapshotState for FullDisk {
+    fn encoded_bytes(&self) -> io::Result<u64> {
+        Ok(1_000_000)
+    }
+
+    fn write_to<W: Write>(&self, writer: &mut W) -> io::Result<()> {
+        writer.write_all(&[7; 500_000])?;
+        Err(io::ErrorKind::StorageFull.into())
+    }
+}
+
+/// Guards against a process that ends, or a disk that stays full, when a rewrite finds no space.
+#[rstest]
+fn a_failed_rewrite_leaves_the_old_file_in_use() {
+    let folder = tempfile::tempdir().expect("folder");
+    write_head(folder.path());
+    let mut log = RecordLog::open(folder.path(), 7).expect("opens").log;
+    persist_entry(&mut log, 1);
+    let before = log.bytes();
+    let snapshot = Snapshot {
+        index: 1,
+        term: 3,
+        members: Vec::new(),
+        state: FullDisk,
+    };
+    let error = log.rewrite(STATE, snapshot, &[]).expect_err("fails");
+    assert!(matches!(error, RecordLogError::Rewrite(_)), "{error}");
+    assert!(!folder.path().join("log.new").exists());
+    assert_eq!(log.bytes(), before);
+    persist_entry(&mut log, 2);
+    drop(log);
+    let persisted = RecordLog::open(folder.path(), 8).expect("opens").persisted;
+    assert_eq!(persisted.snapshot, None);
+    assert_eq!(persisted.entries, [entry(1), entry(2)]);
+}
+
+fn persist_entry(log: &mut RecordLog, index: u64) {
+    let ready = Ready {
+        entries: vec![entry(index)],
+        ..Ready::default()
+    };
+    log.persist(&ready, STATE).expect("persisted");
+}
