The commands of the log stay in the file until they are applied or sent

Cause: a member that starts read its whole file into memory, entry by entry, and kept every command until a leader committed it: up to 144 MB beside a limit of 130 MB. A follower that receives a long history faster than it is committed kept all of it.

Change: the log in memory consists of a part whose payloads lie in the file, held as runs of equal terms, and the entries after it. A restored log is wholly in the file. Synced entries beyond 2 MB that are not applied yet go there too (applied ones beyond 256 KB are dropped as before). Entries to apply are read in slices of 128 KB with their checksums; a missing or corrupt one ends the process and is never skipped. A follower is sent stored entries by the way that exists for a long history. The search for the last holder reads one entry at a time from the end.

Ruled out: keeping index and term of each entry (40 bytes or more each; runs of terms do not grow with the log). The offsets of entries, 8 bytes each, still do. 2 MB and not 256 KB for entries on their way to a quorum: at 256 KB a member under load would read back most of what it just wrote.

Tests that looked at restored entries now read them from the file, each one, and compare index and term. The group's model disk loads entries in the same way, two at a time, holds 200 bytes unapplied, and keeps what is not applied as a rewritten file does.

--- a/crates/cluster/src/storage/disk.rs
+++ b/crates/cluster/src/storage/disk.rs
@@ -5,9 +5,10 @@
 
 use super::process::{ProcessError, Storage};
 use crate::clock::Moment;
-use brasspond_consensus::{HardState, MemberId, Ready};
+use brasspond_consensus::{Entry, HardState, MemberId, Ready};
 use brasspond_durable::RecordLog;
 use brasspond_units::Millis;
+use std::ops::RangeInclusive;
 use std::time::Duration;
 
 /// Maximum bytes of entries read from disk for one message between members. It is the same as the
@@ -71,6 +72,16 @@
         Ok(took)
     }
 
+    /// Reads entries with these indices: up to `limit` bytes, but at least one.
+    pub fn entries(
+        &self,
+        indices: RangeInclusive<u64>,
+        limit: usize,
+    ) -> Result<Vec<Entry>, ProcessError> {
+        let entries = self.log.entries_in(indices, limit);
+        entries.map_err(ProcessError::Disk)
+    }
+
     /// Returns and resets the time spent writing in this turn of the loop.
     pub fn take_turn_time(&mut self) -> Duration {
         std::mem::take(&mut self.turn_time)
@@ -121,10 +132,9 @@
     /// Rewrites the file as a snapshot of the table and the entries after it.
     pub(super) fn rewrite_file(&mut self) -> Result<(), ProcessError> {
         let snapshot = self.consensus.snapshot(self.encode_table()?);
-        let entries = self.consensus.unapplied_entries();
         let disk = &mut self.disk;
         disk.log
-            .rewrite(self.consensus.hard_state(), snapshot, &entries)
+            .compact(self.consensus.hard_state(), snapshot)
             .map_err(ProcessError::Disk)?;
         disk.rewrite_threshold = rewrite_threshold(disk.log.bytes(), disk.rewrite_factor);
         Ok(())
--- a/crates/cluster/src/storage/order_log.rs
+++ b/crates/cluster/src/storage/order_log.rs
@@ -11,15 +11,16 @@
 //! the log starts with a snapshot, announcements may be missing, and an order on any subject may
 //! have been sent just before.
 
-use brasspond_consensus::{Entry, Payload};
+use brasspond_consensus::Payload;
 use brasspond_dispatch::OrderLeases;
+use brasspond_durable::{RecordLog, RecordLogError};
 use brasspond_jobs::Command;
 use brasspond_units::Millis;
 use std::collections::HashMap;
 
 /// Maximum number of entries searched for the last holder, which bounds the decoding at startup. If
 /// the holder is not found, the member only loses its head start in the next election.
-const MAX_SEARCHED_ENTRIES: usize = 4_096;
+const MAX_SEARCHED_ENTRIES: u64 = 4_096;
 
 /// The last announced order on a subject.
 #[derive(Clone, Debug)]
@@ -77,17 +78,24 @@
     }
 }
 
-/// Returns the holder of the newest announcement in the last [`MAX_SEARCHED_ENTRIES`] entries, or
-/// `None` if they contain no announcement. Entries that cannot be decoded are skipped here, but
-/// stop the process when they are applied.
-pub(super) fn last_holder(entries: &[Entry]) -> Option<String> {
-    let newest = entries.iter().rev().take(MAX_SEARCHED_ENTRIES);
-    let mut commands = newest.filter_map(|entry| match &entry.payload {
-        Payload::Command(bytes) => Command::decode(bytes).ok(),
-        Payload::Nothing | Payload::Members(_) => None,
-    });
-    commands.find_map(|command| match command {
-        Command::Intend { holder, .. } => Some(holder),
-        _ => None,
-    })
+/// Returns the holder of the newest announcement in the last [`MAX_SEARCHED_ENTRIES`] entries up to
+/// `last`, or `None` if they contain no announcement. Entries that cannot be decoded are skipped
+/// here, but stop the process when they are applied.
+///
+/// # Errors
+/// The file cannot be read.
+pub(super) fn last_holder(log: &RecordLog, last: u64) -> Result<Option<String>, RecordLogError> {
+    let oldest = last.saturating_sub(MAX_SEARCHED_ENTRIES) + 1;
+    for index in (oldest..=last).rev() {
+        let Some(entry) = log.entry(index)? else {
+            return Ok(None);
+        };
+        let Payload::Command(bytes) = &entry.payload else {
+            continue;
+        };
+        if let Ok(Command::Intend { holder, .. }) = Command::decode(bytes) {
+            return Ok(Some(holder));
+        }
+    }
+    Ok(None)
 }
--- a/crates/cluster/src/storage/process.rs
+++ b/crates/cluster/src/storage/process.rs
@@ -182,7 +182,7 @@
         Ok(Self {
             texts: Texts::open(&settings.folder, &table)?,
             view: FleetView::unknown(process.supports_evacuation),
-            consensus: restore_consensus(&own, persisted, now),
+            consensus: restore_consensus(&own, &log, persisted, now)?,
             settings,
             own,
             clock,
@@ -282,11 +282,16 @@
 /// Restores the consensus member from its disk. If another holder announced the last order, this
 /// member delays its candidacy so that another wins the first election. After a restart of all
 /// processes, the last holder can send orders at once, and any other must wait for its lease.
-fn restore_consensus(own: &Member, persisted: Persisted, now: Millis) -> Consensus {
-    let holder = last_holder(&persisted.entries);
+fn restore_consensus(
+    own: &Member,
+    log: &RecordLog,
+    persisted: Persisted,
+    now: Millis,
+) -> Result<Consensus, ProcessError> {
+    let holder = last_holder(log, persisted.entries.last_index()).map_err(ProcessError::Disk)?;
     let mut consensus = Consensus::new(own.id, persisted, Timing::default(), rand::random(), now);
     if holder.is_some_and(|holder| holder != own.machine) {
         consensus.delay_early_election(now);
     }
-    consensus
+    Ok(consensus)
 }
--- a/crates/cluster/src/storage/turn.rs
+++ b/crates/cluster/src/storage/turn.rs
@@ -7,7 +7,8 @@
 use super::order_log::LastAnnouncements;
 use super::process::{ProcessError, Storage};
 use crate::clock::Moment;
-use brasspond_consensus::{Ready, Snapshot};
+use brasspond_consensus::{Entry, Ready, Snapshot};
+use brasspond_durable::RecordLogError;
 use brasspond_jobs::JobTable;
 use brasspond_units::Millis;
 use std::time::Duration;
@@ -21,6 +22,9 @@
 /// Bytes of log kept in memory for followers that are slightly behind. Followers that are further
 /// behind are sent entries from the file.
 const LOG_MEMORY_BYTES: usize = 256 * 1024;
+/// Maximum bytes of log kept in memory until they are applied: enough for the entries on their way
+/// to a quorum. Entries beyond it are read from the file.
+const MAX_UNAPPLIED_BYTES: usize = 2 * 1024 * 1024;
 /// Maximum bytes of commands applied before messages are sent and questions are answered: a few ms
 /// of work.
 const MAX_APPLY_BYTES: usize = 128 * 1024;
@@ -73,6 +77,7 @@
         self.log_traffic(now);
         self.log_changes(now);
         self.consensus.compact(LOG_MEMORY_BYTES);
+        self.consensus.unload(MAX_UNAPPLIED_BYTES);
         self.update_state(now);
         if self.disk.needs_rewrite() {
             self.rewrite_file()?;
@@ -97,7 +102,7 @@
         for (member, next) in ready.entries_from_disk {
             self.send_history(member, next, now)?;
         }
-        let committed = self.consensus.take_committed(MAX_APPLY_BYTES);
+        let committed = self.take_committed()?;
         let has_committed = !committed.is_empty();
         for entry in committed {
             self.apply(entry)?;
@@ -106,6 +111,20 @@
         Ok(has_persisted || has_messages || has_committed || self.has_pending_results())
     }
 
+    /// Takes committed entries to apply, from memory or from the file.
+    fn take_committed(&mut self) -> Result<Vec<Entry>, ProcessError> {
+        let Some(indices) = self.consensus.next_stored() else {
+            return Ok(self.consensus.take_committed(MAX_APPLY_BYTES));
+        };
+        let first = *indices.start();
+        let entries = self.disk.entries(indices, MAX_APPLY_BYTES)?;
+        let taken = self.consensus.take_stored(entries);
+        if taken.is_empty() {
+            return Err(ProcessError::Disk(RecordLogError::Missing(first)));
+        }
+        Ok(taken)
+    }
+
     /// Writes and syncs the entries and the consensus state in `ready`. Returns whether there were
     /// any.
     fn persist(&mut self, ready: &Ready) -> Result<bool, ProcessError> {
--- a/crates/cluster/tests/support/members.rs
+++ b/crates/cluster/tests/support/members.rs
@@ -1,7 +1,7 @@
 //! Step of a simulated member: it ticks, persists, sends and applies, and the leader changes the
 //! voters.
 
-use super::{Packet, TARGET_VOTERS, World, decode, encode, stored_entries};
+use super::{Disk, Packet, TARGET_VOTERS, World, decode, encode, stored_entries};
 use brasspond_cluster::storage::placement::Placement;
 use brasspond_cluster::storage::plan::{Candidate, MembershipState, Step, next_step, successors};
 use brasspond_consensus::{Consensus, Entry, Member, MemberId, Message, Payload, Ready};
@@ -12,6 +12,10 @@
 /// read from disk.
 const LOG_MEMORY_BYTES: usize = 400;
 
+/// Bytes of commands that a member keeps in memory until they are applied: fewer entries than are
+/// proposed at once.
+const UNAPPLIED_BYTES: usize = 200;
+
 impl World {
     pub(super) fn step(&mut self, number: usize) {
         let now = self.now;
@@ -57,7 +61,7 @@
         }
         let process = machine.process.as_mut().expect("running");
         process.persisted(process.last_index());
-        let committed = process.take_committed(usize::MAX);
+        let committed = take_committed(process, &machine.disk);
         for entry in &committed {
             if let Payload::Command(command) = &entry.payload {
                 machine.applied.insert(entry.index, command.clone());
@@ -65,7 +69,7 @@
         }
         let state = encode(&machine.applied);
         for (member, next) in &ready.entries_from_disk {
-            match stored_entries(&machine.disk, *next) {
+            match stored_entries(&machine.disk, *next, process.applied_index()) {
                 Some((term, entries)) => process.send_stored(*member, term, entries, now),
                 None => {
                     let snapshot = process.snapshot(state.clone());
@@ -74,6 +78,7 @@
             }
         }
         process.compact(LOG_MEMORY_BYTES);
+        process.unload(UNAPPLIED_BYTES);
         let id = machine.member.id;
         let has_worked = ready.must_sync()
             || !ready.messages.is_empty()
@@ -200,6 +205,21 @@
     }
 }
 
+/// Takes all committed entries, those from the disk first.
+fn take_committed(process: &mut Consensus, disk: &Disk) -> Vec<Entry> {
+    let mut committed = Vec::new();
+    while let Some(indices) = process.next_stored() {
+        let taken = process.take_stored(disk.read(indices));
+        assert!(
+            !taken.is_empty(),
+            "entries on the disk are those of the log"
+        );
+        committed.extend(taken);
+    }
+    committed.extend(process.take_committed(usize::MAX));
+    committed
+}
+
 fn record_lost_disks(process: &mut Consensus, peers: &[Member]) {
     for voter in process.members().to_vec() {
         let is_returned = peers
--- a/crates/cluster/tests/support/mod.rs
+++ b/crates/cluster/tests/support/mod.rs
@@ -7,7 +7,8 @@
 
 use brasspond_cluster::storage::placement::{FaultTolerance, PlacementRequirements};
 use brasspond_consensus::{
-    Consensus, Entry, HardState, Member, MemberId, Message, Persisted, READ_LEASE, Ready, Timing,
+    Consensus, Entry, HardState, Member, MemberId, Message, Persisted, READ_LEASE, Ready,
+    StoredEntries, Timing,
 };
 use brasspond_fleet::Regions;
 use brasspond_golden::Digest;
@@ -15,6 +16,7 @@
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use std::collections::{BTreeMap, BTreeSet};
+use std::ops::RangeInclusive;
 use std::sync::Arc;
 
 #[derive(Clone, Debug, Default)]
@@ -40,6 +42,30 @@
             self.entries.insert(entry.index, entry.clone());
         }
     }
+
+    /// Returns what a restarted process restores of the entries.
+    fn restored_entries(&self) -> StoredEntries {
+        let snapshot_index = self.snapshot.as_ref().map_or(0, |one| one.index);
+        let mut restored = StoredEntries::after(snapshot_index);
+        for entry in self.entries.values() {
+            restored.push(entry);
+        }
+        restored
+    }
+
+    /// Term of an entry on the disk, or of the last one in the snapshot.
+    fn term_at(&self, index: u64) -> Option<u64> {
+        let snapshot = self.snapshot.as_ref().filter(|one| one.index == index);
+        let entry = self.entries.get(&index).map(|entry| entry.term);
+        entry.or_else(|| snapshot.map(|one| one.term))
+    }
+
+    /// Reads entries to apply, a few at a time. Each must be on the disk.
+    fn read(&self, indices: RangeInclusive<u64>) -> Vec<Entry> {
+        const READ_ENTRIES: usize = 2;
+        let read = indices.take(READ_ENTRIES);
+        read.map(|index| self.entries[&index].clone()).collect()
+    }
 }
 
 struct Machine {
@@ -219,7 +245,7 @@
         let persisted = Persisted {
             hard_state: machine.disk.hard_state,
             snapshot: machine.disk.snapshot.clone(),
-            entries: machine.disk.entries.values().cloned().collect(),
+            entries: machine.disk.restored_entries(),
         };
         machine.applied.clear();
         if let Some(snapshot) = &persisted.snapshot {
@@ -367,8 +393,9 @@
     }
 }
 
-/// Returns entries from a disk that keeps only the newest ones, like a rewritten file.
-fn stored_entries(disk: &Disk, next: u64) -> Option<(u64, Vec<Entry>)> {
+/// Returns entries from a disk that keeps only the newest ones and those that are not applied, like a
+/// rewritten file.
+fn stored_entries(disk: &Disk, next: u64, applied: u64) -> Option<(u64, Vec<Entry>)> {
     const RETAINED_ENTRIES: usize = 12;
     let oldest = disk
         .entries
@@ -379,11 +406,11 @@
         .unwrap_or(0);
     let term = match next - 1 {
         0 => 0,
-        previous => disk.entries.get(&previous)?.term,
+        previous => disk.term_at(previous)?,
     };
     let entries = disk.entries.range(next..).map(|(_, entry)| entry.clone());
     let entries: Vec<Entry> = entries.take(3).collect();
-    (next >= oldest && !entries.is_empty()).then_some((term, entries))
+    ((next >= oldest || next > applied) && !entries.is_empty()).then_some((term, entries))
 }
 
 fn encode(applied: &BTreeMap<u64, Bytes>) -> Bytes {
--- a/crates/consensus/src/lib.rs
+++ b/crates/consensus/src/lib.rs
@@ -26,6 +26,8 @@
 mod ready;
 mod replication;
 mod role;
+mod stored;
+mod terms;
 mod timing;
 
 pub use membership::MembershipError;
@@ -33,4 +35,5 @@
 pub use node::Consensus;
 pub use ready::{Persisted, Ready};
 pub use role::Progress;
+pub use stored::StoredEntries;
 pub use timing::{READ_LEASE, Timing};
--- a/crates/consensus/src/node.rs
+++ b/crates/consensus/src/node.rs
@@ -70,11 +70,12 @@
             Some(snapshot) => (snapshot.index, snapshot.term, snapshot.members.clone()),
             None => (0, 0, Vec::new()),
         };
+        let (terms, memberships) = persisted.entries.into_parts();
         let mut member = Self {
             id,
             timing,
             hard_state: persisted.hard_state,
-            log: Log::new(index, term),
+            log: Log::restore(index, term, terms),
             members,
             members_index: index,
             previous_members: None,
@@ -94,8 +95,8 @@
             rng: ChaCha8Rng::seed_from_u64(seed ^ id),
             ready: Ready::default(),
         };
-        for entry in persisted.entries {
-            member.append_to_memory(entry);
+        for membership in memberships {
+            member.set_members(membership.index, membership.members);
         }
         member.persisted = member.log.last_index();
         member.reset_election_timer(now);
@@ -168,7 +169,7 @@
         self.commit
     }
 
-    /// Last index returned by [`Consensus::take_committed`].
+    /// Last index returned by [`Consensus::take_committed`] or [`Consensus::take_stored`].
     pub fn applied_index(&self) -> u64 {
         self.applied
     }
--- a/crates/consensus/src/ready.rs
+++ b/crates/consensus/src/ready.rs
@@ -1,6 +1,7 @@
 //! Data exchanged between a member and its caller: the persisted state and the pending work.
 
 use crate::message::{Entry, HardState, MemberId, Message, Snapshot};
+use crate::stored::StoredEntries;
 
 /// State of a member as read from its disk.
 #[derive(Clone, Debug, Default)]
@@ -10,7 +11,7 @@
     /// Newest snapshot; `None` if the log starts with the first entry.
     pub snapshot: Option<Snapshot>,
     /// Entries after the snapshot.
-    pub entries: Vec<Entry>,
+    pub entries: StoredEntries,
 }
 
 /// Work for the caller, in this order: write and sync `hard_state`, `snapshot`, `truncate_from` and
--- a/crates/consensus/src/replication.rs
+++ b/crates/consensus/src/replication.rs
@@ -106,7 +106,8 @@
             return;
         };
         let previous_index = next - 1;
-        let message = match self.log.term_at(previous_index) {
+        let previous_term = self.log.term_at(previous_index);
+        let message = match previous_term.filter(|_| !self.log.is_stored(next)) {
             Some(previous_term) => Message::Append {
                 term: self.term(),
                 previous_index,
--- a/crates/durable/src/record_log.rs
+++ b/crates/durable/src/record_log.rs
@@ -6,11 +6,12 @@
 //! cannot be read or decoded, and the file is truncated there. A rewrite syncs a second file,
 //! renames it and syncs the folder before anything is appended.
 
-use brasspond_consensus::{Entry, HardState, MemberId, Persisted, Ready, Snapshot};
+use brasspond_consensus::{Entry, HardState, MemberId, Persisted, Ready, Snapshot, StoredEntries};
 use displaydoc::Display;
 use serde::{Deserialize, Serialize};
 use std::fs::{File, OpenOptions};
 use std::io::{BufReader, Read, Write};
+use std::ops::RangeInclusive;
 use std::os::unix::fs::FileExt;
 use std::path::{Path, PathBuf};
 use xxhash_rust::xxh3::xxh3_64;
@@ -23,6 +24,8 @@
 /// Maximum size of a record's body; a greater length indicates corruption. It is twice the maximum
 /// size of a message between processes, so that any snapshot fits.
 const MAX_RECORD_BYTES: u32 = 512 * 1024 * 1024;
+/// Size from which a rewrite writes the records that it has copied, in bytes.
+const COPY_BYTES: usize = 256 * 1024;
 
 /// Why the log cannot be written or read.
 #[derive(Debug, Display)]
@@ -31,6 +34,8 @@
     Disk(std::io::Error),
     /// a record cannot be encoded: {0}
     Encode(rmp_serde::encode::Error),
+    /// the record of entry {0} is missing or corrupt
+    Missing(u64),
 }
 
 impl std::error::Error for RecordLogError {}
@@ -52,7 +57,7 @@
     Snapshot(Snapshot),
     /// Discards the entries from this index on.
     Truncate(u64),
-    /// Appends an entry.
+    /// Appends an entry, in place of an earlier one with its index and of those after it.
     Entry(Entry),
 }
 
@@ -63,9 +68,26 @@
     id: MemberId,
     /// Total size of the valid records in the file, in bytes.
     bytes: u64,
+    base: Base,
     offsets: Offsets,
 }
 
+/// Index and term of the last entry that the snapshot of a file includes; 0 without a snapshot.
+#[derive(Clone, Copy, Debug, Default)]
+struct Base {
+    index: u64,
+    term: u64,
+}
+
+impl Base {
+    fn of(snapshot: &Snapshot) -> Self {
+        Self {
+            index: snapshot.index,
+            term: snapshot.term,
+        }
+    }
+}
+
 /// Offsets in the file of the records that contain entries.
 #[derive(Clone, Debug, Default)]
 struct Offsets {
@@ -97,6 +119,12 @@
             .truncate(usize::try_from(count).unwrap_or(usize::MAX));
     }
 
+    /// Index of the last entry; `None` if there are no entries.
+    fn last(&self) -> Option<u64> {
+        let count = self.byte_offsets.len() as u64;
+        (count > 0).then(|| self.first + count - 1)
+    }
+
     fn find(&self, index: u64) -> Option<u64> {
         let position = index.checked_sub(self.first)?;
         // No entry has a position beyond the address space.
@@ -142,6 +170,12 @@
             file,
             id,
             bytes: read.valid_bytes,
+            base: read
+                .persisted
+                .snapshot
+                .as_ref()
+                .map(Base::of)
+                .unwrap_or_default(),
             offsets: read.offsets,
         };
         if read.id.is_none() {
@@ -163,7 +197,8 @@
 
     /// Returns the term of the entry before `first` (0 if `first` is 1), and the entries from
     /// `first` on, until their records reach `limit` bytes or the log ends. `None` if the file does
-    /// not contain the entry at `first` or the entry before it.
+    /// not contain the entry at `first`, or neither the entry before it nor a snapshot that ends
+    /// with that entry.
     ///
     /// # Errors
     /// The file cannot be read.
@@ -174,7 +209,7 @@
     ) -> Result<Option<(u64, Vec<Entry>)>, RecordLogError> {
         let previous_term = match first.checked_sub(1) {
             None => return Ok(None),
-            Some(0) => 0,
+            Some(previous) if previous == self.base.index => self.base.term,
             Some(previous) => match self.entry_at(previous)? {
                 Some((entry, _)) => entry.term,
                 None => return Ok(None),
@@ -192,23 +227,84 @@
         Ok((!entries.is_empty()).then_some((previous_term, entries)))
     }
 
+    /// Returns the entries with these indices, up to the last one whose record ends within `limit`
+    /// bytes of the start of the first, but at least one.
+    ///
+    /// # Errors
+    /// The file cannot be read, or does not contain the first entry.
+    pub fn entries_in(
+        &self,
+        indices: RangeInclusive<u64>,
+        limit: usize,
+    ) -> Result<Vec<Entry>, RecordLogError> {
+        let first = *indices.start();
+        let start = self.offsets.find(first);
+        let start = start.ok_or(RecordLogError::Missing(first))?;
+        let remaining = usize::try_from(self.bytes - start).unwrap_or(usize::MAX);
+        let mut buffer = vec![0; remaining.min(limit)];
+        self.file.read_exact_at(&mut buffer, start)?;
+        let mut entries = Vec::new();
+        for index in indices {
+            let Some(body) = self.body_within(&buffer, start, index) else {
+                break;
+            };
+            let entry = decode_entry(body, index).ok_or(RecordLogError::Missing(index))?;
+            entries.push(entry);
+        }
+        if entries.is_empty() {
+            let entry = self.entry(first)?;
+            entries.push(entry.ok_or(RecordLogError::Missing(first))?);
+        }
+        Ok(entries)
+    }
+
+    /// The body of an entry's record within bytes of the file that begin at `start`; `None` if they
+    /// do not contain the whole record, or it is corrupt.
+    fn body_within<'a>(&self, bytes: &'a [u8], start: u64, index: u64) -> Option<&'a [u8]> {
+        let offset = self.offsets.find(index)?.checked_sub(start)?;
+        let record = bytes.get(usize::try_from(offset).ok()?..)?;
+        let header = Header::decode(record.first_chunk()?);
+        let body = record.get(HEADER_BYTES..)?.get(..header.length as usize)?;
+        (xxh3_64(body) == header.checksum).then_some(body)
+    }
+
+    /// Returns the entry at an index; `None` if the file does not contain it.
+    ///
+    /// # Errors
+    /// The file cannot be read.
+    pub fn entry(&self, index: u64) -> Result<Option<Entry>, RecordLogError> {
+        let found = self.entry_at(index)?;
+        Ok(found.map(|(entry, _)| entry))
+    }
+
     /// The entry at an index and the size of its record in bytes.
     fn entry_at(&self, index: u64) -> Result<Option<(Entry, u64)>, RecordLogError> {
-        let Some(offset) = self.offsets.find(index) else {
+        let mut record = Vec::new();
+        if !self.read_record(index, &mut record)? {
             return Ok(None);
+        }
+        let entry = decode_entry(&record[HEADER_BYTES..], index);
+        Ok(entry.map(|entry| (entry, record.len() as u64)))
+    }
+
+    /// Appends the record of an entry to `buffer`. Returns whether the file contains it.
+    fn read_record(&self, index: u64, buffer: &mut Vec<u8>) -> Result<bool, RecordLogError> {
+        let Some(offset) = self.offsets.find(index) else {
+            return Ok(false);
         };
         let mut header = [0; HEADER_BYTES];
         self.file.read_exact_at(&mut header, offset)?;
-        let length = u32::from_be_bytes([header[0], header[1], header[2], header[3]]);
-        let mut body = vec![0; length as usize];
-        self.file
-            .read_exact_at(&mut body, offset + HEADER_BYTES as u64)?;
-        match rmp_serde::from_slice(&body) {
-            Ok(Record::Entry(entry)) if entry.index == index => {
-                Ok(Some((entry, HEADER_BYTES as u64 + u64::from(length))))
-            }
-            _ => Ok(None),
+        let Header { length, checksum } = Header::decode(&header);
+        if length > MAX_RECORD_BYTES {
+            return Ok(false);
         }
+        buffer.extend_from_slice(&header);
+        let start = buffer.len();
+        buffer.resize(start + length as usize, 0);
+        let body = &mut buffer[start..];
+        self.file
+            .read_exact_at(body, offset + HEADER_BYTES as u64)?;
+        Ok(xxh3_64(body) == checksum)
     }
 
     /// Writes and syncs the state in `ready`. If it contains a snapshot, the file is rewritten with
@@ -234,6 +330,21 @@
         Ok(())
     }
 
+    /// Replaces the file with one that contains a snapshot of this log and the entries of the file
+    /// after it.
+    ///
+    /// # Errors
+    /// See [`RecordLog::rewrite`]; or an entry cannot be read.
+    pub fn compact(
+        &mut self,
+        hard_state: HardState,
+        snapshot: Snapshot,
+    ) -> Result<(), RecordLogError> {
+        let last = self.offsets.last().unwrap_or(0);
+        let tail = Tail::Copied(snapshot.index + 1..=last);
+        self.rewrite_with(hard_state, snapshot, tail)
+    }
+
     /// Replaces the file with one that contains a snapshot and the entries after it.
     ///
     /// # Errors
@@ -245,6 +356,15 @@
         hard_state: HardState,
         snapshot: Snapshot,
         entries: &[Entry],
+    ) -> Result<(), RecordLogError> {
+        self.rewrite_with(hard_state, snapshot, Tail::Given(entries))
+    }
+
+    fn rewrite_with(
+        &mut self,
+        hard_state: HardState,
+        snapshot: Snapshot,
+        tail: Tail<'_>,
     ) -> Result<(), RecordLogError> {
         let path = self.folder.join(NEW_FILE_NAME);
         let file = OpenOptions::new()
@@ -258,6 +378,7 @@
             file,
             id: self.id,
             bytes: 0,
+            base: Base::of(&snapshot),
             offsets: Offsets::after(snapshot.index),
         };
         let mut records = vec![
@@ -265,8 +386,13 @@
             Record::HardState(hard_state),
             Record::Snapshot(snapshot),
         ];
-        records.extend(entries.iter().cloned().map(Record::Entry));
+        if let Tail::Given(entries) = &tail {
+            records.extend(entries.iter().cloned().map(Record::Entry));
+        }
         new.append(&records)?;
+        if let Tail::Copied(indices) = tail {
+            self.copy_entries(indices, &mut new)?;
+        }
         new.file.sync_all()?;
         std::fs::rename(&path, self.folder.join(FILE_NAME))?;
         sync_folder(&self.folder)?;
@@ -274,6 +400,34 @@
         Ok(())
     }
 
+    /// Appends the records of entries to another file without syncing it.
+    fn copy_entries(
+        &self,
+        indices: RangeInclusive<u64>,
+        target: &mut Self,
+    ) -> Result<(), RecordLogError> {
+        let mut buffer = Vec::new();
+        for index in indices {
+            let offset = target.bytes + buffer.len() as u64;
+            if !self.read_record(index, &mut buffer)? {
+                return Err(RecordLogError::Missing(index));
+            }
+            target.offsets.push(index, offset);
+            if buffer.len() >= COPY_BYTES {
+                target.write(&buffer)?;
+                buffer.clear();
+            }
+        }
+        target.write(&buffer)
+    }
+
+    /// Appends encoded records to the file.
+    fn write(&mut self, records: &[u8]) -> Result<(), RecordLogError> {
+        self.file.write_all(records)?;
+        self.bytes += records.len() as u64;
+        Ok(())
+    }
+
     /// Appends records to the file without syncing it.
     fn append(&mut self, records: &[Record]) -> Result<(), RecordLogError> {
         let mut buffer = Vec::new();
@@ -292,9 +446,41 @@
             buffer[start..start + 4].copy_from_slice(&length.to_be_bytes());
             buffer[start + 4..start + HEADER_BYTES].copy_from_slice(&checksum.to_be_bytes());
         }
-        self.file.write_all(&buffer)?;
-        self.bytes += buffer.len() as u64;
-        Ok(())
+        self.write(&buffer)
+    }
+}
+
+/// Entries after the snapshot of a rewritten file.
+enum Tail<'a> {
+    /// These entries.
+    Given(&'a [Entry]),
+    /// The entries of the old file with these indices.
+    Copied(RangeInclusive<u64>),
+}
+
+/// Header of a record.
+struct Header {
+    /// Size of the body in bytes.
+    length: u32,
+    /// XXH3 checksum of the body.
+    checksum: u64,
+}
+
+impl Header {
+    fn decode(bytes: &[u8; HEADER_BYTES]) -> Self {
+        let [a, b, c, d, checksum @ ..] = *bytes;
+        Self {
+            length: u32::from_be_bytes([a, b, c, d]),
+            checksum: u64::from_be_bytes(checksum),
+        }
+    }
+}
+
+/// Decodes the body of the record of the entry at `index`; `None` if it is another record.
+fn decode_entry(body: &[u8], index: u64) -> Option<Entry> {
+    match rmp_serde::from_slice(body) {
+        Ok(Record::Entry(entry)) if entry.index == index => Some(entry),
+        _ => None,
     }
 }
 
@@ -319,16 +505,19 @@
             Record::HardState(state) => read.persisted.hard_state = state,
             Record::Snapshot(snapshot) => {
                 read.offsets = Offsets::after(snapshot.index);
+                read.persisted.entries = StoredEntries::after(snapshot.index);
                 read.persisted.snapshot = Some(snapshot);
-                read.persisted.entries.clear();
             }
             Record::Truncate(first) => {
                 read.offsets.truncate(first);
-                read.persisted.entries.retain(|entry| entry.index < first);
+                read.persisted.entries.truncate(first);
             }
             Record::Entry(entry) => {
+                // Files of earlier versions may repeat entries after a rewrite.
+                read.offsets.truncate(entry.index);
+                read.persisted.entries.truncate(entry.index);
                 read.offsets.push(entry.index, read.valid_bytes);
-                read.persisted.entries.push(entry);
+                read.persisted.entries.push(&entry);
             }
         }
         read.valid_bytes += (HEADER_BYTES + body.len()) as u64;
@@ -343,8 +532,7 @@
 fn next_record(reader: &mut impl Read, body: &mut Vec<u8>) -> Option<Record> {
     let mut header = [0; HEADER_BYTES];
     reader.read_exact(&mut header).ok()?;
-    let length = u32::from_be_bytes(header[..4].try_into().ok()?);
-    let checksum = u64::from_be_bytes(header[4..].try_into().ok()?);
+    let Header { length, checksum } = Header::decode(&header);
     if length > MAX_RECORD_BYTES {
         return None;
     }
--- a/crates/durable/tests/golden.rs
+++ b/crates/durable/tests/golden.rs
@@ -2,7 +2,7 @@
 //! still read.
 
 use brasspond_consensus::{Entry, HardState, Member, Payload, Ready, Snapshot};
-use brasspond_durable::{RecordLog, TextFiles};
+use brasspond_durable::{OpenedLog, RecordLog, TextFiles};
 use brasspond_golden::check_bytes;
 use bytes::Bytes;
 use rstest::rstest;
@@ -83,11 +83,13 @@
     write_log(folder.path());
     let bytes = std::fs::read(folder.path().join("log")).expect("written");
     check_bytes(&golden("log.txt"), &bytes);
-    let persisted = RecordLog::open(folder.path(), 8).expect("opens").persisted;
+    let OpenedLog { log, persisted, .. } = RecordLog::open(folder.path(), 8).expect("opens");
     assert_eq!(persisted.hard_state, STATE);
-    assert_eq!(persisted.entries.len(), 3);
+    assert_eq!(persisted.entries.last_index(), 3);
+    let entries = log.entries_in(1..=3, usize::MAX).expect("reads");
+    assert_eq!(entries.len(), 3);
     let command = Payload::Command(Bytes::from_static(b"command"));
-    assert_eq!(persisted.entries[2].payload, command);
+    assert_eq!(entries[2].payload, command);
 }
 
 #[rstest]
