--- a/crates/brasspond/tests/stored_log/mod.rs
+++ b/crates/brasspond/tests/stored_log/mod.rs
@@ -1,6 +1,6 @@
 //! Logs of stopped storage machines that are given the jobs of a whole day, without the traffic.
 
-use brasspond_consensus::{Entry, Payload, Persisted, Ready, Snapshot};
+use brasspond_consensus::{Entry, Payload, Ready, Snapshot};
 use brasspond_durable::{OpenedLog, RecordLog};
 use brasspond_jobs::{Command, Draft, Item, JobTable, Submission};
 use rand::rngs::StdRng;
@@ -95,10 +95,11 @@
     commands
 }
 
-/// Term and index of the last entry.
-fn last(persisted: &Persisted) -> (u64, u64) {
-    let entry = persisted.entries.last().expect("an entry");
-    (entry.term, entry.index)
+/// All entries of a log.
+fn entries(opened: &OpenedLog) -> Vec<Entry> {
+    let indices = 1..=opened.persisted.entries.last_index();
+    let read = opened.log.entries_in(indices, usize::MAX);
+    read.expect("all entries are in the file")
 }
 
 fn append(opened: &mut OpenedLog, entries: Vec<Entry>, truncate_from: Option<u64>) {
@@ -113,7 +114,7 @@
 
 /// Makes a log equal to a longer one.
 fn catch_up(opened: &mut OpenedLog, longest: &[Entry]) {
-    let own = &opened.persisted.entries;
+    let own = entries(opened);
     let pairs = own.iter().zip(longest);
     let equal = pairs.take_while(|(own, other)| own == other).count();
     let surplus = own.get(equal).map(|entry| entry.index);
@@ -124,8 +125,9 @@
 pub fn append_jobs(folders: &[PathBuf], jobs: Jobs) {
     let open = |folder: &PathBuf| RecordLog::open(folder, 0).expect("a log");
     let mut logs: Vec<OpenedLog> = folders.iter().map(open).collect();
-    let longest = logs.iter().max_by_key(|opened| last(&opened.persisted));
-    let longest = longest.expect("a log").persisted.entries.clone();
+    let all = logs.iter().map(entries);
+    let longest = all.max_by_key(|entries| entries.last().map(|last| (last.term, last.index)));
+    let longest = longest.expect("a log");
     let end = longest.last().expect("an entry");
     let (term, mut index) = (end.term, end.index);
     for opened in &mut logs {
@@ -152,13 +154,15 @@
 /// Replaces the log in `folder`, whose process is stopped, by a snapshot of all its entries.
 pub fn rewrite(folder: &Path) {
     let opened = RecordLog::open(folder, 0).expect("a log");
+    let entries = entries(&opened);
     let OpenedLog {
         mut log, persisted, ..
     } = opened;
-    let (term, index) = last(&persisted);
+    let last = entries.last().expect("an entry");
+    let (term, index) = (last.term, last.index);
     let mut table = JobTable::default();
     let mut members = Vec::new();
-    for entry in persisted.entries {
+    for entry in entries {
         match entry.payload {
             Payload::Nothing => {}
             Payload::Members(voters) => members = voters,
--- a/crates/cluster/src/storage/disk.rs
+++ b/crates/cluster/src/storage/disk.rs
@@ -10,6 +10,7 @@
 use brasspond_consensus::{Entry, HardState, MemberId, Ready, Snapshot};
 use brasspond_durable::{RecordLog, RecordLogError, SnapshotState};
 use brasspond_units::Millis;
+use std::ops::RangeInclusive;
 use std::time::Duration;
 
 /// Maximum bytes of entries read from disk for one message between members. It is the same as the
@@ -75,20 +76,29 @@
         Ok(took)
     }
 
+    /// Reads entries with these indices: up to `limit` bytes, but at least one.
+    pub fn entries(
+        &self,
+        indices: RangeInclusive<u64>,
+        limit: usize,
+    ) -> Result<Vec<Entry>, ProcessError> {
+        let entries = self.log.entries_in(indices, limit);
+        entries.map_err(ProcessError::Disk)
+    }
+
     /// Returns and resets the time spent writing in this turn of the loop.
     pub fn take_turn_time(&mut self) -> Duration {
         std::mem::take(&mut self.turn_time)
     }
 
-    /// Replaces the file by a snapshot and the entries after it. If the new file cannot be written,
+    /// Replaces the file by a snapshot and its entries after the snapshot. If the new file cannot be written,
     /// for example because the disk is full, the old one stays in use until it has grown by a share.
     pub fn rewrite<S: SnapshotState>(
         &mut self,
         hard_state: HardState,
         snapshot: Snapshot<S>,
-        entries: &[Entry],
     ) -> Result<(), ProcessError> {
-        let rewritten = self.log.rewrite(hard_state, snapshot, entries);
+        let rewritten = self.log.compact(hard_state, snapshot);
         let bytes = self.log.bytes();
         match rewritten {
             Ok(()) => self.rewrite_threshold = rewrite_threshold(bytes, self.rewrite_factor),
@@ -149,9 +159,8 @@
             table: &self.table,
             files: &self.texts.files,
         });
-        let entries = self.consensus.unapplied_entries();
         let hard_state = self.consensus.hard_state();
-        self.disk.rewrite(hard_state, snapshot, &entries)
+        self.disk.rewrite(hard_state, snapshot)
     }
 }
 
--- a/crates/cluster/src/storage/process.rs
+++ b/crates/cluster/src/storage/process.rs
@@ -131,7 +131,7 @@
     let mut hang_up = signal(SignalKind::hangup()).map_err(ProcessError::Listen)?;
     let mut observed = platform.observed.clone();
     let local = LocalSender::new(local);
-    let mut storage = Storage::new(settings, platform, opened, texts, events, local);
+    let mut storage = Storage::new(settings, platform, opened, texts, events, local)?;
     storage.begin(listener, log_ring);
     storage.finish_turn()?;
     loop {
@@ -167,7 +167,7 @@
         texts: TextFiles,
         events: mpsc::Sender<LinkEvent>,
         local: LocalSender,
-    ) -> Self {
+    ) -> Result<Self, ProcessError> {
         let clock = Clock::default();
         let now = clock.now();
         let OpenedLog {
@@ -190,10 +190,10 @@
             None => LastAnnouncements::complete(),
         };
         let search = RecordSearch::new(process.may_bootstrap, rand::random(), now);
-        Self {
+        Ok(Self {
             texts: Texts::new(texts, &table),
             view: FleetView::unknown(process.supports_evacuation),
-            consensus: restore_consensus(&own, persisted, now),
+            consensus: restore_consensus(&own, &log, persisted, now)?,
             settings,
             own,
             clock,
@@ -214,7 +214,7 @@
             monitor: Monitor::default(),
             cleaned_at: 0,
             stopping_since: None,
-        }
+        })
     }
 
     /// Accepts links, connects to the members in the log and serves metrics.
@@ -290,11 +290,16 @@
 /// Restores the consensus member from its disk. If another holder announced the last order, this
 /// member delays its candidacy so that another wins the first election. After a restart of all
 /// processes, the last holder can send orders at once, and any other must wait for its lease.
-fn restore_consensus(own: &Member, persisted: Persisted<JobTable>, now: Millis) -> Consensus {
-    let holder = last_holder(&persisted.entries);
+fn restore_consensus(
+    own: &Member,
+    log: &RecordLog,
+    persisted: Persisted<JobTable>,
+    now: Millis,
+) -> Result<Consensus, ProcessError> {
+    let holder = last_holder(log, persisted.entries.last_index()).map_err(ProcessError::Disk)?;
     let mut consensus = Consensus::new(own.id, persisted, Timing::default(), rand::random(), now);
     if holder.is_some_and(|holder| holder != own.machine) {
         consensus.delay_early_election(now);
     }
-    consensus
+    Ok(consensus)
 }
--- a/crates/cluster/tests/unit/disk.rs
+++ b/crates/cluster/tests/unit/disk.rs
@@ -46,7 +46,7 @@
         members: Vec::new(),
         state: Bytes::new(),
     };
-    disk.rewrite(HardState::default(), snapshot, &[])
+    disk.rewrite(HardState::default(), snapshot)
         .expect("the old file stays in use");
     assert!(!disk.needs_rewrite());
     let ready = Ready {
--- a/crates/consensus/src/ready.rs
+++ b/crates/consensus/src/ready.rs
@@ -1,6 +1,7 @@
 //! Data exchanged between a member and its caller: the persisted state and the pending work.
 
 use crate::message::{Entry, HardState, MemberId, Message, Snapshot};
+use crate::stored::StoredEntries;
 use bytes::Bytes;
 
 /// State of a member as read from its disk. `S` is the state machine or its encoding.
@@ -11,7 +12,7 @@
     /// Newest snapshot; `None` if the log starts with the first entry.
     pub snapshot: Option<Snapshot<S>>,
     /// Entries after the snapshot.
-    pub entries: Vec<Entry>,
+    pub entries: StoredEntries,
 }
 
 impl Default for Persisted {
@@ -19,7 +20,7 @@
         Self {
             hard_state: HardState::default(),
             snapshot: None,
-            entries: Vec::new(),
+            entries: StoredEntries::default(),
         }
     }
 }
--- a/crates/durable/tests/snapshot_record.rs
+++ b/crates/durable/tests/snapshot_record.rs
@@ -64,6 +64,13 @@
         .expect("rewritten");
 }
 
+/// The restored entries from `first` on, as the file has them.
+fn stored_entries(opened: &OpenedLog, first: u64) -> Vec<Entry> {
+    let last = opened.persisted.entries.last_index();
+    let read = opened.log.entries_in(first..=last, usize::MAX);
+    read.expect("all restored entries are in the file")
+}
+
 fn encode(snapshot: &Snapshot) -> Vec<u8> {
     let body = rmp_serde::to_vec(&Record::Snapshot(snapshot.clone())).expect("encodes");
     let length = u32::try_from(body.len()).expect("short").to_be_bytes();
@@ -83,9 +90,9 @@
     let expected = encode(&snapshot);
     let file = std::fs::read(folder.path().join("log")).expect("reads");
     assert!(file[head..].starts_with(&expected), "the bytes differ");
-    let persisted = RecordLog::open(folder.path(), 8).expect("opens").persisted;
-    assert_eq!(persisted.snapshot, Some(snapshot));
-    assert_eq!(persisted.entries, [entry(501)]);
+    let opened = RecordLog::open(folder.path(), 8).expect("opens");
+    assert_eq!(stored_entries(&opened, 501), [entry(501)]);
+    assert_eq!(opened.persisted.snapshot, Some(snapshot));
 }
 
 /// Asserts that the log ends before its snapshot and can be continued.
@@ -93,7 +100,8 @@
     let opened = RecordLog::open(folder, 8).expect("opens");
     let OpenedLog { log, id, persisted } = opened;
     assert_eq!((id, persisted.hard_state), (7, STATE));
-    assert_eq!((persisted.snapshot, persisted.entries.len()), (None, 0));
+    let last_index = persisted.entries.last_index();
+    assert_eq!((persisted.snapshot, last_index), (None, 0));
     assert_eq!(log.bytes() as usize, head);
     let length = std::fs::metadata(folder.join("log")).expect("file").len();
     assert_eq!(length as usize, head);
@@ -190,9 +198,9 @@
     assert_eq!(log.bytes(), before);
     persist_entry(&mut log, 2);
     drop(log);
-    let persisted = RecordLog::open(folder.path(), 8).expect("opens").persisted;
-    assert_eq!(persisted.snapshot, None);
-    assert_eq!(persisted.entries, [entry(1), entry(2)]);
+    let opened = RecordLog::open(folder.path(), 8).expect("opens");
+    assert_eq!(stored_entries(&opened, 1), [entry(1), entry(2)]);
+    assert_eq!(opened.persisted.snapshot, None);
 }
 
 fn persist_entry(log: &mut RecordLog, index: u64) {
