Polls: no wake-up for polls that wait for room once none is left

Found in reading the change that bounds answers: the time of the next try stayed set when the last poll was redirected, so next_due named a time in the past and the event loop ran each ms until the next poll. The unit test holds it (failed on the code before: Some(40) without a poll).

--- a/crates/cluster/src/storage/questions.rs
+++ b/crates/cluster/src/storage/questions.rs
@@ -82,8 +82,8 @@
 
     /// Returns when the next poll is due, or `None` if there are no polls.
     pub fn next_due(&self) -> Option<Millis> {
-        let due = self.polls.iter().map(|one| one.poll.due_at());
-        due.min().max(self.retry_at)
+        let due = self.polls.iter().map(|one| one.poll.due_at()).min()?;
+        Some(self.retry_at.map_or(due, |retry_at| due.max(retry_at)))
     }
 
     /// Number of long polls that wait for their answer.
@@ -399,3 +399,7 @@
         }
     }
 }
+
+#[cfg(test)]
+#[path = "../../tests/unit/polls.rs"]
+mod tests;
