Reads: count what is queued for edges, and give way to those that still wait

Now only links to edges count, a link that holds a page gets no further one, a process that is not the leader gives up a due answer after 0.3 s, as long as an edge waits for it, and a poll at a member that lost its leader is answered at once with what is there. An edge ends its round through the members when a leader is known or its time is up. The room is summed once for a pass.

--- a/crates/cluster/src/edge/questions.rs
+++ b/crates/cluster/src/edge/questions.rs
@@ -123,6 +123,9 @@
         let readers = self.storage.borrow().readers();
         for reader in readers {
             let left = deadline.saturating_duration_since(Moment::now());
+            if left.is_zero() || self.storage.borrow().contact.leader().is_some() {
+                return None;
+            }
             let asked = {
                 let mut storage = self.storage.borrow_mut();
                 storage.ask(reader.link, &reader.writer, question.clone())
--- a/crates/cluster/src/storage/links.rs
+++ b/crates/cluster/src/storage/links.rs
@@ -104,8 +104,20 @@
         self.states.get(&link)
     }
 
+    /// Bytes queued on a link and not yet written; 0 if the link is down.
+    pub fn queued_bytes(&self, link: LinkId) -> usize {
+        self.get(link)
+            .map_or(0, |state| state.writer.queued_bytes())
+    }
+
+    /// Bytes queued on all links to edges and not yet written.
+    pub fn bytes_queued_for_edges(&self) -> usize {
+        let edges = self.iter().filter(|state| state.is_edge());
+        edges.map(|state| state.writer.queued_bytes()).sum()
+    }
+
     /// Bytes queued on all links and not yet written.
-    pub fn queued_bytes(&self) -> usize {
+    pub fn all_queued_bytes(&self) -> usize {
         self.iter().map(|state| state.writer.queued_bytes()).sum()
     }
 
--- a/crates/cluster/src/storage/monitor.rs
+++ b/crates/cluster/src/storage/monitor.rs
@@ -113,7 +113,7 @@
             memory.current_kb,
             limit.map_or(0, |limit| limit / 1_024),
             self.consensus.log_bytes() / 1_024,
-            self.links.queued_bytes() / 1_024,
+            self.links.all_queued_bytes() / 1_024,
             self.questions.poll_count(),
             self.consensus.commit_index() - self.consensus.applied_index(),
             self.leader_state.is_some()
--- a/crates/cluster/src/storage/questions.rs
+++ b/crates/cluster/src/storage/questions.rs
@@ -29,9 +29,11 @@
 const MAX_ANSWER_TIME: Duration = Duration::from_millis(30);
 /// Interval between checks whether further answers fit into the queues of the links.
 const ANSWER_RETRY_INTERVAL: Millis = 10;
-/// Time after which a due answer that does not fit is not sent any more: the edge has stopped
-/// waiting for it.
-const MAX_ANSWER_DELAY: Millis = 1_200;
+/// Time after which the leader does not send a due answer any more: the edge has stopped waiting for
+/// it.
+const MAX_LEADER_ANSWER_DELAY: Millis = 1_200;
+/// As [`MAX_LEADER_ANSWER_DELAY`], at a process that is not the leader.
+const MAX_FOLLOWER_ANSWER_DELAY: Millis = 300;
 
 /// Sender of a question, to which the answer is sent.
 #[derive(Clone, Copy, Debug)]
@@ -53,6 +55,19 @@
     poll: LongPoll,
 }
 
+impl Poll {
+    /// The same poll without a wait. A poll that is due already stays as it is.
+    fn due_at_once(self, now: Millis) -> Self {
+        if self.poll.due_at() <= now {
+            return self;
+        }
+        Self {
+            poll: LongPoll::new(now, now, None),
+            ..self
+        }
+    }
+}
+
 /// Pending questions.
 #[derive(Debug, Default)]
 pub(super) struct Questions {
@@ -111,6 +126,34 @@
     }
 }
 
+/// Room that remains in a turn of the event loop for answers with results.
+struct AnswerRoom {
+    started: Moment,
+    /// Bytes that may still be queued on links to edges.
+    bytes: usize,
+}
+
+impl AnswerRoom {
+    fn new(storage: &Storage) -> Self {
+        let budget = MemoryBudget::new(storage.settings.process.memory_limit);
+        let queued = storage.links.bytes_queued_for_edges();
+        Self {
+            started: Moment::now(),
+            bytes: budget.queued_answers.saturating_sub(queued),
+        }
+    }
+
+    /// Whether an answer may be queued on a link that has `queued` bytes. A link to an edge that
+    /// does not read holds one page, so that a few such edges do not use up all room.
+    fn allows(&self, queued: usize) -> bool {
+        self.bytes > 0 && queued < MAX_PAGE_BYTES && self.started.elapsed() < MAX_ANSWER_TIME
+    }
+
+    fn use_up(&mut self, bytes: usize) {
+        self.bytes = self.bytes.saturating_sub(bytes);
+    }
+}
+
 impl Storage {
     /// Answers a question at once, proposes the requested command, or starts a long poll. Any
     /// up-to-date member answers reads of results, and any process that has results at the
@@ -288,14 +331,18 @@
         }
         if self.leader_state.is_none() {
             self.answer_proposed_unknown();
-            self.redirect_polls();
+            self.redirect_polls(now);
         }
         if self.questions.polls.is_empty() || self.questions.retry_at.is_some_and(|at| now < at) {
             return;
         }
         self.questions.retry_at = None;
         let is_unconfirmed = self.leader_state.is_some() && !self.may_answer();
-        let started = Moment::now();
+        let max_delay = match self.leader_state {
+            Some(_) => MAX_LEADER_ANSWER_DELAY,
+            None => MAX_FOLLOWER_ANSWER_DELAY,
+        };
+        let mut room = AnswerRoom::new(self);
         for mut poll in std::mem::take(&mut self.questions.polls) {
             if is_unconfirmed && !self.is_answerable_by_any(&poll) {
                 self.questions.polls.push(poll);
@@ -304,10 +351,13 @@
             let is_known = self.observe_progress(&mut poll, now);
             if is_known && now < poll.poll.due_at() {
                 self.questions.polls.push(poll);
-            } else if now >= poll.poll.due_at() + MAX_ANSWER_DELAY {
+            } else if now >= poll.poll.due_at() + max_delay {
                 self.answer(poll.requester, Answer::Unknown);
-            } else if started.elapsed() < MAX_ANSWER_TIME && self.has_room_for_answers() {
+            } else if room.allows(self.links.queued_bytes(poll.requester.link)) {
+                let link = poll.requester.link;
+                let before = self.links.queued_bytes(link);
                 self.answer_poll(poll);
+                room.use_up(self.links.queued_bytes(link).saturating_sub(before));
             } else {
                 self.questions.polls.push(poll);
                 self.questions.retry_at = Some(now + ANSWER_RETRY_INTERVAL);
@@ -315,12 +365,6 @@
         }
     }
 
-    /// Whether the answers queued on all links are within their share of the memory limit.
-    fn has_room_for_answers(&self) -> bool {
-        let budget = MemoryBudget::new(self.settings.process.memory_limit);
-        self.links.queued_bytes() < budget.queued_answers
-    }
-
     /// Whether any process with these results may answer a poll; see [`Self::has_results`].
     fn is_answerable_by_any(&self, poll: &Poll) -> bool {
         self.has_results(&poll.job, poll.since, poll.tenant.as_deref())
@@ -377,11 +421,15 @@
         }
     }
 
-    /// Answers `NotLeader` to the polls that this follower may no longer answer.
-    fn redirect_polls(&mut self) {
+    /// Answers `NotLeader` to the polls that this follower may no longer answer. Those for which it
+    /// has results are due at once.
+    fn redirect_polls(&mut self, now: Millis) {
         for poll in std::mem::take(&mut self.questions.polls) {
-            let may_read = self.may_read(&poll.job, poll.tenant.as_deref());
-            if may_read || self.is_answerable_by_any(&poll) {
+            if self.may_read(&poll.job, poll.tenant.as_deref()) {
+                self.questions.polls.push(poll);
+            } else if self.is_answerable_by_any(&poll) {
+                // Results that this process lacks may exist elsewhere, so the poll waits no longer.
+                let poll = poll.due_at_once(now);
                 self.questions.polls.push(poll);
             } else {
                 self.answer(poll.requester, Answer::NotLeader(None));
