Rewrite the file only once entries that it drops are applied

Found by review, by reading: a file above its threshold was rewritten in the first turn after a start, before anything was applied.

--- a/crates/cluster/src/storage/disk.rs
+++ b/crates/cluster/src/storage/disk.rs
@@ -61,6 +61,11 @@
         self.log.bytes()
     }
 
+    /// Index of the last entry that the file has only as part of its snapshot; 0 without a snapshot.
+    pub fn base_index(&self) -> u64 {
+        self.log.base_index()
+    }
+
     /// Writes and syncs the entries and the consensus state in `ready`, and returns the time taken.
     pub fn persist(
         &mut self,
--- a/crates/cluster/src/storage/turn.rs
+++ b/crates/cluster/src/storage/turn.rs
@@ -78,12 +78,18 @@
         self.consensus.compact(LOG_MEMORY_BYTES);
         self.consensus.unload(MAX_UNAPPLIED_BYTES);
         self.update_state(now);
-        if self.disk.needs_rewrite() {
+        if self.disk.needs_rewrite() && self.may_rewrite() {
             self.rewrite_file()?;
         }
         Ok(())
     }
 
+    /// Whether a rewrite would shorten the file: the entries that it drops are applied.
+    fn may_rewrite(&self) -> bool {
+        let applied = self.consensus.applied_index();
+        applied > self.disk.base_index() && !self.consensus.has_backlog()
+    }
+
     /// Persists, then sends and applies. Returns whether there may be more to do.
     fn advance(&mut self, now: Millis) -> Result<bool, ProcessError> {
         self.propose_results();
--- a/crates/durable/src/record_log.rs
+++ b/crates/durable/src/record_log.rs
@@ -210,6 +210,11 @@
         Ok(OpenedLog { log, id, persisted })
     }
 
+    /// Index of the last entry that the file has only as part of its snapshot; 0 without a snapshot.
+    pub fn base_index(&self) -> u64 {
+        self.base.index
+    }
+
     /// Size of the file in bytes.
     pub fn bytes(&self) -> u64 {
         self.bytes
@@ -630,8 +635,8 @@
     Some((ReadRecord::Other(record), length))
 }
 
-/// Removes the file of an unfinished or failed rewrite, if any. Errors are ignored, because the next rewrite
-/// truncates the file first.
+/// Removes the file of an unfinished or failed rewrite, if any. Errors are ignored, because the next
+/// rewrite truncates the file first.
 fn remove_unfinished(path: &Path) {
     drop(std::fs::remove_file(path));
 }
