--- a/crates/durable/src/snapshot_record.rs
+++ b/crates/durable/src/snapshot_record.rs
@@ -163,11 +163,14 @@
     if (length as usize) < PREFIX.len() {
         return Ok(false);
     }
-    let start = reader.stream_position()?;
     let mut prefix = [0; PREFIX.len()];
-    let is_read = reader.read_exact(&mut prefix).is_ok();
-    reader.seek(SeekFrom::Start(start))?;
-    Ok(is_read && prefix == PREFIX)
+    if reader.read_exact(&mut prefix).is_err() {
+        // The record is torn, so its body cannot be read either.
+        return Ok(false);
+    }
+    // Unlike `seek`, this keeps the buffer.
+    reader.seek_relative(-(PREFIX.len() as i64))?;
+    Ok(prefix == PREFIX)
 }
 
 /// Reads the body of a snapshot's record without its state. Returns `None` if the record is torn,
