--- a/crates/cluster/src/storage/process.rs
+++ b/crates/cluster/src/storage/process.rs
@@ -118,13 +118,14 @@
     platform: Platform,
     log_ring: Option<LogRing>,
 ) -> Result<(), ProcessError> {
+    // Binds first, so that a second start of this process leaves the files alone.
+    let listener = TcpListener::bind(settings.process.cluster_address).await;
+    let listener = listener.map_err(ProcessError::Listen)?;
     let mut texts = TextFiles::open(&settings.folder).map_err(ProcessError::Texts)?;
     let opened = RecordLog::open_with(&settings.folder, rand::random(), |reader| {
         read_table(reader, &mut texts)
     });
     let opened = opened.map_err(ProcessError::Disk)?;
-    let listener = TcpListener::bind(settings.process.cluster_address).await;
-    let listener = listener.map_err(ProcessError::Listen)?;
     let (events, mut link_events) = mpsc::channel(MAX_QUEUED_EVENTS);
     let (local, mut local_events) = mpsc::channel(MAX_QUEUED_EVENTS);
     let mut terminate = signal(SignalKind::terminate()).map_err(ProcessError::Listen)?;
