--- a/crates/brasspond/tests/storage_memory.rs
+++ b/crates/brasspond/tests/storage_memory.rs
@@ -65,11 +65,12 @@
     line.split_ascii_whitespace().nth(1)?.parse().ok()
 }
 
-/// Peaks of the storage processes, in MB.
+/// Peaks of the storage processes, in MB, rounded up.
 fn peaks_mb(cluster: &Cluster) -> Vec<u64> {
     let peak = |machine: &Machine| {
         let kb = peak_kb(machine);
-        kb.unwrap_or_else(|| panic!("{} ended:\n{}", machine.name, machine.log())) / 1_000
+        let kb = kb.unwrap_or_else(|| panic!("{} ended:\n{}", machine.name, machine.log()));
+        (kb * 1_024).div_ceil(1_000_000)
     };
     cluster.storage.iter().map(peak).collect()
 }
