Fault soak: power loss, kills of leaders, memory limits, rereads, large jobs

The soak could not show it: it lost no disk at the end, kept a few KB of texts, compared the current memory of a process with 256 MB, and did not read the jobs again that a caller had ended.

short.rs: the case of standstills.json also plays a power loss; it removes no fault of that schedule, and no case was added.

--- a/crates/soak/src/callers/trainer.rs
+++ b/crates/soak/src/callers/trainer.rs
@@ -1,8 +1,8 @@
 //! A trainer that submits jobs, reads their results and ends some of them.
 
 use super::{Callers, EdgeAddress};
-use crate::history::{CallKind, CallRecord, EndRecord, Outcome, PageRecord, ResultRecord};
-use crate::jobs::{EndPlan, EndWhen, JobPlan};
+use crate::history::{CallKind, CallRecord, EndRecord, Outcome, PageRecord, Reread, ResultRecord};
+use crate::jobs::{EndPlan, EndWhen, JobPlan, LargeJobs};
 use brasspond_platform_standin::caller::{CallOutcome, Caller, end_path, job_body, results_path};
 use bytes::Bytes;
 use std::sync::Arc;
@@ -20,6 +20,9 @@
 /// Pause after each read of a job's results.
 const READ_INTERVAL: Duration = Duration::from_millis(120);
 
+/// Number of edges from which each job is read again after the last fault.
+const REREAD_EDGES: usize = 2;
+
 /// A job that is or will be submitted.
 #[derive(Debug)]
 pub struct Job {
@@ -31,6 +34,25 @@
     listed: AtomicUsize,
     /// Whether the caller has begun to end the job, so that the reader stops.
     is_ended: AtomicBool,
+    /// Whether the job was accepted.
+    is_accepted: AtomicBool,
+}
+
+impl Job {
+    fn new(plan: JobPlan, oldest_version: u64) -> Self {
+        Self {
+            plan,
+            oldest_version,
+            listed: AtomicUsize::new(0),
+            is_ended: AtomicBool::new(false),
+            is_accepted: AtomicBool::new(false),
+        }
+    }
+
+    /// Returns whether the job was accepted.
+    pub fn is_accepted(&self) -> bool {
+        self.is_accepted.load(Ordering::Relaxed)
+    }
 }
 
 impl Callers {
@@ -39,30 +61,42 @@
         let mut step = 0;
         while self.is_running() && !self.is_settling.load(Ordering::Relaxed) {
             let plan = JobPlan::draw(self.seed, step);
-            let newest = self.newest_version.load(Ordering::Relaxed);
-            let oldest_version = newest.saturating_sub(1).max(1);
-            let body = Bytes::from(job_body(step, oldest_version, &plan.items));
-            let id = plan.id.clone();
-            let job = Arc::new(Job {
-                plan,
-                oldest_version,
-                listed: AtomicUsize::new(0),
-                is_ended: AtomicBool::new(false),
-            });
-            let stored = Arc::clone(&job);
-            self.jobs.lock().expect("lock").insert(id.clone(), stored);
-            if self.submit(&id, body).await {
-                let reader = Arc::clone(&self);
-                let job_to_read = Arc::clone(&job);
-                tokio::spawn(async move { reader.read_job(&job_to_read).await });
-                let ender = Arc::clone(&self);
-                tokio::spawn(async move { ender.end_job(&job).await });
-            }
+            self.start_job(plan, step).await;
             step += 1;
             tokio::time::sleep(JOB_PAUSE).await;
         }
     }
 
+    /// Submits large jobs at even intervals until the cooldown.
+    pub async fn run_large_trainer(self: Arc<Self>, load: LargeJobs) {
+        for step in 0..load.count {
+            if !self.is_running() || self.is_settling.load(Ordering::Relaxed) {
+                return;
+            }
+            self.start_job(load.plan(step), step).await;
+            tokio::time::sleep(load.interval).await;
+        }
+    }
+
+    /// Submits a job. Starts tasks that read and end it if it is accepted.
+    async fn start_job(self: &Arc<Self>, plan: JobPlan, step: u64) {
+        let newest = self.newest_version.load(Ordering::Relaxed);
+        let oldest_version = newest.saturating_sub(1).max(1);
+        let body = Bytes::from(job_body(step, oldest_version, &plan.items));
+        let id = plan.id.clone();
+        let job = Arc::new(Job::new(plan, oldest_version));
+        let stored = Arc::clone(&job);
+        self.jobs.lock().expect("lock").insert(id.clone(), stored);
+        if self.submit(&id, body).await {
+            job.is_accepted.store(true, Ordering::Relaxed);
+            let reader = Arc::clone(self);
+            let job_to_read = Arc::clone(&job);
+            tokio::spawn(async move { reader.read_job(&job_to_read).await });
+            let ender = Arc::clone(self);
+            tokio::spawn(async move { ender.end_job(&job).await });
+        }
+    }
+
     /// Ends a job as its plan says. Does nothing without a plan.
     async fn end_job(&self, job: &Job) {
         let Some(plan) = &job.plan.end else {
@@ -191,6 +225,44 @@
     }
 }
 
+impl Callers {
+    /// Returns the edges from which the job with this number is read again.
+    pub fn reread_edges(&self, number: usize) -> Vec<EdgeAddress> {
+        let edges = self.direct_edges();
+        let count = REREAD_EDGES.min(edges.len());
+        let chosen = (number..number + count).map(|turn| edges[turn % edges.len()]);
+        chosen.collect()
+    }
+
+    /// Reads the results of a job from one edge, until all that were listed when this begins are
+    /// read or the time is `due`, in ms from the start of the run.
+    pub async fn reread_job(&self, job: &Job, to: EdgeAddress, due: u64) -> Reread {
+        let listed = job.listed.load(Ordering::Relaxed);
+        let mut reread = Reread {
+            job: job.plan.id.clone(),
+            edge: to.edge,
+            started_at: self.history.now(),
+            is_answered: false,
+            results: Vec::new(),
+        };
+        while self.history.now() < due && !(reread.is_answered && reread.results.len() >= listed) {
+            let path = results_path(&job.plan.id, reread.results.len());
+            let mut caller = Caller::new(to.address);
+            let response = caller.call("GET", &path, "reader", Bytes::new(), TRAINER_TIMEOUT);
+            if let CallOutcome::Answered(200, _, body) = response.await
+                && let Some(results) = read_page(&body)
+                && self.history.now() <= due
+            {
+                reread.is_answered = true;
+                reread.results.extend(results);
+            } else {
+                tokio::time::sleep(RETRY_PAUSE).await;
+            }
+        }
+        reread
+    }
+}
+
 /// Parses a page of results. Returns `None` if the body is not a page.
 fn read_page(body: &[u8]) -> Option<Vec<ResultRecord>> {
     let page: serde_json::Value = serde_json::from_slice(body).ok()?;
--- a/crates/soak/src/checks/jobs.rs
+++ b/crates/soak/src/checks/jobs.rs
@@ -1,7 +1,7 @@
 //! Checks of jobs, their results and their scores.
 
-use super::{Observed, acknowledged_ends};
-use crate::history::Outcome;
+use super::{Observed, REREAD_DUE_MS, acknowledged_ends};
+use crate::history::{CallKind, Outcome, Reread, ResultRecord};
 use crate::schedule::Schedule;
 use brasspond_platform_standin::caller::score_of;
 use std::collections::{BTreeMap, BTreeSet};
@@ -10,6 +10,9 @@
 /// equals the default of `bounds.cancel_ms`, which is in effect because the stand-in's settings
 /// file does not set it.
 const CANCEL_LIMIT_MS: u64 = 3_000;
+/// Time from the submission of a job in which its results can be read, in ms. It equals
+/// `bounds.status_s` in the settings file that the stand-in writes.
+const RETENTION_MS: u64 = 120_000;
 
 /// Returns the id of the item at each position of a job's results. Where pages differ, the page
 /// that was read last applies.
@@ -75,6 +78,53 @@
     violations
 }
 
+/// Checks that each accepted job, also one that a caller ended, is answered by the edges that are
+/// asked again after the last fault, and that they list each result that was read before with the
+/// same content. Jobs that are older than [`RETENTION_MS`] are exempt.
+pub(super) fn read_results_stay_readable(
+    observed: &Observed,
+    schedule: &Schedule,
+) -> Vec<(u64, String)> {
+    let due = schedule.last_fault_end() + REREAD_DUE_MS;
+    let submits = observed.calls.iter();
+    let submits = submits.filter(|call| call.kind == CallKind::Submit);
+    let is_kept = |job: &str| {
+        let mut of_job = submits.clone().filter(|call| call.id == job);
+        of_job.any(|call| due < call.sent_at + RETENTION_MS)
+    };
+    let mut violations = Vec::new();
+    for reread in observed.rereads.iter().filter(|one| is_kept(&one.job)) {
+        let known = results_before(observed, reread);
+        let lost = known
+            .iter()
+            .filter(|(position, result)| reread.results.get(**position) != Some(*result));
+        let lost = lost.count();
+        if !reread.is_answered || lost > 0 {
+            let what = format!(
+                "edge {} answers for {}: {}; {lost} of {} results read before are missing or differ",
+                reread.edge,
+                reread.job,
+                reread.is_answered,
+                known.len()
+            );
+            violations.push((due, what));
+        }
+    }
+    violations
+}
+
+/// Returns the results of a job that were read before a reread began, by position.
+fn results_before<'a>(
+    observed: &'a Observed,
+    reread: &Reread,
+) -> BTreeMap<usize, &'a ResultRecord> {
+    let pages = observed.pages.iter();
+    let pages = pages.filter(|page| page.job == reread.job && page.at <= reread.started_at);
+    pages
+        .flat_map(|page| (page.since..).zip(&page.results))
+        .collect()
+}
+
 /// Checks that each completed result contains the complete text of its item.
 pub(super) fn texts_are_complete(observed: &Observed, _: &Schedule) -> Vec<(u64, String)> {
     let mut violations = Vec::new();
--- a/crates/soak/src/checks/mod.rs
+++ b/crates/soak/src/checks/mod.rs
@@ -8,13 +8,13 @@
 mod observed;
 mod requests;
 
-pub use observed::{ConfigWrite, Observed, ObservedReplica};
+pub use observed::{ConfigWrite, MemoryPeak, Observed, ObservedReplica, UnexpectedExit};
 
 use crate::schedule::Schedule;
 use cluster::{edges_recover, fences_have_one_holder, new_routes_are_served};
 use jobs::{
-    accepted_jobs_complete, ended_jobs_send_no_late_calls, results_do_not_change,
-    scores_match_calls, texts_are_complete, versions_are_allowed,
+    accepted_jobs_complete, ended_jobs_send_no_late_calls, read_results_stay_readable,
+    results_do_not_change, scores_match_calls, texts_are_complete, versions_are_allowed,
 };
 use observed::{acknowledged_ends, runs_of};
 use requests::{
@@ -26,6 +26,9 @@
 /// Time after the write of a configuration within which every edge must apply it if there are no
 /// faults, in ms.
 pub const CONFIGURATION_DUE_MS: u64 = 3_000;
+/// Time after the last fault within which each result that was read before must be readable at each
+/// edge, in ms.
+pub const REREAD_DUE_MS: u64 = 15_000;
 /// Time after the end of a fault in which it may still affect calls, in ms.
 const FAULT_EFFECT_MS: u64 = 6_000;
 /// Maximum number of replica exits that one request body may cause: three until the cluster
@@ -52,13 +55,14 @@
 type Check = (&'static str, fn(&Observed, &Schedule) -> Vec<(u64, String)>);
 
 /// Checks that have a function of their own, by the names that reports show.
-const CHECKS: [Check; 13] = [
+const CHECKS: [Check; 14] = [
     ("own_answer", answers_match_calls),
     ("at_most_once", writes_run_at_most_once),
     ("refusals_are_true", refused_requests_do_not_run),
     ("planned_stops_cut_nothing", planned_stops_break_no_requests),
     ("jobs_are_kept", accepted_jobs_complete),
     ("results_stay", results_do_not_change),
+    ("results_are_readable", read_results_stay_readable),
     ("texts_are_whole", texts_are_complete),
     ("ended_jobs_begin_nothing", ended_jobs_send_no_late_calls),
     ("scores_are_own", scores_match_calls),
@@ -86,22 +90,33 @@
             ),
         });
     }
-    for name in &observed.unexpected_exits {
+    for exit in &observed.unexpected_exits {
+        let last_lines = exit.last_lines.join("\n    ");
         violations.push(Violation {
             check: "processes_run",
-            at: schedule.length,
-            what: format!("{name} exited without a fault"),
+            at: exit.at,
+            what: format!("{} exited without a fault\n    {last_lines}", exit.name),
         });
     }
-    for (name, memory_kb) in &observed.memory_kb {
-        if *memory_kb > MAX_MEMORY_KB {
+    for (process, memory) in &observed.memory {
+        let limit_kb = memory_limit_kb(process, schedule);
+        if memory.kb > limit_kb {
             violations.push(Violation {
                 check: "memory_is_bounded",
-                at: schedule.length,
-                what: format!("{name} used {memory_kb} KB of memory"),
+                at: memory.at,
+                what: format!("{process} used {} of {limit_kb} KB of memory", memory.kb),
             });
         }
     }
     violations.sort_by_key(|one| one.at);
     violations
 }
+
+/// Returns the limit on the resident memory of a process, in KB of 1,024 bytes as `/proc` reports
+/// them.
+fn memory_limit_kb(process: &str, schedule: &Schedule) -> u64 {
+    match process.starts_with("storage-") {
+        true => schedule.storage_memory_mb * 1_000_000 / 1_024,
+        false => MAX_MEMORY_KB,
+    }
+}
--- a/crates/soak/src/checks/observed.rs
+++ b/crates/soak/src/checks/observed.rs
@@ -1,6 +1,6 @@
 //! Observations of a run, and values derived from them.
 
-use crate::history::{CallRecord, EndRecord, PageRecord};
+use crate::history::{CallRecord, EndRecord, PageRecord, Reread};
 use std::collections::{BTreeMap, BTreeSet};
 
 /// Observations of one replica over all its successive processes.
@@ -26,6 +26,26 @@
     pub at: u64,
 }
 
+/// Largest resident memory of a process.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct MemoryPeak {
+    /// Size, in KB.
+    pub kb: u64,
+    /// When it was first observed, in ms from the start of the run.
+    pub at: u64,
+}
+
+/// The exit of a process that no fault caused.
+#[derive(Clone, Debug)]
+pub struct UnexpectedExit {
+    /// Name of the machine.
+    pub name: String,
+    /// When it was observed, in ms from the start of the run.
+    pub at: u64,
+    /// Last lines of the process's log.
+    pub last_lines: Vec<String>,
+}
+
 /// All observations of a run.
 #[derive(Clone, Debug, Default)]
 pub struct Observed {
@@ -53,10 +73,12 @@
     pub config_writes: Vec<ConfigWrite>,
     /// Version of the configuration that added the route of a call, by id of the call.
     pub new_routes: BTreeMap<String, u64>,
-    /// Names of processes that exited without a fault.
-    pub unexpected_exits: Vec<String>,
-    /// Largest resident memory of each process in KB, by the name of its machine.
-    pub memory_kb: BTreeMap<String, u64>,
+    /// Processes that exited without a fault.
+    pub unexpected_exits: Vec<UnexpectedExit>,
+    /// Largest resident memory of each process, by its machine and start.
+    pub memory: BTreeMap<String, MemoryPeak>,
+    /// Results of all accepted jobs as read again after the last fault.
+    pub rereads: Vec<Reread>,
 }
 
 impl Observed {
@@ -65,6 +87,21 @@
         acknowledged_ends(self).len()
     }
 
+    /// Returns the largest resident memory of any storage process, in KB.
+    pub fn storage_memory_kb(&self) -> u64 {
+        let processes = self.memory.iter();
+        let storage = processes.filter(|(process, _)| process.starts_with("storage-"));
+        storage.map(|(_, memory)| memory.kb).max().unwrap_or(0)
+    }
+
+    /// Returns the size of the texts of all results that were read, in bytes; each counts once.
+    pub fn result_bytes(&self) -> usize {
+        let results = self.pages.iter().flat_map(|page| &page.results);
+        let texts: BTreeMap<&String, usize> =
+            results.map(|one| (&one.id, one.text.len())).collect();
+        texts.values().sum()
+    }
+
     /// Returns the number of scoring calls that reached replicas.
     pub fn scoring_calls(&self) -> usize {
         let calls: BTreeSet<&String> = self.score_calls.values().collect();
--- a/crates/soak/src/history.rs
+++ b/crates/soak/src/history.rs
@@ -86,6 +86,21 @@
     pub score: Option<String>,
 }
 
+/// The results of a job as read again from one edge after the last fault.
+#[derive(Clone, Debug, Serialize)]
+pub struct Reread {
+    /// Id of the job.
+    pub job: String,
+    /// Index of the edge.
+    pub edge: usize,
+    /// When reading began, in ms from the start of the run.
+    pub started_at: u64,
+    /// Whether the edge answered with a page in time.
+    pub is_answered: bool,
+    /// Results that were read in time, by position.
+    pub results: Vec<ResultRecord>,
+}
+
 /// A call that ends a job.
 #[derive(Clone, Debug, Serialize)]
 pub struct EndRecord {
--- a/crates/soak/src/jobs.rs
+++ b/crates/soak/src/jobs.rs
@@ -1,11 +1,18 @@
 //! Jobs of a run, drawn from the run's seed, and plans of how their caller ends some of them.
 
+use crate::schedule::{COOLDOWN_MS, Schedule};
+use brasspond_platform_standin::EVENTS;
 use brasspond_platform_standin::caller::JobItem;
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
+use std::time::Duration;
 
 /// Number of items in a job.
 pub const ITEMS_PER_JOB: usize = 8;
+/// Number of items in a large job.
+const LARGE_JOB_ITEMS: usize = 64;
+/// Size of an event of a large job's texts, in bytes. A text has 30 events, and so 60 KB.
+const LARGE_EVENT_BYTES: usize = 2_000;
 /// Random stream of jobs.
 const JOB_STREAM: u64 = 2;
 /// Probability that the caller ends a job instead of waiting for all results.
@@ -73,6 +80,7 @@
                 true => draw_event_ms(&mut random),
                 false => job_event_ms,
             },
+            event_bytes: 0,
             score: format!("{id}-score-{number}"),
         });
         let items = items.collect();
@@ -100,6 +108,44 @@
     }
 }
 
+/// Jobs with large texts, submitted evenly over the disturbed part of a run.
+#[derive(Clone, Copy, Debug)]
+pub struct LargeJobs {
+    /// Number of jobs.
+    pub count: u64,
+    /// Time between the submissions of two jobs.
+    pub interval: Duration,
+}
+
+impl LargeJobs {
+    /// Returns the large jobs of a schedule, or `None` if it has none.
+    pub fn of(schedule: &Schedule) -> Option<Self> {
+        let job_bytes = LARGE_JOB_ITEMS as u64 * LARGE_EVENT_BYTES as u64 * EVENTS;
+        let count = (schedule.job_mb * 1_000_000).div_ceil(job_bytes);
+        let disturbed_ms = schedule.length.saturating_sub(COOLDOWN_MS);
+        (count > 0).then(|| Self {
+            count,
+            interval: Duration::from_millis(disturbed_ms / (count + 1)),
+        })
+    }
+
+    /// Returns the plan of a large job, which no caller ends.
+    pub fn plan(&self, step: u64) -> JobPlan {
+        let id = format!("large-job-{step}");
+        let items = (0..LARGE_JOB_ITEMS).map(|number| JobItem {
+            id: format!("{id}-item-{number}"),
+            event_ms: EVENT_MS[0],
+            event_bytes: LARGE_EVENT_BYTES,
+            score: format!("{id}-score-{number}"),
+        });
+        JobPlan {
+            items: items.collect(),
+            id,
+            end: None,
+        }
+    }
+}
+
 fn draw_event_ms(random: &mut ChaCha8Rng) -> u64 {
     EVENT_MS[random.random_range(0..EVENT_MS.len())]
 }
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -6,7 +6,7 @@
 use brasspond_soak::checks::check;
 use brasspond_soak::play::play;
 use brasspond_soak::report::Report;
-use brasspond_soak::schedule::{Schedule, ScheduleParams};
+use brasspond_soak::schedule::{DEFAULT_STORAGE_MEMORY_MB, Schedule, ScheduleParams};
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use tokio::signal::unix::{SignalKind, signal};
@@ -34,6 +34,16 @@
     /// Number of storage machines, three or more
     #[bpaf(fallback(3), display_fallback)]
     storage: u8,
+    /// Memory limit of each storage process, in MB
+    #[bpaf(argument("MB"), fallback(DEFAULT_STORAGE_MEMORY_MB), display_fallback)]
+    storage_memory: u64,
+    /// Also submit jobs with large texts, of this many MB in total
+    #[bpaf(argument("MB"), fallback(0), display_fallback)]
+    job_mb: u64,
+    /// At the end, also kill all processes at once and lose the leader's disk
+    power_loss: bool,
+    /// At the end, also kill whichever process leads, again and again
+    leader_kills: bool,
     /// Also restart replicas under the ids that they had
     rebirths: bool,
     /// Also play callers that read slowly, bursts of callers and replicas whose speed changes
@@ -66,6 +76,19 @@
             (None, None) => Builds::Own,
         }
     }
+
+    /// Adds the load, the memory limit and the final faults that the options ask for.
+    fn extend(&self, mut schedule: Schedule) -> Schedule {
+        schedule.storage_memory_mb = self.storage_memory;
+        schedule.add_large_jobs(self.job_mb);
+        if self.power_loss {
+            schedule.add_power_loss();
+        }
+        if self.leader_kills {
+            schedule.add_leader_kills();
+        }
+        schedule
+    }
 }
 
 #[tokio::main]
@@ -118,7 +141,7 @@
             same_id_restarts: options.rebirths,
             uneven_load: options.uneven_load,
         };
-        let schedule = Schedule::draw(seed, params);
+        let schedule = options.extend(Schedule::draw(seed, params));
         let folder = options.dir.join(format!("seed-{seed}"));
         if play_one(&schedule, &options.builds(), &folder).await? == 0 {
             continue;
@@ -152,7 +175,7 @@
     let served: usize = report.seconds.iter().map(|one| one.served).sum();
     let others: usize = report.seconds.iter().map(|one| one.others).sum();
     println!(
-        "seed {}: {} violations; {served} calls served, {others} not served; {} jobs, {} ended, {} scoring calls; {} crash requests run; {} processes, {} MB at the peak",
+        "seed {}: {} violations; {served} calls served, {others} not served; {} jobs, {} ended, {} scoring calls; {} crash requests run; {} processes, {} MB at the peak, {} MB in one storage process; {} MB of results read",
         schedule.seed,
         report.broken.len(),
         report.jobs,
@@ -160,7 +183,9 @@
         report.scoring_calls,
         report.ends,
         report.peak.processes,
-        report.peak.memory_kb / 1_024
+        report.peak.memory_kb / 1_024,
+        output.observed.storage_memory_kb() / 1_024,
+        output.observed.result_bytes() / 1_000_000
     );
     for one in &report.broken {
         println!("  {} ms {}: {}", one.at, one.check, one.what);
--- a/crates/soak/src/play/collecting.rs
+++ b/crates/soak/src/play/collecting.rs
@@ -2,12 +2,14 @@
 
 use super::{Run, RunOutput};
 use crate::callers::{CALLER_TIMEOUT, Job};
-use crate::checks::{Observed, ObservedReplica};
-use crate::history::{CallKind, History};
+use crate::checks::{Observed, ObservedReplica, REREAD_DUE_MS};
+use crate::history::{CallKind, History, Reread};
+use brasspond_platform_standin::caller::JobItem;
 use brasspond_platform_standin::restarting::RestartingReplica;
-use brasspond_platform_standin::{EVENTS, event_data};
+use brasspond_platform_standin::{EVENTS, padded_event_data};
 use std::collections::BTreeMap;
 use std::path::Path;
+use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
@@ -15,20 +17,39 @@
 const FINAL_READ_TIMEOUT: Duration = Duration::from_secs(10);
 
 impl Run {
+    /// Starts tasks that read the results of all jobs again, each from several edges.
+    pub(super) fn start_rereads(&mut self) {
+        let due = self.schedule.last_fault_end() + REREAD_DUE_MS;
+        let jobs = self.callers.jobs.lock().expect("lock").clone();
+        let accepted = jobs.values().filter(|job| job.is_accepted());
+        for (number, job) in accepted.enumerate() {
+            for to in self.callers.reread_edges(number) {
+                let callers = Arc::clone(&self.callers);
+                let job = Arc::clone(job);
+                let reread = async move { callers.reread_job(&job, to, due).await };
+                self.rereads.push(tokio::spawn(reread));
+            }
+        }
+    }
+
     /// Reads the results of all jobs that no caller has ended, again from the start. Then stops the
-    /// callers and kills all processes.
-    pub(super) async fn finish(&mut self) {
+    /// callers and kills all processes. Returns the rereads.
+    pub(super) async fn finish(&mut self) -> Vec<Reread> {
         let jobs = self.callers.jobs.lock().expect("lock").clone();
         let reads = jobs.values().map(|job| self.callers.read_job(job));
         let all = futures::future::join_all(reads);
         // A timeout is ignored here, as the checks report jobs that could not be read.
         let _ = tokio::time::timeout(FINAL_READ_TIMEOUT, all).await;
+        let rereads = futures::future::join_all(std::mem::take(&mut self.rereads)).await;
         self.callers.is_stopped.store(true, Ordering::Relaxed);
         // Calls in progress finish before the processes are killed.
         tokio::time::sleep(CALLER_TIMEOUT).await;
+        // The last reads may have raised the peak memory of processes.
+        self.update_peak();
         for id in self.machine_ids() {
             self.machine(id).kill();
         }
+        rereads.into_iter().flatten().collect()
     }
 
     /// Copies the logs of all processes into a folder.
@@ -51,10 +72,10 @@
     }
 
     /// Collects all observations for the checks.
-    pub(super) fn collect(self) -> RunOutput {
+    pub(super) fn collect(self, rereads: Vec<Reread>) -> RunOutput {
         let jobs = self.callers.jobs.lock().expect("lock").clone();
         let items = || jobs.values().flat_map(|job| &job.plan.items);
-        let expected_texts = items().map(|item| (item.id.clone(), expected_text(&item.id)));
+        let expected_texts = items().map(|item| (item.id.clone(), expected_text(item)));
         let score_calls = items().map(|item| (item.id.clone(), item.score.clone()));
         let oldest_versions = jobs
             .iter()
@@ -75,7 +96,8 @@
             new_routes: self.new_routes.lock().expect("lock").clone(),
             config_writes: self.config_writes,
             unexpected_exits: self.unexpected_exits,
-            memory_kb: self.memory_kb,
+            memory: self.memory,
+            rereads,
         };
         RunOutput {
             observed,
@@ -132,7 +154,8 @@
 }
 
 /// Returns the text that an item must have when it is completed.
-fn expected_text(id: &str) -> String {
-    let events: Vec<String> = (1..=EVENTS).map(|number| event_data(id, number)).collect();
+fn expected_text(item: &JobItem) -> String {
+    let event = |number| padded_event_data(&item.id, number, item.event_bytes);
+    let events: Vec<String> = (1..=EVENTS).map(event).collect();
     events.join("\n")
 }
--- a/crates/soak/src/play/faults.rs
+++ b/crates/soak/src/play/faults.rs
@@ -41,6 +41,8 @@
                     self.kill(id, RESTART_DELAY);
                 }
             }
+            FaultKind::PowerLoss(lost_disks) => self.cut_power(lost_disks),
+            FaultKind::KillLeaders => self.leader_kills_until = fault.end(),
             FaultKind::Wipe(number) => {
                 let id = MachineId::Storage(number);
                 self.kill(id, RESTART_DELAY);
@@ -109,6 +111,8 @@
             | FaultKind::HangUp(_)
             | FaultKind::Roll
             | FaultKind::KillAll
+            | FaultKind::PowerLoss(_)
+            | FaultKind::KillLeaders
             | FaultKind::Wipe(_)
             | FaultKind::CutRegion(_)
             | FaultKind::Configuration => {}
--- a/crates/soak/src/play/machines.rs
+++ b/crates/soak/src/play/machines.rs
@@ -1,6 +1,7 @@
 //! Signals to the cluster's processes, and restarts of these processes.
 
 use super::{RESTART_DELAY, Run};
+use crate::checks::{MemoryPeak, UnexpectedExit};
 use crate::schedule::{Process, ROLL_INTERVAL_MS};
 use brasspond_platform_standin::processes::Machine;
 use nix::sys::signal::Signal;
@@ -10,6 +11,9 @@
 /// the stand-in writes.
 const STOP_GRACE: Duration = Duration::from_secs(8);
 
+/// Number of log lines that a report of an unexpected exit contains.
+const LAST_LINES: usize = 6;
+
 /// Role of a machine of the cluster, and its index among the machines of that role.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum MachineId {
@@ -87,6 +91,31 @@
         self.restart_after(id, lasting);
     }
 
+    /// Kills all processes before any restarts, and wipes the disks of the leader and of the
+    /// storage machines that follow it, `lost_disks` in total.
+    pub(super) fn cut_power(&mut self, lost_disks: usize) {
+        let leader = self.leader();
+        for id in self.machine_ids() {
+            self.kill(id, RESTART_DELAY);
+        }
+        let storage = self.cluster.storage.len();
+        for number in leader..leader + lost_disks.min(storage) {
+            self.machine(MachineId::Storage(number % storage)).wipe();
+        }
+    }
+
+    /// Kills the process that won the newest term, once for each term, while a fault demands it.
+    pub(super) fn kill_new_leader(&mut self) {
+        if self.now() >= self.leader_kills_until {
+            return;
+        }
+        let newest = self.cluster.leaderships().last().copied();
+        if let Some((term, leader)) = newest.filter(|(term, _)| *term > self.last_killed_term) {
+            self.last_killed_term = term;
+            self.kill(MachineId::Storage(leader), RESTART_DELAY);
+        }
+    }
+
     /// Sends SIGTERM to a process. The process is restarted once it has exited, and killed and
     /// restarted if it has not exited after [`STOP_GRACE`].
     pub(super) fn terminate(&mut self, id: MachineId) {
@@ -144,8 +173,12 @@
     pub(super) fn restart_exited(&mut self) {
         for id in self.machine_ids() {
             if !self.is_restarting(id) && self.machine(id).has_ended() {
-                let name = self.machine(id).name.clone();
-                self.unexpected_exits.push(name);
+                let exit = UnexpectedExit {
+                    name: self.machine(id).name.clone(),
+                    at: self.now(),
+                    last_lines: last_lines(&self.machine(id).log()),
+                };
+                self.unexpected_exits.push(exit);
                 self.restart_after(id, RESTART_DELAY);
             }
         }
@@ -155,23 +188,53 @@
     pub(super) fn update_peak(&mut self) {
         let machines = self.cluster.edges.iter().chain(&self.cluster.storage);
         let running = machines.filter_map(|machine| Some((machine, machine.pid()?)));
+        let now = self.now();
         let mut processes = 0;
         let mut memory = 0;
         for (machine, pid) in running {
             processes += 1;
-            let resident = memory_kb(pid).unwrap_or(0);
-            memory += resident;
-            let largest = self.memory_kb.entry(machine.name.clone()).or_default();
-            *largest = resident.max(*largest);
+            let Some(usage) = memory_kb(pid) else {
+                continue;
+            };
+            memory += usage.resident;
+            let process = format!("{} (start {})", machine.name, machine.starts());
+            let known = self.memory.entry(process).or_default();
+            if usage.peak > known.kb {
+                *known = MemoryPeak {
+                    kb: usage.peak,
+                    at: now,
+                };
+            }
         }
         self.peak.processes = self.peak.processes.max(processes);
         self.peak.memory_kb = self.peak.memory_kb.max(memory);
     }
 }
 
-/// Returns the resident memory of a process, in KB, or `None` if it has exited.
-fn memory_kb(pid: u32) -> Option<u64> {
+/// Memory of a process, in KB.
+struct MemoryUsage {
+    /// Resident memory.
+    resident: u64,
+    /// Largest resident memory since the start of the process.
+    peak: u64,
+}
+
+/// Returns the memory of a process, or `None` if it has exited.
+fn memory_kb(pid: u32) -> Option<MemoryUsage> {
     let status = std::fs::read_to_string(format!("/proc/{pid}/status")).ok()?;
-    let line = status.lines().find(|line| line.starts_with("VmRSS:"))?;
-    line.split_ascii_whitespace().nth(1)?.parse().ok()
+    let value = |name: &str| {
+        let line = status.lines().find(|line| line.starts_with(name))?;
+        line.split_ascii_whitespace().nth(1)?.parse().ok()
+    };
+    Some(MemoryUsage {
+        resident: value("VmRSS:")?,
+        peak: value("VmHWM:")?,
+    })
+}
+
+/// Returns the last lines of a log.
+fn last_lines(log: &str) -> Vec<String> {
+    let lines: Vec<&str> = log.lines().collect();
+    let first = lines.len().saturating_sub(LAST_LINES);
+    lines[first..].iter().map(|line| line.to_string()).collect()
 }
--- a/crates/soak/src/play/mod.rs
+++ b/crates/soak/src/play/mod.rs
@@ -8,7 +8,8 @@
 mod writing;
 
 use crate::callers::Callers;
-use crate::checks::{ConfigWrite, Observed};
+use crate::checks::{ConfigWrite, MemoryPeak, Observed, UnexpectedExit};
+use crate::history::Reread;
 use crate::proxy::Proxy;
 use crate::schedule::{COOLDOWN_MS, Fault, Schedule};
 use brasspond_platform_standin::processes::{Builds, Cluster};
@@ -19,6 +20,7 @@
 use std::sync::atomic::Ordering;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
+use tokio::task::JoinHandle;
 
 /// Interval at which the main loop looks for due work.
 const TICK: Duration = Duration::from_millis(20);
@@ -29,6 +31,9 @@
 /// Time until a process restarts if no duration of a fault applies.
 const RESTART_DELAY: Duration = Duration::from_millis(300);
 
+/// Time from the end of the last fault until the results of all jobs are read again, in ms.
+const REREAD_DELAY_MS: u64 = 1_000;
+
 /// Peak resource usage of a run.
 #[derive(Clone, Copy, Debug, Default, serde::Serialize)]
 pub struct PeakUsage {
@@ -70,17 +75,23 @@
     /// Version of the configuration that added the route of a call, by id of the call.
     new_routes: Arc<Mutex<BTreeMap<String, u64>>>,
     peak: PeakUsage,
-    /// Largest resident memory of each process in KB, by the name of its machine.
-    memory_kb: BTreeMap<String, u64>,
+    /// Largest resident memory of each process, by its machine and start.
+    memory: BTreeMap<String, MemoryPeak>,
     /// Machines that were killed or terminated, each with the latest time of its restart.
     pending_restarts: Vec<(MachineId, tokio::time::Instant)>,
     /// Edges that a rolling restart has yet to terminate, each with the time of its SIGTERM in ms
     /// from the start of the run.
     pending_stops: Vec<(u64, MachineId)>,
-    /// Names of processes that exited without a fault.
-    unexpected_exits: Vec<String>,
+    /// Processes that exited without a fault.
+    unexpected_exits: Vec<UnexpectedExit>,
     /// Index of the storage process that was the last known leader.
     last_leader: usize,
+    /// Time until which each new leader is killed, in ms from the start of the run.
+    leader_kills_until: u64,
+    /// Newest term whose leader was killed for being the leader.
+    last_killed_term: u64,
+    /// Tasks that read the results of jobs again.
+    rereads: Vec<JoinHandle<Reread>>,
 }
 
 /// Proxies in front of the store, one for edges and one for storage processes.
@@ -103,9 +114,9 @@
     let mut run = Run::start(schedule, builds).await?;
     let steps = steps_of(schedule);
     run.play(steps, &report).await;
-    run.finish().await;
+    let rereads = run.finish().await;
     run.copy_logs(folder)?;
-    Ok(run.collect())
+    Ok(run.collect(rereads))
 }
 
 /// Returns the beginnings and ends of all faults, ordered by time.
@@ -135,6 +146,7 @@
         let mut steps = steps.into_iter().peekable();
         let mut next_configuration = CONFIG_INTERVAL_MS;
         let mut next_version = VERSION_INTERVAL_MS;
+        let reread_at = self.schedule.last_fault_end() + REREAD_DELAY_MS;
         let cooldown_at = self.schedule.length.saturating_sub(COOLDOWN_MS);
         while self.now() < self.schedule.length {
             let now = self.now();
@@ -148,6 +160,7 @@
                 }
             }
             self.terminate_due();
+            self.kill_new_leader();
             self.restart_due();
             self.restart_exited();
             self.update_peak();
@@ -159,6 +172,9 @@
                 next_version += VERSION_INTERVAL_MS;
                 self.publish_version();
             }
+            if now >= reread_at && self.rereads.is_empty() {
+                self.start_rereads();
+            }
             if now >= cooldown_at {
                 self.callers.is_settling.store(true, Ordering::Relaxed);
             }
--- a/crates/soak/src/play/starting.rs
+++ b/crates/soak/src/play/starting.rs
@@ -3,6 +3,7 @@
 use super::{PeakUsage, Run, StoreProxies};
 use crate::callers::{CRASH_BODY, Callers, Connections, EdgeAddress};
 use crate::history::History;
+use crate::jobs::LargeJobs;
 use crate::proxy::Proxy;
 use crate::schedule::{Schedule, is_behind_proxy};
 use brasspond_platform_standin::processes::{
@@ -37,7 +38,7 @@
         }
         let (edge_proxies, edges) = start_edge_proxies(&cluster).await?;
         tokio::time::sleep(SETTLE_TIME).await;
-        let callers = start_callers(edges, schedule.seed);
+        let callers = start_callers(edges, schedule);
         Ok(Self {
             schedule: schedule.clone(),
             cluster,
@@ -51,11 +52,14 @@
             config_writes: Vec::new(),
             new_routes: Arc::default(),
             peak: PeakUsage::default(),
-            memory_kb: BTreeMap::new(),
+            memory: BTreeMap::new(),
             pending_restarts: Vec::new(),
             pending_stops: Vec::new(),
             unexpected_exits: Vec::new(),
             last_leader: 0,
+            leader_kills_until: 0,
+            last_killed_term: 0,
+            rereads: Vec::new(),
         })
     }
 }
@@ -77,6 +81,7 @@
     };
     let deployment = Deployment {
         region_of: Some(two_regions),
+        storage_memory_mb: Some(schedule.storage_memory_mb),
         builds: builds.clone(),
         ..Deployment::default()
     };
@@ -132,7 +137,7 @@
 
 /// Starts callers for each edge address, a trainer, and a caller whose requests make their replica
 /// exit.
-fn start_callers(edges: Vec<EdgeAddress>, seed: u64) -> Arc<Callers> {
+fn start_callers(edges: Vec<EdgeAddress>, schedule: &Schedule) -> Arc<Callers> {
     let callers = Arc::new(Callers {
         history: Arc::new(History::default()),
         edges,
@@ -140,7 +145,7 @@
         is_settling: AtomicBool::new(false),
         next_number: AtomicU64::new(1),
         newest_version: AtomicU64::new(1),
-        seed,
+        seed: schedule.seed,
         jobs: Mutex::default(),
     });
     for to in callers.edges.clone() {
@@ -150,6 +155,9 @@
     }
     tokio::spawn(Arc::clone(&callers).run_trainer());
     tokio::spawn(Arc::clone(&callers).run_crash_caller());
+    if let Some(load) = LargeJobs::of(schedule) {
+        tokio::spawn(Arc::clone(&callers).run_large_trainer(load));
+    }
     callers
 }
 
--- a/crates/soak/src/schedule/fault.rs
+++ b/crates/soak/src/schedule/fault.rs
@@ -96,6 +96,12 @@
     Roll,
     /// All processes of the cluster are killed at once and restarted.
     KillAll,
+    /// All processes of the cluster are killed at once and restarted, this many storage processes
+    /// with empty disks.
+    PowerLoss(usize),
+    /// Whichever storage process leads is killed and restarted, again and again until the fault
+    /// ends.
+    KillLeaders,
     /// A storage process is killed and restarted with an empty disk.
     Wipe(usize),
     /// All processes of a region are suspended; their connections stay open.
--- a/crates/soak/src/schedule/mod.rs
+++ b/crates/soak/src/schedule/mod.rs
@@ -7,6 +7,7 @@
 //! number of the draws must not change.
 
 mod fault;
+mod finale;
 mod load;
 mod streams;
 
@@ -36,6 +37,13 @@
 /// the cluster needs it to replace the lost copy of its data.
 const DISK_LOSS_MARGIN_MS: u64 = 9_000;
 
+/// Memory limit of a storage process in a schedule that states none, in MB.
+pub const DEFAULT_STORAGE_MEMORY_MB: u64 = 130;
+
+fn default_storage_memory_mb() -> u64 {
+    DEFAULT_STORAGE_MEMORY_MB
+}
+
 /// Cluster size, length and faults of a run.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Schedule {
@@ -49,6 +57,12 @@
     pub storage: u8,
     /// Number of replicas of each service.
     pub replicas: usize,
+    /// Memory limit of each storage process, in MB.
+    #[serde(default = "default_storage_memory_mb")]
+    pub storage_memory_mb: u64,
+    /// Size of the texts of all large jobs together, in MB; 0 for no large jobs.
+    #[serde(default)]
+    pub job_mb: u64,
     /// Faults, ordered by start time.
     pub faults: Vec<Fault>,
 }
@@ -79,6 +93,8 @@
             edges: params.edges,
             storage: params.storage,
             replicas: REPLICAS,
+            storage_memory_mb: DEFAULT_STORAGE_MEMORY_MB,
+            job_mb: 0,
             faults: Vec::new(),
         };
         let mut random = ChaCha8Rng::seed_from_u64(seed);
@@ -171,19 +187,9 @@
     /// this time before or after a fault that suspends or stops a storage process. Such a fault may
     /// be the loss of another disk.
     fn may_add(&self, fault: &Fault) -> bool {
-        let interrupts_storage = |tested: &Fault| match tested.kind {
-            FaultKind::Freeze(process)
-            | FaultKind::Kill(process)
-            | FaultKind::Terminate(process) => !matches!(process, Process::Edge(_)),
-            FaultKind::KillAll | FaultKind::Wipe(_) | FaultKind::CutRegion(_) => true,
-            _ => false,
-        };
-        let is_wipe = |tested: &Fault| matches!(tested.kind, FaultKind::Wipe(_));
-        let is_near = |other: &Fault| {
-            other.at <= fault.end() + DISK_LOSS_MARGIN_MS
-                && fault.at <= other.end() + DISK_LOSS_MARGIN_MS
-        };
-        let mut near = self.faults.iter().filter(|other| is_near(other));
+        let is_wipe =
+            |tested: &Fault| matches!(tested.kind, FaultKind::Wipe(_) | FaultKind::PowerLoss(_));
+        let mut near = self.faults.iter().filter(|other| is_near(other, fault));
         if is_wipe(fault) {
             !near.any(interrupts_storage) && fault.at >= DISK_LOSS_MARGIN_MS
         } else if interrupts_storage(fault) {
@@ -193,6 +199,11 @@
         }
     }
 
+    /// Returns when the last fault ends, in ms from the start of the run.
+    pub fn last_fault_end(&self) -> u64 {
+        self.faults.iter().map(Fault::end).max().unwrap_or(0)
+    }
+
     /// Returns a copy of the schedule without the faults in a range of indices.
     pub fn with_faults_removed(&self, removed: std::ops::Range<usize>) -> Self {
         let mut schedule = self.clone();
@@ -200,3 +211,23 @@
         schedule
     }
 }
+
+/// Returns whether a fault suspends or stops a storage process.
+fn interrupts_storage(fault: &Fault) -> bool {
+    match fault.kind {
+        FaultKind::Freeze(process) | FaultKind::Kill(process) | FaultKind::Terminate(process) => {
+            !matches!(process, Process::Edge(_))
+        }
+        FaultKind::KillAll
+        | FaultKind::PowerLoss(_)
+        | FaultKind::KillLeaders
+        | FaultKind::Wipe(_)
+        | FaultKind::CutRegion(_) => true,
+        _ => false,
+    }
+}
+
+/// Returns whether less than [`DISK_LOSS_MARGIN_MS`] lie between two faults.
+fn is_near(one: &Fault, other: &Fault) -> bool {
+    one.at <= other.end() + DISK_LOSS_MARGIN_MS && other.at <= one.end() + DISK_LOSS_MARGIN_MS
+}
--- a/crates/soak/tests/checks.rs
+++ b/crates/soak/tests/checks.rs
@@ -2,9 +2,13 @@
 //! alone.
 
 use brasspond_platform_standin::EVENTS;
-use brasspond_soak::checks::{ConfigWrite, Observed, ObservedReplica, check};
-use brasspond_soak::history::{CallKind, CallRecord, EndRecord, Outcome, PageRecord, ResultRecord};
-use brasspond_soak::jobs::{EndPlan, EndWhen, ITEMS_PER_JOB, JobPlan};
+use brasspond_soak::checks::{
+    ConfigWrite, MemoryPeak, Observed, ObservedReplica, UnexpectedExit, check,
+};
+use brasspond_soak::history::{
+    CallKind, CallRecord, EndRecord, Outcome, PageRecord, Reread, ResultRecord,
+};
+use brasspond_soak::jobs::{EndPlan, EndWhen, ITEMS_PER_JOB, JobPlan, LargeJobs};
 use brasspond_soak::schedule::{
     Fault, FaultKind, Process, ProxiedLink, Region, Schedule, ScheduleParams, is_behind_proxy,
 };
@@ -54,17 +58,44 @@
     PageRecord {
         job: "job-0".to_string(),
         since: 0,
-        results: vec![ResultRecord {
-            id: ITEM.to_string(),
-            is_completed: true,
-            text: text.to_string(),
-            versions: versions.to_vec(),
-            score: Some(format!("stamp.{SCORE}")),
-        }],
+        results: vec![result(text, versions)],
         at,
     }
 }
 
+fn result(text: &str, versions: &[u64]) -> ResultRecord {
+    ResultRecord {
+        id: ITEM.to_string(),
+        is_completed: true,
+        text: text.to_string(),
+        versions: versions.to_vec(),
+        score: Some(format!("stamp.{SCORE}")),
+    }
+}
+
+/// Returns a reread that begins after all pages of a valid run.
+fn reread(job: &str, results: &[ResultRecord]) -> Reread {
+    Reread {
+        job: job.to_string(),
+        edge: 1,
+        started_at: 47_000,
+        is_answered: true,
+        results: results.to_vec(),
+    }
+}
+
+/// Returns rereads of both jobs of a valid run, one of them ended, that violate no check.
+fn valid_rereads() -> Vec<Reread> {
+    vec![
+        reread("job-0", &[result("text", &[1, 2])]),
+        reread("job-1", &[]),
+    ]
+}
+
+fn memory(process: &str, kb: u64) -> (String, MemoryPeak) {
+    (process.to_string(), MemoryPeak { kb, at: 9_000 })
+}
+
 fn end(at: u64, status: u16) -> EndRecord {
     EndRecord {
         job: "job-1".to_string(),
@@ -126,7 +157,11 @@
         }],
         new_routes: BTreeMap::from([("new".to_string(), 2)]),
         unexpected_exits: Vec::new(),
-        memory_kb: BTreeMap::from([("edge-4".to_string(), 250_000)]),
+        memory: BTreeMap::from([
+            memory("edge-4 (start 1)", 250_000),
+            memory("storage-1 (start 2)", 126_953),
+        ]),
+        rereads: Vec::new(),
     }
 }
 
@@ -143,7 +178,10 @@
 
 #[rstest]
 fn valid_run_violates_no_check() {
-    assert_eq!(violated_checks(&valid_run(), &[]), BTreeSet::new());
+    let mut observed = valid_run();
+    assert_eq!(violated_checks(&observed, &[]), BTreeSet::new());
+    observed.rereads = valid_rereads();
+    assert_eq!(violated_checks(&observed, &[]), BTreeSet::new());
 }
 
 #[rstest]
@@ -239,10 +277,29 @@
 })]
 #[case::a_content_crashes_too_many_replicas("contents_are_held", |observed: &mut Observed| observed.crashes = 20)]
 #[case::a_process_exited("processes_run", |observed: &mut Observed| {
-    observed.unexpected_exits.push("edge-4".to_string());
+    observed.unexpected_exits.push(UnexpectedExit {
+        name: "edge-4".to_string(),
+        at: 9_000,
+        last_lines: vec!["event=panicked".to_string()],
+    });
 })]
 #[case::a_process_uses_too_much_memory("memory_is_bounded", |observed: &mut Observed| {
-    observed.memory_kb.insert("edge-4".to_string(), 260_000);
+    observed.memory.extend([memory("edge-4 (start 1)", 260_000)]);
+})]
+#[case::a_storage_process_exceeds_its_limit("memory_is_bounded", |observed: &mut Observed| {
+    observed.memory.extend([memory("storage-1 (start 1)", 126_954)]);
+})]
+#[case::an_ended_job_is_not_answered("results_are_readable", |observed: &mut Observed| {
+    observed.rereads = valid_rereads();
+    observed.rereads[1].is_answered = false;
+})]
+#[case::a_result_is_lost("results_are_readable", |observed: &mut Observed| {
+    observed.rereads = valid_rereads();
+    observed.rereads[0].results.clear();
+})]
+#[case::a_result_differs_when_read_again("results_are_readable", |observed: &mut Observed| {
+    observed.rereads = valid_rereads();
+    observed.rereads[0].results[0].text = "other".to_string();
 })]
 fn violation_is_found(#[case] expected: &'static str, #[case] corrupt: fn(&mut Observed)) {
     let mut observed = valid_run();
@@ -484,6 +541,59 @@
     );
 }
 
+/// Guards against final faults that alter more than the storage interruptions near them, that lose
+/// another disk meanwhile, or that do not survive JSON.
+#[rstest]
+fn final_faults_come_last() {
+    for seed in 0..50 {
+        let params = ScheduleParams {
+            length: 60_000,
+            edges: 3,
+            storage: 3,
+            same_id_restarts: false,
+            uneven_load: false,
+        };
+        let plain = Schedule::draw(seed, params);
+        let mut drawn = plain.clone();
+        drawn.add_power_loss();
+        drawn.add_leader_kills();
+        assert!(drawn.faults.is_sorted_by_key(|fault| fault.at));
+        let is_final =
+            |fault: &Fault| matches!(fault.kind, FaultKind::PowerLoss(1) | FaultKind::KillLeaders);
+        let (last, others): (Vec<&Fault>, Vec<&Fault>) =
+            drawn.faults.iter().partition(|fault| is_final(fault));
+        assert_eq!(
+            [last[0].at, last[1].at, last[1].end()],
+            [40_000, 41_000, 46_000]
+        );
+        assert!(others.iter().all(|fault| plain.faults.contains(fault)));
+        assert!(
+            !others
+                .iter()
+                .any(|fault| matches!(fault.kind, FaultKind::Wipe(_)) && fault.at > 30_000)
+        );
+        let text = serde_json::to_string(&drawn).expect("text");
+        assert_eq!(
+            serde_json::from_str::<Schedule>(&text).expect("read"),
+            drawn
+        );
+    }
+}
+
+/// Guards against large jobs of another total size than the schedule asks for.
+#[rstest]
+fn large_jobs_have_the_size_asked_for() {
+    let mut schedule = schedule(&[]);
+    assert!(LargeJobs::of(&schedule).is_none());
+    schedule.job_mb = 60;
+    let load = LargeJobs::of(&schedule).expect("large jobs");
+    let plans = (0..load.count).map(|step| load.plan(step));
+    let items = plans.flat_map(|plan| plan.items);
+    let bytes: u64 = items.map(|item| item.event_bytes as u64 * EVENTS).sum();
+    assert!((60_000_000..64_000_000).contains(&bytes), "{bytes}");
+    assert!(load.interval.as_millis() as u64 * load.count < 46_000);
+}
+
 /// Guards against format changes that make the stored schedules unreadable.
 #[rstest]
 fn stored_schedules_can_be_read() {
@@ -495,5 +605,6 @@
         let text = std::fs::read_to_string(&path).expect("text");
         let schedule: Schedule = serde_json::from_str(&text).expect("a schedule");
         assert!(!schedule.faults.is_empty(), "{path:?}");
+        assert!(schedule.storage_memory_mb > 0, "{path:?}");
     }
 }
--- a/crates/soak/tests/short.rs
+++ b/crates/soak/tests/short.rs
@@ -36,10 +36,13 @@
 }
 
 /// Guards against edges that resume after a suspension and start items or scoring calls of jobs
-/// that were ended meanwhile.
+/// that were ended meanwhile, and against results that cannot be read after a power loss that loses
+/// a disk.
 #[rstest]
 #[tokio::test(flavor = "multi_thread")]
 async fn suspended_edges_begin_nothing_for_ended_jobs() {
     let schedule = include_str!("../seeds/standstills.json");
-    play_and_check(&serde_json::from_str(schedule).expect("a schedule")).await;
+    let mut schedule: Schedule = serde_json::from_str(schedule).expect("a schedule");
+    schedule.add_power_loss();
+    play_and_check(&schedule).await;
 }
