--- a/crates/cluster/src/storage/disk.rs
+++ b/crates/cluster/src/storage/disk.rs
@@ -1,13 +1,16 @@
 //! The file of the log: written before messages are sent, read for members that are far behind, and
 //! rewritten when it grows too large.
 //!
-//! Owns [`Disk`]. A disk failure ends the process, since only stored entries may be acknowledged.
+//! Owns [`Disk`]. A disk failure ends the process, since only stored entries may be acknowledged. A
+//! rewrite that fails before it replaces the file does not.
 
 use super::process::{ProcessError, Storage};
+use super::snapshots::TableState;
 use crate::clock::Moment;
-use brasspond_consensus::{HardState, MemberId, Ready};
-use brasspond_durable::RecordLog;
+use brasspond_consensus::{Entry, HardState, MemberId, Ready, Snapshot};
+use brasspond_durable::{RecordLog, RecordLogError, SnapshotState};
 use brasspond_units::Millis;
+use std::ops::RangeInclusive;
 use std::time::Duration;
 
 /// Maximum bytes of entries read from disk for one message between members. It is the same as the
@@ -19,6 +22,8 @@
 /// occupies a process for a second. Members that all did so at once lost their leader again and
 /// again, and had no history left for those that had fallen behind.
 const REWRITE_SPREAD: f64 = 0.5;
+/// Divisor of the file's size that gives the growth after which a failed rewrite is tried again.
+const RETRY_GROWTH_DIVISOR: u64 = 10;
 
 /// The file of the log.
 pub(super) struct Disk {
@@ -71,11 +76,41 @@
         Ok(took)
     }
 
+    /// Reads entries with these indices: up to `limit` bytes, but at least one.
+    pub fn entries(
+        &self,
+        indices: RangeInclusive<u64>,
+        limit: usize,
+    ) -> Result<Vec<Entry>, ProcessError> {
+        let entries = self.log.entries_in(indices, limit);
+        entries.map_err(ProcessError::Disk)
+    }
+
     /// Returns and resets the time spent writing in this turn of the loop.
     pub fn take_turn_time(&mut self) -> Duration {
         std::mem::take(&mut self.turn_time)
     }
 
+    /// Replaces the file by a snapshot and its entries after the snapshot. If the new file cannot be written,
+    /// for example because the disk is full, the old one stays in use until it has grown by a share.
+    pub fn rewrite<S: SnapshotState>(
+        &mut self,
+        hard_state: HardState,
+        snapshot: Snapshot<S>,
+    ) -> Result<(), ProcessError> {
+        let rewritten = self.log.compact(hard_state, snapshot);
+        let bytes = self.log.bytes();
+        match rewritten {
+            Ok(()) => self.rewrite_threshold = rewrite_threshold(bytes, self.rewrite_factor),
+            Err(error @ RecordLogError::Rewrite(_)) => {
+                log::warn!("event=rewrite_failed file_bytes={bytes} error=\"{error}\"");
+                self.rewrite_threshold = bytes + bytes / RETRY_GROWTH_DIVISOR;
+            }
+            Err(error) => return Err(ProcessError::Disk(error)),
+        }
+        Ok(())
+    }
+
     /// Whether the file is due for a rewrite.
     pub fn needs_rewrite(&self) -> bool {
         self.log.bytes() > self.rewrite_threshold
@@ -120,14 +155,12 @@
 
     /// Rewrites the file as a snapshot of the table and the entries after it.
     pub(super) fn rewrite_file(&mut self) -> Result<(), ProcessError> {
-        let snapshot = self.consensus.snapshot(self.encode_table()?);
-        let entries = self.consensus.unapplied_entries();
-        let disk = &mut self.disk;
-        disk.log
-            .rewrite(self.consensus.hard_state(), snapshot, &entries)
-            .map_err(ProcessError::Disk)?;
-        disk.rewrite_threshold = rewrite_threshold(disk.log.bytes(), disk.rewrite_factor);
-        Ok(())
+        let snapshot = self.consensus.snapshot(TableState {
+            table: &self.table,
+            files: &self.texts.files,
+        });
+        let hard_state = self.consensus.hard_state();
+        self.disk.rewrite(hard_state, snapshot)
     }
 }
 
