Move texts of a job to disk once all its items are listed

A job whose items are all listed has only whole groups, which no later job contains, so its texts are needed for reads alone, too.

Test: finished_jobs_take_little_memory, case all_items_listed, failed before (7,667,602 bytes where 240,000 are allowed).

--- a/crates/cluster/src/storage/applying.rs
+++ b/crates/cluster/src/storage/applying.rs
@@ -9,6 +9,7 @@
 use brasspond_fleet::FleetView;
 use brasspond_jobs::{Accepted, Command};
 use brasspond_quarantine::{CaseChange, Fingerprint};
+use std::collections::BTreeSet;
 
 impl Storage {
     /// Applies a committed entry.
@@ -54,6 +55,10 @@
             }
             Effect::Accepted(_) => {}
             Effect::Listed(items) => {
+                let jobs: BTreeSet<&String> = items.iter().map(|(job, _)| job).collect();
+                for id in jobs {
+                    self.queue_finished_texts(id);
+                }
                 for (job, item) in items {
                     self.dispatch(Event::Listed { job, item });
                 }
@@ -62,9 +67,7 @@
             Effect::Ended(job) => {
                 log::info!("event=job_ended job={job}");
                 self.questions.job_ended(&job);
-                if let Some(ended) = self.table.job(&job) {
-                    self.texts.job_ended(job.clone(), ended);
-                }
+                self.queue_finished_texts(&job);
                 self.dispatch(Event::JobEnded(job));
             }
             Effect::Removed(jobs) => {
@@ -81,6 +84,15 @@
         }
     }
 
+    /// Queues the texts of a job for writing to disk if the job is finished.
+    fn queue_finished_texts(&mut self, id: &str) {
+        if let Some(job) = self.table.job(id)
+            && job.is_finished()
+        {
+            self.texts.job_finished(id, job);
+        }
+    }
+
     /// On the leader, writes a log line for each complete text that the committed log now stores
     /// until the text is scored. From then on the text survives a crash of all processes.
     fn log_stored_drafts(&self, texts: &[(String, u32)]) {
--- a/crates/cluster/src/storage/memory_budget.rs
+++ b/crates/cluster/src/storage/memory_budget.rs
@@ -5,16 +5,16 @@
 
 /// Limit that is assumed if the platform states none, in bytes.
 const DEFAULT_LIMIT: u64 = 256_000_000;
-/// Divisor of the limit that gives the bound on texts of ended jobs that are not on disk yet.
-const ENDED_TEXTS_DIVISOR: u64 = 16;
+/// Divisor of the limit that gives the bound on texts of finished jobs that are not on disk yet.
+const FINISHED_TEXTS_DIVISOR: u64 = 16;
 /// Divisor of the limit that gives the bound on answers that are queued on links.
 const ANSWERS_DIVISOR: u64 = 8;
 
 /// Bounds in bytes.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) struct MemoryBudget {
-    /// Texts of ended jobs that are not on disk yet.
-    pub ended_texts: usize,
+    /// Texts of finished jobs that are not on disk yet.
+    pub finished_texts: usize,
     /// Bytes queued on links from which no further results are read for an answer.
     pub queued_answers: usize,
 }
@@ -25,7 +25,7 @@
         let limit = limit.unwrap_or(DEFAULT_LIMIT);
         let share = |divisor| usize::try_from(limit / divisor).unwrap_or(usize::MAX);
         Self {
-            ended_texts: share(ENDED_TEXTS_DIVISOR),
+            finished_texts: share(FINISHED_TEXTS_DIVISOR),
             queued_answers: share(ANSWERS_DIVISOR),
         }
     }
--- a/crates/cluster/src/storage/snapshots.rs
+++ b/crates/cluster/src/storage/snapshots.rs
@@ -1,4 +1,4 @@
-//! The table as the state of a snapshot. The texts of ended jobs are read from their files, or moved
+//! The table as the state of a snapshot. The texts of finished jobs are read from their files, or moved
 //! there, one job at a time.
 
 use super::process::{ProcessError, Storage};
@@ -43,12 +43,12 @@
     Ok(encoded.into())
 }
 
-/// Decodes a table and moves the texts of each ended job to a file before the next job is decoded.
+/// Decodes a table and moves the texts of each finished job to a file before the next job is decoded.
 pub(super) fn read_table(reader: impl Read, files: &mut TextFiles) -> io::Result<JobTable> {
     JobTable::read_from(reader, |id, job| move_texts(id, job, files))
 }
 
-/// Moves the texts of an ended job to a file. They stay in memory if they cannot be written.
+/// Moves the texts of a finished job to a file. They stay in memory if they cannot be written.
 fn move_texts(id: &str, job: &mut Job, files: &mut TextFiles) {
     let texts = job.texts_for_file();
     if texts.is_empty() {
--- a/crates/cluster/src/storage/texts.rs
+++ b/crates/cluster/src/storage/texts.rs
@@ -1,4 +1,4 @@
-//! Texts of ended jobs, which are moved from memory to disk and read back on demand.
+//! Texts of finished jobs, which are moved from memory to disk and read back on demand.
 //!
 //! Owns [`Texts`]. The files only save memory, since the log stores all texts durably. A text that
 //! cannot be written to a file stays in memory, and one that cannot be read is read from another
@@ -14,63 +14,67 @@
 /// Files with the texts that were moved out of the table.
 pub(super) struct Texts {
     pub files: TextFiles,
-    /// Ended jobs whose texts are not yet written to disk, oldest first.
-    ended: VecDeque<EndedJob>,
-    /// Total size of the texts of `ended`, in bytes.
-    ended_bytes: usize,
+    /// Finished jobs whose texts are not yet written to disk, oldest first.
+    finished: VecDeque<FinishedJob>,
+    /// Total size of the texts of `finished`, in bytes.
+    finished_bytes: usize,
 }
 
-/// An ended job whose texts are not yet written to disk.
-struct EndedJob {
+/// A finished job whose texts are not yet written to disk.
+struct FinishedJob {
     id: String,
     /// Size of its texts in bytes.
     bytes: usize,
 }
 
 impl Texts {
-    /// Wraps the files of a table and queues its ended jobs without a file for writing.
+    /// Wraps the files of a table and queues its finished jobs without a file for writing.
     pub fn new(files: TextFiles, table: &JobTable) -> Self {
         let mut texts = Self {
             files,
-            ended: VecDeque::new(),
-            ended_bytes: 0,
+            finished: VecDeque::new(),
+            finished_bytes: 0,
         };
         let jobs = table.jobs();
-        for (id, job) in jobs.filter(|(_, job)| job.ended && job.text_file.is_none()) {
-            texts.job_ended(id.clone(), job);
+        for (id, job) in jobs.filter(|(_, job)| job.is_finished()) {
+            texts.job_finished(id, job);
         }
         texts
     }
 
-    /// Queues the texts of an ended job for writing.
-    pub fn job_ended(&mut self, id: String, job: &Job) {
+    /// Queues the texts of a finished job for writing, unless they are in a file already.
+    pub fn job_finished(&mut self, id: &str, job: &Job) {
+        if job.text_file.is_some() {
+            return;
+        }
         let bytes = job.text_bytes();
-        self.ended_bytes += bytes;
-        self.ended.push_back(EndedJob { id, bytes });
+        self.finished_bytes += bytes;
+        let id = id.to_string();
+        self.finished.push_back(FinishedJob { id, bytes });
     }
 
-    fn next_ended(&mut self) -> Option<String> {
-        let job = self.ended.pop_front()?;
-        self.ended_bytes -= job.bytes;
+    fn next_finished(&mut self) -> Option<String> {
+        let job = self.finished.pop_front()?;
+        self.finished_bytes -= job.bytes;
         Some(job.id)
     }
 }
 
 impl Storage {
-    /// Writes the texts of the next ended job to disk if those of all ended jobs exceed their share
-    /// of the memory limit. A process that applies a long log would otherwise hold the texts of all
+    /// Writes the texts of the next finished job to disk if those of all finished jobs exceed their
+    /// share of the memory limit. A process that applies a long log would otherwise hold the texts of all
     /// jobs in it.
     pub(super) fn offload_excess_texts(&mut self) {
         let budget = MemoryBudget::new(self.settings.process.memory_limit);
-        if self.texts.ended_bytes > budget.ended_texts {
+        if self.texts.finished_bytes > budget.finished_texts {
             self.offload_texts();
         }
     }
 
-    /// Writes the texts of the next ended job to disk. Each call writes only one job, since a
+    /// Writes the texts of the next finished job to disk. Each call writes only one job, since a
     /// process that has just started may have many.
     pub(super) fn offload_texts(&mut self) {
-        let Some(job) = self.texts.next_ended() else {
+        let Some(job) = self.texts.next_finished() else {
             return;
         };
         let texts = self.table.texts_for_file(&job);
--- a/crates/jobs/src/text_file.rs
+++ b/crates/jobs/src/text_file.rs
@@ -1,8 +1,9 @@
-//! Texts of ended jobs that are stored in files rather than in the table.
+//! Texts of finished jobs that are stored in files rather than in the table.
 //!
-//! Callers may read results long after a job has ended, and texts take most of the table's memory.
-//! Once a job has ended, the texts of its complete groups are needed only for these reads, because
-//! no later job contains items of these groups. The process that owns the table may write these
+//! Callers may read results long after a job has finished, and texts take most of the table's
+//! memory. Once a job has finished, because it ended or all its items are listed, the texts of its
+//! complete groups are needed only for these reads, because no later job contains items of these
+//! groups. The process that owns the table may write these
 //! texts to its disk; the table then stores their offsets. The offsets are local to the process and
 //! are not replicated.
 
@@ -42,8 +43,8 @@
 }
 
 impl JobTable {
-    /// Returns the texts of an ended job that are needed only for reads, with their positions. The
-    /// list is empty if the job does not exist or has not ended, or if any of its texts were
+    /// Returns the texts of a finished job that are needed only for reads, with their positions. The
+    /// list is empty if the job does not exist or has not finished, or if any of its texts were
     /// already moved to a file.
     pub fn texts_for_file(&self, id: &str) -> Vec<(u64, Bytes)> {
         self.job(id).map_or_else(Vec::new, Job::texts_for_file)
@@ -72,7 +73,7 @@
 impl Job {
     /// Returns the texts that are needed only for reads; see [`JobTable::texts_for_file`].
     pub fn texts_for_file(&self) -> Vec<(u64, Bytes)> {
-        if !self.ended || self.text_file.is_some() {
+        if !self.is_finished() || self.text_file.is_some() {
             return Vec::new();
         }
         let incomplete = self.incomplete_groups();
--- a/crates/jobs/tests/text_file.rs
+++ b/crates/jobs/tests/text_file.rs
@@ -34,6 +34,14 @@
 
 /// Accepts a job, lists its first `listed` items and ends it.
 fn run_job(table: &mut JobTable, id: &str, items: usize, listed: u32) {
+    list_items(table, id, items, listed);
+    table.apply(Command::End {
+        job: id.to_string(),
+    });
+}
+
+/// Accepts a job and lists its first `listed` items.
+fn list_items(table: &mut JobTable, id: &str, items: usize, listed: u32) {
     table.apply(Command::Accept(submission(id, items)));
     let drafts = (0..listed).map(|item| Draft {
         job: id.to_string(),
@@ -43,9 +51,6 @@
         versions: vec![1],
     });
     table.apply(Command::Finish(drafts.collect()));
-    table.apply(Command::End {
-        job: id.to_string(),
-    });
 }
 
 /// Moves a job's texts to a file and returns the file's content.
@@ -119,15 +124,18 @@
     assert_eq!(table.encode().expect("encodes"), before);
 }
 
-/// Guards against a storage process that runs out of memory because it retains texts of ended jobs.
+/// Guards against a storage process that runs out of memory because it retains texts of finished
+/// jobs.
 #[rstest]
-fn ended_jobs_take_little_memory() {
+#[case::ended(run_job)]
+#[case::all_items_listed(list_items)]
+fn finished_jobs_take_little_memory(#[case] run: fn(&mut JobTable, &str, usize, u32)) {
     const JOBS: usize = 40;
     const ITEMS: usize = 24;
     let mut table = JobTable::default();
     for number in 0..JOBS {
         let id = format!("job-{number}");
-        run_job(&mut table, &id, ITEMS, ITEMS as u32);
+        run(&mut table, &id, ITEMS, ITEMS as u32);
         move_to_file(&mut table, &id);
     }
     let bytes = table.encode().expect("encodes").len();
