--- a/crates/cluster/src/link.rs
+++ b/crates/cluster/src/link.rs
@@ -27,8 +27,9 @@
 const LINK_CONNECT_TIMEOUT: Duration = Duration::from_millis(600);
 /// Delay before a failed link is opened or accepted again.
 const LINK_RETRY_DELAY: Duration = Duration::from_millis(150);
-/// Buffer space reserved for each read, in bytes.
-const READ_BUFFER_BYTES: usize = 32 * 1024;
+/// Buffer space reserved for each read, in bytes. Each link keeps at least as much, and a storage
+/// process has one to every edge; for a longer frame the rest of its length is reserved.
+const READ_BUFFER_BYTES: usize = 4 * 1024;
 
 /// Id of a link, unique within a process.
 pub(crate) type LinkId = u64;
