--- a/crates/cluster-protocol/src/frame.rs
+++ b/crates/cluster-protocol/src/frame.rs
@@ -6,12 +6,15 @@
 
 use crate::{Message, Peer};
 use brasspond_compression::{PLAIN, UnpackError, pack, unpack};
+use brasspond_consensus::{Message as LogMessage, Snapshot};
 use bytes::{Buf, Bytes, BytesMut};
 use displaydoc::Display;
 
 /// Maximum size of a frame in bytes, both compressed and decompressed. A snapshot must fit.
 const MAX_FRAME_BYTES: usize = 256 * 1024 * 1024;
 const LENGTH_BYTES: usize = 4;
+/// Length of an empty `bin` in MessagePack.
+const EMPTY_BIN_BYTES: usize = 2;
 
 /// Why a frame cannot be read.
 #[derive(Debug, Display)]
@@ -48,6 +51,64 @@
     frame.into()
 }
 
+/// Encodes a message as parts whose concatenation is the frame of [`encode`]. The state of a
+/// snapshot is a part of its own and not copied, because it may take most of a process's memory.
+pub fn encode_parts(message: &Message) -> Vec<Bytes> {
+    install_parts(message).unwrap_or_else(|| vec![encode(message)])
+}
+
+/// Splits the frame of a snapshot before and after its state; `None` for other messages.
+fn install_parts(message: &Message) -> Option<Vec<Bytes>> {
+    let Message::Consensus { from, to, message } = message else {
+        return None;
+    };
+    let LogMessage::Install {
+        term,
+        snapshot,
+        sent_at,
+    } = message
+    else {
+        return None;
+    };
+    let without_state = Message::Consensus {
+        from: *from,
+        to: *to,
+        message: LogMessage::Install {
+            term: *term,
+            snapshot: Snapshot {
+                index: snapshot.index,
+                term: snapshot.term,
+                members: snapshot.members.clone(),
+                state: Bytes::new(),
+            },
+            sent_at: *sent_at,
+        },
+    };
+    // Only the time of sending follows the state.
+    let tail = rmp_serde::to_vec(sent_at).ok()?;
+    let mut head = encode(&without_state).to_vec();
+    let head_bytes = head.len().checked_sub(tail.len() + EMPTY_BIN_BYTES)?;
+    head.truncate(head_bytes);
+    push_bin_header(&mut head, snapshot.state.len());
+    let length = head.len() - LENGTH_BYTES + snapshot.state.len() + tail.len();
+    let length = u32::try_from(length).unwrap_or(u32::MAX);
+    head[..LENGTH_BYTES].copy_from_slice(&length.to_be_bytes());
+    Some(vec![head.into(), snapshot.state.clone(), tail.into()])
+}
+
+/// Appends the shortest header of a MessagePack `bin`. Lengths above 32 bits do not fit in a frame.
+fn push_bin_header(buffer: &mut Vec<u8>, length: usize) {
+    if let Ok(length) = u8::try_from(length) {
+        buffer.extend([0xc4, length]);
+    } else if let Ok(length) = u16::try_from(length) {
+        buffer.push(0xc5);
+        buffer.extend(length.to_be_bytes());
+    } else {
+        buffer.push(0xc6);
+        buffer.extend(u32::try_from(length).unwrap_or(u32::MAX).to_be_bytes());
+    }
+}
+
 /// Encodes a message without its frame. Builds that lack a field of an edge's hello could not
 /// decode it by position.
 fn write(frame: &mut Vec<u8>, message: &Message) -> Result<(), rmp_serde::encode::Error> {
--- a/crates/cluster-protocol/src/lib.rs
+++ b/crates/cluster-protocol/src/lib.rs
@@ -14,7 +14,7 @@
 mod kind;
 mod run;
 
-pub use frame::{FrameBuffer, FrameError, encode};
+pub use frame::{FrameBuffer, FrameError, encode, encode_parts};
 pub use kind::MessageKind;
 pub use run::{
     AttemptId, Pace, RunEnd, RunProgress, RunReport, RunSpec, ScoringEnd, ScoringSpec, StreamEvent,
--- a/crates/cluster/src/link_writer.rs
+++ b/crates/cluster/src/link_writer.rs
@@ -4,7 +4,7 @@
 //! false.
 
 use crate::link_context::LinkContext;
-use brasspond_cluster_protocol::{Message, MessageKind, encode};
+use brasspond_cluster_protocol::{Message, MessageKind, encode, encode_parts};
 use brasspond_distance::Distance;
 use bytes::Bytes;
 use std::cell::Cell;
@@ -16,7 +16,7 @@
 /// Maximum number of bytes queued for one link. A frame that exceeds it is dropped, unless the
 /// queue is empty.
 const MAX_QUEUED_BYTES: usize = 4 * 1024 * 1024;
-/// Maximum number of frames queued for one link. Further frames are dropped.
+/// Maximum number of frames, or parts of frames, queued for one link. Further frames are dropped.
 const MAX_QUEUED_FRAMES: usize = 4_096;
 /// Small frames are batched up to about this many bytes; a frame of at least this size is written
 /// separately.
@@ -55,24 +55,32 @@
 
     /// Queues a message. Returns false if the queue is full or the link is down.
     pub(crate) fn send(&self, message: &Message) -> bool {
-        self.send_frame(MessageKind::of(message), encode(message))
+        self.send_parts(MessageKind::of(message), encode_parts(message))
     }
 
     /// Queues an encoded frame. Returns false if the queue is full or the link is down. The queue
     /// is bounded to limit the memory used for a peer that does not read.
     pub(crate) fn send_frame(&self, kind: MessageKind, frame: Bytes) -> bool {
-        let length = frame.len();
+        self.send_parts(kind, vec![frame])
+    }
+
+    /// Queues all parts of a frame or none. Nothing is queued between them.
+    fn send_parts(&self, kind: MessageKind, parts: Vec<Bytes>) -> bool {
+        let length = parts.iter().map(Bytes::len).sum::<usize>();
         let queued_bytes = self.queued_bytes.get();
         if queued_bytes > 0 && queued_bytes + length > MAX_QUEUED_BYTES {
             return false;
         }
-        let is_queued = self.queue.try_send(frame).is_ok();
-        if is_queued {
-            self.queued_bytes.set(queued_bytes + length);
-            let traffic = &self.context.traffic;
-            traffic.record(kind, self.distance.get(), length);
+        let Ok(permits) = self.queue.try_reserve_many(parts.len()) else {
+            return false;
+        };
+        for (permit, part) in permits.zip(parts) {
+            permit.send(part);
         }
-        is_queued
+        self.queued_bytes.set(queued_bytes + length);
+        let traffic = &self.context.traffic;
+        traffic.record(kind, self.distance.get(), length);
+        true
     }
 
     /// Number of bytes queued and not yet written to the connection.
--- a/crates/cluster/tests/unit/link_writer.rs
+++ b/crates/cluster/tests/unit/link_writer.rs
@@ -1,9 +1,11 @@
 //! Tests of frames that are sent on many links.
 
-use super::shared_frame;
+use super::{Writer, shared_frame};
 use crate::test_replicas::replica;
 use brasspond_cluster_protocol::{FrameBuffer, Message, encode};
+use brasspond_consensus::{Message as LogMessage, Snapshot};
 use brasspond_fleet::{FleetView, replicas_by_id};
+use bytes::Bytes;
 use rstest::rstest;
 
 const REPLICAS: u64 = 3_000;
@@ -40,3 +42,29 @@
     };
     assert_eq!(read, sent);
 }
+
+fn snapshot() -> Message {
+    Message::Consensus {
+        from: 1,
+        to: 2,
+        message: LogMessage::Install {
+            term: 3,
+            snapshot: Snapshot {
+                index: 400,
+                term: 2,
+                members: Vec::new(),
+                state: Bytes::from(vec![7; 300]),
+            },
+            sent_at: 5,
+        },
+    }
+}
+
+/// Guards against a link that carries only the first parts of a frame, which its peer cannot decode.
+#[rstest]
+fn a_snapshot_that_does_not_fit_into_the_queue_is_dropped_whole() {
+    let (writer, mut queue) = Writer::detached_with_queue();
+    assert!(!writer.send(&snapshot()));
+    assert_eq!(writer.queued_bytes(), 0);
+    assert!(queue.try_recv().is_err());
+}
