--- a/crates/cluster-protocol/src/frame.rs
+++ b/crates/cluster-protocol/src/frame.rs
@@ -6,13 +6,17 @@
 
 use crate::{Message, Peer};
 use brasspond_compression::{PLAIN, UnpackError, pack, unpack};
-use brasspond_consensus::{Message as LogMessage, Snapshot};
+use brasspond_consensus::{MemberId, Message as LogMessage, Snapshot};
 use bytes::{Buf, Bytes, BytesMut};
 use displaydoc::Display;
+use serde::Deserialize;
 
 /// Maximum size of a frame in bytes, both compressed and decompressed. A snapshot must fit.
 const MAX_FRAME_BYTES: usize = 256 * 1024 * 1024;
 const LENGTH_BYTES: usize = 4;
+/// Minimum size in bytes of a frame whose memory is not reused, and whose snapshot is not copied out
+/// of it.
+const LARGE_FRAME_BYTES: usize = 64 * 1024;
 /// Length of an empty `bin` in MessagePack.
 const EMPTY_BIN_BYTES: usize = 2;
 
@@ -145,8 +149,66 @@
         }
         self.bytes.advance(LENGTH_BYTES);
         let frame = self.bytes.split_to(length).freeze();
+        if length >= LARGE_FRAME_BYTES {
+            // Otherwise this buffer would keep the memory of the frame.
+            self.bytes = BytesMut::from(&self.bytes[..]);
+        }
         let frame = unpack(frame, MAX_FRAME_BYTES).map_err(FrameError::Unpack)?;
-        let message = rmp_serde::from_slice(&frame).map_err(FrameError::Decode)?;
-        Ok(Some(message))
+        decode(&frame).map(Some).map_err(FrameError::Decode)
+    }
+}
+
+/// Decodes a message. The state of a large snapshot shares the memory of `frame`.
+fn decode(frame: &Bytes) -> Result<Message, rmp_serde::decode::Error> {
+    if frame.len() >= LARGE_FRAME_BYTES
+        && let Ok(install) = rmp_serde::from_slice::<BorrowedMessage<'_>>(frame)
+    {
+        return Ok(install.into_message(frame));
+    }
+    rmp_serde::from_slice(frame)
+}
+
+/// A [`Message`] with a snapshot whose state is a slice of the frame. Other messages do not decode.
+#[derive(Deserialize)]
+enum BorrowedMessage<'a> {
+    Consensus {
+        from: MemberId,
+        to: MemberId,
+        #[serde(borrow)]
+        message: BorrowedInstall<'a>,
+    },
+}
+
+#[derive(Deserialize)]
+enum BorrowedInstall<'a> {
+    Install {
+        term: u64,
+        #[serde(borrow)]
+        snapshot: Snapshot<&'a [u8]>,
+        #[serde(default)]
+        sent_at: u64,
+    },
+}
+
+impl BorrowedMessage<'_> {
+    fn into_message(self, frame: &Bytes) -> Message {
+        let Self::Consensus { from, to, message } = self;
+        let BorrowedInstall::Install {
+            term,
+            snapshot,
+            sent_at,
+        } = message;
+        let snapshot = Snapshot {
+            index: snapshot.index,
+            term: snapshot.term,
+            members: snapshot.members,
+            state: frame.slice_ref(snapshot.state),
+        };
+        let message = LogMessage::Install {
+            term,
+            snapshot,
+            sent_at,
+        };
+        Message::Consensus { from, to, message }
     }
 }
--- a/crates/cluster/src/link.rs
+++ b/crates/cluster/src/link.rs
@@ -290,7 +290,10 @@
                 return Err(LinkEnd::Unreadable);
             }
         }
-        buffer.bytes.reserve(READ_BUFFER_BYTES);
+        // The buffer already has the space for the rest of a longer frame.
+        if buffer.bytes.len() < READ_BUFFER_BYTES {
+            buffer.bytes.reserve(READ_BUFFER_BYTES);
+        }
         match reader.read_buf(&mut buffer.bytes).await {
             Ok(0) => return Err(LinkEnd::Closed),
             Ok(_) => {}
--- a/crates/cluster/src/storage/turn.rs
+++ b/crates/cluster/src/storage/turn.rs
@@ -88,9 +88,9 @@
     fn advance(&mut self, now: Millis) -> Result<bool, ProcessError> {
         self.propose_results();
         self.consensus.replicate(now);
-        let ready = self.consensus.take_ready();
+        let mut ready = self.consensus.take_ready();
         let has_persisted = self.persist(&ready)?;
-        if let Some(snapshot) = &ready.snapshot {
+        if let Some(snapshot) = ready.snapshot.take() {
             self.install_snapshot(snapshot, now)?;
         }
         self.consensus.persisted(self.consensus.last_index());
@@ -138,7 +138,7 @@
 
     /// Replaces the table by the leader's snapshot. Orders announced in the log entries that the
     /// snapshot replaces are unknown.
-    fn install_snapshot(&mut self, snapshot: &Snapshot, now: Millis) -> Result<(), ProcessError> {
+    fn install_snapshot(&mut self, snapshot: Snapshot, now: Millis) -> Result<(), ProcessError> {
         self.replace_table(&snapshot.state)?;
         self.last_announcements = LastAnnouncements::after_snapshot(now);
         log::info!("event=snapshot_installed index={}", snapshot.index);
