--- a/crates/cluster/src/edge/questions.rs
+++ b/crates/cluster/src/edge/questions.rs
@@ -120,8 +120,8 @@
     /// Asks each connected storage process until one has results at the requested position. Results
     /// in the log can be read there while there is no leader.
     async fn ask_members_in_turn(&self, question: &Question, deadline: Moment) -> Option<Answer> {
-        let readers = self.storage.borrow().readers();
-        for reader in readers {
+        let members = self.storage.borrow().linked_members();
+        for reader in members {
             let left = deadline.saturating_duration_since(Moment::now());
             if left.is_zero() || self.storage.borrow().contact.leader().is_some() {
                 return None;
--- a/crates/cluster/src/edge/storage_links.rs
+++ b/crates/cluster/src/edge/storage_links.rs
@@ -411,22 +411,22 @@
     /// Asks all storage processes to which this edge has opened a link for the members.
     pub(super) fn ask_for_members(&mut self) -> Vec<oneshot::Receiver<Answer>> {
         let pending = self
-            .readers()
+            .linked_members()
             .into_iter()
             .map(|reader| self.ask(reader.link, &reader.writer, Question::Members));
         pending.flatten().collect()
     }
 
     /// All storage processes to which this edge has opened a link.
-    pub(super) fn readers(&self) -> Vec<Reader> {
+    pub(super) fn linked_members(&self) -> Vec<Reader> {
         let links = self.links.iter();
         // Excludes links that other processes opened to this edge.
         let dialled = links.filter(|(_, state)| self.dialers.contains_key(&state.address));
-        let readers = dialled.map(|(link, state)| Reader {
+        let members = dialled.map(|(link, state)| Reader {
             link: *link,
             writer: state.writer.clone(),
         });
-        readers.collect()
+        members.collect()
     }
 
     /// Requests a full view, delayed if the last request was less than [`VIEW_REQUEST_PAUSE_MS`]
--- a/crates/cluster/src/storage/questions.rs
+++ b/crates/cluster/src/storage/questions.rs
@@ -344,7 +344,7 @@
         };
         let mut room = AnswerRoom::new(self);
         for mut poll in std::mem::take(&mut self.questions.polls) {
-            if is_unconfirmed && !self.is_answerable_by_any(&poll) {
+            if is_unconfirmed && !self.has_results_for(&poll) {
                 self.questions.polls.push(poll);
                 continue;
             }
@@ -365,8 +365,8 @@
         }
     }
 
-    /// Whether any process with these results may answer a poll; see [`Self::has_results`].
-    fn is_answerable_by_any(&self, poll: &Poll) -> bool {
+    /// Whether this process has results for a poll; see [`Self::has_results`].
+    fn has_results_for(&self, poll: &Poll) -> bool {
         self.has_results(&poll.job, poll.since, poll.tenant.as_deref())
     }
 
@@ -427,7 +427,7 @@
         for poll in std::mem::take(&mut self.questions.polls) {
             if self.may_read(&poll.job, poll.tenant.as_deref()) {
                 self.questions.polls.push(poll);
-            } else if self.is_answerable_by_any(&poll) {
+            } else if self.has_results_for(&poll) {
                 // Results that this process lacks may exist elsewhere, so the poll waits no longer.
                 let poll = poll.due_at_once(now);
                 self.questions.polls.push(poll);
