--- a/crates/cluster/src/storage/disk.rs
+++ b/crates/cluster/src/storage/disk.rs
@@ -7,6 +7,7 @@
 use super::process::{ProcessError, Storage};
 use super::snapshots::TableState;
 use crate::clock::Moment;
+use crate::memory::ResidentMemory;
 use brasspond_consensus::{Entry, HardState, MemberId, Ready, Snapshot};
 use brasspond_durable::{RecordLog, RecordLogError, SnapshotState};
 use brasspond_units::Millis;
@@ -25,6 +26,9 @@
 /// Divisor of the file's size that gives the growth after which a failed rewrite is tried again.
 const RETRY_GROWTH_DIVISOR: u64 = 10;
 
+/// Divisor of the memory limit that gives the share which a snapshot may not use.
+const RESERVED_MEMORY_DIVISOR: u64 = 16;
+
 /// The file of the log.
 pub(super) struct Disk {
     log: RecordLog,
@@ -44,6 +48,15 @@
     (least as f64 * factor) as u64
 }
 
+/// Whether a process that uses `used` of `limit` bytes can hold as many `more`; true if either is
+/// unknown. A share of the limit is left for its other work.
+fn fits(limit: Option<u64>, used: Option<u64>, more: u64) -> bool {
+    let (Some(limit), Some(used)) = (limit, used) else {
+        return true;
+    };
+    used + more <= limit - limit / RESERVED_MEMORY_DIVISOR
+}
+
 impl Disk {
     /// Wraps an open file. `random`, from 0 to 1, spreads the rewrites of the members of a group.
     pub fn new(log: RecordLog, random: f64) -> Self {
@@ -124,8 +137,8 @@
 
 impl Storage {
     /// Sends a member the log from `next` on: entries from the file, or a snapshot if the file
-    /// starts later. Sends nothing while an earlier message is queued on the member's link;
-    /// consensus then requests the entries again.
+    /// starts later. Sends nothing while an earlier message is queued on the member's link, or while
+    /// this process has no memory for the snapshot; consensus then requests the entries again.
     pub(super) fn send_history(
         &mut self,
         member: MemberId,
@@ -141,6 +154,11 @@
                 .send_stored(member, previous_term, entries, now);
             return Ok(());
         }
+        let state_bytes = self.encoded_table_bytes()?;
+        if !self.has_memory_for(state_bytes) {
+            log::warn!("event=snapshot_withheld member={member:016x} bytes={state_bytes}");
+            return Ok(());
+        }
         let snapshot = self.consensus.snapshot(self.encode_table()?);
         log::info!(
             "event=snapshot_sent member={member:016x} index={} bytes={}",
@@ -151,6 +169,14 @@
         Ok(())
     }
 
+    /// Whether this process stays within its memory limit if it holds as many bytes more. A leader that
+    /// ended at the limit would be followed by one that has as much to send.
+    fn has_memory_for(&self, bytes: u64) -> bool {
+        let limit = self.settings.process.memory_limit;
+        let used = ResidentMemory::read().map(|memory| memory.current_kb * 1_024);
+        fits(limit, used, bytes)
+    }
+
     /// Whether a member is connected and has no queued bytes.
     fn is_link_idle(&self, member: MemberId) -> bool {
         let link = self.group.link_of(member);
--- a/crates/cluster/src/storage/snapshots.rs
+++ b/crates/cluster/src/storage/snapshots.rs
@@ -27,11 +27,20 @@
 impl Storage {
     /// Encodes the table for a snapshot, including all texts.
     pub(super) fn encode_table(&self) -> Result<Bytes, ProcessError> {
-        let state = TableState {
+        encode(&self.table_state()).map_err(ProcessError::Texts)
+    }
+
+    /// Size in bytes of the table as encoded for a snapshot.
+    pub(super) fn encoded_table_bytes(&self) -> Result<u64, ProcessError> {
+        let bytes = self.table_state().encoded_bytes();
+        bytes.map_err(ProcessError::Texts)
+    }
+
+    pub(super) fn table_state(&self) -> TableState<'_> {
+        TableState {
             table: &self.table,
             files: &self.texts.files,
-        };
-        encode(&state).map_err(ProcessError::Texts)
+        }
     }
 }
 
--- a/crates/cluster/tests/unit/disk.rs
+++ b/crates/cluster/tests/unit/disk.rs
@@ -1,6 +1,6 @@
 //! When the file of the log is rewritten.
 
-use super::{Disk, MIN_REWRITE_BYTES, REWRITE_SPREAD, rewrite_threshold};
+use super::{Disk, MIN_REWRITE_BYTES, REWRITE_SPREAD, fits, rewrite_threshold};
 use brasspond_consensus::{HardState, Ready, Snapshot};
 use brasspond_durable::RecordLog;
 use bytes::Bytes;
@@ -57,3 +57,21 @@
         .expect("persisted");
     assert!(disk.needs_rewrite(), "the file has grown by a tenth");
 }
+
+/// Guards against a leader that ends at its memory limit by the snapshot that it sends, as the next
+/// one does.
+#[rstest]
+#[case::fits(Some(130), Some(40), 80, true)]
+#[case::just_fits(Some(128), Some(40), 80, true)]
+#[case::no_share_left(Some(128), Some(40), 81, false)]
+#[case::more_than_all(Some(130), Some(40), 200, false)]
+#[case::no_limit(None, Some(40), 200, true)]
+#[case::no_figures(Some(130), None, 200, true)]
+fn a_snapshot_is_sent_only_if_the_process_has_memory_for_it(
+    #[case] limit: Option<u64>,
+    #[case] used: Option<u64>,
+    #[case] bytes: u64,
+    #[case] expected: bool,
+) {
+    assert_eq!(fits(limit, used, bytes), expected);
+}
