--- a/crates/cluster/src/storage/snapshots.rs
+++ b/crates/cluster/src/storage/snapshots.rs
@@ -1,4 +1,4 @@
-//! The table as the state of a snapshot. The texts of ended jobs are read from their files, or moved
+//! The table as the state of a snapshot. The texts of finished jobs are read from their files, or moved
 //! there, one job at a time.
 
 use super::process::{ProcessError, Storage};
@@ -27,11 +27,20 @@
 impl Storage {
     /// Encodes the table for a snapshot, including all texts.
     pub(super) fn encode_table(&self) -> Result<Bytes, ProcessError> {
-        let state = TableState {
+        encode(&self.table_state()).map_err(ProcessError::Texts)
+    }
+
+    /// Size in bytes of the table as encoded for a snapshot.
+    pub(super) fn encoded_table_bytes(&self) -> Result<u64, ProcessError> {
+        let bytes = self.table_state().encoded_bytes();
+        bytes.map_err(ProcessError::Texts)
+    }
+
+    pub(super) fn table_state(&self) -> TableState<'_> {
+        TableState {
             table: &self.table,
             files: &self.texts.files,
-        };
-        encode(&state).map_err(ProcessError::Texts)
+        }
     }
 }
 
@@ -43,12 +52,12 @@
     Ok(encoded.into())
 }
 
-/// Decodes a table and moves the texts of each ended job to a file before the next job is decoded.
+/// Decodes a table and moves the texts of each finished job to a file before the next job is decoded.
 pub(super) fn read_table(reader: impl Read, files: &mut TextFiles) -> io::Result<JobTable> {
     JobTable::read_from(reader, |id, job| move_texts(id, job, files))
 }
 
-/// Moves the texts of an ended job to a file. They stay in memory if they cannot be written.
+/// Moves the texts of a finished job to a file. They stay in memory if they cannot be written.
 fn move_texts(id: &str, job: &mut Job, files: &mut TextFiles) {
     let texts = job.texts_for_file();
     if texts.is_empty() {
--- a/crates/cluster/src/storage/turn.rs
+++ b/crates/cluster/src/storage/turn.rs
@@ -78,19 +78,25 @@
         self.consensus.compact(LOG_MEMORY_BYTES);
         self.consensus.unload(MAX_UNAPPLIED_BYTES);
         self.update_state(now);
-        if self.disk.needs_rewrite() {
+        if self.disk.needs_rewrite() && self.may_rewrite() {
             self.rewrite_file()?;
         }
         Ok(())
     }
 
+    /// Whether a rewrite would shorten the file: the entries that it drops are applied.
+    fn may_rewrite(&self) -> bool {
+        let applied = self.consensus.applied_index();
+        applied > self.disk.base_index() && !self.consensus.has_backlog()
+    }
+
     /// Persists, then sends and applies. Returns whether there may be more to do.
     fn advance(&mut self, now: Millis) -> Result<bool, ProcessError> {
         self.propose_results();
         self.consensus.replicate(now);
-        let ready = self.consensus.take_ready();
+        let mut ready = self.consensus.take_ready();
         let has_persisted = self.persist(&ready)?;
-        if let Some(snapshot) = &ready.snapshot {
+        if let Some(snapshot) = ready.snapshot.take() {
             self.install_snapshot(snapshot, now)?;
         }
         self.consensus.persisted(self.consensus.last_index());
@@ -138,7 +144,7 @@
 
     /// Replaces the table by the leader's snapshot. Orders announced in the log entries that the
     /// snapshot replaces are unknown.
-    fn install_snapshot(&mut self, snapshot: &Snapshot, now: Millis) -> Result<(), ProcessError> {
+    fn install_snapshot(&mut self, snapshot: Snapshot, now: Millis) -> Result<(), ProcessError> {
         self.replace_table(&snapshot.state)?;
         self.last_announcements = LastAnnouncements::after_snapshot(now);
         log::info!("event=snapshot_installed index={}", snapshot.index);
