--- a/crates/cluster/src/storage/disk.rs
+++ b/crates/cluster/src/storage/disk.rs
@@ -26,6 +26,8 @@
 /// Divisor of the file's size that gives the growth after which a failed rewrite is tried again.
 const RETRY_GROWTH_DIVISOR: u64 = 10;
 
+/// Time after which a withheld snapshot is tried again. Its size takes a leader 100 ms to compute.
+const SNAPSHOT_RETRY_INTERVAL: Millis = 5_000;
 /// Divisor of the memory limit that gives the share which a snapshot may not use.
 const RESERVED_MEMORY_DIVISOR: u64 = 16;
 
@@ -38,6 +40,8 @@
     rewrite_threshold: u64,
     /// Time spent writing in the current turn of the loop.
     turn_time: Duration,
+    /// Until when no snapshot is sent, since there was no memory for the last one.
+    snapshot_retry_at: Millis,
 }
 
 /// Size of the file at which it is rewritten, in bytes. `rewritten` is its size after the last time.
@@ -66,6 +70,7 @@
             rewrite_factor,
             rewrite_threshold: rewrite_threshold(0, rewrite_factor),
             turn_time: Duration::ZERO,
+            snapshot_retry_at: 0,
         }
     }
 
@@ -154,8 +159,12 @@
                 .send_stored(member, previous_term, entries, now);
             return Ok(());
         }
+        if now < self.disk.snapshot_retry_at {
+            return Ok(());
+        }
         let state_bytes = self.encoded_table_bytes()?;
         if !self.has_memory_for(state_bytes) {
+            self.disk.snapshot_retry_at = now + SNAPSHOT_RETRY_INTERVAL;
             log::warn!("event=snapshot_withheld member={member:016x} bytes={state_bytes}");
             return Ok(());
         }
