Ask all members for results at once while there is no leader

Cause: since reads are answered without a leader, an edge asked the members that it is linked to one after the other, 300 ms each; two of three were suspended.

Change: all are asked together, for 150 ms at most, and the first page is taken.

--- a/crates/cluster/src/edge/questions.rs
+++ b/crates/cluster/src/edge/questions.rs
@@ -6,6 +6,8 @@
 use super::process::Edge;
 use crate::clock::{Moment, within};
 use brasspond_cluster_protocol::{Answer, Question};
+use futures::StreamExt;
+use futures::stream::FuturesUnordered;
 use std::time::Duration;
 use tokio::sync::watch;
 
@@ -15,6 +17,9 @@
 /// Timeout of the answer of the nearest storage process (the reader), in addition to the wait that
 /// the question requests. After the timeout the leader is asked.
 const READER_ANSWER_TIMEOUT: Duration = Duration::from_millis(300);
+/// Timeout of the answers of all connected storage processes. A read that none of them can answer is
+/// refused after it.
+const MEMBER_ANSWER_TIMEOUT: Duration = Duration::from_millis(150);
 /// Time for which a reader is not asked after it did not answer, in ms.
 const READER_PAUSE_MS: u64 = 2_000;
 /// Pause before the leader is asked again. A change of the leader ends it early.
@@ -78,7 +83,7 @@
             Err(error) => error,
         };
         if self.storage.borrow().contact.leader().is_none()
-            && let Some(answer) = self.ask_members_in_turn(&question, deadline).await
+            && let Some(answer) = self.ask_members(&question, deadline).await
         {
             return Ok(answer);
         }
@@ -117,23 +122,18 @@
         }
     }
 
-    /// Asks each connected storage process until one has results at the requested position. Results
-    /// in the log can be read there while there is no leader.
-    async fn ask_members_in_turn(&self, question: &Question, deadline: Moment) -> Option<Answer> {
+    /// Asks all connected storage processes for results and returns the first page. Results in the log
+    /// can be read there while there is no leader. They are asked together, since some may be silent.
+    async fn ask_members(&self, question: &Question, deadline: Moment) -> Option<Answer> {
+        let left = deadline.saturating_duration_since(Moment::now());
+        let limit = left.min(MEMBER_ANSWER_TIMEOUT);
         let members = self.storage.borrow().linked_members();
-        for reader in members {
-            let left = deadline.saturating_duration_since(Moment::now());
-            if left.is_zero() || self.storage.borrow().contact.leader().is_some() {
-                return None;
-            }
-            let asked = {
-                let mut storage = self.storage.borrow_mut();
-                storage.ask(reader.link, &reader.writer, question.clone())
-            };
-            let Some(asked) = asked else {
-                continue;
-            };
-            let answer = within(left.min(READER_ANSWER_TIMEOUT), asked).await;
+        let asked = members.into_iter().filter_map(|member| {
+            let mut storage = self.storage.borrow_mut();
+            storage.ask(member.link, &member.writer, question.clone())
+        });
+        let mut answers: FuturesUnordered<_> = asked.map(|one| within(limit, one)).collect();
+        while let Some(answer) = answers.next().await {
             if let Ok(Ok(answer @ Answer::Page(Some(_)))) = answer {
                 return Some(answer);
             }
