Review, case 2: an open batch job is unknown once its last item is listed late

A job is removed status_s + 30 s after its acceptance as soon as all its items are listed, although its client has not ended it.

--- a/review/standins/src/main.rs
+++ b/review/standins/src/main.rs
@@ -4,6 +4,7 @@
 //! Exit code: 1 if the rule was broken, 0 if it held, 2 if the case could not run.
 
 mod frozen_leader;
+mod open_job;
 mod record;
 
 use record::Record;
@@ -24,6 +25,7 @@
     let record = Arc::new(record);
     let task = match case.as_str() {
         "frozen-leader" => tokio::spawn(frozen_leader::run(Arc::clone(&record), has_trouble)),
+        "open-job" => tokio::spawn(open_job::run(Arc::clone(&record), has_trouble)),
         _ => std::process::exit(2),
     };
     // A panic of the stand-ins means that the case could not run.
