--- a/review/standins/src/main.rs
+++ b/review/standins/src/main.rs
@@ -3,6 +3,7 @@
 //!
 //! Exit code: 1 if the rule was broken, 0 if it held, 2 if the case could not run.
 
+mod crashed_item;
 mod frozen_leader;
 mod open_job;
 mod record;
@@ -26,6 +27,7 @@
     let task = match case.as_str() {
         "frozen-leader" => tokio::spawn(frozen_leader::run(Arc::clone(&record), has_trouble)),
         "open-job" => tokio::spawn(open_job::run(Arc::clone(&record), has_trouble)),
+        "crashed-item" => tokio::spawn(crashed_item::run(Arc::clone(&record), has_trouble)),
         _ => std::process::exit(2),
     };
     // A panic of the stand-ins means that the case could not run.
