Storage: an entry of the next leader acknowledges no question of the last one

Cause: the leader kept the questions that wait for a commit by the index of their log entry. A later leader may put entries of its own at the same indices, in place of those that were not committed. The process that stood still reads the next leader's entries and their commit index in one turn of its event loop; it applies them before it answers that the outcomes of its own proposals are unknown, finds requesters at the index and answers "done".

Change: `EntryId`, term and index, identifies an entry; `Consensus::propose` returns it, and questions and announced orders wait by it. Two entries with the same term and index are the same one (log matching), so an answer is given by the commit of the proposed entry alone. Entries that the next leader took over and commits are still acknowledged, if the process applies them before it answers; all others are answered "unknown" in the same turn, which the line `outcomes_unknown` reports.

Tests, of the state and its turn alone, with the clock stopped.

--- a/crates/cluster-protocol/src/lib.rs
+++ b/crates/cluster-protocol/src/lib.rs
@@ -130,7 +130,7 @@
 }
 
 /// An answer to a [`Question`].
-#[derive(Clone, Debug, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum Answer {
     /// The requested change is made and stored by a quorum.
     Done,
--- a/crates/cluster/src/clock.rs
+++ b/crates/cluster/src/clock.rs
@@ -83,19 +83,38 @@
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Clock {
     start: Moment,
+    /// Time at which the clock stands still, in ms; `None` if it runs.
+    #[cfg(test)]
+    stopped_at: Option<u64>,
 }
 
 impl Default for Clock {
     fn default() -> Self {
         Self {
             start: Moment::now(),
+            #[cfg(test)]
+            stopped_at: None,
         }
     }
 }
 
 impl Clock {
+    /// Creates a clock that stands still, so that the outcome of a test does not depend on how long
+    /// its steps take.
+    #[cfg(test)]
+    pub(crate) fn stopped_at(now: u64) -> Self {
+        Self {
+            stopped_at: Some(now),
+            ..Self::default()
+        }
+    }
+
     /// Milliseconds since the clock was created.
     pub(crate) fn now(&self) -> u64 {
+        #[cfg(test)]
+        if let Some(now) = self.stopped_at {
+            return now;
+        }
         u64::try_from(self.start.elapsed().as_millis()).unwrap_or(u64::MAX)
     }
 
--- a/crates/cluster/src/link_writer.rs
+++ b/crates/cluster/src/link_writer.rs
@@ -42,7 +42,13 @@
     /// Creates a writer without a link and returns its queue, which holds one frame.
     #[cfg(test)]
     pub(crate) fn detached_with_queue() -> (Self, mpsc::Receiver<Bytes>) {
-        let (queue, frames) = mpsc::channel(1);
+        Self::detached_with_capacity(1)
+    }
+
+    /// Creates a writer without a link and returns its queue of `capacity` frames.
+    #[cfg(test)]
+    pub(crate) fn detached_with_capacity(capacity: usize) -> (Self, mpsc::Receiver<Bytes>) {
+        let (queue, frames) = mpsc::channel(capacity);
         let place = brasspond_distance::Place::new("zone", None);
         let writer = Self {
             queue,
--- a/crates/cluster/src/storage/applying.rs
+++ b/crates/cluster/src/storage/applying.rs
@@ -17,6 +17,7 @@
     /// # Errors
     /// The entry cannot be decoded. The process must then stop and not skip the entry.
     pub(super) fn apply(&mut self, entry: Entry) -> Result<(), ProcessError> {
+        let id = entry.id();
         let command = match entry.payload {
             Payload::Command(bytes) => {
                 Command::decode(&bytes).map_err(|error| ProcessError::Table(error.to_string()))?
@@ -30,12 +31,12 @@
         if let Command::Intend { subject, holder } = &command {
             let now = self.clock.now();
             self.last_announcements.record(subject, holder, now);
-            self.order_announcement_applied(entry.index);
+            self.order_announcement_applied(id);
         }
         self.remove_texts(&command);
         let effect = Effect::of(&command);
         let accepted = self.table.apply(command);
-        for wait_ms in self.questions.committed(entry.index, self.clock.now()) {
+        for wait_ms in self.questions.committed(id, self.clock.now()) {
             self.metrics.commit(wait_ms as f64 / 1_000.0);
         }
         self.notify(effect, accepted);
--- a/crates/cluster/src/storage/collecting.rs
+++ b/crates/cluster/src/storage/collecting.rs
@@ -8,6 +8,7 @@
 use super::leader_rules::job_retention;
 use super::process::Storage;
 use brasspond_compression::with_packing;
+use brasspond_consensus::EntryId;
 use brasspond_jobs::{Command, Draft, Listing, Piece, Score};
 use brasspond_units::Millis;
 
@@ -76,9 +77,9 @@
         }
     }
 
-    /// Proposes a command and returns its log index, or `None` if this process is not the leader or
-    /// the command cannot be encoded, which is logged.
-    pub(super) fn propose(&mut self, command: &Command) -> Option<u64> {
+    /// Proposes a command and returns its entry, or `None` if this process is not the leader or the
+    /// command cannot be encoded, which is logged.
+    pub(super) fn propose(&mut self, command: &Command) -> Option<EntryId> {
         let bytes = ok_or_log(command.encode())?;
         self.consensus.propose(bytes)
     }
--- a/crates/cluster/src/storage/leader.rs
+++ b/crates/cluster/src/storage/leader.rs
@@ -17,7 +17,7 @@
 use crate::platform::{Interest, VersionOrder};
 use brasspond_autoscaling::Autoscaler;
 use brasspond_cluster_protocol::Message;
-use brasspond_consensus::READ_LEASE;
+use brasspond_consensus::{EntryId, READ_LEASE};
 use brasspond_dispatch::{Action, Dispatcher, Event, OrderLeases, Settings};
 use brasspond_metering::{FleetClock, Metering};
 use brasspond_quarantine::{Fingerprint, QuarantineController};
@@ -40,8 +40,8 @@
     /// subject of an order, for example a replica, or all subjects. Until it expires, this leader
     /// sends no orders on these subjects.
     pub leases: OrderLeases,
-    /// Orders announced in the log, by entry index, with the time of the announcement.
-    pub announced_orders: HashMap<u64, (AnnouncedOrder, Millis)>,
+    /// Orders announced in the log, by entry, with the time of the announcement.
+    pub announced_orders: HashMap<EntryId, (AnnouncedOrder, Millis)>,
     /// Registered edges, and edges that are disconnected or unreachable.
     pub edges: Edges,
     /// When the leader was last announced to edges, and the view last sent to them.
--- a/crates/cluster/src/storage/ordering.rs
+++ b/crates/cluster/src/storage/ordering.rs
@@ -11,6 +11,7 @@
 use crate::platform::{Holder, Operations, VersionOrder, WireFormat};
 use crate::upstream::{Pool, UpstreamError};
 use brasspond_autoscaling::ScaleOrder;
+use brasspond_consensus::EntryId;
 use brasspond_dispatch::{Event, OrderAnswer};
 use brasspond_fleet::Identity;
 use brasspond_jobs::Command;
@@ -103,20 +104,20 @@
     /// Announces an order in the log. It is sent once the announcement is committed.
     pub(super) fn announce_order(&mut self, order: AnnouncedOrder) {
         let now = self.clock.now();
-        let index = self.propose(&Command::Intend {
+        let entry = self.propose(&Command::Intend {
             subject: order.subject().to_string(),
             holder: self.own.machine.clone(),
         });
-        if let (Some(index), Some(leader_state)) = (index, &mut self.leader_state) {
-            leader_state.announced_orders.insert(index, (order, now));
+        if let (Some(entry), Some(leader_state)) = (entry, &mut self.leader_state) {
+            leader_state.announced_orders.insert(entry, (order, now));
         }
     }
 
-    /// Sends the order announced at a committed index if this leader announced it.
-    pub(super) fn order_announcement_applied(&mut self, index: u64) {
+    /// Sends the order announced by a committed entry if this leader announced it.
+    pub(super) fn order_announcement_applied(&mut self, entry: EntryId) {
         let leader_state = self.leader_state.as_mut();
         let announced =
-            leader_state.and_then(|leader_state| leader_state.announced_orders.remove(&index));
+            leader_state.and_then(|leader_state| leader_state.announced_orders.remove(&entry));
         let Some((order, announced_at)) = announced else {
             return;
         };
--- a/crates/cluster/src/storage/process.rs
+++ b/crates/cluster/src/storage/process.rs
@@ -304,3 +304,7 @@
     }
     Ok(consensus)
 }
+
+#[cfg(test)]
+#[path = "../../tests/unit/storage/mod.rs"]
+mod tests;
--- a/crates/cluster/src/storage/questions.rs
+++ b/crates/cluster/src/storage/questions.rs
@@ -11,6 +11,7 @@
 use crate::clock::Moment;
 use crate::link::LinkId;
 use brasspond_cluster_protocol::{Answer, Message, Question};
+use brasspond_consensus::EntryId;
 use brasspond_dispatch::PermitRequest;
 use brasspond_jobs::{BodyError, Command, Job, Submission};
 use brasspond_units::Millis;
@@ -71,8 +72,8 @@
 /// Pending questions.
 #[derive(Debug, Default)]
 pub(super) struct Questions {
-    /// Requesters by the index of the entry whose commit answers them.
-    proposed: BTreeMap<u64, Vec<Requester>>,
+    /// Requesters by the entry whose commit answers them.
+    proposed: BTreeMap<EntryId, Vec<Requester>>,
     /// Requesters whose entry is committed. They are answered in the next turn of the loop.
     done: Vec<Requester>,
     polls: Vec<Poll>,
@@ -111,10 +112,10 @@
         !self.proposed.is_empty()
     }
 
-    /// Queues answers to the requesters that wait for the entry at `index`, which is committed and
-    /// applied. Returns how long each of them waited.
-    pub fn committed(&mut self, index: u64, now: Millis) -> Vec<Millis> {
-        let Some(requesters) = self.proposed.remove(&index) else {
+    /// Queues answers to the requesters that wait for `entry`, which is committed and applied.
+    /// Returns how long each of them waited.
+    pub fn committed(&mut self, entry: EntryId, now: Millis) -> Vec<Millis> {
+        let Some(requesters) = self.proposed.remove(&entry) else {
             return Vec::new();
         };
         let waits = requesters
@@ -314,10 +315,10 @@
     /// Proposes a command. Its requester is answered once the command is committed and applied.
     fn propose_for(&mut self, requester: Requester, command: &Command) {
         match self.propose(command) {
-            Some(index) => self
+            Some(entry) => self
                 .questions
                 .proposed
-                .entry(index)
+                .entry(entry)
                 .or_default()
                 .push(requester),
             None => self.answer(requester, Answer::Unknown),
@@ -415,7 +416,15 @@
     /// Answers questions with pending proposals as unknown after leadership was lost, since the
     /// next leader may still commit the proposals.
     fn answer_proposed_unknown(&mut self) {
+        if self.questions.proposed.is_empty() {
+            return;
+        }
         let proposed = std::mem::take(&mut self.questions.proposed);
+        log::info!(
+            "event=outcomes_unknown entries={} term={}",
+            proposed.len(),
+            self.consensus.term()
+        );
         for requester in proposed.into_values().flatten() {
             self.answer(requester, Answer::Unknown);
         }
--- a/crates/cluster/tests/support/members.rs
+++ b/crates/cluster/tests/support/members.rs
@@ -134,7 +134,7 @@
         let waited = self
             .awaiting
             .iter()
-            .position(|(by, index, own)| *by == id && *index == entry.index && own == command);
+            .position(|(by, proposed, own)| *by == id && *proposed == entry.id() && own == command);
         let process = self.machines.iter().find(|one| one.member.id == id);
         let has_quorum = process
             .and_then(|one| one.process.as_ref())
--- a/crates/cluster/tests/support/mod.rs
+++ b/crates/cluster/tests/support/mod.rs
@@ -7,7 +7,7 @@
 
 use brasspond_cluster::storage::placement::{FaultTolerance, PlacementRequirements};
 use brasspond_consensus::{
-    Consensus, Entry, HardState, Member, MemberId, Message, Persisted, READ_LEASE, Ready,
+    Consensus, Entry, EntryId, HardState, Member, MemberId, Message, Persisted, READ_LEASE, Ready,
     StoredEntries, Timing,
 };
 use brasspond_fleet::Regions;
@@ -107,8 +107,8 @@
     reference: BTreeMap<u64, Bytes>,
     /// Acknowledged commands by index.
     acknowledged: BTreeMap<u64, Bytes>,
-    /// Proposals that are not committed yet: the proposer, the index and the command.
-    awaiting: Vec<(MemberId, u64, Bytes)>,
+    /// Proposals that are not committed yet: the proposer, the entry and the command.
+    awaiting: Vec<(MemberId, EntryId, Bytes)>,
     /// Leaders by term.
     leaders: BTreeMap<u64, MemberId>,
     proposals: u64,
@@ -373,8 +373,8 @@
             self.proposals += 1;
             let command = Bytes::from(format!("command {:0>80}", self.proposals));
             let process = self.machines[number].process.as_mut().expect("leads");
-            if let Some(index) = process.propose(command.clone()) {
-                self.awaiting.push((process.id(), index, command));
+            if let Some(entry) = process.propose(command.clone()) {
+                self.awaiting.push((process.id(), entry, command));
             }
         }
     }
--- a/crates/consensus/src/lib.rs
+++ b/crates/consensus/src/lib.rs
@@ -31,7 +31,7 @@
 mod timing;
 
 pub use membership::MembershipError;
-pub use message::{Entry, HardState, Member, MemberId, Message, Payload, Snapshot};
+pub use message::{Entry, EntryId, HardState, Member, MemberId, Message, Payload, Snapshot};
 pub use node::Consensus;
 pub use ready::{Persisted, Ready};
 pub use role::Progress;
--- a/crates/consensus/src/message.rs
+++ b/crates/consensus/src/message.rs
@@ -47,6 +47,26 @@
     pub payload: Payload,
 }
 
+impl Entry {
+    /// Identity of the entry.
+    pub fn id(&self) -> EntryId {
+        EntryId {
+            term: self.term,
+            index: self.index,
+        }
+    }
+}
+
+/// Identity of an entry. The index alone does not identify one: a later leader may replace an entry
+/// that is not committed by one of its own at the same index.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct EntryId {
+    /// Term of the leader that created the entry.
+    pub term: u64,
+    /// Position in the log, counted from 1.
+    pub index: u64,
+}
+
 /// Election state of a member, synced before it answers.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct HardState {
--- a/crates/consensus/src/node.rs
+++ b/crates/consensus/src/node.rs
@@ -3,7 +3,7 @@
 use crate::freshness::Freshness;
 use crate::log::Log;
 use crate::message::{
-    AppendBody, Entry, HardState, Member, MemberId, Message, Payload, ReplyTimes,
+    AppendBody, Entry, EntryId, HardState, Member, MemberId, Message, Payload, ReplyTimes,
 };
 use crate::ready::{Persisted, Ready};
 use crate::role::{Campaign, Role};
@@ -185,13 +185,17 @@
         self.log.last_index()
     }
 
-    /// Appends a command to the log and returns its index; `None` if this member is not the leader.
-    pub fn propose(&mut self, command: Bytes) -> Option<u64> {
+    /// Appends a command to the log and returns the identity of its entry; `None` if this member is
+    /// not the leader.
+    pub fn propose(&mut self, command: Bytes) -> Option<EntryId> {
         if !self.is_leader() {
             return None;
         }
         let index = self.append_as_leader(Payload::Command(command));
-        Some(index)
+        Some(EntryId {
+            term: self.term(),
+            index,
+        })
     }
 
     /// Handles timers: heartbeats on the leader, elections on other members.
