Storage: a submission is acknowledged to the tenant that owns the job

What callers saw: two tenants submitted jobs with the same id at the same moment, at two edges; both were answered 202. One of the jobs existed, the other tenant read 404 from then on: its job was lost, and its items never ran.

Cause: a submission is compared with the applied jobs alone. While the first one waits for its commit, the second is proposed as well. `Accept` of a known id changes nothing (`Accepted::Duplicate`), but each requester of an entry was answered "done" whatever the entry had done.

Evidence: with real processes, 20 ids in turn, the new test on the code before ended at its first id with (202, 200) for one tenant and (202, 404) for the other. Ruled out: the check of the tenant of an applied job, which answers 409 (`a_job_is_visible_to_its_tenant_only`, green before and after).

Change: a proposal knows what its requester waits for. Once its entry is applied, a submission is answered "done" if the job with the id is open to its tenant, and otherwise "taken", which the edge answers with 409. All members apply the entries in the same order, so which tenant has the id does not depend on the leader. The end of a job needs no such check: ids are not handed over between the check of the tenant and the application of the end, since an id is accepted again only after its job is removed, and the entry of an end that was checked before comes before that acceptance.

Tests: `a_pending_id_is_acknowledged_to_its_tenant_only` (state alone): 2 of 4 cases failed before (the second of two tenants, and a public job after a tenant's), 4 of 4 pass now. `one_id_submitted_by_two_tenants_is_accepted_once` (real processes): failed before in 1 of 1 run, passes in 5 of 5.

--- a/crates/brasspond/tests/tenants.rs
+++ b/crates/brasspond/tests/tenants.rs
@@ -145,6 +145,30 @@
     );
 }
 
+/// Guards against a 202 to both of two tenants that submit jobs with the same id at the same moment:
+/// only one of the jobs exists, and the other tenant could never read its own.
+#[rstest]
+#[tokio::test(flavor = "multi_thread")]
+async fn one_id_submitted_by_two_tenants_is_accepted_once() {
+    const IDS: usize = 20;
+    let cluster = start().await;
+    let tenants = [
+        (cluster.edges[0].front, &[(KEY_HEADER, FIRST_KEY)][..]),
+        (cluster.edges[1].front, &[(KEY_HEADER, OTHER_KEY)][..]),
+    ];
+    let body = job(1);
+    for id in (0..IDS).map(|number| format!("job-{number}")) {
+        let submissions =
+            tenants.map(|(front, key)| status(front, "POST", "/jobs/x", &id, key, &body));
+        let accepted = futures::future::join_all(submissions).await;
+        let results = format!("/-/lots/{id}?since_rev=0");
+        let reads = tenants.map(|(front, key)| status(front, "GET", &results, "r", key, ""));
+        let read = futures::future::join_all(reads).await;
+        let outcomes: BTreeSet<(u16, u16)> = accepted.into_iter().zip(read).collect();
+        assert_eq!(outcomes, BTreeSet::from([(202, 200), (409, 404)]), "{id}");
+    }
+}
+
 /// Returns whether any file below a folder contains a text.
 fn is_in_files(folder: &Path, text: &str) -> bool {
     let entries = std::fs::read_dir(folder).expect("folder");
--- a/crates/cluster/src/storage/applying.rs
+++ b/crates/cluster/src/storage/applying.rs
@@ -36,9 +36,7 @@
         self.remove_texts(&command);
         let effect = Effect::of(&command);
         let accepted = self.table.apply(command);
-        for wait_ms in self.questions.committed(id, self.clock.now()) {
-            self.metrics.commit(wait_ms as f64 / 1_000.0);
-        }
+        self.resolve_proposals(id);
         self.notify(effect, accepted);
         Ok(())
     }
--- a/crates/cluster/src/storage/questions.rs
+++ b/crates/cluster/src/storage/questions.rs
@@ -45,6 +45,25 @@
     asked_at: Millis,
 }
 
+/// Change of a job that a requester waits for.
+#[derive(Clone, Debug)]
+enum Change {
+    /// The job is accepted. The id may meanwhile belong to a job of another tenant.
+    Submit {
+        job: String,
+        tenant: Option<Arc<str>>,
+    },
+    /// The job is ended.
+    End,
+}
+
+/// A question that is answered once its entry is committed and applied.
+#[derive(Clone, Debug)]
+struct Proposal {
+    requester: Requester,
+    change: Change,
+}
+
 /// A pending question about results.
 #[derive(Clone, Debug)]
 struct Poll {
@@ -72,10 +91,10 @@
 /// Pending questions.
 #[derive(Debug, Default)]
 pub(super) struct Questions {
-    /// Requesters by the entry whose commit answers them.
-    proposed: BTreeMap<EntryId, Vec<Requester>>,
-    /// Requesters whose entry is committed. They are answered in the next turn of the loop.
-    done: Vec<Requester>,
+    /// Proposals by the entry whose commit answers them.
+    proposed: BTreeMap<EntryId, Vec<Proposal>>,
+    /// Answers to proposals that are applied. They are sent in the next turn of the loop.
+    applied: Vec<(Requester, Answer)>,
     polls: Vec<Poll>,
     /// When polls that are due are tried again, since their answers did not fit into the queues of
     /// the links; `None` if all fitted.
@@ -111,20 +130,6 @@
     pub fn has_pending_proposals(&self) -> bool {
         !self.proposed.is_empty()
     }
-
-    /// Queues answers to the requesters that wait for `entry`, which is committed and applied.
-    /// Returns how long each of them waited.
-    pub fn committed(&mut self, entry: EntryId, now: Millis) -> Vec<Millis> {
-        let Some(requesters) = self.proposed.remove(&entry) else {
-            return Vec::new();
-        };
-        let waits = requesters
-            .iter()
-            .map(|one| now.saturating_sub(one.asked_at));
-        let waits = waits.collect();
-        self.done.extend(requesters);
-        waits
-    }
 }
 
 /// Room that remains in a turn of the event loop for answers with results.
@@ -199,7 +204,10 @@
             Question::End { job, tenant } => match self.job_of(&job, tenant.as_deref()) {
                 None => self.answer(requester, Answer::Page(None)),
                 Some(known) if known.ended => self.answer(requester, Answer::Done),
-                Some(_) => self.propose_for(requester, &Command::End { job }),
+                Some(_) => {
+                    let change = Change::End;
+                    self.propose_for(Proposal { requester, change }, &Command::End { job });
+                }
             },
             Question::Body { job, item, tenant } => {
                 let body = match self.job_of(&job, tenant.as_deref()) {
@@ -254,7 +262,14 @@
                 );
                 self.answer(requester, Answer::OutsideRegions);
             }
-            None => self.propose_for(requester, &Command::Accept(submission)),
+            None => {
+                let change = Change::Submit {
+                    job: submission.id.clone(),
+                    tenant: submission.tenant.clone(),
+                };
+                let proposal = Proposal { requester, change };
+                self.propose_for(proposal, &Command::Accept(submission));
+            }
         }
     }
 
@@ -313,22 +328,45 @@
     }
 
     /// Proposes a command. Its requester is answered once the command is committed and applied.
-    fn propose_for(&mut self, requester: Requester, command: &Command) {
+    fn propose_for(&mut self, proposal: Proposal, command: &Command) {
         match self.propose(command) {
             Some(entry) => self
                 .questions
                 .proposed
                 .entry(entry)
                 .or_default()
-                .push(requester),
-            None => self.answer(requester, Answer::Unknown),
+                .push(proposal),
+            None => self.answer(proposal.requester, Answer::Unknown),
+        }
+    }
+
+    /// Queues the answers to proposals whose entry is committed and applied.
+    pub(super) fn resolve_proposals(&mut self, entry: EntryId) {
+        let now = self.clock.now();
+        let proposals = self.questions.proposed.remove(&entry);
+        for proposal in proposals.into_iter().flatten() {
+            let waited = now.saturating_sub(proposal.requester.asked_at);
+            self.metrics.commit(waited as f64 / 1_000.0);
+            let answer = self.applied_answer(&proposal.change);
+            self.questions.applied.push((proposal.requester, answer));
+        }
+    }
+
+    /// The answer to a proposal that is applied. Another job with the id may have been accepted
+    /// between the proposal and its application.
+    fn applied_answer(&self, change: &Change) -> Answer {
+        match change {
+            Change::Submit { job, tenant } if self.job_of(job, tenant.as_deref()).is_none() => {
+                Answer::Taken
+            }
+            Change::Submit { .. } | Change::End => Answer::Done,
         }
     }
 
-    /// Answers committed questions and polls that are due.
+    /// Answers applied proposals and polls that are due.
     pub(super) fn answer_waiting(&mut self, now: Millis) {
-        for requester in std::mem::take(&mut self.questions.done) {
-            self.answer(requester, Answer::Done);
+        for (requester, answer) in std::mem::take(&mut self.questions.applied) {
+            self.answer(requester, answer);
         }
         if self.leader_state.is_none() {
             self.answer_proposed_unknown();
@@ -425,8 +463,8 @@
             proposed.len(),
             self.consensus.term()
         );
-        for requester in proposed.into_values().flatten() {
-            self.answer(requester, Answer::Unknown);
+        for proposal in proposed.into_values().flatten() {
+            self.answer(proposal.requester, Answer::Unknown);
         }
     }
 
--- a/crates/cluster/tests/unit/storage/mod.rs
+++ b/crates/cluster/tests/unit/storage/mod.rs
@@ -3,3 +3,4 @@
 
 mod fixture;
 mod leadership;
+mod submissions;
