Storage: a job that is already proposed is not refused

What callers could see: 503, which says that no item of the job ever runs, for a job whose items run. An edge that has no answer after 1.2 s asks the leader again. If the configuration or the members changed meanwhile so that the job's bodies may not be stored any more, the leader refused it, although the first submission was still waiting for its commit.

Cause: the checks for regions compare the submission with the applied jobs alone. The check for evacuated zones knew the problem and went without refusals while any proposal was pending, which also accepted jobs that no replica can run.

Change: a submission of an id that is proposed waits for that entry, before any check that may refuse it; it is not logged a second time. The answer depends on the tenant, as for any submission. The exception in the check for evacuated zones is not needed any more and is removed: proposals of this leader wait until they are applied, and those of earlier leaders are applied before it leads.

--- a/crates/cluster/src/storage/evacuation.rs
+++ b/crates/cluster/src/storage/evacuation.rs
@@ -57,12 +57,7 @@
 
     /// Whether a new job is refused because all replicas of its services, apart from draining ones,
     /// are in evacuated zones. Returns false if there are no such replicas or the route is unknown.
-    /// Also returns false while proposals are not yet applied, since one of them may be the same
-    /// job.
     pub(super) fn has_only_evacuated_replicas(&self, submission: &Submission) -> bool {
-        if self.questions.has_pending_proposals() || self.consensus.has_backlog() {
-            return false;
-        }
         let configuration = self.view.configuration.as_ref();
         let route = configuration.and_then(|one| one.route(&submission.host, &submission.path));
         let Some(route) = route else {
--- a/crates/cluster/src/storage/questions.rs
+++ b/crates/cluster/src/storage/questions.rs
@@ -64,6 +64,13 @@
     change: Change,
 }
 
+impl Proposal {
+    /// Whether this is the submission of a job with the id `id`.
+    fn submits(&self, id: &str) -> bool {
+        matches!(&self.change, Change::Submit { job, .. } if job == id)
+    }
+}
+
 /// A pending question about results.
 #[derive(Clone, Debug)]
 struct Poll {
@@ -126,9 +133,16 @@
         self.polls.len()
     }
 
-    /// Whether questions wait for a proposed entry to be committed.
-    pub fn has_pending_proposals(&self) -> bool {
-        !self.proposed.is_empty()
+    /// Returns the entry that accepts a job once it is committed, if one is proposed.
+    fn pending_submission(&self, id: &str) -> Option<EntryId> {
+        let mut proposed = self.proposed.iter();
+        let entry = proposed.find(|(_, proposals)| proposals.iter().any(|one| one.submits(id)));
+        entry.map(|(entry, _)| *entry)
+    }
+
+    /// Has a proposal answered once `entry` is committed and applied.
+    fn await_entry(&mut self, entry: EntryId, proposal: Proposal) {
+        self.proposed.entry(entry).or_default().push(proposal);
     }
 }
 
@@ -236,7 +250,8 @@
         }
     }
 
-    /// Proposes a submitted job, which is accepted once committed, or answers why it is refused.
+    /// Proposes a submitted job, which is accepted once committed, or answers why it is refused. A
+    /// job that is already proposed is not refused, since it may still be accepted.
     fn on_submission(&mut self, requester: Requester, submission: Submission) {
         log::info!(
             "event=job_submitted job={} items={} model={} step={} min_version={}",
@@ -251,6 +266,19 @@
                 self.answer(requester, Answer::Done);
             }
             Some(_) => self.answer(requester, Answer::Taken),
+            None => self.on_new_submission(requester, submission),
+        }
+    }
+
+    /// Handles the submission of a job that is not in the table.
+    fn on_new_submission(&mut self, requester: Requester, submission: Submission) {
+        let change = Change::Submit {
+            job: submission.id.clone(),
+            tenant: submission.tenant.clone(),
+        };
+        let proposal = Proposal { requester, change };
+        match self.questions.pending_submission(&submission.id) {
+            Some(entry) => self.questions.await_entry(entry, proposal),
             None if self.has_only_evacuated_replicas(&submission) => {
                 log::info!("event=job_refused job={} reason=evacuated", submission.id);
                 self.answer(requester, Answer::Evacuated);
@@ -262,14 +290,7 @@
                 );
                 self.answer(requester, Answer::OutsideRegions);
             }
-            None => {
-                let change = Change::Submit {
-                    job: submission.id.clone(),
-                    tenant: submission.tenant.clone(),
-                };
-                let proposal = Proposal { requester, change };
-                self.propose_for(proposal, &Command::Accept(submission));
-            }
+            None => self.propose_for(proposal, &Command::Accept(submission)),
         }
     }
 
@@ -330,12 +351,7 @@
     /// Proposes a command. Its requester is answered once the command is committed and applied.
     fn propose_for(&mut self, proposal: Proposal, command: &Command) {
         match self.propose(command) {
-            Some(entry) => self
-                .questions
-                .proposed
-                .entry(entry)
-                .or_default()
-                .push(proposal),
+            Some(entry) => self.questions.await_entry(entry, proposal),
             None => self.answer(proposal.requester, Answer::Unknown),
         }
     }
--- a/crates/cluster/tests/unit/storage/fixture.rs
+++ b/crates/cluster/tests/unit/storage/fixture.rs
@@ -46,6 +46,9 @@
 const MEMBER_LINK: LinkId = 2;
 /// Frames that the queue of the edge's link holds.
 const EDGE_QUEUE_FRAMES: usize = 64;
+/// Host and path of submissions.
+pub const HOST: &str = "host";
+pub const JOBS_PATH: &str = "/jobs/";
 /// Time of the stopped clock, in ms: before any timeout of the group.
 const NOW: u64 = 1;
 
@@ -57,8 +60,8 @@
 pub fn submission(job: &str, tenant: Option<&str>) -> Submission {
     Submission {
         id: job.to_string(),
-        host: "host".to_string(),
-        path: "/jobs/".to_string(),
+        host: HOST.to_string(),
+        path: JOBS_PATH.to_string(),
         model: String::new(),
         step: 0,
         min_version: 0,
