Storage: a leader of a new term begins with new state

What callers could see: orders and registrations that carry the term of an earlier leadership, which edges and replicas treat as those of a former leader, until the next change of leader.

Cause: `update_leadership` asked whether there is a leader's state, not whether it is of the current term. A process that loses its leadership and is elected again within one turn of its event loop kept the dispatcher, the announced orders and the fencing tokens of its earlier term. That takes a group of one voter shortly after its start: it is elected without messages of others, and a vote request of a former member raises its term. With more voters a turn ends between the request for votes and the answers. Found by reading, not seen with callers.

Change: the state is dropped and begun anew if its term is not the current one.

Test: `a_leader_of_a_new_term_begins_anew`, of the state alone with the clock stopped, failed before (term 2 in place of 4) and passes now.

--- a/crates/cluster/src/storage/leader.rs
+++ b/crates/cluster/src/storage/leader.rs
@@ -86,7 +86,8 @@
             self.search_group(now);
             return;
         }
-        if self.leader_state.is_none() {
+        if !self.leads_current_term() {
+            self.end_leadership();
             self.begin_leadership(now);
         }
         self.announce_leader(now);
@@ -99,6 +100,13 @@
         self.place_on_warming_replicas(now);
     }
 
+    /// Whether the state of this leader is of the current term. A process may lose its leadership and
+    /// be elected again within one turn.
+    fn leads_current_term(&self) -> bool {
+        let leader_state = self.leader_state.as_ref();
+        leader_state.is_some_and(|leader_state| leader_state.term == self.consensus.term())
+    }
+
     /// Enables placing, and the sending of replicas to edges, once the initial listing is complete
     /// or has timed out.
     fn observe_listing(&mut self, now: Millis) {
--- a/crates/cluster/tests/unit/storage/fixture.rs
+++ b/crates/cluster/tests/unit/storage/fixture.rs
@@ -35,7 +35,7 @@
 use tokio::task::LocalSet;
 
 /// The member under test.
-const OWN: MemberId = 1;
+pub const OWN: MemberId = 1;
 /// Member that becomes the next leader.
 pub const SUCCESSOR: MemberId = 2;
 /// Member that votes for the member under test and stores its entries.
@@ -49,6 +49,8 @@
 /// Host and path of submissions.
 pub const HOST: &str = "host";
 pub const JOBS_PATH: &str = "/jobs/";
+/// Time after which an early election is due, in ms; two of them pass before early elections end.
+pub const EARLY_ELECTION: u64 = 200;
 /// Time of the stopped clock, in ms: before any timeout of the group.
 const NOW: u64 = 1;
 
@@ -143,6 +145,17 @@
         }
     }
 
+    /// Sets the stopped clock forward, by ms.
+    pub fn advance_clock(&mut self, by: u64) {
+        self.storage.clock = Clock::stopped_at(self.storage.clock.now() + by);
+    }
+
+    /// Term in which the member acts as the leader.
+    pub fn leader_term(&self) -> Option<u64> {
+        let leader_state = self.storage.leader_state.as_ref();
+        leader_state.map(|leader_state| leader_state.term)
+    }
+
     /// Ends the current turn of the event loop.
     pub fn turn(&mut self) {
         self.storage.finish_turn().expect("a turn");
--- a/crates/cluster/tests/unit/storage/mod.rs
+++ b/crates/cluster/tests/unit/storage/mod.rs
@@ -4,3 +4,4 @@
 mod fixture;
 mod leadership;
 mod submissions;
+mod terms;
