--- a/crates/cluster/src/storage/mod.rs
+++ b/crates/cluster/src/storage/mod.rs
@@ -26,6 +26,7 @@
 pub mod placement;
 pub mod plan;
 mod process;
+mod proposals;
 mod quarantine;
 mod questions;
 mod record;
--- a/crates/cluster/src/storage/process.rs
+++ b/crates/cluster/src/storage/process.rs
@@ -10,6 +10,7 @@
 use super::local::{LocalEvent, LocalSender};
 use super::monitor::Monitor;
 use super::order_log::{LastAnnouncements, last_holder};
+use super::proposals::Proposals;
 use super::questions::Questions;
 use super::record::Record;
 use super::search::RecordSearch;
@@ -94,7 +95,9 @@
     pub pool: Pool,
     /// Other storage processes.
     pub group: Group,
-    /// Pending questions.
+    /// Pending questions that change a job.
+    pub proposals: Proposals,
+    /// Pending questions about results.
     pub questions: Questions,
     /// State of the leader, or `None` if this process is not the leader.
     pub leader_state: Option<LeaderState>,
@@ -208,6 +211,7 @@
             links: Links::new(context, events),
             pool: Pool::default(),
             group: Group::new(Record::new(search)),
+            proposals: Proposals::default(),
             questions: Questions::default(),
             leader_state: None,
             local,
--- a/crates/cluster/src/storage/questions.rs
+++ b/crates/cluster/src/storage/questions.rs
@@ -1,8 +1,7 @@
-//! Answers the questions of edges. A question that changes a job is answered once its log entry is
-//! committed.
+//! Answers the questions of edges.
 //!
-//! Owns [`Questions`]: questions whose entry is not committed yet, and long polls of results.
-//! [`super::long_poll`] decides when a poll is answered.
+//! Owns [`Questions`], the long polls of results; [`super::long_poll`] decides when a poll is
+//! answered. [`super::proposals`] answers questions that change a job.
 
 use super::leader_rules::{Leadership, may_answer};
 use super::long_poll::{LongPoll, Progress};
@@ -11,11 +10,10 @@
 use crate::clock::Moment;
 use crate::link::LinkId;
 use brasspond_cluster_protocol::{Answer, Message, Question};
-use brasspond_consensus::EntryId;
 use brasspond_dispatch::PermitRequest;
-use brasspond_jobs::{BodyError, Command, Job, Submission};
+use brasspond_jobs::{BodyError, Job};
 use brasspond_units::Millis;
-use std::collections::{BTreeMap, HashMap};
+use std::collections::HashMap;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -38,37 +36,11 @@
 
 /// Sender of a question, to which the answer is sent.
 #[derive(Clone, Copy, Debug)]
-struct Requester {
+pub(super) struct Requester {
     link: LinkId,
     number: u64,
     /// When the question arrived, by this process's clock.
-    asked_at: Millis,
-}
-
-/// Change of a job that a requester waits for.
-#[derive(Clone, Debug)]
-enum Change {
-    /// The job is accepted. The id may meanwhile belong to a job of another tenant.
-    Submit {
-        job: String,
-        tenant: Option<Arc<str>>,
-    },
-    /// The job is ended.
-    End,
-}
-
-/// A question that is answered once its entry is committed and applied.
-#[derive(Clone, Debug)]
-struct Proposal {
-    requester: Requester,
-    change: Change,
-}
-
-impl Proposal {
-    /// Whether this is the submission of a job with the id `id`.
-    fn submits(&self, id: &str) -> bool {
-        matches!(&self.change, Change::Submit { job, .. } if job == id)
-    }
+    pub asked_at: Millis,
 }
 
 /// A pending question about results.
@@ -95,13 +67,9 @@
     }
 }
 
-/// Pending questions.
+/// Pending questions about results.
 #[derive(Debug, Default)]
 pub(super) struct Questions {
-    /// Proposals by the entry whose commit answers them.
-    proposed: BTreeMap<EntryId, Vec<Proposal>>,
-    /// Answers to proposals that are applied. They are sent in the next turn of the loop.
-    applied: Vec<(Requester, Answer)>,
     polls: Vec<Poll>,
     /// When polls that are due are tried again, since their answers did not fit into the queues of
     /// the links; `None` if all fitted.
@@ -132,18 +100,6 @@
     pub fn poll_count(&self) -> usize {
         self.polls.len()
     }
-
-    /// Returns the entry that accepts a job once it is committed, if one is proposed.
-    fn pending_submission(&self, id: &str) -> Option<EntryId> {
-        let mut proposed = self.proposed.iter();
-        let entry = proposed.find(|(_, proposals)| proposals.iter().any(|one| one.submits(id)));
-        entry.map(|(entry, _)| *entry)
-    }
-
-    /// Has a proposal answered once `entry` is committed and applied.
-    fn await_entry(&mut self, entry: EntryId, proposal: Proposal) {
-        self.proposed.entry(entry).or_default().push(proposal);
-    }
 }
 
 /// Room that remains in a turn of the event loop for answers with results.
@@ -218,10 +174,7 @@
             Question::End { job, tenant } => match self.job_of(&job, tenant.as_deref()) {
                 None => self.answer(requester, Answer::Page(None)),
                 Some(known) if known.ended => self.answer(requester, Answer::Done),
-                Some(_) => {
-                    let change = Change::End;
-                    self.propose_for(Proposal { requester, change }, &Command::End { job });
-                }
+                Some(_) => self.propose_end(requester, job),
             },
             Question::Body { job, item, tenant } => {
                 let body = match self.job_of(&job, tenant.as_deref()) {
@@ -250,50 +203,6 @@
         }
     }
 
-    /// Proposes a submitted job, which is accepted once committed, or answers why it is refused. A
-    /// job that is already proposed is not refused, since it may still be accepted.
-    fn on_submission(&mut self, requester: Requester, submission: Submission) {
-        log::info!(
-            "event=job_submitted job={} items={} model={} step={} min_version={}",
-            submission.id,
-            submission.items.len(),
-            submission.model,
-            submission.step,
-            submission.min_version
-        );
-        match self.table.job(&submission.id) {
-            Some(known) if known.is_open_to(submission.tenant.as_deref()) => {
-                self.answer(requester, Answer::Done);
-            }
-            Some(_) => self.answer(requester, Answer::Taken),
-            None => self.on_new_submission(requester, submission),
-        }
-    }
-
-    /// Handles the submission of a job that is not in the table.
-    fn on_new_submission(&mut self, requester: Requester, submission: Submission) {
-        let change = Change::Submit {
-            job: submission.id.clone(),
-            tenant: submission.tenant.clone(),
-        };
-        let proposal = Proposal { requester, change };
-        match self.questions.pending_submission(&submission.id) {
-            Some(entry) => self.questions.await_entry(entry, proposal),
-            None if self.has_only_evacuated_replicas(&submission) => {
-                log::info!("event=job_refused job={} reason=evacuated", submission.id);
-                self.answer(requester, Answer::Evacuated);
-            }
-            None if !self.may_store(&submission) => {
-                log::info!(
-                    "event=job_refused job={} reason=members_outside_regions",
-                    submission.id
-                );
-                self.answer(requester, Answer::OutsideRegions);
-            }
-            None => self.propose_for(proposal, &Command::Accept(submission)),
-        }
-    }
-
     /// Starts a long poll of a job's results from a position on, for at most `wait_ms`.
     fn wait_for_results(
         &mut self,
@@ -332,7 +241,7 @@
     }
 
     /// Returns a job if callers of the tenant may access it.
-    fn job_of(&self, job: &str, tenant: Option<&str>) -> Option<&Job> {
+    pub(super) fn job_of(&self, job: &str, tenant: Option<&str>) -> Option<&Job> {
         let known = self.table.job(job)?;
         known.is_open_to(tenant).then_some(known)
     }
@@ -348,42 +257,9 @@
         may_answer(leadership, self.settings.process.tolerated_losses)
     }
 
-    /// Proposes a command. Its requester is answered once the command is committed and applied.
-    fn propose_for(&mut self, proposal: Proposal, command: &Command) {
-        match self.propose(command) {
-            Some(entry) => self.questions.await_entry(entry, proposal),
-            None => self.answer(proposal.requester, Answer::Unknown),
-        }
-    }
-
-    /// Queues the answers to proposals whose entry is committed and applied.
-    pub(super) fn resolve_proposals(&mut self, entry: EntryId) {
-        let now = self.clock.now();
-        let proposals = self.questions.proposed.remove(&entry);
-        for proposal in proposals.into_iter().flatten() {
-            let waited = now.saturating_sub(proposal.requester.asked_at);
-            self.metrics.commit(waited as f64 / 1_000.0);
-            let answer = self.applied_answer(&proposal.change);
-            self.questions.applied.push((proposal.requester, answer));
-        }
-    }
-
-    /// The answer to a proposal that is applied. Another job with the id may have been accepted
-    /// between the proposal and its application.
-    fn applied_answer(&self, change: &Change) -> Answer {
-        match change {
-            Change::Submit { job, tenant } if self.job_of(job, tenant.as_deref()).is_none() => {
-                Answer::Taken
-            }
-            Change::Submit { .. } | Change::End => Answer::Done,
-        }
-    }
-
     /// Answers applied proposals and polls that are due.
     pub(super) fn answer_waiting(&mut self, now: Millis) {
-        for (requester, answer) in std::mem::take(&mut self.questions.applied) {
-            self.answer(requester, answer);
-        }
+        self.answer_applied();
         if self.leader_state.is_none() {
             self.answer_proposed_unknown();
             self.redirect_polls(now);
@@ -467,23 +343,6 @@
         self.answer(poll.requester, answer);
     }
 
-    /// Answers questions with pending proposals as unknown after leadership was lost, since the
-    /// next leader may still commit the proposals.
-    fn answer_proposed_unknown(&mut self) {
-        if self.questions.proposed.is_empty() {
-            return;
-        }
-        let proposed = std::mem::take(&mut self.questions.proposed);
-        log::info!(
-            "event=outcomes_unknown entries={} term={}",
-            proposed.len(),
-            self.consensus.term()
-        );
-        for proposal in proposed.into_values().flatten() {
-            self.answer(proposal.requester, Answer::Unknown);
-        }
-    }
-
     /// Answers `NotLeader` to the polls that this follower may no longer answer. Those for which it
     /// has results are due at once.
     fn redirect_polls(&mut self, now: Millis) {
@@ -501,7 +360,7 @@
     }
 
     /// Sends an answer. If the link is down, the edge asks again on another link.
-    fn answer(&mut self, requester: Requester, answer: Answer) {
+    pub(super) fn answer(&mut self, requester: Requester, answer: Answer) {
         if let Some(state) = self.links.get(requester.link) {
             state.writer.send(&Message::Reply {
                 number: requester.number,
