Soak: suspensions of the leader in the midst of submissions sent once

`--leader-freezes` adds, about each 2.3 s, 16 callers that submit small jobs for a moment, a suspension of the leader for 1.1 to 1.2 s within it, and further submissions to the next leader. Each id is sent once. The existing checks hold all that was answered 202: it must be listed and be answered at two edges after the last fault. A job refused with 429 or 503 must not run; its only item has the id of the job, so that the check sees it. A schedule drawn without the option is as before.

--- a/crates/soak/src/callers/mod.rs
+++ b/crates/soak/src/callers/mod.rs
@@ -1,6 +1,7 @@
 //! Callers that send requests throughout a run and record their outcomes.
 
 mod load;
+mod submitter;
 mod trainer;
 
 pub use trainer::Job;
--- a/crates/soak/src/callers/trainer.rs
+++ b/crates/soak/src/callers/trainer.rs
@@ -10,7 +10,7 @@
 use std::time::Duration;
 
 /// Time that a trainer waits for an answer.
-const TRAINER_TIMEOUT: Duration = Duration::from_millis(4_000);
+pub(super) const TRAINER_TIMEOUT: Duration = Duration::from_millis(4_000);
 /// Pause between two jobs.
 const JOB_PAUSE: Duration = Duration::from_millis(1_500);
 /// Pause before a failed call is retried at the next edge address.
@@ -49,6 +49,13 @@
         }
     }
 
+    /// Creates a job that was accepted.
+    pub(super) fn accepted(plan: JobPlan, oldest_version: u64) -> Self {
+        let job = Self::new(plan, oldest_version);
+        job.is_accepted.store(true, Ordering::Relaxed);
+        job
+    }
+
     /// Returns whether the job was accepted.
     pub fn is_accepted(&self) -> bool {
         self.is_accepted.load(Ordering::Relaxed)
@@ -78,10 +85,15 @@
         }
     }
 
+    /// Returns the oldest version of the weights that a job submitted now allows.
+    pub(super) fn oldest_version(&self) -> u64 {
+        let newest = self.newest_version.load(Ordering::Relaxed);
+        newest.saturating_sub(1).max(1)
+    }
+
     /// Submits a job. Starts tasks that read and end it if it is accepted.
     async fn start_job(self: &Arc<Self>, plan: JobPlan, step: u64) {
-        let newest = self.newest_version.load(Ordering::Relaxed);
-        let oldest_version = newest.saturating_sub(1).max(1);
+        let oldest_version = self.oldest_version();
         let body = Bytes::from(job_body(step, oldest_version, &plan.items));
         let id = plan.id.clone();
         let job = Arc::new(Job::new(plan, oldest_version));
--- a/crates/soak/src/checks/jobs.rs
+++ b/crates/soak/src/checks/jobs.rs
@@ -87,7 +87,8 @@
 ) -> Vec<(u64, String)> {
     let due = schedule.last_fault_end() + REREAD_DUE_MS;
     let submits = observed.calls.iter();
-    let submits = submits.filter(|call| call.kind == CallKind::Submit);
+    let submits =
+        submits.filter(|call| matches!(call.kind, CallKind::Submit | CallKind::SubmitOnce));
     let is_kept = |job: &str| {
         let mut of_job = submits.clone().filter(|call| call.id == job);
         of_job.any(|call| due < call.sent_at + RETENTION_MS)
--- a/crates/soak/src/checks/requests.rs
+++ b/crates/soak/src/checks/requests.rs
@@ -85,6 +85,7 @@
         | FaultKind::PacePlain(..)
         | FaultKind::PaceEngine(..)
         | FaultKind::SlowReader(_)
+        | FaultKind::Submissions(_)
         | FaultKind::Burst(..) => false,
         _ => true,
     }
--- a/crates/soak/src/history.rs
+++ b/crates/soak/src/history.rs
@@ -14,8 +14,10 @@
     Write,
     /// A request whose body makes the replica that runs it exit.
     Ending,
-    /// The submission of a job.
+    /// The submission of a job, repeated until it is accepted.
     Submit,
+    /// The submission of a job that is sent once.
+    SubmitOnce,
     /// A request on a route that a configuration written during the run added.
     NewRoute,
 }
--- a/crates/soak/src/jobs.rs
+++ b/crates/soak/src/jobs.rs
@@ -13,6 +13,8 @@
 const LARGE_JOB_ITEMS: usize = 64;
 /// Size of an event of a large job's texts, in bytes. A text has 30 events, and so 60 KB.
 const LARGE_EVENT_BYTES: usize = 2_000;
+/// Time between two events of the item of a small job, in ms.
+const SMALL_EVENT_MS: u64 = 1;
 /// Random stream of jobs.
 const JOB_STREAM: u64 = 2;
 /// Probability that the caller ends a job instead of waiting for all results.
@@ -65,6 +67,23 @@
 }
 
 impl JobPlan {
+    /// Returns a small job, whose only item has the id of the job, so that its runs tell whether a
+    /// refused job ran.
+    pub fn single(number: u64) -> Self {
+        let id = format!("small-job-{number}");
+        let item = JobItem {
+            id: id.clone(),
+            event_ms: SMALL_EVENT_MS,
+            event_bytes: 0,
+            score: format!("{id}-score"),
+        };
+        Self {
+            id,
+            items: vec![item],
+            end: None,
+        }
+    }
+
     /// Draws the job with the number `step` of a run.
     pub fn draw(seed: u64, step: u64) -> Self {
         let mut random = ChaCha8Rng::seed_from_u64(seed);
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -44,6 +44,8 @@
     power_loss: bool,
     /// At the end, also kill whichever process leads, again and again
     leader_kills: bool,
+    /// Also suspend the leader for a moment again and again while callers submit jobs
+    leader_freezes: bool,
     /// Also restart replicas under the ids that they had
     rebirths: bool,
     /// Also play callers that read slowly, bursts of callers and replicas whose speed changes
@@ -81,6 +83,9 @@
     fn extend(&self, mut schedule: Schedule) -> Schedule {
         schedule.storage_memory_mb = self.storage_memory;
         schedule.add_large_jobs(self.job_mb);
+        if self.leader_freezes {
+            schedule.add_leader_freezes();
+        }
         if self.power_loss {
             schedule.add_power_loss();
         }
--- a/crates/soak/src/play/faults.rs
+++ b/crates/soak/src/play/faults.rs
@@ -56,12 +56,12 @@
                 }
             }
             FaultKind::Configuration => self.write_configuration(),
-            other => self.inject_external(other),
+            other => self.inject_external(other, lasting),
         }
     }
 
     /// Injects a fault into connections, the store or replicas.
-    fn inject_external(&self, kind: FaultKind) {
+    fn inject_external(&self, kind: FaultKind, lasting: Duration) {
         let store = &self.cluster.store;
         match kind {
             FaultKind::Harm(link, link_fault) => {
@@ -102,6 +102,7 @@
             }
             FaultKind::PacePlain(number, percent) => set_pace(&self.plain[number], percent),
             FaultKind::PaceEngine(number, percent) => set_pace(&self.engines[number], percent),
+            FaultKind::Submissions(count) => self.callers.start_submissions(count, lasting),
             FaultKind::SlowReader(edge) => self.callers.start_slow_reader(edge),
             FaultKind::Burst(edge, count) => self.callers.start_burst(edge, count),
             // `inject` handles these kinds itself.
--- a/crates/soak/src/schedule/fault.rs
+++ b/crates/soak/src/schedule/fault.rs
@@ -145,6 +145,9 @@
     SlowReader(usize),
     /// This many callers send one request each to the edge at once.
     Burst(usize, usize),
+    /// This many callers submit small jobs for a moment, and one more is submitted now and then until
+    /// the fault ends. Each id is sent once.
+    Submissions(usize),
 }
 
 /// A fault with its start time and duration.
--- a/crates/soak/src/schedule/mod.rs
+++ b/crates/soak/src/schedule/mod.rs
@@ -8,6 +8,7 @@
 
 mod fault;
 mod finale;
+mod leader_freezes;
 mod load;
 mod streams;
 
--- a/crates/soak/tests/checks.rs
+++ b/crates/soak/tests/checks.rs
@@ -171,6 +171,14 @@
     replica.arrivals.push((id.to_string(), at));
 }
 
+/// Adds a job that was accepted at its only submission.
+fn add_small_job(observed: &mut Observed) {
+    let id = "small-job-9".to_string();
+    let submission = call(&id, CallKind::SubmitOnce, 1_000, answered(202));
+    observed.calls.push(submission);
+    observed.jobs.insert(id.clone(), vec![id]);
+}
+
 fn violated_checks(observed: &Observed, faults: &[Fault]) -> BTreeSet<&'static str> {
     let violations = check(observed, &schedule(faults));
     violations.into_iter().map(|one| one.check).collect()
@@ -201,6 +209,11 @@
     let replica = observed.replicas.get_mut("replica-0").expect("replica-0");
     replica.runs.insert("refused".to_string(), 1);
 })]
+#[case::a_refused_job_ran("refusals_are_true", |observed: &mut Observed| {
+    observed.calls.push(call("small-job-9", CallKind::SubmitOnce, 2_000, answered(503)));
+    let replica = observed.replicas.get_mut("replica-0").expect("replica-0");
+    replica.runs.insert("small-job-9".to_string(), 1);
+})]
 #[case::a_request_was_broken_off("planned_stops_cut_nothing", |observed: &mut Observed| {
     observed.calls.push(call("late", CallKind::Read, 9_000, Outcome::Broken));
 })]
@@ -210,6 +223,14 @@
     observed.calls.push(kept);
 })]
 #[case::a_job_is_unfinished("jobs_are_kept", |observed: &mut Observed| observed.pages.clear())]
+#[case::a_job_submitted_once_is_unfinished("jobs_are_kept", add_small_job)]
+#[case::a_job_submitted_once_is_unknown("results_are_readable", |observed: &mut Observed| {
+    observed.calls.iter_mut().filter(|call| call.id == "job-1").for_each(|call| {
+        call.kind = CallKind::SubmitOnce;
+    });
+    observed.rereads = valid_rereads();
+    observed.rereads[1].is_answered = false;
+})]
 #[case::an_item_is_listed_twice("jobs_are_kept", |observed: &mut Observed| {
     let mut again = page("text", &[1], 7_000);
     again.since = 1;
@@ -493,6 +514,43 @@
     }
 }
 
+/// Guards against suspensions of the leader that alter other faults, come without submissions, or do
+/// not survive JSON.
+#[rstest]
+fn leader_freezes_are_added_amid_submissions() {
+    let params = ScheduleParams {
+        length: 60_000,
+        edges: 3,
+        storage: 3,
+        same_id_restarts: false,
+        uneven_load: false,
+    };
+    for seed in 0..20 {
+        let plain = Schedule::draw(seed, params);
+        let mut drawn = plain.clone();
+        drawn.add_leader_freezes();
+        let text = serde_json::to_string(&drawn).expect("text");
+        let read: Schedule = serde_json::from_str(&text).expect("read");
+        assert_eq!(read, drawn);
+        let mut added = drawn.faults;
+        added.retain(|fault| !plain.faults.contains(fault));
+        let is_submission = |fault: &&Fault| matches!(fault.kind, FaultKind::Submissions(_));
+        let submissions: Vec<&Fault> = added.iter().filter(is_submission).collect();
+        let freezes: Vec<&Fault> = added.iter().filter(|one| !is_submission(one)).collect();
+        assert!(submissions.len() > 10, "seed {seed}");
+        assert_eq!(added.len(), submissions.len() + freezes.len());
+        for freeze in freezes {
+            assert_eq!(freeze.kind, FaultKind::Freeze(Process::Leader));
+            let surrounds = |one: &&&Fault| one.at < freeze.at && freeze.end() < one.end();
+            assert_eq!(
+                submissions.iter().filter(surrounds).count(),
+                1,
+                "seed {seed}"
+            );
+        }
+    }
+}
+
 /// Guards against schedules that depend on more than the seed, or do not survive JSON.
 #[rstest]
 fn same_seed_draws_the_same_schedule() {
--- a/crates/soak/tests/short.rs
+++ b/crates/soak/tests/short.rs
@@ -35,6 +35,16 @@
     play_and_check(&Schedule::draw(seed, params)).await;
 }
 
+/// Guards against jobs that are answered 202 and then lost, after the leader stood still in the midst of
+/// their submissions and another one was elected.
+#[rstest]
+#[tokio::test(flavor = "multi_thread")]
+async fn jobs_accepted_around_suspensions_of_the_leader_are_kept() {
+    let schedule = include_str!("../seeds/leader-freezes.json");
+    let schedule: Schedule = serde_json::from_str(schedule).expect("a schedule");
+    play_and_check(&schedule).await;
+}
+
 /// Guards against edges that resume after a suspension and start items or scoring calls of jobs
 /// that were ended meanwhile, and against results that cannot be read after a power loss that loses
 /// a disk.
