--- a/crates/cluster/tests/unit/storage/fixture.rs
+++ b/crates/cluster/tests/unit/storage/fixture.rs
@@ -224,13 +224,26 @@
             let bytes = command.encode().expect("encoded");
             Payload::Command(bytes)
         });
-        self.receive_append(payloads.collect(), true);
+        let committed = self.storage.consensus.commit_index();
+        self.receive_append(committed, payloads.collect(), true);
     }
 
-    /// The next leader sends entries that follow the committed ones.
-    pub fn receive_append(&mut self, payloads: Vec<Payload>, is_committed: bool) {
+    /// The next leader replaces all entries that are not committed by one that is not committed
+    /// either.
+    pub fn truncate_uncommitted(&mut self) {
+        let committed = self.storage.consensus.commit_index();
+        self.receive_append(committed, vec![Payload::Nothing], false);
+    }
+
+    /// The next leader has all entries of this member, and commits them with its own first entry.
+    pub fn commit_by_successor(&mut self) {
+        let last = self.storage.consensus.last_index();
+        self.receive_append(last, vec![Payload::Nothing], true);
+    }
+
+    /// Receives entries after `previous_index` from the next leader.
+    fn receive_append(&mut self, previous_index: u64, payloads: Vec<Payload>, is_committed: bool) {
         let term = self.term() + 1;
-        let previous_index = self.storage.consensus.commit_index();
         let entries: Vec<Entry> = (previous_index + 1..)
             .zip(payloads)
             .map(|(index, payload)| Entry {
@@ -258,30 +271,6 @@
         );
     }
 
-    /// The next leader has all entries of this member, and commits them with its own first entry.
-    pub fn commit_by_successor(&mut self) {
-        let term = self.term() + 1;
-        let previous_index = self.storage.consensus.last_index();
-        let index = previous_index + 1;
-        let entry = Entry {
-            term,
-            index,
-            payload: Payload::Nothing,
-        };
-        self.receive(
-            SUCCESSOR,
-            GroupMessage::Append {
-                term,
-                previous_index,
-                previous_term: self.term(),
-                entries: vec![entry],
-                commit: index,
-                read_index: None,
-                sent_at: 0,
-            },
-        );
-    }
-
     /// A snapshot of the current state that replaces more entries than the log has.
     pub fn snapshot_beyond_log(&self) -> Snapshot {
         Snapshot {
--- a/crates/cluster/tests/unit/storage/leadership.rs
+++ b/crates/cluster/tests/unit/storage/leadership.rs
@@ -3,7 +3,7 @@
 
 use super::fixture::{Member, SUCCESSOR, accept, end, in_event_loop, submit};
 use brasspond_cluster_protocol::Answer;
-use brasspond_consensus::{Message, Payload};
+use brasspond_consensus::Message;
 use brasspond_jobs::Command;
 use rstest::rstest;
 
@@ -102,7 +102,7 @@
         let mut member = Member::leader();
         member.ask(1, submit("job", None));
         member.turn();
-        member.receive_append(vec![Payload::Nothing], false);
+        member.truncate_uncommitted();
         member.turn();
         member.win_election();
         member.ask(2, submit("other", None));
--- a/crates/soak/src/callers/load.rs
+++ b/crates/soak/src/callers/load.rs
@@ -1,8 +1,8 @@
 //! Callers that exist for a moment: bursts, and callers that read a large answer slowly.
 
-use super::{CALLER_TIMEOUT, Callers, EdgeAddress};
-use crate::history::{CallKind, CallRecord, Outcome};
-use brasspond_platform_standin::caller::{CallOutcome, Caller, read_slowly};
+use super::{CALLER_TIMEOUT, Callers, EdgeAddress, outcome_of};
+use crate::history::{CallKind, CallRecord};
+use brasspond_platform_standin::caller::{Caller, read_slowly};
 use bytes::Bytes;
 use std::sync::Arc;
 
@@ -47,15 +47,9 @@
         let id = format!("call-{}", self.next_id_number());
         let sent_at = self.history.now();
         let response = read_slowly(to.address, &id, SLOW_ANSWER_BYTES, CALLER_TIMEOUT).await;
-        let outcome = match response {
-            CallOutcome::Broken => Outcome::Broken,
-            CallOutcome::TimedOut => Outcome::Late,
-            CallOutcome::NoConnection => Outcome::Unreached,
-            CallOutcome::Answered(status, answer_id, answer) => Outcome::Answered {
-                status,
-                is_own: answer_id == id && answer.len() == SLOW_ANSWER_BYTES,
-            },
-        };
+        let outcome = outcome_of(response, |answer_id, answer| {
+            answer_id == id && answer.len() == SLOW_ANSWER_BYTES
+        });
         self.history.record_call(CallRecord {
             id,
             kind: CallKind::Read,
--- a/crates/soak/src/callers/mod.rs
+++ b/crates/soak/src/callers/mod.rs
@@ -67,6 +67,20 @@
     pub jobs: Mutex<BTreeMap<String, Arc<Job>>>,
 }
 
+/// Returns the outcome of a call for its record. `is_own` tells from the id and the body of a complete
+/// answer whether they match the call.
+fn outcome_of(response: CallOutcome, is_own: impl FnOnce(&str, &Bytes) -> bool) -> Outcome {
+    match response {
+        CallOutcome::Broken => Outcome::Broken,
+        CallOutcome::TimedOut => Outcome::Late,
+        CallOutcome::NoConnection => Outcome::Unreached,
+        CallOutcome::Answered(status, id, body) => Outcome::Answered {
+            status,
+            is_own: is_own(&id, &body),
+        },
+    }
+}
+
 impl Callers {
     /// Returns a number that is unique in the run, for the id or the path of a call.
     fn next_id_number(&self) -> u64 {
@@ -106,15 +120,9 @@
         let response = caller
             .call("POST", path, id, body.clone(), CALLER_TIMEOUT)
             .await;
-        let outcome = match response {
-            CallOutcome::Broken => Outcome::Broken,
-            CallOutcome::TimedOut => Outcome::Late,
-            CallOutcome::NoConnection => Outcome::Unreached,
-            CallOutcome::Answered(status, answer_id, answer) => Outcome::Answered {
-                status,
-                is_own: answer_id == id && answer == body,
-            },
-        };
+        let outcome = outcome_of(response, |answer_id, answer| {
+            answer_id == id && *answer == body
+        });
         self.history.record_call(CallRecord {
             id: id.to_string(),
             kind,
--- a/crates/soak/src/callers/submitter.rs
+++ b/crates/soak/src/callers/submitter.rs
@@ -2,10 +2,10 @@
 //! until it is accepted, which would hide an acceptance that was acknowledged and then lost.
 
 use super::trainer::{Job, TRAINER_TIMEOUT};
-use super::{Callers, EdgeAddress};
+use super::{Callers, EdgeAddress, outcome_of};
 use crate::history::{CallKind, CallRecord, Outcome};
 use crate::jobs::JobPlan;
-use brasspond_platform_standin::caller::{CallOutcome, Caller, job_body};
+use brasspond_platform_standin::caller::{Caller, job_body};
 use bytes::Bytes;
 use std::sync::Arc;
 use std::time::Duration;
@@ -58,15 +58,9 @@
         let mut caller = Caller::new(to.address);
         let sent_at = self.history.now();
         let response = caller.call("POST", "/jobs/x", &id, body, TRAINER_TIMEOUT);
-        let outcome = match response.await {
-            CallOutcome::Broken => Outcome::Broken,
-            CallOutcome::TimedOut => Outcome::Late,
-            CallOutcome::NoConnection => Outcome::Unreached,
-            CallOutcome::Answered(status, answer_id, _) => Outcome::Answered {
-                status,
-                is_own: answer_id.is_empty() || answer_id == id,
-            },
-        };
+        let outcome = outcome_of(response.await, |answer_id, _| {
+            answer_id.is_empty() || answer_id == id
+        });
         let is_accepted = matches!(outcome, Outcome::Answered { status: 202, .. });
         if is_accepted {
             let job = Arc::new(Job::accepted(plan, oldest_version));
--- a/crates/soak/tests/checks.rs
+++ b/crates/soak/tests/checks.rs
@@ -16,6 +16,13 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 const LENGTH: u64 = 60_000;
+const PARAMS: ScheduleParams = ScheduleParams {
+    length: LENGTH,
+    edges: 3,
+    storage: 3,
+    same_id_restarts: false,
+    uneven_load: false,
+};
 const ITEM: &str = "job-0-item-0";
 const SCORE: &str = "job-0-score-0";
 /// Item of a job whose end is first acknowledged at 10,000 ms.
@@ -23,14 +30,7 @@
 const ENDED_SCORE: &str = "job-1-score-0";
 
 fn schedule(faults: &[Fault]) -> Schedule {
-    let params = ScheduleParams {
-        length: LENGTH,
-        edges: 3,
-        storage: 3,
-        same_id_restarts: false,
-        uneven_load: false,
-    };
-    let mut schedule = Schedule::draw(1, params);
+    let mut schedule = Schedule::draw(1, PARAMS);
     schedule.faults = faults.to_vec();
     schedule
 }
@@ -354,16 +354,9 @@
 /// Guards against schedules without region cuts, or with the loss of a disk during one.
 #[rstest]
 fn some_schedules_cut_a_region_off() {
-    let params = ScheduleParams {
-        length: 60_000,
-        edges: 3,
-        storage: 3,
-        same_id_restarts: false,
-        uneven_load: false,
-    };
     let mut cuts = 0;
     for seed in 0..200 {
-        let drawn = Schedule::draw(seed, params);
+        let drawn = Schedule::draw(seed, PARAMS);
         assert!(drawn.faults.is_sorted_by_key(|fault| fault.at));
         let is_region_cut = |fault: &&Fault| matches!(fault.kind, FaultKind::CutRegion(_));
         let Some(cut) = drawn.faults.iter().find(is_region_cut) else {
@@ -384,16 +377,9 @@
 /// Guards against link faults on replicas without a proxy, and against kinds that are never drawn.
 #[rstest]
 fn link_faults_strike_only_proxied_replicas() {
-    let params = ScheduleParams {
-        length: 60_000,
-        edges: 3,
-        storage: 3,
-        same_id_restarts: false,
-        uneven_load: false,
-    };
     let mut link_faults = BTreeSet::new();
     for seed in 0..50 {
-        for fault in Schedule::draw(seed, params).faults {
+        for fault in Schedule::draw(seed, PARAMS).faults {
             if let FaultKind::Harm(
                 ProxiedLink::Plain(number) | ProxiedLink::Engine(number),
                 link_fault,
@@ -413,16 +399,9 @@
 /// succession, or write no extra configurations.
 #[rstest]
 fn faults_come_in_series_and_overlap() {
-    let params = ScheduleParams {
-        length: 60_000,
-        edges: 3,
-        storage: 3,
-        same_id_restarts: false,
-        uneven_load: false,
-    };
     let (mut suspension_pairs, mut signal_pairs, mut configurations) = (0, 0, 0);
     for seed in 0..50 {
-        let faults = Schedule::draw(seed, params).faults;
+        let faults = Schedule::draw(seed, PARAMS).faults;
         assert!(faults.is_sorted_by_key(|fault| fault.at));
         assert!(faults.iter().all(|fault| fault.end() <= 46_000));
         let is_frozen = |fault: &Fault| matches!(fault.kind, FaultKind::Freeze(Process::Edge(_)));
@@ -450,16 +429,9 @@
 /// faults.
 #[rstest]
 fn same_id_restarts_are_drawn_only_on_request() {
-    let without = ScheduleParams {
-        length: 60_000,
-        edges: 3,
-        storage: 3,
-        same_id_restarts: false,
-        uneven_load: false,
-    };
     let with = ScheduleParams {
         same_id_restarts: true,
-        ..without
+        ..PARAMS
     };
     let is_same_id_restart = |fault: &Fault| {
         matches!(
@@ -468,7 +440,7 @@
         )
     };
     for seed in 0..20 {
-        let plain = Schedule::draw(seed, without);
+        let plain = Schedule::draw(seed, PARAMS);
         assert!(!plain.faults.iter().any(is_same_id_restart));
         let mut drawn = Schedule::draw(seed, with);
         let all = drawn.faults.len();
@@ -482,16 +454,9 @@
 /// schedules with uneven load that do not survive JSON.
 #[rstest]
 fn uneven_load_is_drawn_only_on_request() {
-    let without = ScheduleParams {
-        length: 60_000,
-        edges: 3,
-        storage: 3,
-        same_id_restarts: false,
-        uneven_load: false,
-    };
     let with = ScheduleParams {
         uneven_load: true,
-        ..without
+        ..PARAMS
     };
     let kind = |fault: &Fault| match fault.kind {
         FaultKind::SlowReader(_) => Some("slow reader"),
@@ -501,7 +466,7 @@
         _ => None,
     };
     for seed in 0..20 {
-        let plain = Schedule::draw(seed, without);
+        let plain = Schedule::draw(seed, PARAMS);
         assert!(plain.faults.iter().all(|fault| kind(fault).is_none()));
         let mut drawn = Schedule::draw(seed, with);
         let text = serde_json::to_string(&drawn).expect("text");
@@ -518,15 +483,8 @@
 /// not survive JSON.
 #[rstest]
 fn leader_freezes_are_added_amid_submissions() {
-    let params = ScheduleParams {
-        length: 60_000,
-        edges: 3,
-        storage: 3,
-        same_id_restarts: false,
-        uneven_load: false,
-    };
     for seed in 0..20 {
-        let plain = Schedule::draw(seed, params);
+        let plain = Schedule::draw(seed, PARAMS);
         let mut drawn = plain.clone();
         drawn.add_leader_freezes();
         let text = serde_json::to_string(&drawn).expect("text");
@@ -604,14 +562,7 @@
 #[rstest]
 fn final_faults_come_last() {
     for seed in 0..50 {
-        let params = ScheduleParams {
-            length: 60_000,
-            edges: 3,
-            storage: 3,
-            same_id_restarts: false,
-            uneven_load: false,
-        };
-        let plain = Schedule::draw(seed, params);
+        let plain = Schedule::draw(seed, PARAMS);
         let mut drawn = plain.clone();
         drawn.add_power_loss();
         drawn.add_leader_kills();
