--- a/review/5/run.sh
+++ b/review/5/run.sh
@@ -7,7 +7,7 @@
 [ -x "$driver" ] && [ -x target/release/brasspond ] || exit 2
 REVIEW_FOLDER=$(mktemp -d) || exit 2
 export REVIEW_FOLDER
-timeout 118 "$driver" one-job "$here/record.txt"
+timeout 118 "$driver" canary "$here/record.txt"
 code=$?
 # Nothing is left unless the driver was stopped.
 for pid in $(cat "$REVIEW_FOLDER/pids" 2>/dev/null); do
--- a/review/drivers-2/http.rs
+++ b/review/drivers-2/http.rs
@@ -4,6 +4,7 @@
 use std::io::{BufRead, BufReader, Error, ErrorKind, Read, Result, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
 /// Head and body of a request or an answer.
@@ -101,14 +102,18 @@
     stream.write_all(&bytes)
 }
 
-/// Serves connections in threads. The handler writes the answer; an error closes the connection.
-pub fn serve<F>(listener: TcpListener, handle: F)
+/// Serves connections in threads, until `stopped` is set and one more connection has come. The
+/// handler writes the answer; an error closes the connection.
+pub fn serve<F>(listener: TcpListener, stopped: Arc<AtomicBool>, handle: F)
 where
     F: Fn(Message, &mut TcpStream) -> Result<()> + Send + Sync + 'static,
 {
     let handle = Arc::new(handle);
     std::thread::spawn(move || {
         for stream in listener.incoming().flatten() {
+            if stopped.load(Ordering::Relaxed) {
+                return;
+            }
             let handle = Arc::clone(&handle);
             std::thread::spawn(move || {
                 let _ = stream.set_nodelay(true);
--- a/review/drivers-2/platform.rs
+++ b/review/drivers-2/platform.rs
@@ -54,7 +54,7 @@
         let address = listener.local_addr().expect("an address");
         let store = Arc::new(Self::default());
         let served = Arc::clone(&store);
-        serve(listener, move |request, stream| served.handle(&request, stream));
+        serve(listener, Arc::default(), move |request, stream| served.handle(&request, stream));
         (store, address)
     }
 
@@ -64,6 +64,19 @@
         self.write(kind, name, Some(spec), None);
     }
 
+    /// Removes an object.
+    pub fn remove(&self, kind: &str, name: &str) {
+        let mut objects = self.objects.lock().expect("lock");
+        let key = (kind.to_string(), name.to_string());
+        if let Some(mut object) = objects.by_name.remove(&key) {
+            objects.revision += 1;
+            object.revision = objects.revision;
+            let change = (object.revision, kind.to_string(), text_of(name, &object), true);
+            objects.changes.push(change);
+            self.changed.notify_all();
+        }
+    }
+
     fn write(&self, kind: &str, name: &str, spec: Option<Json>, status: Option<Json>) -> String {
         let mut objects = self.objects.lock().expect("lock");
         objects.revision += 1;
@@ -179,6 +192,8 @@
     pub event_bytes: usize,
     /// Time per event, and of the work on other requests, in ms.
     pub event_ms: u64,
+    /// Whether its process has crashed.
+    crashed: Arc<AtomicBool>,
     version: AtomicU64,
     orders: AtomicU64,
     pub runs: Mutex<HashMap<String, Runs>>,
@@ -205,16 +220,29 @@
             events,
             event_bytes,
             event_ms,
+            crashed: Arc::default(),
             version: AtomicU64::new(1),
             orders: AtomicU64::new(0),
             runs: Mutex::default(),
         });
         let served = Arc::clone(&replica);
-        serve(listener, move |request, stream| served.handle(&request, stream));
+        serve(listener, Arc::clone(&replica.crashed), move |request, stream| {
+            served.handle(&request, stream)
+        });
         replica
     }
 
+    /// Ends like a crashed process: connections close and new ones are refused.
+    pub fn crash(&self) {
+        self.crashed.store(true, Ordering::Relaxed);
+        // Wakes the loop that accepts, which then closes its socket.
+        drop(TcpStream::connect(self.address));
+    }
+
     fn handle(&self, request: &Message, stream: &mut TcpStream) -> Result<()> {
+        if self.crashed.load(Ordering::Relaxed) {
+            return Err(Error::new(ErrorKind::Other, "crashed"));
+        }
         let expected = request.header("x-brasspond-expect-instance");
         if !expected.is_empty() && expected != self.id {
             let not_run = [("x-brasspond-not-executed", "1".to_string())];
--- a/review/drivers-2/scenarios.rs
+++ b/review/drivers-2/scenarios.rs
@@ -24,7 +24,7 @@
         "backlog" => backlog(&record, trouble, words),
         "one-job" => one_job(&record, trouble, words),
         "uploads" => uploads(&record, trouble, words),
-        "open-job" => open_job(&record, trouble, words),
+        "canary" => canary(&record, trouble),
         _ => NOT_RUN,
     }
 }
@@ -32,6 +32,7 @@
 /// A deployment with its stand-ins.
 struct Deployment {
     cluster: Cluster,
+    store: Arc<Store>,
     replicas: Vec<Arc<Replica>>,
     folder: PathBuf,
 }
@@ -47,7 +48,8 @@
     }
 }
 
-fn configuration(version: u64) -> String {
+/// The configuration. With a canary, a tenth of the batch jobs' requests goes to a second service.
+fn configuration(version: u64, with_canary: bool) -> String {
     let route = |name: &str, kind: &str, service: &str, more: &str| {
         format!(
             "{{\"name\":\"{name}\",\"host\":\"{HOST}\",\"path_prefix\":\"/{name}/\",\"type\":\"{kind}\",\
@@ -55,12 +57,16 @@
              \"max_attempts\":3{more}}}"
         )
     };
-    let jobs = route("jobs", "rollout", "engines", ",\"max_queue_s\":60.0,\"due_ms\":7500");
+    let split = ",\"traffic_split\":[{\"service\":\"engines\",\"weight\":0.9},{\"service\":\"canary\",\"weight\":0.1}]";
+    let split = if with_canary { split } else { "" };
+    let more = format!(",\"max_queue_s\":60.0,\"due_ms\":7500{split}");
+    let jobs = route("jobs", "rollout", "engines", &more);
     let reads = route("reads", "idempotent", "plain", "");
     let writes = route("writes", "non_idempotent", "plain", "");
     format!(
         "{{\"version\":{version},\"route_list\":[{jobs},{reads},{writes}],\"services\":[\
          {{\"name\":\"engines\",\"max_conns\":170,\"engine\":{{\"slots\":16,\"model_list\":[{{\"name\":\"m0\",\"version\":1}}]}}}},\
+         {{\"name\":\"canary\",\"max_conns\":170,\"engine\":{{\"slots\":16,\"model_list\":[{{\"name\":\"m0\",\"version\":1}}]}}}},\
          {{\"name\":\"plain\",\"max_conns\":100}}],\
          \"limits\":{{\"max_header_bytes\":16384,\"max_body_bytes\":33554432,\
          \"header_timeout_ms\":3000,\"idle_timeout_ms\":15000}}}}"
@@ -68,7 +74,7 @@
 }
 
 fn replica_entry(service: &str, replica: &Replica, zone: &str) -> String {
-    let models = if service == "engines" {
+    let models = if service != "plain" {
         ",\"phase\":\"both\",\"model_list\":[{\"name\":\"m0\",\"version\":1,\"adapter_list\":[]}]"
     } else {
         ""
@@ -82,6 +88,12 @@
 
 impl Deployment {
     fn start(record: &Arc<Record>, plan: &Plan, shape: (u64, usize, u64), enforce: bool) -> Self {
+        Self::start_with(record, plan, shape, enforce, false)
+    }
+
+    /// Starts three replicas of the model service and one of the plain one, and one canary if it is
+    /// wanted, which is the last.
+    fn start_with(record: &Arc<Record>, plan: &Plan, shape: (u64, usize, u64), enforce: bool, with_canary: bool) -> Self {
         let network = free_network();
         let folder = match std::env::var("REVIEW_FOLDER") {
             Ok(folder) => PathBuf::from(folder),
@@ -89,12 +101,12 @@
         };
         std::fs::create_dir_all(&folder).expect("a folder");
         let (store, address) = Store::start(&format!("{network}.200:0"));
-        store.put("config", "main", &configuration(1));
+        store.put("config", "main", &configuration(1, with_canary));
         let mut replicas = Vec::new();
-        for number in 0..4 {
-            let (service, zone) = if number == 3 { ("plain", "zone-a") } else {
-                ("engines", ["zone-a", "zone-b", "zone-c"][number])
-            };
+        let services = ["engines", "engines", "engines", "plain", "canary"];
+        let count = if with_canary { services.len() } else { services.len() - 1 };
+        for (number, service) in services.into_iter().enumerate().take(count) {
+            let zone = ["zone-a", "zone-b", "zone-c"][number % 3];
             let id = format!("i-{number:04x}");
             let ip = format!("{network}.{}", 100 + number);
             let ms = if service == "plain" { PLAIN_MS } else { shape.2 };
@@ -104,7 +116,7 @@
         }
         let cluster = Cluster::start(plan, &network, address, &folder);
         cluster.watch_processes(record, enforce);
-        let deployment = Self { cluster, replicas, folder };
+        let deployment = Self { cluster, store, replicas, folder };
         record.line(&format!("deployment: {} edges, {} storage, status_s {}", plan.edges, plan.storage, plan.status_s));
         deployment
     }
@@ -213,25 +225,6 @@
     false
 }
 
-/// Reads until all results are listed.
-fn await_whole(record: &Record, deployment: &Deployment, job: &str, total: usize, limit: Duration) -> Option<Vec<Listed>> {
-    let until = Instant::now() + limit;
-    let mut all: Vec<Listed> = Vec::new();
-    let mut turn = 0;
-    while Instant::now() < until {
-        if let Ok((_, listed)) = read_results(deployment, turn, job, all.len()) {
-            all.extend(listed);
-        }
-        if all.len() == total {
-            record.line(&format!("client: read all {total} results of {job}"));
-            return Some(all);
-        }
-        turn += 1;
-        std::thread::sleep(Duration::from_millis(400));
-    }
-    None
-}
-
 /// Machines on which a process ended by itself three times: the rule's count.
 fn worn_out(record: &Record, deployment: &Deployment) -> usize {
     let mut count = 0;
@@ -459,54 +452,6 @@
     if passed_on > 3 { BROKEN } else { HELD }
 }
 
-/// Seconds beyond `status_s` for which the scenario reads the open batch job.
-const READ_BEYOND_S: u64 = 36;
-
-/// A batch job that is whole and stays open for longer than `status_s`.
-fn open_job(record: &Arc<Record>, trouble: bool, words: &[String]) -> u8 {
-    let status_s: u64 = words.first().and_then(|word| word.parse().ok()).unwrap_or(60);
-    let plan = Plan { edges: 3, storage: 3, status_s, edge_memory_mb: 260, storage_memory_mb: 320 };
-    let deployment = Deployment::start(record, &plan, (16, 320, 20), false);
-    if !deployment.await_ready(Duration::from_secs(20)) {
-        return NOT_RUN;
-    }
-    let id = "7c41e09b52d6a3f8";
-    let sent = Instant::now();
-    if !submit(record, &deployment, id, &job_body("e5b29", 1, 8, 600)) {
-        return NOT_RUN;
-    }
-    let Some(first) = await_whole(record, &deployment, id, 8, Duration::from_secs(15)) else {
-        return NOT_RUN;
-    };
-    if !trouble {
-        let ended = deployment.call(0, "DELETE", &format!("/-/lots/{id}"), &[], b"", Duration::from_secs(5));
-        let shown = ended.map_or_else(|error| error.to_string(), |answer| answer.status().to_string());
-        record.line(&format!("trainer: DELETE batch job {id}: {shown}"));
-    }
-    let mut broken = 0;
-    let mut turn = 0;
-    while sent.elapsed() < Duration::from_secs(status_s + READ_BEYOND_S) {
-        std::thread::sleep(Duration::from_secs(2));
-        let age = sent.elapsed();
-        let read = read_results(&deployment, turn, id, 0);
-        // An open batch job is readable without a limit, an ended one until `status_s`.
-        let is_promised = trouble || age < Duration::from_secs(status_s);
-        let shown = match &read {
-            Ok((total, listed)) => format!("200, total {total}, same results: {}", *listed == first),
-            Err(error) => error.clone(),
-        };
-        record.line(&format!("trainer: GET at edge {} {} s after the send: {shown}", turn % 3 + 1, age.as_secs()));
-        let is_lost = match read {
-            Ok((_, listed)) => listed != first,
-            Err(error) => error == "404" || error == "410",
-        };
-        broken += u32::from(is_promised && is_lost);
-        turn += 1;
-    }
-    record.line(&format!("check: {broken} reads of a promised batch job were answered 404 or 410, or without its results"));
-    if broken > 0 { BROKEN } else { HELD }
-}
-
 /// Six uploads at the same time, each within the limit on bodies, through one edge. Each client
 /// tries again once at the next edge, as it may with an idempotent request.
 fn uploads(record: &Arc<Record>, trouble: bool, words: &[String]) -> u8 {
@@ -549,3 +494,73 @@
     ));
     if passed_on > 3 { BROKEN } else { HELD }
 }
+
+/// Number of requests of the step, and the time that its trainer waits for it.
+const STEP_ITEMS: usize = 32;
+const STEP_TIME: Duration = Duration::from_secs(12);
+/// Time without a beat after which a crashed replica's entry goes: three heartbeats.
+const ENTRY_LAPSE: Duration = Duration::from_millis(3_600);
+/// Time in which an item may be at no replica, in steady state.
+const IDLE_LIMIT: Duration = Duration::from_secs(5);
+
+/// A step whose route gives a tenth of its requests to a canary service, the only replica of which
+/// was lost for good before the step.
+fn canary(record: &Arc<Record>, trouble: bool) -> u8 {
+    let plan = Plan { edges: 3, storage: 3, status_s: 120, edge_memory_mb: 260, storage_memory_mb: 320 };
+    let deployment = Deployment::start_with(record, &plan, (16, 320, 20), false, true);
+    if !deployment.await_ready(Duration::from_secs(20)) {
+        return NOT_RUN;
+    }
+    let Some(lost) = deployment.replicas.last() else { return NOT_RUN };
+    if trouble {
+        lost.crash();
+        record.line(&format!("trouble: the canary's only replica {} is lost for good", lost.id));
+        std::thread::sleep(ENTRY_LAPSE);
+        deployment.store.remove("servers", &lost.id);
+        record.line("platform: its entry has gone");
+    }
+    // Longer than `contact_ms`, so that the step begins in steady state.
+    std::thread::sleep(Duration::from_secs(6));
+    let id = "7c41e09b52d6a3f8";
+    if !submit(record, &deployment, id, &job_body("e5b29", 1, STEP_ITEMS, 600)) {
+        return NOT_RUN;
+    }
+    let sent = Instant::now();
+    let mut listed = 0;
+    let mut turn = 0;
+    let mut begun_at = (0, Duration::ZERO);
+    while sent.elapsed() < STEP_TIME && listed < STEP_ITEMS {
+        std::thread::sleep(Duration::from_millis(500));
+        if let Ok((_, results)) = read_results(&deployment, turn, id, listed) {
+            listed += results.len();
+        }
+        let (begun, finished) = runs(&deployment);
+        if begun != begun_at.0 {
+            begun_at = (begun, sent.elapsed());
+        }
+        record.line(&format!(
+            "trainer: {:.1} s after the send {listed} of {STEP_ITEMS} listed; replicas: {begun} runs begun, {} under way of {} places",
+            sent.elapsed().as_secs_f64(), begun - finished, 16 * 3
+        ));
+        turn += 1;
+    }
+    if listed == STEP_ITEMS {
+        record.line("check: the step is whole");
+        return HELD;
+    }
+    let (begun, finished) = runs(&deployment);
+    let untouched = (0..STEP_ITEMS).filter(|number| {
+        let id = format!("e5b29{number:06x}");
+        let mut replicas = deployment.replicas.iter();
+        !replicas.any(|one| one.runs.lock().expect("lock").contains_key(&id))
+    });
+    let untouched = untouched.count();
+    let idle = sent.elapsed().saturating_sub(begun_at.1);
+    record.line(&format!(
+        "check: the step ran out of time; {untouched} of its items were at no replica at all, {begun} others had begun, \
+         {} of {} places were taken, and no item began in the last {:.1} s; more than {} s break the rule",
+        begun - finished, 16 * 3, idle.as_secs_f64(), IDLE_LIMIT.as_secs()
+    ));
+    let is_broken = untouched > 0 && begun > 0 && idle > IDLE_LIMIT && (begun - finished) * 2 < 16 * 3;
+    if is_broken { BROKEN } else { HELD }
+}
