--- a/review/drivers-2/cluster.rs
+++ b/review/drivers-2/cluster.rs
@@ -18,7 +18,10 @@
 impl Record {
     pub fn create(path: &Path) -> Arc<Self> {
         let file = File::create(path).expect("a record");
-        Arc::new(Self { file: Mutex::new(file), started: Instant::now() })
+        Arc::new(Self {
+            file: Mutex::new(file),
+            started: Instant::now(),
+        })
     }
 
     pub fn line(&self, text: &str) {
@@ -58,8 +61,14 @@
 /// The words of a role's `run` in the deploy file.
 fn deploy_command(role: &str) -> Vec<String> {
     let text = std::fs::read_to_string("deploy/system.toml").expect("the deploy file");
-    let section = text.split(&format!("[roles.{role}]")).nth(1).expect("the role");
-    let line = section.lines().find(|line| line.starts_with("run")).expect("its command");
+    let section = text
+        .split(&format!("[roles.{role}]"))
+        .nth(1)
+        .expect("the role");
+    let line = section
+        .lines()
+        .find(|line| line.starts_with("run"))
+        .expect("its command");
     let words = line.split('"').nth(1).expect("its words");
     words.split(' ').map(str::to_string).collect()
 }
@@ -72,7 +81,9 @@
         let prefix = format!("127.{}.{}", 10 + (value >> 8) % 200, (value >> 16) % 250);
         let taken = (1..40).any(|host| {
             let ports = [7720, 8161, 8166, 8167, 9100];
-            ports.iter().any(|port| TcpListener::bind((format!("{prefix}.{host}"), *port)).is_err())
+            ports
+                .iter()
+                .any(|port| TcpListener::bind((format!("{prefix}.{host}"), *port)).is_err())
         });
         if !taken {
             return prefix;
@@ -85,15 +96,26 @@
     fn settings(&self, plan: &Plan, network: &str, store: SocketAddr, bootstrap: bool) -> String {
         let is_edge = self.role == "edge";
         let (ip, name) = (&self.ip, &self.name);
-        let serves = if is_edge { "[\"edge\", \"control_plane\"]" } else { "[\"storage\"]" };
+        let serves = if is_edge {
+            "[\"edge\", \"control_plane\"]"
+        } else {
+            "[\"storage\"]"
+        };
         let listen = if is_edge {
             format!("{{front: \"{ip}:8161\", ready: \"{ip}:8167\", control: \"{ip}:8166\"}}")
         } else {
             "{}".to_string()
         };
         let data = self.folder.join("data");
-        let data = if is_edge { "null".to_string() } else { format!("\"{}\"", data.display()) };
-        let zone = name.rsplit('-').next().and_then(|number| number.parse::<usize>().ok());
+        let data = if is_edge {
+            "null".to_string()
+        } else {
+            format!("\"{}\"", data.display())
+        };
+        let zone = name
+            .rsplit('-')
+            .next()
+            .and_then(|number| number.parse::<usize>().ok());
         let zone = ["zone-a", "zone-b", "zone-c"][zone.unwrap_or(0) % 3];
         format!(
             "node: \"{name}\"\nrole: \"{role}\"\nmachine_class: \"{role}\"\nserves: {serves}\n\
@@ -127,7 +149,10 @@
 
     /// Starts the process with the settings as they are now.
     pub fn start(&self) {
-        let log = OpenOptions::new().create(true).append(true).open(self.folder.join("log"));
+        let log = OpenOptions::new()
+            .create(true)
+            .append(true)
+            .open(self.folder.join("log"));
         let log = log.expect("a log");
         let child = Command::new(&self.command[0])
             .args(&self.command[1..])
@@ -139,7 +164,10 @@
             .expect("the program starts");
         // The script ends what is left if this program is stopped.
         if let Some(folder) = self.folder.parent() {
-            let pids = OpenOptions::new().create(true).append(true).open(folder.join("pids"));
+            let pids = OpenOptions::new()
+                .create(true)
+                .append(true)
+                .open(folder.join("pids"));
             let _ = writeln!(pids.expect("a list of processes"), "{}", child.id());
         }
         *self.process.lock().expect("lock") = Some(child);
@@ -193,7 +221,11 @@
                 let name = format!("{role}-{number}");
                 let own = folder.join(&name);
                 std::fs::create_dir_all(&own).expect("a folder");
-                let memory_mb = if role == "edge" { plan.edge_memory_mb } else { plan.storage_memory_mb };
+                let memory_mb = if role == "edge" {
+                    plan.edge_memory_mb
+                } else {
+                    plan.storage_memory_mb
+                };
                 machines.push(Arc::new(Machine {
                     front: format!("{ip}:8161").parse().expect("an address"),
                     ready: format!("{ip}:8167").parse().expect("an address"),
@@ -209,7 +241,12 @@
                 }));
             }
         }
-        let cluster = Self { machines, network: network.to_string(), store, plan: plan.clone() };
+        let cluster = Self {
+            machines,
+            network: network.to_string(),
+            store,
+            plan: plan.clone(),
+        };
         cluster.write_settings(true);
         for machine in &cluster.machines {
             machine.start();
@@ -231,11 +268,19 @@
     }
 
     pub fn edges(&self) -> Vec<Arc<Machine>> {
-        self.machines.iter().filter(|one| one.role == "edge").cloned().collect()
+        self.machines
+            .iter()
+            .filter(|one| one.role == "edge")
+            .cloned()
+            .collect()
     }
 
     pub fn storage(&self) -> Vec<Arc<Machine>> {
-        self.machines.iter().filter(|one| one.role == "storage").cloned().collect()
+        self.machines
+            .iter()
+            .filter(|one| one.role == "storage")
+            .cloned()
+            .collect()
     }
 
     /// Ends and restarts processes as the platform does: one that exceeds `memory_mb` is killed, and
@@ -243,28 +288,30 @@
     pub fn watch_processes(&self, record: &Arc<Record>, enforce_memory: bool) {
         for machine in self.machines.clone() {
             let record = Arc::clone(record);
-            std::thread::spawn(move || loop {
-                std::thread::sleep(Duration::from_millis(10));
-                let resident = machine.resident_kb().unwrap_or(0);
-                let mut peak = machine.peak_kb.lock().expect("lock");
-                *peak = (*peak).max(resident);
-                drop(peak);
-                if enforce_memory && resident > machine.memory_mb * 1_024 {
-                    record.line(&format!(
-                        "platform: {} holds {} MiB, over memory_mb {}, and is killed",
-                        machine.name,
-                        resident / 1_024,
-                        machine.memory_mb
-                    ));
-                    *machine.memory_kills.lock().expect("lock") += 1;
-                    machine.kill();
-                    std::thread::sleep(Duration::from_millis(500));
-                    machine.start();
-                } else if machine.has_ended() {
-                    record.line(&format!("platform: {} ended by itself", machine.name));
-                    machine.kill();
-                    std::thread::sleep(Duration::from_millis(500));
-                    machine.start();
+            std::thread::spawn(move || {
+                loop {
+                    std::thread::sleep(Duration::from_millis(10));
+                    let resident = machine.resident_kb().unwrap_or(0);
+                    let mut peak = machine.peak_kb.lock().expect("lock");
+                    *peak = (*peak).max(resident);
+                    drop(peak);
+                    if enforce_memory && resident > machine.memory_mb * 1_024 {
+                        record.line(&format!(
+                            "platform: {} holds {} MiB, over memory_mb {}, and is killed",
+                            machine.name,
+                            resident / 1_024,
+                            machine.memory_mb
+                        ));
+                        *machine.memory_kills.lock().expect("lock") += 1;
+                        machine.kill();
+                        std::thread::sleep(Duration::from_millis(500));
+                        machine.start();
+                    } else if machine.has_ended() {
+                        record.line(&format!("platform: {} ended by itself", machine.name));
+                        machine.kill();
+                        std::thread::sleep(Duration::from_millis(500));
+                        machine.start();
+                    }
                 }
             });
         }
--- a/review/drivers-2/http.rs
+++ b/review/drivers-2/http.rs
@@ -60,9 +60,14 @@
             break;
         }
         let (name, value) = text.split_once(':').ok_or_else(|| broken("a header"))?;
-        message.headers.push((name.trim().to_string(), value.trim().to_string()));
+        message
+            .headers
+            .push((name.trim().to_string(), value.trim().to_string()));
     }
-    if message.header("transfer-encoding").eq_ignore_ascii_case("chunked") {
+    if message
+        .header("transfer-encoding")
+        .eq_ignore_ascii_case("chunked")
+    {
         loop {
             line.clear();
             reader.read_line(&mut line)?;
@@ -144,7 +149,10 @@
     stream.set_nodelay(true)?;
     stream.set_read_timeout(Some(limit))?;
     stream.set_write_timeout(Some(limit))?;
-    let mut text = format!("{method} {path} HTTP/1.1\r\ncontent-length: {}\r\n", body.len());
+    let mut text = format!(
+        "{method} {path} HTTP/1.1\r\ncontent-length: {}\r\n",
+        body.len()
+    );
     for (name, value) in headers {
         text.push_str(&format!("{name}: {value}\r\n"));
     }
--- a/review/drivers-2/json.rs
+++ b/review/drivers-2/json.rs
@@ -18,7 +18,10 @@
 impl Json {
     /// Reads a document; `None` if it is malformed.
     pub fn read(text: &str) -> Option<Json> {
-        let mut reader = Reader { bytes: text.as_bytes(), at: 0 };
+        let mut reader = Reader {
+            bytes: text.as_bytes(),
+            at: 0,
+        };
         let value = reader.value()?;
         reader.space();
         (reader.at == reader.bytes.len()).then_some(value)
--- a/review/drivers-2/main.rs
+++ b/review/drivers-2/main.rs
@@ -17,5 +17,10 @@
         return ExitCode::from(2);
     };
     let trouble = std::env::var("TROUBLE").map_or(true, |text| text != "0");
-    ExitCode::from(scenarios::run(&scenario, &PathBuf::from(record), trouble, &words.collect::<Vec<_>>()))
+    ExitCode::from(scenarios::run(
+        &scenario,
+        &PathBuf::from(record),
+        trouble,
+        &words.collect::<Vec<_>>(),
+    ))
 }
--- a/review/drivers-2/platform.rs
+++ b/review/drivers-2/platform.rs
@@ -54,7 +54,9 @@
         let address = listener.local_addr().expect("an address");
         let store = Arc::new(Self::default());
         let served = Arc::clone(&store);
-        serve(listener, Arc::default(), move |request, stream| served.handle(&request, stream));
+        serve(listener, Arc::default(), move |request, stream| {
+            served.handle(&request, stream)
+        });
         (store, address)
     }
 
@@ -71,7 +73,12 @@
         if let Some(mut object) = objects.by_name.remove(&key) {
             objects.revision += 1;
             object.revision = objects.revision;
-            let change = (object.revision, kind.to_string(), text_of(name, &object), true);
+            let change = (
+                object.revision,
+                kind.to_string(),
+                text_of(name, &object),
+                true,
+            );
             objects.changes.push(change);
             self.changed.notify_all();
         }
@@ -107,9 +114,14 @@
         if self.down.load(Ordering::Relaxed) {
             return answer(stream, 503, &[], b"");
         }
-        let (path, query) = request.word(1).split_once('?').unwrap_or((request.word(1), ""));
-        let query: HashMap<&str, &str> =
-            query.split('&').filter_map(|pair| pair.split_once('=')).collect();
+        let (path, query) = request
+            .word(1)
+            .split_once('?')
+            .unwrap_or((request.word(1), ""));
+        let query: HashMap<&str, &str> = query
+            .split('&')
+            .filter_map(|pair| pair.split_once('='))
+            .collect();
         let parts: Vec<&str> = path.trim_start_matches("/-/objects/").split('/').collect();
         let body = Json::read(&request.text()).unwrap_or(Json::Null);
         let revision = body.get("metadata").get("revision").number();
@@ -132,19 +144,26 @@
                 let name = body.get("metadata").get("name").text().to_string();
                 match self.revision_of(kind, &name) {
                     Some(_) => (409, "{}".to_string()),
-                    None => (200, self.write(kind, &name, Some(body.get("spec").clone()), None)),
+                    None => (
+                        200,
+                        self.write(kind, &name, Some(body.get("spec").clone()), None),
+                    ),
                 }
             }
             ("PUT", [kind, name]) => {
                 if revision.is_some() && revision != self.revision_of(kind, name) {
                     (409, "{}".to_string())
                 } else {
-                    (200, self.write(kind, name, Some(body.get("spec").clone()), None))
+                    (
+                        200,
+                        self.write(kind, name, Some(body.get("spec").clone()), None),
+                    )
                 }
             }
-            ("PUT", [kind, name, "status"]) => {
-                (200, self.write(kind, name, None, Some(body.get("status").clone())))
-            }
+            ("PUT", [kind, name, "status"]) => (
+                200,
+                self.write(kind, name, None, Some(body.get("status").clone())),
+            ),
             _ => (400, String::new()),
         };
         answer(stream, status, &[], text.as_bytes())
@@ -152,19 +171,29 @@
 
     fn list(&self, kind: &str) -> String {
         let objects = self.objects.lock().expect("lock");
-        let of_kind = objects.by_name.iter().filter(|((other, _), _)| other == kind);
+        let of_kind = objects
+            .by_name
+            .iter()
+            .filter(|((other, _), _)| other == kind);
         let texts: Vec<String> = of_kind.map(|((_, name), one)| text_of(name, one)).collect();
         let at = objects.revision;
-        format!("{{\"requests\":[{}],\"has_more\":false,\"at\":{at}}}", texts.join(","))
+        format!(
+            "{{\"requests\":[{}],\"has_more\":false,\"at\":{at}}}",
+            texts.join(",")
+        )
     }
 
     fn watch(&self, kind: &str, after: u64, wait_ms: u64) -> String {
         let until = Instant::now() + Duration::from_millis(wait_ms);
         let mut objects = self.objects.lock().expect("lock");
         loop {
-            let new = objects.changes.iter().filter(|one| one.0 > after && one.1 == kind);
-            let events: Vec<String> =
-                new.map(|one| format!("{{\"object\":{},\"gone\":{}}}", one.2, one.3)).collect();
+            let new = objects
+                .changes
+                .iter()
+                .filter(|one| one.0 > after && one.1 == kind);
+            let events: Vec<String> = new
+                .map(|one| format!("{{\"object\":{},\"gone\":{}}}", one.2, one.3))
+                .collect();
             let left = until.saturating_duration_since(Instant::now());
             if !events.is_empty() || left.is_zero() {
                 let at = objects.revision;
@@ -202,9 +231,13 @@
 /// Data of an event, as the check expects it.
 pub fn event_data(id: &str, number: u64, bytes: usize) -> String {
     let mut data = format!("{id}-{number}-");
-    let mut state = number ^ id.bytes().fold(7, |sum: u64, one| sum.wrapping_mul(31) + u64::from(one));
+    let mut state = number
+        ^ id.bytes()
+            .fold(7, |sum: u64, one| sum.wrapping_mul(31) + u64::from(one));
     while data.len() < bytes {
-        state = state.wrapping_mul(6364136223846793005).wrapping_add(1442695040888963407);
+        state = state
+            .wrapping_mul(6364136223846793005)
+            .wrapping_add(1442695040888963407);
         data.push_str(&format!("{:016x}", state));
     }
     data.truncate(bytes.max(id.len() + 24));
@@ -226,9 +259,11 @@
             runs: Mutex::default(),
         });
         let served = Arc::clone(&replica);
-        serve(listener, Arc::clone(&replica.crashed), move |request, stream| {
-            served.handle(&request, stream)
-        });
+        serve(
+            listener,
+            Arc::clone(&replica.crashed),
+            move |request, stream| served.handle(&request, stream),
+        );
         replica
     }
 
@@ -269,12 +304,25 @@
             return answer(stream, 202, &[], b"");
         }
         let id = request.header("x-brasspond-request-id").to_string();
-        self.runs.lock().expect("lock").entry(id.clone()).or_default().begun += 1;
-        let stamp = ("x-brasspond-server-stamp", format!("stamp.{}.{id}", self.id));
+        self.runs
+            .lock()
+            .expect("lock")
+            .entry(id.clone())
+            .or_default()
+            .begun += 1;
+        let stamp = (
+            "x-brasspond-server-stamp",
+            format!("stamp.{}.{id}", self.id),
+        );
         let own = ("x-brasspond-request-id", id.clone());
         if !path.starts_with("/jobs/") {
             std::thread::sleep(Duration::from_millis(self.event_ms));
-            self.runs.lock().expect("lock").entry(id).or_default().finished += 1;
+            self.runs
+                .lock()
+                .expect("lock")
+                .entry(id)
+                .or_default()
+                .finished += 1;
             let echoed = request.body.len().min(ECHO_BYTES);
             return answer(stream, 200, &[own, stamp], &request.body[..echoed]);
         }
@@ -306,7 +354,12 @@
             stream.write_all(chunk.as_bytes())?;
         }
         stream.write_all(b"0\r\n\r\n")?;
-        self.runs.lock().expect("lock").entry(id.to_string()).or_default().finished += 1;
+        self.runs
+            .lock()
+            .expect("lock")
+            .entry(id.to_string())
+            .or_default()
+            .finished += 1;
         if request.header("connection").eq_ignore_ascii_case("close") {
             return Err(Error::new(ErrorKind::Other, "asked to close"));
         }
--- a/review/drivers-2/scenarios.rs
+++ b/review/drivers-2/scenarios.rs
@@ -93,7 +93,13 @@
 
     /// Starts three replicas of the model service and one of the plain one, and one canary if it is
     /// wanted, which is the last.
-    fn start_with(record: &Arc<Record>, plan: &Plan, shape: (u64, usize, u64), enforce: bool, with_canary: bool) -> Self {
+    fn start_with(
+        record: &Arc<Record>,
+        plan: &Plan,
+        shape: (u64, usize, u64),
+        enforce: bool,
+        with_canary: bool,
+    ) -> Self {
         let network = free_network();
         let folder = match std::env::var("REVIEW_FOLDER") {
             Ok(folder) => PathBuf::from(folder),
@@ -104,20 +110,36 @@
         store.put("config", "main", &configuration(1, with_canary));
         let mut replicas = Vec::new();
         let services = ["engines", "engines", "engines", "plain", "canary"];
-        let count = if with_canary { services.len() } else { services.len() - 1 };
+        let count = if with_canary {
+            services.len()
+        } else {
+            services.len() - 1
+        };
         for (number, service) in services.into_iter().enumerate().take(count) {
             let zone = ["zone-a", "zone-b", "zone-c"][number % 3];
             let id = format!("i-{number:04x}");
             let ip = format!("{network}.{}", 100 + number);
-            let ms = if service == "plain" { PLAIN_MS } else { shape.2 };
+            let ms = if service == "plain" {
+                PLAIN_MS
+            } else {
+                shape.2
+            };
             let replica = Replica::start(&id, &ip, shape.0, shape.1, ms);
             store.put("servers", &id, &replica_entry(service, &replica, zone));
             replicas.push(replica);
         }
         let cluster = Cluster::start(plan, &network, address, &folder);
         cluster.watch_processes(record, enforce);
-        let deployment = Self { cluster, store, replicas, folder };
-        record.line(&format!("deployment: {} edges, {} storage, status_s {}", plan.edges, plan.storage, plan.status_s));
+        let deployment = Self {
+            cluster,
+            store,
+            replicas,
+            folder,
+        };
+        record.line(&format!(
+            "deployment: {} edges, {} storage, status_s {}",
+            plan.edges, plan.storage, plan.status_s
+        ));
         deployment
     }
 
@@ -126,12 +148,22 @@
         let until = Instant::now() + limit;
         while Instant::now() < until {
             let ready = self.cluster.edges().iter().all(|edge| {
-                let asked = http::call(edge.ready, "GET", "/-/readyz", &[("host", HOST.into())], b"", Duration::from_secs(1));
+                let asked = http::call(
+                    edge.ready,
+                    "GET",
+                    "/-/readyz",
+                    &[("host", HOST.into())],
+                    b"",
+                    Duration::from_secs(1),
+                );
                 asked.is_ok_and(|answer| answer.status() == 200)
             });
             let voters = self.cluster.storage().iter().any(|machine| {
                 let log = machine.log();
-                let last = log.lines().rev().find(|line| line.contains("event=members_changed"));
+                let last = log
+                    .lines()
+                    .rev()
+                    .find(|line| line.contains("event=members_changed"));
                 last.is_some_and(|line| line.matches(',').count() == 2)
             });
             if ready && voters {
@@ -143,11 +175,27 @@
         false
     }
 
-    fn call(&self, edge: usize, method: &str, path: &str, headers: &[(&str, String)], body: &[u8], limit: Duration) -> Result<Message, String> {
+    fn call(
+        &self,
+        edge: usize,
+        method: &str,
+        path: &str,
+        headers: &[(&str, String)],
+        body: &[u8],
+        limit: Duration,
+    ) -> Result<Message, String> {
         let edges = self.cluster.edges();
         let mut all = vec![("host", HOST.to_string())];
         all.extend_from_slice(headers);
-        http::call(edges[edge % edges.len()].front, method, path, &all, body, limit).map_err(|error| error.to_string())
+        http::call(
+            edges[edge % edges.len()].front,
+            method,
+            path,
+            &all,
+            body,
+            limit,
+        )
+        .map_err(|error| error.to_string())
     }
 }
 
@@ -155,7 +203,10 @@
     const DIGITS: &[u8] = b"ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/";
     let mut out = String::with_capacity(bytes.len() * 4 / 3 + 4);
     for group in bytes.chunks(3) {
-        let value = group.iter().fold(0_u32, |value, byte| value << 8 | u32::from(*byte)) << (8 * (3 - group.len()));
+        let value = group
+            .iter()
+            .fold(0_u32, |value, byte| value << 8 | u32::from(*byte))
+            << (8 * (3 - group.len()));
         for place in 0..4 {
             if place <= group.len() {
                 out.push(DIGITS[(value >> (18 - 6 * place) & 63) as usize] as char);
@@ -169,7 +220,10 @@
 
 /// Body of a batch job whose items carry `bytes` random bytes each.
 fn job_body(job: &str, step: u64, items: usize, bytes: usize) -> String {
-    let mut text = format!("{{\"step\":{step},\"model_id\":\"m0\",\"min_version\":1,\"desired\":{},\"requests\":[", (items / 4).max(1));
+    let mut text = format!(
+        "{{\"step\":{step},\"model_id\":\"m0\",\"min_version\":1,\"desired\":{},\"requests\":[",
+        (items / 4).max(1)
+    );
     let mut state = 88172645463325252_u64 ^ step;
     for number in 0..items {
         let mut body = Vec::with_capacity(bytes);
@@ -196,7 +250,12 @@
 type Listed = (String, String, String);
 
 /// Reads the results of a batch job from a position on; `Err` has the status or the failure.
-fn read_results(deployment: &Deployment, edge: usize, job: &str, since: usize) -> Result<(u64, Vec<Listed>), String> {
+fn read_results(
+    deployment: &Deployment,
+    edge: usize,
+    job: &str,
+    since: usize,
+) -> Result<(u64, Vec<Listed>), String> {
     let path = format!("/-/lots/{job}?since_rev={since}");
     let answer = deployment.call(edge, "GET", &path, &[], b"", Duration::from_millis(2_500))?;
     if answer.status() != 200 {
@@ -213,10 +272,23 @@
 /// Submits a batch job; tries other edges as a client does. Returns whether it was answered 202.
 fn submit(record: &Record, deployment: &Deployment, id: &str, body: &str) -> bool {
     for attempt in 0..6 {
-        let headers = [("x-brasspond-request-id", id.to_string()), ("content-type", "application/json".into())];
-        let answer = deployment.call(attempt, "POST", &format!("/jobs/{id}"), &headers, body.as_bytes(), Duration::from_secs(6));
+        let headers = [
+            ("x-brasspond-request-id", id.to_string()),
+            ("content-type", "application/json".into()),
+        ];
+        let answer = deployment.call(
+            attempt,
+            "POST",
+            &format!("/jobs/{id}"),
+            &headers,
+            body.as_bytes(),
+            Duration::from_secs(6),
+        );
         let shown = answer.map_or_else(|error| error, |answer| answer.status().to_string());
-        record.line(&format!("client: POST batch job {id} at edge {}: {shown}", attempt % 3 + 1));
+        record.line(&format!(
+            "client: POST batch job {id} at edge {}: {shown}",
+            attempt % 3 + 1
+        ));
         if shown == "202" {
             return true;
         }
@@ -230,7 +302,10 @@
     let mut count = 0;
     for machine in &deployment.cluster.machines {
         let kills = *machine.memory_kills.lock().expect("lock");
-        record.line(&format!("platform: {} exceeded its memory {kills} times", machine.name));
+        record.line(&format!(
+            "platform: {} exceeded its memory {kills} times",
+            machine.name
+        ));
         count += usize::from(kills >= 3);
     }
     count
@@ -254,10 +329,25 @@
 /// Batch jobs that are answered 202, and that together exceed the memory of the storage
 /// processes. Nothing else happens to the deployment.
 fn backlog(record: &Arc<Record>, trouble: bool, words: &[String]) -> u8 {
-    let number = |at: usize, default: u64| words.get(at).and_then(|word| word.parse().ok()).unwrap_or(default);
-    let (jobs, large, bytes) = (number(0, 60) as usize, number(1, 10_000) as usize, number(2, 600) as usize);
+    let number = |at: usize, default: u64| {
+        words
+            .get(at)
+            .and_then(|word| word.parse().ok())
+            .unwrap_or(default)
+    };
+    let (jobs, large, bytes) = (
+        number(0, 60) as usize,
+        number(1, 10_000) as usize,
+        number(2, 600) as usize,
+    );
     let items = if trouble { large } else { large / 100 };
-    let plan = Plan { edges: 3, storage: 3, status_s: 120, edge_memory_mb: 260, storage_memory_mb: 320 };
+    let plan = Plan {
+        edges: 3,
+        storage: 3,
+        status_s: 120,
+        edge_memory_mb: 260,
+        storage_memory_mb: 320,
+    };
     let deployment = Deployment::start(record, &plan, (16, 320, 20), true);
     if !deployment.await_ready(Duration::from_secs(20)) {
         return NOT_RUN;
@@ -267,7 +357,10 @@
     for job in 0..jobs {
         let id = format!("7c41e09b52d6{job:04x}");
         let body = job_body(&format!("e5{job:04x}"), job as u64, items, bytes);
-        record.line(&format!("trainer: batch job {id} has {items} requests in {} bytes", body.len()));
+        record.line(&format!(
+            "trainer: batch job {id} has {items} requests in {} bytes",
+            body.len()
+        ));
         // A trainer repeats a job that was not answered 202 for as long as it waits for it.
         let patience = Instant::now() + TRAINER_PATIENCE;
         while Instant::now() < patience.min(last_submission) {
@@ -281,19 +374,27 @@
             break;
         }
     }
-    record.line(&format!("trainers: {} batch jobs were answered 202; nothing more is sent for 30 s", accepted.len()));
+    record.line(&format!(
+        "trainers: {} batch jobs were answered 202; nothing more is sent for 30 s",
+        accepted.len()
+    ));
     let kills_before: u32 = kills(&deployment);
     let quiet = Instant::now();
     while quiet.elapsed() < Duration::from_secs(30) {
         std::thread::sleep(Duration::from_secs(5));
         record.line(&format!(
             "replicas: {} runs begun, {} finished; platform: {} ends in the quiet time",
-            runs(&deployment).0, runs(&deployment).1, kills(&deployment) - kills_before
+            runs(&deployment).0,
+            runs(&deployment).1,
+            kills(&deployment) - kills_before
         ));
     }
     for (turn, id) in accepted.iter().enumerate() {
         let shown = match read_results(&deployment, turn, id, 0) {
-            Ok((total, listed)) => format!("200, total {total}, {} results on the first page", listed.len()),
+            Ok((total, listed)) => format!(
+                "200, total {total}, {} results on the first page",
+                listed.len()
+            ),
             Err(error) => error,
         };
         record.line(&format!("trainer: GET {id}: {shown}"));
@@ -301,11 +402,20 @@
     if accepted.is_empty() {
         return NOT_RUN;
     }
-    if breaks_fault_rule(record, &deployment) { BROKEN } else { HELD }
+    if breaks_fault_rule(record, &deployment) {
+        BROKEN
+    } else {
+        HELD
+    }
 }
 
 fn kills(deployment: &Deployment) -> u32 {
-    deployment.cluster.machines.iter().map(|one| *one.memory_kills.lock().expect("lock")).sum()
+    deployment
+        .cluster
+        .machines
+        .iter()
+        .map(|one| *one.memory_kills.lock().expect("lock"))
+        .sum()
 }
 
 /// Runs that all replicas have begun and finished.
@@ -330,7 +440,13 @@
 }
 
 /// A client that keeps its connection and sends one request after the other, until `until`.
-fn keep_asking(deployment: &Deployment, record: &Record, client: usize, until: Instant, seen: &Mutex<Kept>) {
+fn keep_asking(
+    deployment: &Deployment,
+    record: &Record,
+    client: usize,
+    until: Instant,
+    seen: &Mutex<Kept>,
+) {
     let edges = deployment.cluster.edges();
     let mut edge = client % edges.len();
     let mut connection: Option<BufReader<TcpStream>> = None;
@@ -348,7 +464,9 @@
             connection = Some(BufReader::new(stream));
             answered_here = 0;
         }
-        let Some(reader) = &mut connection else { continue };
+        let Some(reader) = &mut connection else {
+            continue;
+        };
         number += 1;
         let id = format!("5a{client:02x}{number:08x}");
         let text = format!(
@@ -361,7 +479,11 @@
                 seen.lock().expect("lock").answered += 1;
                 answered_here += 1;
                 if answer.status() != 200 {
-                    record.line(&format!("client {client}: request {id} at edge {}: {}", edge + 1, answer.status()));
+                    record.line(&format!(
+                        "client {client}: request {id} at edge {}: {}",
+                        edge + 1,
+                        answer.status()
+                    ));
                 }
                 if answer.header("connection").eq_ignore_ascii_case("close") {
                     connection = None;
@@ -369,7 +491,10 @@
             }
             ended => {
                 let shown = ended.map_or_else(|error| error.to_string(), |_| "closed".to_string());
-                record.line(&format!("client {client}: request {id} at edge {}: no answer, {shown}", edge + 1));
+                record.line(&format!(
+                    "client {client}: request {id} at edge {}: no answer, {shown}",
+                    edge + 1
+                ));
                 // The rule is about kept connections, which have carried a request before.
                 if answered_here > 0 {
                     seen.lock().expect("lock").cut.push(id);
@@ -391,10 +516,17 @@
         let seen = Arc::new(Mutex::new(Kept::default()));
         let until = Instant::now() + length;
         let client = |client| {
-            let (deployment, record, seen) = (Arc::clone(deployment), Arc::clone(record), Arc::clone(&seen));
+            let (deployment, record, seen) = (
+                Arc::clone(deployment),
+                Arc::clone(record),
+                Arc::clone(&seen),
+            );
             std::thread::spawn(move || keep_asking(&deployment, &record, client, until, &seen))
         };
-        Self { threads: (0..KEPT_CLIENTS).map(client).collect(), seen }
+        Self {
+            threads: (0..KEPT_CLIENTS).map(client).collect(),
+            seen,
+        }
     }
 
     /// Waits for the clients; returns how many requests from kept connections a replica began whose
@@ -408,17 +540,36 @@
             let mut replicas = deployment.replicas.iter();
             replicas.any(|one| one.runs.lock().expect("lock").contains_key(*id))
         };
-        record.line(&format!("clients: {} requests answered, {} kept connections closed without an answer", seen.answered, seen.cut.len()));
+        record.line(&format!(
+            "clients: {} requests answered, {} kept connections closed without an answer",
+            seen.answered,
+            seen.cut.len()
+        ));
         seen.cut.iter().filter(begun).count()
     }
 }
 
 /// Batch jobs within the limit on bodies, each of which exceeds the memory of the edge that reads it.
 fn one_job(record: &Arc<Record>, trouble: bool, words: &[String]) -> u8 {
-    let number = |at: usize, default: u64| words.get(at).and_then(|word| word.parse().ok()).unwrap_or(default);
-    let (jobs, large, bytes) = (number(0, 5) as usize, number(1, 130_000) as usize, number(2, 30) as usize);
+    let number = |at: usize, default: u64| {
+        words
+            .get(at)
+            .and_then(|word| word.parse().ok())
+            .unwrap_or(default)
+    };
+    let (jobs, large, bytes) = (
+        number(0, 5) as usize,
+        number(1, 130_000) as usize,
+        number(2, 30) as usize,
+    );
     let items = if trouble { large } else { large / 100 };
-    let plan = Plan { edges: 3, storage: 3, status_s: 120, edge_memory_mb: 260, storage_memory_mb: 320 };
+    let plan = Plan {
+        edges: 3,
+        storage: 3,
+        status_s: 120,
+        edge_memory_mb: 260,
+        storage_memory_mb: 320,
+    };
     let deployment = Arc::new(Deployment::start(record, &plan, (16, 320, 20), true));
     if !deployment.await_ready(Duration::from_secs(20)) {
         return NOT_RUN;
@@ -429,13 +580,32 @@
     for job in 0..jobs {
         let id = format!("7c41e09b52d6{job:04x}");
         let body = job_body(&format!("e5{job:04x}"), job as u64, items, bytes);
-        record.line(&format!("trainer: batch job {id} has {items} requests in {} bytes; max_body_bytes is 33554432", body.len()));
+        record.line(&format!(
+            "trainer: batch job {id} has {items} requests in {} bytes; max_body_bytes is 33554432",
+            body.len()
+        ));
         for attempt in 0..2 {
-            let headers = [("x-brasspond-request-id", id.clone()), ("content-type", "application/json".into())];
+            let headers = [
+                ("x-brasspond-request-id", id.clone()),
+                ("content-type", "application/json".into()),
+            ];
             let edge = job * 2 + attempt;
-            let answer = deployment.call(edge, "POST", &format!("/jobs/{id}"), &headers, body.as_bytes(), Duration::from_secs(6));
-            let shown = answer.map_or_else(|error| error.to_string(), |answer| answer.status().to_string());
-            record.line(&format!("trainer: POST batch job {id} at edge {}: {shown}", edge % 3 + 1));
+            let answer = deployment.call(
+                edge,
+                "POST",
+                &format!("/jobs/{id}"),
+                &headers,
+                body.as_bytes(),
+                Duration::from_secs(6),
+            );
+            let shown = answer.map_or_else(
+                |error| error.to_string(),
+                |answer| answer.status().to_string(),
+            );
+            record.line(&format!(
+                "trainer: POST batch job {id} at edge {}: {shown}",
+                edge % 3 + 1
+            ));
             if shown == "202" {
                 accepted += 1;
                 break;
@@ -444,7 +614,9 @@
         }
     }
     let passed_on = kept.passed_on_and_cut(&deployment, record);
-    record.line(&format!("trainers: {accepted} of {jobs} batch jobs answered 202"));
+    record.line(&format!(
+        "trainers: {accepted} of {jobs} batch jobs answered 202"
+    ));
     let by_ends = breaks_fault_rule(record, &deployment);
     record.line(&format!(
         "check: {passed_on} requests were passed on to a sound replica and their connection closed without an answer; more than 3 break the rule (ends of processes alone: {by_ends})"
@@ -455,26 +627,56 @@
 /// Six uploads at the same time, each within the limit on bodies, through one edge. Each client
 /// tries again once at the next edge, as it may with an idempotent request.
 fn uploads(record: &Arc<Record>, trouble: bool, words: &[String]) -> u8 {
-    let number = |at: usize, default: usize| words.get(at).and_then(|word| word.parse().ok()).unwrap_or(default);
+    let number = |at: usize, default: usize| {
+        words
+            .get(at)
+            .and_then(|word| word.parse().ok())
+            .unwrap_or(default)
+    };
     let (uploads, large) = (number(0, 6), number(1, 33_000_000));
     let bytes = if trouble { large } else { large / 1_000 };
-    let plan = Plan { edges: 3, storage: 3, status_s: 120, edge_memory_mb: 260, storage_memory_mb: 320 };
+    let plan = Plan {
+        edges: 3,
+        storage: 3,
+        status_s: 120,
+        edge_memory_mb: 260,
+        storage_memory_mb: 320,
+    };
     let deployment = Arc::new(Deployment::start(record, &plan, (16, 320, 20), true));
     if !deployment.await_ready(Duration::from_secs(20)) {
         return NOT_RUN;
     }
     let kept = KeptClients::start(&deployment, record, Duration::from_secs(20));
     std::thread::sleep(Duration::from_secs(3));
-    record.line(&format!("uploads: {uploads} at once with {bytes} bytes each; max_body_bytes is 33554432"));
+    record.line(&format!(
+        "uploads: {uploads} at once with {bytes} bytes each; max_body_bytes is 33554432"
+    ));
     let body = Arc::new(vec![b'x'; bytes]);
     let upload = |upload: usize| {
-        let (deployment, record, body) = (Arc::clone(&deployment), Arc::clone(record), Arc::clone(&body));
+        let (deployment, record, body) = (
+            Arc::clone(&deployment),
+            Arc::clone(record),
+            Arc::clone(&body),
+        );
         std::thread::spawn(move || {
             for attempt in 0..2 {
                 let id = format!("77{attempt:02x}{upload:012x}");
-                let headers = [("x-brasspond-request-id", id.clone()), ("x-brasspond-deadline-ms", "8000".to_string())];
-                let answer = deployment.call(attempt, "POST", "/reads/upload", &headers, &body, Duration::from_secs(8));
-                let shown = answer.map_or_else(|error| error.to_string(), |answer| answer.status().to_string());
+                let headers = [
+                    ("x-brasspond-request-id", id.clone()),
+                    ("x-brasspond-deadline-ms", "8000".to_string()),
+                ];
+                let answer = deployment.call(
+                    attempt,
+                    "POST",
+                    "/reads/upload",
+                    &headers,
+                    &body,
+                    Duration::from_secs(8),
+                );
+                let shown = answer.map_or_else(
+                    |error| error.to_string(),
+                    |answer| answer.status().to_string(),
+                );
                 record.line(&format!("upload {id} at edge {}: {shown}", attempt + 1));
                 if shown == "200" {
                     return;
@@ -506,15 +708,26 @@
 /// A step whose route gives a tenth of its requests to a canary service, the only replica of which
 /// was lost for good before the step.
 fn canary(record: &Arc<Record>, trouble: bool) -> u8 {
-    let plan = Plan { edges: 3, storage: 3, status_s: 120, edge_memory_mb: 260, storage_memory_mb: 320 };
+    let plan = Plan {
+        edges: 3,
+        storage: 3,
+        status_s: 120,
+        edge_memory_mb: 260,
+        storage_memory_mb: 320,
+    };
     let deployment = Deployment::start_with(record, &plan, (16, 320, 20), false, true);
     if !deployment.await_ready(Duration::from_secs(20)) {
         return NOT_RUN;
     }
-    let Some(lost) = deployment.replicas.last() else { return NOT_RUN };
+    let Some(lost) = deployment.replicas.last() else {
+        return NOT_RUN;
+    };
     if trouble {
         lost.crash();
-        record.line(&format!("trouble: the canary's only replica {} is lost for good", lost.id));
+        record.line(&format!(
+            "trouble: the canary's only replica {} is lost for good",
+            lost.id
+        ));
         std::thread::sleep(ENTRY_LAPSE);
         deployment.store.remove("servers", &lost.id);
         record.line("platform: its entry has gone");
@@ -522,7 +735,12 @@
     // Longer than `contact_ms`, so that the step begins in steady state.
     std::thread::sleep(Duration::from_secs(6));
     let id = "7c41e09b52d6a3f8";
-    if !submit(record, &deployment, id, &job_body("e5b29", 1, STEP_ITEMS, 600)) {
+    if !submit(
+        record,
+        &deployment,
+        id,
+        &job_body("e5b29", 1, STEP_ITEMS, 600),
+    ) {
         return NOT_RUN;
     }
     let sent = Instant::now();
@@ -561,6 +779,7 @@
          {} of {} places were taken, and no item began in the last {:.1} s; more than {} s break the rule",
         begun - finished, 16 * 3, idle.as_secs_f64(), IDLE_LIMIT.as_secs()
     ));
-    let is_broken = untouched > 0 && begun > 0 && idle > IDLE_LIMIT && (begun - finished) * 2 < 16 * 3;
+    let is_broken =
+        untouched > 0 && begun > 0 && idle > IDLE_LIMIT && (begun - finished) * 2 < 16 * 3;
     if is_broken { BROKEN } else { HELD }
 }
