Dispatch: an item without a place keeps back only items that require the same

Cause, in two parts. `start_next` looked at the first waiting item of a job and ended the job's turn if it could not be placed. And an item was bound to the service that its number falls to by the weights, also while that service had no replica, although its route allows the others.

Ruled out: a route that is not resolved (items of the main service start), regions (none are bound), versions (none is named), loads (none is ordered).

Change: the waiting items of a job are kept by target and by the version that a begun text needs; all other constraints are the job's. A class whose first item finds no place is passed over for this event, so the cost of a turn is one look for each class and not for each item. The longest still come first over all classes. An item whose service has no usable replica (none that takes work in the route's regions, or only such as are paused after more than three faults in a row) runs on the usable service with the largest weight. Hand-overs use the same rule. The autoscaler's demand counted all waiting items of a job for the service of the first one; it counts each class now.

--- a/crates/dispatch/src/job_route.rs
+++ b/crates/dispatch/src/job_route.rs
@@ -1,8 +1,10 @@
 //! Resolves the services and regions in which a job may run, by the newest configuration.
 
 use crate::residency::body_regions;
+use crate::service_capacity::UsableServices;
 use brasspond_fleet::{Configuration, FleetView, Regions, Route, Target, choose_target};
 use brasspond_jobs::Job;
+use std::ptr;
 
 /// Services and regions for the items of a job.
 #[derive(Clone, Debug)]
@@ -20,10 +22,29 @@
 }
 
 impl JobRoute {
-    /// The service that runs an item. It is the same for all runs under one configuration.
-    pub fn service(&self, item: u32) -> &str {
-        let target = choose_target(&self.targets, u64::from(item));
-        target.map_or("", |target| target.service.as_str())
+    /// Index of the target that an item prefers, by the weights of the targets. It is the same for
+    /// all runs under one configuration.
+    pub fn target(&self, item: u32) -> usize {
+        let chosen = choose_target(&self.targets, u64::from(item));
+        let mut targets = self.targets.iter();
+        let index = targets.position(|target| chosen.is_some_and(|chosen| ptr::eq(chosen, target)));
+        // The route has at least one target.
+        index.unwrap_or(0)
+    }
+
+    /// The service that runs the items of a target: its own, or while that is not usable, the
+    /// usable one with the largest weight. A target with weight 0 is no substitute.
+    pub fn service(&self, target: usize, usable: &UsableServices) -> &str {
+        let own = self.targets[target].service.as_str();
+        if self.targets.len() == 1 || usable.contains(own, &self.regions) {
+            return own;
+        }
+        let others = self
+            .targets
+            .iter()
+            .filter(|other| other.weight > 0 && usable.contains(&other.service, &self.regions));
+        let substitute = others.max_by_key(|other| other.weight);
+        substitute.map_or(own, |other| other.service.as_str())
     }
 }
 
--- a/crates/dispatch/src/job_run.rs
+++ b/crates/dispatch/src/job_run.rs
@@ -1,12 +1,12 @@
 //! State of an active job and its items.
 
 use crate::job_route::{JobRoute, find_route};
+use crate::waiting::{PlacementClass, WaitingItems};
 use brasspond_cluster_protocol::{AttemptId, StreamEvent};
 use brasspond_fleet::FleetView;
 use brasspond_jobs::{Item, Job};
 use brasspond_units::Millis;
-use std::cmp::Reverse;
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 
 /// Expected tokens of an item without an estimate. It is the minimum, so that items known to be
 /// long start first.
@@ -63,7 +63,7 @@
     pub route: Option<JobRoute>,
     pub items: Vec<ItemRun>,
     /// Waiting items, those with the most expected tokens first.
-    pub waiting: BTreeSet<(Reverse<u64>, u32)>,
+    pub waiting: WaitingItems,
     /// Withheld items, each with the earliest time of its next run.
     pub withheld: BTreeMap<u32, Millis>,
 }
@@ -93,7 +93,7 @@
             since: now,
             route: find_route(view, job),
             items: Vec::with_capacity(job.items.len()),
-            waiting: BTreeSet::new(),
+            waiting: WaitingItems::default(),
             withheld: BTreeMap::new(),
         }
     }
@@ -111,6 +111,39 @@
         self.is_single_version().then_some(first.version)
     }
 
+    /// The class of an item by the job's route and the events of the item. Without a route all
+    /// items are in one class.
+    fn class_of(&self, item: u32) -> PlacementClass {
+        let events = &self.items[item as usize].events;
+        let route = self.route.as_ref();
+        PlacementClass {
+            target: route.map_or(0, |route| route.target(item)),
+            exact_version: self.exact_version(events),
+        }
+    }
+
+    /// Adds an item to the waiting ones.
+    pub fn enqueue(&mut self, item: u32) {
+        let class = self.class_of(item);
+        let expected_tokens = self.items[item as usize].expected_tokens;
+        self.waiting.insert(class, expected_tokens, item);
+    }
+
+    /// Removes an item from the waiting ones.
+    pub fn dequeue(&mut self, item: u32) {
+        let expected_tokens = self.items[item as usize].expected_tokens;
+        self.waiting.remove(expected_tokens, item);
+    }
+
+    /// Replaces the route and sorts the waiting items into its classes.
+    pub fn set_route(&mut self, route: Option<JobRoute>) {
+        self.route = route;
+        let waiting = std::mem::take(&mut self.waiting);
+        for item in waiting.items() {
+            self.enqueue(item);
+        }
+    }
+
     /// Whether several versions generated a text that must be of a single version.
     pub fn is_mixed(&self, events: &[StreamEvent]) -> bool {
         let exact = self.exact_version(events);
@@ -119,7 +152,7 @@
 
     /// Items that wait, are withheld or need a score, which are given up when the job is overdue.
     pub fn unfinished_items(&self) -> impl Iterator<Item = u32> {
-        let waiting = self.waiting.iter().map(|(_, item)| *item);
+        let waiting = self.waiting.items();
         let withheld = self.withheld.keys().copied();
         let items = (0..).zip(&self.items);
         let scored = items.filter(|(_, item)| matches!(item.state, State::Scoring(_)));
--- a/crates/dispatch/src/jobs.rs
+++ b/crates/dispatch/src/jobs.rs
@@ -9,12 +9,13 @@
 use crate::job_run::{ItemRun, JobRun, State};
 use crate::replicas::RunConstraints;
 use crate::retry;
+use crate::service_capacity::UsableServices;
+use crate::waiting::PlacementClass;
 use brasspond_cluster_protocol::StreamEvent;
 use brasspond_fleet::FleetView;
 use brasspond_jobs::{Job, JobTable};
 use brasspond_units::Millis;
-use std::cmp::Reverse;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 /// All active jobs.
 #[derive(Debug, Default)]
@@ -83,18 +84,16 @@
         let mut actions = Vec::new();
         for item_index in 0..job.items.len() as u32 {
             let (item_run, action) = self.open_item(id, item_index, job, &run, table);
-            match item_run.state {
-                State::Waiting => {
-                    let longest_first = Reverse(item_run.expected_tokens);
-                    run.waiting.insert((longest_first, item_index));
-                }
+            let state = item_run.state.clone();
+            actions.extend(action);
+            run.items.push(item_run);
+            match state {
+                State::Waiting => run.enqueue(item_index),
                 State::Scoring(_) => {
                     self.unscored.insert((id.to_string(), item_index), now);
                 }
                 _ => {}
             }
-            actions.extend(action);
-            run.items.push(item_run);
         }
         self.jobs.insert(id.to_string(), run);
         self.order.push(id.to_string());
@@ -142,11 +141,12 @@
         id: &str,
         item: u32,
         events: &[StreamEvent],
+        usable: &UsableServices,
     ) -> Option<RunConstraints<'_>> {
         let job = self.jobs.get(id)?;
         let route = job.route.as_ref()?;
         Some(RunConstraints {
-            service: route.service(item),
+            service: route.service(route.target(item), usable),
             regions: &route.regions,
             model: &job.model,
             min_version: job.min_version,
@@ -197,7 +197,7 @@
     pub fn resolve_routes(&mut self, view: &FleetView, table: &JobTable) {
         for (id, run) in &mut self.jobs {
             if let Some(job) = table.job(id) {
-                run.route = find_route(view, job);
+                run.set_route(find_route(view, job));
             }
         }
     }
@@ -207,24 +207,26 @@
         let Some(run) = self.jobs.get_mut(job) else {
             return;
         };
-        let item_run = &mut run.items[item as usize];
-        item_run.state = State::Waiting;
-        let key = Reverse(item_run.expected_tokens);
-        run.waiting.insert((key, item));
+        run.items[item as usize].state = State::Waiting;
+        run.enqueue(item);
     }
 
-    /// The waiting item of a job that is started next; `None` if the job has no route.
-    pub fn next_waiting(&self, id: &str) -> Option<u32> {
+    /// The waiting item of a job that is started next, outside the classes in `refused`; `None` if
+    /// the job has no route.
+    pub fn next_waiting(
+        &self,
+        id: &str,
+        refused: &BTreeSet<PlacementClass>,
+    ) -> Option<(PlacementClass, u32)> {
         let job = self.jobs.get(id)?;
         job.route.as_ref()?;
-        job.waiting.first().map(|(_, item)| *item)
+        job.waiting.first_outside(refused)
     }
 
     /// Removes an item from the waiting items of its job.
     pub fn remove_waiting(&mut self, job: &str, item: u32) {
         if let Some(run) = self.jobs.get_mut(job) {
-            let tokens = run.items[item as usize].expected_tokens;
-            run.waiting.remove(&(Reverse(tokens), item));
+            run.dequeue(item);
         }
     }
 
@@ -258,14 +260,16 @@
     }
 
     /// Number of waiting items by service.
-    pub fn waiting_by_service(&self) -> BTreeMap<String, usize> {
+    pub fn waiting_by_service(&self, usable: &UsableServices) -> BTreeMap<String, usize> {
         let mut waiting = BTreeMap::new();
         for job in self.jobs.values() {
-            let (Some(route), Some((_, item))) = (&job.route, job.waiting.first()) else {
+            let Some(route) = &job.route else {
                 continue;
             };
-            let service = route.service(*item).to_string();
-            *waiting.entry(service).or_default() += job.waiting.len();
+            for (class, items) in job.waiting.counts() {
+                let service = route.service(class.target, usable).to_string();
+                *waiting.entry(service).or_default() += items;
+            }
         }
         waiting
     }
@@ -296,8 +300,7 @@
         let before = std::mem::replace(&mut item_run.state, State::Listed);
         item_run.events = Vec::new();
         run.withheld.remove(&item);
-        run.waiting
-            .remove(&(Reverse(item_run.expected_tokens), item));
+        run.dequeue(item);
         let is_done = run.items.iter().all(|item| item.state == State::Listed);
         if is_done {
             self.close(id);
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -14,6 +14,8 @@
 //! | rule | module |
 //! |---|---|
 //! | which replica runs an item | `placement`, by the spare capacity from `capacity` |
+//! | which item of a job is placed next | `waiting` |
+//! | which service runs an item of a divided route | `job_route`, by `service_capacity` |
 //! | which edge runs it or makes a scoring call | `edges` |
 //! | when a run is stalled, an edge misses heartbeats or this process was suspended | `timeouts` |
 //! | whether an item is retried or given up, and whether its replica is paused | `retry` |
@@ -53,11 +55,13 @@
 mod retry;
 mod runs;
 mod scoring;
+mod service_capacity;
 mod slowdown;
 mod starting;
 mod status;
 mod takeover;
 mod timeouts;
+mod waiting;
 mod warming;
 mod withheld;
 
--- a/crates/dispatch/src/moves.rs
+++ b/crates/dispatch/src/moves.rs
@@ -120,7 +120,9 @@
 
     /// The constraints on the replica that continues a run; `None` while its job has no route.
     fn constraints_of(&self, run: &Run) -> Option<RunConstraints<'_>> {
-        self.jobs.constraints(&run.job, run.item, &run.events)
+        let usable = &self.replicas.usable;
+        self.jobs
+            .constraints(&run.job, run.item, &run.events, usable)
     }
 
     /// Moves stalled runs to other replicas. Records a fault of the replica only if the run's edge
--- a/crates/dispatch/src/replicas.rs
+++ b/crates/dispatch/src/replicas.rs
@@ -6,6 +6,7 @@
 //! depend on utilization.
 
 use crate::retry;
+use crate::service_capacity::UsableServices;
 use crate::slowdown::{Means, Slowdown};
 use crate::warming::Warming;
 use brasspond_eligibility::{Endpoint, Requirements, VersionConstraint};
@@ -65,6 +66,8 @@
     pub warming: Warming,
     /// The newest known life of each replica.
     pub lives: Lives,
+    /// Services that can run items, as of the last tick or change of the view.
+    pub usable: UsableServices,
 }
 
 /// Constraints of a run on its replica.
@@ -132,6 +135,7 @@
             replica.slots = info.slots as usize;
         }
         self.index_budgets(now);
+        self.update_usable(now);
     }
 
     /// The slowdown of a service; the prior estimate before any pace is known.
--- a/crates/dispatch/src/starting.rs
+++ b/crates/dispatch/src/starting.rs
@@ -11,6 +11,7 @@
 use brasspond_cluster_protocol::{AttemptId, RunSpec, StreamEvent};
 use brasspond_jobs::JobTable;
 use brasspond_units::Millis;
+use std::collections::BTreeSet;
 
 /// Maximum number of items that one event starts or withholds, so that other events are handled in
 /// between while thousands of items wait. The next event continues with the remaining items.
@@ -55,27 +56,37 @@
             orders: &self.orders,
             now,
         });
-        let mut started = 0;
+        let mut left = MAX_STARTS_PER_EVENT;
         for id in waiting {
-            while started < MAX_STARTS_PER_EVENT && self.start_next(&id, table, now) {
+            left -= self.start_job(&id, left, table, now);
+        }
+    }
+
+    /// Starts or withholds waiting items of a job, at most `most`; returns their number. An item
+    /// that must wait keeps back only the items with the same constraints.
+    fn start_job(&mut self, id: &str, most: usize, table: &JobTable, now: Millis) -> usize {
+        let mut refused = BTreeSet::new();
+        let mut started = 0;
+        while started < most
+            && let Some((class, item)) = self.jobs.next_waiting(id, &refused)
+        {
+            if self.start_item(id, item, table, now) {
                 started += 1;
+            } else {
+                refused.insert(class);
             }
         }
+        started
     }
 
-    /// Starts or withholds the next waiting item of a job; returns false if there is none or it
-    /// must wait.
-    fn start_next(&mut self, id: &str, table: &JobTable, now: Millis) -> bool {
-        let Some(item) = self.jobs.next_waiting(id) else {
-            return false;
-        };
+    /// Starts or withholds a waiting item; returns false if it must wait.
+    fn start_item(&mut self, id: &str, item: u32, table: &JobTable, now: Millis) -> bool {
         if self.withhold(id, item, table, now) {
             return true;
         }
-        let Some(assignment) = self.assign(id, item, now) else {
-            return false;
-        };
-        self.begin_run(id, assignment, table, now).is_some()
+        let assignment = self.assign(id, item, now);
+        let run = assignment.and_then(|assignment| self.begin_run(id, assignment, table, now));
+        run.is_some()
     }
 
     /// Chooses the replica and the edge for an item; `None` if the item must wait. If a single
@@ -83,7 +94,8 @@
     /// the text is generated again.
     fn assign(&mut self, id: &str, item: u32, now: Millis) -> Option<Assignment> {
         let events = &self.jobs.item(id, item)?.events;
-        let constraints = self.jobs.constraints(id, item, events)?;
+        let usable = &self.replicas.usable;
+        let constraints = self.jobs.constraints(id, item, events, usable)?;
         let inputs = PlacementInputs {
             replicas: &self.replicas,
             orders: &self.orders,
@@ -157,7 +169,7 @@
         let replica = self.replicas.by_id.get_mut(&assignment.replica)?;
         let attempt = self.runs.next_id(self.term);
         replica.running += 1;
-        job.waiting.pop_first();
+        job.dequeue(assignment.item);
         let item = &mut job.items[assignment.item as usize];
         item.state = State::Running(attempt);
         let mut events = std::mem::take(&mut item.events);
--- a/crates/dispatch/src/status.rs
+++ b/crates/dispatch/src/status.rs
@@ -37,7 +37,7 @@
 
     /// Number of active runs and waiting items by service.
     pub fn requests_by_service(&self) -> BTreeMap<String, usize> {
-        let mut requests = self.jobs.waiting_by_service();
+        let mut requests = self.jobs.waiting_by_service(&self.replicas.usable);
         for run in self.runs.by_id.values() {
             if let Some(replica) = self.replicas.by_id.get(&run.replica) {
                 *requests
