Dispatch: a warming replica that no edge can use does not hide the warm ones

What callers would see: after an edge registers, or while no edge's clock is known, items wait although warm replicas are free.

Cause: placement chooses the cheapest replica, and then an edge for it. A run on a replica that warms up needs an edge whose clock is known. Without one there was no edge, and the item waited, whatever other replicas were free.

Change: whether an edge can send to replicas that warm up is known before the replica is chosen, and they are left out if none can. Without any edge for the item's regions the choice is not made at all.

Test: a_replica_that_no_edge_can_use_does_not_keep_items_waiting failed before (0 of 6 items started) and passes.

--- a/crates/dispatch/src/edges.rs
+++ b/crates/dispatch/src/edges.rs
@@ -59,6 +59,13 @@
         !self.draining && bodies.allows(self.region.as_deref())
     }
 
+    /// Whether the edge can run an item whose bodies must stay in these regions. A run on a replica
+    /// that warms up needs the edge's clock, as it has a deadline for sending.
+    pub fn can_run(&self, bodies: &Regions, needs_clock: bool, now: Millis) -> bool {
+        let has_clock = !needs_clock || self.send_by(now).is_some();
+        has_clock && self.takes_work(bodies)
+    }
+
     /// Whether the edge misses heartbeats.
     pub fn misses_heartbeats(&self, now: Millis) -> bool {
         timeouts::misses_heartbeats(self.last_seen, now)
@@ -126,10 +133,8 @@
         let endpoint = &known.endpoint;
         let place = Place::new(&endpoint.zone, endpoint.region.clone());
         let needs_clock = known.has_budget(now);
-        let candidates = self.edges.iter().filter(|(_, edge)| {
-            let has_clock = !needs_clock || edge.send_by(now).is_some();
-            has_clock && edge.takes_work(bodies)
-        });
+        let candidates = self.edges.iter();
+        let candidates = candidates.filter(|(_, edge)| edge.can_run(bodies, needs_clock, now));
         let best = candidates.min_by_key(|(_, edge)| {
             let distance = place.distance_to(&edge.zone, edge.region.as_deref());
             let opens_connection = !edge.has_idle_connection(replica);
@@ -139,6 +144,12 @@
         best.map(|(machine, _)| machine.clone())
     }
 
+    /// Whether an edge can run an item whose bodies must stay in these regions.
+    pub(crate) fn has_edge_for(&self, bodies: &Regions, needs_clock: bool, now: Millis) -> bool {
+        let mut edges = self.edges.values();
+        edges.any(|edge| edge.can_run(bodies, needs_clock, now))
+    }
+
     /// Chooses the edge with the fewest runs and scoring calls among the edges that accept
     /// `bodies`. An edge that misses heartbeats is chosen only if all of them do. Scoring calls are
     /// counted so that the texts of a failed edge are divided among the other edges.
--- a/crates/dispatch/src/placement.rs
+++ b/crates/dispatch/src/placement.rs
@@ -109,6 +109,8 @@
 pub(crate) struct PlacementInputs<'a> {
     pub replicas: &'a Replicas,
     pub orders: &'a Orders,
+    /// Whether an edge can send to replicas that warm up.
+    pub can_send_warming: bool,
     pub now: Millis,
 }
 
@@ -116,6 +118,7 @@
     /// Cost of a run on a replica; `None` if the replica does not accept the run.
     fn cost(&self, constraints: &RunConstraints<'_>, id: &str, replica: &Replica) -> Option<f64> {
         let accepts = self.replicas.spare_capacity(replica, self.now) > 0
+            && (self.can_send_warming || !replica.has_budget(self.now))
             && replica
                 .endpoint
                 .check(&constraints.requirements(self.now))
--- a/crates/dispatch/src/starting.rs
+++ b/crates/dispatch/src/starting.rs
@@ -54,6 +54,7 @@
         self.placement.refresh(PlacementInputs {
             replicas: &self.replicas,
             orders: &self.orders,
+            can_send_warming: true,
             now,
         });
         let mut left = MAX_STARTS_PER_EVENT;
@@ -93,12 +94,18 @@
     /// version must generate the complete text and no replica with that version accepts the item,
     /// the text is generated again.
     fn assign(&mut self, id: &str, item: u32, now: Millis) -> Option<Assignment> {
+        let bodies = &self.jobs.route(id)?.bodies;
+        if !self.has_edge_for(bodies, false, now) {
+            return None;
+        }
+        let can_send_warming = self.has_edge_for(bodies, true, now);
         let events = &self.jobs.item(id, item)?.events;
         let usable = &self.replicas.usable;
         let constraints = self.jobs.constraints(id, item, events, usable)?;
         let inputs = PlacementInputs {
             replicas: &self.replicas,
             orders: &self.orders,
+            can_send_warming,
             now,
         };
         let mut chosen = self.placement.choose(&constraints, inputs);
@@ -111,7 +118,6 @@
             chosen = self.placement.choose(&any_version, inputs);
         }
         let replica = chosen?;
-        let bodies = &self.jobs.route(id)?.bodies;
         let machine = self.choose_edge(&replica, bodies, now)?;
         Some(Assignment {
             item,
--- a/crates/dispatch/tests/divided_routes.rs
+++ b/crates/dispatch/tests/divided_routes.rs
@@ -7,6 +7,7 @@
 use brasspond_cluster_protocol::{RunEnd, RunSpec};
 use brasspond_dispatch::{Action, Event, OrderLeases};
 use brasspond_fleet::{Configuration, FleetView, Regions, ReplicaInfo, Service, Target};
+use fixture::warming::{leader, warming_replica};
 use fixture::{Fixture, run_ticks, runs};
 use rstest::rstest;
 use std::collections::BTreeSet;
@@ -181,3 +182,20 @@
     }
     assert_eq!(elsewhere, owed, "all started elsewhere within 5 s");
 }
+
+/// A replica that warms up needs an edge whose clock is known. Without one, items go to replicas
+/// that are warm, though the other one costs less.
+#[rstest]
+fn a_replica_that_no_edge_can_use_does_not_keep_items_waiting() {
+    let mut fixture = leader();
+    fixture.handle(Event::EdgeDown("edge".to_string()));
+    fixture.set_replica(warming_replica(0, 20_000));
+    fixture.set_replica(support::replica(1, 8));
+    fixture.advance(5_000);
+    fixture.handle(Event::Tick);
+    fixture.register_edge("edge-without-clock");
+    let started = runs(&fixture.accept(support::submission("job", &[9; 6], 1)));
+    let replicas: BTreeSet<_> = started.iter().map(|run| run.replica.as_str()).collect();
+    assert_eq!(started.len(), 6);
+    assert_eq!(replicas, BTreeSet::from(["replica-1"]));
+}
