Edge: the bodies of callers' requests are bounded together and held once

A body announced as larger than the limit was refused only after the limit had arrived.

Cause: nothing bounded the sum of the bodies that an edge holds, and each took more than its size: `collect()` keeps an entry for each chunk with its part of the connection's buffer, and `to_bytes` copies all. A socket holds up to 32 MB unread on these machines.

Ruled out: answers (SlowReaders bounds them, and none was waiting); memory of idle connections.

Without room a body waits 0.5 s unread; bodies that stand still give way, then the newest that grows; the only large one is always let in. One buffer a body. A length over the limit is refused by the head. A refused body is read and dropped for 2 s, since closing over unread bytes resets the connection and loses the answer; 503 is true, as nothing was sent. Sockets of callers hold 128 KiB unread.

--- a/crates/cluster/src/edge/forward.rs
+++ b/crates/cluster/src/edge/forward.rs
@@ -11,6 +11,7 @@
 use super::hedging::HedgeClass;
 use super::process::Edge;
 use super::refusal::AttemptHistory;
+use super::request_body::RequestBody;
 use super::responses::{Body, forwarded_response, full_body, unknown_outcome};
 use super::retry_after::Missing;
 use super::stream_forwarding::forward_stream;
@@ -37,7 +38,7 @@
     /// When the edge began to forward the request, after it had read the body.
     forwarded_at: Moment,
     head: Parts,
-    body: Bytes,
+    body: RequestBody,
     service: String,
     /// Regions that the route, the tenant and, for a job, its data allow.
     regions: Regions,
@@ -73,7 +74,7 @@
     edge: &Rc<Edge>,
     admitted: Admitted<'_>,
     head: Parts,
-    body: Bytes,
+    body: RequestBody,
     arrived: Moment,
     guard: RequestGuard,
 ) -> Response<Body> {
@@ -125,7 +126,7 @@
         edge: &Rc<Edge>,
         admitted: Admitted<'_>,
         head: Parts,
-        body: Bytes,
+        body: RequestBody,
         deadline: Moment,
     ) -> Option<Self> {
         let route = admitted.route;
@@ -289,7 +290,7 @@
                 host: &host,
                 path: path.map_or("", |path| path.as_str()),
                 tenant: self.tenant.as_ref().map(|tenant| &*tenant.name),
-                body: &self.body,
+                body: &self.body.bytes,
             })
         })
     }
@@ -337,7 +338,7 @@
 
     /// Body of the caller's request.
     pub(super) fn body(&self) -> Bytes {
-        self.body.clone()
+        self.body.bytes.clone()
     }
 
     /// Whether the request belongs to a job and needs the work lease.
--- a/crates/cluster/src/edge/front.rs
+++ b/crates/cluster/src/edge/front.rs
@@ -8,14 +8,14 @@
 use super::headers::{header_text, host_of};
 use super::job_calls::{JobCall, admit_job_call, job_call, submit};
 use super::process::Edge;
+use super::request_body::BodyLimits;
 use super::responses::{Body, plain};
 use super::retry_after::Missing;
 use crate::clock::Moment;
 use crate::platform::Call;
-use brasspond_fleet::Denial;
+use brasspond_fleet::{Denial, Limits};
 use bytes::Bytes;
 use futures::future::Either;
-use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
 use hyper::header::HeaderValue;
 use hyper::http::request::Parts;
@@ -105,10 +105,9 @@
         let edge = Rc::clone(&handler);
         async move { Ok::<_, Infallible>(handle_request(&edge, request).await) }
     });
-    let idle = Duration::from_millis(limits.idle_timeout_ms.max(limits.header_timeout_ms));
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
-        .header_read_timeout(idle)
+        .header_read_timeout(max_idle(&limits))
         .max_buf_size(limits.header_bytes.max(MIN_BUFFER_BYTES))
         .serve_connection(stream, service);
     let mut connection = pin!(connection);
@@ -214,33 +213,39 @@
     if let Err(response) = edge.check_regions(&head, route, &admitted.regions()) {
         return *response;
     }
-    let body = match read_body(body, configuration.limits.body_bytes).await {
-        Ok(body) => body,
-        Err(status) => return plain(status, Bytes::new()),
+    let mut body = body;
+    let body = match edge
+        .read_body(&mut body, body_limits(&configuration.limits))
+        .await
+    {
+        Ok(read) => read,
+        Err(error) => {
+            let id = request_id(edge, &head);
+            return edge.refuse_body(&id, &head.headers, body, error, route.priority);
+        }
     };
     if route.kind.is_job() {
         if head.method != Method::POST {
             return plain(StatusCode::METHOD_NOT_ALLOWED, Bytes::new());
         }
-        return submit(edge, &head, &admitted, &body, arrived).await;
+        return submit(edge, &head, &admitted, &body.bytes, arrived).await;
     }
     edge.await_fleet(&head.headers, arrived.elapsed()).await;
     forward(edge, admitted, head, body, arrived, guard).await
 }
 
-/// Reads the body of a request, at most `max_bytes`.
-///
-/// # Errors
-/// The status of the response that rejects the request.
-async fn read_body(body: Incoming, max_bytes: usize) -> Result<Bytes, StatusCode> {
-    match Limited::new(body, max_bytes).collect().await {
-        Ok(collected) => Ok(collected.to_bytes()),
-        Err(error) if error.is::<LengthLimitError>() => Err(StatusCode::PAYLOAD_TOO_LARGE),
-        // The caller disconnected or sent a malformed body.
-        Err(_) => Err(StatusCode::BAD_REQUEST),
+fn body_limits(limits: &Limits) -> BodyLimits {
+    BodyLimits {
+        max_bytes: limits.body_bytes,
+        idle_timeout: max_idle(limits),
     }
 }
 
+/// Maximum time for which a caller may send nothing, between requests and within one.
+fn max_idle(limits: &Limits) -> Duration {
+    Duration::from_millis(limits.idle_timeout_ms.max(limits.header_timeout_ms))
+}
+
 /// Request id from the header, for logs; empty if it is missing.
 pub(super) fn request_id(edge: &Edge, head: &Parts) -> String {
     let names = edge.platform.wire.names();
--- a/crates/cluster/src/edge/process.rs
+++ b/crates/cluster/src/edge/process.rs
@@ -5,6 +5,7 @@
 use super::fleet_view::FleetState;
 use super::hedging::HedgeBudgets;
 use super::permits::PermitLocks;
+use super::request_body::RequestBodies;
 use super::runs::{JobTasks, RunUpdate};
 use super::slow_reader::SlowReaders;
 use super::storage_links::StorageLinks;
@@ -52,6 +53,8 @@
     pub callers: Callers,
     /// Callers' connections whose answers wait to be read.
     pub slow_readers: Rc<SlowReaders>,
+    /// Bodies of callers' requests.
+    pub request_bodies: RequestBodies,
     /// Links to storage processes and the contact with the leader.
     pub storage: RefCell<StorageLinks>,
     /// Distances and counters shared by all links.
@@ -90,7 +93,7 @@
 impl Listeners {
     async fn bind(settings: &EdgeSettings) -> Result<Self, ProcessError> {
         Ok(Self {
-            front: listen(settings.caller_address).await?,
+            front: listen_for_callers(settings.caller_address).await?,
             ready: listen(settings.readiness_address).await?,
             cluster: listen(settings.process.cluster_address).await?,
         })
@@ -102,6 +105,13 @@
     listener.map_err(ProcessError::Listen)
 }
 
+/// Listens for callers, whose sockets hold a bounded number of bytes that are not read yet.
+async fn listen_for_callers(address: SocketAddr) -> Result<TcpListener, ProcessError> {
+    let listener = listen(address).await?;
+    crate::socket::limit_unread_bytes(&listener);
+    Ok(listener)
+}
+
 /// Runs an edge until it has drained after a termination signal.
 ///
 /// # Errors
@@ -248,6 +258,7 @@
             fleet: FleetState::new(process.supports_evacuation),
             callers: Callers::default(),
             slow_readers: Rc::new(SlowReaders::new(process.memory_limit)),
+            request_bodies: RequestBodies::new(process.memory_limit),
             storage: RefCell::new(storage),
             balancer: RefCell::new(LoadBalancer::new(Rc::clone(&link_context))),
             observations_reported_at: Cell::new(0),
@@ -288,6 +299,8 @@
         self.pool.close_expired();
         self.slow_readers.sweep(now);
         self.metrics.held_bytes(self.slow_readers.held_bytes());
+        let claimed = self.request_bodies.memory.claimed_bytes();
+        self.metrics.claimed_body_bytes(claimed);
         self.permit_locks.borrow_mut().forget_idle();
         self.exchange_replica_loads(now);
         if now >= self.traffic_logged_at.get() + TRAFFIC_LOG_INTERVAL_MS {
--- a/crates/cluster/src/edge/retry_after.rs
+++ b/crates/cluster/src/edge/retry_after.rs
@@ -32,6 +32,8 @@
 /// Pause while the allowed regions have no replica, or route and tenant share no region. This
 /// takes a new machine or a new configuration to resolve.
 const REGIONS_TIME: Duration = Duration::from_millis(5_000);
+/// Expected time until the bodies of other requests leave room for another one.
+const BODY_ROOM_TIME: Duration = Duration::from_millis(500);
 /// Minimum pause.
 const MIN_RETRY_AFTER: Duration = Duration::from_millis(100);
 /// Maximum jitter as a fraction of the pause.
@@ -56,6 +58,8 @@
     Regions,
     /// Members of the log that may store the job's data.
     Members,
+    /// Memory for the request's body.
+    Memory,
     /// The release of the request's content from quarantine.
     Release,
 }
@@ -77,6 +81,7 @@
             Missing::Zone => EVACUATED_TIME,
             Missing::Regions => REGIONS_TIME,
             Missing::Members => MEMBERS_TIME,
+            Missing::Memory => BODY_ROOM_TIME,
             Missing::Release => QUARANTINE_TIME,
             Missing::Replica(requirements) => {
                 let now = Moment::now();
--- a/crates/cluster/src/edge/scoring.rs
+++ b/crates/cluster/src/edge/scoring.rs
@@ -14,6 +14,7 @@
 use super::hedged_attempt::{FailedAttempt, HedgedOutcome};
 use super::hedging::HedgeClass;
 use super::process::Edge;
+use super::request_body::RequestBody;
 use crate::clock::{Moment, within};
 use brasspond_cluster_protocol::{AttemptId, Message, ScoringEnd, ScoringSpec};
 use brasspond_eligibility::{Clearance, Ineligible};
@@ -318,7 +319,7 @@
         let configuration = self.edge.fleet.view.borrow().configuration.clone()?;
         let route = configuration.route(&self.call.host, &self.call.path)?;
         let head = self.build_head()?;
-        let body = self.call.body.clone();
+        let body = RequestBody::unclaimed(self.call.body.clone());
         // The call is made by the cluster itself and not on behalf of a tenant.
         let admitted = Admitted {
             route,
--- a/crates/cluster/src/socket.rs
+++ b/crates/cluster/src/socket.rs
@@ -2,7 +2,7 @@
 
 use socket2::{SockRef, TcpKeepalive};
 use std::time::Duration;
-use tokio::net::TcpStream;
+use tokio::net::{TcpListener, TcpStream};
 
 /// A connection is closed once sent bytes are unacknowledged for this long.
 const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_millis(1_500);
@@ -14,6 +14,9 @@
 /// Without the limit, the socket accepts more bytes only once a third of its buffer is free, which
 /// a steady reader of 100 KB/s reaches later than the timeout for stalled writes.
 pub(crate) const UNSENT_BYTES: u32 = 32 * 1024;
+/// Bytes that the socket of a caller's connection holds unread; the kernel may charge twice as much.
+/// At a round trip of some ms this is enough for tens of MB a second. The default grows to several MB.
+const UNREAD_BYTES: usize = 128 * 1024;
 /// Replaces [`UNACKNOWLEDGED_TIMEOUT`] for a caller that reads slowly. Linux also applies that
 /// timeout while the receiver's window is closed. It must exceed the edge's timeout for stalled
 /// writes.
@@ -41,6 +44,12 @@
     log_failure("notsent_lowat", result);
 }
 
+/// Limits the unread bytes of each accepted connection to [`UNREAD_BYTES`].
+pub(crate) fn limit_unread_bytes(listener: &TcpListener) {
+    let result = SockRef::from(listener).set_recv_buffer_size(UNREAD_BYTES);
+    log_failure("receive_buffer", result);
+}
+
 /// Keeps the connection open while the remote process reads slowly. Its machine answers, so the
 /// shorter timeout for a silent machine is not needed.
 pub(crate) fn allow_slow_reads(stream: &TcpStream) {
--- a/crates/telemetry/src/metrics/edge.rs
+++ b/crates/telemetry/src/metrics/edge.rs
@@ -29,6 +29,8 @@
         scoring_seconds: Histogram = "scoring_seconds", "Time from a whole text to its score";
         callers_cut: Counters = "callers_cut", "Connections of callers closed because of answers that they did not read, by reason";
         held_answer_bytes: Gauge = "held_answer_bytes", "Bytes of answers held for callers whose connections accept no more bytes";
+        bodies_refused: Counters = "bodies_refused", "Requests refused because their body was not read, by reason";
+        claimed_body_bytes: Gauge = "claimed_body_bytes", "Bytes of memory claimed for bodies of requests";
         denials: Counters = "denials", "Calls turned away for their API key, by reason";
         store_reachable: Gauge = "store_reachable", "1 while the platform's store answers";
         unoffered_seconds: Histogram = "unoffered_seconds", "Time for which requests were queued that no replica was offered";
@@ -105,6 +107,17 @@
         self.instruments.held_answer_bytes.set(bytes);
     }
 
+    /// Counts a request that was refused because its body was not read.
+    pub fn body_refused(&self, reason: &str) {
+        count(&self.instruments.bodies_refused, [("reason", reason)]);
+    }
+
+    /// Sets the number of bytes of memory claimed for bodies of requests.
+    pub fn claimed_body_bytes(&self, bytes: u64) {
+        let bytes = i64::try_from(bytes).unwrap_or(i64::MAX);
+        self.instruments.claimed_body_bytes.set(bytes);
+    }
+
     /// Counts a message to the leader that was not sent.
     pub fn leader_message_lost(&self) {
         self.instruments.leader_messages_lost.inc();
