Edge: a job is read item by item into the message for the leader

Cause: the body was decoded into a list of values of some 230 bytes and ten allocations an item, then into items, then encoded, with all of it held at a time: nine times the body.

Evidence: a job of 16 MiB took an edge of 96 MB to 179 MB on (a_job_of_the_maximum_size_is_read_within_the_memory_limit failed). Ruled out: the leader's answer (the edge ends before it asks), storage processes.

Change: `SubmissionWriter` encodes each item as soon as it is read, into a compressed stream. The message is that of `Question::Submit`, so leaders of older builds read it: what precedes the items is a stored DEFLATE block in front, as the number of items and of the question are known later. The body is dropped before the leader is asked. The message is encoded once for all tries.

Tried: compressing into the spare room of a growing vector. Now into a fixed buffer.

--- a/crates/brasspond/tests/request_memory.rs
+++ b/crates/brasspond/tests/request_memory.rs
@@ -6,6 +6,7 @@
     Cluster, Deployment, Machine, Size, call, configuration,
 };
 use rstest::rstest;
+use serde_json::{Value, json};
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -232,3 +233,42 @@
     let mut stream = send_part(measured.front(), "second".to_string(), 1024 * 1024, framing).await;
     assert_eq!(read_status(&mut stream).await, 413);
 }
+
+/// Body of a job with as many small items as fit into `bytes`.
+fn large_job(bytes: usize) -> String {
+    let item = |number: usize| -> Value {
+        json!({
+            "id": format!("{number:016x}"), "path": "/jobs/1/91c4",
+            "headers": {"X-Brasspond-Model": "model", "X-Brasspond-Token-Usage": "540,400"},
+            "body": "q83vEjRWeJA=", "token_count": 940, "group": format!("g{}", number / 4),
+        })
+    };
+    let mut text = String::from(r#"{"step":1,"model_id":"model","requests":["#);
+    let mut number = 0;
+    loop {
+        let next = item(number).to_string();
+        if text.len() + next.len() + 3 > bytes {
+            break;
+        }
+        if number > 0 {
+            text.push(',');
+        }
+        text.push_str(&next);
+        number += 1;
+    }
+    text.push_str("]}");
+    text
+}
+
+/// A job of many small items, inside the limit on bodies, is accepted without a multiple of its
+/// size at the edge.
+#[rstest]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_job_of_the_maximum_size_is_read_within_the_memory_limit() {
+    let measured = Measured::start().await;
+    let body = large_job(MAX_BODY);
+    let call = call(measured.front(), "POST", "/jobs/x", "large-job", body);
+    let response = timeout(PATIENCE, call).await.expect("answered");
+    assert_eq!(response.expect("answered").status(), 202);
+    measured.check(1).await;
+}
--- a/crates/cluster-protocol/src/frame.rs
+++ b/crates/cluster-protocol/src/frame.rs
@@ -61,6 +61,15 @@
     install_parts(message).unwrap_or_else(|| vec![encode(message)])
 }
 
+/// Precedes a packed message in two parts by the length of the frame.
+pub(crate) fn frame_of_parts(first: Vec<u8>, second: Bytes) -> Vec<Bytes> {
+    let length = first.len() + second.len();
+    let length = u32::try_from(length).unwrap_or(u32::MAX);
+    let mut head = length.to_be_bytes().to_vec();
+    head.extend(first);
+    vec![head.into(), second]
+}
+
 /// Splits the frame of a snapshot before and after its state; `None` for other messages.
 fn install_parts(message: &Message) -> Option<Vec<Bytes>> {
     let Message::Consensus { from, to, message } = message else {
--- a/crates/cluster-protocol/src/lib.rs
+++ b/crates/cluster-protocol/src/lib.rs
@@ -13,12 +13,14 @@
 mod frame;
 mod kind;
 mod run;
+mod submission;
 
 pub use frame::{FrameBuffer, FrameError, encode, encode_parts};
 pub use kind::MessageKind;
 pub use run::{
     AttemptId, Pace, RunEnd, RunProgress, RunReport, RunSpec, ScoringEnd, ScoringSpec, StreamEvent,
 };
+pub use submission::{EncodeError, EncodedSubmission, SubmissionWriter};
 
 use brasspond_consensus::{Member, MemberId};
 use brasspond_fleet::{CatchUp, FleetView, Regions, ViewDelta};
--- /dev/null
+++ b/crates/cluster-protocol/src/submission.rs
@@ -0,0 +1,129 @@
+//! A submission that is encoded item by item.
+//!
+//! The frame is that of [`Question::Submit`], compressed. A job may have some hundred thousand small
+//! items, which take a multiple of their encoded size as values; here only one is in memory at a time.
+
+use crate::frame::frame_of_parts;
+use crate::{Message, Question};
+use brasspond_compression::{StreamPacker, stored_head};
+use brasspond_jobs::{Item, Submission};
+use bytes::Bytes;
+use displaydoc::Display;
+use std::collections::BTreeSet;
+
+/// Length of an empty array in MessagePack.
+const EMPTY_ARRAY_BYTES: usize = 1;
+/// First byte of a MessagePack array with a length of 32 bits.
+const ARRAY_32: u8 = 0xdd;
+
+/// a submission cannot be encoded: {0}
+#[derive(Debug, Display)]
+pub struct EncodeError(String);
+
+impl std::error::Error for EncodeError {}
+
+impl From<rmp_serde::encode::Error> for EncodeError {
+    fn from(error: rmp_serde::encode::Error) -> Self {
+        Self(error.to_string())
+    }
+}
+
+impl From<std::io::Error> for EncodeError {
+    fn from(error: std::io::Error) -> Self {
+        Self(error.to_string())
+    }
+}
+
+/// Host and path of a scoring call.
+pub type ScoringEndpoint = (String, String);
+
+/// Encodes the items of a submission in their order.
+#[derive(Default)]
+pub struct SubmissionWriter {
+    packer: StreamPacker,
+    count: u32,
+    endpoints: BTreeSet<ScoringEndpoint>,
+}
+
+impl SubmissionWriter {
+    /// Appends an item.
+    ///
+    /// # Errors
+    /// The item cannot be encoded.
+    pub fn push(&mut self, item: &Item) -> Result<(), EncodeError> {
+        self.packer.push(&rmp_serde::to_vec(item)?)?;
+        self.count += 1;
+        if let Some(call) = &item.scoring {
+            let endpoint = (call.host.clone(), call.path.clone());
+            self.endpoints.insert(endpoint);
+        }
+        Ok(())
+    }
+
+    /// Ends the submission. `head` has all its fields but the items, which are ignored.
+    ///
+    /// # Errors
+    /// The submission cannot be encoded.
+    pub fn finish(mut self, head: Submission) -> Result<EncodedSubmission, EncodeError> {
+        // Only the tenant follows the items.
+        let tail = rmp_serde::to_vec(&head.tenant)?;
+        self.packer.push(&tail)?;
+        Ok(EncodedSubmission {
+            head: Submission {
+                items: Vec::new(),
+                ..head
+            },
+            tail_bytes: tail.len(),
+            count: self.count,
+            endpoints: self.endpoints,
+            items: self.packer.finish()?,
+        })
+    }
+}
+
+/// An encoded submission, which may be sent any number of times.
+#[derive(Clone, Debug)]
+pub struct EncodedSubmission {
+    /// The submission without its items.
+    head: Submission,
+    /// Length of the encoded fields that follow the items.
+    tail_bytes: usize,
+    count: u32,
+    endpoints: BTreeSet<ScoringEndpoint>,
+    /// Compressed items and the fields that follow them.
+    items: Bytes,
+}
+
+impl EncodedSubmission {
+    /// Tenant that submits the job, if any.
+    pub fn tenant(&self) -> Option<&str> {
+        self.head.tenant.as_deref()
+    }
+
+    /// The distinct endpoints of the items' scoring calls.
+    pub fn scoring_endpoints(&self) -> impl Iterator<Item = (&str, &str)> {
+        let endpoints = self.endpoints.iter();
+        endpoints.map(|(host, path)| (host.as_str(), path.as_str()))
+    }
+
+    /// Encoded size in bytes.
+    pub fn encoded_bytes(&self) -> usize {
+        self.items.len()
+    }
+
+    /// Encodes the question with this submission as parts of a frame.
+    ///
+    /// # Errors
+    /// The question cannot be encoded.
+    pub fn question_parts(&self, number: u64) -> Result<Vec<Bytes>, EncodeError> {
+        let message = Message::Ask {
+            number,
+            question: Question::Submit(self.head.clone()),
+        };
+        let mut head = rmp_serde::to_vec(&message)?;
+        head.truncate(head.len() - self.tail_bytes - EMPTY_ARRAY_BYTES);
+        head.push(ARRAY_32);
+        head.extend(self.count.to_be_bytes());
+        Ok(frame_of_parts(stored_head(&head), self.items.clone()))
+    }
+}
--- a/crates/cluster/src/edge/front.rs
+++ b/crates/cluster/src/edge/front.rs
@@ -228,7 +228,7 @@
         if head.method != Method::POST {
             return plain(StatusCode::METHOD_NOT_ALLOWED, Bytes::new());
         }
-        return submit(edge, &head, &admitted, &body.bytes, arrived).await;
+        return submit(edge, &head, &admitted, body, arrived).await;
     }
     edge.await_fleet(&head.headers, arrived.elapsed()).await;
     forward(edge, admitted, head, body, arrived, guard).await
--- a/crates/cluster/src/edge/job_calls.rs
+++ b/crates/cluster/src/edge/job_calls.rs
@@ -6,13 +6,13 @@
 use super::headers::host_of;
 use super::process::Edge;
 use super::questions::AskError;
+use super::request_body::{BodyError, RequestBody};
 use super::residency::RegionRefusal;
 use super::responses::{Body, json, plain, unknown_outcome};
 use super::retry_after::Missing;
 use crate::clock::Moment;
-use crate::platform::Call;
+use crate::platform::{Call, SubmissionCall};
 use brasspond_cluster_protocol::{Answer, Question};
-use brasspond_jobs::Submission;
 use bytes::Bytes;
 use hyper::http::request::Parts;
 use hyper::{Response, StatusCode};
@@ -127,7 +127,7 @@
     edge: &Rc<Edge>,
     head: &Parts,
     admitted: &Admitted<'_>,
-    body: &[u8],
+    body: RequestBody,
     arrived: Moment,
 ) -> Response<Body> {
     let names = edge.platform.wire.names();
@@ -135,15 +135,19 @@
     let Some(id) = id.and_then(|id| id.to_str().ok()) else {
         return plain(StatusCode::BAD_REQUEST, Bytes::new());
     };
-    let parsed = edge
-        .platform
-        .wire
-        .submission(id, &host_of(head), head.uri.path(), body);
-    let submission = match parsed {
-        Ok(submission) => Submission {
-            tenant: admitted.tenant.map(|tenant| Arc::clone(&tenant.name)),
-            ..submission
-        },
+    // What is sent to the leader is at most as long as the body.
+    if !body.claim_more(body.bytes.len() as u64, edge.clock.now()) {
+        edge.metrics.body_refused(BodyError::NoRoom.name());
+        return edge.reject(Missing::Memory, admitted.route.priority);
+    }
+    let call = SubmissionCall {
+        id,
+        host: &host_of(head),
+        path: head.uri.path(),
+        tenant: admitted.tenant.map(|tenant| Arc::clone(&tenant.name)),
+    };
+    let submission = match edge.platform.wire.submission(call, &body.bytes) {
+        Ok(submission) => submission,
         Err(problem) => {
             log::info!("event=job_refused job={id} problem=\"{problem}\"");
             return plain(StatusCode::BAD_REQUEST, Bytes::from(problem));
@@ -152,11 +156,12 @@
     if let Err(refusal) = edge.check_submission(admitted.route, &submission) {
         return edge.refuse_for_regions(id, admitted.route, refusal);
     }
+    // The body is not needed while the leader is asked.
+    let _reservation = body.replace(submission.encoded_bytes() as u64);
     let deadline = arrived + CHANGE_TIMEOUT;
-    let question = Question::Submit(submission);
     let answer = edge
         .ask(
-            question,
+            &submission,
             Duration::ZERO,
             deadline,
             CHANGE_LEADERLESS_LIMIT_MS,
@@ -209,7 +214,12 @@
 
 async fn item_body(edge: &Rc<Edge>, question: Question) -> Response<Body> {
     let deadline = Moment::now() + READ_TIMEOUT;
-    let answer = edge.ask(question, Duration::ZERO, deadline, READ_LEADERLESS_LIMIT_MS);
+    let answer = edge.ask(
+        &question,
+        Duration::ZERO,
+        deadline,
+        READ_LEADERLESS_LIMIT_MS,
+    );
     match answer.await {
         Ok(Answer::Body(Ok(body))) => plain(StatusCode::OK, body),
         Ok(Answer::Body(Err(_))) => plain(StatusCode::NOT_FOUND, Bytes::new()),
@@ -220,7 +230,7 @@
 async fn end(edge: &Rc<Edge>, question: Question) -> Response<Body> {
     let deadline = Moment::now() + CHANGE_TIMEOUT;
     let answer = edge.ask(
-        question,
+        &question,
         Duration::ZERO,
         deadline,
         CHANGE_LEADERLESS_LIMIT_MS,
--- a/crates/cluster/src/edge/permits.rs
+++ b/crates/cluster/src/edge/permits.rs
@@ -163,7 +163,7 @@
         };
         let asked = self
             .edge
-            .ask(question, Duration::ZERO, until, PERMIT_LEADERLESS_LIMIT_MS);
+            .ask(&question, Duration::ZERO, until, PERMIT_LEADERLESS_LIMIT_MS);
         match asked.await {
             // An unlimited permit means that the leader considers the replica warm. It is valid
             // only if the leader and this edge agree on the replica's warm-up.
--- a/crates/cluster/src/edge/questions.rs
+++ b/crates/cluster/src/edge/questions.rs
@@ -5,7 +5,8 @@
 use super::leader_contact::Leader;
 use super::process::Edge;
 use crate::clock::{Moment, within};
-use brasspond_cluster_protocol::{Answer, Question};
+use crate::link::Writer;
+use brasspond_cluster_protocol::{Answer, EncodedSubmission, Message, MessageKind, Question};
 use futures::StreamExt;
 use futures::stream::FuturesUnordered;
 use std::time::Duration;
@@ -25,6 +26,28 @@
 /// Pause before the leader is asked again. A change of the leader ends it early.
 const LEADER_RETRY_PAUSE: Duration = Duration::from_millis(60);
 
+/// A question that can be sent on a link.
+pub(super) trait Ask {
+    /// Queues the question with its number; returns false if it was not queued.
+    fn send(&self, number: u64, writer: &Writer) -> bool;
+}
+
+impl Ask for Question {
+    fn send(&self, number: u64, writer: &Writer) -> bool {
+        writer.send(&Message::Ask {
+            number,
+            question: self.clone(),
+        })
+    }
+}
+
+impl Ask for EncodedSubmission {
+    fn send(&self, number: u64, writer: &Writer) -> bool {
+        let parts = self.question_parts(number);
+        parts.is_ok_and(|parts| writer.send_parts(MessageKind::Question, parts))
+    }
+}
+
 /// Why a question has no answer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum AskError {
@@ -87,7 +110,7 @@
         {
             return Ok(answer);
         }
-        let answer = self.ask(question, wait, deadline, leaderless_limit_ms);
+        let answer = self.ask(&question, wait, deadline, leaderless_limit_ms);
         answer.await.inspect_err(|error| {
             let now = self.clock.now();
             log::info!(
@@ -108,7 +131,7 @@
             let mut storage = self.storage.borrow_mut();
             let reader = storage.reader(now).ok_or(ReaderError::NotAsked)?;
             storage
-                .ask(reader.link, &reader.writer, question.clone())
+                .ask(reader.link, &reader.writer, question)
                 .ok_or(ReaderError::NotAsked)?
         };
         match within(wait + READER_ANSWER_TIMEOUT, asked).await {
@@ -130,7 +153,7 @@
         let members = self.storage.borrow().linked_members();
         let asked = members.into_iter().filter_map(|member| {
             let mut storage = self.storage.borrow_mut();
-            storage.ask(member.link, &member.writer, question.clone())
+            storage.ask(member.link, &member.writer, question)
         });
         let mut answers: FuturesUnordered<_> = asked.map(|one| within(limit, one)).collect();
         while let Some(answer) = answers.next().await {
@@ -149,7 +172,7 @@
     /// [`AskError::NotAsked`].
     pub(super) async fn ask(
         &self,
-        question: Question,
+        question: &impl Ask,
         wait: Duration,
         deadline: Moment,
         leaderless_limit_ms: u64,
@@ -175,7 +198,7 @@
                 continue;
             };
             let limit = left.min(LEADER_ANSWER_TIMEOUT + wait);
-            match self.ask_once(&leader, question.clone(), limit).await {
+            match self.ask_once(&leader, question, limit).await {
                 Some(Answer::NotLeader(_)) => {}
                 Some(Answer::Unknown) | None => failure = AskError::Uncertain,
                 Some(answer) => return Ok(answer),
@@ -189,7 +212,7 @@
     async fn ask_once(
         &self,
         leader: &Leader,
-        question: Question,
+        question: &impl Ask,
         limit: Duration,
     ) -> Option<Answer> {
         let asked = {
--- a/crates/cluster/src/edge/request_body.rs
+++ b/crates/cluster/src/edge/request_body.rs
@@ -46,6 +46,21 @@
             reservation: None,
         }
     }
+
+    /// Claims `bytes` more than the size of the body; returns false if there is no room.
+    pub fn claim_more(&self, bytes: u64, now: u64) -> bool {
+        let claimed = self.bytes.len() as u64 + bytes;
+        let reservation = self.reservation.as_ref();
+        reservation.is_none_or(|reservation| reservation.claim(claimed, now))
+    }
+
+    /// Drops the body and keeps a claim of `bytes` for what was made of it.
+    pub fn replace(self, bytes: u64) -> Option<Reservation> {
+        if let Some(reservation) = &self.reservation {
+            reservation.complete(bytes);
+        }
+        self.reservation
+    }
 }
 
 /// Why a body was not read.
--- a/crates/cluster/src/edge/residency.rs
+++ b/crates/cluster/src/edge/residency.rs
@@ -5,9 +5,9 @@
 use super::process::Edge;
 use super::responses::Body;
 use super::retry_after::Missing;
-use brasspond_dispatch::residency::body_regions;
+use brasspond_cluster_protocol::EncodedSubmission;
+use brasspond_dispatch::residency::scored_regions;
 use brasspond_fleet::{Regions, Route};
-use brasspond_jobs::Submission;
 use hyper::Response;
 use hyper::http::request::Parts;
 
@@ -87,13 +87,14 @@
     pub(super) fn check_submission(
         &self,
         route: &Route,
-        submission: &Submission,
+        submission: &EncodedSubmission,
     ) -> Result<(), RegionRefusal> {
         let Some(configuration) = self.fleet.view.borrow().configuration.clone() else {
             return Ok(());
         };
-        let tenant = submission.tenant.as_deref();
-        let regions = body_regions(&configuration, route, tenant, &submission.items);
+        let tenant = submission.tenant();
+        let endpoints = submission.scoring_endpoints();
+        let regions = scored_regions(&configuration, route, tenant, endpoints);
         let may_store = self.storage.borrow().may_store(&regions);
         check(&regions, may_store)
     }
--- a/crates/cluster/src/edge/storage_links.rs
+++ b/crates/cluster/src/edge/storage_links.rs
@@ -5,6 +5,7 @@
 
 use super::leader_contact::LeaderContact;
 use super::leader_messages::LinkAction;
+use super::questions::Ask;
 use super::reader;
 use super::work_lease::WorkLease;
 use crate::link::{LinkContext, LinkEvent, LinkId, Writer, dial};
@@ -395,13 +396,12 @@
         &mut self,
         link: LinkId,
         writer: &Writer,
-        question: Question,
+        question: &impl Ask,
     ) -> Option<oneshot::Receiver<Answer>> {
         self.next_number += 1;
         let number = self.next_number;
         let (sender, receiver) = oneshot::channel();
-        let message = Message::Ask { number, question };
-        if !writer.send(&message) {
+        if !question.send(number, writer) {
             return None;
         }
         self.pending.insert(number, (link, sender));
@@ -413,7 +413,7 @@
         let pending = self
             .linked_members()
             .into_iter()
-            .map(|reader| self.ask(reader.link, &reader.writer, Question::Members));
+            .map(|reader| self.ask(reader.link, &reader.writer, &Question::Members));
         pending.flatten().collect()
     }
 
--- a/crates/cluster/src/link_writer.rs
+++ b/crates/cluster/src/link_writer.rs
@@ -71,7 +71,7 @@
     }
 
     /// Queues all parts of a frame or none. Nothing is queued between them.
-    fn send_parts(&self, kind: MessageKind, parts: Vec<Bytes>) -> bool {
+    pub(crate) fn send_parts(&self, kind: MessageKind, parts: Vec<Bytes>) -> bool {
         let length = parts.iter().map(Bytes::len).sum::<usize>();
         let queued_bytes = self.queued_bytes.get();
         if queued_bytes > 0 && queued_bytes + length > MAX_QUEUED_BYTES {
--- a/crates/cluster/src/platform/mod.rs
+++ b/crates/cluster/src/platform/mod.rs
@@ -25,7 +25,7 @@
 pub use reachability::Reachability;
 pub use registry::{GroupRecord, Registry, RegistryError};
 pub use view::{Interest, Observed, ReplicaListing};
-pub use wire::{Call, HeaderNames, VersionOrder, WireFormat};
+pub use wire::{Call, HeaderNames, SubmissionCall, VersionOrder, WireFormat};
 
 use std::rc::Rc;
 use tokio::sync::watch;
--- a/crates/cluster/src/platform/wire.rs
+++ b/crates/cluster/src/platform/wire.rs
@@ -1,14 +1,16 @@
 //! Protocol with callers and replicas: names of headers, calls of callers, reports of replicas and
 //! orders to replicas.
 
+use brasspond_cluster_protocol::EncodedSubmission;
 use brasspond_dispatch::{OrderAnswer, ReplicaReport};
 use brasspond_fleet::{Credential, Identity};
-use brasspond_jobs::{Page, Submission};
+use brasspond_jobs::Page;
 use bytes::Bytes;
 use hyper::StatusCode;
 use hyper::header::{HeaderMap, HeaderName};
 use hyper::http::request::Parts;
 use std::net::SocketAddr;
+use std::sync::Arc;
 
 /// Names of the headers that the cluster reads or sets. Each field documents the value of its
 /// header.
@@ -70,6 +72,19 @@
     Request,
 }
 
+/// What the call that submits a job says beside its body.
+#[derive(Clone, Debug)]
+pub struct SubmissionCall<'a> {
+    /// Id of the job.
+    pub id: &'a str,
+    /// Host of the call.
+    pub host: &'a str,
+    /// Path of the call.
+    pub path: &'a str,
+    /// Tenant that submits the job, if any.
+    pub tenant: Option<Arc<str>>,
+}
+
 /// An order to a replica to load a version of weights.
 #[derive(Clone, Debug)]
 pub struct VersionOrder {
@@ -100,17 +115,15 @@
     fn credential(&self, headers: &HeaderMap) -> Credential;
     /// Classifies a caller's request by its head.
     fn call(&self, head: &Parts) -> Call;
-    /// Parses a job from the body of its submission.
+    /// Parses a job from the body of its submission and encodes it for the leader.
     ///
     /// # Errors
     /// The body is not a valid job; the text describes why, for the log.
     fn submission(
         &self,
-        id: &str,
-        host: &str,
-        path: &str,
+        call: SubmissionCall<'_>,
         body: &[u8],
-    ) -> Result<Submission, String>;
+    ) -> Result<EncodedSubmission, String>;
     /// Encodes the body of an answer with results.
     fn page(&self, page: &Page) -> Bytes;
     /// Returns the path of the report of a replica.
--- a/crates/cluster/tests/unit/storage/fixture.rs
+++ b/crates/cluster/tests/unit/storage/fixture.rs
@@ -4,13 +4,13 @@
 use crate::link::{LinkEvent, LinkId, Writer};
 use crate::platform::{
     Call, GroupRecord, HeaderNames, Interest, Observed, Platform, Registry, RegistryError,
-    VersionOrder, WireFormat,
+    SubmissionCall, VersionOrder, WireFormat,
 };
 use crate::settings::{ProcessSettings, StorageSettings};
 use crate::storage::local::{LocalEvent, LocalSender};
 use crate::storage::process::Storage;
 use crate::storage::snapshots::read_table;
-use brasspond_cluster_protocol::{Answer, FrameBuffer, Message, Question};
+use brasspond_cluster_protocol::{Answer, EncodedSubmission, FrameBuffer, Message, Question};
 use brasspond_consensus::{
     Entry, HardState, Member as GroupMember, MemberId, Message as GroupMessage, Payload, Ready,
     Snapshot,
@@ -414,11 +414,9 @@
 
     fn submission(
         &self,
-        _id: &str,
-        _host: &str,
-        _path: &str,
+        _call: SubmissionCall<'_>,
         _body: &[u8],
-    ) -> Result<Submission, String> {
+    ) -> Result<EncodedSubmission, String> {
         unreachable!("no caller calls")
     }
 
--- a/crates/compression/src/lib.rs
+++ b/crates/compression/src/lib.rs
@@ -22,6 +22,11 @@
 /// Expected compression ratio, which determines the initial capacity for decompression.
 const EXPECTED_RATIO: usize = 2;
 
+/// Maximum content of a stored DEFLATE block.
+const MAX_STORED_BYTES: usize = 0xffff;
+/// Size of the buffer into which a [`StreamPacker`] compresses, in bytes.
+const PACK_STEP_BYTES: usize = 32 * 1024;
+
 thread_local! {
     /// Compressor, reused between calls to avoid the initialization of its state of about 300 KB.
     static COMPRESS: RefCell<Compress> =
@@ -86,6 +91,80 @@
     matches!(status, Ok(Status::StreamEnd)).then(|| packed.into())
 }
 
+/// Compresses data piece by piece, so that the uncompressed whole is never in memory. While packing
+/// is paused, the pieces are stored uncompressed.
+pub struct StreamPacker {
+    compress: Compress,
+    /// Output of one step. Compressing into the spare capacity of `packed` would clear it each time.
+    step: Box<[u8]>,
+    packed: Vec<u8>,
+}
+
+impl Default for StreamPacker {
+    fn default() -> Self {
+        let level = if IS_PAUSED.get() {
+            Compression::none()
+        } else {
+            Compression::fast()
+        };
+        Self {
+            compress: Compress::new(level, false),
+            step: vec![0; PACK_STEP_BYTES].into(),
+            packed: Vec::new(),
+        }
+    }
+}
+
+impl StreamPacker {
+    /// Appends a piece.
+    ///
+    /// # Errors
+    /// The compressor failed.
+    pub fn push(&mut self, piece: &[u8]) -> Result<(), std::io::Error> {
+        let end = self.compress.total_in() + piece.len() as u64;
+        while self.compress.total_in() < end {
+            let left = usize::try_from(end - self.compress.total_in()).unwrap_or(piece.len());
+            self.step(&piece[piece.len() - left..], FlushCompress::None)?;
+        }
+        Ok(())
+    }
+
+    /// Ends the stream and returns it without a tag.
+    ///
+    /// # Errors
+    /// The compressor failed.
+    pub fn finish(mut self) -> Result<Bytes, std::io::Error> {
+        while self.step(&[], FlushCompress::Finish)? != Status::StreamEnd {}
+        Ok(self.packed.into())
+    }
+
+    fn step(&mut self, piece: &[u8], flush: FlushCompress) -> Result<Status, std::io::Error> {
+        let before = self.compress.total_out();
+        let status = self.compress.compress(piece, &mut self.step, flush);
+        let status = status.map_err(std::io::Error::other)?;
+        // At most the size of the buffer.
+        let written = (self.compress.total_out() - before) as usize;
+        self.packed.extend_from_slice(&self.step[..written]);
+        Ok(status)
+    }
+}
+
+/// Tag and stored blocks that precede the stream of a [`StreamPacker`], so that the whole unpacks to
+/// `head` and the pieces.
+pub fn stored_head(head: &[u8]) -> Vec<u8> {
+    let mut packed = vec![DEFLATED];
+    for block in head.chunks(MAX_STORED_BYTES) {
+        // A chunk has at most `MAX_STORED_BYTES`.
+        let length = u16::try_from(block.len()).unwrap_or(u16::MAX);
+        // Not the last block, type 0, and padding to the next byte.
+        packed.push(0);
+        packed.extend(length.to_le_bytes());
+        packed.extend((!length).to_le_bytes());
+        packed.extend_from_slice(block);
+    }
+    packed
+}
+
 /// Unpacks data whose content has at most `max_bytes` bytes. Uncompressed content is not copied.
 ///
 /// # Errors
--- a/crates/compression/tests/pack.rs
+++ b/crates/compression/tests/pack.rs
@@ -2,7 +2,8 @@
 //! data.
 
 use brasspond_compression::{
-    DEFLATED, PLAIN, UnpackError, pack, set_packing_paused, unpack, with_packing,
+    DEFLATED, PLAIN, StreamPacker, UnpackError, pack, set_packing_paused, stored_head, unpack,
+    with_packing,
 };
 use bytes::Bytes;
 use proptest::prelude::*;
@@ -17,6 +18,23 @@
         prop_assert_eq!(unpacked.as_ref(), bytes.as_slice());
     }
 
+    #[test]
+    fn pieces_unpack_to_their_concatenation(
+        head in proptest::collection::vec(any::<u8>(), 0..200),
+        pieces in proptest::collection::vec(proptest::collection::vec(any::<u8>(), 0..3_000), 0..60),
+    ) {
+        let mut packer = StreamPacker::default();
+        let mut whole = head.clone();
+        for piece in &pieces {
+            packer.push(piece).expect("compressed");
+            whole.extend_from_slice(piece);
+        }
+        let mut packed = stored_head(&head);
+        packed.extend_from_slice(&packer.finish().expect("compressed"));
+        let unpacked = unpack(packed.into(), MAX_BYTES).expect("unpacks");
+        prop_assert_eq!(unpacked.as_ref(), whole.as_slice());
+    }
+
     #[test]
     fn no_bytes_cause_a_panic(bytes in proptest::collection::vec(any::<u8>(), 0..600)) {
         let _ = unpack(Bytes::from(bytes), MAX_BYTES);
--- a/crates/dispatch/src/residency.rs
+++ b/crates/dispatch/src/residency.rs
@@ -27,14 +27,24 @@
     tenant: Option<&str>,
     items: &[Item],
 ) -> Regions {
-    let own_regions = configuration.regions_of(route, tenant);
     if !has_bound_regions(configuration) {
-        return own_regions;
+        return configuration.regions_of(route, tenant);
     }
     let calls = items.iter().filter_map(|item| item.scoring.as_ref());
     let endpoints: BTreeSet<(&str, &str)> = calls
         .map(|call| (call.host.as_str(), call.path.as_str()))
         .collect();
+    scored_regions(configuration, route, tenant, endpoints)
+}
+
+/// As [`body_regions`], for a job whose scoring calls go to these hosts and paths.
+pub fn scored_regions<'a>(
+    configuration: &Configuration,
+    route: &Route,
+    tenant: Option<&str>,
+    endpoints: impl IntoIterator<Item = (&'a str, &'a str)>,
+) -> Regions {
+    let own_regions = configuration.regions_of(route, tenant);
     let routes = endpoints
         .into_iter()
         .filter_map(|(host, path)| configuration.route(host, path));
