Storage: jobs are accepted as far as the memory bears them

Cause: a leader accepted every job. All members hold the items of all jobs as values, some 600 bytes beside the content of each, the leader as much again while it accepts one.

Evidence: 8 jobs of 16 MiB took storage processes of 320 MB to 497 MB; the new test failed on the code before. Ruled out: texts (no item had run), the log (its commands are compressed).

Change: a leader estimates from the state what the jobs in the table, those that are proposed and the new one take. Edges announce that they read the new answer; older ones get `Evacuated`, which also says that nothing was done. The resident memory is no measure, since it stays high after jobs have gone.

The edge's crowd and bound are as they were.

--- a/crates/brasspond/tests/request_memory.rs
+++ b/crates/brasspond/tests/request_memory.rs
@@ -1,5 +1,6 @@
-//! Memory of an edge whose callers send many or large bodies, tested with real processes. Guards
-//! against bodies that use up the memory of an edge, and with it the requests of all its callers.
+//! Memory of processes whose callers send many or large bodies, tested with real processes. Guards
+//! against bodies that use up the memory of an edge or of the storage processes, and with it the
+//! requests of all callers.
 
 use brasspond_platform_standin::Store;
 use brasspond_platform_standin::processes::{
@@ -15,8 +16,12 @@
 use tokio::task::JoinSet;
 use tokio::time::timeout;
 
-/// Memory limit of a process.
+/// Memory limit of an edge.
 const LIMIT_MB: u64 = 96;
+/// Memory limit of a storage process, which holds the items of all jobs as values.
+const STORAGE_LIMIT_MB: u64 = 320;
+/// Number of jobs of the maximum size, more than fit into a storage process.
+const LARGE_JOBS: usize = 8;
 /// Maximum size of a body, by the configuration.
 const MAX_BODY: usize = 16 * 1024 * 1024;
 /// Number of callers that send a body of the maximum size: twice the memory limit together.
@@ -53,6 +58,7 @@
         };
         let deployment = Deployment {
             memory_mb: Some(LIMIT_MB),
+            storage_memory_mb: Some(STORAGE_LIMIT_MB),
             ..Deployment::default()
         };
         let mut configuration = configuration(1);
@@ -96,21 +102,22 @@
 
     fn check_process(&self, crowd: usize) {
         assert_eq!(self.edge().pid(), Some(self.pid), "the process lives");
-        let peak = self.peak_bytes();
+        let peak = peak_bytes(self.edge());
         assert!(peak < LIMIT_MB * 1_000_000, "{} MB", peak / 1_000_000);
         let folder = std::fs::read_dir(format!("/proc/{}/fd", self.pid));
         let descriptors = folder.expect("a folder").count();
         assert!(descriptors < crowd + OTHER_DESCRIPTORS, "{descriptors}");
     }
+}
 
-    /// Highest resident memory of the edge since its start.
-    fn peak_bytes(&self) -> u64 {
-        let status = std::fs::read_to_string(format!("/proc/{}/status", self.pid));
-        let status = status.expect("the process lives");
-        let line = status.lines().find(|line| line.starts_with("VmHWM:"));
-        let kb = line.and_then(|line| line.split_ascii_whitespace().nth(1));
-        kb.and_then(|kb| kb.parse::<u64>().ok()).expect("a number") * 1_024
-    }
+/// Highest resident memory of a process since its start.
+fn peak_bytes(machine: &Machine) -> u64 {
+    let pid = machine.pid().expect("runs");
+    let status = std::fs::read_to_string(format!("/proc/{pid}/status"));
+    let status = status.expect("the process lives");
+    let line = status.lines().find(|line| line.starts_with("VmHWM:"));
+    let kb = line.and_then(|line| line.split_ascii_whitespace().nth(1));
+    kb.and_then(|kb| kb.parse::<u64>().ok()).expect("a number") * 1_024
 }
 
 /// How the head announces the body.
@@ -272,3 +279,34 @@
     assert_eq!(response.expect("answered").status(), 202);
     measured.check(1).await;
 }
+
+/// Jobs that do not fit beside the accepted ones are refused. All processes hold the same jobs, so
+/// otherwise all would end.
+#[rstest]
+#[tokio::test(flavor = "multi_thread")]
+async fn jobs_are_accepted_as_far_as_storage_processes_have_memory() {
+    let measured = Measured::start().await;
+    let body = large_job(MAX_BODY);
+    let mut statuses = Vec::new();
+    for number in 0..LARGE_JOBS {
+        let id = format!("large-job-{number}");
+        let call = call(measured.front(), "POST", "/jobs/x", &id, body.clone());
+        let response = timeout(PATIENCE, call).await.expect("answered");
+        statuses.push(response.expect("answered").status().as_u16());
+    }
+    assert_eq!(statuses[0], 202);
+    assert!(
+        statuses.iter().all(|status| [202, 503].contains(status)),
+        "{statuses:?}"
+    );
+    for machine in &measured.cluster.storage {
+        assert_eq!(machine.starts(), 1, "{} lives", machine.name);
+        let peak = peak_bytes(machine);
+        assert!(
+            peak < STORAGE_LIMIT_MB * 1_000_000,
+            "{} MB",
+            peak / 1_000_000
+        );
+    }
+    measured.check(1).await;
+}
--- a/crates/cluster-protocol/src/lib.rs
+++ b/crates/cluster-protocol/src/lib.rs
@@ -46,6 +46,8 @@
 pub const FEATURE_REPLICA_LOADS: u32 = 1;
 /// Feature of an edge that reads [`Message::ViewCatchUp`].
 pub const FEATURE_VIEW_CATCH_UP: u32 = 2;
+/// Feature of an edge that reads [`Answer::NoMemory`].
+pub const FEATURE_NO_MEMORY: u32 = 4;
 
 /// Identity of a process, as it announces itself in [`Message::Hello`].
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -155,6 +157,8 @@
     Unknown,
     /// Nothing was done: all suitable replicas are in evacuated zones.
     Evacuated,
+    /// Nothing was done: the job does not fit into the memory of this process.
+    NoMemory,
 }
 
 /// Parts of the view that an edge must watch at the source itself.
--- a/crates/cluster/src/edge/job_calls.rs
+++ b/crates/cluster/src/edge/job_calls.rs
@@ -190,6 +190,7 @@
         Ok(Answer::Done) => ("taken", plain(StatusCode::ACCEPTED, Bytes::new())),
         Ok(Answer::Taken) => ("other_tenant", plain(StatusCode::CONFLICT, Bytes::new())),
         Ok(Answer::Evacuated) => ("evacuated", edge.reject(Missing::Zone, 0)),
+        Ok(Answer::NoMemory) => ("no_memory", edge.reject(Missing::JobMemory, 0)),
         Ok(Answer::OutsideRegions) => (
             "outside_regions",
             edge.refuse_for_regions(id, admitted.route, RegionRefusal::Members),
--- a/crates/cluster/src/edge/process.rs
+++ b/crates/cluster/src/edge/process.rs
@@ -18,7 +18,7 @@
 use crate::storage::ProcessError;
 use crate::upstream::Pool;
 use brasspond_cluster_protocol::{
-    EDGE_REPORT_INTERVAL, FEATURE_REPLICA_LOADS, FEATURE_VIEW_CATCH_UP, Peer,
+    EDGE_REPORT_INTERVAL, FEATURE_NO_MEMORY, FEATURE_REPLICA_LOADS, FEATURE_VIEW_CATCH_UP, Peer,
 };
 use brasspond_distance::Place;
 use brasspond_metering::UsageRecorder;
@@ -231,7 +231,7 @@
         zone: process.zone.clone(),
         incarnation: rand::random(),
         region: process.region.clone(),
-        features: FEATURE_REPLICA_LOADS | FEATURE_VIEW_CATCH_UP,
+        features: FEATURE_REPLICA_LOADS | FEATURE_VIEW_CATCH_UP | FEATURE_NO_MEMORY,
     }
 }
 
--- a/crates/cluster/src/edge/retry_after.rs
+++ b/crates/cluster/src/edge/retry_after.rs
@@ -34,6 +34,8 @@
 const REGIONS_TIME: Duration = Duration::from_millis(5_000);
 /// Expected time until the bodies of other requests leave room for another one.
 const BODY_ROOM_TIME: Duration = Duration::from_millis(500);
+/// Pause while the jobs in progress leave no memory for a large one. Jobs end every few seconds.
+const JOB_MEMORY_TIME: Duration = Duration::from_millis(2_000);
 /// Minimum pause.
 const MIN_RETRY_AFTER: Duration = Duration::from_millis(100);
 /// Maximum jitter as a fraction of the pause.
@@ -60,6 +62,8 @@
     Members,
     /// Memory for the request's body.
     Memory,
+    /// Memory for a job at the storage processes.
+    JobMemory,
     /// The release of the request's content from quarantine.
     Release,
 }
@@ -82,6 +86,7 @@
             Missing::Regions => REGIONS_TIME,
             Missing::Members => MEMBERS_TIME,
             Missing::Memory => BODY_ROOM_TIME,
+            Missing::JobMemory => JOB_MEMORY_TIME,
             Missing::Release => QUARANTINE_TIME,
             Missing::Replica(requirements) => {
                 let now = Moment::now();
--- a/crates/cluster/src/storage/links.rs
+++ b/crates/cluster/src/storage/links.rs
@@ -4,7 +4,9 @@
 
 use super::process::Storage;
 use crate::link::{LinkContext, LinkEvent, LinkId, Writer};
-use brasspond_cluster_protocol::{FEATURE_REPLICA_LOADS, FEATURE_VIEW_CATCH_UP, Message, Peer};
+use brasspond_cluster_protocol::{
+    FEATURE_NO_MEMORY, FEATURE_REPLICA_LOADS, FEATURE_VIEW_CATCH_UP, Message, Peer,
+};
 use brasspond_consensus::MemberId;
 use brasspond_units::Millis;
 use std::collections::{BTreeSet, HashMap};
@@ -62,6 +64,11 @@
         !self.needs_full_view && self.has_feature(FEATURE_VIEW_CATCH_UP)
     }
 
+    /// Whether the edge reads [`Answer::NoMemory`](brasspond_cluster_protocol::Answer::NoMemory).
+    pub fn reads_no_memory(&self) -> bool {
+        self.has_feature(FEATURE_NO_MEMORY)
+    }
+
     fn has_feature(&self, feature: u32) -> bool {
         let Some(Peer::Edge { features, .. }) = &self.peer else {
             return false;
--- a/crates/cluster/src/storage/mod.rs
+++ b/crates/cluster/src/storage/mod.rs
@@ -11,6 +11,7 @@
 mod edges;
 mod evacuation;
 mod group;
+mod job_memory;
 mod leader;
 pub mod leader_rules;
 mod links;
--- a/crates/cluster/src/storage/proposals.rs
+++ b/crates/cluster/src/storage/proposals.rs
@@ -4,6 +4,8 @@
 //! Owns [`Proposals`]. They wait by [`EntryId`], since another leader may put its own entry at the
 //! index of one that is not committed.
 
+use super::job_memory::submission_bytes;
+use super::links::LinkState;
 use super::process::Storage;
 use super::questions::Requester;
 use brasspond_cluster_protocol::Answer;
@@ -19,6 +21,8 @@
     Submit {
         job: String,
         tenant: Option<Arc<str>>,
+        /// Estimated memory of the job, in bytes.
+        bytes: u64,
     },
     /// The job is ended.
     End,
@@ -55,6 +59,18 @@
         entry.map(|(entry, _)| *entry)
     }
 
+    /// Estimated memory of the jobs that are proposed, in bytes. A job that was submitted several
+    /// times counts once.
+    pub fn submitted_bytes(&self) -> u64 {
+        let entries = self.waiting.values();
+        let jobs = entries.filter_map(|proposals| proposals.first());
+        jobs.map(|proposal| match &proposal.change {
+            Change::Submit { bytes, .. } => *bytes,
+            Change::End => 0,
+        })
+        .sum()
+    }
+
     /// Adds a proposal that is answered once `entry` is applied.
     fn add(&mut self, entry: EntryId, proposal: Proposal) {
         self.waiting.entry(entry).or_default().push(proposal);
@@ -87,6 +103,7 @@
         let change = Change::Submit {
             job: submission.id.clone(),
             tenant: submission.tenant.clone(),
+            bytes: submission_bytes(&submission),
         };
         let proposal = Proposal { requester, change };
         match self.proposals.submission_of(&submission.id) {
@@ -102,10 +119,29 @@
                 );
                 self.answer(requester, Answer::OutsideRegions);
             }
+            None if !self.fits_into_memory(&submission) => {
+                log::warn!(
+                    "event=job_refused job={} reason=no_memory items={}",
+                    submission.id,
+                    submission.items.len()
+                );
+                self.refuse_for_memory(requester);
+            }
             None => self.propose_for(proposal, &Command::Accept(submission)),
         }
     }
 
+    /// Answers that a job does not fit into the memory. An edge whose build does not know the
+    /// answer gets another one that also says that nothing was done.
+    fn refuse_for_memory(&mut self, requester: Requester) {
+        let link = self.links.get(requester.link());
+        let answer = match link.is_some_and(LinkState::reads_no_memory) {
+            true => Answer::NoMemory,
+            false => Answer::Evacuated,
+        };
+        self.answer(requester, answer);
+    }
+
     /// Proposes the end of a job.
     pub(super) fn propose_end(&mut self, requester: Requester, job: String) {
         let change = Change::End;
@@ -136,7 +172,7 @@
     /// between the proposal and its application.
     fn applied_answer(&self, change: &Change) -> Answer {
         match change {
-            Change::Submit { job, tenant } if self.job_of(job, tenant.as_deref()).is_none() => {
+            Change::Submit { job, tenant, .. } if self.job_of(job, tenant.as_deref()).is_none() => {
                 Answer::Taken
             }
             Change::Submit { .. } | Change::End => Answer::Done,
--- a/crates/cluster/src/storage/questions.rs
+++ b/crates/cluster/src/storage/questions.rs
@@ -43,6 +43,13 @@
     pub asked_at: Millis,
 }
 
+impl Requester {
+    /// Link on which the question arrived.
+    pub fn link(&self) -> LinkId {
+        self.link
+    }
+}
+
 /// A pending question about results.
 #[derive(Clone, Debug)]
 struct Poll {
