Jobs: an item under which replicas crashed is still owed

Cause: the quarantine of contents counted items and their scoring calls, and held them back, although it was made for requests that crash replicas.

Ruled out: capacity (replicas were free), pauses after faults (2 s at the most), versions (none was named).

Change: edges do not look for ended replicas under items and their scoring calls, so these raise no count, not of a plain request either; leaders hold no item back, whatever the log says of its content; a scoring call passes the quarantine. Requests of callers are held off after three ends as before.

The tests of plain requests stay as they were.

Golden log events: item_withheld goes.

--- a/crates/cluster/src/edge/ended.rs
+++ b/crates/cluster/src/edge/ended.rs
@@ -4,13 +4,16 @@
 //! process has ended and the request may be the cause. Only the edge that sent the request can
 //! observe this. The same content may come again with other request ids at other edges, so the
 //! edge reports the end to the leader.
+//!
+//! Only requests of callers are suspected. Items of jobs and their scoring calls are accepted work
+//! and do not crash replicas by themselves, so an end under them says nothing about the content.
 
 use super::attempt_error::{AttemptError, UncertainCause};
 use super::forward::ForwardedRequest;
 use super::process::Edge;
 use crate::clock::Moment;
 use crate::upstream::{ProbeOutcome, probe};
-use brasspond_cluster_protocol::{Message, RunSpec};
+use brasspond_cluster_protocol::Message;
 use brasspond_fleet::Identity;
 use brasspond_quarantine::{CasesUpdate, EndReport, Fingerprint};
 use std::net::SocketAddr;
@@ -58,6 +61,9 @@
 
     /// Probes whether a replica has ended after its connection broke.
     pub(super) fn probe_after_break(&self, replica: &str, started: Moment) {
+        if self.is_for_job() {
+            return;
+        }
         let balancer = self.edge.balancer.borrow();
         let Some(address) = balancer.endpoint(replica).map(|endpoint| endpoint.address) else {
             return;
@@ -75,10 +81,10 @@
         self.edge.spawn_probe(broken);
     }
 
-    /// Whether the request's content is quarantined.
+    /// Whether the request's content is quarantined. A request for a job is never held back.
     pub(super) fn is_quarantined(&self) -> bool {
         let quarantine = self.edge.quarantine.borrow();
-        !quarantine.is_idle() && quarantine.is_quarantined(self.fingerprint())
+        !self.is_for_job() && !quarantine.is_idle() && quarantine.is_quarantined(self.fingerprint())
     }
 
     /// Records that a replica survived the request.
@@ -91,27 +97,6 @@
 }
 
 impl Edge {
-    /// Probes whether a replica has ended after the connection of an item's run broke.
-    pub(super) fn probe_after_run(self: &Rc<Self>, spec: &RunSpec, started: Moment) {
-        self.spawn_probe(BrokenRequest {
-            request: spec.item_id.clone(),
-            content: spec.content(),
-            replica: self.identity_of(spec),
-            address: spec.address,
-            started,
-            broke_at: Moment::now(),
-        });
-    }
-
-    /// Identity of a run's replica, with the newest life that the leader or this edge knows.
-    fn identity_of(&self, spec: &RunSpec) -> Identity {
-        let known = self.balancer.borrow().identity(&spec.replica);
-        Identity {
-            life: known.life.max(spec.life),
-            ..known
-        }
-    }
-
     /// Records that a replica survived a content, and reports it to the leader if the content has a
     /// case.
     pub(super) fn content_answered(&self, content: Fingerprint) {
--- a/crates/cluster/src/edge/runs.rs
+++ b/crates/cluster/src/edge/runs.rs
@@ -187,11 +187,7 @@
         clearance: &Clearance,
         progress: &RefCell<Progress>,
     ) {
-        let started = Moment::now();
         let end = run_item(self, spec, clearance, progress).await;
-        if end == RunEnd::Broken {
-            self.probe_after_run(spec, started);
-        }
         if matches!(end, RunEnd::Whole | RunEnd::Failed) && !self.quarantine.borrow().is_idle() {
             self.content_answered(spec.content());
         }
--- a/crates/cluster/src/edge/scoring.rs
+++ b/crates/cluster/src/edge/scoring.rs
@@ -17,7 +17,7 @@
 use super::request_body::RequestBody;
 use crate::clock::{Moment, within};
 use brasspond_cluster_protocol::{AttemptId, Message, ScoringEnd, ScoringSpec};
-use brasspond_eligibility::{Clearance, Ineligible};
+use brasspond_eligibility::Clearance;
 use brasspond_fleet::Regions;
 use brasspond_jobs::ScoringCall;
 use hyper::http::request::Parts;
@@ -133,8 +133,8 @@
 }
 
 /// Makes a scoring call and retries it until a replica responds successfully, the number of
-/// responses with status 500 reaches the route's maximum number of attempts, the call's content is
-/// quarantined, or no attempt can begin before the deadline. `regions` are the regions allowed for
+/// responses with status 500 reaches the route's maximum number of attempts, or no attempt can begin
+/// before the deadline. `regions` are the regions allowed for
 /// the job's data, which further restrict those of the route. `earlier_timeouts` is the number of
 /// earlier calls for the text that reached their deadline; each lengthens the attempts' timeout.
 pub(super) async fn score(
@@ -239,11 +239,7 @@
         self.full_pause = None;
         let request = self.build_request()?;
         self.yield_to_callers(&request).await;
-        let clearance = match self.choose(&request).await {
-            Ok(clearance) => clearance,
-            Err(Some(Ineligible::Quarantined)) => return Some(ScoringEnd::Unanswered),
-            Err(_) => return None,
-        };
+        let clearance = self.choose(&request).await?;
         let outcome = self.attempt_at(&request, &clearance).await;
         let is_full = |failed: &FailedAttempt| failed.error.is_full();
         if outcome.failed.iter().any(is_full) {
@@ -279,10 +275,10 @@
 
     /// Chooses a replica, preferably one with spare capacity, so that the last free slots of each
     /// replica are left to callers' requests.
-    async fn choose(&self, request: &ForwardedRequest) -> Result<Clearance, Option<Ineligible>> {
+    async fn choose(&self, request: &ForwardedRequest) -> Option<Clearance> {
         match request.choose_with_spare_capacity(&self.tried) {
-            Some(clearance) => Ok(clearance),
-            None => request.choose(&self.tried).await,
+            Some(clearance) => Some(clearance),
+            None => request.choose(&self.tried).await.ok(),
         }
     }
 
--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -165,7 +165,6 @@
             Event::Tick => {
                 self.tick(now);
                 self.retry_late_scorings(table, now);
-                self.retry_withheld(table, now);
             }
         }
     }
--- a/crates/dispatch/src/ending.rs
+++ b/crates/dispatch/src/ending.rs
@@ -198,23 +198,20 @@
         for item in job.items {
             match item.state {
                 State::Running(attempt) => self.cancel(attempt),
-                State::Waiting | State::Withheld => {
-                    self.jobs.texts.keep_partial(item.id, item.events)
-                }
+                State::Waiting => self.jobs.texts.keep_partial(item.id, item.events),
                 State::Scoring(Some(attempt)) => self.drop_scoring(attempt),
                 State::Scoring(None) | State::Ending(_) | State::Listed => {}
             }
         }
     }
 
-    /// Gives up items of overdue jobs ([`retry::is_overdue`]) that wait, are withheld or need a
-    /// score. Active runs may finish.
+    /// Gives up items of overdue jobs ([`retry::is_overdue`]) that wait or need a score.
+    /// Active runs may finish.
     pub(crate) fn give_up_overdue(&mut self, now: Millis) {
         for (id, item) in self.jobs.overdue(now) {
             self.jobs.remove_waiting(&id, item);
             self.stop_scoring(&id, item);
             if let Some(job) = self.jobs.get_mut(&id) {
-                job.withheld.remove(&item);
                 log::info!(
                     "event=item_given_up job={id} item={} waited_ms={}",
                     job.items[item as usize].id,
--- a/crates/dispatch/src/job_run.rs
+++ b/crates/dispatch/src/job_run.rs
@@ -6,7 +6,6 @@
 use brasspond_fleet::FleetView;
 use brasspond_jobs::{Item, Job};
 use brasspond_units::Millis;
-use std::collections::BTreeMap;
 
 /// Expected tokens of an item without an estimate. It is the minimum, so that items known to be
 /// long start first.
@@ -17,8 +16,6 @@
 pub(crate) enum State {
     /// The item waits for a replica.
     Waiting,
-    /// The content is quarantined, so the item is not started for now.
-    Withheld,
     /// The attempt generates the text.
     Running(AttemptId),
     /// The text needs a score. Contains the id of the scoring in progress; `None` while the text
@@ -47,8 +44,6 @@
     pub is_scored: bool,
     /// Number of scoring calls that timed out.
     pub timed_out_calls: u32,
-    /// Whether the next run is a retry that is allowed although the content is quarantined.
-    pub is_quarantine_retry: bool,
 }
 
 /// State of an active job.
@@ -64,8 +59,6 @@
     pub items: Vec<ItemRun>,
     /// Waiting items, those with the most expected tokens first.
     pub waiting: WaitingItems,
-    /// Withheld items, each with the earliest time of its next run.
-    pub withheld: BTreeMap<u32, Millis>,
 }
 
 impl ItemRun {
@@ -79,7 +72,6 @@
             failures: 0,
             is_scored: item.scoring.is_some(),
             timed_out_calls: 0,
-            is_quarantine_retry: false,
         }
     }
 }
@@ -94,7 +86,6 @@
             route: find_route(view, job),
             items: Vec::with_capacity(job.items.len()),
             waiting: WaitingItems::default(),
-            withheld: BTreeMap::new(),
         }
     }
 
@@ -150,13 +141,12 @@
         exact.is_some_and(|exact| events.iter().any(|event| event.version != exact))
     }
 
-    /// Items that wait, are withheld or need a score, which are given up when the job is overdue.
+    /// Items that wait or need a score, which are given up when the job is overdue.
     pub fn unfinished_items(&self) -> impl Iterator<Item = u32> {
         let waiting = self.waiting.items();
-        let withheld = self.withheld.keys().copied();
         let items = (0..).zip(&self.items);
         let scored = items.filter(|(_, item)| matches!(item.state, State::Scoring(_)));
         let scored = scored.map(|(number, _)| number);
-        waiting.chain(withheld).chain(scored)
+        waiting.chain(scored)
     }
 }
--- a/crates/dispatch/src/jobs.rs
+++ b/crates/dispatch/src/jobs.rs
@@ -46,11 +46,6 @@
         self.jobs.contains_key(id)
     }
 
-    /// All active jobs, by id.
-    pub fn iter(&self) -> impl Iterator<Item = (&String, &JobRun)> {
-        self.jobs.iter()
-    }
-
     /// The route of a job; `None` if it has no target or the job is not active.
     pub fn route(&self, id: &str) -> Option<&JobRoute> {
         self.jobs.get(id)?.route.as_ref()
@@ -299,7 +294,6 @@
         let item_run = run.items.get_mut(item as usize)?;
         let before = std::mem::replace(&mut item_run.state, State::Listed);
         item_run.events = Vec::new();
-        run.withheld.remove(&item);
         run.dequeue(item);
         let is_done = run.items.iter().all(|item| item.state == State::Listed);
         if is_done {
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -24,7 +24,6 @@
 //! | when an order or a load is abandoned | `orders` |
 //! | which model is a replica's primary model | `assignment`, by `demand` |
 //! | when a scoring call is repeated | `scoring` |
-//! | whether an item with quarantined content is run again | `withheld` |
 //! | how many requests a replica may be sent while it warms up | `warming` |
 #![forbid(unsafe_code)]
 
@@ -63,7 +62,6 @@
 mod timeouts;
 mod waiting;
 mod warming;
-mod withheld;
 
 pub use action::Action;
 pub use dispatcher::{Dispatcher, Settings};
--- a/crates/dispatch/src/replicas.rs
+++ b/crates/dispatch/src/replicas.rs
@@ -82,8 +82,8 @@
 }
 
 impl<'a> RunConstraints<'a> {
-    /// Converts the constraints for the eligibility check. Items with quarantined content are
-    /// withheld before a replica is chosen, so `is_quarantined` is always false.
+    /// Converts the constraints for the eligibility check. Items are not subject to the quarantine,
+    /// so `is_quarantined` is always false.
     pub fn requirements(&self, now: Millis) -> Requirements<'a> {
         Requirements {
             service: self.service,
--- a/crates/dispatch/src/retry.rs
+++ b/crates/dispatch/src/retry.rs
@@ -1,8 +1,8 @@
 //! Decides what follows a run's end: whether its item is retried or given up, and whether its
 //! replica is paused.
 //!
-//! Pure functions without state. Module `withheld` retries items with quarantined content, and
-//! module `scoring` retries scoring calls.
+//! Pure functions without state. Ends of replicas are never held against an item: it belongs to an
+//! accepted job and is retried until it is overdue. Module `scoring` retries scoring calls.
 
 use brasspond_cluster_protocol::RunEnd;
 use brasspond_units::Millis;
--- a/crates/dispatch/src/scoring.rs
+++ b/crates/dispatch/src/scoring.rs
@@ -13,7 +13,6 @@
 use crate::earlier_texts::draft_of;
 use crate::job_run::State;
 use crate::runs::Run;
-use crate::withheld::QUARANTINE_RECHECK_DELAY_MS;
 use brasspond_cluster_protocol::{AttemptId, RunReport, ScoringEnd, ScoringSpec};
 use brasspond_fleet::FleetView;
 use brasspond_jobs::{JobTable, Score, ScoringCall};
@@ -205,10 +204,7 @@
             return;
         }
         for (job, item) in self.jobs.take_unscored(now) {
-            if self.is_scoring_quarantined(&job, item, table) {
-                self.jobs
-                    .requeue_scoring(&job, item, now + QUARANTINE_RECHECK_DELAY_MS);
-            } else if !self.order_scoring(&job, item, table, now) {
+            if !self.order_scoring(&job, item, table, now) {
                 self.jobs
                     .requeue_scoring(&job, item, now + SCORING_RETRY_DELAY_MS);
             }
--- a/crates/dispatch/src/starting.rs
+++ b/crates/dispatch/src/starting.rs
@@ -13,7 +13,7 @@
 use brasspond_units::Millis;
 use std::collections::BTreeSet;
 
-/// Maximum number of items that one event starts or withholds, so that other events are handled in
+/// Maximum number of items that one event starts, so that other events are handled in
 /// between while thousands of items wait. The next event continues with the remaining items.
 const MAX_STARTS_PER_EVENT: usize = 512;
 
@@ -63,7 +63,7 @@
         }
     }
 
-    /// Starts or withholds waiting items of a job, at most `most`; returns their number. An item
+    /// Starts waiting items of a job, at most `most`; returns their number. An item
     /// that must wait keeps back only the items with the same constraints.
     fn start_job(&mut self, id: &str, most: usize, table: &JobTable, now: Millis) -> usize {
         let mut refused = BTreeSet::new();
@@ -80,11 +80,8 @@
         started
     }
 
-    /// Starts or withholds a waiting item; returns false if it must wait.
+    /// Starts a waiting item; returns false if it must wait.
     fn start_item(&mut self, id: &str, item: u32, table: &JobTable, now: Millis) -> bool {
-        if self.withhold(id, item, table, now) {
-            return true;
-        }
         let assignment = self.assign(id, item, now);
         let run = assignment.and_then(|assignment| self.begin_run(id, assignment, table, now));
         run.is_some()
--- a/crates/dispatch/src/takeover.rs
+++ b/crates/dispatch/src/takeover.rs
@@ -33,7 +33,7 @@
     /// The item's text waits for a scoring order. The edge's scoring call is adopted if it scores
     /// the text in the log.
     AdoptScoring,
-    /// The run is not needed: its item is unknown, ended, withheld or handled elsewhere.
+    /// The run is not needed: its item is unknown, ended or handled elsewhere.
     Cancel,
 }
 
--- a/crates/telemetry/src/explain/outcome.rs
+++ b/crates/telemetry/src/explain/outcome.rs
@@ -131,7 +131,6 @@
         .iter()
         .filter(|line| line.field("quarantined") == "true")
         .count();
-    let withheld = events(lines, "item_withheld").len();
     let known = events(lines, "content_known");
     let state = match known.last() {
         Some(line) if line.field("held") == "true" => "held",
@@ -139,7 +138,7 @@
         None => "not known to a leader",
     };
     format!(
-        "{} replicas ended under it; {refused} requests turned away, {withheld} items withheld; {state} in the end",
+        "{} replicas ended under it; {refused} requests turned away; {state} in the end",
         ended.len()
     )
 }
