Replicas: a status outside 2xx to 5xx is no answer, and answers are bounded together

Cause: the HTTP library refuses a status under 100 (000 never reached a caller here) and heads without end, and passes 101 and 600 to 999 on. Each answer was bounded by 64 MiB, their sum was not, and `collect()` keeps an entry for each chunk. The client of the platform's store had no bound.

Change: `Connection::send`, through which requests, streams, items, scoring calls, reports and orders pass, takes a status outside 2xx to 5xx as an invalid answer; the request may have run. Answers are read like bodies of requests, into one buffer with a claim on memory: a quarter of the limit for all that are read, 64 MiB or a third of the limit for one. 16 MB for an answer of the store.

--- a/crates/cluster/src/client.rs
+++ b/crates/cluster/src/client.rs
@@ -5,7 +5,7 @@
 use crate::socket::set_options;
 use bytes::Bytes;
 use displaydoc::Display;
-use http_body_util::{BodyExt, Full};
+use http_body_util::{BodyExt, Full, Limited};
 use hyper::client::conn::http1::{SendRequest, handshake};
 use hyper::{Method, Request, StatusCode};
 use hyper_util::rt::TokioIo;
@@ -18,6 +18,9 @@
 /// Timeout to connect to a service. It allows for a few round trips and one lost packet.
 const SERVICE_CONNECT_TIMEOUT: Duration = Duration::from_millis(700);
 
+/// Maximum size of an answer, in bytes. A page of a list takes about 1 MB.
+const MAX_ANSWER_BYTES: usize = 16 * 1024 * 1024;
+
 /// Error of a call.
 #[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
 pub enum CallError {
@@ -75,7 +78,8 @@
             let response = sender.send_request(request).await;
             let response = response.map_err(|_| CallError::Unanswered)?;
             let status = response.status();
-            let body = response.into_body().collect().await;
+            let body = Limited::new(response.into_body(), MAX_ANSWER_BYTES);
+            let body = body.collect().await;
             let body = body.map_err(|_| CallError::Unanswered)?;
             Ok((status, body.to_bytes()))
         };
--- a/crates/cluster/src/edge/attempt.rs
+++ b/crates/cluster/src/edge/attempt.rs
@@ -16,7 +16,7 @@
 use brasspond_eligibility::Clearance;
 use brasspond_fleet::RouteKind;
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::header::{HeaderMap, HeaderValue};
 use hyper::http::response;
@@ -25,8 +25,6 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-/// Maximum size of a buffered response, in bytes.
-const MAX_RESPONSE_BYTES: usize = 64 * 1024 * 1024;
 /// Lowest priority in the replica's protocol; 0 is the highest.
 const LOWEST_PRIORITY: u32 = 9;
 
@@ -179,6 +177,7 @@
         let received = received.map_err(|error| match error {
             UpstreamError::NotSent => AttemptError::NotSent,
             UpstreamError::Broken => AttemptError::MayHaveRun(UncertainCause::Broken),
+            UpstreamError::Invalid => AttemptError::MayHaveRun(UncertainCause::InvalidResponse),
         });
         let checked = received.and_then(|response| self.check_head(replica, response));
         match &checked {
@@ -200,15 +199,18 @@
     async fn read_full(
         &self,
         head: response::Parts,
-        body: Incoming,
+        mut body: Incoming,
         connection: Connection,
     ) -> Result<ReplicaResponse, AttemptError> {
-        let body = Limited::new(body, MAX_RESPONSE_BYTES).collect().await;
-        let Ok(body) = body else {
-            return Err(AttemptError::MayHaveRun(UncertainCause::Broken));
-        };
+        let body = self.edge.read_answer(&mut body).await.map_err(|error| {
+            log::info!(
+                "event=answer_not_read request={} reason={}",
+                self.id,
+                error.name()
+            );
+            AttemptError::MayHaveRun(UncertainCause::of(error))
+        })?;
         self.edge.pool.release(connection);
-        let body = body.to_bytes();
         if head.status.is_server_error() {
             self.record_completed();
             let response = Box::new((head.status, head.headers, body));
--- a/crates/cluster/src/edge/attempt_error.rs
+++ b/crates/cluster/src/edge/attempt_error.rs
@@ -1,5 +1,6 @@
 //! Errors of an attempt to send a request to a replica, and their consequences.
 
+use super::body_reader::BodyError;
 use bytes::Bytes;
 use hyper::StatusCode;
 use hyper::header::HeaderMap;
@@ -11,8 +12,11 @@
     Broken,
     /// The attempt timed out.
     TimedOut,
-    /// The response belongs to another request, or it is a success that is unsigned or compressed.
+    /// The response is not one of the protocol, belongs to another request, is too large, or is a
+    /// success that is unsigned or compressed.
     InvalidResponse,
+    /// Other responses take the memory for this one.
+    NoMemory,
 }
 
 /// Status, headers and body of a response.
@@ -34,11 +38,21 @@
 }
 
 impl UncertainCause {
+    /// Cause of a response whose body was not read.
+    pub fn of(error: BodyError) -> Self {
+        match error {
+            BodyError::TooLarge => Self::InvalidResponse,
+            BodyError::NoRoom => Self::NoMemory,
+            BodyError::Stalled | BodyError::Broken => Self::Broken,
+        }
+    }
+
     fn name(self) -> &'static str {
         match self {
             Self::Broken => "broken",
             Self::TimedOut => "silent",
             Self::InvalidResponse => "foreign",
+            Self::NoMemory => "no_memory",
         }
     }
 }
--- a/crates/cluster/src/edge/body_memory.rs
+++ b/crates/cluster/src/edge/body_memory.rs
@@ -1,8 +1,9 @@
-//! Bounds the memory for the bodies of callers' requests.
+//! Bounds the memory for the bodies of callers' requests, and for the answers of replicas.
 //!
 //! A body claims memory before it is read: its whole size if its length is announced, otherwise
-//! twice what it has so far. The claim lasts until the request has ended, because the body may be
-//! sent to several replicas. [`super::request_body`] reads the bodies.
+//! twice what it has so far. The claim of a request lasts until it has ended, because its body may
+//! be sent to several replicas; that of an answer lasts until the answer is complete.
+//! [`super::body_reader`] reads the bodies.
 //!
 //! Bodies of up to [`SMALL_BODY_BYTES`] have a share of the bound that large ones cannot use, so
 //! that ordinary requests do not wait for uploads. If there is no room, bodies that have stopped
@@ -16,8 +17,6 @@
 
 /// Maximum size of a small body, in bytes.
 pub(super) const SMALL_BODY_BYTES: u64 = 64 * 1024;
-/// Divisor of the process's memory limit that gives the bound on claims.
-const MEMORY_LIMIT_DIVISOR: u64 = 3;
 /// Divisor of the bound that gives the share reserved for small bodies.
 const SMALL_SHARE_DIVISOR: u64 = 8;
 /// Memory limit that is assumed if the platform states none, in bytes.
@@ -111,10 +110,11 @@
 }
 
 impl BodyMemory {
-    /// `memory_limit` is that of the process in bytes, if the platform states one.
-    pub fn new(memory_limit: Option<u64>) -> Self {
+    /// `memory_limit` is that of the process in bytes, if the platform states one. It is divided by
+    /// `divisor` to give the bound on claims.
+    pub fn new(memory_limit: Option<u64>, divisor: u64) -> Self {
         Self {
-            max_bytes: memory_limit.unwrap_or(DEFAULT_MEMORY_LIMIT) / MEMORY_LIMIT_DIVISOR,
+            max_bytes: memory_limit.unwrap_or(DEFAULT_MEMORY_LIMIT) / divisor,
             claims: RefCell::default(),
             cuts: RefCell::default(),
             last_number: Cell::new(0),
--- a/crates/cluster/src/edge/front.rs
+++ b/crates/cluster/src/edge/front.rs
@@ -2,13 +2,13 @@
 //!
 //! Requests go to [`super::forward`], calls about jobs to [`super::job_calls`].
 
+use super::body_reader::BodyLimits;
 use super::caller_stream::CallerStream;
 use super::draining::RequestGuard;
 use super::forward::{Admitted, forward};
 use super::headers::{header_text, host_of};
 use super::job_calls::{JobCall, admit_job_call, job_call, submit};
 use super::process::Edge;
-use super::request_body::BodyLimits;
 use super::responses::{Body, plain};
 use super::retry_after::Missing;
 use crate::clock::Moment;
@@ -237,7 +237,7 @@
 fn body_limits(limits: &Limits) -> BodyLimits {
     BodyLimits {
         max_bytes: limits.body_bytes,
-        idle_timeout: max_idle(limits),
+        idle_timeout: Some(max_idle(limits)),
     }
 }
 
--- a/crates/cluster/src/edge/item_run.rs
+++ b/crates/cluster/src/edge/item_run.rs
@@ -89,7 +89,7 @@
     match within(ITEM_HEAD_TIMEOUT, connection.send(request)).await {
         Ok(Ok(response)) => Ok(response),
         Ok(Err(UpstreamError::NotSent)) => Err(RunEnd::Unreachable),
-        Ok(Err(UpstreamError::Broken)) => Err(RunEnd::Broken),
+        Ok(Err(UpstreamError::Broken | UpstreamError::Invalid)) => Err(RunEnd::Broken),
         Err(_) => {
             edge.pool.close_idle(spec.address);
             Err(RunEnd::Broken)
--- a/crates/cluster/src/edge/job_calls.rs
+++ b/crates/cluster/src/edge/job_calls.rs
@@ -1,12 +1,13 @@
 //! Calls that submit jobs, read their results and bodies, and end them. Storage processes answer
 //! these calls.
 
+use super::body_reader::BodyError;
 use super::forward::Admitted;
 use super::front::deny;
 use super::headers::host_of;
 use super::process::Edge;
 use super::questions::AskError;
-use super::request_body::{BodyError, RequestBody};
+use super::request_body::RequestBody;
 use super::residency::RegionRefusal;
 use super::responses::{Body, json, plain, unknown_outcome};
 use super::retry_after::Missing;
--- a/crates/cluster/src/edge/mod.rs
+++ b/crates/cluster/src/edge/mod.rs
@@ -6,6 +6,7 @@
 mod attempts;
 mod balance;
 mod body_memory;
+mod body_reader;
 mod caller_stream;
 mod descriptors;
 mod draining;
--- a/crates/cluster/src/edge/request_body.rs
+++ b/crates/cluster/src/edge/request_body.rs
@@ -1,10 +1,12 @@
-//! Reads the bodies of callers' requests within the bound of [`super::body_memory`].
+//! Reads the bodies of callers' requests and of replicas' answers within the bounds of
+//! [`super::body_memory`].
 //!
-//! A body is held as one contiguous buffer, whatever its framing. A body that is not read to its
+//! A body that is not read to its
 //! end is discarded for a while after the refusal: closing a connection with unread bytes resets
 //! it, and the caller would lose the response.
 
-use super::body_memory::{BodyMemory, Reservation, SMALL_BODY_BYTES};
+use super::body_memory::{BodyMemory, Reservation};
+use super::body_reader::{BodyError, BodyLimits, BodyReader, first_claim};
 use super::process::Edge;
 use super::responses::{Body, plain};
 use super::retry_after::Missing;
@@ -17,6 +19,14 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+/// Divisor of the memory limit that gives the bound on bodies of requests.
+const REQUESTS_DIVISOR: u64 = 3;
+/// Divisor of the memory limit that gives the bound on answers that are read.
+const ANSWERS_DIVISOR: u64 = 4;
+/// Maximum size of one answer, in bytes. A process with little memory has a lower one.
+const MAX_ANSWER_BYTES: usize = 64 * 1024 * 1024;
+/// Divisor of the memory limit that gives the maximum size of one answer.
+const ANSWER_DIVISOR: u64 = 3;
 /// Maximum time that a body waits for room before any of it is read. Callers give up if nothing
 /// is read for a second.
 const MAX_ROOM_WAIT: Duration = Duration::from_millis(500);
@@ -63,44 +73,14 @@
     }
 }
 
-/// Why a body was not read.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(super) enum BodyError {
-    /// It is larger than the configuration allows.
-    TooLarge,
-    /// The bodies of other requests take the memory for it.
-    NoRoom,
-    /// The caller sent nothing for longer than a connection may be idle.
-    Stalled,
-    /// The caller disconnected or sent a malformed body.
-    Broken,
-}
-
-impl BodyError {
-    /// Name for logs and metrics.
-    pub fn name(self) -> &'static str {
-        match self {
-            Self::TooLarge => "too_large",
-            Self::NoRoom => "no_room",
-            Self::Stalled => "stalled",
-            Self::Broken => "broken",
-        }
-    }
-}
-
-/// Limits on one body.
-#[derive(Clone, Copy, Debug)]
-pub(super) struct BodyLimits {
-    /// Maximum size, in bytes.
-    pub max_bytes: usize,
-    /// Maximum time without a byte.
-    pub idle_timeout: Duration,
-}
-
-/// The bodies that an edge reads, waits for and discards.
+/// The bodies of requests that an edge reads, waits for and discards, and the answers that it reads.
 #[derive(Debug)]
 pub(super) struct RequestBodies {
     pub memory: Rc<BodyMemory>,
+    /// Memory for answers of replicas that are read.
+    answers: Rc<BodyMemory>,
+    /// Maximum size of one answer, in bytes.
+    max_answer_bytes: usize,
     waiting: Cell<usize>,
     discarded: Cell<usize>,
 }
@@ -125,11 +105,20 @@
     }
 }
 
+/// Maximum size of one answer for a process with this memory limit, in bytes.
+fn max_answer_bytes(memory_limit: Option<u64>) -> usize {
+    let share = memory_limit.map(|limit| limit / ANSWER_DIVISOR);
+    let share = share.and_then(|share| usize::try_from(share).ok());
+    share.map_or(MAX_ANSWER_BYTES, |share| share.min(MAX_ANSWER_BYTES))
+}
+
 impl RequestBodies {
     /// `memory_limit` is that of the process in bytes, if the platform states one.
     pub fn new(memory_limit: Option<u64>) -> Self {
         Self {
-            memory: Rc::new(BodyMemory::new(memory_limit)),
+            memory: Rc::new(BodyMemory::new(memory_limit, REQUESTS_DIVISOR)),
+            answers: Rc::new(BodyMemory::new(memory_limit, ANSWERS_DIVISOR)),
+            max_answer_bytes: max_answer_bytes(memory_limit),
             waiting: Cell::new(0),
             discarded: Cell::new(0),
         }
@@ -149,27 +138,38 @@
         if body.is_end_stream() {
             return Ok(RequestBody::unclaimed(Bytes::new()));
         }
-        let announced = body.size_hint().exact();
-        if announced.is_some_and(|bytes| bytes > limits.max_bytes as u64) {
-            return Err(BodyError::TooLarge);
-        }
-        let reservation = self.request_bodies.memory.begin();
-        let claimed = announced.unwrap_or(SMALL_BODY_BYTES);
-        self.await_room(&reservation, claimed).await?;
-        let reader = BodyReader {
-            edge: self,
-            reservation,
-            limits,
-            claimed,
-            bytes: Vec::new(),
+        let claimed = first_claim(body, limits)?;
+        let bodies = &self.request_bodies;
+        let reservation = self.reserve(&bodies.memory, claimed).await?;
+        let reader = BodyReader::new(&self.clock, reservation, limits, claimed);
+        let (bytes, reservation) = reader.read(body).await?;
+        Ok(RequestBody {
+            bytes,
+            reservation: Some(reservation),
+        })
+    }
+
+    /// Reads the body of a replica's answer.
+    ///
+    /// # Errors
+    /// The answer is incomplete, or other answers take the memory for it.
+    pub(super) async fn read_answer(&self, body: &mut Incoming) -> Result<Bytes, BodyError> {
+        let limits = BodyLimits {
+            max_bytes: self.request_bodies.max_answer_bytes,
+            idle_timeout: None,
         };
-        reader.read(body).await
+        let claimed = first_claim(body, limits)?;
+        let reservation = self.reserve(&self.request_bodies.answers, claimed).await?;
+        let reader = BodyReader::new(&self.clock, reservation, limits, claimed);
+        let (bytes, _) = reader.read(body).await?;
+        Ok(bytes)
     }
 
     /// Claims memory for a body of which nothing is read yet, and waits for room if necessary.
-    async fn await_room(&self, reservation: &Reservation, bytes: u64) -> Result<(), BodyError> {
+    async fn reserve(&self, memory: &Rc<BodyMemory>, bytes: u64) -> Result<Reservation, BodyError> {
+        let reservation = memory.begin();
         if reservation.claim(bytes, self.clock.now()) {
-            return Ok(());
+            return Ok(reservation);
         }
         let bodies = &self.request_bodies;
         let _waiting = Counted::new(&bodies.waiting, MAX_WAITING).ok_or(BodyError::NoRoom)?;
@@ -180,9 +180,9 @@
                 return Err(BodyError::NoRoom);
             }
             // After a timeout other bodies may have stalled.
-            let _ = within(left.min(ROOM_CHECK_INTERVAL), bodies.memory.released()).await;
+            let _ = within(left.min(ROOM_CHECK_INTERVAL), memory.released()).await;
             if reservation.claim(bytes, self.clock.now()) {
-                return Ok(());
+                return Ok(reservation);
             }
         }
     }
@@ -226,68 +226,3 @@
         let _ = within(DISCARD_TIME, rest).await;
     }
 }
-
-/// Reads one body.
-struct BodyReader<'a> {
-    edge: &'a Edge,
-    reservation: Reservation,
-    limits: BodyLimits,
-    /// Claimed bytes.
-    claimed: u64,
-    bytes: Vec<u8>,
-}
-
-impl BodyReader<'_> {
-    async fn read(mut self, body: &mut Incoming) -> Result<RequestBody, BodyError> {
-        // Bodies that the connection has received already need no timer.
-        while let Some(data) = self.next_data(body).await? {
-            self.append(&data)?;
-        }
-        self.reservation.complete(self.bytes.len() as u64);
-        Ok(RequestBody {
-            bytes: self.bytes.into(),
-            reservation: Some(self.reservation),
-        })
-    }
-
-    /// Returns the next data; `None` at the end of the body. Trailers are ignored.
-    async fn next_data(&self, body: &mut Incoming) -> Result<Option<Bytes>, BodyError> {
-        loop {
-            let frame = tokio::select! {
-                biased;
-                () = self.reservation.cut() => return Err(BodyError::NoRoom),
-                frame = within(self.limits.idle_timeout, body.frame()) => frame,
-            };
-            match frame {
-                Err(_) => return Err(BodyError::Stalled),
-                Ok(None) => return Ok(None),
-                Ok(Some(Err(_))) => return Err(BodyError::Broken),
-                Ok(Some(Ok(frame))) => {
-                    if let Ok(data) = frame.into_data() {
-                        return Ok(Some(data));
-                    }
-                }
-            }
-        }
-    }
-
-    fn append(&mut self, data: &[u8]) -> Result<(), BodyError> {
-        let before = self.bytes.len() as u64 / SMALL_BODY_BYTES;
-        let length = self.bytes.len() + data.len();
-        if length > self.limits.max_bytes {
-            return Err(BodyError::TooLarge);
-        }
-        let now = self.edge.clock.now();
-        if length as u64 > self.claimed {
-            let doubled = (length as u64 * 2).min(self.limits.max_bytes as u64);
-            if !self.reservation.claim(doubled, now) {
-                return Err(BodyError::NoRoom);
-            }
-            self.claimed = doubled;
-        } else if length as u64 / SMALL_BODY_BYTES > before {
-            self.reservation.record_progress(now);
-        }
-        self.bytes.extend_from_slice(data);
-        Ok(())
-    }
-}
--- a/crates/cluster/src/storage/ordering.rs
+++ b/crates/cluster/src/storage/ordering.rs
@@ -220,7 +220,7 @@
     match call.await {
         Ok((status, _, _)) => wire.order_answer(status),
         Err(UpstreamError::NotSent) => OrderAnswer::NotSent,
-        Err(UpstreamError::Broken) => OrderAnswer::Unknown,
+        Err(UpstreamError::Broken | UpstreamError::Invalid) => OrderAnswer::Unknown,
     }
 }
 
--- a/crates/cluster/src/upstream.rs
+++ b/crates/cluster/src/upstream.rs
@@ -11,7 +11,7 @@
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{SendRequest, handshake};
-use hyper::{Request, Response};
+use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
 use std::cell::RefCell;
 use std::collections::HashMap;
@@ -35,7 +35,7 @@
 const MAX_CALL_ANSWER_BYTES: usize = 4 * 1024 * 1024;
 
 /// Status, headers and body of an answer to a call.
-pub(crate) type Answer = (hyper::StatusCode, hyper::HeaderMap, Bytes);
+pub(crate) type Answer = (StatusCode, hyper::HeaderMap, Bytes);
 
 /// Error of a request to a replica.
 #[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
@@ -44,6 +44,8 @@
     NotSent,
     /// connection broke, the request may have been received
     Broken,
+    /// the answer is not one of the protocol, the request may have been received
+    Invalid,
 }
 
 /// A connection to a replica, used for one request at a time.
@@ -65,6 +67,7 @@
         request: Request<Full<Bytes>>,
     ) -> Result<Response<Incoming>, UpstreamError> {
         match self.sender.send_request(request).await {
+            Ok(response) if !is_final(response.status()) => Err(UpstreamError::Invalid),
             Ok(response) => {
                 self.apply_keep_alive(&response);
                 Ok(response)
@@ -88,6 +91,12 @@
     }
 }
 
+/// Whether a status ends an exchange and has a meaning: 2xx to 5xx. The HTTP library also passes
+/// 101 and 600 to 999 on.
+fn is_final(status: StatusCode) -> bool {
+    (200..600).contains(&status.as_u16())
+}
+
 /// Idle connections by address. The connections to a replica are closed when its restart is
 /// observed.
 #[derive(Clone, Default)]
--- a/crates/cluster/tests/unit/body_memory.rs
+++ b/crates/cluster/tests/unit/body_memory.rs
@@ -69,7 +69,7 @@
 
 #[rstest]
 fn a_claim_ends_with_its_reservation() {
-    let memory = Rc::new(BodyMemory::new(Some(96 * MB)));
+    let memory = Rc::new(BodyMemory::new(Some(96 * MB), 3));
     let first = memory.begin();
     assert!(first.claim(20 * MB, NOW));
     let second = memory.begin();
@@ -85,7 +85,7 @@
 #[rstest]
 #[tokio::test]
 async fn a_body_that_is_cut_learns_it_and_cannot_claim_again() {
-    let memory = Rc::new(BodyMemory::new(Some(96 * MB)));
+    let memory = Rc::new(BodyMemory::new(Some(96 * MB), 3));
     let stalled = memory.begin();
     assert!(stalled.claim(20 * MB, 0));
     let next = memory.begin();
