Edge: a request of a divided route is served by another service of the route

What callers saw: while a service of a divided route has no replica, its share of the requests is refused with 503, although the route allows the other services and they are free.

Cause: the service is drawn by the weights alone.

Change: while no replica of the drawn service takes work in the request's regions, the substitute serves it: the usable target with the largest weight, by the same rule as for items. A target with weight 0 serves nothing.

Test: of 30 requests 16 were served before, 30 now; with the replica the share is by the weights, and nothing is sent to it once its entry has gone.

--- a/crates/cluster/src/edge/forward.rs
+++ b/crates/cluster/src/edge/forward.rs
@@ -18,7 +18,9 @@
 use crate::clock::Moment;
 use brasspond_distance::Distance;
 use brasspond_eligibility::{Clearance, Ineligible, Requirements};
-use brasspond_fleet::{Regions, Route, RouteKind, Tenant, choose_target};
+use brasspond_fleet::{
+    Regions, Route, RouteKind, Target, Tenant, choose_target, substitute_target,
+};
 use brasspond_quarantine::{Fingerprint, RequestContent};
 use brasspond_warmup::Permit;
 use bytes::Bytes;
@@ -104,6 +106,24 @@
 }
 
 impl Edge {
+    /// Chooses the target of a route's next request, or its substitute while no replica of its
+    /// service takes work in the allowed regions.
+    fn choose_target<'a>(&self, route: &'a Route, regions: &Regions) -> Option<&'a Target> {
+        let target = choose_target(&route.targets, self.next_request_number(route))?;
+        if route.targets.len() < 2 {
+            return Some(target);
+        }
+        let view = self.fleet.view.borrow();
+        let is_usable = |service: &str| {
+            let mut replicas = view.replicas_taking_work(service);
+            replicas.any(|replica| regions.allows(replica.region.as_deref()))
+        };
+        if is_usable(&target.service) {
+            return Some(target);
+        }
+        substitute_target(&route.targets, is_usable).or(Some(target))
+    }
+
     /// Number of the next request of a route that splits traffic between services; 0 for other
     /// routes. Each route has its own counter, so that its shares do not depend on other routes.
     fn next_request_number(&self, route: &Route) -> u64 {
@@ -130,14 +150,15 @@
         deadline: Moment,
     ) -> Option<Self> {
         let route = admitted.route;
-        let target = choose_target(&route.targets, edge.next_request_number(route))?;
+        let regions = admitted.regions();
+        let target = edge.choose_target(route, &regions)?;
         let names = edge.platform.wire.names();
         let id = header_text(&head.headers, &names.request_id);
         Some(Self {
             edge: Rc::clone(edge),
             route: route.clone(),
             service: target.service.clone(),
-            regions: admitted.regions(),
+            regions,
             deadline,
             head,
             body,
--- a/crates/dispatch/src/job_route.rs
+++ b/crates/dispatch/src/job_route.rs
@@ -2,7 +2,9 @@
 
 use crate::residency::body_regions;
 use crate::service_capacity::UsableServices;
-use brasspond_fleet::{Configuration, FleetView, Regions, Route, Target, choose_target};
+use brasspond_fleet::{
+    Configuration, FleetView, Regions, Route, Target, choose_target, substitute_target,
+};
 use brasspond_jobs::Job;
 use std::ptr;
 
@@ -32,18 +34,15 @@
         index.unwrap_or(0)
     }
 
-    /// The service that runs the items of a target: its own, or while that is not usable, the
-    /// usable one with the largest weight. A target with weight 0 is no substitute.
+    /// The service that runs the items of a target: its own, or while that is not usable, its
+    /// substitute.
     pub fn service(&self, target: usize, usable: &UsableServices) -> &str {
         let own = self.targets[target].service.as_str();
         if self.targets.len() == 1 || usable.contains(own, &self.regions) {
             return own;
         }
-        let others = self
-            .targets
-            .iter()
-            .filter(|other| other.weight > 0 && usable.contains(&other.service, &self.regions));
-        let substitute = others.max_by_key(|other| other.weight);
+        let is_usable = |service: &str| usable.contains(service, &self.regions);
+        let substitute = substitute_target(&self.targets, is_usable);
         substitute.map_or(own, |other| other.service.as_str())
     }
 }
--- a/crates/fleet/src/configuration.rs
+++ b/crates/fleet/src/configuration.rs
@@ -213,3 +213,12 @@
     }
     targets.last()
 }
+
+/// Returns the target that serves in place of one whose service is not usable: the usable one with
+/// the largest weight. A target with weight 0 serves no requests.
+pub fn substitute_target(targets: &[Target], is_usable: impl Fn(&str) -> bool) -> Option<&Target> {
+    let usable = targets
+        .iter()
+        .filter(|target| target.weight > 0 && is_usable(&target.service));
+    usable.max_by_key(|target| target.weight)
+}
