--- a/crates/brasspond/tests/request_memory.rs
+++ b/crates/brasspond/tests/request_memory.rs
@@ -176,6 +176,7 @@
 }
 
 #[rstest]
+#[case::whole(CROWD, MAX_BODY, Framing::Length(MAX_BODY))]
 #[case::announced(CROWD, MAX_BODY - 1, Framing::Length(MAX_BODY))]
 #[case::large_chunks(CROWD, MAX_BODY - 1, Framing::Chunks(64 * 1024))]
 #[case::small_chunks(CROWD, SMALL_CHUNKS_BODY, Framing::Chunks(1))]
--- a/crates/cluster/src/edge/body_reader.rs
+++ b/crates/cluster/src/edge/body_reader.rs
@@ -79,7 +79,8 @@
             reservation,
             limits,
             claimed,
-            bytes: Vec::new(),
+            // Memory is taken as the buffer fills. A buffer that grows would be copied.
+            bytes: Vec::with_capacity(usize::try_from(claimed).unwrap_or(0)),
         }
     }
 
--- a/crates/cluster/src/edge/job_calls.rs
+++ b/crates/cluster/src/edge/job_calls.rs
@@ -139,6 +139,7 @@
     // What is sent to the leader is at most as long as the body.
     if !body.claim_more(body.bytes.len() as u64, edge.clock.now()) {
         edge.metrics.body_refused(BodyError::NoRoom.name());
+        log::info!("event=job_refused job={id} reason=no_room");
         return edge.reject(Missing::Memory, admitted.route.priority);
     }
     let call = SubmissionCall {
--- a/crates/cluster/src/edge/process.rs
+++ b/crates/cluster/src/edge/process.rs
@@ -5,7 +5,7 @@
 use super::fleet_view::FleetState;
 use super::hedging::HedgeBudgets;
 use super::permits::PermitLocks;
-use super::request_body::RequestBodies;
+use super::request_body::Bodies;
 use super::runs::{JobTasks, RunUpdate};
 use super::slow_reader::SlowReaders;
 use super::storage_links::StorageLinks;
@@ -53,8 +53,8 @@
     pub callers: Callers,
     /// Callers' connections whose answers wait to be read.
     pub slow_readers: Rc<SlowReaders>,
-    /// Bodies of callers' requests.
-    pub request_bodies: RequestBodies,
+    /// Bodies of requests and answers.
+    pub bodies: Bodies,
     /// Links to storage processes and the contact with the leader.
     pub storage: RefCell<StorageLinks>,
     /// Distances and counters shared by all links.
@@ -258,7 +258,7 @@
             fleet: FleetState::new(process.supports_evacuation),
             callers: Callers::default(),
             slow_readers: Rc::new(SlowReaders::new(process.memory_limit)),
-            request_bodies: RequestBodies::new(process.memory_limit),
+            bodies: Bodies::new(process.memory_limit),
             storage: RefCell::new(storage),
             balancer: RefCell::new(LoadBalancer::new(Rc::clone(&link_context))),
             observations_reported_at: Cell::new(0),
@@ -299,8 +299,7 @@
         self.pool.close_expired();
         self.slow_readers.sweep(now);
         self.metrics.held_bytes(self.slow_readers.held_bytes());
-        let claimed = self.request_bodies.memory.claimed_bytes();
-        self.metrics.claimed_body_bytes(claimed);
+        self.metrics.claimed_body_bytes(self.bodies.claimed_bytes());
         self.permit_locks.borrow_mut().forget_idle();
         self.exchange_replica_loads(now);
         if now >= self.traffic_logged_at.get() + TRAFFIC_LOG_INTERVAL_MS {
--- a/crates/cluster/src/edge/request_body.rs
+++ b/crates/cluster/src/edge/request_body.rs
@@ -1,9 +1,8 @@
 //! Reads the bodies of callers' requests and of replicas' answers within the bounds of
 //! [`super::body_memory`].
 //!
-//! A body that is not read to its
-//! end is discarded for a while after the refusal: closing a connection with unread bytes resets
-//! it, and the caller would lose the response.
+//! A request body that is refused is read and discarded for a while: closing a connection with
+//! unread bytes resets it, and the caller would lose the response.
 
 use super::body_memory::{BodyMemory, Reservation};
 use super::body_reader::{BodyError, BodyLimits, BodyReader, first_claim};
@@ -75,8 +74,9 @@
 
 /// The bodies of requests that an edge reads, waits for and discards, and the answers that it reads.
 #[derive(Debug)]
-pub(super) struct RequestBodies {
-    pub memory: Rc<BodyMemory>,
+pub(super) struct Bodies {
+    /// Memory for bodies of requests.
+    requests: Rc<BodyMemory>,
     /// Memory for answers of replicas that are read.
     answers: Rc<BodyMemory>,
     /// Maximum size of one answer, in bytes.
@@ -112,17 +112,22 @@
     share.map_or(MAX_ANSWER_BYTES, |share| share.min(MAX_ANSWER_BYTES))
 }
 
-impl RequestBodies {
+impl Bodies {
     /// `memory_limit` is that of the process in bytes, if the platform states one.
     pub fn new(memory_limit: Option<u64>) -> Self {
         Self {
-            memory: Rc::new(BodyMemory::new(memory_limit, REQUESTS_DIVISOR)),
+            requests: Rc::new(BodyMemory::new(memory_limit, REQUESTS_DIVISOR)),
             answers: Rc::new(BodyMemory::new(memory_limit, ANSWERS_DIVISOR)),
             max_answer_bytes: max_answer_bytes(memory_limit),
             waiting: Cell::new(0),
             discarded: Cell::new(0),
         }
     }
+
+    /// Bytes claimed for bodies of requests.
+    pub fn claimed_bytes(&self) -> u64 {
+        self.requests.claimed_bytes()
+    }
 }
 
 impl Edge {
@@ -139,8 +144,7 @@
             return Ok(RequestBody::unclaimed(Bytes::new()));
         }
         let claimed = first_claim(body, limits)?;
-        let bodies = &self.request_bodies;
-        let reservation = self.reserve(&bodies.memory, claimed).await?;
+        let reservation = self.reserve(&self.bodies.requests, claimed).await?;
         let reader = BodyReader::new(&self.clock, reservation, limits, claimed);
         let (bytes, reservation) = reader.read(body).await?;
         Ok(RequestBody {
@@ -155,11 +159,11 @@
     /// The answer is incomplete, or other answers take the memory for it.
     pub(super) async fn read_answer(&self, body: &mut Incoming) -> Result<Bytes, BodyError> {
         let limits = BodyLimits {
-            max_bytes: self.request_bodies.max_answer_bytes,
+            max_bytes: self.bodies.max_answer_bytes,
             idle_timeout: None,
         };
         let claimed = first_claim(body, limits)?;
-        let reservation = self.reserve(&self.request_bodies.answers, claimed).await?;
+        let reservation = self.reserve(&self.bodies.answers, claimed).await?;
         let reader = BodyReader::new(&self.clock, reservation, limits, claimed);
         let (bytes, _) = reader.read(body).await?;
         Ok(bytes)
@@ -171,7 +175,7 @@
         if reservation.claim(bytes, self.clock.now()) {
             return Ok(reservation);
         }
-        let bodies = &self.request_bodies;
+        let bodies = &self.bodies;
         let _waiting = Counted::new(&bodies.waiting, MAX_WAITING).ok_or(BodyError::NoRoom)?;
         let deadline = Moment::now() + MAX_ROOM_WAIT;
         loop {
@@ -200,7 +204,7 @@
         log::info!(
             "event=body_refused request={id} reason={} claimed_bytes={}",
             error.name(),
-            self.request_bodies.memory.claimed_bytes()
+            self.bodies.claimed_bytes()
         );
         // A caller that waits for permission to send has sent nothing.
         if !headers.contains_key(header::EXPECT) && error != BodyError::Broken {
@@ -217,7 +221,7 @@
 
     /// Reads the rest of a body and drops it.
     async fn discard(&self, mut body: Incoming) {
-        let discarded = &self.request_bodies.discarded;
+        let discarded = &self.bodies.discarded;
         let Some(_counted) = Counted::new(discarded, MAX_DISCARDED) else {
             return;
         };
