--- a/crates/brasspond/tests/invalid_answers.rs
+++ b/crates/brasspond/tests/invalid_answers.rs
@@ -189,15 +189,6 @@
         }
         assert_eq!(self.edge().pid(), Some(self.pid), "the process lives");
     }
-
-    /// Highest resident memory of the edge, in bytes.
-    fn peak_bytes(&self) -> u64 {
-        let status = std::fs::read_to_string(format!("/proc/{}/status", self.pid));
-        let status = status.expect("the process lives");
-        let line = status.lines().find(|line| line.starts_with("VmHWM:"));
-        let kb = line.and_then(|line| line.split_ascii_whitespace().nth(1));
-        kb.and_then(|kb| kb.parse::<u64>().ok()).expect("a number") * 1_024
-    }
 }
 
 /// Sends a plain request; returns the status, unless the connection was closed without an answer,
@@ -245,6 +236,6 @@
         assert!(!is_signed);
     }
     fixture.check_served().await;
-    let peak = fixture.peak_bytes();
+    let peak = fixture.edge().peak_bytes();
     assert!(peak < LIMIT_MB * 1_000_000, "{} MB", peak / 1_000_000);
 }
--- a/crates/brasspond/tests/request_memory.rs
+++ b/crates/brasspond/tests/request_memory.rs
@@ -102,7 +102,7 @@
 
     fn check_process(&self, crowd: usize) {
         assert_eq!(self.edge().pid(), Some(self.pid), "the process lives");
-        let peak = peak_bytes(self.edge());
+        let peak = self.edge().peak_bytes();
         assert!(peak < LIMIT_MB * 1_000_000, "{} MB", peak / 1_000_000);
         let folder = std::fs::read_dir(format!("/proc/{}/fd", self.pid));
         let descriptors = folder.expect("a folder").count();
@@ -110,16 +110,6 @@
     }
 }
 
-/// Highest resident memory of a process since its start.
-fn peak_bytes(machine: &Machine) -> u64 {
-    let pid = machine.pid().expect("runs");
-    let status = std::fs::read_to_string(format!("/proc/{pid}/status"));
-    let status = status.expect("the process lives");
-    let line = status.lines().find(|line| line.starts_with("VmHWM:"));
-    let kb = line.and_then(|line| line.split_ascii_whitespace().nth(1));
-    kb.and_then(|kb| kb.parse::<u64>().ok()).expect("a number") * 1_024
-}
-
 /// How the head announces the body.
 #[derive(Clone, Copy, Debug)]
 enum Framing {
@@ -302,7 +292,7 @@
     );
     for machine in &measured.cluster.storage {
         assert_eq!(machine.starts(), 1, "{} lives", machine.name);
-        let peak = peak_bytes(machine);
+        let peak = machine.peak_bytes();
         assert!(
             peak < STORAGE_LIMIT_MB * 1_000_000,
             "{} MB",
--- a/crates/cluster/src/edge/body_memory.rs
+++ b/crates/cluster/src/edge/body_memory.rs
@@ -64,9 +64,10 @@
     let mut held: u64 = others.clone().map(|(_, claim)| claim.bytes).sum();
     let is_large = bytes > SMALL_BODY_BYTES;
     let mut large = others.clone().filter(|(_, claim)| claim.is_large()).count();
-    let limit = match is_large {
-        true => max_bytes - max_bytes / SMALL_SHARE_DIVISOR,
-        false => max_bytes,
+    let limit = if is_large {
+        max_bytes - max_bytes / SMALL_SHARE_DIVISOR
+    } else {
+        max_bytes
     };
     let mut stalled: Vec<_> = others
         .clone()
--- a/crates/cluster/src/edge/body_reader.rs
+++ b/crates/cluster/src/edge/body_reader.rs
@@ -7,6 +7,9 @@
 use hyper::body::{Body as _, Frame, Incoming};
 use std::time::Duration;
 
+/// First claim of a body of unknown length, in bytes. Many are short.
+const INITIAL_CLAIM_BYTES: u64 = 8 * 1024;
+
 /// Why a body was not read.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum BodyError {
@@ -52,7 +55,7 @@
     match body.size_hint().exact() {
         Some(bytes) if bytes > limits.max_bytes as u64 => Err(BodyError::TooLarge),
         Some(bytes) => Ok(bytes),
-        None => Ok(SMALL_BODY_BYTES),
+        None => Ok(INITIAL_CLAIM_BYTES),
     }
 }
 
--- a/crates/cluster/src/storage/proposals.rs
+++ b/crates/cluster/src/storage/proposals.rs
@@ -135,9 +135,10 @@
     /// answer gets another one that also says that nothing was done.
     fn refuse_for_memory(&mut self, requester: Requester) {
         let link = self.links.get(requester.link());
-        let answer = match link.is_some_and(LinkState::reads_no_memory) {
-            true => Answer::NoMemory,
-            false => Answer::Evacuated,
+        let answer = if link.is_some_and(LinkState::reads_no_memory) {
+            Answer::NoMemory
+        } else {
+            Answer::Evacuated
         };
         self.answer(requester, answer);
     }
