Tests: a request is served after the job whose scoring call crashed replicas

When the test of scoring calls was turned round (items are owed), its check that another request is served went with the rest. It is back: after the end of the job a request of the same service is answered 200.

--- a/crates/brasspond/tests/quarantine.rs
+++ b/crates/brasspond/tests/quarantine.rs
@@ -165,9 +165,16 @@
     body["requests"][0]["scoring_fn"] = json!({
         "id": "score-0", "host": "host.example", "path": "/reads/score", "body": CRASHING_BASE64,
     });
-    submit(fixture.cluster.edges[0].front, "job-1", &body).await;
+    let front = fixture.cluster.edges[0].front;
+    submit(front, "job-1", &body).await;
     fixture.await_crashes(ITEM_CRASHES).await;
     fixture.assert_no_case().await;
+    let ended = call(front, "DELETE", "/-/lots/job-1", "end", "").await;
+    assert_eq!(ended.expect("answered").status(), 200);
+    // A last replica may have crashed just before.
+    fixture.await_crashes(fixture.crashes()).await;
+    let (status, _) = fixture.ask(0, "/reads/x", "other", "another body").await;
+    assert_eq!(status, 200);
 }
 
 /// Guards against an item that is not run again because replicas crashed while they ran it, and
