Cluster: answers to calls are read into one buffer

In chunks of one byte a list of chunks takes a multiple of that, so the bound was none for memory. Both read through one function now. The bounds and errors are as they were.

--- a/crates/cluster/src/client.rs
+++ b/crates/cluster/src/client.rs
@@ -2,10 +2,11 @@
 //!
 //! Owns the connection. The caller decides on timeouts and retries.
 
+use crate::body::read_whole;
 use crate::socket::set_options;
 use bytes::Bytes;
 use displaydoc::Display;
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::Full;
 use hyper::client::conn::http1::{SendRequest, handshake};
 use hyper::{Method, Request, StatusCode};
 use hyper_util::rt::TokioIo;
@@ -78,10 +79,8 @@
             let response = sender.send_request(request).await;
             let response = response.map_err(|_| CallError::Unanswered)?;
             let status = response.status();
-            let body = Limited::new(response.into_body(), MAX_ANSWER_BYTES);
-            let body = body.collect().await;
-            let body = body.map_err(|_| CallError::Unanswered)?;
-            Ok((status, body.to_bytes()))
+            let body = read_whole(response.into_body(), MAX_ANSWER_BYTES).await;
+            Ok((status, body.ok_or(CallError::Unanswered)?))
         };
         let answer = tokio::time::timeout(limit, exchange)
             .await
--- a/crates/cluster/src/lib.rs
+++ b/crates/cluster/src/lib.rs
@@ -6,6 +6,7 @@
 //! store, names of headers, formats of calls) is accessed through the traits of [`platform`].
 #![forbid(unsafe_code)]
 
+mod body;
 pub mod client;
 pub mod clock;
 pub mod edge;
--- a/crates/cluster/src/upstream.rs
+++ b/crates/cluster/src/upstream.rs
@@ -3,12 +3,13 @@
 //! Owns the idle connections. To run a request or an item on a replica, a connection is taken with
 //! a clearance. Calls of the cluster itself, such as reports and orders, need none.
 
+use crate::body::read_whole;
 use crate::clock::{Moment, within};
 use crate::socket::set_options;
 use brasspond_eligibility::Clearance;
 use bytes::Bytes;
 use displaydoc::Display;
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{SendRequest, handshake};
 use hyper::{Request, Response, StatusCode};
@@ -166,9 +167,9 @@
         let exchange = async {
             let response = connection.send(request).await?;
             let (head, body) = response.into_parts();
-            let body = Limited::new(body, MAX_CALL_ANSWER_BYTES).collect().await;
-            let body = body.map_err(|_| UpstreamError::Broken)?;
-            Ok((head.status, head.headers, body.to_bytes()))
+            let body = read_whole(body, MAX_CALL_ANSWER_BYTES).await;
+            let body = body.ok_or(UpstreamError::Broken)?;
+            Ok((head.status, head.headers, body))
         };
         let answer = match within(limit, exchange).await {
             Ok(answer) => answer?,
