--- a/crates/brasspond/tests/invalid_answers.rs
+++ b/crates/brasspond/tests/invalid_answers.rs
@@ -2,16 +2,16 @@
 //! such bytes that reach a caller as an answer, and against bytes without end that use up the memory
 //! of an edge.
 
-use brasspond_platform_standin::processes::{
-    Cluster, Deployment, Machine, Size, call, configuration, replica_entry,
-};
-use brasspond_platform_standin::{Replica, Store};
+mod one_edge;
+
+use brasspond_platform_standin::Replica;
+use brasspond_platform_standin::processes::{Deployment, call, configuration, replica_entry};
+use one_edge::{OneEdge, check_peak};
 use rstest::rstest;
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 use tokio::io::{AsyncBufReadExt, AsyncReadExt, AsyncWriteExt, BufReader};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::{Mutex, MutexGuard};
 use tokio::task::JoinSet;
 use tokio::time::timeout;
 
@@ -24,9 +24,6 @@
 const WRITE_BYTES: usize = 64 * 1024;
 const SIGNATURE: &str = "x-brasspond-server-stamp";
 
-/// One test at a time, because memory is measured.
-static TURN: Mutex<()> = Mutex::const_new(());
-
 /// What a replica sends in place of an answer.
 #[derive(Clone, Copy, Debug)]
 enum Answer {
@@ -134,52 +131,37 @@
 }
 
 /// A cluster with one edge whose plain service has one replica, which sends no answers.
-struct Fixture {
-    cluster: Cluster,
-    pid: u32,
-    _turn: MutexGuard<'static, ()>,
-}
+struct Fixture(OneEdge);
 
 impl Fixture {
     async fn start(answer: Answer) -> Self {
-        let turn = TURN.lock().await;
-        let (store, addresses) = Store::start().await;
-        let size = Size {
-            edges: 1,
-            storage: 3,
-        };
         let deployment = Deployment {
             memory_mb: Some(LIMIT_MB),
             ..Deployment::default()
         };
-        let cluster =
-            Cluster::start_deployed(configuration(1), store, addresses, size, deployment).await;
+        let one_edge = OneEdge::start(configuration(1), deployment).await;
         let entry = replica_entry("plain", start_replica(answer).await);
-        cluster.store.put("servers", "invalid", entry);
-        cluster.store.remove("servers", "plain-0");
+        let store = &one_edge.cluster.store;
+        store.put("servers", "invalid", entry);
+        store.remove("servers", "plain-0");
         tokio::time::sleep(Duration::from_millis(800)).await;
-        let pid = cluster.edges[0].pid().expect("runs");
-        Self {
-            cluster,
-            pid,
-            _turn: turn,
-        }
+        Self(one_edge)
     }
 
-    fn edge(&self) -> &Machine {
-        &self.cluster.edges[0]
+    fn front(&self) -> SocketAddr {
+        self.0.front()
     }
 
     /// Replaces the replica by a sound one and waits until it answers.
     async fn check_served(&self) {
         let (_replica, address) = Replica::start("sound").await;
         let sound = replica_entry("plain", address);
-        self.cluster.store.put("servers", "sound", sound);
-        self.cluster.store.remove("servers", "invalid");
+        self.0.cluster.store.put("servers", "sound", sound);
+        self.0.cluster.store.remove("servers", "invalid");
         let deadline = Instant::now() + PATIENCE;
         for number in 0.. {
             let id = format!("ordinary-{number}");
-            let call = call(self.edge().front, "POST", "/reads/x", &id, "x");
+            let call = call(self.front(), "POST", "/reads/x", &id, "x");
             let response = timeout(PATIENCE, call).await.expect("answered");
             if response.is_some_and(|response| response.status() == 200) {
                 break;
@@ -187,7 +169,7 @@
             assert!(Instant::now() < deadline, "no ordinary request is answered");
             tokio::time::sleep(Duration::from_millis(200)).await;
         }
-        assert_eq!(self.edge().pid(), Some(self.pid), "the process lives");
+        self.0.check_lives();
     }
 }
 
@@ -209,7 +191,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn a_status_outside_the_protocol_is_no_answer(#[case] status: &'static str) {
     let fixture = Fixture::start(Answer::Status(status)).await;
-    let answer = ask(fixture.edge().front, "request".to_string()).await;
+    let answer = ask(fixture.front(), "request".to_string()).await;
     let (seen, is_signed) = answer.expect("an answer of the edge");
     assert!([502, 503, 504].contains(&seen), "{seen}");
     assert!(!is_signed);
@@ -228,7 +210,7 @@
     let fixture = Fixture::start(answer).await;
     let mut asked = JoinSet::new();
     for number in 0..CROWD {
-        asked.spawn(ask(fixture.edge().front, format!("request-{number}")));
+        asked.spawn(ask(fixture.front(), format!("request-{number}")));
     }
     for answer in asked.join_all().await {
         let (status, is_signed) = answer.expect("an answer of the edge");
@@ -236,6 +218,5 @@
         assert!(!is_signed);
     }
     fixture.check_served().await;
-    let peak = fixture.edge().peak_bytes();
-    assert!(peak < LIMIT_MB * 1_000_000, "{} MB", peak / 1_000_000);
+    check_peak(fixture.0.edge(), LIMIT_MB);
 }
--- a/crates/brasspond/tests/request_memory.rs
+++ b/crates/brasspond/tests/request_memory.rs
@@ -2,17 +2,16 @@
 //! against bodies that use up the memory of an edge or of the storage processes, and with it the
 //! requests of all callers.
 
-use brasspond_platform_standin::Store;
-use brasspond_platform_standin::processes::{
-    Cluster, Deployment, Machine, Size, call, configuration,
-};
+mod one_edge;
+
+use brasspond_platform_standin::processes::{Deployment, call, configuration};
+use one_edge::{OneEdge, check_peak};
 use rstest::rstest;
 use serde_json::{Value, json};
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
-use tokio::sync::{Mutex, MutexGuard};
 use tokio::task::JoinSet;
 use tokio::time::timeout;
 
@@ -38,24 +37,11 @@
 const CALL_TIMEOUT: Duration = Duration::from_secs(5);
 const PATIENCE: Duration = Duration::from_secs(60);
 
-/// One test at a time, because memory is measured and processes share the machine.
-static TURN: Mutex<()> = Mutex::const_new(());
-
 /// A cluster with one edge whose memory is measured.
-struct Measured {
-    cluster: Cluster,
-    pid: u32,
-    _turn: MutexGuard<'static, ()>,
-}
+struct Measured(OneEdge);
 
 impl Measured {
     async fn start() -> Self {
-        let turn = TURN.lock().await;
-        let (store, addresses) = Store::start().await;
-        let size = Size {
-            edges: 1,
-            storage: 3,
-        };
         let deployment = Deployment {
             memory_mb: Some(LIMIT_MB),
             storage_memory_mb: Some(STORAGE_LIMIT_MB),
@@ -63,22 +49,11 @@
         };
         let mut configuration = configuration(1);
         configuration["limits"]["max_body_bytes"] = MAX_BODY.into();
-        let cluster =
-            Cluster::start_deployed(configuration, store, addresses, size, deployment).await;
-        let pid = cluster.edges[0].pid().expect("runs");
-        Self {
-            cluster,
-            pid,
-            _turn: turn,
-        }
-    }
-
-    fn edge(&self) -> &Machine {
-        &self.cluster.edges[0]
+        Self(OneEdge::start(configuration, deployment).await)
     }
 
     fn front(&self) -> SocketAddr {
-        self.edge().front
+        self.0.front()
     }
 
     /// Checks that an ordinary request is answered by the same process, and that its memory and
@@ -101,10 +76,9 @@
     }
 
     fn check_process(&self, crowd: usize) {
-        assert_eq!(self.edge().pid(), Some(self.pid), "the process lives");
-        let peak = self.edge().peak_bytes();
-        assert!(peak < LIMIT_MB * 1_000_000, "{} MB", peak / 1_000_000);
-        let folder = std::fs::read_dir(format!("/proc/{}/fd", self.pid));
+        self.0.check_lives();
+        check_peak(self.0.edge(), LIMIT_MB);
+        let folder = std::fs::read_dir(format!("/proc/{}/fd", self.0.pid));
         let descriptors = folder.expect("a folder").count();
         assert!(descriptors < crowd + OTHER_DESCRIPTORS, "{descriptors}");
     }
@@ -290,14 +264,9 @@
         statuses.iter().all(|status| [202, 503].contains(status)),
         "{statuses:?}"
     );
-    for machine in &measured.cluster.storage {
+    for machine in &measured.0.cluster.storage {
         assert_eq!(machine.starts(), 1, "{} lives", machine.name);
-        let peak = machine.peak_bytes();
-        assert!(
-            peak < STORAGE_LIMIT_MB * 1_000_000,
-            "{} MB",
-            peak / 1_000_000
-        );
+        check_peak(machine, STORAGE_LIMIT_MB);
     }
     measured.check(1).await;
 }
--- a/crates/cluster-protocol/src/submission.rs
+++ b/crates/cluster-protocol/src/submission.rs
@@ -69,14 +69,12 @@
     /// The submission cannot be encoded.
     pub fn finish(mut self, head: Submission) -> Result<EncodedSubmission, EncodeError> {
         // Only the tenant follows the items.
-        let tail = rmp_serde::to_vec(&head.tenant)?;
-        self.packer.push(&tail)?;
+        self.packer.push(&rmp_serde::to_vec(&head.tenant)?)?;
         Ok(EncodedSubmission {
             head: Submission {
                 items: Vec::new(),
                 ..head
             },
-            tail_bytes: tail.len(),
             count: self.count,
             endpoints: self.endpoints,
             items: self.packer.finish()?,
@@ -138,8 +136,6 @@
 pub struct EncodedSubmission {
     /// The submission without its items.
     head: Submission,
-    /// Length of the encoded fields that follow the items.
-    tail_bytes: usize,
     count: u32,
     endpoints: BTreeSet<ScoringEndpoint>,
     /// Compressed items and the fields that follow them.
@@ -173,7 +169,9 @@
             question: Question::Submit(self.head.clone()),
         };
         let mut head = rmp_serde::to_vec(&message)?;
-        head.truncate(head.len() - self.tail_bytes - EMPTY_ARRAY_BYTES);
+        // The items are followed by the tenant.
+        let tail = rmp_serde::to_vec(&self.head.tenant)?;
+        head.truncate(head.len() - tail.len() - EMPTY_ARRAY_BYTES);
         head.push(ARRAY_32);
         head.extend(self.count.to_be_bytes());
         Ok(frame_of_parts(stored_head(&head), self.items.clone()))
--- a/crates/cluster/src/edge/forward.rs
+++ b/crates/cluster/src/edge/forward.rs
@@ -18,9 +18,7 @@
 use crate::clock::Moment;
 use brasspond_distance::Distance;
 use brasspond_eligibility::{Clearance, Ineligible, Requirements};
-use brasspond_fleet::{
-    Regions, Route, RouteKind, Target, Tenant, choose_target, substitute_target,
-};
+use brasspond_fleet::{Regions, Route, RouteKind, Target, Tenant, choose_target, usable_target};
 use brasspond_quarantine::{Fingerprint, RequestContent};
 use brasspond_warmup::Permit;
 use bytes::Bytes;
@@ -109,19 +107,13 @@
     /// Chooses the target of a route's next request, or its substitute while no replica of its
     /// service takes work in the allowed regions.
     fn choose_target<'a>(&self, route: &'a Route, regions: &Regions) -> Option<&'a Target> {
-        let target = choose_target(&route.targets, self.next_request_number(route))?;
-        if route.targets.len() < 2 {
-            return Some(target);
-        }
+        let preferred = choose_target(&route.targets, self.next_request_number(route))?;
         let view = self.fleet.view.borrow();
         let is_usable = |service: &str| {
             let mut replicas = view.replicas_taking_work(service);
             replicas.any(|replica| regions.allows(replica.region.as_deref()))
         };
-        if is_usable(&target.service) {
-            return Some(target);
-        }
-        substitute_target(&route.targets, is_usable).or(Some(target))
+        Some(usable_target(&route.targets, preferred, is_usable))
     }
 
     /// Number of the next request of a route that splits traffic between services; 0 for other
--- a/crates/cluster/src/edge/scoring.rs
+++ b/crates/cluster/src/edge/scoring.rs
@@ -134,9 +134,9 @@
 
 /// Makes a scoring call and retries it until a replica responds successfully, the number of
 /// responses with status 500 reaches the route's maximum number of attempts, or no attempt can begin
-/// before the deadline. `regions` are the regions allowed for
-/// the job's data, which further restrict those of the route. `earlier_timeouts` is the number of
-/// earlier calls for the text that reached their deadline; each lengthens the attempts' timeout.
+/// before the deadline. `regions` are the regions allowed for the job's data, which further restrict
+/// those of the route. `earlier_timeouts` is the number of earlier calls for the text that reached
+/// their deadline; each lengthens the attempts' timeout.
 pub(super) async fn score(
     edge: &Rc<Edge>,
     call: &ScoringCall,
--- a/crates/cluster/src/storage/job_memory.rs
+++ b/crates/cluster/src/storage/job_memory.rs
@@ -6,7 +6,7 @@
 //! each may become the leader.
 
 use super::process::Storage;
-use brasspond_jobs::{Item, Job, Submission};
+use brasspond_jobs::{Item, Job};
 
 /// Memory of an item beside its content, in bytes.
 const ITEM_BYTES: u64 = 600;
@@ -32,10 +32,42 @@
     (names + headers + item.body.len() + scoring) as u64
 }
 
-/// Memory of items, in bytes.
-fn items_bytes(items: &[Item]) -> u64 {
-    let content: u64 = items.iter().map(content_bytes).sum();
-    content + items.len() as u64 * ITEM_BYTES
+/// Number of items of a job and bytes of their content.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct JobSize {
+    items: u64,
+    content: u64,
+}
+
+impl JobSize {
+    /// Measures items.
+    pub fn of(items: &[Item]) -> Self {
+        Self {
+            items: items.len() as u64,
+            content: items.iter().map(content_bytes).sum(),
+        }
+    }
+
+    /// Memory that the job takes once it is accepted, in bytes.
+    pub fn held_bytes(self) -> u64 {
+        self.content + self.items * ITEM_BYTES
+    }
+
+    /// Additional memory while the job is accepted, in bytes.
+    fn accepting_bytes(self) -> u64 {
+        self.content * CONTENT_COPIES + self.items * ENCODED_ITEM_BYTES
+    }
+
+    fn is_small(self, limit: u64) -> bool {
+        self.held_bytes() <= limit / SMALL_JOB_DIVISOR
+    }
+
+    /// Whether the job fits beside jobs of `held_bytes` into a process with this memory limit.
+    fn fits(self, held_bytes: u64, limit: u64) -> bool {
+        let (numerator, denominator) = JOBS_SHARE;
+        let needed = IDLE_BYTES + held_bytes + self.held_bytes() + self.accepting_bytes();
+        self.is_small(limit) || needed <= limit / denominator * numerator
+    }
 }
 
 /// Memory of a job in the table, in bytes.
@@ -44,46 +76,21 @@
     let parts = job.parts.values().flatten().map(|part| part.data.len());
     let drafts = job.drafts.values().map(|(text, _)| text.len());
     let texts: usize = results.chain(parts).chain(drafts).sum();
-    items_bytes(&job.items) + texts as u64
-}
-
-/// Memory that a submission takes once it is accepted, in bytes.
-pub(super) fn submission_bytes(submission: &Submission) -> u64 {
-    items_bytes(&submission.items)
-}
-
-/// Additional memory while a submission is accepted, in bytes.
-fn accepting_bytes(submission: &Submission) -> u64 {
-    let content: u64 = submission.items.iter().map(content_bytes).sum();
-    content * CONTENT_COPIES + submission.items.len() as u64 * ENCODED_ITEM_BYTES
-}
-
-fn is_small(job_bytes: u64, limit: u64) -> bool {
-    job_bytes <= limit / SMALL_JOB_DIVISOR
-}
-
-/// Whether a job of `job_bytes`, and `accepting_bytes` while it is accepted, fits beside jobs of
-/// `held_bytes` into a process with this memory limit.
-fn fits(held_bytes: u64, job_bytes: u64, accepting_bytes: u64, limit: u64) -> bool {
-    let (numerator, denominator) = JOBS_SHARE;
-    let needed = IDLE_BYTES + held_bytes + job_bytes + accepting_bytes;
-    is_small(job_bytes, limit) || needed <= limit / denominator * numerator
+    JobSize::of(&job.items).held_bytes() + texts as u64
 }
 
 impl Storage {
-    /// Whether a submission fits into the memory of this process beside the jobs in the table and
-    /// those that are proposed. Without a limit every submission fits.
-    pub(super) fn fits_into_memory(&self, submission: &Submission) -> bool {
+    /// Whether a submission of this size fits into the memory of this process beside the jobs in
+    /// the table and those that are proposed. Without a limit every submission fits.
+    pub(super) fn fits_into_memory(&self, size: JobSize) -> bool {
         let Some(limit) = self.settings.process.memory_limit else {
             return true;
         };
-        let bytes = submission_bytes(submission);
-        if is_small(bytes, limit) {
+        if size.is_small(limit) {
             return true;
         }
         let jobs: u64 = self.table.jobs().map(|(_, job)| job_bytes(job)).sum();
-        let held = jobs + self.proposals.submitted_bytes();
-        fits(held, bytes, accepting_bytes(submission), limit)
+        size.fits(jobs + self.proposals.submitted_bytes(), limit)
     }
 }
 
--- a/crates/cluster/src/storage/proposals.rs
+++ b/crates/cluster/src/storage/proposals.rs
@@ -4,7 +4,7 @@
 //! Owns [`Proposals`]. They wait by [`EntryId`], since another leader may put its own entry at the
 //! index of one that is not committed.
 
-use super::job_memory::submission_bytes;
+use super::job_memory::JobSize;
 use super::links::LinkState;
 use super::process::Storage;
 use super::questions::Requester;
@@ -100,10 +100,11 @@
 
     /// Handles the submission of a job that is not in the table.
     fn on_new_submission(&mut self, requester: Requester, submission: Submission) {
+        let size = JobSize::of(&submission.items);
         let change = Change::Submit {
             job: submission.id.clone(),
             tenant: submission.tenant.clone(),
-            bytes: submission_bytes(&submission),
+            bytes: size.held_bytes(),
         };
         let proposal = Proposal { requester, change };
         match self.proposals.submission_of(&submission.id) {
@@ -119,7 +120,7 @@
                 );
                 self.answer(requester, Answer::OutsideRegions);
             }
-            None if !self.fits_into_memory(&submission) => {
+            None if !self.fits_into_memory(size) => {
                 log::warn!(
                     "event=job_refused job={} reason=no_memory items={}",
                     submission.id,
--- a/crates/cluster/tests/unit/job_memory.rs
+++ b/crates/cluster/tests/unit/job_memory.rs
@@ -1,7 +1,7 @@
 //! Guards against accepted jobs that exceed the memory of storage processes, and against refusing
 //! small jobs.
 
-use super::{accepting_bytes, fits, items_bytes, submission_bytes};
+use super::JobSize;
 use brasspond_jobs::{Item, Submission};
 use bytes::Bytes;
 use rstest::rstest;
@@ -35,8 +35,7 @@
 }
 
 fn is_accepted(held: u64, submission: &Submission, limit: u64) -> bool {
-    let bytes = submission_bytes(submission);
-    fits(held, bytes, accepting_bytes(submission), limit)
+    JobSize::of(&submission.items).fits(held, limit)
 }
 
 #[rstest]
@@ -52,7 +51,7 @@
     let mut held = 0;
     let mut accepted = 0;
     while is_accepted(held, &submission, LIMIT) {
-        held += items_bytes(&submission.items);
+        held += JobSize::of(&submission.items).held_bytes();
         accepted += 1;
         assert!(held < LIMIT, "more than the memory");
     }
--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -246,7 +246,7 @@
         }
         self.recheck_lives(now);
         self.replicas.update_medians();
-        self.replicas.update_usable(now);
+        self.replicas.update_usable(&self.view, now);
         if self.may_place {
             // While runs may not be placed, a run that is handed over would not resume.
             self.move_from_departing(now);
--- a/crates/dispatch/src/job_route.rs
+++ b/crates/dispatch/src/job_route.rs
@@ -3,7 +3,7 @@
 use crate::residency::body_regions;
 use crate::service_capacity::UsableServices;
 use brasspond_fleet::{
-    Configuration, FleetView, Regions, Route, Target, choose_target, substitute_target,
+    Configuration, FleetView, Regions, Route, Target, choose_target, usable_target,
 };
 use brasspond_jobs::Job;
 use std::ptr;
@@ -37,13 +37,9 @@
     /// The service that runs the items of a target: its own, or while that is not usable, its
     /// substitute.
     pub fn service(&self, target: usize, usable: &UsableServices) -> &str {
-        let own = self.targets[target].service.as_str();
-        if self.targets.len() == 1 || usable.contains(own, &self.regions) {
-            return own;
-        }
         let is_usable = |service: &str| usable.contains(service, &self.regions);
-        let substitute = substitute_target(&self.targets, is_usable);
-        substitute.map_or(own, |other| other.service.as_str())
+        let target = usable_target(&self.targets, &self.targets[target], is_usable);
+        &target.service
     }
 }
 
--- a/crates/dispatch/src/replicas.rs
+++ b/crates/dispatch/src/replicas.rs
@@ -66,7 +66,8 @@
     pub warming: Warming,
     /// The newest known life of each replica.
     pub lives: Lives,
-    /// Services that can run items, as of the last tick or change of the view.
+    /// Services that can run items, as of the last tick or change of the view. Not updated while no
+    /// route is divided.
     pub usable: UsableServices,
 }
 
@@ -135,7 +136,7 @@
             replica.slots = info.slots as usize;
         }
         self.index_budgets(now);
-        self.update_usable(now);
+        self.update_usable(view, now);
     }
 
     /// The slowdown of a service; the prior estimate before any pace is known.
--- a/crates/dispatch/src/service_capacity.rs
+++ b/crates/dispatch/src/service_capacity.rs
@@ -1,9 +1,10 @@
 //! Decides which services can run items at all, for routes that divide items between services.
 //!
-//! The set is computed when replicas change and at each tick, in one pass over the fleet.
+//! The set is computed when replicas change and at each tick, in one pass over the fleet, if the
+//! configuration has such a route.
 
 use crate::replicas::{Replica, Replicas};
-use brasspond_fleet::Regions;
+use brasspond_fleet::{FleetView, Regions};
 use brasspond_units::Millis;
 use std::collections::HashMap;
 use std::sync::Arc;
@@ -50,9 +51,20 @@
     replica.endpoint.takes_work() && !is_failing
 }
 
+fn has_divided_routes(view: &FleetView) -> bool {
+    let configuration = view.configuration.as_ref();
+    configuration.is_some_and(|configuration| {
+        let mut routes = configuration.routes.iter();
+        routes.any(|route| route.targets.len() > 1)
+    })
+}
+
 impl Replicas {
     /// Computes [`Self::usable`].
-    pub fn update_usable(&mut self, now: Millis) {
+    pub fn update_usable(&mut self, view: &FleetView, now: Millis) {
+        if !has_divided_routes(view) {
+            return;
+        }
         let mut usable = UsableServices::default();
         for replica in self
             .by_id
--- a/crates/dispatch/src/starting.rs
+++ b/crates/dispatch/src/starting.rs
@@ -63,8 +63,8 @@
         }
     }
 
-    /// Starts waiting items of a job, at most `most`; returns their number. An item
-    /// that must wait keeps back only the items with the same constraints.
+    /// Starts waiting items of a job, at most `most`; returns their number. An item that must wait
+    /// keeps back only the items with the same constraints.
     fn start_job(&mut self, id: &str, most: usize, table: &JobTable, now: Millis) -> usize {
         let mut refused = BTreeSet::new();
         let mut started = 0;
--- a/crates/dispatch/tests/broken_runs.rs
+++ b/crates/dispatch/tests/broken_runs.rs
@@ -36,15 +36,6 @@
     fixture.table.apply(Command::Quarantine(vec![change]));
 }
 
-fn end_run(fixture: &mut Fixture, run: &RunSpec, end: RunEnd) -> Vec<Action> {
-    fixture.handle(Event::RunEnded {
-        machine: "edge-1".to_string(),
-        attempt: run.attempt,
-        events: Vec::new(),
-        end,
-    })
-}
-
 fn is_given_up(actions: &[Action]) -> bool {
     actions.iter().any(
         |action| matches!(action, Action::List(listing) if listing.outcome == Outcome::Terminated),
@@ -73,7 +64,7 @@
     let mut run = runs(&actions).remove(0);
     for number in 0..CRASHES {
         record_end(&mut fixture, content, number);
-        let actions = end_run(&mut fixture, &run, RunEnd::Broken);
+        let actions = fixture.end_run("edge-1", &run, RunEnd::Broken);
         let next = next_run(&mut fixture, actions);
         run = next.unwrap_or_else(|| panic!("not placed after {} crashes", number + 1));
     }
@@ -89,7 +80,7 @@
     for number in 0..CRASHES {
         record_end(&mut fixture, content, number);
     }
-    end_run(&mut fixture, &run, RunEnd::Broken);
+    fixture.end_run("edge-1", &run, RunEnd::Broken);
     fixture.end_job("job");
     let next = fixture.accept(submission("next-job", &[9], 0));
     assert_eq!(runs(&next).len(), 1);
--- a/crates/dispatch/tests/divided_routes.rs
+++ b/crates/dispatch/tests/divided_routes.rs
@@ -5,7 +5,7 @@
 mod support;
 
 use brasspond_cluster_protocol::{RunEnd, RunSpec};
-use brasspond_dispatch::{Action, Event, OrderLeases};
+use brasspond_dispatch::{Event, OrderLeases};
 use brasspond_fleet::{Configuration, FleetView, Regions, ReplicaInfo, Service, Target};
 use fixture::warming::{leader, warming_replica};
 use fixture::{Fixture, run_ticks, runs};
@@ -64,15 +64,6 @@
     runs.iter().filter(|run| run.replica == CANARY).count()
 }
 
-fn end_run(fixture: &mut Fixture, run: &RunSpec, end: RunEnd) -> Vec<Action> {
-    fixture.handle(Event::RunEnded {
-        machine: "edge-1".to_string(),
-        attempt: run.attempt,
-        events: Vec::new(),
-        end,
-    })
-}
-
 #[rstest]
 fn a_full_service_keeps_back_only_its_own_items() {
     let mut fixture = leader_of(divided_view(1));
@@ -169,7 +160,7 @@
     for _ in 0..50 {
         let mut actions = Vec::new();
         for run in std::mem::take(&mut unreachable) {
-            actions.extend(end_run(&mut fixture, &run, RunEnd::Unreachable));
+            actions.extend(fixture.end_run("edge-1", &run, RunEnd::Unreachable));
         }
         actions.extend(run_ticks(&mut fixture, 100, true));
         for run in runs(&actions) {
--- a/crates/dispatch/tests/warming.rs
+++ b/crates/dispatch/tests/warming.rs
@@ -5,7 +5,7 @@
 mod support;
 
 use brasspond_cluster_protocol::{Pace, RunEnd, RunSpec};
-use brasspond_dispatch::{Action, Event, OrderLeases};
+use brasspond_dispatch::{Event, OrderLeases};
 use brasspond_fleet::{ReplicaInfo, WarmUp};
 use brasspond_warmup::{LEADER_OVERLAP_MS, PERMIT_MS};
 use fixture::warming::{
@@ -136,7 +136,7 @@
     let started = runs(&fixture.accept(submission("job", &[10; 90], 1)));
     assert_eq!(started.len(), LIMIT_PER_SECOND);
     for run in &started {
-        end_run(&mut fixture, run, RunEnd::Cancelled);
+        fixture.end_run("edge", run, RunEnd::Cancelled);
     }
     fixture.remove_replica("replica-0");
     run_budget_events(&mut fixture, 300);
@@ -145,15 +145,6 @@
     assert_eq!(run_budget_events(&mut fixture, 5).len(), LIMIT_PER_SECOND);
 }
 
-fn end_run(fixture: &mut Fixture, run: &RunSpec, end: RunEnd) -> Vec<Action> {
-    fixture.handle(Event::RunEnded {
-        machine: "edge".to_string(),
-        attempt: run.attempt,
-        events: Vec::new(),
-        end,
-    })
-}
-
 #[rstest]
 #[case(RunEnd::Unsent, true)]
 #[case(RunEnd::NotRun { other_replica: true }, true)]
@@ -170,7 +161,7 @@
     fixture.set_replica(warming_replica(0, 5_000));
     let started = runs(&fixture.accept(submission("job", &[10; 90], 1)));
     assert_eq!(started.len(), LIMIT_PER_SECOND);
-    let mut again = runs(&end_run(&mut fixture, &started[0], end)).len();
+    let mut again = runs(&fixture.end_run("edge", &started[0], end)).len();
     // A replica at fault for the end of the run receives no item during its pause.
     again += run_budget_events(&mut fixture, 500).len();
     assert_eq!(again, usize::from(is_refunded));
@@ -194,7 +185,7 @@
     fixture.set_replica(replica(0, SLOTS));
     let started = runs(&fixture.accept(submission("job", &[10], 1)));
     assert_eq!(started[0].send_by, None);
-    assert!(runs(&end_run(&mut fixture, &started[0], RunEnd::Unsent)).is_empty());
+    assert!(runs(&fixture.end_run("edge", &started[0], RunEnd::Unsent)).is_empty());
     assert_eq!(run_budget_events(&mut fixture, 300).len(), 1);
 }
 
@@ -249,7 +240,7 @@
         }),
     });
     fixture.end_job(job);
-    end_run(fixture, &started[0], RunEnd::Cancelled);
+    fixture.end_run("edge", &started[0], RunEnd::Cancelled);
 }
 
 /// Guards against treating a replica as slow because of its paces during the warm-up.
--- a/crates/fleet/src/configuration.rs
+++ b/crates/fleet/src/configuration.rs
@@ -214,11 +214,20 @@
     targets.last()
 }
 
-/// Returns the target that serves in place of one whose service is not usable: the usable one with
-/// the largest weight. A target with weight 0 serves no requests.
-pub fn substitute_target(targets: &[Target], is_usable: impl Fn(&str) -> bool) -> Option<&Target> {
-    let usable = targets
+/// Returns `preferred`, one of `targets`, or while its service is not usable, the usable target with
+/// the largest weight in its place. A target with weight 0 is no substitute. Without a usable target
+/// the preferred one stays. A single target is not checked.
+pub fn usable_target<'a>(
+    targets: &'a [Target],
+    preferred: &'a Target,
+    is_usable: impl Fn(&str) -> bool,
+) -> &'a Target {
+    if targets.len() == 1 || is_usable(&preferred.service) {
+        return preferred;
+    }
+    let substitutes = targets
         .iter()
         .filter(|target| target.weight > 0 && is_usable(&target.service));
-    usable.max_by_key(|target| target.weight)
+    let heaviest = substitutes.max_by_key(|target| target.weight);
+    heaviest.unwrap_or(preferred)
 }
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -19,7 +19,7 @@
 pub use catch_up::CatchUp;
 pub use configuration::{
     Configuration, Limits, Route, RouteKind, Scaling, Service, Target, WarmUp, choose_target,
-    substitute_target,
+    usable_target,
 };
 pub use delta::{BaseMismatch, ViewDelta};
 pub use index::ConfigurationIndex;
--- a/crates/quarantine/src/ledger.rs
+++ b/crates/quarantine/src/ledger.rs
@@ -98,11 +98,6 @@
         self.cases.iter().map(|(content, case)| (*content, case))
     }
 
-    /// Whether any content is quarantined. If none is, callers need not compute fingerprints.
-    pub fn has_quarantined(&self) -> bool {
-        !self.held.is_empty()
-    }
-
     /// Whether a content is quarantined, so that requests with it are not sent to replicas.
     pub fn is_quarantined(&self, content: Fingerprint) -> bool {
         self.held.contains(&content)
